--- /dev/null
+++ b/scheduler/assemble.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"time"
+
+	"amaranthpaddle/plan"
+	"amaranthpaddle/resource"
+	"amaranthpaddle/scheduler/health"
+	"amaranthpaddle/task"
+)
+
+// Snapshot returns what Decide needs, from the replicated state, the fleet
+// and what was learnt. vms must hold each VM on which a task holds a grant,
+// lost ones with Fresh unset; Quarantine is filled in here. The result is
+// valid until the next call.
+func (l *Learner) Snapshot(now time.Time, p *plan.DayPlan, t *task.Table, vms []VM) *Snapshot {
+	l.review(now, t, vms)
+	s := &l.snapshot
+	*s = Snapshot{
+		Now:           now,
+		LatencyWeight: p.LatencyWeight,
+		VMs:           append(s.VMs[:0], vms...),
+		Tasks:         s.Tasks[:0],
+		Pending:       s.Pending[:0],
+		Teams:         s.Teams[:0],
+		Pressures:     s.Pressures[:0],
+		Harm:          l.harm,
+		MovesLeft:     l.budget.left(),
+	}
+	for _, team := range p.Teams {
+		s.Teams = append(s.Teams, Team{Name: team.Name, Quota: team.Quota})
+	}
+	jobs := newJobFacts(l)
+	for i := range s.VMs {
+		v := &s.VMs[i]
+		v.Quarantine = quarantine(l.health.State(v.ID))
+		for _, k := range t.OnVM(v.ID) {
+			s.Tasks = append(s.Tasks, l.describe(now, k, jobs.of(k.Job)))
+			l.addPressure(s, k)
+		}
+	}
+	for _, k := range t.Pending() {
+		s.Pending = append(s.Pending, l.describe(now, k, jobs.of(k.Job)))
+	}
+	return s
+}
+
+func (l *Learner) review(now time.Time, t *task.Table, vms []VM) {
+	l.sweep(now)
+	l.budget.refill(now, len(vms))
+	l.fleet = l.fleet[:0]
+	for i := range vms {
+		l.fleet = append(l.fleet, vms[i].ID)
+	}
+	l.health.Review(now, l.fleet, func(job string) bool {
+		j := t.Job(job)
+		return j == nil || j.Failing()
+	})
+}
+
+func quarantine(s health.State) Quarantine {
+	switch s {
+	case health.Quarantined:
+		return Quarantined
+	case health.Probation:
+		return Probation
+	}
+	return Trusted
+}
+
+// jobFacts caches, during one Snapshot, what all tasks of a job share.
+type jobFacts struct {
+	l     *Learner
+	facts map[*task.Job]*facts
+}
+
+type facts struct {
+	size    resource.Vector
+	runTime time.Duration
+	work    time.Duration
+}
+
+func newJobFacts(l *Learner) *jobFacts {
+	return &jobFacts{l: l, facts: map[*task.Job]*facts{}}
+}
+
+func (f *jobFacts) of(j *task.Job) *facts {
+	if known := f.facts[j]; known != nil {
+		return known
+	}
+	n := &facts{
+		size:    f.l.grant(j),
+		runTime: f.l.sizes.RunTime(j.ID, j.RunTime),
+	}
+	n.work = n.runTime * time.Duration(max(j.Wanted-j.Finished, 0))
+	f.facts[j] = n
+	return n
+}
+
+// grant returns the size to ask for a task of the job. A service instance
+// never gets less than declared: its use follows its callers.
+func (l *Learner) grant(j *task.Job) resource.Vector {
+	size := l.sizes.Size(j.ID, j.Size)
+	if j.Class == task.LatencyCritical {
+		return size.Max(j.Size)
+	}
+	return size
+}
+
+func (l *Learner) describe(now time.Time, k *task.Task, f *facts) Task {
+	j := k.Job
+	d := Task{
+		ID: k.ID, Job: j.ID, Team: j.Team, Class: j.Class,
+		State: k.State, Generation: k.Generation, VM: k.VM, Grant: k.Grant,
+		Priority: j.Priority, Deadline: j.Deadline,
+		Remaining: time.Duration(float64(f.runTime) * (1 - k.Progress)),
+		JobWork:   f.work, NotBefore: k.NotBefore, Since: k.Since,
+		Movable: true, Trial: j.Failing(), Avoid: j.FailedVMs,
+	}
+	if j.NotBefore.After(d.NotBefore) {
+		d.NotBefore = j.NotBefore
+	}
+	if k.State == task.Pending {
+		d.Grant = f.size
+		d.VM = ""
+		return d
+	}
+	d.AtRisk = atRisk(now, k)
+	if r := l.runs[k.ID]; r != nil && r.generation == k.Generation {
+		d.Used = r.used
+		d.Throttle = r.throttle
+		d.Movable = now.Sub(r.moved) > moveCooldown
+	}
+	return d
+}
+
+// atRisk returns the run time since the last checkpoint or the start.
+func atRisk(now time.Time, k *task.Task) time.Duration {
+	if k.State != task.Running {
+		return 0
+	}
+	from := k.Started
+	if k.SavedAt.After(from) {
+		from = k.SavedAt
+	}
+	return max(now.Sub(from), 0)
+}
+
+func (l *Learner) addPressure(s *Snapshot, k *task.Task) {
+	if k.Job.Class != task.LatencyCritical || k.State != task.Running {
+		return
+	}
+	r := l.runs[k.ID]
+	if r != nil && r.generation == k.Generation && r.pressure.Task != "" {
+		s.Pressures = append(s.Pressures, r.pressure)
+	}
+}
--- /dev/null
+++ b/task/table.go
@@ -0,0 +1,260 @@
+package task
+
+import (
+	"sort"
+	"time"
+
+	"amaranthpaddle/fault"
+	"amaranthpaddle/resource"
+)
+
+// Errors of Place and RequestEvict.
+var (
+	ErrUnknownTask = fault.New(fault.NotFound, "no such task")
+	ErrNotPending  = fault.New(fault.Conflict, "the task is not pending")
+	ErrSuperseded  = fault.New(fault.Stale, "the generation is superseded")
+	ErrZoneOut     = fault.New(fault.Conflict, "the availability zone is out of service")
+	ErrNoCapacity  = fault.New(fault.Conflict, "the VM cannot hold the grant")
+	ErrNotRunning  = fault.New(fault.Conflict, "the task is not running")
+)
+
+// Table is the state of all jobs and tasks. It is not safe for concurrent use.
+type Table struct {
+	planNumber uint64
+	day        string
+	jobs       map[string]*Job
+	tasks      map[string]*Task
+	vms        map[string]*vmState
+	zonesOut   map[string]bool
+	pending    []*Task // no order
+	floor      uint64  // new tasks begin above the generations of forgotten ones
+}
+
+type vmState struct {
+	committed resource.Vector
+	tasks     []*Task // no order
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		jobs:     map[string]*Job{},
+		tasks:    map[string]*Task{},
+		vms:      map[string]*vmState{},
+		zonesOut: map[string]bool{},
+	}
+}
+
+// PlanNumber returns the number of the plan in force, 0 before the first.
+func (t *Table) PlanNumber() uint64 { return t.planNumber }
+
+// Task returns the task with the ID, or nil. The caller must not change it.
+func (t *Table) Task(id string) *Task { return t.tasks[id] }
+
+// Job returns the job with the ID, or nil. The caller must not change it.
+func (t *Table) Job(id string) *Job { return t.jobs[id] }
+
+// Jobs returns all jobs, ordered by ID.
+func (t *Table) Jobs() []*Job {
+	jobs := make([]*Job, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].ID < jobs[b].ID })
+	return jobs
+}
+
+// Pending returns the tasks that wait for a VM, in no order. The caller must
+// neither change nor keep the slice.
+func (t *Table) Pending() []*Task { return t.pending }
+
+// OnVM returns the tasks that hold a grant on the VM, in no order. The caller
+// must neither change nor keep the slice.
+func (t *Table) OnVM(vm string) []*Task {
+	if s := t.vms[vm]; s != nil {
+		return s.tasks
+	}
+	return nil
+}
+
+// VMs returns the VMs on which a task holds a grant, in order.
+func (t *Table) VMs() []string {
+	vms := make([]string, 0, len(t.vms))
+	for vm, s := range t.vms {
+		if len(s.tasks) > 0 {
+			vms = append(vms, vm)
+		}
+	}
+	sort.Strings(vms)
+	return vms
+}
+
+// Committed returns the sum of the grants on the VM, of starting, running and
+// stopping tasks.
+func (t *Table) Committed(vm string) resource.Vector {
+	if s := t.vms[vm]; s != nil {
+		return s.committed
+	}
+	return resource.Vector{}
+}
+
+// Owns reports whether the VM holds the current run of the task. A run that
+// is not owned must be stopped by the agent that reports it.
+func (t *Table) Owns(vm, id string, generation uint64) bool {
+	k := t.tasks[id]
+	return k != nil && k.State.HoldsGrant() && k.VM == vm && k.Generation == generation
+}
+
+// SetZone records whether the availability zone is in service. Place refuses
+// VMs of a zone that is out.
+func (t *Table) SetZone(zone string, inService bool) {
+	if inService {
+		delete(t.zonesOut, zone)
+		return
+	}
+	t.zonesOut[zone] = true
+}
+
+// Place commits the next run of a task to a VM. It checks the placement
+// against the present state, which may have changed since it was decided:
+// ErrUnknownTask, ErrNotPending, ErrSuperseded, ErrZoneOut or ErrNoCapacity.
+func (t *Table) Place(now time.Time, p Placement) error {
+	k := t.tasks[p.Task]
+	if k == nil {
+		return ErrUnknownTask
+	}
+	if p.Generation != k.Generation+1 {
+		return ErrSuperseded
+	}
+	if k.State != Pending {
+		return ErrNotPending
+	}
+	if t.zonesOut[p.Zone] {
+		return ErrZoneOut
+	}
+	if !t.Committed(p.VM).Add(p.Grant).Fits(p.Capacity) {
+		return ErrNoCapacity
+	}
+	k.Generation = p.Generation
+	k.VM = p.VM
+	k.Grant = p.Grant
+	k.ResumedAt = k.Progress
+	k.Started = time.Time{}
+	t.move(now, k, eventPlace)
+	return nil
+}
+
+// RequestEvict asks for a checkpoint and a stop of a run. It returns
+// ErrUnknownTask, ErrSuperseded or ErrNotRunning. Asking again is no error.
+func (t *Table) RequestEvict(now time.Time, id string, generation uint64, reason string) error {
+	k := t.tasks[id]
+	if k == nil {
+		return ErrUnknownTask
+	}
+	if k.Generation != generation {
+		return ErrSuperseded
+	}
+	if k.State == Stopping || k.State == Cancelling {
+		return nil
+	}
+	if !t.move(now, k, eventStop) {
+		return ErrNotRunning
+	}
+	k.StopReason = reason
+	return nil
+}
+
+// VMLost returns the tasks of a VM to Pending, to be resumed from their last
+// committed checkpoint, and returns how many there were. The caller must have
+// waited until the VM's lease expired, or the VM must have confirmed that
+// nothing runs.
+func (t *Table) VMLost(now time.Time, vm string) int {
+	s := t.vms[vm]
+	if s == nil {
+		return 0
+	}
+	lost := append([]*Task(nil), s.tasks...)
+	for _, k := range lost {
+		k.Losses++
+		t.move(now, k, eventLost)
+	}
+	return len(lost)
+}
+
+// CancelJob cancels each task of a job. Running ones are Cancelling until
+// their VM confirms the stop. It reports whether there is such a job.
+func (t *Table) CancelJob(now time.Time, jobID string) bool {
+	j := t.jobs[jobID]
+	if j == nil {
+		return false
+	}
+	t.resize(now, j, 0)
+	return true
+}
+
+// move takes a task through the transition table and keeps the indexes. It
+// reports whether the task's state takes the event.
+func (t *Table) move(now time.Time, k *Task, e event) bool {
+	to, ok := k.State.next(e)
+	if !ok {
+		return false
+	}
+	from := k.State
+	k.State = to
+	k.Since = now
+	if from == Pending {
+		t.removePending(k)
+	}
+	if to == Pending {
+		t.addPending(k)
+	}
+	if !from.HoldsGrant() && to.HoldsGrant() {
+		t.addGrant(k)
+	}
+	if from.HoldsGrant() && !to.HoldsGrant() {
+		t.removeGrant(k)
+	}
+	return true
+}
+
+func (t *Table) addPending(k *Task) {
+	k.pendingIndex = len(t.pending)
+	t.pending = append(t.pending, k)
+}
+
+func (t *Table) removePending(k *Task) {
+	last := len(t.pending) - 1
+	moved := t.pending[last]
+	t.pending[k.pendingIndex] = moved
+	moved.pendingIndex = k.pendingIndex
+	t.pending[last] = nil
+	t.pending = t.pending[:last]
+	k.pendingIndex = -1
+}
+
+func (t *Table) addGrant(k *Task) {
+	s := t.vms[k.VM]
+	if s == nil {
+		s = &vmState{}
+		t.vms[k.VM] = s
+	}
+	s.committed = s.committed.Add(k.Grant)
+	k.vmIndex = len(s.tasks)
+	s.tasks = append(s.tasks, k)
+}
+
+func (t *Table) removeGrant(k *Task) {
+	s := t.vms[k.VM]
+	s.committed = s.committed.Sub(k.Grant)
+	last := len(s.tasks) - 1
+	moved := s.tasks[last]
+	s.tasks[k.vmIndex] = moved
+	moved.vmIndex = k.vmIndex
+	s.tasks[last] = nil
+	s.tasks = s.tasks[:last]
+	if last == 0 {
+		delete(t.vms, k.VM)
+	}
+	k.vmIndex = -1
+	k.Grant = resource.Vector{}
+}
