Worker interface, agent session and stand-ins

Cause: agents need a way to hold the VM's lease and to drive tasks. Change: worker (documented HTTP interface and client), session (lease holder, report outbox, driver, stream to the leader), standin (worker, backend server and the ledger that records what really ran). Conclusion: leases are expressed on the worker's own clock and epoch, so that neither a delay nor a restart can lengthen one.

--- /dev/null
+++ b/session/driver.go
@@ -0,0 +1,266 @@
+package session
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/resource"
+	"amaranthpaddle/worker"
+)
+
+// driveLoop carries out directives at the worker and reads its state.
+func (s *Session) driveLoop(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	lastUsage := time.Now()
+	for {
+		s.driveOnce(ctx)
+		if time.Since(lastUsage) >= usagePollInterval {
+			s.readUsage(ctx)
+			lastUsage = time.Now()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.wakeup:
+		}
+	}
+}
+
+// driveOnce extends the worker's lease first: runs must not end for want of a
+// lease that the VM already has.
+func (s *Session) driveOnce(ctx context.Context) {
+	s.extendLease(ctx)
+	s.carryOutStops(ctx)
+	s.carryOutThrottles(ctx)
+	s.carryOutStarts(ctx)
+	s.readTasks(ctx)
+	s.forgetEnded(ctx)
+}
+
+func (s *Session) extendLease(ctx context.Context) {
+	s.mu.Lock()
+	until, sent := s.holder.WorkerLeaseUntil(), s.leaseSent
+	request := worker.LeaseRequest{Epoch: s.epoch, UntilMS: until}
+	s.mu.Unlock()
+	if until <= sent {
+		return
+	}
+	if err := withTimeout(ctx, func(ctx context.Context) error { return s.config.Worker.ExtendLease(ctx, request) }); err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.leaseSent = until
+	s.mu.Unlock()
+}
+
+func (s *Session) carryOutStarts(ctx context.Context) {
+	for key, start := range copyOf(s, s.starts) {
+		if s.dropStartedOrRefused(key) {
+			continue
+		}
+		err := withTimeout(ctx, func(ctx context.Context) error { return s.startNow(ctx, start) })
+		s.finishStart(key, start, err)
+	}
+}
+
+// dropStartedOrRefused drops a start directive that came again.
+func (s *Session) dropStartedOrRefused(key runKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, running := s.outbox.present[key]
+	if !running && !s.outbox.isRefused(key) {
+		return false
+	}
+	delete(s.starts, key)
+	// The leader asks again because it has not seen the state: report it again.
+	delete(s.outbox.sentIn, key)
+	return true
+}
+
+// startNow checks the lease and the freshness right before the call, because
+// this process may have been paused since the directive arrived.
+func (s *Session) startNow(ctx context.Context, start *api.StartTask) error {
+	s.mu.Lock()
+	may := s.holder.MayStart(time.Now())
+	until, epoch := s.holder.WorkerLeaseUntil(), s.epoch
+	s.mu.Unlock()
+	if !may {
+		return fault.New(fault.Stale, "no confirmed permission to start")
+	}
+	return s.config.Worker.Start(ctx, start.Task, worker.StartRequest{
+		Generation: start.Generation,
+		Grant:      vector(start.Grant),
+		Checkpoint: start.Checkpoint,
+		Job:        start.Job,
+		Service:    start.Service,
+		WorkMS:     start.WorkMs,
+		Epoch:      epoch,
+		LeaseMS:    until,
+		Parameters: start.Parameters,
+	})
+}
+
+// finishStart keeps a start whose outcome is unknown for another, idempotent
+// try, and reports one that was refused as stopped.
+func (s *Session) finishStart(key runKey, start *api.StartTask, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch fault.KindOf(err) {
+	case fault.Stale, fault.InvalidArgument:
+		s.outbox.refuse(key, err.Error())
+		klog.InfoS("Task not started", "vm", s.config.VM.Id, "task", key.task, "generation", key.generation, "error", err)
+		signal(s.report)
+	default:
+		if err != nil {
+			return
+		}
+	}
+	if s.starts[key] == start {
+		delete(s.starts, key)
+	}
+}
+
+func (s *Session) carryOutStops(ctx context.Context) {
+	for key, stop := range copyOf(s, s.stops) {
+		request := worker.StopRequest{Generation: key.generation, Checkpoint: stop.Checkpoint}
+		err := withTimeout(ctx, func(ctx context.Context) error { return s.config.Worker.Stop(ctx, key.task, request) })
+		s.finishStop(key, stop, err)
+	}
+}
+
+// finishStop drops a start of the same run that was not yet carried out. A run
+// that the worker doesn't know never ran here and never will.
+func (s *Session) finishStop(key runKey, stop *api.StopTask, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil && !fault.Is(err, fault.NotFound) && !fault.Is(err, fault.Stale) {
+		return
+	}
+	if s.stops[key] == stop {
+		delete(s.stops, key)
+	}
+	if err == nil {
+		return
+	}
+	delete(s.starts, key)
+	s.outbox.refuse(key, "stopped before it started")
+	delete(s.outbox.sentIn, key)
+	signal(s.report)
+}
+
+func (s *Session) carryOutThrottles(ctx context.Context) {
+	for key, throttle := range copyOf(s, s.throttles) {
+		request := worker.ThrottleRequest{Generation: key.generation, Fraction: throttle.Fraction}
+		err := withTimeout(ctx, func(ctx context.Context) error { return s.config.Worker.Throttle(ctx, key.task, request) })
+		if fault.Is(err, fault.BackendUnavailable) {
+			continue
+		}
+		s.mu.Lock()
+		if s.throttles[key] == throttle {
+			delete(s.throttles, key)
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Session) readTasks(ctx context.Context) {
+	var list *worker.TaskList
+	asked := time.Now()
+	err := withTimeout(ctx, func(ctx context.Context) (err error) {
+		list, err = s.config.Worker.Tasks(ctx)
+		return err
+	})
+	if err != nil {
+		klog.V(1).InfoS("Worker did not answer", "vm", s.config.VM.Id, "error", err)
+		return
+	}
+	s.mu.Lock()
+	first := s.clockAt.IsZero()
+	if list.Epoch != s.epoch {
+		s.holder.WorkerRestarted()
+		s.epoch = list.Epoch
+		s.leaseSent = 0
+		s.usageAfter = 0
+	}
+	s.clockMS = list.ClockMS
+	s.clockAt = asked
+	changed := s.outbox.update(list.Tasks)
+	s.mu.Unlock()
+	if changed || first {
+		signal(s.report)
+	}
+}
+
+func (s *Session) forgetEnded(ctx context.Context) {
+	s.mu.Lock()
+	ended := s.outbox.acknowledged(s.holder.acknowledged)
+	s.mu.Unlock()
+	for _, key := range ended {
+		_ = withTimeout(ctx, func(ctx context.Context) error {
+			return s.config.Worker.Forget(ctx, key.task, key.generation)
+		})
+	}
+}
+
+func (s *Session) readUsage(ctx context.Context) {
+	s.mu.Lock()
+	after := s.usageAfter
+	s.mu.Unlock()
+	var list *worker.UsageList
+	asked := time.Now()
+	err := withTimeout(ctx, func(ctx context.Context) (err error) {
+		list, err = s.config.Worker.Usage(ctx, after)
+		return err
+	})
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, usage := range list.Usage {
+		s.usageAfter = max(s.usageAfter, usage.EndMS)
+		s.usage = append(s.usage, sampleOf(usage, list.ClockMS, asked))
+	}
+}
+
+// sampleOf translates an interval from the worker's clock to Unix time.
+func sampleOf(usage worker.Usage, clockMS int64, asked time.Time) *api.UsageSample {
+	zero := asked.UnixMilli() - clockMS
+	return &api.UsageSample{
+		Task: usage.Task, Generation: usage.Generation,
+		StartUnixMs: zero + usage.StartMS, EndUnixMs: zero + usage.EndMS,
+		Used: &api.Resources{
+			MilliCpu: usage.Used.MilliCPU, MemoryMib: usage.Used.MemoryMiB, Accelerators: usage.Used.Accelerators,
+		},
+		Speed: usage.Speed, LatencyMs: usage.LatencyMS,
+	}
+}
+
+func vector(r *api.Resources) resource.Vector {
+	return resource.Vector{
+		MilliCPU: r.GetMilliCpu(), MemoryMiB: r.GetMemoryMib(), Accelerators: r.GetAccelerators(),
+	}
+}
+
+// copyOf copies a table of s under its lock, so that calls can be made without it.
+func copyOf[V any](s *Session, table map[runKey]V) map[runKey]V {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := make(map[runKey]V, len(table))
+	for key, value := range table {
+		copied[key] = value
+	}
+	return copied
+}
+
+func withTimeout(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
+	defer cancel()
+	return call(ctx)
+}
--- /dev/null
+++ b/session/session.go
@@ -0,0 +1,341 @@
+package session
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/transport"
+	"amaranthpaddle/worker"
+)
+
+const (
+	heartbeatInterval = 2 * time.Second
+	heartbeatJitter   = 0.2 // of heartbeatInterval, either way
+	pollInterval      = 250 * time.Millisecond
+	workerTimeout     = 1 * time.Second
+	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
+	usagePollInterval = 1 * time.Second
+	reconnectMin      = 50 * time.Millisecond
+	reconnectMax      = 1 * time.Second
+)
+
+// Worker is what a session needs of the VM's worker; worker.Client implements it.
+type Worker interface {
+	Start(ctx context.Context, task string, request worker.StartRequest) error
+	Throttle(ctx context.Context, task string, request worker.ThrottleRequest) error
+	Stop(ctx context.Context, task string, request worker.StopRequest) error
+	ExtendLease(ctx context.Context, request worker.LeaseRequest) error
+	Forget(ctx context.Context, task string, generation uint64) error
+	Tasks(ctx context.Context) (*worker.TaskList, error)
+	Usage(ctx context.Context, afterMS int64) (*worker.UsageList, error)
+}
+
+// Announcer tells which backend servers the VM has.
+type Announcer interface {
+	// Servers returns the present announcement.
+	Servers() []*api.BackendServer
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Config is the configuration of a Session.
+type Config struct {
+	VM               *api.VM
+	Incarnation      uint64
+	ControlAddresses []string // ip:port of the control replicas
+	Security         *transport.Security
+	Worker           Worker
+	Announcer        Announcer
+	OnDirective      func(*api.Directive) // called for every directive, may be nil
+}
+
+// Session keeps an agent in touch with the leader of the control group.
+//
+// Session.mu guards everything below it; no call leaves the process under it.
+type Session struct {
+	config Config
+	wakeup chan struct{} // the driver has work
+	report chan struct{} // the sender has something to report
+
+	mu          sync.Mutex
+	holder      *Holder
+	outbox      *outbox
+	usage       []*api.UsageSample // not yet sent
+	sequence    uint64
+	epoch       string    // of the worker process
+	clockMS     int64     // last reading of the worker's clock
+	clockAt     time.Time // when that reading was asked for
+	usageAfter  int64
+	leaseSent   int64 // worker lease that the worker has
+	starts      map[runKey]*api.StartTask
+	stops       map[runKey]*api.StopTask
+	throttles   map[runKey]*api.ThrottleTask
+	leaving     bool
+	helloNeeded bool
+	leader      string // address to try first
+	announced   <-chan struct{}
+}
+
+// New returns a Session that is not yet running.
+func New(config Config) *Session {
+	return &Session{
+		config:    config,
+		wakeup:    make(chan struct{}, 1),
+		report:    make(chan struct{}, 1),
+		holder:    NewHolder(),
+		outbox:    newOutbox(),
+		starts:    map[runKey]*api.StartTask{},
+		stops:     map[runKey]*api.StopTask{},
+		throttles: map[runKey]*api.ThrottleTask{},
+	}
+}
+
+// Run drives the worker and stays connected to the leader until ctx ends.
+func (s *Session) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		s.driveLoop(ctx)
+	}()
+	s.connectLoop(ctx)
+	wait.Wait()
+}
+
+// Leave announces a planned stop: the VM takes no new work from now on.
+func (s *Session) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	signal(s.report)
+}
+
+// Revision returns the configuration revision in force at this agent.
+func (s *Session) Revision() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holder.Revision()
+}
+
+// ActiveTasks returns how many runs at the worker have not ended.
+func (s *Session) ActiveTasks() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	active := 0
+	for _, status := range s.outbox.present {
+		if !status.Phase.Final() {
+			active++
+		}
+	}
+	return active
+}
+
+// signal wakes the reader of a channel with room for one signal.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// connectLoop opens one session after the other, to the leader where it is known.
+func (s *Session) connectLoop(ctx context.Context) {
+	delay := reconnectMin
+	for next := rand.IntN(max(len(s.config.ControlAddresses), 1)); ctx.Err() == nil; next++ {
+		began := time.Now()
+		err := s.connect(ctx, s.chooseAddress(next))
+		if ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("Session ended", "vm", s.config.VM.Id, "error", err)
+		if time.Since(began) > reconnectMax {
+			delay = reconnectMin
+		}
+		sleep(ctx, jitter(delay))
+		delay = min(2*delay, reconnectMax)
+	}
+}
+
+// chooseAddress takes the leader's address when one was named, else the next in turn.
+func (s *Session) chooseAddress(next int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if leader := s.leader; leader != "" {
+		s.leader = ""
+		return leader
+	}
+	return s.config.ControlAddresses[next%len(s.config.ControlAddresses)]
+}
+
+func (s *Session) connect(ctx context.Context, address string) error {
+	connection, err := s.config.Security.Dial(address)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := api.NewControlClient(connection).Session(ctx)
+	if err != nil {
+		return fault.FromStatus(err)
+	}
+	s.beginSession()
+	received := make(chan error, 1)
+	go func() { received <- s.receiveLoop(stream) }()
+	sendErr := s.sendLoop(ctx, stream, received)
+	cancel()
+	if sendErr != nil {
+		return sendErr
+	}
+	return nil
+}
+
+func (s *Session) beginSession() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outbox.reset()
+	s.helloNeeded = true
+}
+
+func (s *Session) receiveLoop(stream grpc.BidiStreamingClient[api.AgentReport, api.Directive]) error {
+	for {
+		directive, err := stream.Recv()
+		if err != nil {
+			s.noteLeader(stream)
+			return fault.FromStatus(err)
+		}
+		s.takeDirective(directive)
+		if s.config.OnDirective != nil {
+			s.config.OnDirective(directive)
+		}
+	}
+}
+
+// leaderHeader is the trailer in which a follower names the leader's address.
+const leaderHeader = "paddle-leader"
+
+func (s *Session) noteLeader(stream grpc.ClientStream) {
+	values := stream.Trailer().Get(leaderHeader)
+	if len(values) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = values[0]
+}
+
+func (s *Session) takeDirective(directive *api.Directive) {
+	s.mu.Lock()
+	s.holder.Grant(directive)
+	for _, start := range directive.Start {
+		s.starts[runKey{start.Task, start.Generation}] = start
+	}
+	for _, stop := range directive.Stop {
+		key := runKey{stop.Task, stop.Generation}
+		s.stops[key] = stop
+	}
+	for _, throttle := range directive.Throttle {
+		s.throttles[runKey{throttle.Task, throttle.Generation}] = throttle
+	}
+	s.mu.Unlock()
+	signal(s.wakeup)
+}
+
+// sendLoop sends a report whenever something changed, and at each heartbeat.
+func (s *Session) sendLoop(
+	ctx context.Context,
+	stream grpc.BidiStreamingClient[api.AgentReport, api.Directive],
+	received <-chan error,
+) error {
+	for {
+		if report := s.nextReport(time.Now()); report != nil {
+			if err := stream.Send(report); err != nil {
+				return <-received
+			}
+		}
+		timer := time.NewTimer(jitter(heartbeatInterval))
+		select {
+		case <-timer.C:
+		case <-s.report:
+		case <-s.announcementChanged():
+		case err := <-received:
+			timer.Stop()
+			return err
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// announcementChanged returns the channel that was taken before the announcement
+// was last read, so that no change in between is missed.
+func (s *Session) announcementChanged() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced
+}
+
+// nextReport builds the report to send at now. It returns nil while the worker
+// is silent: a VM that can't be driven must not keep its lease.
+func (s *Session) nextReport(now time.Time) *api.AgentReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clockAt.IsZero() || now.Sub(s.clockAt) > workerSilence {
+		return nil
+	}
+	s.sequence++
+	report := &api.AgentReport{
+		Sequence:    s.sequence,
+		Incarnation: s.config.Incarnation,
+		Revision:    s.holder.Revision(),
+		Tasks:       s.outbox.take(s.sequence),
+		Usage:       s.usage,
+		Leaving:     s.leaving,
+	}
+	s.usage = nil
+	s.addAnnouncement(report)
+	if s.helloNeeded {
+		report.Vm = s.config.VM
+		s.helloNeeded = false
+	}
+	s.holder.Sent(s.sequence, now, s.clockMS)
+	return report
+}
+
+func (s *Session) addAnnouncement(report *api.AgentReport) {
+	changed := s.helloNeeded
+	select {
+	case <-s.announced:
+		changed = true
+	default:
+		changed = changed || s.announced == nil
+	}
+	if !changed {
+		return
+	}
+	s.announced = s.config.Announcer.Changed()
+	report.Servers = s.config.Announcer.Servers()
+	report.ServersChanged = true
+}
+
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - heartbeatJitter + 2*heartbeatJitter*rand.Float64()))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,267 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"amaranthpaddle/resource"
+	"amaranthpaddle/worker"
+)
+
+const (
+	workerTick        = 20 * time.Millisecond
+	usageInterval     = 500 * time.Millisecond
+	usageLag          = 1 * time.Second // usage is readable this long after its interval ended
+	checkpointTime    = 60 * time.Millisecond
+	serviceStartTime  = 30 * time.Millisecond
+	usageKeptSamples  = 4096
+	contentionPenalty = 0.5 // loss of speed when batch work fills a whole VM
+)
+
+// WorkerOptions configures a stand-in worker.
+type WorkerOptions struct {
+	VM          string
+	Zone        string
+	Capacity    resource.Vector
+	AnnounceURL string // base URL of the agent's local interface
+	Ledger      *Ledger
+	FailAll     bool    // every task fails right after its start
+	UsageFactor float64 // true use of a task relative to its grant; 0 means 1
+}
+
+// Worker is a stand-in for the worker of one VM. Its tasks make progress in
+// real time, slowed down by the work beside them.
+type Worker struct {
+	options  WorkerOptions
+	started  time.Time
+	epoch    string
+	server   *http.Server
+	listener net.Listener
+	done     chan struct{}
+	wait     sync.WaitGroup
+
+	mu      sync.Mutex
+	tasks   map[string]*run
+	highest map[string]uint64 // highest generation seen of each task
+	leaseMS int64
+	usage   []worker.Usage
+	sampled int64 // end of the last usage interval
+}
+
+// run is one run of a task. Worker.mu guards it.
+type run struct {
+	request    worker.StartRequest
+	status     worker.TaskStatus
+	fraction   float64 // throttle
+	stopping   bool
+	stopAtMS   int64 // when the checkpoint is complete
+	record     *Run
+	backend    *Backend
+	speedSum   float64
+	speedTicks int
+}
+
+// StartWorker starts a stand-in worker on a free loopback port.
+func StartWorker(options WorkerOptions) (*Worker, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{
+		options:  options,
+		started:  time.Now(),
+		epoch:    strconv.FormatUint(rand.Uint64(), 36),
+		listener: listener,
+		done:     make(chan struct{}),
+		tasks:    map[string]*run{},
+		highest:  map[string]uint64{},
+	}
+	w.server = &http.Server{Handler: w.routes(), ReadHeaderTimeout: 5 * time.Second}
+	w.wait.Add(2)
+	go w.serve()
+	go w.loop()
+	return w, nil
+}
+
+// URL returns the base URL of the worker's interface.
+func (w *Worker) URL() string { return "http://" + w.listener.Addr().String() }
+
+// Stop ends the worker and its runs, as the loss of its VM would.
+func (w *Worker) Stop() {
+	close(w.done)
+	w.server.Close()
+	w.wait.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.tasks {
+		w.end(r, worker.PhaseStopped, "worker stopped")
+	}
+}
+
+func (w *Worker) serve() {
+	defer w.wait.Done()
+	_ = w.server.Serve(w.listener)
+}
+
+func (w *Worker) loop() {
+	defer w.wait.Done()
+	ticker := time.NewTicker(workerTick)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-w.done:
+			return
+		case now := <-ticker.C:
+			w.advance(now.Sub(last))
+			last = now
+		}
+	}
+}
+
+// clockMS is the worker's monotonic clock.
+func (w *Worker) clockMS() int64 { return time.Since(w.started).Milliseconds() }
+
+func (w *Worker) advance(elapsed time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clockMS()
+	speed := w.speed()
+	for _, r := range w.tasks {
+		if !r.status.Phase.Final() {
+			w.advanceRun(r, now, elapsed, speed)
+		}
+	}
+	if now-w.sampled >= usageInterval.Milliseconds() {
+		w.sample(now)
+	}
+}
+
+// speed is how fast work runs beside everything else on the VM, 1 when alone.
+func (w *Worker) speed() float64 {
+	var batchCPU float64
+	for _, r := range w.tasks {
+		if r.status.Phase == worker.PhaseRunning && r.request.Service == "" {
+			batchCPU += float64(r.request.Grant.MilliCPU) * r.fraction
+		}
+	}
+	load := batchCPU / float64(w.options.Capacity.MilliCPU)
+	return 1 - contentionPenalty*min(load, 1)
+}
+
+func (w *Worker) advanceRun(r *run, now int64, elapsed time.Duration, speed float64) {
+	leased := r.request.Service == ""
+	switch {
+	case leased && now >= w.leaseMS:
+		w.end(r, worker.PhaseStopped, "lease expired")
+	case r.stopping && now >= r.stopAtMS:
+		w.end(r, worker.PhaseStopped, "")
+	case r.status.Phase == worker.PhaseRunning:
+		w.progress(r, elapsed, speed)
+	}
+}
+
+func (w *Worker) progress(r *run, elapsed time.Duration, speed float64) {
+	r.speedSum += speed
+	r.speedTicks++
+	if r.backend != nil {
+		r.backend.SetSpeed(speed)
+		return
+	}
+	if w.options.FailAll {
+		w.end(r, worker.PhaseFailed, "exit status 1")
+		return
+	}
+	work := float64(max(r.request.WorkMS, 1))
+	r.status.Progress += elapsed.Seconds() * 1000 * speed * r.fraction / work
+	if r.status.Progress >= 1 {
+		r.status.Progress = 1
+		w.end(r, worker.PhaseFinished, "")
+	}
+}
+
+// end makes a run final. A run that was asked to checkpoint keeps its progress.
+func (w *Worker) end(r *run, phase worker.Phase, message string) {
+	if r.status.Phase.Final() {
+		return
+	}
+	if phase == worker.PhaseStopped && r.stopping && r.status.Phase == worker.PhaseCheckpointing {
+		r.status.Checkpoint = checkpointID(r.status.Task, r.status.Generation, r.status.Progress)
+	}
+	r.status.Phase = phase
+	r.status.Error = message
+	if r.backend != nil {
+		go r.backend.Stop(context.Background())
+	}
+	if w.options.Ledger != nil {
+		w.options.Ledger.End(r.record, time.Now(), r.status.Progress, phase == worker.PhaseFinished)
+	}
+}
+
+// checkpointID names a checkpoint; the stand-in keeps the progress in the name.
+func checkpointID(task string, generation uint64, progress float64) string {
+	return fmt.Sprintf("%s@%d@%.6f", task, generation, progress)
+}
+
+// checkpointProgress reads the progress back from a checkpoint's name.
+func checkpointProgress(id string) float64 {
+	at := strings.LastIndexByte(id, '@')
+	progress, err := strconv.ParseFloat(id[at+1:], 64)
+	if err != nil {
+		return 0
+	}
+	return progress
+}
+
+func (w *Worker) sample(now int64) {
+	for _, r := range w.tasks {
+		if r.speedTicks == 0 {
+			continue
+		}
+		w.usage = append(w.usage, w.usageOf(r, now))
+		r.speedSum, r.speedTicks = 0, 0
+	}
+	w.sampled = now
+	if surplus := len(w.usage) - usageKeptSamples; surplus > 0 {
+		w.usage = append([]worker.Usage(nil), w.usage[surplus:]...)
+	}
+}
+
+func (w *Worker) usageOf(r *run, now int64) worker.Usage {
+	factor := w.options.UsageFactor
+	if factor == 0 {
+		factor = 1
+	}
+	usage := worker.Usage{
+		Task: r.status.Task, Generation: r.status.Generation,
+		StartMS: w.sampled, EndMS: now,
+		Used: resource.Vector{
+			MilliCPU:     int64(float64(r.request.Grant.MilliCPU) * factor * r.fraction),
+			MemoryMiB:    int64(float64(r.request.Grant.MemoryMiB) * factor),
+			Accelerators: r.request.Grant.Accelerators,
+		},
+		Speed: r.speedSum / float64(r.speedTicks),
+	}
+	if r.backend != nil {
+		usage.LatencyMS = r.backend.TakeLatency()
+	}
+	return usage
+}
+
+// statuses returns the runs in the order of their names.
+func (w *Worker) statuses() []worker.TaskStatus {
+	list := make([]worker.TaskStatus, 0, len(w.tasks))
+	for _, r := range w.tasks {
+		list = append(list, r.status)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Task < list[j].Task })
+	return list
+}
