--- a/session/session.go
+++ b/session/session.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/transport"
 	"amaranthpaddle/worker"
@@ -218,11 +219,8 @@
 	}
 }
 
-// leaderHeader is the trailer in which a follower names the leader's address.
-const leaderHeader = "paddle-leader"
-
 func (s *Session) noteLeader(stream grpc.ClientStream) {
-	values := stream.Trailer().Get(leaderHeader)
+	values := stream.Trailer().Get(controlclient.LeaderTrailer)
 	if len(values) == 0 {
 		return
 	}
