--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,255 @@
+package session
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/worker"
+)
+
+// fakeWorker keeps runs in memory and follows the interface's generation rules.
+type fakeWorker struct {
+	epoch   string
+	began   time.Time
+	runs    map[string]worker.TaskStatus
+	highest map[string]uint64
+	leaseMS int64
+	silent  bool
+	starts  int
+	forgets int
+}
+
+func newFakeWorker() *fakeWorker {
+	return &fakeWorker{
+		epoch: "a", began: time.Now(),
+		runs: map[string]worker.TaskStatus{}, highest: map[string]uint64{},
+	}
+}
+
+var errSilent = fault.New(fault.BackendUnavailable, "worker is silent")
+
+func (f *fakeWorker) Start(_ context.Context, task string, request worker.StartRequest) error {
+	if f.silent {
+		return errSilent
+	}
+	if request.Epoch != f.epoch || request.Generation <= f.highest[task] {
+		return fault.New(fault.Stale, "old generation or epoch")
+	}
+	f.highest[task] = request.Generation
+	f.starts++
+	f.runs[task] = worker.TaskStatus{Task: task, Generation: request.Generation, Phase: worker.PhaseRunning}
+	return nil
+}
+
+func (f *fakeWorker) Throttle(context.Context, string, worker.ThrottleRequest) error { return nil }
+
+func (f *fakeWorker) Stop(_ context.Context, task string, request worker.StopRequest) error {
+	run, known := f.runs[task]
+	if !known || run.Generation != request.Generation {
+		f.highest[task] = max(f.highest[task], request.Generation)
+		return fault.New(fault.NotFound, "no such run")
+	}
+	f.finish(task, worker.PhaseStopped)
+	return nil
+}
+
+func (f *fakeWorker) finish(task string, phase worker.Phase) {
+	run := f.runs[task]
+	run.Phase = phase
+	f.runs[task] = run
+}
+
+func (f *fakeWorker) ExtendLease(_ context.Context, request worker.LeaseRequest) error {
+	if request.Epoch != f.epoch {
+		return fault.New(fault.Stale, "another epoch")
+	}
+	f.leaseMS = max(f.leaseMS, request.UntilMS)
+	return nil
+}
+
+func (f *fakeWorker) Forget(_ context.Context, task string, _ uint64) error {
+	f.forgets++
+	delete(f.runs, task)
+	return nil
+}
+
+func (f *fakeWorker) Tasks(context.Context) (*worker.TaskList, error) {
+	if f.silent {
+		return nil, errSilent
+	}
+	list := &worker.TaskList{Epoch: f.epoch, ClockMS: time.Since(f.began).Milliseconds()}
+	for _, run := range f.runs {
+		list.Tasks = append(list.Tasks, run)
+	}
+	return list, nil
+}
+
+func (f *fakeWorker) Usage(context.Context, int64) (*worker.UsageList, error) {
+	return &worker.UsageList{}, nil
+}
+
+type noServers struct{}
+
+func (noServers) Servers() []*api.BackendServer { return nil }
+func (noServers) Changed() <-chan struct{}      { return make(chan struct{}) }
+
+// rig is a session without a network: the test plays the leader.
+type rig struct {
+	t       *testing.T
+	worker  *fakeWorker
+	session *Session
+}
+
+func newRig(t *testing.T) *rig {
+	fake := newFakeWorker()
+	r := &rig{t: t, worker: fake, session: New(Config{VM: &api.VM{Id: "vm-1"}, Worker: fake, Announcer: noServers{}})}
+	r.session.beginSession()
+	r.drive()
+	return r
+}
+
+func (r *rig) drive() { r.session.driveOnce(context.Background()) }
+
+// grant reports and answers the report with a directive.
+func (r *rig) grant(directive *api.Directive) *api.AgentReport {
+	r.t.Helper()
+	report := r.session.nextReport(time.Now())
+	if report == nil {
+		r.t.Fatal("no report while the worker answers")
+	}
+	directive.Acknowledged = report.Sequence
+	directive.LeaseMs = 10_000
+	directive.FreshMs = 2_000
+	directive.ZoneInService = true
+	r.session.takeDirective(directive)
+	return report
+}
+
+// report returns the state of the task in the next report, nil when it is not in it.
+func (r *rig) report(task string) *api.TaskStatus {
+	for _, status := range r.session.nextReport(time.Now()).GetTasks() {
+		if status.Task == task {
+			return status
+		}
+	}
+	return nil
+}
+
+func start(task string, generation uint64) *api.StartTask {
+	return &api.StartTask{Task: task, Generation: generation}
+}
+
+func TestSessionStartsOnceWhenTheDirectiveIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		r.drive()
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		r.drive()
+		if r.worker.starts != 1 {
+			t.Errorf("%d starts, want 1", r.worker.starts)
+		}
+		if status := r.report("a"); status.GetPhase() != api.TaskPhase_TASK_PHASE_RUNNING {
+			t.Errorf("a repeated directive must be answered with the state, got %v", status)
+		}
+	})
+}
+
+func TestSessionPausedPastItsFreshnessStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		time.Sleep(3 * time.Second)
+		r.drive()
+		if r.worker.starts != 0 {
+			t.Error("a task started after the freshness bound")
+		}
+		if status := r.report("a"); status.GetPhase() != api.TaskPhase_TASK_PHASE_STOPPED {
+			t.Errorf("a refused start must be reported as stopped, got %v", status)
+		}
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		r.drive()
+		if r.worker.starts != 0 {
+			t.Error("a run that was reported as stopped started later")
+		}
+	})
+}
+
+func TestSessionStopOvertakingItsStartFencesTheRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{
+			Start: []*api.StartTask{start("a", 1)},
+			Stop:  []*api.StopTask{{Task: "a", Generation: 1}},
+		})
+		r.drive()
+		if status := r.report("a"); status.GetPhase() != api.TaskPhase_TASK_PHASE_STOPPED {
+			t.Errorf("got %v, want stopped", status)
+		}
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		r.drive()
+		if r.worker.starts != 0 {
+			t.Error("a stopped run started")
+		}
+	})
+}
+
+func TestSessionForgetsAnEndedRunOnlyOnceItsEndIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		r.drive()
+		r.grant(&api.Directive{})
+		r.worker.finish("a", worker.PhaseFinished)
+		r.drive()
+		lost := r.session.nextReport(time.Now())
+		if len(lost.Tasks) != 1 {
+			t.Fatalf("the end was not reported: %v", lost)
+		}
+		r.drive()
+		if r.worker.forgets != 0 {
+			t.Fatal("the worker forgot an end that nobody acknowledged")
+		}
+		r.session.beginSession()
+		report := r.grant(&api.Directive{})
+		if len(report.Tasks) != 1 || report.Tasks[0].Phase != api.TaskPhase_TASK_PHASE_FINISHED {
+			t.Fatalf("the end must be reported again in a new session, got %v", report.Tasks)
+		}
+		r.drive()
+		if r.worker.forgets != 1 {
+			t.Errorf("%d forgets after the acknowledgement, want 1", r.worker.forgets)
+		}
+	})
+}
+
+func TestSessionKeepsNoLeaseWhileItsWorkerIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.worker.silent = true
+		time.Sleep(workerSilence + time.Millisecond)
+		r.drive()
+		if r.session.nextReport(time.Now()) != nil {
+			t.Error("a report was sent for a VM that can't be driven")
+		}
+	})
+}
+
+func TestSessionGivesARestartedWorkerNoLeaseOfTheFormerClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		time.Sleep(time.Hour)
+		r.drive()
+		report := r.session.nextReport(time.Now())
+		r.worker.epoch, r.worker.began = "b", time.Now()
+		r.drive()
+		r.session.takeDirective(&api.Directive{Acknowledged: report.Sequence, LeaseMs: 10_000})
+		r.drive()
+		if r.worker.leaseMS != 0 {
+			t.Errorf("lease until %d ms on a clock that began now", r.worker.leaseMS)
+		}
+	})
+}
