--- a/plan/plan.go
+++ b/plan/plan.go
@@ -13,6 +13,7 @@
 type DayPlan struct {
 	Number        uint64
 	Day           string  // calendar day the plan is for, YYYY-MM-DD
+	TimeZone      string  // IANA name of the time zone that Day is in, empty for UTC
 	LatencyWeight float64 // 0 favours batch throughput, 1 favours tail latency
 	Zones         []Zone
 	Services      []Service
