scheduler: spread with fallback, drains that keep services up, holds for starved tasks, move before evict, reasons for pending

Cause: the first version could drain a service faster than it came back, let small tasks starve large ones, and evicted where a move was possible. Change: see the title; the table clears a job's failure streak on progress or after ten minutes of running.

--- a/resource/resource.go
+++ b/resource/resource.go
@@ -42,5 +42,14 @@
 	}
 }
 
+// Min returns the component-wise minimum of v and o.
+func (v Vector) Min(o Vector) Vector {
+	return Vector{
+		MilliCPU:     min(v.MilliCPU, o.MilliCPU),
+		MemoryMiB:    min(v.MemoryMiB, o.MemoryMiB),
+		Accelerators: min(v.Accelerators, o.Accelerators),
+	}
+}
+
 // IsZero reports whether every component is zero.
 func (v Vector) IsZero() bool { return v == Vector{} }
--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -30,7 +30,7 @@
 	for _, team := range p.Teams {
 		s.Teams = append(s.Teams, Team{Name: team.Name, Quota: team.Quota})
 	}
-	jobs := newJobFacts(l)
+	jobs := newJobFacts(l, vms)
 	for i := range s.VMs {
 		v := &s.VMs[i]
 		v.Quarantine = quarantine(l.health.State(v.ID))
@@ -70,8 +70,9 @@
 
 // jobFacts caches, during one Snapshot, what all tasks of a job share.
 type jobFacts struct {
-	l     *Learner
-	facts map[*task.Job]*facts
+	l       *Learner
+	largest resource.Vector // component-wise, of any VM
+	facts   map[*task.Job]*facts
 }
 
 type facts struct {
@@ -80,8 +81,12 @@
 	work    time.Duration
 }
 
-func newJobFacts(l *Learner) *jobFacts {
-	return &jobFacts{l: l, facts: map[*task.Job]*facts{}}
+func newJobFacts(l *Learner, vms []VM) *jobFacts {
+	f := &jobFacts{l: l, facts: map[*task.Job]*facts{}}
+	for i := range vms {
+		f.largest = f.largest.Max(vms[i].Capacity)
+	}
+	return f
 }
 
 func (f *jobFacts) of(j *task.Job) *facts {
@@ -89,7 +94,7 @@
 		return known
 	}
 	n := &facts{
-		size:    f.l.grant(j),
+		size:    f.grant(j),
 		runTime: f.l.sizes.RunTime(j.ID, j.RunTime),
 	}
 	n.work = n.runTime * time.Duration(max(j.Wanted-j.Finished, 0))
@@ -98,9 +103,10 @@
 }
 
 // grant returns the size to ask for a task of the job. A service instance
-// never gets less than declared: its use follows its callers.
-func (l *Learner) grant(j *task.Job) resource.Vector {
-	size := l.sizes.Size(j.ID, j.Size)
+// never gets less than declared: its use follows its callers. A learnt size
+// never makes a task too large for every VM.
+func (f *jobFacts) grant(j *task.Job) resource.Vector {
+	size := f.l.sizes.Size(j.ID, j.Size).Min(f.largest.Max(j.Size))
 	if j.Class == task.LatencyCritical {
 		return size.Max(j.Size)
 	}
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -14,10 +14,12 @@
 	maxStartingPerVM    = 8   // batch tasks of a VM that have not confirmed their start
 	maxStoppingPerVM    = 6   // tasks of a VM that take a checkpoint at the same time
 	rampTime            = time.Minute
-	maxStartingOnRamp   = 2 // as maxStartingPerVM, for a VM that came into service within rampTime
+	probationTime       = time.Minute // that a probe must run before the next one
+	maxStartingOnRamp   = 2           // as maxStartingPerVM, for a VM that came into service within rampTime
 	urgentGrace         = 1500 * time.Millisecond
 	checkpointGrace     = 30 * time.Second
-	serviceStoppingPart = 4 // at most one instance in so many of a service is moved away at once
+	longPending         = time.Minute // after which a pending instance no longer delays a drain
+	serviceStoppingPart = 4           // at most one instance in so many of a service is moved away at once
 )
 
 // Decide returns the steps to take now, in the order in which they are to be
@@ -39,11 +41,12 @@
 	byID    map[string]int
 	teams   map[string]*teamView
 	jobs    map[string]*jobView
-	noRoom  map[shape]bool // shapes that no VM took in this call
-	evicted map[int]bool   // by index in s.Tasks
-	batch   int64          // milli-CPU of VMs in service, for slack
-	racks   int            // with a VM that takes work; 0 until counted
-	scored  []candidate    // reused
+	noRoom  map[shape]bool  // shapes that no VM took in this call
+	evicted map[int]bool    // by index in s.Tasks
+	batch   int64           // milli-CPU of VMs in service, for slack
+	racks   int             // with a VM that takes work; 0 until counted
+	scored  []candidate     // reused
+	largest resource.Vector // bound of the free part of any VM that takes work
 	out     []Decision
 }
 
@@ -57,7 +60,9 @@
 	placed    []*Task         // placed in this call
 	starting  int
 	stopping  int
-	services  int // instances of services
+	services  int     // instances of services
+	young     int     // batch tasks that started less than probationTime ago
+	cores     float64 // that the tasks are expected to use
 }
 
 type teamView struct {
@@ -67,11 +72,12 @@
 
 // jobView counts the tasks of one job that hold a grant.
 type jobView struct {
-	total    int
-	stopping int
-	byZone   map[string]int
-	byRack   map[string]int
-	byVM     map[string]int
+	total   int
+	running int
+	moving  int // stopping, starting, or pending for a short time
+	byZone  map[string]int
+	byRack  map[string]int
+	byVM    map[string]int
 }
 
 // shape is what the filters look at; tasks of one shape fit the same VMs.
@@ -103,13 +109,22 @@
 	for i := range s.Tasks {
 		c.addHolder(i)
 	}
+	for i := range s.Pending {
+		c.addPending(&s.Pending[i])
+	}
+	for n := range c.vms {
+		if v := &c.vms[n]; v.open() {
+			c.largest = c.largest.Max(v.free())
+		}
+	}
 	return c
 }
 
 // addHolder enters a task of the snapshot that holds a grant.
 func (c *cycle) addHolder(i int) {
 	t := &c.s.Tasks[i]
-	if team := c.teams[t.Team]; team != nil {
+	stopping := t.State == task.Stopping || t.State == task.Cancelling
+	if team := c.teams[t.Team]; team != nil && !stopping {
 		team.used = team.used.Add(t.Grant)
 	}
 	n, ok := c.byID[t.VM]
@@ -120,17 +135,33 @@
 	held := t.Grant.Max(t.Used)
 	v.committed = v.committed.Add(held)
 	v.tasks = append(v.tasks, i)
+	v.cores += cores(t)
 	if t.Class == task.LatencyCritical {
 		v.services++
+	} else if t.State == task.Running && c.s.Now.Sub(t.Since) < probationTime {
+		v.young++
 	}
-	switch t.State {
-	case task.Starting:
-		v.starting++
-	case task.Stopping, task.Cancelling:
+	if stopping {
 		v.stopping++
 		v.releasing = v.releasing.Add(held)
 	}
-	c.countJob(t, v, t.State == task.Stopping)
+	if t.State == task.Starting {
+		v.starting++
+	}
+	c.countJob(t, v)
+}
+
+// addPending counts the instances of services that are on their way to
+// another VM. One that waits for long has nowhere to go and is not counted.
+func (c *cycle) addPending(t *Task) {
+	if t.Class == task.LatencyCritical && c.s.Now.Sub(t.Since) < longPending {
+		c.job(t.Job).moving++
+	}
+}
+
+// open reports whether the VM may take work at all.
+func (v *vmView) open() bool {
+	return v.InService && v.Fresh && !v.Draining && v.Quarantine != Quarantined
 }
 
 func (c *cycle) job(id string) *jobView {
@@ -142,11 +173,13 @@
 	return j
 }
 
-func (c *cycle) countJob(t *Task, v *vmView, stopping bool) {
+func (c *cycle) countJob(t *Task, v *vmView) {
 	j := c.job(t.Job)
 	j.total++
-	if stopping {
-		j.stopping++
+	if t.State == task.Running {
+		j.running++
+	} else {
+		j.moving++
 	}
 	if t.Class != task.LatencyCritical {
 		return
@@ -174,11 +207,12 @@
 	v := &c.vms[n]
 	v.committed = v.committed.Add(t.Grant)
 	v.starting++
+	v.cores += cores(t)
 	v.placed = append(v.placed, t)
 	if team := c.teams[t.Team]; team != nil {
 		team.used = team.used.Add(t.Grant)
 	}
-	c.countJob(t, v, false)
+	c.countJob(t, v)
 	c.out = append(c.out, Decision{
 		Action:     Place,
 		Task:       t.ID,
@@ -200,7 +234,12 @@
 		v.stopping++
 		v.releasing = v.releasing.Add(t.Grant.Max(t.Used))
 	}
-	c.job(t.Job).stopping++
+	j := c.job(t.Job)
+	j.moving++
+	j.running--
+	if team := c.teams[t.Team]; team != nil {
+		team.used = team.used.Sub(t.Grant)
+	}
 	c.out = append(c.out, Decision{
 		Action:     Evict,
 		Task:       t.ID,
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -53,26 +53,29 @@
 		return true
 	}
 	j := c.job(t.Job)
-	return j.stopping < max(j.total/serviceStoppingPart, 1)
+	return j.moving < max((j.running+j.moving)/serviceStoppingPart, 1)
 }
 
-// relieve stops batch tasks on VMs whose observed memory use is above their
+// fullMemory is the share of a VM's memory above which the observed use must not stay.
+const fullMemory = 0.95
+
+// relieve stops batch tasks on VMs whose observed memory use comes near their
 // capacity; processor time is left to throttles.
 func (c *cycle) relieve() {
 	for n := range c.vms {
 		v := &c.vms[n]
-		excess := v.Capacity
+		spare := int64(fullMemory * float64(v.Capacity.MemoryMiB))
 		for _, i := range v.tasks {
 			if c.movable(i) {
-				excess.MemoryMiB -= c.s.Tasks[i].Used.MemoryMiB
+				spare -= c.s.Tasks[i].Used.MemoryMiB
 			}
 		}
-		for excess.MemoryMiB < 0 {
+		for spare < 0 {
 			i := c.worstMemory(v)
 			if i < 0 {
 				break
 			}
-			excess.MemoryMiB += c.s.Tasks[i].Used.MemoryMiB
+			spare += c.s.Tasks[i].Used.MemoryMiB
 			c.evict(i, ReasonOvercommit, urgentGrace, "")
 		}
 	}
--- a/scheduler/filter.go
+++ b/scheduler/filter.go
@@ -10,19 +10,19 @@
 
 // admits reports whether the VM may take the task at all, capacity aside.
 func (c *cycle) admits(t *Task, v *vmView) bool {
-	if !v.InService || !v.Fresh || v.Draining {
+	if !v.open() {
 		return false
 	}
-	if v.Quarantine == Quarantined {
+	if v.Quarantine == Probation && !probes(t, v) {
 		return false
 	}
-	if v.Quarantine == Probation && (len(v.tasks)+len(v.placed) > 0 || t.Class == task.LatencyCritical) {
-		return false
-	}
-	if !c.mayStart(t, v) {
-		return false
-	}
-	return t.Class != task.LatencyCritical || c.spreads(t, v)
+	return c.mayStart(t, v)
+}
+
+// probes reports whether the task may be the one that tries a VM on
+// probation: ordinary batch, and one at a time beside what ran there before.
+func probes(t *Task, v *vmView) bool {
+	return v.starting == 0 && v.young == 0 && t.Class == task.Batch && !t.Urgent()
 }
 
 // mayStart bounds the starts in progress on a VM, and more so on a VM that
@@ -38,9 +38,9 @@
 	return v.starting < limit
 }
 
-// spreads reports whether another instance of the service on the VM keeps the
-// instances spread: no rack holds more than its even share, rounded up, of
-// the instances that the racks in service can hold.
+// spreads reports whether the VM's rack may take another instance of the
+// service: a rack holds at most its even share, rounded up, of the instances
+// in the racks that take work.
 func (c *cycle) spreads(t *Task, v *vmView) bool {
 	j := c.jobs[t.Job]
 	if j == nil || j.byRack == nil {
@@ -48,8 +48,7 @@
 	}
 	racks := c.racksInService()
 	wanted := j.total + 1
-	share := (wanted + racks - 1) / racks
-	return j.byRack[v.rackKey()] < share+1
+	return j.byRack[v.rackKey()] < (wanted+racks-1)/racks
 }
 
 func (c *cycle) racksInService() int {
@@ -58,7 +57,7 @@
 	}
 	seen := map[string]bool{}
 	for i := range c.vms {
-		if v := &c.vms[i]; v.InService && !v.Draining && v.Fresh {
+		if v := &c.vms[i]; v.open() {
 			seen[v.rackKey()] = true
 		}
 	}
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -14,12 +14,12 @@
 // schedulePending places pending tasks in the order of their rank, and finds
 // victims for those that may preempt.
 func (c *cycle) schedulePending() {
-	placed, preemptors := 0, 0
+	placed, preemptors, holds := 0, 0, 0
 	for _, t := range c.order() {
 		if placed >= maxPlacements {
 			return
 		}
-		if t.Trial && c.job(t.Job).total > 0 {
+		if t.Trial && c.onTrial(t) {
 			continue
 		}
 		key := shape{t.Job, t.Grant}
@@ -37,10 +37,57 @@
 				continue
 			}
 		}
+		if holds < maxHolds && c.starves(t) && c.hold(t) {
+			holds++
+		}
 		c.noRoom[key] = true
 	}
 }
 
+// onTrial reports whether a task of the failing job is being tried already.
+// Instances of a service that run well do not count.
+func (c *cycle) onTrial(t *Task) bool {
+	j := c.job(t.Job)
+	if t.Class == task.LatencyCritical {
+		return j.total > j.running
+	}
+	return j.total > 0
+}
+
+// Rules for tasks that find no room for long.
+const (
+	starvedAfter = 10 * time.Minute
+	maxHolds     = 3 // VMs per call that are kept free for starved tasks
+)
+
+// starves reports whether the task waited so long that smaller ones must not
+// go on taking the room that becomes free.
+func (c *cycle) starves(t *Task) bool {
+	return c.s.Now.Sub(t.Since) > starvedAfter
+}
+
+// hold keeps what becomes free on the VM that lacks least for the task. No
+// running task is stopped for it.
+func (c *cycle) hold(t *Task) bool {
+	best, bestLack := -1, int64(0)
+	for n := range c.vms {
+		v := &c.vms[n]
+		if !c.admits(t, v) || !t.Grant.Fits(v.Capacity) {
+			continue
+		}
+		lack := positive(t.Grant.Sub(v.free()))
+		size := lack.MilliCPU + lack.MemoryMiB
+		if best < 0 || size < bestLack {
+			best, bestLack = n, size
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	c.vms[best].reserved = c.vms[best].reserved.Add(t.Grant)
+	return true
+}
+
 func reasonFor(v *vmView) Reason {
 	if v.Quarantine == Probation {
 		return ReasonProbe
--- /dev/null
+++ b/scheduler/pending_reason.go
@@ -0,0 +1,98 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+
+	"amaranthpaddle/task"
+)
+
+// PendingReason is why a task waits, for operators.
+type PendingReason struct {
+	Task    string
+	Summary string
+	// VMs that refuse the task, by the first rule that does.
+	OutOfService, NotFresh, Draining, Quarantined, NoRoom, Busy, Interference int
+	Admitted                                                                  int // VMs that would take it now
+}
+
+// WhyPending returns why the pending task of the snapshot waits. ok is false
+// when no such task is pending.
+func WhyPending(s *Snapshot, id string) (r PendingReason, ok bool) {
+	for i := range s.Pending {
+		if s.Pending[i].ID == id {
+			return newCycle(s).whyPending(&s.Pending[i]), true
+		}
+	}
+	return PendingReason{}, false
+}
+
+func (c *cycle) whyPending(t *Task) PendingReason {
+	r := PendingReason{Task: t.ID}
+	for n := range c.vms {
+		r.count(c, t, &c.vms[n])
+	}
+	switch {
+	case !due(t, c.s.Now) && t.Trial:
+		r.Summary = "its job failed on several VMs and backs off"
+	case !due(t, c.s.Now):
+		r.Summary = "it failed and backs off"
+	case t.Trial && c.onTrial(t):
+		r.Summary = "its job failed on several VMs; another of its tasks is tried first"
+	case r.Admitted > 0:
+		r.Summary = fmt.Sprintf("%d VMs can take it; more important tasks go first", r.Admitted)
+	default:
+		r.Summary = r.refusals(len(c.vms))
+	}
+	return r
+}
+
+// count adds the VM to the first rule that refuses the task.
+func (r *PendingReason) count(c *cycle, t *Task, v *vmView) {
+	switch {
+	case !v.InService:
+		r.OutOfService++
+	case !v.Fresh:
+		r.NotFresh++
+	case v.Draining:
+		r.Draining++
+	case v.Quarantine != Trusted && !c.admits(t, v):
+		r.Quarantined++
+	case !fits(t, v):
+		r.NoRoom++
+	case !c.mayStart(t, v):
+		r.Busy++
+	case t.Class == task.Batch && !c.harmless(t, v):
+		r.Interference++
+	default:
+		r.Admitted++
+	}
+}
+
+func (c *cycle) harmless(t *Task, v *vmView) bool {
+	_, ok := c.harm(t, v)
+	return ok
+}
+
+// refusals says how many of the VMs refuse the task by which rule.
+func (r *PendingReason) refusals(vms int) string {
+	rules := []struct {
+		vms  int
+		text string
+	}{
+		{r.OutOfService, "in a zone out of service"},
+		{r.NotFresh, "not confirmed fresh"},
+		{r.Draining, "draining"},
+		{r.Quarantined, "quarantined"},
+		{r.NoRoom, "without enough free room"},
+		{r.Busy, "starting other tasks"},
+		{r.Interference, "where it would slow a service down"},
+	}
+	var parts []string
+	for _, rule := range rules {
+		if rule.vms > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", rule.vms, rule.text))
+		}
+	}
+	return fmt.Sprintf("none of %d VMs takes it: %s", vms, strings.Join(parts, ", "))
+}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -15,12 +15,16 @@
 	costPerPriority = 10 * time.Second
 )
 
+// reclaimPatience is how long a team waits for room to become free by itself
+// before it takes back what others borrowed.
+const reclaimPatience = 2 * time.Minute
+
 // mayPreempt reports whether room may be made for the task.
 func (c *cycle) mayPreempt(t *Task) bool {
 	if t.Class == task.LatencyCritical || t.Urgent() {
 		return true
 	}
-	return c.slack(t) < tightSlack || c.withinQuota(t)
+	return c.slack(t) < tightSlack || c.s.Now.Sub(t.Since) > reclaimPatience && c.withinQuota(t)
 }
 
 // preempt makes room for the task on the VM where that costs least, or waits
--- a/scheduler/pressure.go
+++ b/scheduler/pressure.go
@@ -9,7 +9,8 @@
 // Answers to a slowdown that measurements show, in their order.
 const (
 	throttleAfter = 2    // consecutive measurements above the bound
-	moveAfter     = 6    // consecutive measurements above the bound, throttled all the while
+	moveAfter     = 6    // consecutive measurements above the bound, if another VM has room
+	evictAfter    = 12   // consecutive measurements above the bound, if none has
 	calmAfter     = 6    // consecutive measurements below the bound
 	throttleStep  = 0.5  // factor on the allowed processor time
 	throttleFloor = 0.25 // lowest fraction
@@ -27,10 +28,8 @@
 			continue
 		case p.Calm >= calmAfter:
 			c.lift(p)
-		case p.Sustained >= moveAfter && moves > 0:
-			if c.move(p) {
-				moves--
-			}
+		case p.Sustained >= moveAfter && moves > 0 && c.move(p):
+			moves--
 		case p.Sustained >= throttleAfter:
 			c.throttle(p)
 		}
@@ -67,11 +66,16 @@
 	c.setThrottle(t, max(allowed(t)*throttleStep, throttleFloor), ReasonInterference, p.Task)
 }
 
-// move evicts the worst disturber that was throttled already.
+// move evicts the worst disturber that is throttled as far as it goes, to a
+// VM that has room for it, or in the end to wait for one.
 func (c *cycle) move(p *Pressure) bool {
-	i := c.worst(p, func(t *Task) bool { return t.Movable && allowed(t) < 1 && !t.Urgent() })
+	i := c.worst(p, func(t *Task) bool {
+		return t.Movable && allowed(t) <= throttleFloor && !t.Urgent()
+	})
 	if i < 0 {
-		c.throttle(p)
+		return false
+	}
+	if p.Sustained < evictAfter && c.pick(&c.s.Tasks[i]) < 0 {
 		return false
 	}
 	c.evict(i, ReasonInterference, checkpointGrace, p.Task)
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -10,8 +10,9 @@
 const (
 	weightFit         = 1.0
 	weightSpread      = 2.0 // per instance of the service in the rack or zone
-	weightAccelerator = 2.0 // per idle accelerator share that would be blocked
+	weightAccelerator = 2.0 // for blocking a VM that has accelerators
 	weightAvoid       = 4.0
+	weightProbe       = 3.0  // for trying a VM on probation
 	weightHarm        = 10.0 // per unit of slowdown, 0.1 is 10%
 )
 
@@ -27,27 +28,49 @@
 }
 
 // pick returns the VM with the best score of those that can hold the task
-// now, or -1. Interference is predicted for the best few only.
+// now, or -1. Instances of a service go to racks with few of them, or to any
+// rack when those have no room.
 func (c *cycle) pick(t *Task) int {
+	if !t.Grant.Fits(c.largest) {
+		return -1
+	}
+	c.filter(t, t.Class == task.LatencyCritical)
+	if len(c.scored) == 0 && t.Class == task.LatencyCritical {
+		c.filter(t, false)
+	}
+	slices.SortFunc(c.scored, compareCandidates)
+	return c.best(t)
+}
+
+// filter fills c.scored with the VMs that can hold the task.
+func (c *cycle) filter(t *Task, spread bool) {
 	c.scored = c.scored[:0]
 	for n := range c.vms {
 		v := &c.vms[n]
-		if fits(t, v) && c.admits(t, v) {
-			c.scored = append(c.scored, candidate{n, c.score(t, v)})
+		if !fits(t, v) || !c.admits(t, v) {
+			continue
+		}
+		if spread && !c.spreads(t, v) {
+			continue
 		}
+		c.scored = append(c.scored, candidate{n, c.score(t, v)})
 	}
-	if len(c.scored) == 0 {
+}
+
+// compareCandidates puts higher scores first.
+func compareCandidates(a, b candidate) int {
+	switch {
+	case a.score > b.score:
 		return -1
+	case a.score < b.score:
+		return 1
 	}
-	slices.SortFunc(c.scored, func(a, b candidate) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
-		}
-		return a.vm - b.vm
-	})
+	return a.vm - b.vm
+}
+
+// best predicts interference for the first candidates and returns the VM with
+// the best score that remains, or -1.
+func (c *cycle) best(t *Task) int {
 	best, bestScore := -1, 0.0
 	for _, k := range c.scored[:min(fullScores, len(c.scored))] {
 		harm, ok := c.harm(t, &c.vms[k.vm])
@@ -78,6 +101,9 @@
 	if avoided(t, v) {
 		score -= weightAvoid
 	}
+	if v.Quarantine == Probation {
+		score += weightProbe
+	}
 	return score
 }
 
@@ -87,56 +113,69 @@
 	if c.s.Harm == nil {
 		return 0, true
 	}
+	load := (v.cores + cores(t)) / float64(max(v.Capacity.MilliCPU, 1)) * 1000
+	h := harmSum{c: c, t: t, v: v, load: load}
+	for _, i := range v.tasks {
+		h.add(&c.s.Tasks[i])
+	}
+	for _, other := range v.placed {
+		h.add(other)
+	}
 	weight := c.s.LatencyWeight
-	bound := harmBoundLoose + weight*(harmBoundStrict-harmBoundLoose)
-	var services, batch float64
-	within := true
-	eachResident(c, v, func(other *Task) {
-		onOther := c.s.Harm.Slowdown(other.Job, t.Job, cores(t))
-		onTask := c.s.Harm.Slowdown(t.Job, other.Job, cores(other))
-		if other.Class == task.LatencyCritical {
-			services += onOther
-		} else {
-			batch += onOther
-		}
-		if t.Class == task.LatencyCritical {
-			services += onTask
-		} else {
-			batch += onTask
-		}
-	})
-	if services > 0 && !t.Urgent() && t.Class == task.Batch {
-		within = services+c.present(v) <= bound
+	cost := weight*h.services + (1-weight)*h.batch
+	if t.Class == task.LatencyCritical || t.Urgent() {
+		return cost, true
 	}
-	return weight*services + (1-weight)*batch, within
+	return cost, h.worst <= c.harmBound()
 }
 
-// present returns the largest predicted slowdown of a service instance on the VM as it is.
-func (c *cycle) present(v *vmView) float64 {
-	worst := 0.0
-	eachResident(c, v, func(victim *Task) {
-		if victim.Class != task.LatencyCritical {
-			return
-		}
-		sum := 0.0
-		eachResident(c, v, func(other *Task) {
-			if other != victim {
-				sum += c.s.Harm.Slowdown(victim.Job, other.Job, cores(other))
-			}
-		})
-		worst = max(worst, sum)
-	})
-	return worst
+// harmBound returns the predicted slowdown of a service instance above which
+// no ordinary batch task is put beside it.
+func (c *cycle) harmBound() float64 {
+	return harmBoundLoose + c.s.LatencyWeight*(harmBoundStrict-harmBoundLoose)
 }
 
-// eachResident calls f for each task that runs or is assumed on the VM.
-func eachResident(c *cycle, v *vmView, f func(*Task)) {
+// harmSum adds up the slowdowns that putting t on v causes.
+type harmSum struct {
+	c        *cycle
+	t        *Task
+	v        *vmView
+	load     float64 // of the VM with the task
+	services float64
+	batch    float64
+	worst    float64 // total slowdown of the most disturbed instance on the VM
+}
+
+func (h *harmSum) add(other *Task) {
+	harm := h.c.s.Harm
+	onOther := harm.Slowdown(other.Job, h.t.Job, cores(h.t))
+	onTask := harm.Slowdown(h.t.Job, other.Job, cores(other))
+	if other.Class == task.LatencyCritical {
+		h.services += onOther
+		h.worst = max(h.worst, onOther+h.c.present(other, h.v)+harm.LoadSlowdown(other.Job, h.load))
+	} else {
+		h.batch += onOther
+	}
+	if h.t.Class == task.LatencyCritical {
+		h.services += onTask
+	} else {
+		h.batch += onTask
+	}
+}
+
+// present returns the predicted slowdown of a service instance by the other
+// tasks that are on the VM already.
+func (c *cycle) present(victim *Task, v *vmView) float64 {
+	sum := 0.0
 	for _, i := range v.tasks {
-		f(&c.s.Tasks[i])
+		if other := &c.s.Tasks[i]; other != victim {
+			sum += c.s.Harm.Slowdown(victim.Job, other.Job, cores(other))
+		}
 	}
-	for _, t := range v.placed {
-		f(t)
+	for _, other := range v.placed {
+		sum += c.s.Harm.Slowdown(victim.Job, other.Job, cores(other))
 	}
+	return sum
 }
 
 // cores returns the processor time that the task is expected to use.
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -92,6 +92,9 @@
 	// Slowdown returns how much slower a task of the victim's job gets, 0.1 is
 	// 10%, from a task of the other job that uses so many cores on the same VM.
 	Slowdown(victim, other string, cores float64) float64
+	// LoadSlowdown returns how much slower a task of the job gets on a VM of
+	// which so large a share of the processor time is used.
+	LoadSlowdown(victim string, load float64) float64
 }
 
 // Snapshot is all that a decision depends on.
--- a/task/report.go
+++ b/task/report.go
@@ -9,7 +9,8 @@
 const (
 	firstBackoff = time.Second
 	maxBackoff   = 5 * time.Minute
-	suspectVMs   = 3 // distinct VMs on which a job must fail before it is suspected
+	suspectVMs   = 3                // distinct VMs on which a job must fail before it is suspected
+	steadyRun    = 10 * time.Minute // after which a run is no failed start
 )
 
 // Report takes in an agent's statement about a run on the VM. Late reports,
@@ -63,6 +64,10 @@
 	if r.Checkpoint == "" || r.Checkpoint == k.Checkpoint {
 		return false
 	}
+	if r.Progress > k.Progress {
+		k.Failures = 0
+		k.Job.succeeded()
+	}
 	k.Checkpoint = r.Checkpoint
 	k.SavedAt = now
 	k.Progress = r.Progress
@@ -93,6 +98,10 @@
 
 func (t *Table) failed(now time.Time, k *Task, message string) Effect {
 	vm := k.VM
+	if !k.Started.IsZero() && now.Sub(k.Started) >= steadyRun {
+		k.Failures = 0
+		k.Job.succeeded()
+	}
 	t.move(now, k, eventFailed)
 	k.Failures++
 	k.LastError = message
