--- a/scheduler/learner.go
+++ b/scheduler/learner.go
@@ -15,15 +15,15 @@
 // replicated: a new leader begins with what is declared and learns again. It
 // is not safe for concurrent use.
 type Learner struct {
-	sizes     *estimate.Book
-	harm      *interference.Model
-	health    *health.Tracker
-	baselines map[string]*estimate.Baseline // by service
-	runs      map[string]*run               // by task
-	budget    moveBudget
-	swept     time.Time
-	snapshot  Snapshot // its slices are reused
-	fleet     []string
+	sizes      *estimate.Book
+	harm       *interference.Model
+	health     *health.Tracker
+	references map[string]time.Duration // latencies, by service
+	runs       map[string]*run          // by task
+	budget     moveBudget
+	swept      time.Time
+	snapshot   Snapshot // its slices are reused
+	fleet      []string
 }
 
 // run is what is known of a task's present run.
@@ -58,11 +58,11 @@
 // NewLearner returns a learner that knows nothing.
 func NewLearner() *Learner {
 	return &Learner{
-		sizes:     estimate.NewBook(),
-		harm:      interference.NewModel(),
-		health:    health.NewTracker(),
-		baselines: map[string]*estimate.Baseline{},
-		runs:      map[string]*run{},
+		sizes:      estimate.NewBook(),
+		harm:       interference.NewModel(),
+		health:     health.NewTracker(),
+		references: map[string]time.Duration{},
+		runs:       map[string]*run{},
 	}
 }
 
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"amaranthpaddle/resource"
-	"amaranthpaddle/scheduler/estimate"
 	"amaranthpaddle/scheduler/interference"
 	"amaranthpaddle/task"
 )
@@ -16,7 +15,8 @@
 const (
 	pressureLoose  = 0.18 // at a latency weight of 0
 	pressureStrict = 0.10 // at a latency weight of 1
-	calmShare      = 0.5  // of the bound, below which it is calm
+	calmShare      = 0.6  // of the bound, below which it is calm
+	smoothing      = 0.4  // weight of the newest measurement
 )
 
 // Usage takes in the samples of one report of a VM. The samples name the
@@ -28,13 +28,21 @@
 	}
 	for i := range samples {
 		s := &samples[i]
-		slowdown, ok := l.slowdown(s, t)
+		k := t.Task(s.Task)
+		if k == nil {
+			continue
+		}
+		x, ok := l.measurement(s, k)
 		if !ok {
 			continue
 		}
-		beside, load := neighbours(vm, samples, i)
-		l.harm.Observe(now, jobOf(s.Task), slowdown, beside, load)
-		if k := t.Task(s.Task); k != nil && k.Job.Class == task.LatencyCritical && k.Generation == s.Generation {
+		x.Beside, x.Load = neighbours(vm, samples, i)
+		l.harm.Observe(now, x)
+		if k.Job.Class == task.LatencyCritical && k.Generation == s.Generation {
+			slowdown := x.Slowdown
+			if x.Offset {
+				slowdown -= l.harm.Offset(x.Job, x.OwnLoad)
+			}
 			l.observePressure(now, vm, s, samples, slowdown, latencyWeight)
 		}
 	}
@@ -52,26 +60,29 @@
 	r.used.MilliCPU = max(s.Used.MilliCPU, int64(usedDecay*float64(r.used.MilliCPU)))
 	r.used.MemoryMiB = max(s.Used.MemoryMiB, int64(usedDecay*float64(r.used.MemoryMiB)))
 	r.usedAt = now
-	throttled := r.throttle > 0 && r.throttle < 1
-	l.sizes.ObserveUse(now, k.Job.ID, s.Used, throttled)
+	l.sizes.ObserveUse(now, k.Job.ID, s.Used, l.throttled(s.Task))
 }
 
-// slowdown returns the slowdown that a sample shows, and whether it shows any.
-func (l *Learner) slowdown(s *Sample, t *task.Table) (float64, bool) {
-	if s.Latency > 0 {
-		k := t.Task(s.Task)
-		if k == nil {
-			return 0, false
-		}
-		return l.baseline(k.Job.ID).Observe(s.Latency, ownLoad(s, k.Grant)), true
-	}
-	if s.Speed > 0 {
-		if r := l.runs[s.Task]; r != nil && r.throttle > 0 && r.throttle < 1 {
-			return 0, false
-		}
-		return max(1/s.Speed-1, 0), true
-	}
-	return 0, false
+// measurement returns the slowdown that a sample shows, and whether it shows
+// any. Latency is measured against the first one seen of the service; what
+// it would be alone is for the model to find.
+func (l *Learner) measurement(s *Sample, k *task.Task) (interference.Measurement, bool) {
+	x := interference.Measurement{Job: k.Job.ID, OwnLoad: ownLoad(s, k.Grant)}
+	switch {
+	case s.Latency > 0:
+		x.Offset = true
+		x.Slowdown = float64(s.Latency)/float64(l.reference(k.Job.ID, s.Latency)) - 1
+		return x, true
+	case s.Speed > 0 && !l.throttled(s.Task):
+		x.Slowdown = 1/s.Speed - 1
+		return x, true
+	}
+	return x, false
+}
+
+func (l *Learner) throttled(id string) bool {
+	r := l.runs[id]
+	return r != nil && r.throttle > 0 && r.throttle < 1
 }
 
 func ownLoad(s *Sample, grant resource.Vector) float64 {
@@ -81,13 +92,14 @@
 	return float64(s.Used.MilliCPU) / float64(grant.MilliCPU)
 }
 
-func (l *Learner) baseline(service string) *estimate.Baseline {
-	b := l.baselines[service]
-	if b == nil {
-		b = &estimate.Baseline{}
-		l.baselines[service] = b
-	}
-	return b
+// reference returns the latency that those of the service are compared with.
+func (l *Learner) reference(service string, first time.Duration) time.Duration {
+	known, ok := l.references[service]
+	if !ok {
+		l.references[service] = first
+		return first
+	}
+	return known
 }
 
 // neighbours returns what ran beside samples[i] in its interval, by job, and
@@ -147,13 +159,13 @@
 	bound := pressureLoose + weight*(pressureStrict-pressureLoose)
 	p.Task = s.Task
 	p.VM = vm.ID
-	p.Slowdown = slowdown
+	p.Slowdown += smoothing * (slowdown - p.Slowdown)
 	p.Answered = false
 	switch {
-	case slowdown > bound:
+	case p.Slowdown > bound:
 		p.Sustained++
 		p.Calm = 0
-	case slowdown < calmShare*bound:
+	case p.Slowdown < calmShare*bound:
 		p.Calm++
 		p.Sustained = 0
 	}
