scheduler: throttles by predicted share, lifts by predicted harm

Cause: fixed steps overshot and were undone by the next lift. Change: a throttle takes what the excess needs, a lift gives back what the model says is harmless; between the bounds nothing counts as sustained.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -60,9 +60,10 @@
 	placed    []*Task         // placed in this call
 	starting  int
 	stopping  int
-	services  int     // instances of services
-	young     int     // batch tasks that started less than probationTime ago
-	cores     float64 // that the tasks are expected to use
+	services  int         // instances of services
+	young     int         // batch tasks that started less than probationTime ago
+	pressures []*Pressure // of its service instances, not answered yet
+	cores     float64     // that the tasks are expected to use
 }
 
 type teamView struct {
--- a/scheduler/estimate/book.go
+++ b/scheduler/estimate/book.go
@@ -11,8 +11,8 @@
 	cpuQuantile     = 0.90
 	memoryQuantile  = 0.98
 	runTimeQuantile = 0.80
-	cpuHeadroom     = 1.10
-	memoryHeadroom  = 1.15
+	cpuHeadroom     = 1.00
+	memoryHeadroom  = 1.10
 	useHalfLife     = 2 * time.Hour
 	runHalfLife     = 24 * time.Hour
 	trustedSamples  = 8.0 // weight of samples at which declared and observed count alike
--- a/scheduler/estimate/histogram.go
+++ b/scheduler/estimate/histogram.go
@@ -11,8 +11,8 @@
 // Buckets grow by bucketGrowth from firstBucket, in the caller's unit.
 const (
 	firstBucket  = 10.0
-	bucketGrowth = 1.1
-	bucketCount  = 160 // up to about 4e7 times firstBucket
+	bucketGrowth = 1.05
+	bucketCount  = 300 // up to about 2e6 times firstBucket
 )
 
 var logGrowth = math.Log(bucketGrowth)
--- a/scheduler/pressure.go
+++ b/scheduler/pressure.go
@@ -8,12 +8,13 @@
 
 // Answers to a slowdown that measurements show, in their order.
 const (
-	throttleAfter = 2    // consecutive measurements above the bound
-	moveAfter     = 6    // consecutive measurements above the bound, if another VM has room
-	evictAfter    = 12   // consecutive measurements above the bound, if none has
-	calmAfter     = 6    // consecutive measurements below the bound
-	throttleStep  = 0.5  // factor on the allowed processor time
-	throttleFloor = 0.25 // lowest fraction
+	throttleAfter  = 2    // consecutive measurements above the bound
+	moveAfter      = 6    // consecutive measurements above the bound, if another VM has room
+	evictAfter     = 12   // consecutive measurements above the bound, if none has
+	calmAfter      = 3    // consecutive measurements below the bound
+	throttleTarget = 0.8  // of the bound, to which a throttle is to bring the slowdown
+	throttleFloor  = 0.25 // lowest fraction
+	smallestLift   = 0.1  // least change by which a throttle is lifted
 )
 
 // relievePressure throttles, and later moves, the batch tasks that slow a
@@ -23,28 +24,28 @@
 	moves := c.s.MovesLeft
 	for i := range c.s.Pressures {
 		p := &c.s.Pressures[i]
-		switch {
-		case p.Answered:
+		n, ok := c.byID[p.VM]
+		if !ok || p.Answered {
 			continue
-		case p.Calm >= calmAfter:
-			c.lift(p)
+		}
+		c.vms[n].pressures = append(c.vms[n].pressures, p)
+		switch {
 		case p.Sustained >= moveAfter && moves > 0 && c.move(p):
 			moves--
 		case p.Sustained >= throttleAfter:
 			c.throttle(p)
 		}
 	}
+	for n := range c.vms {
+		c.lift(&c.vms[n])
+	}
 }
 
 // worst returns the running disturber with the largest share that keep
-// accepts, as an index in s.Tasks, or -1.
-func (c *cycle) worst(p *Pressure, keep func(*Task) bool) int {
-	n, ok := c.byID[p.VM]
-	if !ok {
-		return -1
-	}
+// accepts, as an index in s.Tasks, and its share, or -1.
+func (c *cycle) worst(p *Pressure, keep func(*Task) bool) (int, float64) {
 	worst, share := -1, 0.0
-	for _, i := range c.vms[n].tasks {
+	for _, i := range c.vms[c.byID[p.VM]].tasks {
 		t := &c.s.Tasks[i]
 		if t.Class != task.Batch || t.State != task.Running || c.evicted[i] || !keep(t) {
 			continue
@@ -54,22 +55,26 @@
 			worst, share = i, p.Disturbers[k].Share
 		}
 	}
-	return worst
+	return worst, share
 }
 
+// throttle takes as much processor time from the worst disturber as brings
+// the slowdown below the bound, by its share.
 func (c *cycle) throttle(p *Pressure) {
-	i := c.worst(p, func(t *Task) bool { return allowed(t) > throttleFloor })
+	i, share := c.worst(p, func(t *Task) bool { return allowed(t) > throttleFloor })
 	if i < 0 {
 		return
 	}
 	t := &c.s.Tasks[i]
-	c.setThrottle(t, max(allowed(t)*throttleStep, throttleFloor), ReasonInterference, p.Task)
+	excess := p.Slowdown - throttleTarget*p.Bound
+	fraction := allowed(t) * max(1-excess/share, 0)
+	c.setThrottle(t, max(fraction, throttleFloor), ReasonInterference, p.Task)
 }
 
 // move evicts the worst disturber that is throttled as far as it goes, to a
 // VM that has room for it, or in the end to wait for one.
 func (c *cycle) move(p *Pressure) bool {
-	i := c.worst(p, func(t *Task) bool {
+	i, _ := c.worst(p, func(t *Task) bool {
 		return t.Movable && allowed(t) <= throttleFloor && !t.Urgent()
 	})
 	if i < 0 {
@@ -82,19 +87,53 @@
 	return true
 }
 
-// lift gives a throttled task on the VM a step of its processor time back.
-func (c *cycle) lift(p *Pressure) {
-	n, ok := c.byID[p.VM]
-	if !ok {
+// lift gives processor time back to the throttled task that does least harm,
+// as far as each calm service instance on the VM is predicted to stay calm.
+func (c *cycle) lift(v *vmView) {
+	if len(v.pressures) == 0 || len(v.pressures) < v.services {
 		return
 	}
-	for _, i := range c.vms[n].tasks {
-		t := &c.s.Tasks[i]
-		if t.State == task.Running && allowed(t) < 1 {
-			c.setThrottle(t, min(allowed(t)/throttleStep, 1), ReasonCalm, p.Task)
+	for _, p := range v.pressures {
+		if p.Calm < calmAfter {
 			return
 		}
 	}
+	best, bestFraction := -1, 0.0
+	for _, i := range v.tasks {
+		t := &c.s.Tasks[i]
+		if t.State != task.Running || allowed(t) >= 1 {
+			continue
+		}
+		if fraction := c.harmlessFraction(t, v); fraction > bestFraction {
+			best, bestFraction = i, fraction
+		}
+	}
+	if best < 0 || bestFraction < allowed(&c.s.Tasks[best])+smallestLift && bestFraction < 1 {
+		return
+	}
+	c.setThrottle(&c.s.Tasks[best], bestFraction, ReasonCalm, v.pressures[0].Task)
+}
+
+// harmlessFraction returns the largest fraction of its processor time with
+// which the task is predicted to leave each service instance below the bound.
+func (c *cycle) harmlessFraction(t *Task, v *vmView) float64 {
+	fraction := 1.0
+	full := float64(t.Grant.MilliCPU) / 1000
+	for _, p := range v.pressures {
+		spare := throttleTarget*p.Bound - p.Slowdown
+		harm := c.slowdown(jobOf(p.Task), t.Job, full)
+		if harm > 0 {
+			fraction = min(fraction, allowed(t)+spare/harm)
+		}
+	}
+	return max(fraction, 0)
+}
+
+func (c *cycle) slowdown(victim, other string, cores float64) float64 {
+	if c.s.Harm == nil {
+		return 0
+	}
+	return c.s.Harm.Slowdown(victim, other, cores)
 }
 
 // liftIdle lifts the throttles on VMs that run no service instance any more.
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -18,8 +18,8 @@
 
 const (
 	fullScores      = 48 // candidates for which interference is predicted
-	harmBoundLoose  = 0.15
-	harmBoundStrict = 0.08
+	harmBoundLoose  = 0.18
+	harmBoundStrict = 0.12
 )
 
 type candidate struct {
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -80,7 +80,8 @@
 type Pressure struct {
 	Task       string
 	VM         string
-	Slowdown   float64 // above running alone, 0.2 is 20% slower
+	Slowdown   float64 // above running alone, smoothed, 0.2 is 20% slower
+	Bound      float64 // of Slowdown, at which something is done
 	Sustained  int     // consecutive measurements above the bound
 	Calm       int     // consecutive measurements below the bound
 	Answered   bool    // something was done since the last measurement
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -11,10 +11,11 @@
 // usedDecay is the share of the last value kept when use falls; a rise counts at once.
 const usedDecay = 0.8
 
-// Bounds of a slowdown, with hysteresis: between them nothing is counted.
+// Bounds of a slowdown, with hysteresis: between them it is neither high nor
+// calm, and a calm instance stays so.
 const (
-	pressureLoose  = 0.18 // at a latency weight of 0
-	pressureStrict = 0.10 // at a latency weight of 1
+	pressureLoose  = 0.20 // at a latency weight of 0
+	pressureStrict = 0.12 // at a latency weight of 1
 	calmShare      = 0.6  // of the bound, below which it is calm
 	smoothing      = 0.4  // weight of the newest measurement
 )
@@ -160,6 +161,7 @@
 	p.Task = s.Task
 	p.VM = vm.ID
 	p.Slowdown += smoothing * (slowdown - p.Slowdown)
+	p.Bound = bound
 	p.Answered = false
 	switch {
 	case p.Slowdown > bound:
@@ -168,6 +170,8 @@
 	case p.Slowdown < calmShare*bound:
 		p.Calm++
 		p.Sustained = 0
+	default:
+		p.Sustained = 0
 	}
 	if p.Sustained > 0 {
 		p.Disturbers = l.disturbers(s, samples)
