scheduler: guarantee batch a share of its expected processor time

Cause: services are granted what they were declared and use less; the rest lay idle, since use was counted as the larger of grant and observation.

--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -76,7 +76,9 @@
 }
 
 type facts struct {
-	size    resource.Vector
+	need    resource.Vector
+	grant   resource.Vector
+	untried bool
 	runTime time.Duration
 	work    time.Duration
 }
@@ -94,28 +96,46 @@
 		return known
 	}
 	n := &facts{
-		size:    f.grant(j),
+		need:    f.need(j),
+		untried: !f.l.sizes.Seen(j.ID),
 		runTime: f.l.sizes.RunTime(j.ID, j.RunTime),
 	}
+	n.grant = grantFor(j, n.need, n.untried)
 	n.work = n.runTime * time.Duration(max(j.Wanted-j.Finished, 0))
 	f.facts[j] = n
 	return n
 }
 
-// grant returns the size to ask for a task of the job. A service instance
-// never gets less than declared: its use follows its callers. A learnt size
-// never makes a task too large for every VM.
-func (f *jobFacts) grant(j *task.Job) resource.Vector {
-	size := f.l.sizes.Size(j.ID, j.Size).Min(f.largest.Max(j.Size))
+// need returns the expected use of a task of the job. A learnt size never
+// makes a task too large for every VM.
+func (f *jobFacts) need(j *task.Job) resource.Vector {
+	size := f.l.sizes.Size(j.ID, j.Size)
+	size = size.Min(f.largest.Max(j.Size))
+	size.MilliCPU = min(size.MilliCPU, int64(usableCPU*float64(f.largest.MilliCPU)))
+	return size
+}
+
+// batchGuarantee is the share of its expected processor time that a batch
+// task is granted. The rest it gets while others leave it free.
+const batchGuarantee = 0.75
+
+// grantFor returns the grant to ask for. A service instance never gets less
+// than declared: its use follows its callers.
+func grantFor(j *task.Job, need resource.Vector, untried bool) resource.Vector {
 	if j.Class == task.LatencyCritical {
-		return size.Max(j.Size)
+		return need.Max(j.Size)
 	}
-	return size
+	if untried {
+		return j.Size
+	}
+	need.MilliCPU = int64(batchGuarantee * float64(need.MilliCPU))
+	return need
 }
 
 func (l *Learner) describe(now time.Time, k *task.Task, f *facts) Task {
 	j := k.Job
 	d := Task{
+		Need: f.need, Untried: f.untried,
 		ID: k.ID, Job: j.ID, Team: j.Team, Class: j.Class,
 		State: k.State, Generation: k.Generation, VM: k.VM, Grant: k.Grant,
 		Priority: j.Priority, Deadline: j.Deadline,
@@ -127,7 +147,7 @@
 		d.NotBefore = j.NotBefore
 	}
 	if k.State == task.Pending {
-		d.Grant = f.size
+		d.Grant = f.grant
 		d.VM = ""
 		return d
 	}
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -41,23 +41,23 @@
 	byID    map[string]int
 	teams   map[string]*teamView
 	jobs    map[string]*jobView
-	noRoom  map[shape]bool  // shapes that no VM took in this call
-	evicted map[int]bool    // by index in s.Tasks
-	batch   int64           // milli-CPU of VMs in service, for slack
-	racks   int             // with a VM that takes work; 0 until counted
-	scored  []candidate     // reused
-	largest resource.Vector // bound of the free part of any VM that takes work
+	noRoom  map[shape]bool // shapes that no VM took in this call
+	evicted map[int]bool   // by index in s.Tasks
+	batch   int64          // milli-CPU of VMs in service, for slack
+	racks   int            // with a VM that takes work; 0 until counted
+	scored  []candidate    // reused
+	largest amount         // bound of the free part of any VM that takes work
 	out     []Decision
 }
 
 // vmView is a VM with what runs there and what is assumed to.
 type vmView struct {
 	*VM
-	committed resource.Vector // by the larger of grant and observed use of each task
-	releasing resource.Vector // part of committed that is held by stopping tasks
-	reserved  resource.Vector // of the free part, kept for tasks that wait for releasing
-	tasks     []int           // in s.Tasks
-	placed    []*Task         // placed in this call
+	committed amount  // held by tasks
+	releasing amount  // part of committed that is held by stopping tasks
+	reserved  amount  // of the free part, kept for tasks that wait
+	tasks     []int   // in s.Tasks
+	residents []*Task // that run there or are placed in this call
 	starting  int
 	stopping  int
 	services  int         // instances of services
@@ -115,7 +115,7 @@
 	}
 	for n := range c.vms {
 		if v := &c.vms[n]; v.open() {
-			c.largest = c.largest.Max(v.free())
+			c.largest = c.largest.max(v.free())
 		}
 	}
 	return c
@@ -133,9 +133,9 @@
 		return
 	}
 	v := &c.vms[n]
-	held := t.Grant.Max(t.Used)
-	v.committed = v.committed.Add(held)
+	v.committed = v.committed.add(held(t))
 	v.tasks = append(v.tasks, i)
+	v.residents = append(v.residents, t)
 	v.cores += cores(t)
 	if t.Class == task.LatencyCritical {
 		v.services++
@@ -144,7 +144,7 @@
 	}
 	if stopping {
 		v.stopping++
-		v.releasing = v.releasing.Add(held)
+		v.releasing = v.releasing.add(held(t))
 	}
 	if t.State == task.Starting {
 		v.starting++
@@ -199,17 +199,17 @@
 func (v *vmView) rackKey() string { return v.Zone + "/" + v.Rack }
 
 // free returns what the VM can take now, less what is kept for others.
-func (v *vmView) free() resource.Vector {
-	return v.Capacity.Sub(v.committed).Sub(v.reserved)
+func (v *vmView) free() amount {
+	return v.whole().sub(v.committed).sub(v.reserved)
 }
 
 // place decides a placement and assumes it.
 func (c *cycle) place(t *Task, n int, reason Reason) {
 	v := &c.vms[n]
-	v.committed = v.committed.Add(t.Grant)
+	v.committed = v.committed.add(held(t))
 	v.starting++
 	v.cores += cores(t)
-	v.placed = append(v.placed, t)
+	v.residents = append(v.residents, t)
 	if team := c.teams[t.Team]; team != nil {
 		team.used = team.used.Add(t.Grant)
 	}
@@ -233,7 +233,7 @@
 	if n, ok := c.byID[t.VM]; ok {
 		v := &c.vms[n]
 		v.stopping++
-		v.releasing = v.releasing.Add(t.Grant.Max(t.Used))
+		v.releasing = v.releasing.add(held(t))
 	}
 	j := c.job(t.Job)
 	j.moving++
--- a/scheduler/estimate/book.go
+++ b/scheduler/estimate/book.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// Seen reports whether a task of the job was seen running.
+func (b *Book) Seen(job string) bool {
+	u := b.jobs[job]
+	return u != nil && u.memory.total > 0
+}
+
 // RunTime returns the run time to expect of a task of the job, or the declared one
 // while no task has finished.
 func (b *Book) RunTime(job string, declared time.Duration) time.Duration {
--- a/scheduler/filter.go
+++ b/scheduler/filter.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"amaranthpaddle/resource"
 	"amaranthpaddle/task"
 )
 
@@ -16,7 +15,22 @@
 	if v.Quarantine == Probation && !probes(t, v) {
 		return false
 	}
-	return c.mayStart(t, v)
+	return c.mayStart(t, v) && (!t.Untried || t.Urgent() || v.jobTasks(t.Job) < maxUntried)
+}
+
+// maxUntried is how many tasks of a job a VM takes before the first of them
+// was seen running: the declared size may be far too small.
+const maxUntried = 2
+
+// jobTasks counts the job's tasks on the VM.
+func (v *vmView) jobTasks(job string) int {
+	count := 0
+	for _, t := range v.residents {
+		if t.Job == job {
+			count++
+		}
+	}
+	return count
 }
 
 // probes reports whether the task may be the one that tries a VM on
@@ -66,24 +80,25 @@
 }
 
 // fits reports whether the VM can hold the task now.
-func fits(t *Task, v *vmView) bool { return t.Grant.Fits(v.free()) }
+func fits(t *Task, v *vmView) bool { return held(t).fits(v.free()) }
 
 // fitsLater reports whether the VM can hold the task once the tasks that are
 // stopping have stopped.
 func fitsLater(t *Task, v *vmView) bool {
-	return t.Grant.Fits(v.free().Add(v.releasing))
+	return held(t).fits(v.free().add(v.releasing))
 }
 
+// fitsEver reports whether the VM could hold the task if it were empty.
+func fitsEver(t *Task, v *vmView) bool { return held(t).fits(v.whole()) }
+
 // reserve keeps room on the VM for a task that waits for stopping ones. The
 // part that they release is kept as well: nobody else can have it yet.
 func reserve(t *Task, v *vmView) {
-	fromFree := positive(t.Grant.Sub(v.releasing))
-	v.reserved = v.reserved.Add(fromFree)
-	v.releasing = positive(v.releasing.Sub(t.Grant))
+	fromFree := held(t).sub(v.releasing).positive()
+	v.reserved = v.reserved.add(fromFree)
+	v.releasing = v.releasing.sub(held(t)).positive()
 }
 
-func positive(v resource.Vector) resource.Vector { return v.Max(resource.Vector{}) }
-
 // avoided reports whether the task's job failed on the VM.
 func avoided(t *Task, v *vmView) bool { return slices.Contains(t.Avoid, v.ID) }
 
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -72,11 +72,11 @@
 	best, bestLack := -1, int64(0)
 	for n := range c.vms {
 		v := &c.vms[n]
-		if !c.admits(t, v) || !t.Grant.Fits(v.Capacity) {
+		if !c.admits(t, v) || !fitsEver(t, v) {
 			continue
 		}
-		lack := positive(t.Grant.Sub(v.free()))
-		size := lack.MilliCPU + lack.MemoryMiB
+		lack := held(t).sub(v.free()).positive()
+		size := lack.grant.MilliCPU + lack.grant.MemoryMiB + lack.use
 		if best < 0 || size < bestLack {
 			best, bestLack = n, size
 		}
@@ -84,7 +84,7 @@
 	if best < 0 {
 		return false
 	}
-	c.vms[best].reserved = c.vms[best].reserved.Add(t.Grant)
+	c.vms[best].reserved = c.vms[best].reserved.add(held(t))
 	return true
 }
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -34,7 +34,7 @@
 	var bestVictims []int
 	for n := range c.vms {
 		v := &c.vms[n]
-		if !c.admits(t, v) || !t.Grant.Fits(v.Capacity) {
+		if !c.admits(t, v) || !fitsEver(t, v) {
 			continue
 		}
 		if fitsLater(t, v) {
@@ -66,14 +66,15 @@
 // with the cost, or nil.
 func (c *cycle) victims(t *Task, v *vmView) ([]int, time.Duration) {
 	var able []int
-	room := v.free().Add(v.releasing)
+	need := held(t)
+	room := v.free().add(v.releasing)
 	for _, i := range v.tasks {
 		if c.movable(i) && c.preempts(t, &c.s.Tasks[i]) {
 			able = append(able, i)
-			room = room.Add(held(&c.s.Tasks[i]))
+			room = room.add(held(&c.s.Tasks[i]))
 		}
 	}
-	if !t.Grant.Fits(room) {
+	if !need.fits(room) {
 		return nil, 0
 	}
 	slices.SortFunc(able, func(a, b int) int {
@@ -83,8 +84,8 @@
 	var chosen []int
 	var cost time.Duration
 	for _, i := range able {
-		without := room.Sub(held(&c.s.Tasks[i]))
-		if t.Grant.Fits(without) {
+		without := room.sub(held(&c.s.Tasks[i]))
+		if need.fits(without) {
 			room = without
 			continue
 		}
@@ -100,8 +101,6 @@
 	return costPerEviction + t.AtRisk + costPerPriority*time.Duration(max(t.Priority, 0))
 }
 
-func held(t *Task) resource.Vector { return t.Grant.Max(t.Used) }
-
 // preempts reports whether t may take the room of the running task other.
 func (c *cycle) preempts(t, other *Task) bool {
 	if other.Class == task.LatencyCritical {
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -18,8 +18,8 @@
 
 const (
 	fullScores      = 48 // candidates for which interference is predicted
-	harmBoundLoose  = 0.18
-	harmBoundStrict = 0.12
+	harmBoundLoose  = 0.20
+	harmBoundStrict = 0.13
 )
 
 type candidate struct {
@@ -31,7 +31,7 @@
 // now, or -1. Instances of a service go to racks with few of them, or to any
 // rack when those have no room.
 func (c *cycle) pick(t *Task) int {
-	if !t.Grant.Fits(c.largest) {
+	if !held(t).fits(c.largest) {
 		return -1
 	}
 	c.filter(t, t.Class == task.LatencyCritical)
@@ -87,7 +87,7 @@
 // score rates a VM without looking at interference; higher is better.
 // Services go to the emptier VMs; batch fills the fuller ones up.
 func (c *cycle) score(t *Task, v *vmView) float64 {
-	load := float64(v.committed.MilliCPU+t.Grant.MilliCPU) / float64(max(v.Capacity.MilliCPU, 1))
+	load := float64(v.committed.grant.MilliCPU+t.Grant.MilliCPU) / float64(max(v.Capacity.MilliCPU, 1))
 	score := weightFit * load
 	if t.Class == task.LatencyCritical {
 		score = -weightFit * load
@@ -115,10 +115,7 @@
 	}
 	load := (v.cores + cores(t)) / float64(max(v.Capacity.MilliCPU, 1)) * 1000
 	h := harmSum{c: c, t: t, v: v, load: load}
-	for _, i := range v.tasks {
-		h.add(&c.s.Tasks[i])
-	}
-	for _, other := range v.placed {
+	for _, other := range v.residents {
 		h.add(other)
 	}
 	weight := c.s.LatencyWeight
@@ -167,22 +164,10 @@
 // tasks that are on the VM already.
 func (c *cycle) present(victim *Task, v *vmView) float64 {
 	sum := 0.0
-	for _, i := range v.tasks {
-		if other := &c.s.Tasks[i]; other != victim {
+	for _, other := range v.residents {
+		if other != victim {
 			sum += c.s.Harm.Slowdown(victim.Job, other.Job, cores(other))
 		}
 	}
-	for _, other := range v.placed {
-		sum += c.s.Harm.Slowdown(victim.Job, other.Job, cores(other))
-	}
 	return sum
 }
-
-// cores returns the processor time that the task is expected to use.
-func cores(t *Task) float64 {
-	milli := t.Grant.MilliCPU
-	if t.Used.MilliCPU > 0 {
-		milli = t.Used.MilliCPU
-	}
-	return float64(milli) / 1000
-}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -47,7 +47,9 @@
 	Generation uint64 // of the present run, or of the last one of a pending task
 	VM         string
 	Grant      resource.Vector // held, or to be asked for by a pending task
+	Need       resource.Vector // expected use, from what the job was seen to use
 	Used       resource.Vector // observed, zero while unknown
+	Untried    bool            // nothing was seen of the job yet: Need is as declared
 	Priority   int
 	Deadline   time.Time     // zero when there is none
 	Remaining  time.Duration // estimated run time that is left
