--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -24,7 +24,7 @@
 		Pending:       s.Pending[:0],
 		Teams:         s.Teams[:0],
 		Pressures:     s.Pressures[:0],
-		Harm:          l.harm,
+		Harm:          l.harm.View(),
 		MovesLeft:     l.budget.left(),
 	}
 	for _, team := range p.Teams {
@@ -152,6 +152,7 @@
 		return d
 	}
 	d.AtRisk = atRisk(now, k)
+	d.Remaining = max(d.Remaining-d.AtRisk, f.runTime/leastRemaining)
 	if r := l.runs[k.ID]; r != nil && r.generation == k.Generation {
 		d.Used = r.used
 		d.Throttle = r.throttle
@@ -160,6 +161,10 @@
 	return d
 }
 
+// leastRemaining bounds from below what is left of a running task that takes
+// longer than expected: one part in so many of its run time.
+const leastRemaining = 10
+
 // atRisk returns the run time since the last checkpoint or the start.
 func atRisk(now time.Time, k *task.Task) time.Duration {
 	if k.State != task.Running {
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -17,6 +17,7 @@
 	probationTime       = time.Minute // that a probe must run before the next one
 	maxStartingOnRamp   = 2           // as maxStartingPerVM, for a VM that came into service within rampTime
 	urgentGrace         = 1500 * time.Millisecond
+	serviceGrace        = 10 * time.Second
 	checkpointGrace     = 30 * time.Second
 	longPending         = time.Minute // after which a pending instance no longer delays a drain
 	serviceStoppingPart = 4           // at most one instance in so many of a service is moved away at once
@@ -26,10 +27,13 @@
 // committed. The same snapshot gives the same decisions.
 func Decide(s *Snapshot) []Decision {
 	c := newCycle(s)
+	first, rest := c.order()
+	c.keepRoomForStopping()
+	c.schedulePending(first)
 	c.drain()
 	c.relieve()
 	c.relievePressure()
-	c.schedulePending()
+	c.schedulePending(rest)
 	return c.out
 }
 
@@ -47,9 +51,17 @@
 	racks   int            // with a VM that takes work; 0 until counted
 	scored  []candidate    // reused
 	largest amount         // bound of the free part of any VM that takes work
+	budget  budget
 	out     []Decision
 }
 
+// budget bounds the work of one call.
+type budget struct {
+	placements int
+	preemptors int // pending tasks for which victims are sought
+	holds      int // VMs kept free for starved tasks
+}
+
 // vmView is a VM with what runs there and what is assumed to.
 type vmView struct {
 	*VM
@@ -96,6 +108,7 @@
 		jobs:    map[string]*jobView{},
 		noRoom:  map[shape]bool{},
 		evicted: map[int]bool{},
+		budget:  budget{maxPlacements, maxPreemptors, maxHolds},
 	}
 	for i := range s.VMs {
 		c.vms[i].VM = &s.VMs[i]
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -13,35 +13,39 @@
 
 // schedulePending places pending tasks in the order of their rank, and finds
 // victims for those that may preempt.
-func (c *cycle) schedulePending() {
-	placed, preemptors, holds := 0, 0, 0
-	for _, t := range c.order() {
-		if placed >= maxPlacements {
+func (c *cycle) schedulePending(tasks []*Task) {
+	for _, t := range tasks {
+		if c.budget.placements <= 0 {
 			return
 		}
-		if t.Trial && c.onTrial(t) {
-			continue
-		}
 		key := shape{t.Job, t.Grant}
-		if c.noRoom[key] {
+		if c.noRoom[key] || t.Trial && c.onTrial(t) {
 			continue
 		}
 		if n := c.pick(t); n >= 0 {
 			c.place(t, n, reasonFor(&c.vms[n]))
-			placed++
+			c.budget.placements--
 			continue
 		}
-		if preemptors < maxPreemptors && c.mayPreempt(t) {
-			preemptors++
-			if c.preempt(t) {
-				continue
-			}
+		if !c.makeRoom(t) {
+			c.noRoom[key] = true
 		}
-		if holds < maxHolds && c.starves(t) && c.hold(t) {
-			holds++
+	}
+}
+
+// makeRoom stops others for the task if it may, or else keeps what becomes
+// free for it if it waited for long. It reports whether room will come soon.
+func (c *cycle) makeRoom(t *Task) bool {
+	if c.budget.preemptors > 0 && c.mayPreempt(t) {
+		c.budget.preemptors--
+		if c.preempt(t) {
+			return true
 		}
-		c.noRoom[key] = true
 	}
+	if c.budget.holds > 0 && c.starves(t) && c.hold(t) {
+		c.budget.holds--
+	}
+	return false
 }
 
 // onTrial reports whether a task of the failing job is being tried already.
@@ -103,31 +107,38 @@
 	slack    time.Duration
 }
 
-// order returns the pending tasks whose backoff is over, most important first.
-func (c *cycle) order() []*Task {
+// order returns the pending tasks whose backoff is over, most important
+// first: services and urgent work, and the rest.
+func (c *cycle) order() (first, rest []*Task) {
 	list := make([]ranked, 0, len(c.s.Pending))
+	urgent := 0
 	for i := range c.s.Pending {
 		t := &c.s.Pending[i]
 		if !due(t, c.s.Now) {
 			continue
 		}
-		slack := c.slack(t)
-		list = append(list, ranked{
-			t:        t,
-			class:    classRank(t),
-			tight:    slack < tightSlack,
-			borrower: c.borrows(t),
-			slack:    slack,
-		})
+		r := c.rank(t)
+		if r.class < restClass {
+			urgent++
+		}
+		list = append(list, r)
 	}
 	slices.SortFunc(list, compareRank)
 	tasks := make([]*Task, len(list))
 	for i := range list {
 		tasks[i] = list[i].t
 	}
-	return tasks
+	return tasks[:urgent], tasks[urgent:]
 }
 
+func (c *cycle) rank(t *Task) ranked {
+	slack := c.slack(t)
+	return ranked{t: t, class: classRank(t), tight: slack < tightSlack, borrower: c.borrows(t), slack: slack}
+}
+
+// restClass is the rank of work that is neither a service nor urgent.
+const restClass = 2
+
 func classRank(t *Task) int {
 	switch {
 	case t.Class == task.LatencyCritical:
@@ -135,7 +146,7 @@
 	case t.Urgent():
 		return 1
 	}
-	return 2
+	return restClass
 }
 
 // compareRank orders by class, then tasks whose deadline is near, then
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -50,8 +50,10 @@
 		return false
 	}
 	reason, grace := ReasonPreempted, checkpointGrace
-	if t.Urgent() || t.Class == task.LatencyCritical {
+	if t.Urgent() {
 		grace = urgentGrace
+	} else if t.Class == task.LatencyCritical {
+		grace = serviceGrace
 	} else if c.slack(t) >= tightSlack {
 		reason = ReasonQuota
 	}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -24,6 +24,7 @@
 	Fresh      bool
 	Draining   bool      // takes no new work, and what runs is moved away
 	InSince    time.Time // when the VM or its zone last came into service
+	OutSince   time.Time // when it last left service or began to drain; zero lets nothing finish there
 	Quarantine Quarantine
 }
 
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -188,7 +188,7 @@
 			continue
 		}
 		cores := overlap(victim, other) * float64(other.Used.MilliCPU) / 1000
-		share := l.harm.Slowdown(jobOf(victim.Task), jobOf(other.Task), cores)
+		share := l.harm.View().Slowdown(jobOf(victim.Task), jobOf(other.Task), cores)
 		if share > 0 {
 			list = append(list, Disturber{Task: other.Task, Share: share})
 		}
