--- a/transport/transport.go
+++ b/transport/transport.go
@@ -1,24 +1,61 @@
-// Package transport opens and accepts the system's own connections.
+// Package transport opens and accepts the system's own connections, in
+// plaintext on loopback or under TLS, and authenticates operators.
 package transport
 
 import (
 	"context"
 	"net"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"amaranthpaddle/fault"
 )
 
+// dialTimeout bounds the opening of one TCP connection.
+const dialTimeout = 5 * time.Second
+
 // Security is the transport security of one process. The zero value is
-// plaintext, which is allowed on loopback addresses only unless Insecure is set.
+// plaintext, which is allowed on loopback addresses only unless Insecure is
+// set. Open returns one with TLS.
 type Security struct {
 	Insecure bool // allows plaintext on addresses other than loopback
+
+	certificates *certificates // nil for plaintext
+}
+
+// Files names the PEM files of one process.
+type Files struct {
+	Certificate string // certificate chain of this process, leaf first
+	Key         string // its private key
+	CA          string // certificate authorities that sign the certificates of the system and its operators
+}
+
+// Open returns TLS security with the given files, which are read again when
+// they change. It returns fault.InvalidArgument when one can't be used.
+func Open(files Files) (*Security, error) {
+	loaded, err := openCertificates(files)
+	if err != nil {
+		return nil, err
+	}
+	return &Security{certificates: loaded}, nil
 }
 
-// Listen opens a TCP listener on address (ip:port). It returns
-// fault.InvalidArgument when plaintext is not allowed there.
+// TLS reports whether connections are encrypted.
+func (s *Security) TLS() bool { return s.certificates != nil }
+
+// Scheme returns the URL scheme of this security, "http" or "https".
+func (s *Security) Scheme() string {
+	if s.TLS() {
+		return "https"
+	}
+	return "http"
+}
+
+// Listen opens a TCP listener on address (ip:port) for a gRPC server with
+// ServerOptions. It returns fault.InvalidArgument when plaintext is not allowed there.
 func (s *Security) Listen(address string) (net.Listener, error) {
 	if err := s.checkPlaintext(address); err != nil {
 		return nil, err
@@ -26,8 +63,11 @@
 	return net.Listen("tcp", address)
 }
 
-// ServerOptions returns the options for a gRPC server of this process.
-func (s *Security) ServerOptions() []grpc.ServerOption { return nil }
+// ServerOptions returns the options for a gRPC server of this process. Under
+// TLS it accepts only clients with a process certificate.
+func (s *Security) ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{grpc.Creds(s.grpcCredentials())}
+}
 
 // Dial returns a client connection to address (ip:port). It connects in the
 // background; discovery, balancing and retries of the library stay off.
@@ -36,7 +76,7 @@
 		return nil, err
 	}
 	options := []grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithTransportCredentials(s.grpcCredentials()),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
@@ -45,13 +85,20 @@
 	return grpc.NewClient("passthrough:///"+address, append(options, extra...)...)
 }
 
+func (s *Security) grpcCredentials() credentials.TransportCredentials {
+	if !s.TLS() {
+		return insecure.NewCredentials()
+	}
+	return &reloadingCredentials{certificates: s.certificates}
+}
+
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{Timeout: dialTimeout}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
 func (s *Security) checkPlaintext(address string) error {
-	if s.Insecure {
+	if s.Insecure || s.TLS() {
 		return nil
 	}
 	host, _, err := net.SplitHostPort(address)
