--- a/plan/encode_test.go
+++ b/plan/encode_test.go
@@ -156,3 +156,25 @@
 		t.Errorf("got %v", faults)
 	}
 }
+
+func FuzzDecode(f *testing.F) {
+	p, _ := readText(validSheet)
+	encoded, err := p.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Add([]byte(`{"number":1}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded := DayPlan{Number: 42}
+		if err := decoded.Decode(data); err != nil {
+			if decoded.Number != 42 || decoded.Zones != nil {
+				t.Fatal("a refused plan replaced the value")
+			}
+			return
+		}
+		if faults := decoded.Check(); len(faults) > 0 {
+			t.Fatalf("accepted an invalid plan: %v", faults)
+		}
+	})
+}
