--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,188 @@
+package raft
+
+import "amaranthpaddle/api"
+
+func (r *Raft) becomeFollower(term, leader uint64) {
+	if term > r.term {
+		r.term = term
+		r.vote = 0
+	}
+	r.role = Follower
+	r.leader = leader
+	r.transferTo = 0
+	r.votes = nil
+	r.reads = readQueue{}
+	r.resetElectionTimeout()
+	clear(r.progress)
+}
+
+// resetElectionTimeout starts a new randomized timeout. It is longer than the
+// window of leaderIsFresh by a heartbeat, so that the others' windows are over too.
+func (r *Raft) resetElectionTimeout() {
+	r.electionElapsed = 0
+	r.electionTimeout = r.config.ElectionTicks + r.config.HeartbeatTicks + r.config.Intn(r.config.ElectionTicks)
+}
+
+// hearLeader notes that the leader of this term is alive.
+func (r *Raft) hearLeader(leader uint64) {
+	if r.role != Follower || r.leader != leader {
+		r.becomeFollower(r.term, leader)
+	}
+	r.electionElapsed = 0
+}
+
+// campaign asks the voters, as PreCandidate without touching the term or as
+// Candidate in a new term. transfer marks a campaign that the leader asked for.
+func (r *Raft) campaign(role Role, transfer bool) {
+	r.role = role
+	r.leader = 0
+	r.votes = map[uint64]bool{}
+	r.resetElectionTimeout()
+	request := api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, Term: r.term + 1}
+	if role == Candidate {
+		r.term++
+		r.vote = r.config.ID
+		request.Type = api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE
+		request.Term = r.term
+		request.Transfer = transfer
+	}
+	for _, id := range Voters(r.membership()) {
+		if id == r.config.ID {
+			r.voteForSelf(role)
+			continue
+		}
+		r.send(&api.RaftMessage{
+			Type: request.Type, To: id, Term: request.Term, Transfer: request.Transfer,
+			LogIndex: r.log.lastIndex(), LogTerm: r.log.lastTerm(),
+		})
+	}
+}
+
+// voteForSelf sends the own vote through the sync like any other, so that it
+// counts only once it is durable.
+func (r *Raft) voteForSelf(role Role) {
+	vote := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE, To: r.config.ID}
+	if role == PreCandidate {
+		vote.Type = api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+		vote.Term = r.term + 1
+	}
+	r.send(vote)
+}
+
+// handleVote answers a candidate. A PreVote is answered for the term it asks
+// about and changes nothing here.
+func (r *Raft) handleVote(m *api.RaftMessage) {
+	pre := m.Type == api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE
+	free := r.vote == m.From || (r.vote == 0 && r.leader == 0)
+	if pre {
+		free = m.Term > r.term
+	}
+	granted := free && r.log.isUpToDate(m.LogIndex, m.LogTerm)
+	response := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE, To: m.From, Reject: !granted}
+	if pre {
+		response.Type = api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+	}
+	if granted {
+		response.Term = m.Term
+	}
+	if granted && !pre {
+		r.vote = m.From
+		r.electionElapsed = 0
+	}
+	r.send(response)
+}
+
+func (r *Raft) handleVoteResponse(m *api.RaftMessage) {
+	pre := m.Type == api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+	if pre && (r.role != PreCandidate || (!m.Reject && m.Term != r.term+1)) {
+		return
+	}
+	if !pre && r.role != Candidate {
+		return
+	}
+	r.votes[m.From] = !m.Reject
+	granted, refused := 0, 0
+	voters := Voters(r.membership())
+	for _, id := range voters {
+		vote, answered := r.votes[id]
+		if answered && vote {
+			granted++
+		}
+		if answered && !vote {
+			refused++
+		}
+	}
+	needed := quorum(len(voters))
+	switch {
+	case granted >= needed && pre:
+		r.campaign(Candidate, false)
+	case granted >= needed:
+		r.becomeLeader()
+	case refused >= needed:
+		r.becomeFollower(r.term, 0)
+	}
+}
+
+// becomeLeader starts a term with an empty entry: entries of earlier terms are
+// committed only through one of the leader's own.
+func (r *Raft) becomeLeader() {
+	r.role = Leader
+	r.leader = r.config.ID
+	r.votes = nil
+	r.electionElapsed = 0
+	r.heartbeatElapsed = 0
+	r.reads = readQueue{}
+	r.uncommitted = 0
+	clear(r.progress)
+	r.syncProgress()
+	for _, p := range r.progress {
+		p.recentActive = true
+	}
+	r.appendOwn(api.EntryType_ENTRY_TYPE_NOOP, nil)
+	r.broadcastAppend()
+}
+
+// TransferLeadership hands the leadership to a voter, or to the most advanced
+// active one when to is 0. It reports whether a transfer began.
+func (r *Raft) TransferLeadership(to uint64) bool {
+	if r.role != Leader {
+		return false
+	}
+	if to == 0 {
+		to = r.mostAdvancedVoter()
+	}
+	if to == 0 || to == r.config.ID || !IsVoter(r.membership(), to) {
+		return false
+	}
+	r.transferTo = to
+	r.electionElapsed = 0
+	if r.progress[to].match == r.log.lastIndex() {
+		r.sendTimeoutNow(to)
+	} else {
+		r.sendAppend(to)
+	}
+	return true
+}
+
+func (r *Raft) mostAdvancedVoter() uint64 {
+	best := uint64(0)
+	for _, id := range Voters(r.membership()) {
+		if id == r.config.ID || !r.progress[id].recentActive {
+			continue
+		}
+		if best == 0 || r.progress[id].match > r.progress[best].match {
+			best = id
+		}
+	}
+	return best
+}
+
+func (r *Raft) sendTimeoutNow(to uint64) {
+	r.sendNow(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_TIMEOUT_NOW, To: to})
+}
+
+func (r *Raft) handleTimeoutNow() {
+	if r.role != Leader && r.isVoter() {
+		r.campaign(Candidate, true)
+	}
+}
--- /dev/null
+++ b/raft/ready.go
@@ -0,0 +1,75 @@
+package raft
+
+import "amaranthpaddle/api"
+
+// Ready is the work that the driver has to do; see the package comment for the order.
+type Ready struct {
+	Messages       []*api.RaftMessage // may be sent before the sync
+	Snapshot       *api.Snapshot      // replaces log and state, to be made durable first
+	HardState      *api.HardState     // nil when unchanged
+	Entries        []*api.LogEntry    // to be made durable; they replace later ones
+	SyncedMessages []*api.RaftMessage // to be sent once all of the above is durable
+	Committed      []*api.LogEntry    // durable here, to be applied in order
+	Reads          []ReadState
+}
+
+// HasReady reports whether Ready would hand out work.
+func (r *Raft) HasReady() bool {
+	return len(r.messages) > 0 || len(r.syncedMessages) > 0 || r.snapshot != nil ||
+		r.term != r.saved.Term || r.vote != r.saved.Vote || r.written < r.log.lastIndex() ||
+		r.log.handedOut < r.applicable() || len(r.readStates) > 0
+}
+
+// applicable is the last index that may be applied: committed and synced here.
+func (r *Raft) applicable() uint64 { return min(r.log.commit, r.log.stable) }
+
+// Ready hands out the pending work. Advance must follow before the next call.
+func (r *Raft) Ready() Ready {
+	ready := Ready{
+		Messages:       r.messages,
+		Snapshot:       r.snapshot,
+		Entries:        r.log.slice(r.written+1, r.log.lastIndex(), ^uint64(0)),
+		SyncedMessages: r.syncedMessages,
+		Committed:      r.log.slice(r.log.handedOut+1, r.applicable(), ^uint64(0)),
+		Reads:          r.readStates,
+	}
+	if r.term != r.saved.Term || r.vote != r.saved.Vote {
+		r.saved.Term, r.saved.Vote = r.term, r.vote
+		ready.HardState = &api.HardState{Term: r.term, Vote: r.vote}
+	}
+	if r.role == Leader && len(ready.Entries) > 0 {
+		ready.SyncedMessages = append(ready.SyncedMessages, r.ownAck())
+	}
+	r.written = r.log.lastIndex()
+	r.log.handedOut = max(r.log.handedOut, r.applicable())
+	r.messages, r.syncedMessages, r.readStates, r.snapshot = nil, nil, nil, nil
+	return ready
+}
+
+// ownAck counts the leader's own entries once they are synced.
+func (r *Raft) ownAck() *api.RaftMessage {
+	ack := &api.RaftMessage{
+		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE,
+		To:   r.config.ID, LogIndex: r.log.lastIndex(),
+	}
+	r.address(ack)
+	return ack
+}
+
+// Advance tells that the durable part of ready is synced.
+func (r *Raft) Advance(ready Ready) {
+	if n := len(ready.Entries); n > 0 {
+		last := ready.Entries[n-1]
+		if r.log.matches(last.Index, last.Term) {
+			r.log.stable = max(r.log.stable, last.Index)
+		}
+	}
+}
+
+// Compact drops the entries up to index from memory. The caller holds a durable
+// snapshot that covers them.
+func (r *Raft) Compact(index uint64) {
+	index = min(index, r.log.handedOut)
+	r.log.compact(index)
+	r.dropTablesBefore(index)
+}
--- /dev/null
+++ b/raft/replication.go
@@ -0,0 +1,325 @@
+package raft
+
+import (
+	"slices"
+
+	"amaranthpaddle/api"
+)
+
+// syncProgress makes the leader track exactly the members of the table in force.
+func (r *Raft) syncProgress() {
+	if r.role != Leader {
+		return
+	}
+	table := r.membership()
+	for _, member := range table.Members {
+		if r.progress[member.Id] == nil {
+			r.progress[member.Id] = &progress{next: r.log.lastIndex() + 1, incarnation: member.Incarnation}
+		}
+	}
+	for id := range r.progress {
+		if FindMember(table, id) == nil {
+			delete(r.progress, id)
+		}
+	}
+}
+
+// appendOwn appends an entry of the leader's term and returns its index. The
+// leader counts it for itself when it is synced.
+func (r *Raft) appendOwn(entryType api.EntryType, data []byte) uint64 {
+	entry := &api.LogEntry{Term: r.term, Index: r.log.lastIndex() + 1, Type: entryType, Data: data}
+	r.log.append(entry)
+	r.uncommitted += entryBytes(entry)
+	if entryType == api.EntryType_ENTRY_TYPE_MEMBERSHIP {
+		r.addTable(entry)
+	}
+	return entry.Index
+}
+
+func (r *Raft) members() []uint64 {
+	ids := make([]uint64, 0, len(r.progress))
+	for _, member := range r.membership().Members {
+		if member.Id != r.config.ID {
+			ids = append(ids, member.Id)
+		}
+	}
+	return ids
+}
+
+func (r *Raft) broadcastAppend() {
+	for _, id := range r.members() {
+		r.sendAppend(id)
+	}
+}
+
+// sendAppend sends the entries that the member lacks, as far as its window allows.
+func (r *Raft) sendAppend(to uint64) {
+	p := r.progress[to]
+	for r.canSend(p) && p.next <= r.log.lastIndex() {
+		if !r.sendOneAppend(to, p) {
+			return
+		}
+	}
+}
+
+func (r *Raft) canSend(p *progress) bool {
+	switch p.state {
+	case probing:
+		return !p.paused
+	case replicating:
+		return len(p.inflight) < r.config.MaxInflight
+	default:
+		return false
+	}
+}
+
+// sendOneAppend sends one append from p.next on, or a snapshot when the log no
+// longer reaches back so far; it reports whether more appends may follow.
+func (r *Raft) sendOneAppend(to uint64, p *progress) bool {
+	prevTerm, held := r.log.term(p.next - 1)
+	if !held {
+		r.sendSnapshot(to, p)
+		return false
+	}
+	entries := r.log.slice(p.next, r.log.lastIndex(), r.config.MaxMessageBytes)
+	r.sendNow(&api.RaftMessage{
+		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: to,
+		LogIndex: p.next - 1, LogTerm: prevTerm, Commit: r.log.commit, Entries: entries,
+	})
+	if p.state == probing {
+		p.paused = true
+		return false
+	}
+	if len(entries) == 0 {
+		return false
+	}
+	p.next += uint64(len(entries))
+	p.inflight = append(p.inflight, p.next-1)
+	return true
+}
+
+// sendSnapshot names a snapshot; the driver adds the newest one it holds.
+func (r *Raft) sendSnapshot(to uint64, p *progress) {
+	p.becomeSnapshotting(r.log.compactIndex)
+	r.sendNow(&api.RaftMessage{
+		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT, To: to,
+		Snapshot: &api.Snapshot{Index: r.log.compactIndex, Term: r.log.compactTerm},
+	})
+}
+
+// SnapshotFailed tells the leader that a snapshot could not be delivered.
+func (r *Raft) SnapshotFailed(to uint64) {
+	p := r.progress[to]
+	if r.role == Leader && p != nil && p.state == snapshotting {
+		p.becomeProbing()
+		p.paused = true // until the next heartbeat answer
+	}
+}
+
+func (r *Raft) broadcastHeartbeat() {
+	for _, id := range r.members() {
+		index := min(r.progress[id].match, r.log.commit)
+		term, held := r.log.term(index)
+		if !held {
+			index = 0
+		}
+		r.sendNow(&api.RaftMessage{
+			Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, To: id,
+			LogIndex: index, LogTerm: term, Read: r.reads.round,
+		})
+	}
+}
+
+// handleHeartbeat commits up to the index that the leader names only where the
+// logs match: a learner that lost its disk may hold something else there.
+func (r *Raft) handleHeartbeat(m *api.RaftMessage) {
+	if r.log.matches(m.LogIndex, m.LogTerm) {
+		r.commitTo(m.LogIndex)
+	}
+	r.send(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE, To: m.From, Read: m.Read})
+}
+
+// handleAppend stores the entries that follow a matching one. Entries already
+// held are kept: an old, delayed append must not cut off newer ones.
+func (r *Raft) handleAppend(m *api.RaftMessage) {
+	response := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From, LogIndex: m.LogIndex}
+	if m.LogIndex < r.log.commit {
+		response.LogIndex = r.log.commit
+		r.send(response)
+		return
+	}
+	if !r.log.matches(m.LogIndex, m.LogTerm) {
+		response.Reject = true
+		response.HintIndex, response.HintTerm = r.log.lastIndexUpToTerm(m.LogIndex, m.LogTerm)
+		r.send(response)
+		return
+	}
+	for _, entry := range m.Entries {
+		r.storeEntry(entry)
+	}
+	response.LogIndex = m.LogIndex + uint64(len(m.Entries))
+	r.commitTo(min(m.Commit, response.LogIndex))
+	r.send(response)
+}
+
+func (r *Raft) storeEntry(entry *api.LogEntry) {
+	if r.log.matches(entry.Index, entry.Term) {
+		return
+	}
+	if entry.Index <= r.log.lastIndex() {
+		r.log.truncateFrom(entry.Index)
+		r.dropTablesFrom(entry.Index)
+		r.written = min(r.written, entry.Index-1)
+	}
+	r.log.append(entry)
+	if entry.Type == api.EntryType_ENTRY_TYPE_MEMBERSHIP {
+		r.addTable(entry)
+	}
+}
+
+func (r *Raft) commitTo(index uint64) { r.log.commit = max(r.log.commit, index) }
+
+// handleSnapshot replaces the log by a snapshot that is ahead of it.
+func (r *Raft) handleSnapshot(m *api.RaftMessage) {
+	snapshot := m.Snapshot
+	response := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From}
+	if snapshot.Index <= r.log.commit {
+		response.LogIndex = r.log.commit
+		r.send(response)
+		return
+	}
+	if r.log.matches(snapshot.Index, snapshot.Term) {
+		r.commitTo(snapshot.Index)
+		response.LogIndex = snapshot.Index
+		r.send(response)
+		return
+	}
+	r.log.reset(snapshot.Index, snapshot.Term)
+	r.tables = []membershipAt{{index: snapshot.Index, table: snapshot.Membership}}
+	r.written = snapshot.Index
+	r.snapshot = snapshot
+	response.LogIndex = snapshot.Index
+	r.send(response)
+}
+
+// hear returns the sender's progress after noting that it is alive, or nil.
+func (r *Raft) hear(m *api.RaftMessage) *progress {
+	p := r.progress[m.From]
+	if r.role != Leader || p == nil {
+		return nil
+	}
+	p.setIncarnation(m.Incarnation)
+	p.recentActive = true
+	return p
+}
+
+func (r *Raft) handleAppendResponse(m *api.RaftMessage) {
+	p := r.hear(m)
+	if p == nil {
+		return
+	}
+	if m.Reject {
+		r.handleRejection(m, p)
+		return
+	}
+	news := p.ack(m.LogIndex)
+	switch {
+	case p.state == probing && (news || p.match == m.LogIndex):
+		p.becomeReplicating()
+	case p.state == snapshotting && p.match >= p.snapshot:
+		p.becomeReplicating()
+	}
+	if news && r.maybeCommit() {
+		r.broadcastAppend()
+	} else if m.From != r.config.ID {
+		r.sendAppend(m.From)
+	}
+	if m.From == r.transferTo && p.match == r.log.lastIndex() {
+		r.sendTimeoutNow(m.From)
+	}
+}
+
+// handleRejection moves back to where the follower's log may match.
+func (r *Raft) handleRejection(m *api.RaftMessage, p *progress) {
+	if m.LogIndex <= p.match || p.state == snapshotting {
+		return
+	}
+	if p.state == probing && m.LogIndex != p.next-1 {
+		return
+	}
+	hint, _ := r.log.lastIndexUpToTerm(m.HintIndex, m.HintTerm)
+	p.becomeProbing()
+	p.next = max(min(m.LogIndex, hint+1), p.match+1)
+	r.sendAppend(m.From)
+}
+
+func (r *Raft) handleHeartbeatResponse(m *api.RaftMessage) {
+	p := r.hear(m)
+	if p == nil {
+		return
+	}
+	r.noteStalledSnapshot(p)
+	p.paused = false
+	if p.match < r.log.lastIndex() {
+		r.nudge(m.From, p)
+	}
+	if m.Read > p.readRound {
+		p.readRound = m.Read
+		r.confirmReads()
+	}
+}
+
+// nudge resends to a member that lacks entries. When all were sent already, an
+// empty append lets it reject, and so reveals a lost one.
+func (r *Raft) nudge(to uint64, p *progress) {
+	if p.state == replicating && (p.next > r.log.lastIndex() || !r.canSend(p)) {
+		prevTerm, held := r.log.term(p.next - 1)
+		if held {
+			r.sendNow(&api.RaftMessage{
+				Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: to,
+				LogIndex: p.next - 1, LogTerm: prevTerm, Commit: r.log.commit,
+			})
+		}
+		return
+	}
+	r.sendAppend(to)
+}
+
+// snapshotPatience is how many heartbeat answers may pass before a snapshot that
+// was not acknowledged is sent again.
+const snapshotPatience = 100
+
+func (r *Raft) noteStalledSnapshot(p *progress) {
+	if p.state != snapshotting {
+		return
+	}
+	p.snapshotAge++
+	if p.snapshotAge >= snapshotPatience {
+		p.becomeProbing()
+	}
+}
+
+// maybeCommit advances the commit index to what a majority of the voters synced.
+func (r *Raft) maybeCommit() bool {
+	voters := Voters(r.membership())
+	matches := make([]uint64, 0, len(voters))
+	for _, id := range voters {
+		matches = append(matches, r.progress[id].match)
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-quorum(len(matches))]
+	if index <= r.log.commit || !r.log.matches(index, r.term) {
+		return false
+	}
+	for _, entry := range r.log.slice(r.log.commit+1, index, ^uint64(0)) {
+		r.uncommitted -= min(r.uncommitted, entryBytes(entry))
+	}
+	r.log.commit = index
+	r.releaseReads()
+	return true
+}
+
+// committedInTerm reports whether an entry of the current term is committed.
+func (r *Raft) committedInTerm() bool {
+	return r.log.matches(r.log.commit, r.term)
+}
