control, fleet: replicated state, sessions, watch, claims and operators' API

Change: package fleet (registry, flap damping, directory with deltas and an incremental digest); package control (state machine, leases, confirmations, sessions, watch, claims, HTTP API, leader's loop); api/command.proto; EntryReport carries the revision in force at the entry.

--- /dev/null
+++ b/control/config.go
@@ -0,0 +1,73 @@
+package control
+
+import (
+	"time"
+
+	"amaranthpaddle/replica"
+	"amaranthpaddle/scheduler"
+	"amaranthpaddle/task/lease"
+)
+
+const (
+	defaultLease         = 8 * time.Second
+	defaultLeaseMargin   = 500 * time.Millisecond
+	defaultFresh         = 2 * time.Second
+	defaultClaimKeep     = 24 * time.Hour
+	defaultClaimLimit    = 200_000
+	confirmInterval      = 400 * time.Millisecond
+	confirmTimeout       = 2 * time.Second
+	confirmMaxAge        = 1 * time.Second // of the confirmation that an answer rests on
+	proposeTimeout       = 5 * time.Second
+	resendAfter          = 3 * time.Second // a directive whose effect was not reported
+	loopInterval         = 500 * time.Millisecond
+	digestInterval       = 10 * time.Second // between digests sent to a watcher
+	watchSpacing         = 50 * time.Millisecond
+	watchConfirmInterval = 2 * time.Second
+	graceMemory          = 10 * time.Minute // of a checkpoint time that has passed
+)
+
+// Peer is where another control replica can be reached.
+type Peer struct {
+	Address         string // ip:port for agents and entries
+	OperatorAddress string // ip:port of the operators' API
+}
+
+// Config is the configuration of a Server. Zero durations and limits take
+// their default values.
+type Config struct {
+	Node       replica.Node
+	State      *State                    // the state machine that Node replicates
+	Peers      func(id uint64) Peer      // where a replica can be reached, may be nil
+	Membership Membership                // of the control group, may be nil
+	Authorize  func(bearer string) error // checks an operator's token, may be nil
+	Decide     Decide                    // places and evicts tasks, nil for scheduler.Decide
+	Lease      lease.Terms               // of the VMs
+	Fresh      time.Duration             // how long zone_in_service may be relied on
+	ClaimKeep  time.Duration             // how long a claim is remembered
+	ClaimLimit int                       // claims remembered at most
+}
+
+// Decide turns a snapshot into decisions, without side effects.
+type Decide func(*scheduler.Snapshot) []scheduler.Decision
+
+func (c Config) withDefaults() Config {
+	if c.Lease.Duration == 0 {
+		c.Lease = lease.Terms{Duration: defaultLease, Margin: defaultLeaseMargin}
+	}
+	if c.Fresh == 0 {
+		c.Fresh = defaultFresh
+	}
+	if c.ClaimKeep == 0 {
+		c.ClaimKeep = defaultClaimKeep
+	}
+	if c.ClaimLimit == 0 {
+		c.ClaimLimit = defaultClaimLimit
+	}
+	if c.Decide == nil {
+		c.Decide = scheduler.Decide
+	}
+	if c.Peers == nil {
+		c.Peers = func(uint64) Peer { return Peer{} }
+	}
+	return c
+}
--- /dev/null
+++ b/control/confirm.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthpaddle/fault"
+	"amaranthpaddle/replica"
+)
+
+// confirmer keeps a recent proof that this replica leads and that its state is
+// current: the time at which the latest successful quorum confirmation began.
+type confirmer struct {
+	node     replica.Node
+	interval time.Duration
+
+	mu      sync.Mutex
+	began   time.Time
+	changed chan struct{} // closed at the next confirmation
+}
+
+func newConfirmer(node replica.Node, interval time.Duration) *confirmer {
+	return &confirmer{node: node, interval: interval, changed: make(chan struct{})}
+}
+
+// run confirms again and again until ctx ends.
+func (c *confirmer) run(ctx context.Context, term uint64) {
+	ticker := time.NewTicker(c.interval)
+	defer ticker.Stop()
+	for {
+		c.confirm(ctx, term)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// confirm counts a confirmation only if this replica led in the term before
+// and after it: the node may have asked another leader otherwise.
+func (c *confirmer) confirm(ctx context.Context, term uint64) {
+	began := time.Now()
+	if !leads(c.node, term) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if _, err := c.node.ConfirmRead(ctx); err != nil || !leads(c.node, term) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.began = began
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func leads(node replica.Node, term uint64) bool {
+	status := node.Status()
+	return status.LeaderReady && status.Term == term
+}
+
+// reset forgets the confirmations of an earlier leadership.
+func (c *confirmer) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.began = time.Time{}
+}
+
+// wait returns the beginning of a confirmation that is not before the time.
+// It returns fault.NoQuorum when none comes.
+func (c *confirmer) wait(ctx context.Context, notBefore time.Time) (time.Time, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	for {
+		c.mu.Lock()
+		began, changed := c.began, c.changed
+		c.mu.Unlock()
+		if !began.IsZero() && !began.Before(notBefore) {
+			return began, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return time.Time{}, fault.New(fault.NoQuorum, "leadership was not confirmed in time")
+		}
+	}
+}
--- /dev/null
+++ b/control/http.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/operatorapi"
+)
+
+const (
+	maxChangeIDBytes = 256
+	bearerPrefix     = "Bearer "
+)
+
+// Handler returns the operators' HTTP API, with /metrics, /healthz and /readyz.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	s.handle(mux, "POST "+operatorapi.PathPlan, s.postPlan)
+	s.handle(mux, "GET "+operatorapi.PathPlan, s.getPlan)
+	s.handle(mux, "POST "+operatorapi.PathZones+"{zone}/out", s.postZone(false))
+	s.handle(mux, "POST "+operatorapi.PathZones+"{zone}/in", s.postZone(true))
+	s.handle(mux, "POST "+operatorapi.PathVMs+"{vm}/drain", s.postDrain(true))
+	s.handle(mux, "POST "+operatorapi.PathVMs+"{vm}/undrain", s.postDrain(false))
+	s.handle(mux, "POST "+operatorapi.PathJobs+"{job}/cancel", s.postCancel)
+	s.handle(mux, "GET "+operatorapi.PathStatus, s.getStatus)
+	s.handle(mux, "GET "+operatorapi.PathTasks, s.getTasks)
+	s.handle(mux, "GET "+operatorapi.PathBurn, s.getBurn)
+	s.handle(mux, "GET "+operatorapi.PathControlMembers, s.getMembers)
+	s.handle(mux, "POST "+operatorapi.PathControlReplace, s.postReplace)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /healthz", s.getHealth)
+	mux.HandleFunc("GET /readyz", s.getReady)
+	return mux
+}
+
+// operation answers an operator's request with a JSON value or an error.
+type operation func(r *http.Request) (any, error)
+
+func (s *Server) handle(mux *http.ServeMux, pattern string, op operation) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, operatorapi.MaxBodyBytes)
+		answer, err := s.authorized(r, op)
+		if err != nil {
+			s.writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	})
+}
+
+func (s *Server) authorized(r *http.Request, op operation) (any, error) {
+	if s.config.Authorize != nil {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		if err := s.config.Authorize(token); err != nil {
+			return nil, err
+		}
+	}
+	return op(r)
+}
+
+func (s *Server) writeError(w http.ResponseWriter, err error) {
+	kind := fault.KindOf(err)
+	body := operatorapi.Error{
+		Kind:    kind.String(),
+		Message: err.Error(),
+		Outcome: string(kind.Answer().Outcome),
+	}
+	if kind == fault.NotLeader {
+		body.Leader = s.leader().OperatorAddress
+		w.Header().Set(operatorapi.HeaderLeader, body.Leader)
+	}
+	writeJSON(w, kind.Answer().HTTP, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		return body, nil
+	}
+	if _, tooLarge := err.(*http.MaxBytesError); tooLarge {
+		return nil, fault.Wrap(fault.TooLarge, err, "read body")
+	}
+	return nil, fault.Wrap(fault.InvalidArgument, err, "read body")
+}
+
+func changeID(r *http.Request) (string, error) {
+	id := r.Header.Get(operatorapi.HeaderChangeID)
+	if id == "" || len(id) > maxChangeIDBytes {
+		return "", fault.New(fault.InvalidArgument, "a change needs a "+operatorapi.HeaderChangeID+" header of at most 256 bytes")
+	}
+	return id, nil
+}
+
+// commitAsLeader commits an operator's change. A follower refuses it, so that
+// the client learns where the leader is.
+func (s *Server) commitAsLeader(ctx context.Context, command *api.Command) (*api.CommandResult, error) {
+	if _, err := s.leading(); err != nil {
+		return nil, err
+	}
+	return s.commit(ctx, command)
+}
+
+// confirmAsLeader confirms a read at the leader.
+func (s *Server) confirmAsLeader(ctx context.Context) error {
+	if _, err := s.leading(); err != nil {
+		return err
+	}
+	return s.confirmRead(ctx)
+}
+
+func (s *Server) postPlan(r *http.Request) (any, error) {
+	id, err := changeID(r)
+	if err != nil {
+		return nil, err
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	result, err := s.commitAsLeader(r.Context(), &api.Command{Body: &api.Command_SubmitPlan{
+		SubmitPlan: &api.SubmitPlan{Plan: body, ChangeId: id},
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return operatorapi.PlanResult{
+		Number:   result.PlanNumber,
+		Digest:   hex.EncodeToString(result.PlanDigest),
+		Revision: result.Revision,
+		Repeated: result.Repeated,
+		Warnings: result.Warnings,
+	}, nil
+}
+
+func (s *Server) getPlan(r *http.Request) (any, error) {
+	if err := s.confirmAsLeader(r.Context()); err != nil {
+		return nil, err
+	}
+	return s.state.planInForce(), nil
+}
+
+func (s *State) planInForce() operatorapi.PlanInForce {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	latest := s.accepted.latest()
+	return operatorapi.PlanInForce{
+		Number:   latest.Number,
+		Digest:   hex.EncodeToString(latest.Digest),
+		Revision: latest.Revision,
+		Plan:     json.RawMessage(s.planData),
+	}
+}
+
+func (s *Server) postZone(inService bool) operation {
+	return s.change(func(r *http.Request, id string) *api.Command {
+		return &api.Command{Body: &api.Command_SetZone{
+			SetZone: &api.SetZone{Zone: r.PathValue("zone"), InService: inService, ChangeId: id},
+		}}
+	})
+}
+
+func (s *Server) postDrain(drain bool) operation {
+	return s.change(func(r *http.Request, id string) *api.Command {
+		return &api.Command{Body: &api.Command_SetDrain{
+			SetDrain: &api.SetDrain{Vm: r.PathValue("vm"), Drain: drain, ChangeId: id},
+		}}
+	})
+}
+
+func (s *Server) postCancel(r *http.Request) (any, error) {
+	return s.change(func(r *http.Request, id string) *api.Command {
+		return &api.Command{Body: &api.Command_CancelJob{
+			CancelJob: &api.CancelJob{Job: r.PathValue("job"), ChangeId: id},
+		}}
+	})(r)
+}
+
+func (s *Server) change(command func(r *http.Request, id string) *api.Command) operation {
+	return func(r *http.Request) (any, error) {
+		id, err := changeID(r)
+		if err != nil {
+			return nil, err
+		}
+		result, err := s.commitAsLeader(r.Context(), command(r, id))
+		if err != nil {
+			return nil, err
+		}
+		return operatorapi.ChangeResult{Revision: result.Revision, Repeated: result.Repeated, Message: result.Message}, nil
+	}
+}
+
+// getHealth answers whether the process serves and its storage is sound.
+func (s *Server) getHealth(w http.ResponseWriter, _ *http.Request) {
+	if broken := s.config.Node.Status().StorageFault; broken != "" {
+		s.writeError(w, fault.New(fault.StorageFailed, broken))
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// getReady answers whether this replica can confirm its state.
+func (s *Server) getReady(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+	defer cancel()
+	if err := s.confirmRead(ctx); err != nil {
+		s.writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/control/http_status.go
@@ -0,0 +1,228 @@
+package control
+
+import (
+	"net/http"
+	"sort"
+	"time"
+
+	"amaranthpaddle/fleet"
+	"amaranthpaddle/operatorapi"
+	"amaranthpaddle/resource"
+	"amaranthpaddle/task"
+)
+
+func (s *Server) getStatus(r *http.Request) (any, error) {
+	if err := s.confirmAsLeader(r.Context()); err != nil {
+		return nil, err
+	}
+	status := s.state.status()
+	node := s.config.Node.Status()
+	status.Time = time.Now().UTC()
+	status.Leader, status.Term = node.Leader, node.Term
+	status.Watchers = s.watcherStatus()
+	now := time.Now()
+	for i := range status.VMs {
+		vm := &status.VMs[i]
+		vm.LeaseMillis = s.leases.left(vm.ID, now).Milliseconds()
+	}
+	return status, nil
+}
+
+// watcherStatus returns the revisions in force at agents and entries.
+func (s *Server) watcherStatus() []operatorapi.WatcherStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []operatorapi.WatcherStatus
+	for vm, session := range s.sessions {
+		list = append(list, operatorapi.WatcherStatus{Name: vm, Kind: "agent", Revision: session.view.revision})
+	}
+	for name, entry := range s.entries {
+		list = append(list, operatorapi.WatcherStatus{Name: name, Kind: "entry", Revision: entry.revision})
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].Name < list[b].Name })
+	return list
+}
+
+// status returns the part of the status that is replicated.
+func (s *State) status() *operatorapi.Status {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	status := &operatorapi.Status{
+		Revision:   s.directory().Revision(),
+		PlanNumber: s.accepted.latest().Number,
+	}
+	s.addVMStatus(status)
+	s.addServiceStatus(status)
+	for _, j := range s.tasks.Jobs() {
+		if j.Class == task.Batch {
+			status.Jobs = append(status.Jobs, jobStatus(j))
+		}
+	}
+	return status
+}
+
+func (s *State) addVMStatus(status *operatorapi.Status) {
+	zones := map[string]*operatorapi.ZoneStatus{}
+	for _, z := range s.directory().Zones() {
+		zones[z.Name] = &operatorapi.ZoneStatus{Name: z.Name, Region: z.Region, InService: z.InService}
+	}
+	for _, vm := range s.registry.VMs() {
+		tasks := len(s.tasks.OnVM(vm.ID))
+		if z := zones[vm.Zone]; z != nil {
+			z.VMs++
+			z.Tasks += tasks
+		}
+		status.VMs = append(status.VMs, operatorapi.VMStatus{
+			ID:       vm.ID,
+			Zone:     vm.Zone,
+			Rack:     vm.Rack,
+			State:    vmState(vm),
+			Capacity: operatorResources(vm.Capacity),
+			Granted:  operatorResources(s.tasks.Committed(vm.ID)),
+			Tasks:    tasks,
+		})
+	}
+	for _, z := range s.directory().Zones() {
+		status.Zones = append(status.Zones, *zones[z.Name])
+	}
+}
+
+func vmState(vm *fleet.VM) string {
+	switch {
+	case vm.Lost:
+		return "lost"
+	case vm.Suppressed:
+		return "quarantined"
+	case vm.Draining || vm.Leaving:
+		return "draining"
+	default:
+		return "ready"
+	}
+}
+
+func (s *State) addServiceStatus(status *operatorapi.Status) {
+	if s.plan == nil {
+		return
+	}
+	servers := map[string]int{}
+	for _, server := range s.directory().Servers() {
+		if !server.Leaving {
+			servers[server.Service]++
+		}
+	}
+	for i := range s.plan.Services {
+		declared := &s.plan.Services[i]
+		view := operatorapi.ServiceStatus{
+			Name:           declared.Name,
+			Instances:      declared.Instances,
+			BackendServers: servers[declared.Name],
+		}
+		if j := s.tasks.Job(task.ServiceID(declared.Name)); j != nil {
+			view.Running = countTasks(j, task.Running)
+		}
+		status.Services = append(status.Services, view)
+	}
+}
+
+func countTasks(j *task.Job, states ...task.State) int {
+	n := 0
+	for _, k := range j.Tasks {
+		for _, state := range states {
+			if k.State == state {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func jobStatus(j *task.Job) operatorapi.JobStatus {
+	view := operatorapi.JobStatus{
+		Name:     j.Name,
+		Team:     j.Team,
+		Tasks:    j.Wanted,
+		Pending:  countTasks(j, task.Pending),
+		Running:  countTasks(j, task.Starting, task.Running, task.Stopping, task.Cancelling),
+		Finished: j.Finished,
+	}
+	for _, k := range j.Tasks {
+		view.Evictions += k.Evictions
+		if k.Failures > 0 {
+			view.Failed++
+			view.Reason = k.LastError
+		}
+	}
+	if !j.Deadline.IsZero() {
+		deadline := j.Deadline
+		view.Deadline = &deadline
+	}
+	view.State = jobState(j, view)
+	return view
+}
+
+func jobState(j *task.Job, view operatorapi.JobStatus) string {
+	switch {
+	case j.Wanted == 0:
+		return "canceled"
+	case j.Complete():
+		return "finished"
+	case j.Failing():
+		return "failed"
+	case view.Running > 0:
+		return "running"
+	default:
+		return "pending"
+	}
+}
+
+func operatorResources(v resource.Vector) operatorapi.Resources {
+	return operatorapi.Resources{MilliCPU: v.MilliCPU, MemoryMiB: v.MemoryMiB, Accelerators: v.Accelerators}
+}
+
+func (s *Server) getTasks(r *http.Request) (any, error) {
+	if err := s.confirmAsLeader(r.Context()); err != nil {
+		return nil, err
+	}
+	return s.state.taskList(), nil
+}
+
+func (s *State) taskList() *operatorapi.Tasks {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := &operatorapi.Tasks{Revision: s.directory().Revision(), Tasks: []operatorapi.Task{}}
+	for _, j := range s.tasks.Jobs() {
+		for _, k := range j.Tasks {
+			list.Tasks = append(list.Tasks, s.taskView(k))
+		}
+	}
+	return list
+}
+
+func (s *State) taskView(k *task.Task) operatorapi.Task {
+	view := operatorapi.Task{
+		ID:         k.ID,
+		State:      k.State.String(),
+		Generation: k.Generation,
+		Grant:      operatorResources(k.Grant),
+		Progress:   k.Progress,
+		Evictions:  k.Evictions,
+		Checkpoint: k.Checkpoint,
+		Reason:     k.LastError,
+	}
+	if k.State == task.Stopping {
+		view.Reason = k.StopReason
+	}
+	if k.Job.Class == task.LatencyCritical {
+		view.Service = k.Job.Name
+	} else {
+		view.Job = k.Job.Name
+	}
+	if !k.State.HoldsGrant() {
+		return view
+	}
+	view.VM = k.VM
+	if vm := s.registry.VM(k.VM); vm != nil {
+		view.Zone = vm.Zone
+	}
+	return view
+}
--- /dev/null
+++ b/control/session.go
@@ -0,0 +1,295 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/fleet"
+)
+
+// session is the leader's side of one agent's session. Its fields belong to
+// the goroutine that serves it, but for view, which Server.mu guards.
+type session struct {
+	server       *Server
+	lead         *leadership
+	stream       grpc.BidiStreamingServer[api.AgentReport, api.Directive]
+	vm           *api.VM
+	incarnation  uint64
+	servers      []*api.BackendServer
+	leaving      bool
+	runs         *agentRuns
+	acknowledged uint64
+	received     time.Time // when the acknowledged report arrived
+	lastSent     sentState
+	notify       chan struct{} // the VM's directives may have changed
+	cancel       context.CancelFunc
+
+	view agentView
+}
+
+// agentView is what others see of a session.
+type agentView struct {
+	revision uint64
+	heard    time.Time
+}
+
+// sentState is the part of a directive that is sent again only on a change.
+type sentState struct {
+	inService bool
+	drain     bool
+}
+
+// Session serves one agent. Only the leader does.
+func (s *Server) Session(stream grpc.BidiStreamingServer[api.AgentReport, api.Directive]) error {
+	err := s.serveSession(stream)
+	stream.SetTrailer(s.leaderMetadata())
+	return fault.ToStatus(err)
+}
+
+func (s *Server) serveSession(stream grpc.BidiStreamingServer[api.AgentReport, api.Directive]) error {
+	lead, err := s.leading()
+	if err != nil {
+		return err
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return fault.Wrap(fault.Canceled, err, "first report")
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	session, err := newSession(s, lead, stream, first, cancel)
+	if err != nil {
+		return err
+	}
+	s.addSession(session)
+	defer s.removeSession(session)
+	if err := session.report(ctx, first); err != nil {
+		return err
+	}
+	reports := receiveReports(ctx, stream)
+	return session.serve(ctx, reports)
+}
+
+func newSession(s *Server, lead *leadership, stream grpc.BidiStreamingServer[api.AgentReport, api.Directive],
+	first *api.AgentReport, cancel context.CancelFunc) (*session, error) {
+	if err := fleet.CheckAnnouncement(fleet.Announcement{VM: first.Vm, Servers: first.Servers}); err != nil {
+		return nil, err
+	}
+	return &session{
+		server:      s,
+		lead:        lead,
+		stream:      stream,
+		vm:          first.Vm,
+		incarnation: first.Incarnation,
+		runs:        newAgentRuns(),
+		notify:      make(chan struct{}, 1),
+		cancel:      cancel,
+	}, nil
+}
+
+// addSession replaces an earlier session of the same VM.
+func (s *Server) addSession(session *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if earlier := s.sessions[session.vm.Id]; earlier != nil {
+		earlier.cancel()
+	}
+	session.view.heard = time.Now()
+	s.sessions[session.vm.Id] = session
+}
+
+func (s *Server) removeSession(session *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[session.vm.Id] == session {
+		delete(s.sessions, session.vm.Id)
+	}
+}
+
+func receiveReports(ctx context.Context, stream grpc.BidiStreamingServer[api.AgentReport, api.Directive]) <-chan *api.AgentReport {
+	reports := make(chan *api.AgentReport)
+	go func() {
+		defer close(reports)
+		for {
+			report, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			select {
+			case reports <- report:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return reports
+}
+
+// serve answers reports and pushes directives until the session ends.
+func (c *session) serve(ctx context.Context, reports <-chan *api.AgentReport) error {
+	for {
+		var err error
+		select {
+		case report, ok := <-reports:
+			if !ok {
+				return fault.New(fault.Canceled, "the agent ended the session")
+			}
+			err = c.report(ctx, report)
+		case <-c.notify:
+			err = c.push(ctx)
+		case <-c.lead.ctx.Done():
+			return fault.New(fault.NotLeader, "this control replica leads no more")
+		case <-ctx.Done():
+			return fault.New(fault.Canceled, "the session was replaced")
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// report takes in a report, commits what it changes and answers it.
+func (c *session) report(ctx context.Context, report *api.AgentReport) error {
+	received := time.Now()
+	if report.Incarnation != c.incarnation {
+		return fault.New(fault.InvalidArgument, "the agent's incarnation changed within a session")
+	}
+	if report.ServersChanged {
+		c.servers = report.Servers
+	}
+	c.leaving = report.Leaving
+	if err := c.announce(ctx, report); err != nil {
+		return err
+	}
+	c.runs.list(report.Tasks)
+	if err := c.commitTasks(ctx, report.Tasks); err != nil {
+		return err
+	}
+	c.server.planner.observe(c.vm.Id, report)
+	c.acknowledged, c.received = report.Sequence, received
+	c.noteView(report.Revision, received)
+	return c.answer(ctx)
+}
+
+func (c *session) noteView(revision uint64, now time.Time) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.view = agentView{revision: revision, heard: now}
+}
+
+// announce commits the announcement when it differs from the committed one. A
+// VM that is being declared lost must be announced again after that.
+func (c *session) announce(ctx context.Context, report *api.AgentReport) error {
+	a := fleet.Announcement{
+		VM:             c.vm,
+		Incarnation:    c.incarnation,
+		Servers:        c.servers,
+		ServersChanged: report.ServersChanged,
+		Leaving:        c.leaving,
+	}
+	losing := c.server.leases.losing(c.vm.Id)
+	if !losing && !c.server.state.announcementChanges(a) {
+		return nil
+	}
+	_, err := c.server.commit(ctx, &api.Command{Body: &api.Command_AnnounceVm{AnnounceVm: &api.AnnounceVM{
+		Vm:             a.VM,
+		Incarnation:    a.Incarnation,
+		Servers:        a.Servers,
+		ServersChanged: true,
+		Leaving:        a.Leaving,
+	}}})
+	if err == nil && losing {
+		c.server.leases.announced(c.vm.Id)
+	}
+	return err
+}
+
+// announcementChanges reports whether an announcement differs from the committed one.
+func (s *State) announcementChanges(a fleet.Announcement) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.registry.Changes(a)
+}
+
+// commitTasks commits the statuses that change the task table.
+func (c *session) commitTasks(ctx context.Context, statuses []*api.TaskStatus) error {
+	changing := c.server.state.changingStatuses(c.vm.Id, statuses)
+	if len(changing) == 0 {
+		return nil
+	}
+	_, err := c.server.commit(ctx, &api.Command{Body: &api.Command_ReportTasks{ReportTasks: &api.ReportTasks{
+		Vm:          c.vm.Id,
+		Incarnation: c.incarnation,
+		Tasks:       changing,
+	}}})
+	return err
+}
+
+func (s *State) changingStatuses(vm string, statuses []*api.TaskStatus) []*api.TaskStatus {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var changing []*api.TaskStatus
+	for _, status := range statuses {
+		if s.tasks.Matters(vm, taskReport(status)) {
+			changing = append(changing, status)
+		}
+	}
+	return changing
+}
+
+// answer sends the directive that answers the acknowledged report.
+func (c *session) answer(ctx context.Context) error {
+	d, err := c.build(ctx)
+	if err != nil {
+		return err
+	}
+	return c.send(d)
+}
+
+// push sends a directive without a report, if there is anything new in it.
+func (c *session) push(ctx context.Context) error {
+	d, err := c.build(ctx)
+	if err != nil {
+		return err
+	}
+	state := sentState{d.ZoneInService, d.Drain}
+	if state == c.lastSent && len(d.Start) == 0 && len(d.Stop) == 0 && len(d.Throttle) == 0 {
+		return nil
+	}
+	return c.send(d)
+}
+
+func (c *session) send(d *api.Directive) error {
+	c.lastSent = sentState{d.ZoneInService, d.Drain}
+	return fault.Wrap(fault.Canceled, c.stream.Send(d), "send directive")
+}
+
+// build returns the directive for the present state. Lease and freshness rest
+// on a quorum confirmation and are counted from the acknowledged report.
+func (c *session) build(ctx context.Context) (*api.Directive, error) {
+	server := c.server
+	confirmed, err := server.confirms.wait(ctx, time.Now().Add(-confirmMaxAge))
+	if err != nil {
+		return nil, err
+	}
+	view := server.state.viewVM(c.vm.Id, c.incarnation)
+	throttles, grace := server.planner.controls(c.vm.Id)
+	now := time.Now()
+	d := c.runs.directive(view, throttles, grace, now)
+	d.Acknowledged = c.acknowledged
+	d.Revision = view.revision
+	d.Drain = !view.takesWork
+	d.ZoneInService = view.inService
+	if view.known && server.leases.grant(c.vm.Id, now) {
+		config := server.config
+		d.LeaseMs = millis(min(remainder(config.Lease.Duration, confirmed, c.received), config.Lease.Duration))
+		d.FreshMs = millis(remainder(config.Fresh, confirmed, c.received))
+	}
+	return d, nil
+}
+
+func millis(d time.Duration) uint32 { return uint32(d.Milliseconds()) }
--- /dev/null
+++ b/control/state_tasks.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/fleet"
+	"amaranthpaddle/task"
+)
+
+// placeTasks is the serial committer of placements: each one is checked
+// against the state that it commits to, and those that no longer hold are refused.
+func (s *State) placeTasks(c *api.PlaceTasks, effects *Effects) *api.CommandResult {
+	result := s.finish(nil)
+	for _, p := range c.Placements {
+		err := s.place(p)
+		if err == nil {
+			effects.VMs = append(effects.VMs, p.Vm)
+		}
+		result.Refusals = append(result.Refusals, refusalText(err))
+	}
+	return result
+}
+
+func (s *State) place(p *api.Placement) error {
+	vm := s.registry.VM(p.Vm)
+	if vm == nil {
+		return fault.Newf(fault.NotFound, "VM %q is not known", p.Vm)
+	}
+	if !vm.TakesWork() {
+		return fault.Newf(fault.Draining, "VM %s takes no new work", vm.ID)
+	}
+	if !s.inService(vm.Zone) {
+		return task.ErrZoneOut
+	}
+	return s.tasks.Place(s.now(), task.Placement{
+		Task:       p.Task,
+		Generation: p.Generation,
+		VM:         vm.ID,
+		Zone:       vm.Zone,
+		Capacity:   vm.Capacity,
+		Grant:      fleet.Vector(p.Grant),
+	})
+}
+
+func (s *State) evictTasks(c *api.EvictTasks, effects *Effects) *api.CommandResult {
+	result := s.finish(nil)
+	for _, e := range c.Evictions {
+		err := s.tasks.RequestEvict(s.now(), e.Task, e.Generation, e.Reason)
+		if k := s.tasks.Task(e.Task); err == nil && k != nil {
+			effects.VMs = append(effects.VMs, k.VM)
+		}
+		result.Refusals = append(result.Refusals, refusalText(err))
+	}
+	return result
+}
+
+func refusalText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// reportTasks takes in what an agent states about its runs. Statements of an
+// earlier incarnation of the agent are refused; those about runs that no
+// longer count change nothing.
+func (s *State) reportTasks(c *api.ReportTasks, effects *Effects) error {
+	vm := s.registry.VM(c.Vm)
+	if vm == nil || vm.Incarnation != c.Incarnation {
+		return fault.Newf(fault.Stale, "VM %s has another agent incarnation", c.Vm)
+	}
+	for _, status := range c.Tasks {
+		s.reportTask(vm.ID, status, effects)
+	}
+	effects.VMs = append(effects.VMs, vm.ID)
+	return nil
+}
+
+func (s *State) reportTask(vm string, status *api.TaskStatus, effects *Effects) {
+	var placedFor = s.now()
+	if k := s.tasks.Task(status.Task); k != nil {
+		placedFor = k.Since
+	}
+	switch s.tasks.Report(s.now(), vm, taskReport(status)) {
+	case task.Failed:
+		effects.Work = true
+		effects.Failures = append(effects.Failures, TaskFailure{Task: status.Task, VM: vm})
+	case task.Done:
+		effects.Work = true
+		effects.Ended = append(effects.Ended, TaskEnd{status.Task, vm, true, s.now().Sub(placedFor)})
+	case task.Stopped:
+		effects.Work = true
+		effects.Ended = append(effects.Ended, TaskEnd{status.Task, vm, false, s.now().Sub(placedFor)})
+	}
+}
+
+var taskPhases = map[api.TaskPhase]task.Phase{
+	api.TaskPhase_TASK_PHASE_STARTING:      task.PhaseStarting,
+	api.TaskPhase_TASK_PHASE_RUNNING:       task.PhaseRunning,
+	api.TaskPhase_TASK_PHASE_CHECKPOINTING: task.PhaseCheckpointing,
+	api.TaskPhase_TASK_PHASE_STOPPED:       task.PhaseStopped,
+	api.TaskPhase_TASK_PHASE_FINISHED:      task.PhaseFinished,
+	api.TaskPhase_TASK_PHASE_FAILED:        task.PhaseFailed,
+}
+
+func taskReport(status *api.TaskStatus) task.Report {
+	return task.Report{
+		Task:       status.Task,
+		Generation: status.Generation,
+		Phase:      taskPhases[status.Phase],
+		Checkpoint: status.Checkpoint,
+		Progress:   status.Progress,
+		Error:      status.Error,
+	}
+}
