session: a start waits for a fresh confirmation instead of being refused

Cause: freshness lasts 2 s and heartbeats come every 2 s, so a start directive could arrive between two and be handed back at once. Change: such a start asks for a new report and waits at most 4 s; it is refused at once when the last directive forbade starts. Conclusion: starts need one more round trip at most.

--- a/session/driver.go
+++ b/session/driver.go
@@ -64,11 +64,27 @@
 		if s.dropStartedOrRefused(key) {
 			continue
 		}
-		err := withTimeout(ctx, func(ctx context.Context) error { return s.startNow(ctx, start) })
+		if s.awaitPermission(start) {
+			continue
+		}
+		err := withTimeout(ctx, func(ctx context.Context) error { return s.startNow(ctx, start.StartTask) })
 		s.finishStart(key, start, err)
 	}
 }
 
+// awaitPermission reports whether a start must wait because the last
+// confirmation has grown old. It asks for a new one.
+func (s *Session) awaitPermission(start pendingStart) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.holder.MayStart(now) || s.holder.Refuses() || now.Sub(start.received) > startPatience {
+		return false
+	}
+	signal(s.report)
+	return true
+}
+
 // dropStartedOrRefused drops a start directive that came again.
 func (s *Session) dropStartedOrRefused(key runKey) bool {
 	s.mu.Lock()
@@ -108,7 +124,7 @@
 
 // finishStart keeps a start whose outcome is unknown for another, idempotent
 // try, and reports one that was refused as stopped.
-func (s *Session) finishStart(key runKey, start *api.StartTask, err error) {
+func (s *Session) finishStart(key runKey, start pendingStart, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch fault.KindOf(err) {
--- a/session/holder.go
+++ b/session/holder.go
@@ -98,6 +98,10 @@
 	return h.inService && !h.draining && now.Before(h.freshUntil) && now.Before(h.leaseUntil)
 }
 
+// Refuses reports whether the last directive forbade starts, so that waiting
+// for a fresher one is of no use.
+func (h *Holder) Refuses() bool { return !h.inService || h.draining }
+
 // WorkerLeaseUntil is the end of the lease on the worker's clock, in milliseconds.
 func (h *Holder) WorkerLeaseUntil() int64 { return h.workerUntil }
 
--- a/session/session.go
+++ b/session/session.go
@@ -22,6 +22,7 @@
 	pollInterval      = 250 * time.Millisecond
 	workerTimeout     = 1 * time.Second
 	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
+	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
 	usagePollInterval = 1 * time.Second
 	reconnectMin      = 50 * time.Millisecond
 	reconnectMax      = 1 * time.Second
@@ -75,7 +76,7 @@
 	clockAt     time.Time // when that reading was asked for
 	usageAfter  int64
 	leaseSent   int64 // worker lease that the worker has
-	starts      map[runKey]*api.StartTask
+	starts      map[runKey]pendingStart
 	stops       map[runKey]*api.StopTask
 	throttles   map[runKey]*api.ThrottleTask
 	leaving     bool
@@ -84,6 +85,12 @@
 	announced   <-chan struct{}
 }
 
+// pendingStart is a start directive that has not been carried out.
+type pendingStart struct {
+	*api.StartTask
+	received time.Time
+}
+
 // New returns a Session that is not yet running.
 func New(config Config) *Session {
 	return &Session{
@@ -92,7 +99,7 @@
 		report:    make(chan struct{}, 1),
 		holder:    NewHolder(),
 		outbox:    newOutbox(),
-		starts:    map[runKey]*api.StartTask{},
+		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
 	}
@@ -232,8 +239,9 @@
 func (s *Session) takeDirective(directive *api.Directive) {
 	s.mu.Lock()
 	s.holder.Grant(directive)
+	now := time.Now()
 	for _, start := range directive.Start {
-		s.starts[runKey{start.Task, start.Generation}] = start
+		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now}
 	}
 	for _, stop := range directive.Stop {
 		key := runKey{stop.Task, stop.Generation}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -163,11 +163,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
 		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
-		time.Sleep(3 * time.Second)
+		time.Sleep(2 * time.Second)
 		r.drive()
 		if r.worker.starts != 0 {
-			t.Error("a task started after the freshness bound")
+			t.Fatal("a task started after the freshness bound")
 		}
+		time.Sleep(startPatience)
+		r.drive()
 		if status := r.report("a"); status.GetPhase() != api.TaskPhase_TASK_PHASE_STOPPED {
 			t.Errorf("a refused start must be reported as stopped, got %v", status)
 		}
@@ -179,6 +181,36 @@
 	})
 }
 
+func TestSessionStartsAsSoonAsItsPermissionIsConfirmedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		time.Sleep(2 * time.Second)
+		r.drive()
+		r.grant(&api.Directive{})
+		r.drive()
+		if r.worker.starts != 1 {
+			t.Errorf("%d starts after a fresh confirmation, want 1", r.worker.starts)
+		}
+	})
+}
+
+func TestSessionRefusesAStartOnceItsZoneIsOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		report := r.session.nextReport(time.Now())
+		r.session.takeDirective(&api.Directive{Acknowledged: report.Sequence, LeaseMs: 10_000, FreshMs: 2_000})
+		r.drive()
+		if r.worker.starts != 0 {
+			t.Error("a task started in a zone that is out")
+		}
+		if status := r.report("a"); status.GetPhase() != api.TaskPhase_TASK_PHASE_STOPPED {
+			t.Errorf("got %v, want stopped", status)
+		}
+	})
+}
+
 func TestSessionStopOvertakingItsStartFencesTheRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
