--- a/replica/engine.go
+++ b/replica/engine.go
@@ -85,21 +85,8 @@
 	}
 }
 
-// saveSnapshot makes a snapshot of the applied state durable and drops the log
-// before it, but for the last entries that slow members may still need.
-func (e *engine) saveSnapshot(snapshot *api.Snapshot, keepEntries uint64) error {
-	if e.failed != nil {
-		return e.failed
-	}
-	if err := e.storage.snaps.Save(snapshot); err != nil {
-		e.failed = err
-		return err
-	}
-	e.finishSnapshot(snapshot.Index, keepEntries)
-	return e.failed
-}
-
-// finishSnapshot compacts after a snapshot at index became durable.
+// finishSnapshot drops the log before a durable snapshot at index, but for the
+// last entries that slow members may still need.
 func (e *engine) finishSnapshot(index, keepEntries uint64) {
 	if e.failed != nil {
 		return
