--- /dev/null
+++ b/entry/body.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/blob"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/request"
+)
+
+// Sizes of request bodies.
+const (
+	inlineBody  = 16 << 10  // bytes sent in one message with the attempt
+	chunkedBody = 256 << 10 // bytes up to which a body is sent with the attempt, in chunks
+	bodyChunk   = 16 << 10  // bytes of one chunk
+)
+
+// body is a caller's request body, read to its end before the first attempt.
+type body struct {
+	small  []byte      // when it is at most chunkedBody long
+	digest blob.Digest // of a longer one, which is in the entry's store
+	size   int64
+}
+
+func (b *body) stored() bool { return b.size > chunkedBody }
+
+// readBody takes in the caller's body. Memory is bounded: a long one goes to
+// the store. A caller that stalls is cut off.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (*body, error) {
+	if r.ContentLength > e.config.MaxBody {
+		return nil, fault.Newf(fault.TooLarge, "the body exceeds %d bytes", e.config.MaxBody)
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return &body{}, nil
+	}
+	reader := &patientReader{control: http.NewResponseController(w), body: r.Body}
+	small, err := io.ReadAll(io.LimitReader(reader, chunkedBody+1))
+	if err != nil {
+		return nil, fault.Wrap(fault.InvalidArgument, err, "read the request body")
+	}
+	if len(small) <= chunkedBody {
+		return &body{small: small, size: int64(len(small))}, nil
+	}
+	return e.storeBody(small, reader)
+}
+
+func (e *Entry) storeBody(first []byte, rest io.Reader) (*body, error) {
+	writer, err := e.blobs.Create(e.config.MaxBody)
+	if err != nil {
+		return nil, err
+	}
+	defer writer.Close()
+	if _, err := writer.Write(first); err != nil {
+		return nil, err
+	}
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := rest.Read(buffer)
+		if n > 0 {
+			if _, err := writer.Write(buffer[:n]); err != nil {
+				return nil, err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, fault.Wrap(fault.InvalidArgument, err, "read the request body")
+		}
+	}
+	digest, err := writer.Commit(blob.Digest{})
+	return &body{digest: digest, size: writer.Size()}, err
+}
+
+// patientReader gives the caller callerStall for each read.
+type patientReader struct {
+	control *http.ResponseController
+	body    io.Reader
+}
+
+// Read reads the next bytes of the caller's body.
+func (p *patientReader) Read(b []byte) (int, error) {
+	_ = p.control.SetReadDeadline(time.Now().Add(callerStall))
+	return p.body.Read(b)
+}
+
+// requestDigest identifies what a key stands for: method, URI and body.
+func requestDigest(r *request.Request, b *body) []byte {
+	hash := sha256.New()
+	_, _ = io.WriteString(hash, r.Method+" "+r.URI+"\n")
+	content := b.digest
+	if !b.stored() {
+		content = sha256.Sum256(b.small)
+	}
+	_, _ = hash.Write(content[:])
+	return hash.Sum(nil)
+}
+
+// attach puts the body into an attempt: inline, as chunks, or by its digest.
+func (b *body) attach(start *api.AttemptStart, remote bool) (chunks [][]byte) {
+	start.BodyLength = uint64(b.size)
+	if b.stored() {
+		start.BodyDigest = b.digest[:]
+		return nil
+	}
+	if len(b.small) <= inlineBody {
+		start.Body = b.small
+		if remote {
+			start.Body, start.BodyZstd = blob.Compress(b.small)
+		}
+		return nil
+	}
+	hash := xxhash.New()
+	_, _ = hash.Write(b.small)
+	start.BodyChecksum = hash.Sum(nil)
+	for rest := b.small; len(rest) > 0; {
+		n := min(bodyChunk, len(rest))
+		chunks = append(chunks, rest[:n])
+		rest = rest[n:]
+	}
+	return chunks
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/blob"
+	"amaranthpaddle/fault"
+)
+
+// result is how one attempt ended. A nil err means that the whole answer is
+// in the collector.
+type result struct {
+	err         error
+	holder      *api.Holder // with fault.KeyInUse
+	load        *api.Load
+	status      uint32
+	standing    bool
+	moved       bool // a standing stream is to be opened elsewhere
+	took        time.Duration
+	queue       time.Duration
+	backendTime time.Duration
+}
+
+// call is one attempt on its way to an agent.
+type call struct {
+	entry     *Entry
+	link      *link
+	start     *api.AttemptStart
+	chunks    [][]byte // rest of the body
+	remote    bool     // the agent is in another region
+	deadline  time.Time
+	collector *collector
+	credited  uint64
+}
+
+// run sends the attempt and collects its answer.
+func (c *call) run(ctx context.Context) *result {
+	began := time.Now()
+	done := c.link.use()
+	defer done()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(c.link.ctx, func() { cancel(context.Cause(c.link.ctx)) })
+	defer stop()
+	r := c.exchange(ctx)
+	r.took = time.Since(began)
+	return r
+}
+
+func (c *call) exchange(ctx context.Context) *result {
+	if err := c.entry.link.wait(ctx, c.remote, classOfStart(c.start), startSize(c.start)); err != nil {
+		return &result{err: err}
+	}
+	if !c.deadline.IsZero() && !time.Now().Before(c.deadline) {
+		return &result{err: fault.New(fault.DeadlineNotRun, "the deadline passed before the attempt was sent")}
+	}
+	stream, err := c.link.client.Deliver(ctx)
+	if err != nil {
+		return &result{err: fault.Wrap(fault.NoBackend, err, "open a stream to the agent")}
+	}
+	if err := stream.Send(startMessage(c.start)); err != nil {
+		return &result{err: streamError(ctx, receiveError(stream))}
+	}
+	go c.sendChunks(ctx, stream)
+	r := c.collect(ctx, stream, stream.Send)
+	if r.err != nil || r.moved {
+		_ = stream.CloseSend()
+	}
+	return r
+}
+
+func startMessage(start *api.AttemptStart) *api.DeliverRequest {
+	return &api.DeliverRequest{Message: &api.DeliverRequest_Start{Start: start}}
+}
+
+func startSize(start *api.AttemptStart) int { return len(start.Body) + 512 }
+
+// receiveError returns the error that made a Send fail.
+func receiveError(stream api.Agent_DeliverClient) error {
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return err
+		}
+	}
+}
+
+// streamError names the failure of a stream whose attempt may have started.
+func streamError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil && cause != context.Canceled && cause != context.DeadlineExceeded {
+		if kind := fault.KindOf(cause); kind != fault.Internal {
+			return cause
+		}
+	}
+	if err == io.EOF {
+		return fault.New(fault.AnswerDamaged, "the stream ended before the answer did")
+	}
+	return fault.FromStatus(err)
+}
+
+func (c *call) sendChunks(ctx context.Context, stream api.Agent_DeliverClient) {
+	for _, chunk := range c.chunks {
+		if c.entry.link.wait(ctx, c.remote, classOfStart(c.start), len(chunk)) != nil {
+			return
+		}
+		message := &api.DeliverRequest{Message: &api.DeliverRequest_Chunk{Chunk: chunk}}
+		if stream.Send(message) != nil {
+			return
+		}
+	}
+}
+
+type responseReceiver interface {
+	Recv() (*api.DeliverResponse, error)
+}
+
+// collect receives an answer and checks its length and checksum.
+func (c *call) collect(ctx context.Context, stream responseReceiver, send func(*api.DeliverRequest) error) *result {
+	r := &result{}
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			r.err = streamError(ctx, err)
+			return r
+		}
+		if message.Load != nil {
+			r.load = message.Load
+		}
+		if finished := c.take(ctx, message, r, send); finished {
+			return r
+		}
+	}
+}
+
+// take handles one message and reports whether the answer ended.
+func (c *call) take(ctx context.Context, message *api.DeliverResponse, r *result, send func(*api.DeliverRequest) error) bool {
+	switch m := message.Message.(type) {
+	case *api.DeliverResponse_Head:
+		r.status, r.standing = m.Head.Status, m.Head.Standing
+		r.err = c.collector.setHead(m.Head)
+	case *api.DeliverResponse_Chunk:
+		r.err = c.takeChunk(ctx, m.Chunk, send)
+	case *api.DeliverResponse_Refusal:
+		r.err = refusalError(m.Refusal)
+		r.holder = m.Refusal.Holder
+	case *api.DeliverResponse_End:
+		r.moved = m.End.Moved
+		r.queue = time.Duration(m.End.QueueMs * float64(time.Millisecond))
+		r.backendTime = time.Duration(m.End.BackendMs * float64(time.Millisecond))
+		r.err = c.collector.verify(m.End)
+		return true
+	}
+	return r.err != nil
+}
+
+func (c *call) takeChunk(ctx context.Context, chunk *api.AnswerChunk, send func(*api.DeliverRequest) error) error {
+	size := len(chunk.Data)
+	data := chunk.Data
+	if chunk.Zstd {
+		plain, err := blob.Decompress(data)
+		if err != nil {
+			return fault.Wrap(fault.AnswerDamaged, err, "answer")
+		}
+		data = plain
+	}
+	if err := c.collector.write(data); err != nil {
+		return err
+	}
+	if c.start == nil || c.start.AnswerCredit == 0 {
+		return nil
+	}
+	return c.grant(ctx, size, len(data), send)
+}
+
+// grant lets the agent send as many bytes again as arrived, once this entry's
+// share of the link allows it.
+func (c *call) grant(ctx context.Context, size, plain int, send func(*api.DeliverRequest) error) error {
+	if err := c.entry.link.waitInbound(ctx, classOfStart(c.start), size); err != nil {
+		return err
+	}
+	c.credited += uint64(plain)
+	if c.credited < answerCredit/2 {
+		return nil
+	}
+	credit := c.credited
+	c.credited = 0
+	// The stream's own error, if there is one, comes from the next Recv.
+	_ = send(&api.DeliverRequest{Message: &api.DeliverRequest_Credit{Credit: credit}})
+	return nil
+}
+
+func refusalError(refusal *api.Refusal) error {
+	kind, known := fault.ParseKind(refusal.Kind)
+	if !known {
+		kind = fault.Internal
+	}
+	return fault.New(kind, refusal.Message)
+}
+
+// collector takes one attempt's answer in. It holds the answer back up to
+// holdBytes, so that most answers are known to be whole before the caller gets
+// a byte; a longer one goes on to the caller as it arrives.
+type collector struct {
+	sink *sink
+	head *api.AnswerHead
+	held []byte
+	size uint64
+	hash *xxhash.Digest
+	flow bool // passing on to the caller
+}
+
+// holdBytes is how much of an answer is held back.
+const holdBytes = 256 << 10
+
+func newCollector(s *sink) *collector { return &collector{sink: s, hash: xxhash.New()} }
+
+// reset drops what is held, before another attempt. It reports false when the
+// caller has had a part already.
+func (c *collector) reset() bool {
+	if c.flow {
+		return false
+	}
+	c.head, c.held, c.size = nil, nil, 0
+	c.hash.Reset()
+	return true
+}
+
+func (c *collector) setHead(head *api.AnswerHead) error {
+	if c.head != nil {
+		return nil
+	}
+	c.head = head
+	if head.Standing {
+		return c.startFlow()
+	}
+	return nil
+}
+
+func (c *collector) write(p []byte) error {
+	c.size += uint64(len(p))
+	_, _ = c.hash.Write(p)
+	if c.flow {
+		return c.sink.write(p, c.standing())
+	}
+	c.held = append(c.held, p...)
+	if len(c.held) <= holdBytes {
+		return nil
+	}
+	return c.startFlow()
+}
+
+func (c *collector) standing() bool { return c.head != nil && c.head.Standing }
+
+// startFlow passes the head and what is held on to the caller.
+func (c *collector) startFlow() error {
+	if c.head == nil {
+		return fault.New(fault.AnswerDamaged, "the answer has no head")
+	}
+	c.flow = true
+	if err := c.sink.begin(c.head, -1); err != nil {
+		return err
+	}
+	held := c.held
+	c.held = nil
+	return c.sink.write(held, c.standing())
+}
+
+// verify checks the answer against its announced length and checksum.
+func (c *collector) verify(end *api.AnswerEnd) error {
+	if c.head == nil || end.Length != c.size || !bytes.Equal(end.Checksum, c.hash.Sum(nil)) {
+		return fault.New(fault.AnswerDamaged, "the answer does not match its length and checksum")
+	}
+	return nil
+}
+
+// deliver passes a whole answer that was held back on to the caller.
+func (c *collector) deliver() error {
+	if c.flow {
+		return c.sink.finish()
+	}
+	if err := c.sink.begin(c.head, len(c.held)); err != nil {
+		return err
+	}
+	if err := c.sink.write(c.held, false); err != nil {
+		return err
+	}
+	return c.sink.finish()
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/blob"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/transport"
+)
+
+// Defaults of Config.
+const (
+	defaultQueueTime   = 500 * time.Millisecond
+	defaultMaxRequests = 4096
+	defaultMaxBody     = 64 << 20 // bytes
+	defaultDrainNotice = 2 * time.Second
+	defaultLinks       = 2
+)
+
+// Bounds on callers' connections.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	callerStall    = 30 * time.Second // without progress in reading a body or writing an answer
+)
+
+// Config is what an Entry needs to run. Zero limits take the defaults.
+type Config struct {
+	Name        string
+	Control     []string // ip:port of the control replicas
+	Listen      string   // ip:port for callers
+	Security    *transport.Security
+	Zone        string
+	Region      string
+	Links       int           // connections to each agent
+	QueueTime   time.Duration // how long a request waits for its turn
+	MaxRequests int           // requests in progress at a time, standing streams included
+	MaxBody     int64         // bytes of a request body
+	BlobDir     string        // folder of bodies in transfer, a temporary one when empty
+	BlobBytes   int64         // bytes of bodies kept at a time
+	LinkRate    int64         // this entry's share of the link to other regions, bytes/s each way; 0 for no limit
+	DrainNotice time.Duration // between readiness failing and the end of the listener
+}
+
+// Entry serves callers.
+type Entry struct {
+	config    Config
+	id        string // of this process, unique
+	attempts  atomic.Uint64
+	directory *directory
+	pool      *pool
+	blobs     *blob.Store
+	link      *linkBudget
+	bodies    *bodyHolders
+	recorder  *recorder
+	server    *http.Server
+	listener  net.Listener
+
+	ctx      context.Context // ends when background work is to stop
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+	active   atomic.Int64  // requests in progress
+	draining atomic.Bool   // readiness fails
+	stopping chan struct{} // closed when standing streams are to end at a boundary
+}
+
+// New returns an Entry that is not started. It fails with fault.StorageFailed
+// when the folder of bodies can't be used.
+func New(config Config) (*Entry, error) {
+	applyDefaults(&config)
+	blobs, err := blob.Open(config.BlobDir, config.BlobBytes)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Entry{
+		config:   config,
+		id:       newID(config.Name),
+		blobs:    blobs,
+		link:     newLinkBudget(config.LinkRate),
+		bodies:   newBodyHolders(),
+		recorder: newRecorder(),
+		ctx:      ctx,
+		cancel:   cancel,
+		stopping: make(chan struct{}),
+	}
+	e.pool = newPool(ctx, config.Security, config.Links)
+	e.directory = newDirectory(e.pool, config.QueueTime)
+	e.server = &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return e, nil
+}
+
+func applyDefaults(config *Config) {
+	if config.QueueTime == 0 {
+		config.QueueTime = defaultQueueTime
+	}
+	if config.MaxRequests == 0 {
+		config.MaxRequests = defaultMaxRequests
+	}
+	if config.MaxBody == 0 {
+		config.MaxBody = defaultMaxBody
+	}
+	if config.BlobBytes == 0 {
+		config.BlobBytes = blob.DefaultBytes
+	}
+	if config.DrainNotice == 0 {
+		config.DrainNotice = defaultDrainNotice
+	}
+	if config.Links == 0 {
+		config.Links = defaultLinks
+	}
+	if config.Security == nil {
+		config.Security = &transport.Security{}
+	}
+}
+
+// newID returns a name that no other process has had.
+func newID(name string) string {
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	return name + "-" + hex.EncodeToString(random[:])
+}
+
+// newAttempt returns the id of a new attempt.
+func (e *Entry) newAttempt() string { return fmt.Sprintf("%s-%d", e.id, e.attempts.Add(1)) }
+
+// Start opens the listener, follows the directory and serves callers. Until the
+// first confirmed directory update, requests are refused and readiness fails.
+func (e *Entry) Start() error {
+	listener, err := e.config.Security.Listen(e.config.Listen)
+	if err != nil {
+		return err
+	}
+	e.listener = listener
+	e.work.Go(func() { e.follow() })
+	e.work.Go(func() { e.report() })
+	e.work.Go(func() {
+		if err := e.server.Serve(listener); err != http.ErrServerClosed {
+			klog.ErrorS(err, "The callers' listener failed", "address", listener.Addr())
+		}
+	})
+	return nil
+}
+
+// Address returns the listener's address after Start.
+func (e *Entry) Address() net.Addr { return e.listener.Addr() }
+
+// Ready reports whether callers are served.
+func (e *Entry) Ready() bool { return e.directory.confirmed() && !e.draining.Load() }
+
+// Stop stops gracefully: readiness fails, after the notice the listener closes,
+// standing streams end at a message boundary and all other requests in
+// progress are answered. It returns early with fault.Canceled when ctx ends.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.draining.Store(true)
+	select {
+	case <-time.After(e.config.DrainNotice):
+	case <-ctx.Done():
+	}
+	close(e.stopping)
+	err := fault.Wrap(fault.Canceled, e.server.Shutdown(ctx), "requests are still in progress")
+	e.cancel()
+	e.work.Wait()
+	e.pool.close()
+	if closeErr := e.blobs.Close(); err == nil {
+		err = fault.Wrap(fault.StorageFailed, closeErr, "remove bodies")
+	}
+	return err
+}
--- /dev/null
+++ b/entry/execute.go
@@ -0,0 +1,317 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/request"
+	"amaranthpaddle/routing"
+)
+
+// Bounds on the attempts of one request.
+const (
+	maxAttempts = 6
+	lookupGrace = 500 * time.Millisecond // past the deadline, to learn an attempt's fate
+	retryPause  = 20 * time.Millisecond  // before trying again when no backend server was left
+)
+
+// execution is one request on its way through its attempts.
+type execution struct {
+	entry      *Entry
+	service    *service
+	request    *request.Request
+	headers    []*api.HTTPHeader
+	body       *body
+	digest     []byte // of the request, with a key
+	deadline   time.Time
+	collector  *collector
+	progress   request.Progress
+	tried      map[string]bool
+	claimAfter string // attempt proven never to have run that holds the key's claim
+	last       *sent
+	attempts   int
+
+	queued      time.Duration // waiting for a turn and for slots
+	backendTime time.Duration // in the backend server that answered
+}
+
+// sent is the last attempt and where it went.
+type sent struct {
+	attempt     string
+	address     string
+	incarnation uint64
+	deadline    int64 // on the agent's clock, microseconds
+	link        *link
+}
+
+// run makes attempts until the answer is whole or the request is refused.
+func (x *execution) run(ctx context.Context) error {
+	arrived := time.Now()
+	if err := x.service.admit(ctx, x.request.Class); err != nil {
+		return err
+	}
+	x.queued = time.Since(arrived)
+	defer x.service.leave()
+	err := x.attempt(ctx)
+	for err != nil {
+		step := x.progress.AfterAttempt(err)
+		if step == request.StepLookup {
+			step, err = x.lookupLast(ctx, err)
+		}
+		if step == request.StepLookupHolder {
+			step, err = x.lookupHolder(ctx, err)
+		}
+		if step == request.StepAnswer || !x.mayRetry(ctx, err) {
+			break
+		}
+		err = x.attempt(ctx)
+	}
+	if err != nil {
+		return x.progress.Final(x.atDeadline(err))
+	}
+	return x.collector.deliver()
+}
+
+// atDeadline replaces a refusal that came because time was up.
+func (x *execution) atDeadline(err error) error {
+	if x.deadline.IsZero() || time.Now().Before(x.deadline) {
+		return err
+	}
+	if fault.KindOf(err).Answer().Outcome == fault.OutcomeNotRun {
+		return fault.Wrap(fault.DeadlineNotRun, err, "the deadline passed")
+	}
+	return fault.Wrap(fault.DeadlineUnknown, err, "the deadline passed")
+}
+
+// mayRetry reports whether another attempt may be made, and pauses before it
+// when every backend server has refused.
+func (x *execution) mayRetry(ctx context.Context, err error) bool {
+	if x.attempts >= maxAttempts || ctx.Err() != nil || !x.collector.reset() {
+		return false
+	}
+	kind := fault.KindOf(err)
+	if kind.Answer().Outcome != fault.OutcomeNotRun && !x.service.takeRetry() {
+		return false
+	}
+	if kind != fault.NoBackend && kind != fault.NoQuorum {
+		return true
+	}
+	clear(x.tried)
+	return sleep(ctx, retryPause/2+rand.N(retryPause<<min(x.attempts, 5)))
+}
+
+// attempt sends the request once.
+func (x *execution) attempt(ctx context.Context) error {
+	x.attempts++
+	t, err := x.service.pick(routing.Ask{
+		Standing: x.request.Standing,
+		Probe:    x.request.Idempotent && x.attempts == 1,
+		Tried:    x.tried,
+	})
+	if err != nil {
+		return err
+	}
+	x.tried[t.server.Id] = true
+	r := x.send(ctx, t)
+	x.service.observe(t, x.request.Standing, r)
+	x.queued += r.queue
+	x.backendTime = r.backendTime
+	if r.holder != nil {
+		x.last = &sent{attempt: r.holder.Attempt, address: r.holder.AgentAddress, incarnation: r.holder.Incarnation}
+	}
+	return r.err
+}
+
+func (x *execution) send(ctx context.Context, t *target) *result {
+	linkCtx, cancel := context.WithTimeout(ctx, pongTimeout)
+	defer cancel()
+	l, err := x.entry.pool.peer(t.server.AgentAddress).link(linkCtx, nil)
+	if err != nil {
+		return &result{err: err}
+	}
+	if l.agentIncarnation() != t.server.Incarnation {
+		return &result{err: fault.New(fault.NoBackend, "the agent has restarted")}
+	}
+	start := x.start(t, l)
+	remote := t.server.Region != x.entry.config.Region
+	c := &call{
+		entry: x.entry, link: l, start: start, remote: remote, deadline: x.deadline, collector: x.collector,
+	}
+	c.chunks = x.body.attach(start, remote)
+	if x.body.stored() {
+		if start.BodyHolder, err = x.entry.placeBody(ctx, x, t); err != nil {
+			return &result{err: err}
+		}
+	}
+	if remote {
+		start.AcceptZstd = true
+		start.AnswerCredit = answerCredit
+	}
+	x.last = &sent{attempt: start.Attempt, address: t.server.AgentAddress,
+		incarnation: start.Incarnation, deadline: start.DeadlineUs, link: l}
+	return c.run(ctx)
+}
+
+func (x *execution) start(t *target, l *link) *api.AttemptStart {
+	start := &api.AttemptStart{
+		Attempt:       x.entry.newAttempt(),
+		Server:        t.server.Id,
+		Incarnation:   t.server.Incarnation,
+		Service:       x.request.Service,
+		Method:        x.request.Method,
+		Uri:           x.request.URI,
+		Headers:       x.headers,
+		Idempotent:    x.request.Idempotent,
+		Key:           x.request.Key,
+		RequestDigest: x.digest,
+		ClaimAfter:    x.claimAfter,
+		Class:         api.CallerClass_CALLER_CLASS_INTERACTIVE,
+		Standing:      x.request.Standing,
+	}
+	if x.request.Class == request.Batch {
+		start.Class = api.CallerClass_CALLER_CLASS_BATCH
+	}
+	deadline := x.deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(request.DefaultDeadline)
+	}
+	start.DeadlineUs = l.deadline(deadline)
+	return start
+}
+
+// lookupLast learns the fate of the last attempt over another connection.
+func (x *execution) lookupLast(ctx context.Context, cause error) (request.Step, error) {
+	state, err := x.lookup(ctx, x.last, true)
+	return x.afterLookup(state, err, cause)
+}
+
+// lookupHolder learns the fate of the attempt that holds the key's claim. When
+// it never ran, the next attempt claims in its place.
+func (x *execution) lookupHolder(ctx context.Context, cause error) (request.Step, error) {
+	holder := x.last
+	state, err := x.lookup(ctx, holder, false)
+	if state == request.Fenced {
+		x.claimAfter = holder.attempt
+	}
+	return x.afterLookup(state, err, cause)
+}
+
+func (x *execution) afterLookup(state request.State, err, cause error) (request.Step, error) {
+	if state == request.Finished {
+		return request.StepAnswer, err
+	}
+	step := x.progress.AfterLookup(state)
+	if state == request.Fenced {
+		return step, fault.Wrap(fault.Fenced, cause, "the attempt did not run")
+	}
+	return step, cause
+}
+
+// lookup asks the attempt's agent for it. A Finished attempt's answer is then
+// in the collector, unless err says otherwise.
+func (x *execution) lookup(ctx context.Context, s *sent, fence bool) (request.State, error) {
+	ctx, cancel := x.lookupContext(ctx)
+	defer cancel()
+	if s == nil || s.address == "" {
+		return request.Unknown, nil
+	}
+	for pause := retryPause; ; pause = min(2*pause, pongTimeout) {
+		state, err := x.lookupOnce(ctx, s, fence)
+		if err == nil || fault.Is(err, fault.AnswerDamaged) {
+			return state, err
+		}
+		if !sleep(ctx, pause) {
+			return request.Unknown, err
+		}
+	}
+}
+
+// lookupContext outlives the caller's deadline by lookupGrace, and the caller
+// itself, so that "not run" is told whenever it can be.
+func (x *execution) lookupContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	limit := lookupGrace
+	if !x.deadline.IsZero() {
+		limit += max(time.Until(x.deadline), 0)
+	}
+	return context.WithTimeout(context.WithoutCancel(ctx), limit)
+}
+
+func (x *execution) lookupOnce(ctx context.Context, s *sent, fence bool) (request.State, error) {
+	l, err := x.entry.pool.peer(s.address).link(ctx, s.link)
+	if err != nil {
+		return request.Unknown, err
+	}
+	if l.agentIncarnation() != s.incarnation {
+		return request.Unknown, nil
+	}
+	c := &call{entry: x.entry, link: l, collector: x.collector, deadline: x.deadline}
+	return c.lookup(ctx, s, fence, x.waitMs())
+}
+
+// waitMs is how long a lookup may wait for a running attempt, milliseconds.
+func (x *execution) waitMs() int64 {
+	if x.deadline.IsZero() {
+		return 0
+	}
+	return max(time.Until(x.deadline), 0).Milliseconds()
+}
+
+// lookup sends a lookup and collects the answer of a finished attempt.
+func (c *call) lookup(ctx context.Context, s *sent, fence bool, waitMs int64) (request.State, error) {
+	done := c.link.use()
+	defer done()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(c.link.ctx, func() { cancel(context.Cause(c.link.ctx)) })
+	defer stop()
+	if !c.collector.flow {
+		c.collector.reset()
+	}
+	stream, err := c.link.client.Lookup(ctx, &api.LookupRequest{
+		Attempt: s.attempt, Incarnation: s.incarnation, DeadlineUs: s.deadline,
+		Offset: c.collector.size, WaitMs: waitMs, Fence: fence,
+	})
+	if err != nil {
+		return request.Unknown, fault.FromStatus(err)
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return request.Unknown, streamError(ctx, err)
+	}
+	state := stateOf(first.GetState())
+	if state != request.Finished {
+		return state, nil
+	}
+	return state, c.collect(ctx, stream, nil).err
+}
+
+func stateOf(state api.AttemptState) request.State {
+	switch state {
+	case api.AttemptState_ATTEMPT_STATE_RUNNING:
+		return request.Running
+	case api.AttemptState_ATTEMPT_STATE_FINISHED:
+		return request.Finished
+	case api.AttemptState_ATTEMPT_STATE_FENCED:
+		return request.Fenced
+	default:
+		return request.Unknown
+	}
+}
+
+// callerHeaders returns the headers of r that are passed on.
+func callerHeaders(r *http.Request) []*api.HTTPHeader {
+	headers := make([]*api.HTTPHeader, 0, len(r.Header))
+	for name, values := range r.Header {
+		if skipHeader(name) {
+			continue
+		}
+		for _, value := range values {
+			headers = append(headers, &api.HTTPHeader{Name: name, Value: value})
+		}
+	}
+	return headers
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"amaranthpaddle/delivery"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/request"
+)
+
+// Paths that the entry answers itself.
+const (
+	pathReady = "/-/ready"
+	pathLive  = "/-/live"
+)
+
+// Handler returns the callers' HTTP handler.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathLive, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc(pathReady, e.serveReady)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathLive || r.URL.Path == pathReady {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		e.serve(w, r)
+	})
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serve answers one caller.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	s := newSink(w, r)
+	if e.active.Add(1) > int64(e.config.MaxRequests) {
+		e.active.Add(-1)
+		s.refuse(fault.New(fault.Overloaded, "too many requests are in progress"))
+		return
+	}
+	defer e.active.Add(-1)
+	parsed, err := request.Parse(r)
+	if err != nil {
+		s.refuse(err)
+		return
+	}
+	x, err := e.execute(w, r, s, parsed, began)
+	e.recorder.record(x, err, time.Since(began))
+	if err != nil {
+		s.refuse(err)
+	}
+}
+
+// execute reads the body and makes the request's attempts.
+func (e *Entry) execute(w http.ResponseWriter, r *http.Request, s *sink, parsed *request.Request, began time.Time) (*execution, error) {
+	svc, err := e.directory.service(parsed.Service)
+	if err != nil {
+		return nil, err
+	}
+	x := &execution{
+		entry:     e,
+		service:   svc,
+		request:   parsed,
+		headers:   callerHeaders(r),
+		collector: newCollector(s),
+		progress:  request.Progress{Idempotent: parsed.Idempotent},
+		tried:     make(map[string]bool),
+	}
+	ctx := r.Context()
+	if parsed.Patience > 0 {
+		x.deadline = began.Add(parsed.Patience)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, x.deadline)
+		defer cancel()
+	}
+	if x.body, err = e.readBody(w, r); err != nil {
+		return x, err
+	}
+	if parsed.NeedsClaim() {
+		x.digest = requestDigest(parsed, x.body)
+	}
+	return x, x.run(ctx)
+}
+
+// skipHeader reports whether a caller's header is not passed on.
+func skipHeader(name string) bool {
+	switch name {
+	case request.HeaderService, request.HeaderDeadline, request.HeaderIdempotent, request.HeaderClass, "Content-Length", "Expect":
+		return true
+	}
+	return delivery.IsHopHeader(name)
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/request"
+	"amaranthpaddle/routing"
+)
+
+// Budgets of extra attempts, per first attempt and saved up at most.
+const (
+	retryRatio   = 0.2
+	retryBurst   = 20
+	hedgeRatio   = 0.05
+	hedgeBurst   = 5
+	queueDivisor = 1 // waiting requests, as a multiple of those in progress
+)
+
+// service is one service as this entry sees it.
+type service struct {
+	name      string
+	queueTime time.Duration
+
+	mu        sync.Mutex
+	servers   map[string]*target
+	backends  []*routing.Backend // of servers that take new work
+	objective time.Duration
+	limit     *routing.Limit
+	waiting   routing.ClassQueue[*turn]
+	running   int
+	retries   *routing.Budget
+	hedges    *routing.Budget
+	latency   latencyWindow
+}
+
+// target is one backend server with what the entry knows of it.
+type target struct {
+	server  *api.BackendServer
+	backend *routing.Backend
+}
+
+// turn is a request that waits to be admitted.
+type turn struct {
+	class   request.Class
+	granted chan struct{}
+	refused error
+}
+
+func newService(name string, queueTime time.Duration) *service {
+	return &service{
+		name:      name,
+		queueTime: queueTime,
+		servers:   make(map[string]*target),
+		limit:     routing.NewLimit(1),
+		retries:   routing.NewBudget(retryRatio, retryBurst),
+		hedges:    routing.NewBudget(hedgeRatio, hedgeBurst),
+	}
+}
+
+// update replaces the backend servers that take new work; nil ones are skipped.
+func (s *service) update(servers []*api.BackendServer, policy *api.ServicePolicy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if policy != nil {
+		s.objective = time.Duration(policy.ObjectiveMs * float64(time.Millisecond))
+	}
+	kept := make(map[string]*target, len(servers))
+	s.backends = nil
+	ceiling := 0
+	for _, server := range servers {
+		if server == nil {
+			continue
+		}
+		t := s.targetFor(server)
+		kept[server.Id] = t
+		s.backends = append(s.backends, t.backend)
+		ceiling += 2 * t.backend.Slots
+	}
+	s.servers = kept
+	s.limit.SetCeiling(ceiling)
+	s.admitNext()
+}
+
+func (s *service) targetFor(server *api.BackendServer) *target {
+	known, ok := s.servers[server.Id]
+	if ok && known.server.Incarnation == server.Incarnation {
+		known.server = server
+		return known
+	}
+	slots := max(int(server.Slots), 1)
+	return &target{server: server, backend: &routing.Backend{ID: server.Id, Zone: server.Zone, Slots: slots}}
+}
+
+// admit waits for a turn. Errors: fault.Overloaded, fault.DeadlineNotRun.
+func (s *service) admit(ctx context.Context, class request.Class) error {
+	t, err := s.join(class)
+	if err != nil || t == nil {
+		return err
+	}
+	timer := time.NewTimer(s.queueTime)
+	defer timer.Stop()
+	select {
+	case <-t.granted:
+		return t.refused
+	case <-timer.C:
+		err = fault.New(fault.Overloaded, "the request waited too long for its turn")
+	case <-ctx.Done():
+		err = fault.New(fault.DeadlineNotRun, "the deadline passed before the request got its turn")
+	}
+	s.mu.Lock()
+	removed := s.waiting.Remove(class, t)
+	s.mu.Unlock()
+	if !removed && t.refused == nil {
+		s.leave()
+	}
+	return err
+}
+
+func (s *service) join(class request.Class) (*turn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries.First()
+	s.hedges.First()
+	if s.running < s.limit.Current() && s.waiting.Len() == 0 {
+		s.running++
+		return nil, nil
+	}
+	t := &turn{class: class, granted: make(chan struct{})}
+	displaced, pushed := s.waiting.Push(class, t, s.limit.Current()/queueDivisor)
+	if !pushed {
+		return nil, fault.New(fault.Overloaded, "too many requests wait for this service")
+	}
+	if displaced != nil {
+		displaced.refused = fault.New(fault.Overloaded, "displaced by an interactive caller")
+		close(displaced.granted)
+	}
+	return t, nil
+}
+
+// leave ends a request's turn.
+func (s *service) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.admitNext()
+}
+
+func (s *service) admitNext() {
+	for s.running < s.limit.Current() {
+		t, ok := s.waiting.Pop()
+		if !ok {
+			return
+		}
+		s.running++
+		close(t.granted)
+	}
+}
+
+// pick chooses a backend server and counts the attempt there. It returns
+// fault.NoBackend when there is none left.
+func (s *service) pick(ask routing.Ask) (*target, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	chosen := routing.Pick(time.Now(), globalRandom, s.backends, ask)
+	if chosen == nil {
+		return nil, fault.New(fault.NoBackend, "no backend server takes the request")
+	}
+	if ask.Standing {
+		chosen.BeginStanding()
+	} else {
+		chosen.Begin()
+	}
+	return s.servers[chosen.ID], nil
+}
+
+// globalRandom draws from the runtime's random source, which is safe for concurrent use.
+var globalRandom = rand.New(runtimeSource{})
+
+type runtimeSource struct{}
+
+// Uint64 implements rand.Source.
+func (runtimeSource) Uint64() uint64 { return rand.Uint64() }
+
+// observe takes in how an attempt at t ended.
+func (s *service) observe(t *target, standing bool, result *result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if standing {
+		t.backend.EndStanding()
+	} else {
+		t.backend.End()
+	}
+	if result.load != nil {
+		t.backend.ReportLoad(now, int(result.load.Running+result.load.Waiting))
+	}
+	if result.err != nil {
+		s.observeError(now, t, fault.KindOf(result.err))
+		return
+	}
+	t.backend.ObserveResult(now, result.status >= 500)
+	if standing || result.standing {
+		return
+	}
+	if result.status < 500 {
+		t.backend.ObserveLatency(now, result.took)
+		s.latency.add(result.took)
+	}
+	s.limit.ObserveAnswer(now, result.queue, result.backendTime, s.running)
+}
+
+func (s *service) observeError(now time.Time, t *target, kind fault.Kind) {
+	switch kind {
+	case fault.Overloaded:
+		s.limit.ObserveOverload(now)
+	case fault.ConnectionLost, fault.AnswerDamaged, fault.BackendUnavailable, fault.DeadlineUnknown:
+		t.backend.ObserveResult(now, true)
+	}
+}
+
+// observeLoad takes in a load that an agent reported between answers.
+func (s *service) observeLoad(server string, load *api.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t, ok := s.servers[server]; ok {
+		t.backend.ReportLoad(time.Now(), int(load.Running+load.Waiting))
+	}
+}
+
+// latencyObjective returns the service's objective, the longest time when it has none.
+func (s *service) latencyObjective() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objective == 0 {
+		return math.MaxInt64
+	}
+	return s.objective
+}
+
+// takeRetry uses the retry budget.
+func (s *service) takeRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retries.Take()
+}
--- /dev/null
+++ b/entry/sink.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/delivery"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/request"
+)
+
+// retryAfter is the pause that a retryable refusal asks for, seconds.
+const retryAfter = "1"
+
+// sink writes one answer to a caller.
+type sink struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	head    bool // the caller asked for the head only
+	begun   bool
+	counted uint64
+}
+
+func newSink(w http.ResponseWriter, r *http.Request) *sink {
+	return &sink{w: w, control: http.NewResponseController(w), head: r.Method == http.MethodHead}
+}
+
+// begin writes the head. A length of -1 means that the answer is passed on as
+// it arrives; its outcome then follows as a trailer.
+func (s *sink) begin(head *api.AnswerHead, length int) error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	header := s.w.Header()
+	for _, h := range head.Headers {
+		name := http.CanonicalHeaderKey(h.Name)
+		if delivery.IsHopHeader(name) || (name == "Content-Length" && !s.head) {
+			continue
+		}
+		header.Add(name, h.Value)
+	}
+	if length >= 0 {
+		header.Set(request.HeaderOutcome, string(fault.OutcomeDone))
+		if !s.head && bodyAllowed(head.Status) {
+			header.Set("Content-Length", strconv.Itoa(length))
+		}
+	} else if !head.Standing {
+		header.Set("Trailer", request.HeaderOutcome)
+	}
+	s.extend()
+	s.w.WriteHeader(int(head.Status))
+	return nil
+}
+
+func bodyAllowed(status uint32) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// extend gives the caller more time to take the next bytes.
+func (s *sink) extend() { _ = s.control.SetWriteDeadline(time.Now().Add(callerStall)) }
+
+func (s *sink) write(p []byte, flush bool) error {
+	if len(p) == 0 && !flush {
+		return nil
+	}
+	s.extend()
+	if _, err := s.w.Write(p); err != nil {
+		return fault.Wrap(fault.Canceled, err, "write to the caller")
+	}
+	s.counted += uint64(len(p))
+	if flush {
+		return fault.Wrap(fault.Canceled, s.control.Flush(), "write to the caller")
+	}
+	return nil
+}
+
+func (s *sink) finish() error {
+	if s.w.Header().Get("Trailer") != "" {
+		s.w.Header().Set(request.HeaderOutcome, string(fault.OutcomeDone))
+	}
+	return nil
+}
+
+// refusalBody is the JSON body of a refusal.
+type refusalBody struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+}
+
+// refuse answers with an error. When a part of an answer was already passed
+// on, the connection is cut, so that the part is not taken for the whole.
+func (s *sink) refuse(err error) {
+	if s.begun {
+		panic(http.ErrAbortHandler)
+	}
+	s.begun = true
+	answer := fault.KindOf(err).Answer()
+	body, _ := json.Marshal(refusalBody{Kind: answer.Name, Message: err.Error(), Outcome: string(answer.Outcome)})
+	header := s.w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set(request.HeaderOutcome, string(answer.Outcome))
+	if answer.Retryable {
+		header.Set("Retry-After", retryAfter)
+	}
+	s.extend()
+	s.w.WriteHeader(answer.HTTP)
+	if !s.head {
+		_, _ = s.w.Write(body)
+	}
+}
--- /dev/null
+++ b/request/progress.go
@@ -0,0 +1,75 @@
+package request
+
+import "amaranthpaddle/fault"
+
+// Step is what an entry does next for a request.
+type Step int
+
+// The steps.
+const (
+	StepSend         Step = iota // send a new attempt, to any backend server
+	StepLookup                   // look up or fence the attempt at its agent
+	StepLookupHolder             // look up the attempt that holds the key's claim
+	StepAnswer                   // tell the caller the result
+)
+
+// Progress is what an entry knows of a request's attempts so far. It decides
+// whether the request may be sent again and which outcome its caller is told.
+type Progress struct {
+	Idempotent bool
+	maybeRan   bool // an attempt may have run without its answer reaching the caller
+}
+
+// AfterAttempt returns the next step after an attempt ended with err, which is
+// not nil. The step assumes that retry budget and time are left; without them
+// StepSend becomes StepAnswer.
+func (p *Progress) AfterAttempt(err error) Step {
+	kind := fault.KindOf(err)
+	answer := kind.Answer()
+	switch {
+	case kind == fault.KeyInUse:
+		return StepLookupHolder
+	case answer.Outcome == fault.OutcomeNotRun && answer.Retryable:
+		return StepSend
+	case answer.Outcome == fault.OutcomeNotRun:
+		return StepAnswer
+	case p.Idempotent:
+		p.maybeRan = true
+		return StepSend
+	case kind == fault.ConnectionLost || kind == fault.AnswerDamaged || kind == fault.Canceled || kind == fault.DeadlineUnknown:
+		return StepLookup
+	default:
+		p.maybeRan = true
+		return StepAnswer
+	}
+}
+
+// AfterLookup returns the next step after a lookup that found state. A
+// Finished attempt's answer is passed on; all else is decided here.
+func (p *Progress) AfterLookup(state State) Step {
+	switch state {
+	case Fenced:
+		return StepSend
+	case Finished:
+		return StepAnswer
+	default:
+		p.maybeRan = true
+		return StepAnswer
+	}
+}
+
+// Final returns the error that the caller is told in place of err. A kind that
+// promises not-run is replaced when an earlier attempt may have run.
+func (p *Progress) Final(err error) error {
+	kind := fault.KindOf(err)
+	if !p.maybeRan || kind.Answer().Outcome != fault.OutcomeNotRun {
+		return err
+	}
+	if kind == fault.DeadlineNotRun {
+		return fault.Wrap(fault.DeadlineUnknown, err, "an earlier attempt may have run")
+	}
+	return fault.Wrap(fault.ConnectionLost, err, "an earlier attempt may have run")
+}
+
+// MaybeRan reports whether an attempt may have run without an answer.
+func (p *Progress) MaybeRan() bool { return p.maybeRan }
