--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,220 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
+	"amaranthpaddle/delivery"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/session"
+	"amaranthpaddle/transport"
+	"amaranthpaddle/worker"
+)
+
+const (
+	expireInterval    = 200 * time.Millisecond
+	readHeaderTimeout = 5 * time.Second
+	// leavePropagation is how long a leaving agent goes on delivering: entries
+	// that have not yet heard of its leaving still send to it.
+	leavePropagation = 2 * time.Second
+)
+
+// Config is the configuration of an Agent.
+type Config struct {
+	VM               *api.VM
+	ControlAddresses []string     // ip:port of the control replicas
+	ListenAddress    string       // ip:port where entries reach this agent
+	LocalAddress     string       // ip:port of the local interface, on loopback
+	Local            net.Listener // of the local interface; nil to open LocalAddress
+	WorkerURL        string       // base URL of the worker's interface
+	DataDir          string       // bodies known by digest, a temporary folder when empty
+	Security         *transport.Security
+	MetricsHandler   http.Handler // served at /metrics, may be nil
+}
+
+// Agent is the agent process of one VM.
+type Agent struct {
+	config   Config
+	registry *Registry
+	delivery *delivery.Delivery
+	session  *session.Session
+	control  *controlclient.Client
+	server   *grpc.Server
+	local    *http.Server
+	listener net.Listener // entries
+	localAt  net.Listener
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+
+	mu      sync.Mutex
+	leaving bool
+}
+
+// Start opens the agent's listeners and joins the fleet. Errors:
+// fault.InvalidArgument for bad addresses, fault.StorageFailed for the data folder.
+func Start(config Config) (*Agent, error) {
+	listener, err := config.Security.Listen(config.ListenAddress)
+	if err != nil {
+		return nil, err
+	}
+	localAt, err := listenLocal(config)
+	if err != nil {
+		listener.Close()
+		return nil, err
+	}
+	a := &Agent{config: config, listener: listener, localAt: localAt}
+	if err := a.assemble(); err != nil {
+		listener.Close()
+		localAt.Close()
+		return nil, err
+	}
+	a.run()
+	return a, nil
+}
+
+func listenLocal(config Config) (net.Listener, error) {
+	if config.Local != nil {
+		return config.Local, nil
+	}
+	listener, err := net.Listen("tcp", config.LocalAddress)
+	return listener, fault.Wrap(fault.InvalidArgument, err, "local address")
+}
+
+func (a *Agent) assemble() error {
+	incarnation := rand.Uint64()
+	address := a.listener.Addr().String()
+	a.control = controlclient.New(a.config.Security, a.config.ControlAddresses)
+	requests, err := delivery.New(delivery.Config{
+		Incarnation: incarnation,
+		Address:     address,
+		Security:    a.config.Security,
+		Claimer:     a.control,
+		BlobDir:     a.config.DataDir,
+	})
+	if err != nil {
+		return err
+	}
+	a.delivery = requests
+	a.registry = NewRegistry(&api.BackendServer{
+		Vm: a.config.VM.Id, Zone: a.config.VM.Zone, Region: a.config.VM.Region,
+		AgentAddress: address, Incarnation: incarnation,
+	})
+	a.session = session.New(session.Config{
+		VM:               a.config.VM,
+		Incarnation:      incarnation,
+		ControlAddresses: a.config.ControlAddresses,
+		Security:         a.config.Security,
+		Worker:           worker.NewClient(a.config.WorkerURL, &http.Client{}),
+		Announcer:        a.registry,
+	})
+	a.server = grpc.NewServer(a.config.Security.ServerOptions()...)
+	a.delivery.Register(a.server)
+	a.local = &http.Server{Handler: a.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	return nil
+}
+
+func (a *Agent) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.goRun(func() { _ = a.server.Serve(a.listener) })
+	a.goRun(func() { _ = a.local.Serve(a.localAt) })
+	a.goRun(func() { a.registryLoop(ctx) })
+	a.goRun(func() { a.session.Run(ctx) })
+	klog.InfoS("Agent started", "vm", a.config.VM.Id, "zone", a.config.VM.Zone,
+		"address", a.listener.Addr().String(), "local", a.localAt.Addr().String())
+}
+
+func (a *Agent) goRun(f func()) {
+	a.wait.Add(1)
+	go func() {
+		defer a.wait.Done()
+		f()
+	}()
+}
+
+// Address returns the ip:port where entries reach this agent.
+func (a *Agent) Address() string { return a.listener.Addr().String() }
+
+// LocalURL returns the base URL of the local interface.
+func (a *Agent) LocalURL() string { return "http://" + a.localAt.Addr().String() }
+
+// Revision returns the configuration revision in force at this agent.
+func (a *Agent) Revision() uint64 { return a.session.Revision() }
+
+// registryLoop expires announcements and hands changes to the delivery side.
+func (a *Agent) registryLoop(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		changed := a.registry.Changed()
+		a.delivery.SetServers(deliveryServers(a.registry.Present()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case now := <-ticker.C:
+			a.registry.Expire(now)
+		}
+	}
+}
+
+func deliveryServers(present []Announcement) []delivery.Server {
+	servers := make([]delivery.Server, 0, len(present))
+	for _, p := range present {
+		servers = append(servers, delivery.Server{
+			ID: p.ID, Service: p.Service, URL: p.URL, Slots: p.Slots, Connections: p.Connections,
+		})
+	}
+	return servers
+}
+
+// Stop is a planned stop: readiness fails first, the control group hears that
+// the VM is leaving, requests in progress end, then the process leaves. It
+// returns ctx's error when requests were still in progress at its end.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	a.session.Leave()
+	waitFor(ctx, leavePropagation)
+	a.delivery.Drain()
+	err := a.delivery.Wait(ctx)
+	a.Kill()
+	return err
+}
+
+// Kill ends the agent at once, as the loss of its process would.
+func (a *Agent) Kill() {
+	a.cancel()
+	a.server.Stop()
+	a.local.Close()
+	if err := a.delivery.Close(); err != nil {
+		klog.ErrorS(err, "Closing the request side failed", "vm", a.config.VM.Id)
+	}
+	a.wait.Wait()
+	a.control.Close()
+}
+
+func waitFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (a *Agent) isLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving
+}
--- a/agent/registry.go
+++ b/agent/registry.go
@@ -136,13 +136,15 @@
 	}
 }
 
-// Present returns the announcements that have not expired, leaving ones included.
+// Present returns the backend servers that take new work.
 func (r *Registry) Present() []Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]Announcement, 0, len(r.servers))
 	for _, server := range r.servers {
-		list = append(list, server.Announcement)
+		if !server.leaving {
+			list = append(list, server.Announcement)
+		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	return list
--- /dev/null
+++ b/controlnode/controlnode.go
@@ -0,0 +1,207 @@
+// Package controlnode assembles one control process: a replica of the log, the
+// control service on it, and the listeners of both.
+package controlnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/control"
+	"amaranthpaddle/operatorapi"
+	"amaranthpaddle/replica"
+	"amaranthpaddle/transport"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// Config is the configuration of a Node.
+type Config struct {
+	ID        uint64
+	Peers     map[uint64]control.Peer // initial members by id, this replica included
+	Join      bool                    // joins an existing group as a learner, see paddlectl control replace
+	DataDir   string
+	Security  *transport.Security
+	Operators *transport.Operators // who may call the operators' API, nil for everybody
+	Listener  net.Listener         // for agents, entries and replicas; nil to open Peers[ID].Address
+	Operator  net.Listener         // for operators; nil to open Peers[ID].OperatorAddress
+}
+
+// Node is a running control process.
+type Node struct {
+	config   Config
+	replica  *replica.Replica
+	server   *control.Server
+	grpc     *grpc.Server
+	operator *http.Server
+	wait     sync.WaitGroup
+}
+
+// Start starts a control process. Errors: those of replica.Start, and
+// fault.InvalidArgument for an address that can't be used.
+func Start(config Config) (*Node, error) {
+	if err := openListeners(&config); err != nil {
+		return nil, err
+	}
+	n := &Node{config: config}
+	if err := n.assemble(); err != nil {
+		config.Listener.Close()
+		config.Operator.Close()
+		return nil, err
+	}
+	n.goRun(func() { _ = n.grpc.Serve(config.Listener) })
+	n.goRun(func() { _ = n.operator.Serve(config.Operator) })
+	n.server.Start()
+	klog.InfoS("Control replica started", "id", config.ID,
+		"address", config.Listener.Addr().String(), "operators", config.Operator.Addr().String())
+	return n, nil
+}
+
+func openListeners(config *Config) (err error) {
+	self := config.Peers[config.ID]
+	if config.Listener == nil {
+		if config.Listener, err = config.Security.Listen(self.Address); err != nil {
+			return err
+		}
+	}
+	if config.Operator == nil {
+		if config.Operator, err = config.Security.ListenHTTP(self.OperatorAddress); err != nil {
+			config.Listener.Close()
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) assemble() error {
+	state := control.NewState()
+	started, err := replica.Start(replica.Config{
+		ID:           n.config.ID,
+		Address:      n.config.Peers[n.config.ID].Address,
+		Peers:        addresses(n.config.Peers),
+		Join:         n.config.Join,
+		DataDir:      n.config.DataDir,
+		Security:     *n.config.Security,
+		StateMachine: state,
+	})
+	if err != nil {
+		return err
+	}
+	n.replica = started
+	n.server = control.New(control.Config{
+		Node: started, State: state, Peers: n.peer, Membership: membership{n},
+	})
+	n.grpc = grpc.NewServer(n.config.Security.ServerOptions()...)
+	n.replica.Register(n.grpc)
+	n.server.Register(n.grpc)
+	n.operator = &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	return nil
+}
+
+// operatorHandler guards the operators' API; health checks and metrics stay open.
+func (n *Node) operatorHandler() http.Handler {
+	handler := n.server.Handler()
+	if n.config.Operators == nil {
+		return handler
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", n.config.Operators.Require(handler))
+	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+		mux.Handle(path, handler)
+	}
+	return mux
+}
+
+func addresses(peers map[uint64]control.Peer) map[uint64]string {
+	result := make(map[uint64]string, len(peers))
+	for id, peer := range peers {
+		result[id] = peer.Address
+	}
+	return result
+}
+
+// peer returns where a replica can be reached: as configured, or as the
+// replicated member table says for one that joined later.
+func (n *Node) peer(id uint64) control.Peer {
+	if peer, configured := n.config.Peers[id]; configured {
+		return peer
+	}
+	members, err := n.replica.Members()
+	if err != nil {
+		return control.Peer{}
+	}
+	for _, member := range members {
+		if member.ID == id {
+			return control.Peer{Address: member.Address}
+		}
+	}
+	return control.Peer{}
+}
+
+func (n *Node) goRun(f func()) {
+	n.wait.Add(1)
+	go func() {
+		defer n.wait.Done()
+		f()
+	}()
+}
+
+// Replica returns the replica of the log.
+func (n *Node) Replica() *replica.Replica { return n.replica }
+
+// Address returns the ip:port for agents, entries and replicas.
+func (n *Node) Address() string { return n.config.Listener.Addr().String() }
+
+// OperatorAddress returns the ip:port of the operators' API.
+func (n *Node) OperatorAddress() string { return n.config.Operator.Addr().String() }
+
+// Stop is a planned stop: the leadership is handed over first, and operators'
+// calls in progress end, as long as ctx lasts.
+func (n *Node) Stop(ctx context.Context) {
+	if err := n.replica.TransferLeadership(ctx, 0); err != nil {
+		klog.V(1).InfoS("Stopping without a hand-over", "id", n.config.ID, "error", err)
+	}
+	if err := n.operator.Shutdown(ctx); err != nil {
+		klog.InfoS("Operators' calls were cut", "id", n.config.ID, "error", err)
+	}
+	n.Kill()
+}
+
+// Kill ends the process's work at once, as its loss would.
+func (n *Node) Kill() {
+	n.server.Stop()
+	n.grpc.Stop()
+	n.operator.Close()
+	n.replica.Stop()
+	n.wait.Wait()
+}
+
+// membership adapts the replica to the operators' API.
+type membership struct{ node *Node }
+
+// Members lists the replicas.
+func (m membership) Members() []operatorapi.Member {
+	members, err := m.node.replica.Members()
+	if err != nil {
+		return nil
+	}
+	list := make([]operatorapi.Member, 0, len(members))
+	for _, member := range members {
+		list = append(list, operatorapi.Member{
+			ID: member.ID, Address: member.Address,
+			OperatorAddress: m.node.config.Peers[member.ID].OperatorAddress,
+			Voter:           member.Voter, Match: member.Match, Silent: !member.Active && !member.Leader,
+		})
+	}
+	return list
+}
+
+// Replace replaces a replica by a new member at the address.
+func (m membership) Replace(ctx context.Context, remove, add uint64, address string) error {
+	return m.node.replica.ReplaceMember(ctx, remove, add, address)
+}
