paddle-dev: submit the plan once every VM is announced

Cause: the plan's warnings named every job as unplaceable, because no VM was known yet. Change: wait for the announcements first. Conclusion: the warnings now mean what they say.

--- a/cmd/paddle-dev/scenario.go
+++ b/cmd/paddle-dev/scenario.go
@@ -35,6 +35,9 @@
 	defer cancel()
 	client := operatorclient.New(f.operatorAddresses(), f.security, "")
 	defer client.Close()
+	if err := awaitVMs(ctx, client, len(f.vms)); err != nil {
+		return nil, err
+	}
 	if err := submit(ctx, client, day); err != nil {
 		return nil, err
 	}
@@ -52,6 +55,23 @@
 	return r, err
 }
 
+// awaitVMs waits until every agent has announced its VM.
+func awaitVMs(ctx context.Context, client *operatorclient.Client, count int) error {
+	ctx, cancel := context.WithTimeout(ctx, upLimit)
+	defer cancel()
+	for {
+		var status operatorapi.Status
+		err := client.Get(ctx, operatorapi.PathStatus, &status)
+		if err == nil && len(status.VMs) == count {
+			return nil
+		}
+		pause(ctx, statusPoll)
+		if ctx.Err() != nil {
+			return fault.Newf(fault.NoQuorum, "%d of %d VMs announced within %v (last error %v)", len(status.VMs), count, upLimit, err)
+		}
+	}
+}
+
 func submit(ctx context.Context, client *operatorclient.Client, day *plan.DayPlan) error {
 	body, err := day.Encode()
 	if err != nil {
