--- a/burn/report.go
+++ b/burn/report.go
@@ -61,6 +61,7 @@
 const (
 	JobNoDeadline JobState = "no deadline"
 	JobOnTime     JobState = "on time"       // expected to finish before the deadline
+	JobWaiting    JobState = "waiting"       // no task runs, and one that starts now would end before the deadline
 	JobAtRisk     JobState = "at risk"       // expected to finish after it
 	JobMissed     JobState = "missed"        // the deadline has passed and tasks are left
 	JobFinished   JobState = "finished"      // before the deadline, if there is one
