--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -38,9 +38,20 @@
 	server := &testServer{New(config), node}
 	server.Start()
 	t.Cleanup(server.Stop)
+	server.awaitLeading()
 	return server
 }
 
+// awaitLeading returns when the server has noticed that its node leads.
+func (s *testServer) awaitLeading() {
+	for {
+		if _, err := s.leading(); err == nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // firstFit places pending tasks in order on the first VM with room.
 func firstFit(s *scheduler.Snapshot) []scheduler.Decision {
 	free := map[string]resource.Vector{}
--- a/control/lease.go
+++ b/control/lease.go
@@ -18,9 +18,20 @@
 
 type vmLease struct {
 	grantor lease.Grantor
-	losing  bool // the VM is being declared lost: nothing more is granted
+	loss    lossState
+	attempt uint64 // counts the declarations of loss
 }
 
+// lossState is how far a declaration of loss has come. Nothing is granted but
+// in lossNone.
+type lossState uint8
+
+const (
+	lossNone     lossState = iota
+	lossProposed           // may still be appended to the log
+	lossResolved           // in the log, or never will be
+)
+
 func newLeaseTable(terms lease.Terms) *leaseTable {
 	return &leaseTable{terms: terms, vms: map[string]*vmLease{}}
 }
@@ -48,7 +59,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.get(vm)
-	if l.losing {
+	if l.loss != lossNone {
 		return false
 	}
 	l.grantor.Grant(t.terms, now)
@@ -56,7 +67,8 @@
 }
 
 // takeExpired returns those of the VMs whose lease no holder can still hold,
-// and grants them nothing from now on.
+// and grants them nothing from now on. Each must be passed to resolved once its
+// declaration of loss has an outcome.
 func (t *leaseTable) takeExpired(vms []string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,26 +76,53 @@
 	for _, vm := range vms {
 		l := t.get(vm)
 		if l.grantor.Expired(now) {
-			l.losing = true
+			l.loss = lossProposed
+			l.attempt++
 			expired = append(expired, vm)
 		}
 	}
 	return expired
 }
 
+// resolved records that a VM's declaration of loss was committed, refused or
+// failed. Any entry proposed from now on comes after it in the log.
+func (t *leaseTable) resolved(vm string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.get(vm); l.loss == lossProposed {
+		l.loss = lossResolved
+	}
+}
+
 // losing reports whether the VM is being declared lost.
 func (t *leaseTable) losing(vm string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.get(vm).losing
+	return t.get(vm).loss != lossNone
 }
 
-// announced lets the VM hold leases again. A new announcement was committed
-// after any declaration of loss.
-func (t *leaseTable) announced(vm string) {
+// beginAnnounce begins the announcement of a VM at now, and keeps it from being
+// taken for expired before its first grant. It reports false while a
+// declaration of loss is on its way: the announcement must come after it.
+func (t *leaseTable) beginAnnounce(vm string, now time.Time) (attempt uint64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.get(vm).losing = false
+	l := t.get(vm)
+	if l.loss == lossProposed {
+		return 0, false
+	}
+	l.grantor.Grant(t.terms, now)
+	return l.attempt, true
+}
+
+// endAnnounce lets the VM hold leases again: its announcement was committed,
+// and no declaration of loss was begun since beginAnnounce.
+func (t *leaseTable) endAnnounce(vm string, attempt uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.get(vm); l.attempt == attempt {
+		l.loss = lossNone
+	}
 }
 
 // left returns how long the VM's lease may still be held at now.
--- a/control/loop.go
+++ b/control/loop.go
@@ -42,6 +42,7 @@
 			Vm:          vm,
 			Incarnation: incarnations[vm],
 		}}})
+		s.leases.resolved(vm)
 		if err != nil {
 			klog.InfoS("VM not declared lost", "vm", vm, "error", err)
 		}
@@ -80,8 +81,10 @@
 // schedule takes one round of decisions and commits them.
 func (s *Server) schedule(ctx context.Context) {
 	now := time.Now()
-	snapshot := s.state.snapshot(now, s.inTouch(now))
-	s.planner.enrich(snapshot)
+	snapshot := s.planner.snapshot(now, s.inTouch(now))
+	if snapshot == nil {
+		return
+	}
 	s.carryOut(ctx, s.config.Decide(snapshot), now)
 }
 
@@ -97,55 +100,66 @@
 	return func(vm string) bool { return heard[vm] }
 }
 
-// carryOut commits decisions in their order, in batches of one kind.
+// carryOut commits decisions in their order, evictions and placements in one
+// batch each, and passes throttles to the sessions.
 func (s *Server) carryOut(ctx context.Context, decisions []scheduler.Decision, now time.Time) {
-	place, evict := &api.PlaceTasks{}, &api.EvictTasks{}
+	var place, evict []*scheduler.Decision
 	for i := range decisions {
 		d := &decisions[i]
 		switch d.Action {
 		case scheduler.Place:
-			place.Placements = append(place.Placements, &api.Placement{
-				Task: d.Task, Generation: d.Generation, Vm: d.VM, Grant: fleet.Resources(d.Grant),
-			})
+			place = append(place, d)
 		case scheduler.Evict:
 			s.planner.allowCheckpoint(d, now)
-			evict.Evictions = append(evict.Evictions, &api.Eviction{
-				Task: d.Task, Generation: d.Generation, Reason: string(d.Reason),
-			})
+			evict = append(evict, d)
 		case scheduler.Throttle:
 			s.planner.throttle(d)
+			s.planner.decided(d, now)
 			s.notifyVM(d.VM)
 		}
 	}
-	s.commitEvictions(ctx, evict)
-	s.commitPlacements(ctx, place)
+	s.commitBatch(ctx, evict, evictCommand(evict), now)
+	s.commitBatch(ctx, place, placeCommand(place), now)
 }
 
-func (s *Server) commitEvictions(ctx context.Context, evict *api.EvictTasks) {
-	if len(evict.Evictions) == 0 {
-		return
+func evictCommand(decisions []*scheduler.Decision) *api.Command {
+	body := &api.EvictTasks{}
+	for _, d := range decisions {
+		body.Evictions = append(body.Evictions, &api.Eviction{
+			Task: d.Task, Generation: d.Generation, Reason: string(d.Reason),
+		})
 	}
-	result, err := s.commit(ctx, &api.Command{Body: &api.Command_EvictTasks{EvictTasks: evict}})
-	logBatch("Evictions", len(evict.Evictions), result, err)
+	return &api.Command{Body: &api.Command_EvictTasks{EvictTasks: body}}
 }
 
-func (s *Server) commitPlacements(ctx context.Context, place *api.PlaceTasks) {
-	if len(place.Placements) == 0 {
-		return
+func placeCommand(decisions []*scheduler.Decision) *api.Command {
+	body := &api.PlaceTasks{}
+	for _, d := range decisions {
+		body.Placements = append(body.Placements, &api.Placement{
+			Task: d.Task, Generation: d.Generation, Vm: d.VM, Grant: fleet.Resources(d.Grant),
+		})
 	}
-	result, err := s.commit(ctx, &api.Command{Body: &api.Command_PlaceTasks{PlaceTasks: place}})
-	logBatch("Placements", len(place.Placements), result, err)
+	return &api.Command{Body: &api.Command_PlaceTasks{PlaceTasks: body}}
 }
 
-func logBatch(kind string, count int, result *api.CommandResult, err error) {
+// commitBatch commits decisions of one kind. Those that no longer hold are
+// refused one by one; the next round decides anew.
+func (s *Server) commitBatch(ctx context.Context, decisions []*scheduler.Decision, command *api.Command, now time.Time) {
+	if len(decisions) == 0 {
+		return
+	}
+	result, err := s.commit(ctx, command)
 	if err != nil {
-		klog.InfoS("Batch not committed", "kind", kind, "count", count, "error", err)
+		klog.InfoS("Decisions not committed", "count", len(decisions), "error", err)
 		return
 	}
-	for _, refused := range result.Refusals {
-		if refused != "" {
-			klog.V(1).InfoS("Decision no longer held", "kind", kind, "reason", refused)
+	for i, d := range decisions {
+		if refused := result.Refusals[i]; refused != "" {
+			klog.V(1).InfoS("Decision no longer held", "action", d.Action, "task", d.Task, "reason", refused)
+			continue
 		}
+		s.planner.decided(d, now)
+		klog.V(1).InfoS("Decision committed", "action", d.Action, "task", d.Task, "vm", d.VM, "reason", d.Reason)
 	}
 }
 
--- a/control/planner.go
+++ b/control/planner.go
@@ -5,139 +5,171 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/fleet"
 	"amaranthpaddle/scheduler"
 	"amaranthpaddle/task"
 )
 
-// planner is the leader's soft state for scheduling. It is safe for concurrent use.
+// planner is the leader's soft state for scheduling: what was learnt, wanted
+// throttles and the time that evicted runs have for a checkpoint.
 type planner struct {
-	mu        sync.Mutex
-	throttles map[string]map[runKey]float64 // by VM
-	grace     map[string]graceBook          // by VM
+	state *State
+
+	mu      sync.Mutex // before State.mu
+	learner *scheduler.Learner
+
+	queueMu   sync.Mutex // a leaf
+	outcomes  []outcome
+	throttles map[string]map[runKey]float64 // by VM; the inner maps are replaced, not changed
+	grace     map[string]graceBook          // by VM; likewise
 }
 
-func newPlanner() *planner {
-	p := &planner{}
+// outcome is a committed effect of a report.
+type outcome struct {
+	at     time.Time
+	vm     string
+	task   task.Task // as it was after the report
+	effect task.Effect
+}
+
+// maxOutcomes bounds the outcomes that wait to be learnt from.
+const maxOutcomes = 10_000
+
+func newPlanner(state *State) *planner {
+	p := &planner{state: state}
 	p.reset()
 	return p
 }
 
-// reset begins a leadership.
+// reset begins a leadership: nothing is known of what an earlier leader learnt.
 func (p *planner) reset() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.learner = scheduler.NewLearner()
+	p.mu.Unlock()
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	p.outcomes = nil
 	p.throttles = map[string]map[runKey]float64{}
 	p.grace = map[string]graceBook{}
 }
 
-// note takes in committed ends of runs.
-func (p *planner) note(Effects) {}
+// note queues committed outcomes. It does not block on a running decision.
+func (p *planner) note(outcomes []outcome) {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	if len(p.outcomes) < maxOutcomes {
+		p.outcomes = append(p.outcomes, outcomes...)
+	}
+}
 
-// observe takes in what an agent measured.
-func (p *planner) observe(string, *api.AgentReport) {}
+func (p *planner) takeOutcomes() []outcome {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	taken := p.outcomes
+	p.outcomes = nil
+	return taken
+}
 
-// controls returns the throttles and checkpoint times of a VM's runs.
-func (p *planner) controls(vm string) (map[runKey]float64, graceBook) {
+// snapshot returns what a decision at now depends on, nil before the first
+// plan. It is valid until the next call.
+func (p *planner) snapshot(now time.Time, inTouch func(vm string) bool) *scheduler.Snapshot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.throttles[vm], p.grace[vm]
-}
-
-// snapshot returns what a decision at now depends on. fresh reports whether a
-// VM's agent is in touch.
-func (s *State) snapshot(now time.Time, fresh func(vm string) bool) *scheduler.Snapshot {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	snapshot := &scheduler.Snapshot{Now: now}
-	if s.plan == nil {
-		return snapshot
+	for _, o := range p.takeOutcomes() {
+		p.learner.Outcome(o.at, o.vm, &o.task, o.effect)
 	}
-	snapshot.LatencyWeight = s.plan.LatencyWeight
-	for _, t := range s.plan.Teams {
-		snapshot.Teams = append(snapshot.Teams, scheduler.Team{Name: t.Name, Quota: t.Quota})
+	p.state.mu.RLock()
+	defer p.state.mu.RUnlock()
+	if p.state.plan == nil {
+		return nil
 	}
+	return p.learner.Snapshot(now, p.state.plan, p.state.tasks, p.state.schedulerVMs(inTouch))
+}
+
+// schedulerVMs returns the VMs that are not lost. A VM that flaps gets no new work.
+func (s *State) schedulerVMs(inTouch func(vm string) bool) []scheduler.VM {
+	var list []scheduler.VM
 	for _, vm := range s.registry.VMs() {
 		if vm.Lost {
 			continue
 		}
-		z := s.zones[vm.Zone]
-		view := scheduler.VM{
-			ID:       vm.ID,
-			Zone:     vm.Zone,
-			Rack:     vm.Rack,
-			Capacity: vm.Capacity,
-			Fresh:    fresh(vm.ID),
-			Draining: vm.Draining || vm.Leaving,
-			InSince:  time.UnixMilli(vm.InSinceMS),
-		}
-		if z != nil {
-			view.InService = z.inService()
-			view.InSince = time.UnixMilli(max(vm.InSinceMS, z.inSinceMS))
-		}
-		if vm.Suppressed {
-			view.Quarantine = scheduler.Quarantined
-		}
-		snapshot.VMs = append(snapshot.VMs, view)
+		view := s.schedulerVM(vm)
+		view.Fresh = inTouch(vm.ID) && !vm.Suppressed
+		list = append(list, view)
 	}
-	for _, vm := range s.tasks.VMs() {
-		for _, k := range s.tasks.OnVM(vm) {
-			snapshot.Tasks = append(snapshot.Tasks, schedulerTask(k, now))
-		}
+	return list
+}
+
+func (s *State) schedulerVM(vm *fleet.VM) scheduler.VM {
+	view := scheduler.VM{
+		ID:       vm.ID,
+		Zone:     vm.Zone,
+		Rack:     vm.Rack,
+		Capacity: vm.Capacity,
+		Draining: vm.Draining || vm.Leaving,
+		InSince:  time.UnixMilli(vm.InSinceMS),
 	}
-	for _, k := range s.tasks.Pending() {
-		snapshot.Pending = append(snapshot.Pending, schedulerTask(k, now))
+	if z := s.zones[vm.Zone]; z != nil {
+		view.InService = z.inService()
+		view.InSince = time.UnixMilli(max(vm.InSinceMS, z.inSinceMS))
 	}
-	return snapshot
+	return view
 }
 
-func schedulerTask(k *task.Task, now time.Time) scheduler.Task {
-	view := scheduler.Task{
-		ID:         k.ID,
-		Job:        k.Job.ID,
-		Team:       k.Job.Team,
-		Class:      k.Job.Class,
-		State:      k.State,
-		Generation: k.Generation,
-		VM:         k.VM,
-		Grant:      k.Grant,
-		Priority:   k.Job.Priority,
-		Deadline:   k.Job.Deadline,
-		Remaining:  time.Duration((1 - k.Progress) * float64(k.Job.RunTime)),
-		NotBefore:  later(k.NotBefore, k.Job.NotBefore),
-		Since:      k.Since,
-		Movable:    true,
-		Trial:      k.Job.Failing(),
-		Avoid:      k.Job.FailedVMs,
+// observe learns from the usage in an agent's report.
+func (p *planner) observe(vm string, samples []*api.UsageSample, now time.Time) {
+	if len(samples) == 0 {
+		return
 	}
-	if k.State == task.Pending {
-		view.Grant = k.Job.Size
-		return view
+	converted := make([]scheduler.Sample, 0, len(samples))
+	for _, sample := range samples {
+		converted = append(converted, schedulerSample(sample))
 	}
-	saved := k.Since
-	if k.SavedAt.After(saved) {
-		saved = k.SavedAt
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.mu.RLock()
+	defer p.state.mu.RUnlock()
+	known := p.state.registry.VM(vm)
+	if known == nil || p.state.plan == nil {
+		return
 	}
-	view.AtRisk = now.Sub(saved)
-	return view
+	view := p.state.schedulerVM(known)
+	p.learner.Usage(now, &view, converted, p.state.tasks, p.state.plan.LatencyWeight)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+func schedulerSample(sample *api.UsageSample) scheduler.Sample {
+	return scheduler.Sample{
+		Task:       sample.Task,
+		Generation: sample.Generation,
+		Start:      time.UnixMilli(sample.StartUnixMs),
+		End:        time.UnixMilli(sample.EndUnixMs),
+		Used:       fleet.Vector(sample.Used),
+		Speed:      sample.Speed,
+		Latency:    time.Duration(sample.LatencyMs * float64(time.Millisecond)),
 	}
-	return b
 }
 
-// enrich adds to a snapshot what was learnt.
-func (p *planner) enrich(*scheduler.Snapshot) {}
+// decided records a decision that was committed or, for a throttle, taken.
+func (p *planner) decided(d *scheduler.Decision, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learner.Decided(now, d)
+}
+
+// controls returns the throttles and checkpoint times of a VM's runs.
+func (p *planner) controls(vm string) (map[runKey]float64, graceBook) {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	return p.throttles[vm], p.grace[vm]
+}
 
 // allowCheckpoint limits the time that an evicted run has for its checkpoint.
 func (p *planner) allowCheckpoint(d *scheduler.Decision, now time.Time) {
 	if d.Grace <= 0 {
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
 	book := graceBook{}
 	for key, until := range p.grace[d.VM] {
 		if now.Sub(until) < graceMemory {
@@ -150,8 +182,8 @@
 
 // throttle records the wanted throttle of a run.
 func (p *planner) throttle(d *scheduler.Decision) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
 	wanted := map[runKey]float64{}
 	for key, fraction := range p.throttles[d.VM] {
 		if key.task != d.Task {
--- a/control/server.go
+++ b/control/server.go
@@ -10,12 +10,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
 )
 
-// leaderTrailer names the leader's address in the trailer of a refused call.
-const leaderTrailer = "paddle-leader"
-
 // Server is the service of one control replica.
 type Server struct {
 	api.UnimplementedControlServer
@@ -52,7 +50,7 @@
 		state:    config.State,
 		leases:   newLeaseTable(config.Lease),
 		confirms: newConfirmer(config.Node, confirmInterval),
-		planner:  newPlanner(),
+		planner:  newPlanner(config.State),
 		work:     make(chan struct{}, 1),
 		sessions: map[string]*session{},
 		watchers: map[*watcher]struct{}{},
@@ -95,8 +93,8 @@
 	if effects.Work {
 		signal(s.work)
 	}
-	if len(effects.Failures) > 0 || len(effects.Ended) > 0 {
-		s.planner.note(effects)
+	if len(effects.outcomes) > 0 {
+		s.planner.note(effects.outcomes)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,7 +182,7 @@
 // leaderMetadata is the trailer of a refused call.
 func (s *Server) leaderMetadata() metadata.MD {
 	if address := s.leader().Address; address != "" {
-		return metadata.Pairs(leaderTrailer, address)
+		return metadata.Pairs(controlclient.LeaderTrailer, address)
 	}
 	return nil
 }
--- a/control/session.go
+++ b/control/session.go
@@ -169,7 +169,7 @@
 	if err := c.commitTasks(ctx, report.Tasks); err != nil {
 		return err
 	}
-	c.server.planner.observe(c.vm.Id, report)
+	c.server.planner.observe(c.vm.Id, report.Usage, received)
 	c.acknowledged, c.received = report.Sequence, received
 	c.noteView(report.Revision, received)
 	return c.answer(ctx)
@@ -191,10 +191,14 @@
 		ServersChanged: report.ServersChanged,
 		Leaving:        c.leaving,
 	}
-	losing := c.server.leases.losing(c.vm.Id)
-	if !losing && !c.server.state.announcementChanges(a) {
+	leases := c.server.leases
+	if !leases.losing(c.vm.Id) && !c.server.state.announcementChanges(a) {
 		return nil
 	}
+	attempt, ok := leases.beginAnnounce(c.vm.Id, time.Now())
+	if !ok {
+		return nil // the answer grants nothing; the next report tries again
+	}
 	_, err := c.server.commit(ctx, &api.Command{Body: &api.Command_AnnounceVm{AnnounceVm: &api.AnnounceVM{
 		Vm:             a.VM,
 		Incarnation:    a.Incarnation,
@@ -202,8 +206,8 @@
 		ServersChanged: true,
 		Leaving:        a.Leaving,
 	}}})
-	if err == nil && losing {
-		c.server.leases.announced(c.vm.Id)
+	if err == nil {
+		leases.endAnnounce(c.vm.Id, attempt)
 	}
 	return err
 }
--- a/control/state.go
+++ b/control/state.go
@@ -40,18 +40,8 @@
 	Work     bool     // placements or evictions may be possible or due
 	AllVMs   bool     // directives to every VM may have changed
 	VMs      []string // VMs whose directives may have changed
-	Failures []TaskFailure
-	Ended    []TaskEnd
-}
-
-// TaskFailure is a committed failure of a run.
-type TaskFailure struct{ Task, VM string }
 
-// TaskEnd is a committed end of a run that did not fail.
-type TaskEnd struct {
-	Task, VM string
-	Finished bool
-	RunTime  time.Duration // since the run was confirmed or placed
+	outcomes []outcome
 }
 
 // NewState returns the empty state.
--- a/control/state_tasks.go
+++ b/control/state_tasks.go
@@ -77,21 +77,15 @@
 }
 
 func (s *State) reportTask(vm string, status *api.TaskStatus, effects *Effects) {
-	var placedFor = s.now()
-	if k := s.tasks.Task(status.Task); k != nil {
-		placedFor = k.Since
-	}
-	switch s.tasks.Report(s.now(), vm, taskReport(status)) {
-	case task.Failed:
-		effects.Work = true
-		effects.Failures = append(effects.Failures, TaskFailure{Task: status.Task, VM: vm})
-	case task.Done:
-		effects.Work = true
-		effects.Ended = append(effects.Ended, TaskEnd{status.Task, vm, true, s.now().Sub(placedFor)})
-	case task.Stopped:
+	effect := s.tasks.Report(s.now(), vm, taskReport(status))
+	switch effect {
+	case task.NoEffect:
+		return
+	case task.Failed, task.Done, task.Stopped:
 		effects.Work = true
-		effects.Ended = append(effects.Ended, TaskEnd{status.Task, vm, false, s.now().Sub(placedFor)})
 	}
+	k := *s.tasks.Task(status.Task)
+	effects.outcomes = append(effects.outcomes, outcome{s.now(), vm, k, effect})
 }
 
 var taskPhases = map[api.TaskPhase]task.Phase{
