--- a/entry/call.go
+++ b/entry/call.go
@@ -206,28 +206,26 @@
 // holdBytes, so that most answers are known to be whole before the caller gets
 // a byte; a longer one goes on to the caller as it arrives.
 type collector struct {
-	sink *sink
-	head *api.AnswerHead
-	held []byte
-	size uint64
-	hash *xxhash.Digest
-	flow bool // passing on to the caller
+	sink  *sink
+	claim func(*collector) bool // whether it may pass the answer on
+	head  *api.AnswerHead
+	held  []byte
+	size  uint64
+	hash  *xxhash.Digest
+	flow  bool // passing on to the caller
 }
 
 // holdBytes is how much of an answer is held back.
 const holdBytes = 256 << 10
 
-func newCollector(s *sink) *collector { return &collector{sink: s, hash: xxhash.New()} }
+func newCollector(s *sink, claim func(*collector) bool) *collector {
+	return &collector{sink: s, claim: claim, hash: xxhash.New()}
+}
 
-// reset drops what is held, before another attempt. It reports false when the
-// caller has had a part already.
-func (c *collector) reset() bool {
-	if c.flow {
-		return false
-	}
+// reset drops what is held, before an answer is taken from its start again.
+func (c *collector) reset() {
 	c.head, c.held, c.size = nil, nil, 0
 	c.hash.Reset()
-	return true
 }
 
 func (c *collector) setHead(head *api.AnswerHead) error {
@@ -261,6 +259,9 @@
 	if c.head == nil {
 		return fault.New(fault.AnswerDamaged, "the answer has no head")
 	}
+	if !c.claim(c) {
+		return fault.New(fault.Canceled, "another attempt's answer is passed on")
+	}
 	c.flow = true
 	if err := c.sink.begin(c.head, -1); err != nil {
 		return err
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -4,12 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/request"
-	"amaranthpaddle/routing"
 )
 
 // Bounds on the attempts of one request.
@@ -28,7 +28,9 @@
 	body       *body
 	digest     []byte // of the request, with a key
 	deadline   time.Time
-	collector  *collector
+	sink       *sink
+	flowing    atomic.Pointer[collector] // the one that passes an answer on to the caller
+	collector  *collector                // of the last attempt
 	progress   request.Progress
 	tried      map[string]bool
 	claimAfter string // attempt proven never to have run that holds the key's claim
@@ -90,7 +92,7 @@
 // mayRetry reports whether another attempt may be made, and pauses before it
 // when every backend server has refused.
 func (x *execution) mayRetry(ctx context.Context, err error) bool {
-	if x.attempts >= maxAttempts || ctx.Err() != nil || !x.collector.reset() {
+	if x.attempts >= maxAttempts || ctx.Err() != nil || x.flowing.Load() != nil {
 		return false
 	}
 	kind := fault.KindOf(err)
@@ -104,85 +106,6 @@
 	return sleep(ctx, retryPause/2+rand.N(retryPause<<min(x.attempts, 5)))
 }
 
-// attempt sends the request once.
-func (x *execution) attempt(ctx context.Context) error {
-	x.attempts++
-	t, err := x.service.pick(routing.Ask{
-		Standing: x.request.Standing,
-		Probe:    x.request.Idempotent && x.attempts == 1,
-		Tried:    x.tried,
-	})
-	if err != nil {
-		return err
-	}
-	x.tried[t.server.Id] = true
-	r := x.send(ctx, t)
-	x.service.observe(t, x.request.Standing, r)
-	x.queued += r.queue
-	x.backendTime = r.backendTime
-	if r.holder != nil {
-		x.last = &sent{attempt: r.holder.Attempt, address: r.holder.AgentAddress, incarnation: r.holder.Incarnation}
-	}
-	return r.err
-}
-
-func (x *execution) send(ctx context.Context, t *target) *result {
-	linkCtx, cancel := context.WithTimeout(ctx, pongTimeout)
-	defer cancel()
-	l, err := x.entry.pool.peer(t.server.AgentAddress).link(linkCtx, nil)
-	if err != nil {
-		return &result{err: err}
-	}
-	if l.agentIncarnation() != t.server.Incarnation {
-		return &result{err: fault.New(fault.NoBackend, "the agent has restarted")}
-	}
-	start := x.start(t, l)
-	remote := t.server.Region != x.entry.config.Region
-	c := &call{
-		entry: x.entry, link: l, start: start, remote: remote, deadline: x.deadline, collector: x.collector,
-	}
-	c.chunks = x.body.attach(start, remote)
-	if x.body.stored() {
-		if start.BodyHolder, err = x.entry.placeBody(ctx, x, t); err != nil {
-			return &result{err: err}
-		}
-	}
-	if remote {
-		start.AcceptZstd = true
-		start.AnswerCredit = answerCredit
-	}
-	x.last = &sent{attempt: start.Attempt, address: t.server.AgentAddress,
-		incarnation: start.Incarnation, deadline: start.DeadlineUs, link: l}
-	return c.run(ctx)
-}
-
-func (x *execution) start(t *target, l *link) *api.AttemptStart {
-	start := &api.AttemptStart{
-		Attempt:       x.entry.newAttempt(),
-		Server:        t.server.Id,
-		Incarnation:   t.server.Incarnation,
-		Service:       x.request.Service,
-		Method:        x.request.Method,
-		Uri:           x.request.URI,
-		Headers:       x.headers,
-		Idempotent:    x.request.Idempotent,
-		Key:           x.request.Key,
-		RequestDigest: x.digest,
-		ClaimAfter:    x.claimAfter,
-		Class:         api.CallerClass_CALLER_CLASS_INTERACTIVE,
-		Standing:      x.request.Standing,
-	}
-	if x.request.Class == request.Batch {
-		start.Class = api.CallerClass_CALLER_CLASS_BATCH
-	}
-	deadline := x.deadline
-	if deadline.IsZero() {
-		deadline = time.Now().Add(request.DefaultDeadline)
-	}
-	start.DeadlineUs = l.deadline(deadline)
-	return start
-}
-
 // lookupLast learns the fate of the last attempt over another connection.
 func (x *execution) lookupLast(ctx context.Context, cause error) (request.Step, error) {
 	state, err := x.lookup(ctx, x.last, true)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -67,14 +67,15 @@
 		return nil, err
 	}
 	x := &execution{
-		entry:     e,
-		service:   svc,
-		request:   parsed,
-		headers:   callerHeaders(r),
-		collector: newCollector(s),
-		progress:  request.Progress{Idempotent: parsed.Idempotent},
-		tried:     make(map[string]bool),
+		entry:    e,
+		service:  svc,
+		request:  parsed,
+		headers:  callerHeaders(r),
+		sink:     s,
+		progress: request.Progress{Idempotent: parsed.Idempotent},
+		tried:    make(map[string]bool),
 	}
+	x.collector = newCollector(s, x.claimFlow)
 	ctx := r.Context()
 	if parsed.Patience > 0 {
 		x.deadline = began.Add(parsed.Patience)
--- a/entry/service.go
+++ b/entry/service.go
@@ -249,3 +249,21 @@
 	defer s.mu.Unlock()
 	return s.retries.Take()
 }
+
+// takeHedge uses the hedging budget.
+func (s *service) takeHedge() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hedges.Take()
+}
+
+// hedgeDelay returns the recent 95th percentile of latency, 0 while it is not
+// known or requests wait for their turn.
+func (s *service) hedgeDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting.Len() > 0 || len(s.backends) < 2 {
+		return 0
+	}
+	return s.latency.p95()
+}
