--- a/cmd/paddle-entry/main.go
+++ b/cmd/paddle-entry/main.go
@@ -3,54 +3,89 @@
 
 import (
 	"context"
-	"log/slog"
-	"os"
-	"os/signal"
-	"syscall"
+	"net/http"
 	"time"
 
-	"github.com/integrii/flaggy"
 	"k8s.io/klog/v2"
 
+	"amaranthpaddle/daemon"
 	"amaranthpaddle/entry"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/settings"
+	"amaranthpaddle/telemetry"
+	"amaranthpaddle/transport"
 )
 
-// stopLimit bounds a planned stop; callers' deadlines end earlier.
-const stopLimit = 16 * time.Minute
+const (
+	stopTimeout       = 16 * time.Minute // of a planned stop; callers' deadlines end earlier
+	readHeaderTimeout = 5 * time.Second
+)
 
 func main() {
-	settings := "/etc/paddle/entry.ini"
-	flaggy.SetName("paddle-entry")
-	flaggy.SetDescription("Takes callers' HTTP requests and passes them to backend servers.")
-	flaggy.String(&settings, "s", "settings", "path of the INI file")
-	flaggy.Parse()
-	klog.SetSlogLogger(slog.New(slog.NewJSONHandler(os.Stderr, nil)))
-	if err := run(settings); err != nil {
-		klog.ErrorS(err, "The entry failed")
-		klog.Flush()
-		os.Exit(fault.KindOf(err).Answer().Exit)
-	}
+	daemon.Program[settings.Entry]{
+		Name:        "paddle-entry",
+		Description: "takes callers' HTTP requests and passes them to backend servers",
+		Load:        settings.LoadEntry,
+		Process:     func(s *settings.Entry) (string, int) { return s.Name, s.LogLevel },
+		Run:         run,
+	}.Main()
 }
 
-func run(settings string) error {
-	config, err := loadSettings(settings)
+func run(ctx context.Context, s *settings.Entry) error {
+	security, err := s.TLS.Security()
+	if err != nil {
+		return err
+	}
+	e, err := entry.New(entry.Config{
+		Name:        s.Name,
+		Control:     s.Control,
+		Listen:      s.Callers,
+		Security:    security,
+		Zone:        s.Zone,
+		Region:      s.Region,
+		Links:       s.Connections,
+		QueueTime:   s.QueueTime,
+		MaxRequests: s.MaxRequests,
+		MaxBody:     s.MaxBodyBytes,
+		BlobDir:     s.BodyFolder,
+		BlobBytes:   s.BodyBytes,
+		LinkRate:    s.LinkRate,
+		DrainNotice: s.DrainNotice,
+	})
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(config)
+	stopMetrics, err := serveMetrics(s.Metrics, security, e)
 	if err != nil {
 		return err
 	}
+	defer stopMetrics()
 	if err := e.Start(); err != nil {
 		return err
 	}
-	klog.InfoS("The entry serves callers", "address", e.Address().String(), "zone", config.Zone)
-	signals, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	<-signals.Done()
-	klog.InfoS("The entry stops")
-	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	klog.InfoS("Entry serves callers", "address", e.Address().String(), "zone", s.Zone)
+	<-ctx.Done()
+	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	return e.Stop(ctx)
+	return e.Stop(stopping)
+}
+
+// serveMetrics serves /metrics, /healthz and /readyz at address, if there is one.
+func serveMetrics(address string, security *transport.Security, e *entry.Entry) (stop func(), err error) {
+	if address == "" {
+		return func() {}, nil
+	}
+	listener, err := security.ListenHTTP(address)
+	if err != nil {
+		return nil, fault.Wrap(fault.InvalidArgument, err, "metrics address")
+	}
+	ready := func() error {
+		if e.Ready() {
+			return nil
+		}
+		return fault.New(fault.Draining, "no confirmed configuration yet, or stopping")
+	}
+	server := &http.Server{Handler: telemetry.Mux(ready), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return func() { server.Close() }, nil
 }
--- a/controlnode/controlnode.go
+++ b/controlnode/controlnode.go
@@ -15,6 +15,7 @@
 	"amaranthpaddle/control"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/replica"
+	"amaranthpaddle/task/lease"
 	"amaranthpaddle/transport"
 )
 
@@ -23,13 +24,20 @@
 // Config is the configuration of a Node.
 type Config struct {
 	ID        uint64
-	Peers     map[uint64]control.Peer // initial members by id, this replica included
+	Peers     map[uint64]control.Peer // initial members by id, this replica included; without Address, a later member
 	Join      bool                    // joins an existing group as a learner, see paddlectl control replace
 	DataDir   string
 	Security  *transport.Security
 	Operators *transport.Operators // who may call the operators' API, nil for everybody
 	Listener  net.Listener         // for agents, entries and replicas; nil to open Peers[ID].Address
 	Operator  net.Listener         // for operators; nil to open Peers[ID].OperatorAddress
+
+	// Zero values take the defaults of packages replica and control.
+	Heartbeat       time.Duration // between a leader's heartbeats
+	Election        time.Duration // shortest silence of a leader before an election
+	SnapshotEntries uint64        // log entries between snapshots
+	Lease           lease.Terms   // of the VMs
+	Fresh           time.Duration // how long zone_in_service may be relied on
 }
 
 // Node is a running control process.
@@ -88,6 +96,10 @@
 		DataDir:      n.config.DataDir,
 		Security:     *n.config.Security,
 		StateMachine: state,
+
+		Heartbeat:       n.config.Heartbeat,
+		Election:        n.config.Election,
+		SnapshotEntries: n.config.SnapshotEntries,
 	})
 	if err != nil {
 		return err
@@ -95,6 +107,7 @@
 	n.replica = started
 	n.server = control.New(control.Config{
 		Node: started, State: state, Peers: n.peer, Membership: membership{n},
+		Lease: n.config.Lease, Fresh: n.config.Fresh,
 	})
 	n.grpc = grpc.NewServer(n.config.Security.ServerOptions()...)
 	n.replica.Register(n.grpc)
@@ -120,7 +133,9 @@
 func addresses(peers map[uint64]control.Peer) map[uint64]string {
 	result := make(map[uint64]string, len(peers))
 	for id, peer := range peers {
-		result[id] = peer.Address
+		if peer.Address != "" {
+			result[id] = peer.Address
+		}
 	}
 	return result
 }
@@ -128,19 +143,20 @@
 // peer returns where a replica can be reached: as configured, or as the
 // replicated member table says for one that joined later.
 func (n *Node) peer(id uint64) control.Peer {
-	if peer, configured := n.config.Peers[id]; configured {
+	peer := n.config.Peers[id]
+	if peer.Address != "" {
 		return peer
 	}
 	members, err := n.replica.Members()
 	if err != nil {
-		return control.Peer{}
+		return peer
 	}
 	for _, member := range members {
 		if member.ID == id {
-			return control.Peer{Address: member.Address}
+			peer.Address = member.Address
 		}
 	}
-	return control.Peer{}
+	return peer
 }
 
 func (n *Node) goRun(f func()) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,7 +143,7 @@
 // Start opens the listener, follows the directory and serves callers. Until the
 // first confirmed directory update, requests are refused and readiness fails.
 func (e *Entry) Start() error {
-	listener, err := e.config.Security.Listen(e.config.Listen)
+	listener, err := e.config.Security.ListenHTTP(e.config.Listen)
 	if err != nil {
 		return err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,7 +56,7 @@
 	DrainNotice  time.Duration // between readiness failing and the end of the listener
 }
 
-// Agent holds the settings of paddle-agent. Zero limits take the defaults of package delivery.
+// Agent holds the settings of paddle-agent.
 type Agent struct {
 	Process
 	TLS     TLS
@@ -69,12 +69,7 @@
 	Local   string // ip:port on loopback for the backend servers beside it, and /metrics
 	Worker  string // base URL of the worker's API
 
-	QueueTime   time.Duration // how long an attempt waits for a slot
-	Attempts    int           // attempts remembered at a time
-	AnswerBytes int64         // of kept answers
-	Retention   time.Duration // how long answers are kept after their attempt's deadline
-	BodyFolder  string        // of stored bodies, a temporary folder when empty
-	BodyBytes   int64         // of stored bodies kept at a time
+	BodyFolder string // of stored request bodies, a temporary folder when empty
 }
 
 // Control holds the settings of paddle-control. Zero limits take the defaults
@@ -160,12 +155,7 @@
 		Local:   r.loopbackAddress("listen", "local"),
 		Worker:  r.url("worker", "url"),
 
-		QueueTime:   r.duration("limits", "queue_time", time.Millisecond, time.Minute),
-		Attempts:    r.count("limits", "attempts", 1, 100_000_000),
-		AnswerBytes: r.size("limits", "answers", 1, 1<<44),
-		Retention:   r.duration("limits", "retention", time.Second, 7*24*time.Hour),
-		BodyFolder:  r.text("bodies", "folder", optional),
-		BodyBytes:   r.size("bodies", "size", 1, 1<<44),
+		BodyFolder: r.text("bodies", "folder", optional),
 	}
 	return finish(r, s)
 }
@@ -212,6 +202,9 @@
 	if s.Heartbeat > 0 && s.Election > 0 && s.Election < 2*s.Heartbeat {
 		r.add("consensus", "election", s.Election.String(), "must be at least twice the heartbeat")
 	}
+	if s.LeaseMargin > 0 && s.Lease == 0 {
+		r.add("leases", "margin", s.LeaseMargin.String(), "is given without the duration")
+	}
 	if s.LeaseMargin > 0 && s.Lease > 0 && 2*s.LeaseMargin > s.Lease {
 		r.add("leases", "margin", s.LeaseMargin.String(), "must be at most half of the lease")
 	}
