--- a/disk/disk.go
+++ b/disk/disk.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"os"
+	"path/filepath"
 )
 
 // FS creates, reads and renames files.
@@ -110,6 +111,14 @@
 	return fs.SyncDir(folder)
 }
 
+// MakeFolder creates a folder whose name survives a crash.
+func MakeFolder(fs FS, path string) error {
+	if err := fs.MkdirAll(path); err != nil {
+		return err
+	}
+	return fs.SyncDir(filepath.Dir(path))
+}
+
 // TemporarySuffix ends the name of a file that is not complete yet.
 const TemporarySuffix = ".tmp"
 
--- /dev/null
+++ b/raft/debug.go
@@ -0,0 +1,5 @@
+package raft
+
+import "fmt"
+
+func (r *Raft) Debug(id uint64) string { return fmt.Sprintf("%+v", r.progress[id]) }
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -16,7 +16,7 @@
 	paused       bool     // probing: an append awaits its answer
 	inflight     []uint64 // replicating: last index of each unanswered append
 	snapshot     uint64   // snapshotting: index of the snapshot sent
-	snapshotAge  int      // heartbeat answers since the snapshot was sent
+	snapshotAge  int      // ticks since the snapshot was sent
 	recentActive bool     // heard from in this check-quorum window
 	incarnation  uint64   // of the data folder that match speaks of
 	readRound    uint64   // last read round confirmed
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -8,6 +8,8 @@
 package raft
 
 import (
+	"slices"
+
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 )
@@ -32,6 +34,7 @@
 	MaxInflight         int             // unanswered appends a member
 	MaxMessageBytes     uint64          // entries of one append
 	MaxUncommittedBytes uint64          // entries that the leader holds uncommitted
+	SnapshotRetryTicks  int             // after which an unacknowledged snapshot is sent again
 	Intn                func(n int) int // random source of the election timeout
 }
 
@@ -40,6 +43,7 @@
 	DefaultMaxInflight         = 64
 	DefaultMaxMessageBytes     = 256 << 10
 	DefaultMaxUncommittedBytes = 32 << 20
+	snapshotRetryElections     = 40 // in shortest election timeouts
 )
 
 // State is what a replica restores from its disk. Snapshot needs no data.
@@ -106,6 +110,9 @@
 	if c.MaxInflight == 0 {
 		c.MaxInflight = DefaultMaxInflight
 	}
+	if c.SnapshotRetryTicks == 0 {
+		c.SnapshotRetryTicks = snapshotRetryElections * c.ElectionTicks
+	}
 	if c.MaxMessageBytes == 0 {
 		c.MaxMessageBytes = DefaultMaxMessageBytes
 	}
@@ -138,6 +145,10 @@
 	}
 }
 
+// TermAt returns the term of the entry at index, and false when the log does
+// not hold it.
+func (r *Raft) TermAt(index uint64) (uint64, bool) { return r.log.term(index) }
+
 // Tick advances the replica's clock by one tick.
 func (r *Raft) Tick() {
 	r.electionElapsed++
@@ -152,6 +163,7 @@
 
 func (r *Raft) tickLeader() {
 	r.heartbeatElapsed++
+	r.retrySnapshots()
 	if r.electionElapsed >= r.config.ElectionTicks {
 		r.electionElapsed = 0
 		r.transferTo = 0
@@ -213,18 +225,21 @@
 }
 
 // Accepts reports whether the sender may be heard. A member that lost its disk
-// answers under another incarnation, and a removed one must not disturb.
+// answers under another incarnation, and a removed one must not disturb. A
+// removal counts once it is committed: one that is not may be undone by the
+// very leader that it would silence.
 func (r *Raft) Accepts(m *api.RaftMessage) bool {
 	if m.To != r.config.ID {
 		return false
 	}
-	table := r.membership()
-	for _, id := range table.Removed {
-		if id == m.From {
-			return false
-		}
+	table, committed := r.membership(), r.MembershipAt(r.log.commit)
+	if slices.Contains(committed.Removed, m.From) {
+		return false
 	}
 	member := FindMember(table, m.From)
+	if member == nil {
+		member = FindMember(committed, m.From)
+	}
 	if member == nil {
 		return len(table.Members) == 0 || isFromLeader(m.Type)
 	}
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -258,7 +258,6 @@
 	if p == nil {
 		return
 	}
-	r.noteStalledSnapshot(p)
 	p.paused = false
 	if p.match < r.log.lastIndex() {
 		r.nudge(m.From, p)
@@ -269,33 +268,42 @@
 	}
 }
 
-// nudge resends to a member that lacks entries. When all were sent already, an
-// empty append lets it reject, and so reveals a lost one.
+// nudge resends to a member that lacks entries. When all were sent already, or
+// the window is full, an empty append lets the member reject, and so reveals
+// what was lost.
 func (r *Raft) nudge(to uint64, p *progress) {
-	if p.state == replicating && (p.next > r.log.lastIndex() || !r.canSend(p)) {
-		prevTerm, held := r.log.term(p.next - 1)
-		if held {
-			r.sendNow(&api.RaftMessage{
-				Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: to,
-				LogIndex: p.next - 1, LogTerm: prevTerm, Commit: r.log.commit,
-			})
-		}
-		return
+	switch {
+	case p.state == snapshotting:
+	case p.next > r.log.lastIndex():
+		r.sendOneAppend(to, p)
+	case r.canSend(p):
+		r.sendAppend(to)
+	default:
+		r.sendEmptyAppend(to, p)
 	}
-	r.sendAppend(to)
 }
 
-// snapshotPatience is how many heartbeat answers may pass before a snapshot that
-// was not acknowledged is sent again.
-const snapshotPatience = 100
-
-func (r *Raft) noteStalledSnapshot(p *progress) {
-	if p.state != snapshotting {
+func (r *Raft) sendEmptyAppend(to uint64, p *progress) {
+	prevTerm, held := r.log.term(p.next - 1)
+	if !held {
 		return
 	}
-	p.snapshotAge++
-	if p.snapshotAge >= snapshotPatience {
-		p.becomeProbing()
+	r.sendNow(&api.RaftMessage{
+		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: to,
+		LogIndex: p.next - 1, LogTerm: prevTerm, Commit: r.log.commit,
+	})
+}
+
+// retrySnapshots sends a snapshot again that was not acknowledged for too long.
+func (r *Raft) retrySnapshots() {
+	for _, p := range r.progress {
+		if p.state != snapshotting {
+			continue
+		}
+		p.snapshotAge++
+		if p.snapshotAge >= r.config.SnapshotRetryTicks {
+			p.becomeProbing() // which finds out again that a snapshot is needed
+		}
 	}
 }
 
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -38,7 +38,7 @@
 // loadIdentity reads the folder's identity, or gives an empty folder one with a
 // new incarnation. Errors: fault.Conflict for another replica's folder.
 func loadIdentity(fs disk.FS, folder string, id uint64, incarnation func() uint64) (*api.Identity, error) {
-	if err := fs.MkdirAll(folder); err != nil {
+	if err := disk.MakeFolder(fs, folder); err != nil {
 		return nil, fault.Wrap(fault.StorageFailed, err, "create data folder")
 	}
 	names, err := fs.List(folder)
--- a/snap/snap.go
+++ b/snap/snap.go
@@ -32,7 +32,7 @@
 // Open opens the folder and removes unfinished files. Errors: fault.StorageFailed.
 func Open(fs disk.FS, folder string) (*Store, error) {
 	s := &Store{fs: fs, folder: folder}
-	if err := fs.MkdirAll(folder); err != nil {
+	if err := disk.MakeFolder(fs, folder); err != nil {
 		return nil, fault.Wrap(fault.StorageFailed, err, "create snapshot folder")
 	}
 	names, err := fs.List(folder)
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -62,7 +62,7 @@
 		options.SegmentBytes = DefaultSegmentBytes
 	}
 	w := &WAL{options: options, hardState: &api.HardState{}}
-	if err := options.FS.MkdirAll(options.Folder); err != nil {
+	if err := disk.MakeFolder(options.FS, options.Folder); err != nil {
 		return nil, nil, fault.Wrap(fault.StorageFailed, err, "create log folder")
 	}
 	restored := &Restored{}
