--- /dev/null
+++ b/control/planner.go
@@ -0,0 +1,195 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fleet"
+	"amaranthpaddle/scheduler"
+	"amaranthpaddle/task"
+)
+
+// planner is the leader's soft state for scheduling: what was learnt, wanted
+// throttles and the time that evicted runs have for a checkpoint.
+type planner struct {
+	state *State
+
+	mu      sync.Mutex // before State.mu
+	learner *scheduler.Learner
+
+	queueMu   sync.Mutex // a leaf
+	outcomes  []outcome
+	throttles map[string]map[runKey]float64 // by VM; the inner maps are replaced, not changed
+	grace     map[string]graceBook          // by VM; likewise
+}
+
+// outcome is a committed effect of a report.
+type outcome struct {
+	at     time.Time
+	vm     string
+	task   task.Task // as it was after the report
+	effect task.Effect
+}
+
+// maxOutcomes bounds the outcomes that wait to be learnt from.
+const maxOutcomes = 10_000
+
+func newPlanner(state *State) *planner {
+	p := &planner{state: state}
+	p.reset()
+	return p
+}
+
+// reset begins a leadership: nothing is known of what an earlier leader learnt.
+func (p *planner) reset() {
+	p.mu.Lock()
+	p.learner = scheduler.NewLearner()
+	p.mu.Unlock()
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	p.outcomes = nil
+	p.throttles = map[string]map[runKey]float64{}
+	p.grace = map[string]graceBook{}
+}
+
+// note queues committed outcomes. It does not block on a running decision.
+func (p *planner) note(outcomes []outcome) {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	if len(p.outcomes) < maxOutcomes {
+		p.outcomes = append(p.outcomes, outcomes...)
+	}
+}
+
+func (p *planner) takeOutcomes() []outcome {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	taken := p.outcomes
+	p.outcomes = nil
+	return taken
+}
+
+// snapshot returns what a decision at now depends on, nil before the first
+// plan. It is valid until the next call.
+func (p *planner) snapshot(now time.Time, inTouch func(vm string) bool) *scheduler.Snapshot {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range p.takeOutcomes() {
+		p.learner.Outcome(o.at, o.vm, &o.task, o.effect)
+	}
+	p.state.mu.RLock()
+	defer p.state.mu.RUnlock()
+	if p.state.plan == nil {
+		return nil
+	}
+	return p.learner.Snapshot(now, p.state.plan, p.state.tasks, p.state.schedulerVMs(inTouch))
+}
+
+// schedulerVMs returns the VMs that are not lost. A VM that flaps gets no new work.
+func (s *State) schedulerVMs(inTouch func(vm string) bool) []scheduler.VM {
+	var list []scheduler.VM
+	for _, vm := range s.registry.VMs() {
+		if vm.Lost {
+			continue
+		}
+		view := s.schedulerVM(vm)
+		view.Fresh = inTouch(vm.ID) && !vm.Suppressed
+		list = append(list, view)
+	}
+	return list
+}
+
+func (s *State) schedulerVM(vm *fleet.VM) scheduler.VM {
+	view := scheduler.VM{
+		ID:       vm.ID,
+		Zone:     vm.Zone,
+		Rack:     vm.Rack,
+		Capacity: vm.Capacity,
+		Draining: vm.Draining || vm.Leaving,
+		InSince:  time.UnixMilli(vm.InSinceMS),
+	}
+	if z := s.zones[vm.Zone]; z != nil {
+		view.InService = z.inService()
+		view.InSince = time.UnixMilli(max(vm.InSinceMS, z.inSinceMS))
+	}
+	return view
+}
+
+// observe learns from the usage in an agent's report.
+func (p *planner) observe(vm string, samples []*api.UsageSample, now time.Time) {
+	if len(samples) == 0 {
+		return
+	}
+	converted := make([]scheduler.Sample, 0, len(samples))
+	for _, sample := range samples {
+		converted = append(converted, schedulerSample(sample))
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.mu.RLock()
+	defer p.state.mu.RUnlock()
+	known := p.state.registry.VM(vm)
+	if known == nil || p.state.plan == nil {
+		return
+	}
+	view := p.state.schedulerVM(known)
+	p.learner.Usage(now, &view, converted, p.state.tasks, p.state.plan.LatencyWeight)
+}
+
+func schedulerSample(sample *api.UsageSample) scheduler.Sample {
+	return scheduler.Sample{
+		Task:       sample.Task,
+		Generation: sample.Generation,
+		Start:      time.UnixMilli(sample.StartUnixMs),
+		End:        time.UnixMilli(sample.EndUnixMs),
+		Used:       fleet.Vector(sample.Used),
+		Speed:      sample.Speed,
+		Latency:    time.Duration(sample.LatencyMs * float64(time.Millisecond)),
+	}
+}
+
+// decided records a decision that was committed or, for a throttle, taken.
+func (p *planner) decided(d *scheduler.Decision, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.learner.Decided(now, d)
+}
+
+// controls returns the throttles and checkpoint times of a VM's runs.
+func (p *planner) controls(vm string) (map[runKey]float64, graceBook) {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	return p.throttles[vm], p.grace[vm]
+}
+
+// allowCheckpoint limits the time that an evicted run has for its checkpoint.
+func (p *planner) allowCheckpoint(d *scheduler.Decision, now time.Time) {
+	if d.Grace <= 0 {
+		return
+	}
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	book := graceBook{}
+	for key, until := range p.grace[d.VM] {
+		if now.Sub(until) < graceMemory {
+			book[key] = until
+		}
+	}
+	book[runKey{d.Task, d.Generation}] = now.Add(d.Grace)
+	p.grace[d.VM] = book
+}
+
+// throttle records the wanted throttle of a run.
+func (p *planner) throttle(d *scheduler.Decision) {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	wanted := map[runKey]float64{}
+	for key, fraction := range p.throttles[d.VM] {
+		if key.task != d.Task {
+			wanted[key] = fraction
+		}
+	}
+	wanted[runKey{d.Task, d.Generation}] = d.Fraction
+	p.throttles[d.VM] = wanted
+}
