--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -28,6 +28,7 @@
 func Decide(s *Snapshot) []Decision {
 	c := newCycle(s)
 	first, rest := c.order()
+	c.waiting = len(rest)
 	c.keepRoomForStopping()
 	c.schedulePending(first)
 	c.drain()
@@ -51,6 +52,7 @@
 	racks   int            // with a VM that takes work; 0 until counted
 	scored  []candidate    // reused
 	largest amount         // bound of the free part of any VM that takes work
+	waiting int            // ordinary batch tasks that are due
 	budget  budget
 	out     []Decision
 }
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -65,15 +65,20 @@
 
 // servicePatience is how long an instance on a VM that leaves goes on running
 // while room for it becomes free elsewhere by itself.
-const servicePatience = 5 * time.Minute
+const servicePatience = 10 * time.Minute
 
 // mayStop reports whether a task on a VM that leaves is to be stopped now:
-// when there is room for it elsewhere, or its time there is over.
+// when its time there is over, or when room elsewhere would lie idle without
+// it, or when its deadline is near and there is room.
 func (c *cycle) mayStop(t *Task, v *vmView) bool {
 	if t.Class == task.LatencyCritical {
 		return c.serviceMayStop(t, v)
 	}
-	return c.s.Now.Sub(v.OutSince) >= drainWindow || c.keepRoom(t)
+	if c.s.Now.Sub(v.OutSince) >= drainWindow {
+		return true
+	}
+	contended := c.waiting > 0 && !t.Urgent() && c.slack(t) >= tightSlack
+	return !contended && c.keepRoom(t)
 }
 
 // serviceMayStop keeps most instances of a service running while it is moved,
--- /dev/null
+++ b/scheduler/estimate/book_test.go
@@ -0,0 +1,73 @@
+package estimate
+
+import (
+	"testing"
+	"time"
+
+	"amaranthpaddle/resource"
+)
+
+var now = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func within(t *testing.T, what string, got, low, high int64) {
+	t.Helper()
+	if got < low || got > high {
+		t.Errorf("%s is %d, want %d to %d", what, got, low, high)
+	}
+}
+
+func TestSizesFollowTheUpperQuantileOfObservedUse(t *testing.T) {
+	declared := resource.Vector{MilliCPU: 8000, MemoryMiB: 2000, Accelerators: 1}
+	b := NewBook()
+	if got := b.Size("job/a", declared); got != declared {
+		t.Errorf("size %v before any sample", got)
+	}
+	for i := range 200 {
+		used := resource.Vector{MilliCPU: int64(10 * (i % 100)), MemoryMiB: 6000}
+		used.MilliCPU += 2000
+		b.ObserveUse(now, "job/a", used, false)
+	}
+	got := b.Size("job/a", declared)
+	within(t, "CPU declared too large", got.MilliCPU, 2900, 3400)
+	within(t, "memory declared too small", got.MemoryMiB, 6600, 7100)
+	within(t, "accelerators", got.Accelerators, 1, 1)
+}
+
+func TestAThrottledTaskSaysNothingOfItsProcessorTime(t *testing.T) {
+	declared := resource.Vector{MilliCPU: 4000, MemoryMiB: 1000}
+	b := NewBook()
+	for range 100 {
+		b.ObserveUse(now, "job/a", resource.Vector{MilliCPU: 1000, MemoryMiB: 500}, true)
+	}
+	if got := b.Size("job/a", declared); got.MilliCPU != declared.MilliCPU {
+		t.Errorf("CPU %d learnt from throttled samples", got.MilliCPU)
+	}
+}
+
+func TestOldUseFades(t *testing.T) {
+	declared := resource.Vector{MilliCPU: 1000, MemoryMiB: 1000}
+	b := NewBook()
+	for range 100 {
+		b.ObserveUse(now, "job/a", resource.Vector{MilliCPU: 8000, MemoryMiB: 1000}, false)
+	}
+	later := now.Add(8 * useHalfLife)
+	for range 30 {
+		b.ObserveUse(later, "job/a", resource.Vector{MilliCPU: 2000, MemoryMiB: 1000}, false)
+	}
+	within(t, "CPU after eight half-lives", b.Size("job/a", declared).MilliCPU, 1900, 2200)
+}
+
+func TestRunTimesFollowFinishedTasks(t *testing.T) {
+	b := NewBook()
+	if got := b.RunTime("job/a", time.Hour); got != time.Hour {
+		t.Errorf("run time %v before any finish", got)
+	}
+	for range 30 {
+		b.ObserveRun(now, "job/a", 10*time.Minute)
+	}
+	within(t, "run time in seconds", int64(b.RunTime("job/a", time.Hour)/time.Second), 600, 960)
+	b.Sweep(now.Add(time.Second))
+	if got := b.RunTime("job/a", time.Hour); got != time.Hour {
+		t.Errorf("run time %v after the job was forgotten", got)
+	}
+}
--- a/scheduler/health/tracker.go
+++ b/scheduler/health/tracker.go
@@ -9,6 +9,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -18,7 +19,8 @@
 	minFailures      = 3.0             // decayed failures before a VM is suspected
 	minJobs          = 2               // distinct jobs that must have failed there
 	minFailureRate   = 0.5
-	peerFactor       = 4.0 // how much worse than its peers' mean rate a VM must be
+	minOutcomes      = 1.0 // decayed outcomes with which a VM counts as a peer
+	peerFactor       = 4.0 // how much worse than the median rate a VM must be
 	maxFleetShare    = 0.2
 	firstQuarantine  = time.Minute
 	maxQuarantine    = 30 * time.Minute
@@ -37,7 +39,8 @@
 
 // Tracker counts outcomes per VM. It is not safe for concurrent use.
 type Tracker struct {
-	vms map[string]*vmHealth
+	vms   map[string]*vmHealth
+	rates []float64 // reused
 }
 
 type vmHealth struct {
@@ -138,13 +141,13 @@
 		}
 	}
 	limit := max(int(maxFleetShare*float64(len(fleet))), 1)
-	sums := t.sum(fleet, failing)
+	median := t.medianRate(fleet, failing)
 	for _, id := range fleet {
 		if held >= limit {
 			return
 		}
 		h := t.vms[id]
-		if h != nil && h.state == Trusted && h.suspect(sums, failing) {
+		if h != nil && h.state == Trusted && h.suspect(median, failing) {
 			h.quarantine(now)
 			held++
 		}
@@ -157,16 +160,24 @@
 	return o.failures / max(o.failures+o.successes, 1)
 }
 
-func (t *Tracker) sum(fleet []string, failing func(string) bool) outcomes {
-	var all outcomes
+// medianRate returns the failure rate of the middle VM of those that had
+// work. A mean would let a few bad VMs hide each other.
+func (t *Tracker) medianRate(fleet []string, failing func(string) bool) float64 {
+	t.rates = t.rates[:0]
 	for _, id := range fleet {
-		if h := t.vms[id]; h != nil {
-			o, _ := h.outcomes(failing)
-			all.failures += o.failures
-			all.successes += o.successes
+		h := t.vms[id]
+		if h == nil {
+			continue
 		}
+		if o, _ := h.outcomes(failing); o.failures+o.successes >= minOutcomes {
+			t.rates = append(t.rates, o.rate())
+		}
+	}
+	if len(t.rates) == 0 {
+		return 0
 	}
-	return all
+	slices.Sort(t.rates)
+	return t.rates[(len(t.rates)-1)/2]
 }
 
 // outcomes returns the VM's counts and how many jobs failed there, without
@@ -183,14 +194,13 @@
 	return o, jobs
 }
 
-// suspect reports whether the VM fails much more than the rest of the fleet.
-func (h *vmHealth) suspect(all outcomes, failing func(string) bool) bool {
+// suspect reports whether the VM fails much more than the fleet's median.
+func (h *vmHealth) suspect(median float64, failing func(string) bool) bool {
 	own, jobs := h.outcomes(failing)
 	if own.failures < minFailures || jobs < minJobs || own.rate() < minFailureRate {
 		return false
 	}
-	peers := outcomes{all.failures - own.failures, all.successes - own.successes}
-	return own.rate() >= peerFactor*peers.rate()
+	return own.rate() >= peerFactor*median
 }
 
 // State returns how far the VM is trusted.
--- /dev/null
+++ b/scheduler/scale_bench_test.go
@@ -0,0 +1,324 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"amaranthpaddle/plan"
+	"amaranthpaddle/resource"
+	"amaranthpaddle/task"
+)
+
+// The size to come: 550 workers, 3,300 latency-critical and 6,600 batch tasks
+// running, 70 teams, 640 accelerators.
+const (
+	fullVMs      = 550
+	instancesAVM = 6
+	batchAVM     = 12
+	teams        = 70
+)
+
+// largeFleet is a fleet at work: its table, its learner and its plan.
+type largeFleet struct {
+	now     time.Time
+	vms     []VM
+	table   *task.Table
+	learner *Learner
+	plan    *plan.DayPlan
+	rng     *rand.Rand
+}
+
+// newLargeFleet returns a fleet in which each VM is nearly full.
+func newLargeFleet(tb testing.TB, vms int) *largeFleet {
+	tb.Helper()
+	f := &largeFleet{now: now, table: task.NewTable(), learner: NewLearner(), rng: rand.New(rand.NewPCG(1, 1))}
+	for i := range vms {
+		v := vm(fmt.Sprintf("vm-%03d", i), fmt.Sprintf("zone-%d", i%5), fmt.Sprintf("rack-%d", i/15))
+		v.Capacity.Accelerators = int64(i%4) * 64 / 82
+		f.vms = append(f.vms, v)
+	}
+	f.plan = &plan.DayPlan{Number: 1, Day: "2026-12-04", LatencyWeight: 0.5}
+	for i := range teams {
+		f.plan.Teams = append(f.plan.Teams, plan.Team{Name: fmt.Sprintf("team-%d", i), Quota: cpu(int64(vms) * 32 / teams)})
+	}
+	for i := range vms * instancesAVM / 11 {
+		f.plan.Services = append(f.plan.Services, plan.Service{
+			Name: fmt.Sprintf("s%d", i), Team: f.plan.Teams[i%teams].Name, Instances: 11, Size: cpu(2),
+		})
+	}
+	for i := range vms * batchAVM / 20 {
+		f.plan.Jobs = append(f.plan.Jobs, plan.Job{
+			Name: fmt.Sprintf("b%d", i), Team: f.plan.Teams[i%teams].Name, Tasks: 20, Size: cpu(1),
+			RunTime: time.Hour, Priority: i % 3, Deadline: now.Add(12 * time.Hour),
+		})
+	}
+	f.table.ApplyPlan(f.plan, f.now)
+	f.fill(tb)
+	f.report()
+	return f
+}
+
+// fill places everything, and lets it run.
+func (f *largeFleet) fill(tb testing.TB) {
+	tb.Helper()
+	for range 200 {
+		f.now = f.now.Add(2 * time.Second)
+		if f.round() == 0 {
+			break
+		}
+		f.confirm()
+	}
+	f.confirm()
+	if n := len(f.table.Pending()); n > 0 {
+		tb.Fatalf("%d tasks found no room", n)
+	}
+	f.now = f.now.Add(time.Hour)
+}
+
+// round takes and commits one round of decisions and returns how many there were.
+func (f *largeFleet) round() int {
+	out := Decide(f.learner.Snapshot(f.now, f.plan, f.table, f.vms))
+	for i := range out {
+		d := &out[i]
+		switch d.Action {
+		case Place:
+			if f.table.Place(f.now, d.Placement()) == nil {
+				f.learner.Decided(f.now, d)
+			}
+		case Evict:
+			if f.table.RequestEvict(f.now, d.Task, d.Generation, string(d.Reason)) == nil {
+				f.learner.Decided(f.now, d)
+			}
+		}
+	}
+	return len(out)
+}
+
+// confirm reports starts as running and stops as done.
+func (f *largeFleet) confirm() {
+	for i := range f.vms {
+		vm := f.vms[i].ID
+		for _, k := range slices.Clone(f.table.OnVM(vm)) {
+			r := task.Report{Task: k.ID, Generation: k.Generation, Phase: task.PhaseRunning}
+			if k.State == task.Stopping {
+				r.Phase = task.PhaseStopped
+			}
+			f.table.Report(f.now, vm, r)
+		}
+	}
+}
+
+// report lets each VM report the use of its tasks for a few windows.
+func (f *largeFleet) report() {
+	for range 3 {
+		f.now = f.now.Add(10 * time.Second)
+		for i := range f.vms {
+			f.learner.Usage(f.now, &f.vms[i], f.samples(i), f.table, f.plan.LatencyWeight)
+		}
+	}
+}
+
+func (f *largeFleet) samples(i int) []Sample {
+	var samples []Sample
+	for _, k := range f.table.OnVM(f.vms[i].ID) {
+		s := Sample{
+			Task: k.ID, Generation: k.Generation, Start: f.now.Add(-10 * time.Second), End: f.now,
+			Used: resource.Vector{MilliCPU: k.Grant.MilliCPU * 9 / 10, MemoryMiB: k.Grant.MemoryMiB}, Speed: 0.99,
+		}
+		if k.Job.Class == task.LatencyCritical {
+			s.Latency = time.Duration(20+f.rng.IntN(2)) * time.Millisecond
+		}
+		samples = append(samples, s)
+	}
+	return samples
+}
+
+// finishOne lets a batch task finish somewhere.
+func (f *largeFleet) finishOne() bool {
+	vm := f.vms[f.rng.IntN(len(f.vms))].ID
+	for _, k := range f.table.OnVM(vm) {
+		if k.Job.Class == task.Batch && k.State == task.Running {
+			return f.table.Report(f.now, vm, task.Report{Task: k.ID, Generation: k.Generation, Phase: task.PhaseFinished}) == task.Done
+		}
+	}
+	return false
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, vms int)) {
+	for _, vms := range []int{fullVMs / 4, fullVMs / 2, fullVMs} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) { run(b, vms) })
+	}
+}
+
+// timed calls step b.N times and reports the 99th percentile of its time.
+func timed(b *testing.B, step func()) {
+	var took []time.Duration
+	b.ReportAllocs()
+	for b.Loop() {
+		begin := time.Now()
+		step()
+		took = append(took, time.Since(begin))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[(len(took)-1)*99/100].Microseconds())/1000, "p99-ms")
+}
+
+// BenchmarkRound is one round at full load in which one task finished and
+// the next of 29 waiting ones takes its room, with the snapshot for it.
+func BenchmarkRound(b *testing.B) {
+	forSizes(b, func(b *testing.B, vms int) {
+		f := newLargeFleet(b, vms)
+		f.addJob("more", 100_000)
+		f.round()
+		f.confirm()
+		placed := 0
+		timed(b, func() {
+			f.now = f.now.Add(34 * time.Millisecond)
+			f.finishOne()
+			placed += f.round()
+		})
+		b.ReportMetric(float64(placed)/float64(b.N), "decisions/op")
+	})
+}
+
+// addJob adds a job of which as many tasks wait as the plan allows at once.
+func (f *largeFleet) addJob(name string, tasks int) {
+	f.plan.Number++
+	f.plan.Jobs = append(f.plan.Jobs, plan.Job{Name: name, Tasks: min(tasks, 5000), Size: cpu(1), RunTime: time.Hour})
+	f.table.ApplyPlan(f.plan, f.now)
+}
+
+// BenchmarkDecide is one decision on a given snapshot: one task to place.
+func BenchmarkDecide(b *testing.B) {
+	forSizes(b, func(b *testing.B, vms int) {
+		f := newLargeFleet(b, vms)
+		f.addJob("one", 1)
+		s := f.learner.Snapshot(f.now, f.plan, f.table, f.vms)
+		timed(b, func() {
+			if len(Decide(s)) != 1 {
+				b.Fatal("not one decision")
+			}
+		})
+	})
+}
+
+// BenchmarkSnapshot is the making of a snapshot.
+func BenchmarkSnapshot(b *testing.B) {
+	forSizes(b, func(b *testing.B, vms int) {
+		f := newLargeFleet(b, vms)
+		timed(b, func() { f.learner.Snapshot(f.now, f.plan, f.table, f.vms) })
+	})
+}
+
+// BenchmarkUrgentAtFullLoad is one decision for an urgent task that needs a
+// victim, while 5,000 others wait.
+func BenchmarkUrgentAtFullLoad(b *testing.B) {
+	forSizes(b, func(b *testing.B, vms int) {
+		f := newLargeFleet(b, vms)
+		f.addJob("more", 5000)
+		for f.round() > 0 {
+			f.confirm()
+		}
+		f.addJob("urgent", 1)
+		f.plan.Number++
+		f.plan.Jobs[len(f.plan.Jobs)-1].Priority = plan.UrgentPriority
+		f.plan.Jobs[len(f.plan.Jobs)-1].Size = cpu(8)
+		f.table.ApplyPlan(f.plan, f.now)
+		s := f.learner.Snapshot(f.now, f.plan, f.table, f.vms)
+		timed(b, func() {
+			if out := Decide(s); len(out) == 0 || out[0].Action != Evict {
+				b.Fatalf("decided %v", out)
+			}
+		})
+	})
+}
+
+// BenchmarkEvacuate decides on a zone that left and whose window is over: the
+// first call, and all rounds until the zone is empty.
+func BenchmarkEvacuate(b *testing.B) {
+	forSizes(b, func(b *testing.B, vms int) {
+		var first, all time.Duration
+		tasks := 0
+		for b.Loop() {
+			b.StopTimer()
+			f := newLargeFleet(b, vms)
+			tasks = f.leave("zone-1")
+			b.StartTimer()
+			begin := time.Now()
+			f.round()
+			first += time.Since(begin)
+			for !f.empty("zone-1") {
+				b.StopTimer()
+				f.confirm()
+				f.now = f.now.Add(time.Second)
+				b.StartTimer()
+				begin := time.Now()
+				f.round()
+				all += time.Since(begin)
+			}
+		}
+		b.ReportMetric(float64(first.Milliseconds())/float64(b.N), "first-ms")
+		b.ReportMetric(float64((first+all).Milliseconds())/float64(b.N), "all-ms")
+		b.ReportMetric(float64(tasks), "tasks")
+	})
+}
+
+func (f *largeFleet) leave(zone string) int {
+	tasks := 0
+	for i := range f.vms {
+		if f.vms[i].Zone == zone {
+			f.vms[i].InService = false
+			f.vms[i].OutSince = f.now.Add(-time.Hour)
+			tasks += len(f.table.OnVM(f.vms[i].ID))
+		}
+	}
+	return tasks
+}
+
+func (f *largeFleet) empty(zone string) bool {
+	for i := range f.vms {
+		if f.vms[i].Zone == zone && len(f.table.OnVM(f.vms[i].ID)) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkUsage takes in one report of a VM with its 18 tasks.
+func BenchmarkUsage(b *testing.B) {
+	f := newLargeFleet(b, fullVMs/4)
+	f.now = f.now.Add(10 * time.Second)
+	samples := f.samples(7)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.learner.Usage(f.now, &f.vms[7], samples, f.table, 0.5)
+	}
+}
+
+// BenchmarkState reports the memory and the snapshot bytes of the table and
+// the learner per running task.
+func BenchmarkState(b *testing.B) {
+	forSizes(b, func(b *testing.B, vms int) {
+		var before, after runtime.MemStats
+		for b.Loop() {
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			f := newLargeFleet(b, vms)
+			f.learner.Snapshot(f.now, f.plan, f.table, f.vms)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			data, err := f.table.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			tasks := float64(vms * (instancesAVM + batchAVM))
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/tasks, "heap-B/task")
+			b.ReportMetric(float64(len(data))/tasks, "encoded-B/task")
+			runtime.KeepAlive(f)
+		}
+	})
+}
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -19,7 +19,7 @@
 const (
 	fullScores      = 48 // candidates for which interference is predicted
 	harmBoundLoose  = 0.20
-	harmBoundStrict = 0.13
+	harmBoundStrict = 0.15
 )
 
 type candidate struct {
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -15,7 +15,7 @@
 // calm, and a calm instance stays so.
 const (
 	pressureLoose  = 0.22 // at a latency weight of 0
-	pressureStrict = 0.14 // at a latency weight of 1
+	pressureStrict = 0.16 // at a latency weight of 1
 	calmShare      = 0.6  // of the bound, below which it is calm
 	smoothing      = 0.4  // weight of the newest measurement
 )
