--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -20,10 +20,10 @@
 		Now:           now,
 		LatencyWeight: p.LatencyWeight,
 		VMs:           append(s.VMs[:0], vms...),
-		Tasks:         s.Tasks[:0],
 		Pending:       s.Pending[:0],
 		Teams:         s.Teams[:0],
-		Pressures:     s.Pressures[:0],
+		loads:         s.loads[:0],
+		teamUse:       t.TeamUse(),
 		Harm:          l.harm.View(),
 		MovesLeft:     l.budget.left(),
 	}
@@ -34,10 +34,7 @@
 	for i := range s.VMs {
 		v := &s.VMs[i]
 		v.Quarantine = quarantine(l.health.State(v.ID))
-		for _, k := range t.OnVM(v.ID) {
-			s.Tasks = append(s.Tasks, l.describe(now, k, jobs.of(k.Job)))
-			l.addPressure(s, k)
-		}
+		s.loads = append(s.loads, l.load(now, t, v.ID, jobs))
 	}
 	for _, k := range t.Pending() {
 		s.Pending = append(s.Pending, l.describe(now, k, jobs.of(k.Job)))
@@ -46,6 +43,10 @@
 }
 
 func (l *Learner) review(now time.Time, t *task.Table, vms []VM) {
+	if t != l.table {
+		l.table = t
+		clear(l.loads)
+	}
 	l.sweep(now)
 	l.budget.refill(now, len(vms))
 	l.fleet = l.fleet[:0]
@@ -177,12 +178,12 @@
 	return max(now.Sub(from), 0)
 }
 
-func (l *Learner) addPressure(s *Snapshot, k *task.Task) {
+func (l *Learner) addPressure(c *vmCache, k *task.Task) {
 	if k.Job.Class != task.LatencyCritical || k.State != task.Running {
 		return
 	}
 	r := l.runs[k.ID]
 	if r != nil && r.generation == k.Generation && r.pressure.Task != "" {
-		s.Pressures = append(s.Pressures, r.pressure)
+		c.pressures = append(c.pressures, r.pressure)
 	}
 }
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -45,14 +45,14 @@
 	vms     []vmView
 	byID    map[string]int
 	teams   map[string]*teamView
-	jobs    map[string]*jobView
-	noRoom  map[shape]bool // shapes that no VM took in this call
-	evicted map[int]bool   // by index in s.Tasks
-	batch   int64          // milli-CPU of VMs in service, for slack
-	racks   int            // with a VM that takes work; 0 until counted
-	scored  []candidate    // reused
-	largest amount         // bound of the free part of any VM that takes work
-	waiting int            // ordinary batch tasks that are due
+	jobs    map[string]*jobView // of the jobs asked for so far
+	noRoom  map[shape]bool      // shapes that no VM took in this call
+	evicted map[*Task]bool
+	cpu     int64       // milli-CPU of the VMs in service, for slack
+	racks   int         // with a VM that takes work; 0 until counted
+	scored  []candidate // reused
+	largest amount      // bound of the free part of any VM that takes work
+	waiting int         // ordinary batch tasks that are due
 	budget  budget
 	out     []Decision
 }
@@ -67,17 +67,9 @@
 // vmView is a VM with what runs there and what is assumed to.
 type vmView struct {
 	*VM
-	committed amount  // held by tasks
-	releasing amount  // part of committed that is held by stopping tasks
-	reserved  amount  // of the free part, kept for tasks that wait
-	tasks     []int   // in s.Tasks
-	residents []*Task // that run there or are placed in this call
-	starting  int
-	stopping  int
-	services  int         // instances of services
-	young     int         // batch tasks that started less than probationTime ago
-	pressures []*Pressure // of its service instances, not answered yet
-	cores     float64     // that the tasks are expected to use
+	vmLoad
+	reserved amount  // of the free part, kept for tasks that wait
+	placed   []*Task // in this call
 }
 
 type teamView struct {
@@ -85,16 +77,6 @@
 	used  resource.Vector
 }
 
-// jobView counts the tasks of one job that hold a grant.
-type jobView struct {
-	total   int
-	running int
-	moving  int // stopping, starting, or pending for a short time
-	byZone  map[string]int
-	byRack  map[string]int
-	byVM    map[string]int
-}
-
 // shape is what the filters look at; tasks of one shape fit the same VMs.
 type shape struct {
 	job   string
@@ -109,69 +91,35 @@
 		teams:   make(map[string]*teamView, len(s.Teams)),
 		jobs:    map[string]*jobView{},
 		noRoom:  map[shape]bool{},
-		evicted: map[int]bool{},
+		evicted: map[*Task]bool{},
 		budget:  budget{maxPlacements, maxPreemptors, maxHolds},
 	}
 	for i := range s.VMs {
-		c.vms[i].VM = &s.VMs[i]
 		c.byID[s.VMs[i].ID] = i
-		if s.VMs[i].InService {
-			c.batch += s.VMs[i].Capacity.MilliCPU
-		}
-	}
-	for i := range s.Teams {
-		c.teams[s.Teams[i].Name] = &teamView{quota: s.Teams[i].Quota}
 	}
-	for i := range s.Tasks {
-		c.addHolder(i)
+	loads, used := s.loads, s.teamUse
+	if loads == nil {
+		loads, used = loadsOf(s, c.byID)
 	}
-	for i := range s.Pending {
-		c.addPending(&s.Pending[i])
+	for i := range s.VMs {
+		c.addVM(i, &s.VMs[i], loads[i])
 	}
-	for n := range c.vms {
-		if v := &c.vms[n]; v.open() {
-			c.largest = c.largest.max(v.free())
-		}
+	for i := range s.Teams {
+		team := &s.Teams[i]
+		c.teams[team.Name] = &teamView{quota: team.Quota, used: used[team.Name]}
 	}
 	return c
 }
 
-// addHolder enters a task of the snapshot that holds a grant.
-func (c *cycle) addHolder(i int) {
-	t := &c.s.Tasks[i]
-	stopping := t.State == task.Stopping || t.State == task.Cancelling
-	if team := c.teams[t.Team]; team != nil && !stopping {
-		team.used = team.used.Add(t.Grant)
-	}
-	n, ok := c.byID[t.VM]
-	if !ok {
-		return
-	}
-	v := &c.vms[n]
-	v.committed = v.committed.add(held(t))
-	v.tasks = append(v.tasks, i)
-	v.residents = append(v.residents, t)
-	v.cores += cores(t)
-	if t.Class == task.LatencyCritical {
-		v.services++
-	} else if t.State == task.Running && c.s.Now.Sub(t.Since) < probationTime {
-		v.young++
-	}
-	if stopping {
-		v.stopping++
-		v.releasing = v.releasing.add(held(t))
+func (c *cycle) addVM(i int, vm *VM, load vmLoad) {
+	v := &c.vms[i]
+	v.VM = vm
+	v.vmLoad = load
+	if v.InService {
+		c.cpu += v.Capacity.MilliCPU
 	}
-	if t.State == task.Starting {
-		v.starting++
-	}
-	c.countJob(t, v)
-}
-
-// addPending counts the instances of services that are on their way to
-// another VM. One that waits for long has nowhere to go and is not counted.
-func (c *cycle) addPending(t *Task) {
-	if t.Class == task.LatencyCritical && c.s.Now.Sub(t.Since) < longPending {
-		c.job(t.Job).moving++
+	if v.open() {
+		c.largest = c.largest.max(v.free())
 	}
 }
 
@@ -180,38 +128,8 @@
 	return v.InService && v.Fresh && !v.Draining && v.Quarantine != Quarantined
 }
 
-func (c *cycle) job(id string) *jobView {
-	j := c.jobs[id]
-	if j == nil {
-		j = &jobView{}
-		c.jobs[id] = j
-	}
-	return j
-}
-
-func (c *cycle) countJob(t *Task, v *vmView) {
-	j := c.job(t.Job)
-	j.total++
-	if t.State == task.Running {
-		j.running++
-	} else {
-		j.moving++
-	}
-	if t.Class != task.LatencyCritical {
-		return
-	}
-	if j.byZone == nil {
-		j.byZone = map[string]int{}
-		j.byRack = map[string]int{}
-		j.byVM = map[string]int{}
-	}
-	j.byZone[v.Zone]++
-	j.byRack[v.rackKey()]++
-	j.byVM[v.ID]++
-}
-
-// rackKey names a rack within its zone.
-func (v *vmView) rackKey() string { return v.Zone + "/" + v.Rack }
+// leaves reports whether the VM's work is to be moved away.
+func (v *vmView) leaves() bool { return !v.InService || v.Draining }
 
 // free returns what the VM can take now, less what is kept for others.
 func (v *vmView) free() amount {
@@ -224,11 +142,13 @@
 	v.committed = v.committed.add(held(t))
 	v.starting++
 	v.cores += cores(t)
-	v.residents = append(v.residents, t)
+	v.placed = append(v.placed, t)
 	if team := c.teams[t.Team]; team != nil {
 		team.used = team.used.Add(t.Grant)
 	}
-	c.countJob(t, v)
+	if j := c.jobs[t.Job]; j != nil {
+		j.count(t, v, false)
+	}
 	c.out = append(c.out, Decision{
 		Action:     Place,
 		Task:       t.ID,
@@ -242,17 +162,17 @@
 }
 
 // evict decides an eviction and assumes that the task is stopping.
-func (c *cycle) evict(i int, reason Reason, grace time.Duration, forTask string) {
-	t := &c.s.Tasks[i]
-	c.evicted[i] = true
+func (c *cycle) evict(t *Task, reason Reason, grace time.Duration, forTask string) {
+	c.evicted[t] = true
 	if n, ok := c.byID[t.VM]; ok {
 		v := &c.vms[n]
 		v.stopping++
 		v.releasing = v.releasing.add(held(t))
 	}
-	j := c.job(t.Job)
-	j.moving++
-	j.running--
+	if j := c.jobs[t.Job]; j != nil {
+		j.moving++
+		j.running--
+	}
 	if team := c.teams[t.Team]; team != nil {
 		team.used = team.used.Sub(t.Grant)
 	}
@@ -268,7 +188,6 @@
 }
 
 // movable reports whether the task may be asked to stop in this call.
-func (c *cycle) movable(i int) bool {
-	t := &c.s.Tasks[i]
-	return !c.evicted[i] && (t.State == task.Running || t.State == task.Starting)
+func (c *cycle) movable(t *Task) bool {
+	return (t.State == task.Running || t.State == task.Starting) && !c.evicted[t]
 }
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -16,21 +16,20 @@
 // drain moves work away from VMs that leave, the nearest deadline first, a
 // few checkpoints at a time on each VM and a part of each service at a time.
 func (c *cycle) drain() {
-	var leaving []int
+	var leaving []*Task
 	for n := range c.vms {
 		v := &c.vms[n]
-		if v.InService && !v.Draining {
+		if !v.leaves() {
 			continue
 		}
-		for _, i := range v.tasks {
-			if c.movable(i) && !c.mayFinish(&c.s.Tasks[i], v) {
-				leaving = append(leaving, i)
+		for _, t := range v.tasks {
+			if c.movable(t) && !c.mayFinish(t, v) {
+				leaving = append(leaving, t)
 			}
 		}
 	}
 	slices.SortFunc(leaving, c.compareDrain)
-	for _, i := range leaving {
-		t := &c.s.Tasks[i]
+	for _, t := range leaving {
 		v := &c.vms[c.byID[t.VM]]
 		if v.stopping >= maxStoppingPerVM || !c.mayStop(t, v) {
 			continue
@@ -39,7 +38,7 @@
 		if !v.InService {
 			reason = ReasonZoneOut
 		}
-		c.evict(i, reason, checkpointGrace, "")
+		c.evict(t, reason, checkpointGrace, "")
 	}
 }
 
@@ -54,12 +53,11 @@
 }
 
 // compareDrain puts urgent work and near deadlines first.
-func (c *cycle) compareDrain(a, b int) int {
-	ta, tb := &c.s.Tasks[a], &c.s.Tasks[b]
+func (c *cycle) compareDrain(a, b *Task) int {
 	return cmp.Or(
-		cmp.Compare(classRank(ta), classRank(tb)),
-		cmp.Compare(c.slack(ta), c.slack(tb)),
-		cmp.Compare(ta.ID, tb.ID),
+		cmp.Compare(classRank(a), classRank(b)),
+		cmp.Compare(c.slack(a), c.slack(b)),
+		cmp.Compare(a.ID, b.ID),
 	)
 }
 
@@ -116,11 +114,11 @@
 func (c *cycle) keepRoomForStopping() {
 	for n := range c.vms {
 		v := &c.vms[n]
-		if v.InService && !v.Draining {
+		if !v.leaves() {
 			continue
 		}
-		for _, i := range v.tasks {
-			if t := &c.s.Tasks[i]; t.State == task.Stopping {
+		for _, t := range v.tasks {
+			if t.State == task.Stopping {
 				c.keepRoom(t)
 			}
 		}
@@ -136,30 +134,30 @@
 	for n := range c.vms {
 		v := &c.vms[n]
 		spare := int64(fullMemory * float64(v.Capacity.MemoryMiB))
-		for _, i := range v.tasks {
-			if c.movable(i) {
-				spare -= c.s.Tasks[i].Used.MemoryMiB
+		for _, t := range v.tasks {
+			if c.movable(t) {
+				spare -= t.Used.MemoryMiB
 			}
 		}
 		for spare < 0 {
-			i := c.worstMemory(v)
-			if i < 0 {
+			t := c.worstMemory(v)
+			if t == nil {
 				break
 			}
-			spare += c.s.Tasks[i].Used.MemoryMiB
-			c.evict(i, ReasonOvercommit, urgentGrace, "")
+			spare += t.Used.MemoryMiB
+			c.evict(t, ReasonOvercommit, urgentGrace, "")
 		}
 	}
 }
 
-// worstMemory returns the batch task that exceeds its grant of memory most, or -1.
-func (c *cycle) worstMemory(v *vmView) int {
-	worst, worstBy := -1, int64(0)
-	for _, i := range v.tasks {
-		t := &c.s.Tasks[i]
+// worstMemory returns the batch task that exceeds its grant of memory most, or nil.
+func (c *cycle) worstMemory(v *vmView) *Task {
+	var worst *Task
+	worstBy := int64(0)
+	for _, t := range v.tasks {
 		over := t.Used.MemoryMiB - t.Grant.MemoryMiB
-		if c.movable(i) && t.Class == task.Batch && over > worstBy {
-			worst, worstBy = i, over
+		if c.movable(t) && t.Class == task.Batch && over > worstBy {
+			worst, worstBy = t, over
 		}
 	}
 	return worst
--- a/scheduler/filter.go
+++ b/scheduler/filter.go
@@ -22,17 +22,6 @@
 // was seen running: the declared size may be far too small.
 const maxUntried = 2
 
-// jobTasks counts the job's tasks on the VM.
-func (v *vmView) jobTasks(job string) int {
-	count := 0
-	for _, t := range v.residents {
-		if t.Job == job {
-			count++
-		}
-	}
-	return count
-}
-
 // probes reports whether the task may be the one that tries a VM on
 // probation: ordinary batch, and one at a time beside what ran there before.
 func probes(t *Task, v *vmView) bool {
@@ -56,10 +45,7 @@
 // service: a rack holds at most its even share, rounded up, of the instances
 // in the racks that take work.
 func (c *cycle) spreads(t *Task, v *vmView) bool {
-	j := c.jobs[t.Job]
-	if j == nil || j.byRack == nil {
-		return true
-	}
+	j := c.job(t.Job)
 	racks := c.racksInService()
 	wanted := j.total + 1
 	return j.byRack[v.rackKey()] < (wanted+racks-1)/racks
--- a/scheduler/interference/model.go
+++ b/scheduler/interference/model.go
@@ -21,7 +21,7 @@
 	maxLoadEffect    = 5.0
 	maxPairs         = 64
 	worstMeasurement = 3.0 // slowdowns are capped here, against outliers
-	solveEvery       = 8   // measurements
+	solveEvery       = 16  // measurements
 	sweeps           = 4   // of coordinate descent, from the last solution
 	halfLife         = 2 * time.Hour
 	ridgePerCore     = 25.0 // square cores: weight of the assumed coefficient
--- a/scheduler/learner.go
+++ b/scheduler/learner.go
@@ -20,6 +20,8 @@
 	health     *health.Tracker
 	references map[string]time.Duration // latencies, by service
 	runs       map[string]*run          // by task
+	table      *task.Table              // that loads were made from
+	loads      map[string]*vmCache
 	budget     moveBudget
 	swept      time.Time
 	snapshot   Snapshot // its slices are reused
@@ -62,6 +64,7 @@
 		harm:       interference.NewModel(),
 		health:     health.NewTracker(),
 		references: map[string]time.Duration{},
+		loads:      map[string]*vmCache{},
 		runs:       map[string]*run{},
 	}
 }
@@ -69,6 +72,7 @@
 // Decided records a decision that was committed.
 func (l *Learner) Decided(now time.Time, d *Decision) {
 	r := l.run(d.Task, now)
+	l.changed(d.VM)
 	switch d.Action {
 	case Place:
 		*r = run{generation: d.Generation, vm: d.VM, moved: r.moved, seen: now}
@@ -89,6 +93,7 @@
 func (l *Learner) answered(now time.Time, victim string) {
 	if r := l.runs[victim]; r != nil {
 		r.pressure.Answered = true
+		l.changed(r.vm)
 		r.answered = now
 	}
 }
@@ -147,6 +152,11 @@
 		return
 	}
 	l.swept = now
+	for vm, c := range l.loads {
+		if now.Sub(c.made) > forgetRun {
+			delete(l.loads, vm)
+		}
+	}
 	for id, r := range l.runs {
 		if now.Sub(r.seen) > forgetRun {
 			delete(l.runs, id)
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -99,41 +99,61 @@
 	return ReasonScheduled
 }
 
-type ranked struct {
-	t        *Task
+// group holds the pending tasks of one job, which are ranked together.
+type group struct {
+	tasks    []*Task
 	class    int
 	tight    bool
 	borrower bool
-	slack    time.Duration
+	slack    time.Duration // least of the tasks
+	since    time.Time     // oldest of the tasks
 }
 
-// order returns the pending tasks whose backoff is over, most important
-// first: services and urgent work, and the rest.
+// order returns the pending tasks whose backoff is over, most important first
+// and those of one job together: services and urgent work, and the rest.
 func (c *cycle) order() (first, rest []*Task) {
-	list := make([]ranked, 0, len(c.s.Pending))
+	groups := c.groups()
+	slices.SortFunc(groups, compareGroups)
+	list := make([]*Task, 0, len(c.s.Pending))
 	urgent := 0
+	for _, g := range groups {
+		list = append(list, g.tasks...)
+		if g.class < restClass {
+			urgent = len(list)
+		}
+	}
+	return list[:urgent], list[urgent:]
+}
+
+func (c *cycle) groups() []*group {
+	byJob := map[string]*group{}
+	var groups []*group
+	var last *group
 	for i := range c.s.Pending {
 		t := &c.s.Pending[i]
 		if !due(t, c.s.Now) {
 			continue
 		}
-		r := c.rank(t)
-		if r.class < restClass {
-			urgent++
+		if last == nil || last.tasks[0].Job != t.Job {
+			last = byJob[t.Job]
 		}
-		list = append(list, r)
-	}
-	slices.SortFunc(list, compareRank)
-	tasks := make([]*Task, len(list))
-	for i := range list {
-		tasks[i] = list[i].t
+		if last == nil {
+			last = &group{class: classRank(t), borrower: c.borrows(t), slack: noDeadline, since: t.Since}
+			byJob[t.Job] = last
+			groups = append(groups, last)
+		}
+		c.join(last, t)
 	}
-	return tasks[:urgent], tasks[urgent:]
+	return groups
 }
 
-func (c *cycle) rank(t *Task) ranked {
-	slack := c.slack(t)
-	return ranked{t: t, class: classRank(t), tight: slack < tightSlack, borrower: c.borrows(t), slack: slack}
+func (c *cycle) join(g *group, t *Task) {
+	g.tasks = append(g.tasks, t)
+	g.slack = min(g.slack, c.slack(t))
+	g.tight = g.slack < tightSlack
+	if t.Since.Before(g.since) {
+		g.since = t.Since
+	}
 }
 
 // restClass is the rank of work that is neither a service nor urgent.
@@ -149,17 +169,17 @@
 	return restClass
 }
 
-// compareRank orders by class, then tasks whose deadline is near, then
+// compareGroups orders by class, then jobs whose deadline is near, then
 // priority, then teams within their quota, then slack, then age.
-func compareRank(a, b ranked) int {
+func compareGroups(a, b *group) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		compareBool(a.tight, b.tight),
-		cmp.Compare(b.t.Priority, a.t.Priority),
+		cmp.Compare(b.tasks[0].Priority, a.tasks[0].Priority),
 		compareBool(b.borrower, a.borrower),
 		cmp.Compare(a.slack, b.slack),
-		a.t.Since.Compare(b.t.Since),
-		cmp.Compare(a.t.ID, b.t.ID),
+		a.since.Compare(b.since),
+		cmp.Compare(a.tasks[0].Job, b.tasks[0].Job),
 	)
 }
 
@@ -184,8 +204,8 @@
 		return noDeadline
 	}
 	need := t.Remaining
-	if c.batch > 0 {
-		wide := float64(t.JobWork) * float64(t.Grant.MilliCPU) / (float64(c.batch) / 2)
+	if c.cpu > 0 {
+		wide := float64(t.JobWork) * float64(t.Grant.MilliCPU) / (float64(c.cpu) / 2)
 		need = max(need, time.Duration(wide))
 	}
 	return t.Deadline.Sub(c.s.Now) - need
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -17,7 +17,7 @@
 // better prefers, and stops everything in a zone that leaves at once.
 func onDeclared(better func(free, best resource.Vector) bool) policy {
 	return func(s *Snapshot, t *task.Table) []Decision {
-		c := newCycle(&Snapshot{Now: s.Now, VMs: s.VMs})
+		c := newCycle(s)
 		room := make([]resource.Vector, len(s.VMs))
 		for i := range s.VMs {
 			room[i] = s.VMs[i].Capacity.Sub(t.Committed(s.VMs[i].ID))
@@ -53,32 +53,32 @@
 
 // stopBaseline stops what runs in a zone that is out.
 func stopBaseline(c *cycle, s *Snapshot) {
-	c.s = s
-	for i := range s.Tasks {
-		if c.movable(i) && !s.VMs[c.byID[s.Tasks[i].VM]].InService {
-			c.evict(i, ReasonZoneOut, checkpointGrace, "")
+	s.EachTask(func(t *Task) {
+		if c.movable(t) && !s.VMs[c.byID[t.VM]].InService {
+			c.evict(t, ReasonZoneOut, checkpointGrace, "")
 		}
-	}
+	})
 }
 
 // makeRoomBaseline stops the batch tasks that started last on the first VM
 // where that makes room for an instance of a service.
 func makeRoomBaseline(c *cycle, s *Snapshot, p *Task) {
 	for n := range s.VMs {
-		if !s.VMs[n].InService || c.vms[n].stopping > 0 {
+		v := &c.vms[n]
+		if !v.InService || v.stopping > 0 {
 			continue
 		}
-		var chosen []int
+		var chosen []*Task
 		var room resource.Vector
-		for i := len(s.Tasks) - 1; i >= 0 && !p.Grant.Fits(room); i-- {
-			if s.Tasks[i].VM == s.VMs[n].ID && s.Tasks[i].Class == task.Batch && c.movable(i) {
-				chosen = append(chosen, i)
-				room = room.Add(s.Tasks[i].Grant)
+		for i := len(v.tasks) - 1; i >= 0 && !p.Grant.Fits(room); i-- {
+			if t := v.tasks[i]; t.Class == task.Batch && c.movable(t) {
+				chosen = append(chosen, t)
+				room = room.Add(t.Grant)
 			}
 		}
 		if p.Grant.Fits(room) {
-			for _, i := range chosen {
-				c.evict(i, ReasonPreempted, checkpointGrace, p.ID)
+			for _, t := range chosen {
+				c.evict(t, ReasonPreempted, checkpointGrace, p.ID)
 			}
 			return
 		}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -31,7 +31,7 @@
 // for room that is being made. It reports whether room will come.
 func (c *cycle) preempt(t *Task) bool {
 	best, bestCost := -1, time.Duration(0)
-	var bestVictims []int
+	var bestVictims []*Task
 	for n := range c.vms {
 		v := &c.vms[n]
 		if !c.admits(t, v) || !fitsEver(t, v) {
@@ -57,8 +57,8 @@
 	} else if c.slack(t) >= tightSlack {
 		reason = ReasonQuota
 	}
-	for _, i := range bestVictims {
-		c.evict(i, reason, grace, t.ID)
+	for _, victim := range bestVictims {
+		c.evict(victim, reason, grace, t.ID)
 	}
 	reserve(t, &c.vms[best])
 	return true
@@ -66,40 +66,39 @@
 
 // victims returns the cheapest tasks whose stop makes room for t on the VM,
 // with the cost, or nil.
-func (c *cycle) victims(t *Task, v *vmView) ([]int, time.Duration) {
-	var able []int
+func (c *cycle) victims(t *Task, v *vmView) ([]*Task, time.Duration) {
+	var able []*Task
 	need := held(t)
 	room := v.free().add(v.releasing)
-	for _, i := range v.tasks {
-		if c.movable(i) && c.preempts(t, &c.s.Tasks[i]) {
-			able = append(able, i)
-			room = room.add(held(&c.s.Tasks[i]))
+	for _, other := range v.tasks {
+		if c.movable(other) && c.preempts(t, other) {
+			able = append(able, other)
+			room = room.add(held(other))
 		}
 	}
 	if !need.fits(room) {
 		return nil, 0
 	}
-	slices.SortFunc(able, func(a, b int) int {
-		return cmp.Or(cmp.Compare(c.cost(b), c.cost(a)), cmp.Compare(b, a))
+	slices.SortFunc(able, func(a, b *Task) int {
+		return cmp.Or(cmp.Compare(b.cost(), a.cost()), cmp.Compare(b.ID, a.ID))
 	})
 	// Spare the most costly ones as long as the rest still makes room.
-	var chosen []int
+	var chosen []*Task
 	var cost time.Duration
-	for _, i := range able {
-		without := room.sub(held(&c.s.Tasks[i]))
+	for _, other := range able {
+		without := room.sub(held(other))
 		if need.fits(without) {
 			room = without
 			continue
 		}
-		chosen = append(chosen, i)
-		cost += c.cost(i)
+		chosen = append(chosen, other)
+		cost += other.cost()
 	}
 	return chosen, cost
 }
 
 // cost is what stopping the task costs, as time of work.
-func (c *cycle) cost(i int) time.Duration {
-	t := &c.s.Tasks[i]
+func (t *Task) cost() time.Duration {
 	return costPerEviction + t.AtRisk + costPerPriority*time.Duration(max(t.Priority, 0))
 }
 
--- a/scheduler/pressure.go
+++ b/scheduler/pressure.go
@@ -22,37 +22,33 @@
 func (c *cycle) relievePressure() {
 	c.liftIdle()
 	moves := c.s.MovesLeft
-	for i := range c.s.Pressures {
-		p := &c.s.Pressures[i]
-		n, ok := c.byID[p.VM]
-		if !ok || p.Answered {
-			continue
-		}
-		c.vms[n].pressures = append(c.vms[n].pressures, p)
-		switch {
-		case p.Sustained >= moveAfter && moves > 0 && c.move(p):
-			moves--
-		case p.Sustained >= throttleAfter:
-			c.throttle(p)
-		}
-	}
 	for n := range c.vms {
-		c.lift(&c.vms[n])
+		v := &c.vms[n]
+		for _, p := range v.pressures {
+			switch {
+			case p.Answered:
+			case p.Sustained >= moveAfter && moves > 0 && c.move(v, p):
+				moves--
+			case p.Sustained >= throttleAfter:
+				c.throttle(v, p)
+			}
+		}
+		c.lift(v)
 	}
 }
 
 // worst returns the running disturber with the largest share that keep
-// accepts, as an index in s.Tasks, and its share, or -1.
-func (c *cycle) worst(p *Pressure, keep func(*Task) bool) (int, float64) {
-	worst, share := -1, 0.0
-	for _, i := range c.vms[c.byID[p.VM]].tasks {
-		t := &c.s.Tasks[i]
-		if t.Class != task.Batch || t.State != task.Running || c.evicted[i] || !keep(t) {
+// accepts, and its share, or nil.
+func (c *cycle) worst(v *vmView, p *Pressure, keep func(*Task) bool) (*Task, float64) {
+	var worst *Task
+	share := 0.0
+	for _, t := range v.tasks {
+		if t.Class != task.Batch || t.State != task.Running || c.evicted[t] || !keep(t) {
 			continue
 		}
 		k := slices.IndexFunc(p.Disturbers, func(d Disturber) bool { return d.Task == t.ID })
 		if k >= 0 && p.Disturbers[k].Share > share {
-			worst, share = i, p.Disturbers[k].Share
+			worst, share = t, p.Disturbers[k].Share
 		}
 	}
 	return worst, share
@@ -60,12 +56,11 @@
 
 // throttle takes as much processor time from the worst disturber as brings
 // the slowdown below the bound, by its share.
-func (c *cycle) throttle(p *Pressure) {
-	i, share := c.worst(p, func(t *Task) bool { return allowed(t) > throttleFloor })
-	if i < 0 {
+func (c *cycle) throttle(v *vmView, p *Pressure) {
+	t, share := c.worst(v, p, func(t *Task) bool { return allowed(t) > throttleFloor })
+	if t == nil {
 		return
 	}
-	t := &c.s.Tasks[i]
 	excess := p.Slowdown - throttleTarget*p.Bound
 	fraction := allowed(t) * max(1-excess/share, 0)
 	c.setThrottle(t, max(fraction, throttleFloor), ReasonInterference, p.Task)
@@ -73,17 +68,17 @@
 
 // move evicts the worst disturber that is throttled as far as it goes, to a
 // VM that has room for it, or in the end to wait for one.
-func (c *cycle) move(p *Pressure) bool {
-	i, _ := c.worst(p, func(t *Task) bool {
+func (c *cycle) move(v *vmView, p *Pressure) bool {
+	t, _ := c.worst(v, p, func(t *Task) bool {
 		return t.Movable && allowed(t) <= throttleFloor && !t.Urgent()
 	})
-	if i < 0 {
+	if t == nil {
 		return false
 	}
-	if p.Sustained < evictAfter && c.pick(&c.s.Tasks[i]) < 0 {
+	if p.Sustained < evictAfter && c.pick(t) < 0 {
 		return false
 	}
-	c.evict(i, ReasonInterference, checkpointGrace, p.Task)
+	c.evict(t, ReasonInterference, checkpointGrace, p.Task)
 	return true
 }
 
@@ -94,24 +89,24 @@
 		return
 	}
 	for _, p := range v.pressures {
-		if p.Calm < calmAfter {
+		if p.Answered || p.Calm < calmAfter {
 			return
 		}
 	}
-	best, bestFraction := -1, 0.0
-	for _, i := range v.tasks {
-		t := &c.s.Tasks[i]
+	var best *Task
+	bestFraction := 0.0
+	for _, t := range v.tasks {
 		if t.State != task.Running || allowed(t) >= 1 {
 			continue
 		}
 		if fraction := c.harmlessFraction(t, v); fraction > bestFraction {
-			best, bestFraction = i, fraction
+			best, bestFraction = t, fraction
 		}
 	}
-	if best < 0 || bestFraction < allowed(&c.s.Tasks[best])+smallestLift && bestFraction < 1 {
+	if best == nil || bestFraction < allowed(best)+smallestLift && bestFraction < 1 {
 		return
 	}
-	c.setThrottle(&c.s.Tasks[best], bestFraction, ReasonCalm, v.pressures[0].Task)
+	c.setThrottle(best, bestFraction, ReasonCalm, v.pressures[0].Task)
 }
 
 // harmlessFraction returns the largest fraction of its processor time with
@@ -143,8 +138,8 @@
 		if v.services > 0 {
 			continue
 		}
-		for _, i := range v.tasks {
-			if t := &c.s.Tasks[i]; t.State == task.Running && allowed(t) < 1 {
+		for _, t := range v.tasks {
+			if t.State == task.Running && allowed(t) < 1 {
 				c.setThrottle(t, 1, ReasonCalm, "")
 			}
 		}
--- a/scheduler/scale_bench_test.go
+++ b/scheduler/scale_bench_test.go
@@ -116,9 +116,13 @@
 func (f *largeFleet) report() {
 	for range 3 {
 		f.now = f.now.Add(10 * time.Second)
-		for i := range f.vms {
-			f.learner.Usage(f.now, &f.vms[i], f.samples(i), f.table, f.plan.LatencyWeight)
-		}
+		f.reportOnce()
+	}
+}
+
+func (f *largeFleet) reportOnce() {
+	for i := range f.vms {
+		f.learner.Usage(f.now, &f.vms[i], f.samples(i), f.table, f.plan.LatencyWeight)
 	}
 }
 
@@ -172,9 +176,8 @@
 func BenchmarkRound(b *testing.B) {
 	forSizes(b, func(b *testing.B, vms int) {
 		f := newLargeFleet(b, vms)
-		f.addJob("more", 100_000)
-		f.round()
-		f.confirm()
+		f.addJob("more", 36*vms)
+		f.settle()
 		placed := 0
 		timed(b, func() {
 			f.now = f.now.Add(34 * time.Millisecond)
@@ -185,10 +188,19 @@
 	})
 }
 
-// addJob adds a job of which as many tasks wait as the plan allows at once.
+// settle places what fits, with a report in between, until nothing does.
+func (f *largeFleet) settle() {
+	for f.round() > 0 {
+		f.confirm()
+		f.now = f.now.Add(time.Second)
+		f.reportOnce()
+	}
+}
+
+// addJob adds a job of small tasks.
 func (f *largeFleet) addJob(name string, tasks int) {
 	f.plan.Number++
-	f.plan.Jobs = append(f.plan.Jobs, plan.Job{Name: name, Tasks: min(tasks, 5000), Size: cpu(1), RunTime: time.Hour})
+	f.plan.Jobs = append(f.plan.Jobs, plan.Job{Name: name, Tasks: tasks, Size: cpu(1), RunTime: time.Hour})
 	f.table.ApplyPlan(f.plan, f.now)
 }
 
@@ -215,18 +227,16 @@
 }
 
 // BenchmarkUrgentAtFullLoad is one decision for an urgent task that needs a
-// victim, while 5,000 others wait.
+// victim, while thousands of others wait.
 func BenchmarkUrgentAtFullLoad(b *testing.B) {
 	forSizes(b, func(b *testing.B, vms int) {
 		f := newLargeFleet(b, vms)
-		f.addJob("more", 5000)
-		for f.round() > 0 {
-			f.confirm()
-		}
+		f.addJob("more", 36*vms)
+		f.settle()
 		f.addJob("urgent", 1)
 		f.plan.Number++
 		f.plan.Jobs[len(f.plan.Jobs)-1].Priority = plan.UrgentPriority
-		f.plan.Jobs[len(f.plan.Jobs)-1].Size = cpu(8)
+		f.plan.Jobs[len(f.plan.Jobs)-1].Size = cpu(28)
 		f.table.ApplyPlan(f.plan, f.now)
 		s := f.learner.Snapshot(f.now, f.plan, f.table, f.vms)
 		timed(b, func() {
--- a/scheduler/score.go
+++ b/scheduler/score.go
@@ -91,9 +91,8 @@
 	score := weightFit * load
 	if t.Class == task.LatencyCritical {
 		score = -weightFit * load
-		if j := c.jobs[t.Job]; j != nil {
-			score -= weightSpread * float64(j.byRack[v.rackKey()]+j.byZone[v.Zone]+2*j.byVM[v.ID])
-		}
+		j := c.job(t.Job)
+		score -= weightSpread * float64(j.byRack[v.rackKey()]+j.byZone[v.Zone]+2*v.jobTasks(t.Job))
 	}
 	if v.Capacity.Accelerators > 0 && t.Grant.Accelerators == 0 {
 		score -= weightAccelerator
@@ -115,7 +114,10 @@
 	}
 	load := (v.cores + cores(t)) / float64(max(v.Capacity.MilliCPU, 1)) * 1000
 	h := harmSum{c: c, t: t, v: v, load: load}
-	for _, other := range v.residents {
+	for _, other := range v.tasks {
+		h.add(other)
+	}
+	for _, other := range v.placed {
 		h.add(other)
 	}
 	weight := c.s.LatencyWeight
@@ -164,10 +166,13 @@
 // tasks that are on the VM already.
 func (c *cycle) present(victim *Task, v *vmView) float64 {
 	sum := 0.0
-	for _, other := range v.residents {
+	for _, other := range v.tasks {
 		if other != victim {
 			sum += c.s.Harm.Slowdown(victim.Job, other.Job, cores(other))
 		}
 	}
+	for _, other := range v.placed {
+		sum += c.s.Harm.Slowdown(victim.Job, other.Job, cores(other))
+	}
 	return sum
 }
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -106,12 +106,27 @@
 	Now           time.Time
 	LatencyWeight float64 // 0 favours batch throughput, 1 favours tail latency
 	VMs           []VM
-	Tasks         []Task // that hold a grant
+	Tasks         []Task // that hold a grant; empty in a snapshot made by a Learner, see EachTask
 	Pending       []Task
 	Teams         []Team
 	Pressures     []Pressure
 	Harm          Harm // nil when nothing is known
 	MovesLeft     int  // evictions for interference that the budget allows now
+
+	loads   []vmLoad                   // by index in VMs; made from Tasks and Pressures when nil
+	teamUse map[string]resource.Vector // with loads
+}
+
+// EachTask calls f for each task that holds a grant on one of the VMs.
+func (s *Snapshot) EachTask(f func(*Task)) {
+	for i := range s.Tasks {
+		f(&s.Tasks[i])
+	}
+	for i := range s.loads {
+		for _, t := range s.loads[i].tasks {
+			f(t)
+		}
+	}
 }
 
 // Action is what a Decision asks for.
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -24,6 +24,7 @@
 // interval that they speak of; a slowdown is attributed to the runs that
 // the report shows in the same interval, not to those that run now.
 func (l *Learner) Usage(now time.Time, vm *VM, samples []Sample, t *task.Table, latencyWeight float64) {
+	l.changed(vm.ID)
 	for i := range samples {
 		l.observeUse(now, vm, &samples[i], t)
 	}
--- a/task/codec.go
+++ b/task/codec.go
@@ -146,6 +146,10 @@
 		t.addPending(k)
 	case k.State.HoldsGrant():
 		t.addGrant(k)
+		t.touch(k.VM)
+		if k.State.active() {
+			j.active = j.active.Add(k.Grant)
+		}
 	case k.State == Finished && k.Index < j.Wanted:
 		j.Finished++
 	}
--- a/task/report.go
+++ b/task/report.go
@@ -21,7 +21,7 @@
 		return NoEffect
 	}
 	k := t.tasks[r.Task]
-	saved := k.saveCheckpoint(now, r)
+	saved := t.saveCheckpoint(now, k, r)
 	switch r.Phase {
 	case PhaseRunning, PhaseCheckpointing:
 		if t.move(now, k, eventStarted) {
@@ -60,7 +60,7 @@
 	return false
 }
 
-func (k *Task) saveCheckpoint(now time.Time, r Report) bool {
+func (t *Table) saveCheckpoint(now time.Time, k *Task, r Report) bool {
 	if r.Checkpoint == "" || r.Checkpoint == k.Checkpoint {
 		return false
 	}
@@ -71,6 +71,7 @@
 	k.Checkpoint = r.Checkpoint
 	k.SavedAt = now
 	k.Progress = r.Progress
+	t.touch(k.VM)
 	return true
 }
 
--- a/task/state.go
+++ b/task/state.go
@@ -31,6 +31,10 @@
 // HoldsGrant reports whether a task in state s occupies resources of a VM.
 func (s State) HoldsGrant() bool { return s >= Starting && s <= Cancelling }
 
+// active reports whether a task in state s uses its team's quota: a task that
+// is asked to stop has given it up.
+func (s State) active() bool { return s == Starting || s == Running }
+
 // Done reports whether a task in state s will not run again in this run of its job.
 func (s State) Done() bool { return s == Finished || s == Cancelled }
 
--- a/task/table.go
+++ b/task/table.go
@@ -27,11 +27,13 @@
 	vms        map[string]*vmState
 	zonesOut   map[string]bool
 	pending    []*Task // no order
+	changes    uint64  // counts changes, to number them
 	floor      uint64  // new tasks begin above the generations of forgotten ones
 }
 
 type vmState struct {
 	committed resource.Vector
+	version   uint64  // number of the last change to one of its tasks
 	tasks     []*Task // no order
 }
 
@@ -77,6 +79,26 @@
 	return nil
 }
 
+// VMVersion returns a number that differs whenever a task on the VM has
+// changed since, and 0 when there is none.
+func (t *Table) VMVersion(vm string) uint64 {
+	if s := t.vms[vm]; s != nil {
+		return s.version
+	}
+	return 0
+}
+
+// TeamUse returns the grants of the starting and running tasks by team.
+func (t *Table) TeamUse() map[string]resource.Vector {
+	used := map[string]resource.Vector{}
+	for _, j := range t.jobs {
+		if !j.active.IsZero() {
+			used[j.Team] = used[j.Team].Add(j.active)
+		}
+	}
+	return used
+}
+
 // VMs returns the VMs on which a task holds a grant, in order.
 func (t *Table) VMs() []string {
 	vms := make([]string, 0, len(t.vms))
@@ -205,18 +227,33 @@
 	if from == Pending {
 		t.removePending(k)
 	}
+	if from.active() {
+		k.Job.active = k.Job.active.Sub(k.Grant)
+	}
+	if to.active() {
+		k.Job.active = k.Job.active.Add(k.Grant)
+	}
 	if to == Pending {
 		t.addPending(k)
 	}
 	if !from.HoldsGrant() && to.HoldsGrant() {
 		t.addGrant(k)
 	}
+	if to.HoldsGrant() {
+		t.touch(k.VM)
+	}
 	if from.HoldsGrant() && !to.HoldsGrant() {
 		t.removeGrant(k)
 	}
 	return true
 }
 
+// touch numbers a change to a task on the VM.
+func (t *Table) touch(vm string) {
+	t.changes++
+	t.vms[vm].version = t.changes
+}
+
 func (t *Table) addPending(k *Task) {
 	k.pendingIndex = len(t.pending)
 	t.pending = append(t.pending, k)
@@ -252,6 +289,7 @@
 	moved.vmIndex = k.vmIndex
 	s.tasks[last] = nil
 	s.tasks = s.tasks[:last]
+	t.touch(k.VM)
 	if last == 0 {
 		delete(t.vms, k.VM)
 	}
--- a/task/task.go
+++ b/task/task.go
@@ -48,6 +48,8 @@
 	FailureStreak int       // failures since a task of the job last finished
 	FailedVMs     []string  // distinct VMs of the streak, at most suspectVMs
 	NotBefore     time.Time // no task of the job is placed earlier
+
+	active resource.Vector // sum of the grants of starting and running tasks
 }
 
 // Failing reports whether tasks of j failed on so many VMs that the job, not
