--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -90,7 +89,7 @@
 }
 
 func (a *Agent) assemble() error {
-	incarnation := rand.Uint64()
+	incarnation := newIncarnation(time.Now())
 	address := a.listener.Addr().String()
 	a.control = controlclient.New(a.config.Security, a.config.ControlAddresses)
 	requests, err := delivery.New(delivery.Config{
@@ -122,6 +121,11 @@
 	return nil
 }
 
+// newIncarnation returns a number that is higher than that of earlier processes
+// of this agent, as long as the VM's clock did not step back. After such a step
+// the control group takes the agent in once the former process's lease is over.
+func newIncarnation(now time.Time) uint64 { return uint64(now.UnixNano()) }
+
 func (a *Agent) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
--- a/cmd/paddle-scale/agent.go
+++ b/cmd/paddle-scale/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,7 +38,7 @@
 	a.servers = newLightAnnouncer(vm, a.worker)
 	a.session = session.New(session.Config{
 		VM:               vm,
-		Incarnation:      rand.Uint64(),
+		Incarnation:      uint64(time.Now().UnixNano()),
 		ControlAddresses: controls,
 		Security:         &transport.Security{},
 		Worker:           a.worker,
--- a/control/session.go
+++ b/control/session.go
@@ -195,6 +195,10 @@
 	if !leases.losing(c.vm.Id) && !c.server.state.announcementChanges(a) {
 		return nil
 	}
+	// An announcement that is refused must not hold off the loss of the VM.
+	if err := c.server.state.refusesAnnouncement(a); err != nil {
+		return err
+	}
 	attempt, ok := leases.beginAnnounce(c.vm.Id, time.Now())
 	if !ok {
 		return nil // the answer grants nothing; the next report tries again
@@ -212,6 +216,12 @@
 	return err
 }
 
+func (s *State) refusesAnnouncement(a fleet.Announcement) error {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.registry.Refuses(a)
+}
+
 // announcementChanges reports whether an announcement differs from the committed one.
 func (s *State) announcementChanges(a fleet.Announcement) bool {
 	s.mu.RLock()
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -101,20 +101,26 @@
 	return false
 }
 
-// Announce takes in an announcement. Errors: fault.Stale when a later
-// incarnation of the agent has announced itself, fault.Conflict when a backend
-// server's id belongs to another VM that is not lost.
-func (r *Registry) Announce(nowMS int64, a Announcement) error {
+// Refuses returns why Announce would refuse the announcement, or nil. Errors:
+// fault.Stale when a later incarnation of the agent has announced itself and
+// its VM is not lost, fault.Conflict when a backend server's id belongs to
+// another VM that is not lost.
+func (r *Registry) Refuses(a Announcement) error {
 	if err := CheckAnnouncement(a); err != nil {
 		return err
 	}
-	v := r.vms[a.VM.Id]
-	if v != nil && a.Incarnation < v.Incarnation {
+	if v := r.vms[a.VM.Id]; v != nil && a.Incarnation < v.Incarnation && !v.Lost {
 		return fault.Newf(fault.Stale, "VM %s has a later agent incarnation", v.ID)
 	}
-	if err := r.checkServerOwners(a); err != nil {
+	return r.checkServerOwners(a)
+}
+
+// Announce takes in an announcement. Its errors are those of Refuses.
+func (r *Registry) Announce(nowMS int64, a Announcement) error {
+	if err := r.Refuses(a); err != nil {
 		return err
 	}
+	v := r.vms[a.VM.Id]
 	if v == nil {
 		v = &VM{ID: a.VM.Id, servers: map[string]*api.BackendServer{}}
 		r.vms[v.ID] = v
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -105,3 +105,18 @@
 		t.Fatal("a VM that has been quiet for five minutes is withheld")
 	}
 }
+
+func TestAnAgentWhoseClockSteppedBackIsTakenInOnceItsVMIsLost(t *testing.T) {
+	r := newTestRegistry()
+	announceVM(t, r, 0, "vm", 9)
+	if err := r.Announce(1, announcementOf("vm", 3)); !fault.Is(err, fault.Stale) {
+		t.Fatalf("got %v, want stale while the later incarnation may live", err)
+	}
+	if !r.Lose("vm", 9) {
+		t.Fatal("not lost")
+	}
+	announceVM(t, r, 2, "vm", 3)
+	if v := r.VM("vm"); v.Lost || v.Incarnation != 3 {
+		t.Errorf("VM %+v", v)
+	}
+}
--- a/session/outbox.go
+++ b/session/outbox.go
@@ -19,7 +19,7 @@
 type outbox struct {
 	present map[runKey]worker.TaskStatus // as the worker last told
 	sentIn  map[runKey]uint64            // sequence of the report that carried the present state
-	refused map[runKey]string            // starts that this agent refused, with the reason
+	refused map[runKey]string            // runs that never will run here, or run no more, with the reason
 	order   []runKey                     // of refused, oldest first
 }
 
@@ -49,17 +49,28 @@
 			changed = true
 		}
 	}
-	o.dropUnseen(seen)
+	if o.dropUnseen(seen) {
+		changed = true
+	}
 	return changed
 }
 
-func (o *outbox) dropUnseen(seen map[runKey]bool) {
-	for key := range o.present {
-		if !seen[key] {
-			delete(o.present, key)
-			delete(o.sentIn, key)
+// dropUnseen drops the runs that the worker no longer lists. One that had not
+// ended was lost with its worker process, and is reported as stopped: otherwise
+// the control group would wait for its end for good.
+func (o *outbox) dropUnseen(seen map[runKey]bool) (lost bool) {
+	for key, status := range o.present {
+		if seen[key] {
+			continue
+		}
+		delete(o.present, key)
+		delete(o.sentIn, key)
+		if !status.Phase.Final() {
+			o.refuse(key, "lost with its worker process")
+			lost = true
 		}
 	}
+	return lost
 }
 
 // refuse records a start that will never happen at this agent.
--- a/session/session.go
+++ b/session/session.go
@@ -24,6 +24,7 @@
 	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
 	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
 	usagePollInterval = 1 * time.Second
+	sessionSilence    = 5 * time.Second // without a directive, after which the connection is given up
 	reconnectMin      = 50 * time.Millisecond
 	reconnectMax      = 1 * time.Second
 )
@@ -50,7 +51,7 @@
 // Config is the configuration of a Session.
 type Config struct {
 	VM               *api.VM
-	Incarnation      uint64
+	Incarnation      uint64   // higher than that of earlier processes of this agent
 	ControlAddresses []string // ip:port of the control replicas
 	Security         *transport.Security
 	Worker           Worker
@@ -81,7 +82,8 @@
 	throttles   map[runKey]*api.ThrottleTask
 	leaving     bool
 	helloNeeded bool
-	leader      string // address to try first
+	heard       time.Time // when the session began or its last directive came
+	leader      string    // address to try first
 	announced   <-chan struct{}
 }
 
@@ -210,6 +212,7 @@
 	defer s.mu.Unlock()
 	s.outbox.reset()
 	s.helloNeeded = true
+	s.heard = time.Now()
 }
 
 func (s *Session) receiveLoop(stream grpc.BidiStreamingClient[api.AgentReport, api.Directive]) error {
@@ -237,9 +240,10 @@
 }
 
 func (s *Session) takeDirective(directive *api.Directive) {
+	now := time.Now()
 	s.mu.Lock()
+	s.heard = now
 	s.holder.Grant(directive)
-	now := time.Now()
 	for _, start := range directive.Start {
 		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now}
 	}
@@ -261,6 +265,9 @@
 	received <-chan error,
 ) error {
 	for {
+		if s.silent(time.Now()) {
+			return fault.New(fault.ConnectionLost, "the control replica is silent")
+		}
 		if report := s.nextReport(time.Now()); report != nil {
 			if err := stream.Send(report); err != nil {
 				return <-received
@@ -282,6 +289,14 @@
 	}
 }
 
+// silent reports whether the session has gone without directives for so long
+// that its connection may be dead while new ones would work.
+func (s *Session) silent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.heard) > sessionSilence
+}
+
 // announcementChanged returns the channel that was taken before the announcement
 // was last read, so that no change in between is missed.
 func (s *Session) announcementChanged() <-chan struct{} {
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -285,3 +285,18 @@
 		}
 	})
 }
+
+func TestSessionReportsRunsThatWereLostWithTheirWorkerProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+		r.drive()
+		r.grant(&api.Directive{})
+		r.worker.epoch, r.worker.began = "b", time.Now()
+		clear(r.worker.runs)
+		r.drive()
+		if status := r.report("a"); status.GetPhase() != api.TaskPhase_TASK_PHASE_STOPPED {
+			t.Errorf("got %v, want stopped", status)
+		}
+	})
+}
--- a/standin/light.go
+++ b/standin/light.go
@@ -26,7 +26,8 @@
 	runs    map[string]*lightRun
 	highest map[string]uint64
 	leaseMS int64
-	started int // runs started so far
+	started int                        // runs started so far
+	firsts  map[string]resource.Vector // first grant of a task of each job
 }
 
 type lightRun struct {
@@ -39,7 +40,7 @@
 func NewLightWorker() *LightWorker {
 	return &LightWorker{
 		began: time.Now(), epoch: strconv.FormatUint(rand.Uint64(), 36),
-		runs: map[string]*lightRun{}, highest: map[string]uint64{},
+		runs: map[string]*lightRun{}, highest: map[string]uint64{}, firsts: map[string]resource.Vector{},
 	}
 }
 
@@ -62,6 +63,9 @@
 		return fault.New(fault.Stale, "old generation, epoch or lease")
 	}
 	l.highest[task] = request.Generation
+	if _, known := l.firsts[request.Job]; !known {
+		l.firsts[request.Job] = request.Grant
+	}
 	l.leaseMS = max(l.leaseMS, request.LeaseMS)
 	l.runs[task] = &lightRun{request: request, phase: worker.PhaseRunning, startMS: l.clockMS()}
 	l.started++
@@ -163,7 +167,7 @@
 		list.Usage = append(list.Usage, worker.Usage{
 			Task: task, Generation: run.request.Generation,
 			StartMS: max(afterMS, run.startMS), EndMS: now,
-			Used:  halfOf(run.request.Grant),
+			Used:  halfOf(l.firsts[run.request.Job]),
 			Speed: 1,
 		})
 	}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -33,10 +35,36 @@
 	Capacity    resource.Vector
 	AnnounceURL string // base URL of the agent's local interface
 	Ledger      *Ledger
-	FailAll     bool    // every task fails right after its start
-	UsageFactor float64 // true use of a task relative to its grant; 0 means 1
+	FailAll     bool                             // every task fails right after its start
+	Use         func(job string) resource.Vector // true use of a task of the job or service; nil for its first grant here
+	Listener    net.Listener                     // of the interface; nil for a free loopback port
+	Events      io.Writer                        // gets one JSON line per Event, may be nil
 }
 
+// Event is something that really happened to a run at a worker.
+type Event struct {
+	At         int64           `json:"at"` // nanoseconds since 1970
+	VM         string          `json:"vm"`
+	Zone       string          `json:"zone"`
+	Task       string          `json:"task"`
+	Generation uint64          `json:"generation"`
+	Kind       EventKind       `json:"kind"`
+	Service    bool            `json:"service,omitempty"`
+	Grant      resource.Vector `json:"grant"`
+	Progress   float64         `json:"progress"`
+}
+
+// EventKind says what happened.
+type EventKind string
+
+// The kinds of events.
+const (
+	EventStart  EventKind = "start"
+	EventWork   EventKind = "work" // the run made progress
+	EventStop   EventKind = "stop" // the run ended unfinished
+	EventFinish EventKind = "finish"
+)
+
 // Worker is a stand-in for the worker of one VM. Its tasks make progress in
 // real time, slowed down by the work beside them.
 type Worker struct {
@@ -50,7 +78,8 @@
 
 	mu      sync.Mutex
 	tasks   map[string]*run
-	highest map[string]uint64 // highest generation seen of each task
+	highest map[string]uint64          // highest generation seen of each task
+	firsts  map[string]resource.Vector // first grant of a task of each job
 	leaseMS int64
 	usage   []worker.Usage
 	sampled int64 // end of the last usage interval
@@ -71,9 +100,13 @@
 
 // StartWorker starts a stand-in worker on a free loopback port.
 func StartWorker(options WorkerOptions) (*Worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
+	listener := options.Listener
+	if listener == nil {
+		opened, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listener = opened
 	}
 	w := &Worker{
 		options:  options,
@@ -83,6 +116,7 @@
 		done:     make(chan struct{}),
 		tasks:    map[string]*run{},
 		highest:  map[string]uint64{},
+		firsts:   map[string]resource.Vector{},
 	}
 	w.server = &http.Server{Handler: w.routes(), ReadHeaderTimeout: 5 * time.Second}
 	w.wait.Add(2)
@@ -121,7 +155,8 @@
 		case <-w.done:
 			return
 		case now := <-ticker.C:
-			w.advance(now.Sub(last))
+			// A pause of the process is no time in which its runs worked.
+			w.advance(min(now.Sub(last), 2*workerTick))
 			last = now
 		}
 	}
@@ -180,6 +215,7 @@
 		w.end(r, worker.PhaseFailed, "exit status 1")
 		return
 	}
+	w.note(r, EventWork)
 	work := float64(max(r.request.WorkMS, 1))
 	r.status.Progress += elapsed.Seconds() * 1000 * speed * r.fraction / work
 	if r.status.Progress >= 1 {
@@ -198,6 +234,11 @@
 	}
 	r.status.Phase = phase
 	r.status.Error = message
+	if phase == worker.PhaseFinished {
+		w.note(r, EventFinish)
+	} else {
+		w.note(r, EventStop)
+	}
 	if r.backend != nil {
 		go r.backend.Stop(context.Background())
 	}
@@ -206,6 +247,21 @@
 	}
 }
 
+// note writes an event about the run.
+func (w *Worker) note(r *run, kind EventKind) {
+	if w.options.Events == nil {
+		return
+	}
+	line, err := json.Marshal(Event{
+		At: time.Now().UnixNano(), VM: w.options.VM, Zone: w.options.Zone,
+		Task: r.status.Task, Generation: r.status.Generation, Kind: kind,
+		Service: r.request.Service != "", Grant: r.request.Grant, Progress: r.status.Progress,
+	})
+	if err == nil {
+		_, _ = w.options.Events.Write(append(line, '\n'))
+	}
+}
+
 // checkpointID names a checkpoint; the stand-in keeps the progress in the name.
 func checkpointID(task string, generation uint64, progress float64) string {
 	return fmt.Sprintf("%s@%d@%.6f", task, generation, progress)
@@ -236,19 +292,12 @@
 }
 
 func (w *Worker) usageOf(r *run, now int64) worker.Usage {
-	factor := w.options.UsageFactor
-	if factor == 0 {
-		factor = 1
-	}
+	use := w.use(r)
+	use.MilliCPU = int64(float64(use.MilliCPU) * r.fraction)
 	usage := worker.Usage{
 		Task: r.status.Task, Generation: r.status.Generation,
 		StartMS: w.sampled, EndMS: now,
-		Used: resource.Vector{
-			MilliCPU:     int64(float64(r.request.Grant.MilliCPU) * factor * r.fraction),
-			MemoryMiB:    int64(float64(r.request.Grant.MemoryMiB) * factor),
-			Accelerators: r.request.Grant.Accelerators,
-		},
-		Speed: r.speedSum / float64(r.speedTicks),
+		Used: use, Speed: r.speedSum / float64(r.speedTicks),
 	}
 	if r.backend != nil {
 		usage.LatencyMS = r.backend.TakeLatency()
@@ -256,6 +305,14 @@
 	return usage
 }
 
+// use is what the run really needs, whatever it was granted.
+func (w *Worker) use(r *run) resource.Vector {
+	if w.options.Use != nil {
+		return w.options.Use(r.request.Job)
+	}
+	return w.firsts[r.request.Job]
+}
+
 // statuses returns the runs in the order of their names.
 func (w *Worker) statuses() []worker.TaskStatus {
 	list := make([]worker.TaskStatus, 0, len(w.tasks))
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -63,6 +63,9 @@
 		w.end(present, worker.PhaseStopped, "superseded")
 	}
 	w.highest[task] = request.Generation
+	if _, known := w.firsts[request.Job]; !known {
+		w.firsts[request.Job] = request.Grant
+	}
 	w.leaseMS = max(w.leaseMS, request.LeaseMS)
 	w.tasks[task] = w.newRun(task, request)
 	return true
@@ -83,6 +86,7 @@
 	if w.options.Ledger != nil {
 		r.record = w.options.Ledger.Begin(*r.record)
 	}
+	w.note(r, EventStart)
 	if request.Service != "" {
 		w.startBackend(r)
 	}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -69,6 +70,15 @@
 	return []grpc.ServerOption{grpc.Creds(s.grpcCredentials())}
 }
 
+// connectParams keeps a peer that accepts connections and never answers, such as
+// a frozen process, from holding up calls for the library's default of 20 s.
+var connectParams = grpc.ConnectParams{
+	Backoff: backoff.Config{
+		BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 2 * time.Second,
+	},
+	MinConnectTimeout: 2 * time.Second,
+}
+
 // Dial returns a client connection to address (ip:port). It connects in the
 // background; discovery, balancing and retries of the library stay off.
 func (s *Security) Dial(address string, extra ...grpc.DialOption) (*grpc.ClientConn, error) {
@@ -80,6 +90,7 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
+		grpc.WithConnectParams(connectParams),
 		grpc.WithContextDialer(dialTCP),
 	}
 	return grpc.NewClient("passthrough:///"+address, append(options, extra...)...)
