--- /dev/null
+++ b/raft/raft_test.go
@@ -0,0 +1,263 @@
+package raft
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+)
+
+const (
+	testElectionTicks  = 10
+	testHeartbeatTicks = 2
+)
+
+func voter(id uint64) *api.Member {
+	return &api.Member{Id: id, Address: "address", Role: api.MemberRole_MEMBER_ROLE_VOTER, Incarnation: id}
+}
+
+// newReplica returns replica 1 of voters 1 to 3 with entries of the given terms
+// after the first snapshot.
+func newReplica(terms ...uint64) *Raft {
+	table := &api.Membership{Members: []*api.Member{voter(1), voter(2), voter(3)}}
+	state := State{
+		HardState: &api.HardState{Term: 1},
+		Snapshot:  &api.Snapshot{Index: 1, Term: 1, Membership: table},
+	}
+	for i, term := range terms {
+		state.Entries = append(state.Entries, &api.LogEntry{Index: uint64(i) + 2, Term: term})
+		state.HardState.Term = term
+	}
+	return New(Config{
+		ID: 1, Incarnation: 1, ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeatTicks,
+		MaxMessageBytes: 1, Intn: func(int) int { return 0 },
+	}, state)
+}
+
+// settle syncs everything at once and returns the messages to others.
+func settle(r *Raft) []*api.RaftMessage {
+	var sent []*api.RaftMessage
+	for r.HasReady() {
+		ready := r.Ready()
+		r.Advance(ready)
+		for _, m := range append(ready.Messages, ready.SyncedMessages...) {
+			if m.To == 1 {
+				r.Step(m)
+			} else {
+				sent = append(sent, m)
+			}
+		}
+	}
+	return sent
+}
+
+func from(id uint64, m *api.RaftMessage) *api.RaftMessage {
+	m.From, m.To = id, 1
+	if m.Incarnation == 0 {
+		m.Incarnation = id
+	}
+	return m
+}
+
+func tick(r *Raft, n int) []*api.RaftMessage {
+	var sent []*api.RaftMessage
+	for range n {
+		r.Tick()
+		sent = append(sent, settle(r)...)
+	}
+	return sent
+}
+
+// lead makes replica 1 the leader with the vote of replica 2.
+func lead(t *testing.T, r *Raft) {
+	t.Helper()
+	tick(r, testElectionTicks+testHeartbeatTicks)
+	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE, Term: r.term + 1}))
+	settle(r)
+	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE, Term: r.term}))
+	settle(r)
+	if r.role != Leader {
+		t.Fatalf("role %v, want leader", r.role)
+	}
+}
+
+func ack(id, term, index uint64) *api.RaftMessage {
+	return from(id, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, Term: term, LogIndex: index})
+}
+
+func TestAnEntryOfAnEarlierTermIsNotCommittedByCounting(t *testing.T) {
+	r := newReplica(1)
+	lead(t, r)
+	r.Step(ack(2, r.term, 2))
+	settle(r)
+	if r.log.commit != 1 {
+		t.Errorf("commit %d after a majority holds an entry of an earlier term, want 1", r.log.commit)
+	}
+	r.Step(ack(2, r.term, 3))
+	settle(r)
+	if r.log.commit != 3 {
+		t.Errorf("commit %d after a majority holds the leader's entry, want 3", r.log.commit)
+	}
+}
+
+func TestAReadWaitsForAnEntryOfTheLeadersTerm(t *testing.T) {
+	r := newReplica(1)
+	lead(t, r)
+	if err := r.ReadIndex(9); err != nil {
+		t.Fatal(err)
+	}
+	answer := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE, Term: r.term, Read: 1}
+	r.Step(from(2, proto.Clone(answer).(*api.RaftMessage)))
+	if len(r.readStates) != 0 {
+		t.Fatalf("read answered with %+v before the leader knows its commit index", r.readStates)
+	}
+	r.Step(ack(2, r.term, 3))
+	r.Step(from(2, answer))
+	if len(r.readStates) != 1 || r.readStates[0].Index != 3 {
+		t.Errorf("reads %+v, want one at 3", r.readStates)
+	}
+}
+
+func TestALeaderCountsItsOwnEntryOnlyOnceSynced(t *testing.T) {
+	r := newReplica()
+	lead(t, r)
+	r.Step(ack(2, r.term, 2))
+	settle(r)
+	if _, _, err := r.Propose([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	r.Flush()
+	ready := r.Ready()
+	if r.progress[1].match != 2 || r.log.commit != 2 {
+		t.Errorf("own match %d and commit %d before the sync, want 2", r.progress[1].match, r.log.commit)
+	}
+	if len(ready.Entries) != 1 || len(ready.Committed) != 0 {
+		t.Errorf("ready hands out %d entries to sync and %d to apply", len(ready.Entries), len(ready.Committed))
+	}
+}
+
+func TestALeaderWithoutAQuorumStepsDown(t *testing.T) {
+	r := newReplica()
+	lead(t, r)
+	tick(r, 2*testElectionTicks)
+	if r.role == Leader {
+		t.Error("the leader still leads after two election timeouts without an answer")
+	}
+}
+
+func TestAReplicaThatHearsItsLeaderHelpsNobodyReplaceIt(t *testing.T) {
+	for _, kind := range []api.RaftMessageType{
+		api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE,
+	} {
+		r := newReplica()
+		r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, Term: 1}))
+		settle(r)
+		r.Step(from(3, &api.RaftMessage{Type: kind, Term: 9, LogIndex: 99, LogTerm: 9}))
+		if sent := settle(r); len(sent) != 0 || r.term != 1 || r.leader != 2 {
+			t.Errorf("%v: sent %v, term %d, leader %d", kind, sent, r.term, r.leader)
+		}
+	}
+}
+
+func TestAnIsolatedReplicaKeepsItsTerm(t *testing.T) {
+	r := newReplica()
+	tick(r, 10*testElectionTicks)
+	if r.term != 1 {
+		t.Errorf("term %d after campaigns that nobody answered, want 1", r.term)
+	}
+}
+
+func TestARemovedMemberIsNotHeard(t *testing.T) {
+	r := newReplica()
+	r.tables[0].table.Removed = []uint64{7}
+	for _, kind := range []api.RaftMessageType{
+		api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE,
+		api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE,
+		api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND,
+		api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT,
+	} {
+		r.Step(from(7, &api.RaftMessage{Type: kind, Term: 9, LogIndex: 99, LogTerm: 9, Transfer: true}))
+		if sent := settle(r); len(sent) != 0 || r.term != 1 {
+			t.Errorf("%v of a removed member: sent %v, term %d", kind, sent, r.term)
+		}
+	}
+}
+
+func TestAMemberWithAnotherDataFolderIsNotHeard(t *testing.T) {
+	r := newReplica()
+	lead(t, r)
+	answer := ack(2, r.term, 2)
+	answer.Incarnation = 99
+	r.Step(answer)
+	if r.log.commit != 1 {
+		t.Errorf("commit %d through a member that lost its disk", r.log.commit)
+	}
+}
+
+func TestPromoteIsRefusedUntilTheLearnerHasSyncedWhatIsCommitted(t *testing.T) {
+	r := newReplica()
+	lead(t, r)
+	r.Step(ack(2, r.term, 2))
+	if err := r.AddLearner(4, "other"); err != nil {
+		t.Fatal(err)
+	}
+	settle(r)
+	if err := r.Promote(4); !fault.Is(err, fault.Conflict) {
+		t.Errorf("while the change is not committed: %v", err)
+	}
+	r.Step(ack(2, r.term, 3))
+	settle(r)
+	r.Step(ack(4, r.term, 2))
+	if err := r.Promote(4); !fault.Is(err, fault.Conflict) {
+		t.Errorf("learner behind: %v", err)
+	}
+	r.Step(ack(4, r.term, 3))
+	if err := r.Promote(4); err != nil {
+		t.Errorf("learner caught up: %v", err)
+	}
+	if member := FindMember(r.membership(), 4); member.Incarnation != 4 {
+		t.Errorf("the promoted member is %+v, without its data folder", member)
+	}
+}
+
+func TestAMemberIDIsNeverUsedAgain(t *testing.T) {
+	r := newReplica()
+	lead(t, r)
+	r.Step(ack(2, r.term, 2))
+	if err := r.Remove(3); err != nil {
+		t.Fatal(err)
+	}
+	settle(r)
+	r.Step(ack(2, r.term, 3))
+	if err := r.AddLearner(3, "other"); !fault.Is(err, fault.Conflict) {
+		t.Errorf("got %v, want conflict", err)
+	}
+}
+
+func TestTooManyUncommittedBytesAreRefused(t *testing.T) {
+	r := newReplica()
+	r.config.MaxUncommittedBytes = 100
+	lead(t, r)
+	var err error
+	for range 10 {
+		if _, _, err = r.Propose(make([]byte, 50)); err != nil {
+			break
+		}
+	}
+	if !fault.Is(err, fault.Overloaded) {
+		t.Errorf("got %v, want overloaded", err)
+	}
+}
+
+func TestATransferElectsTheTargetAtOnce(t *testing.T) {
+	r := newReplica()
+	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, Term: 1}))
+	settle(r)
+	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_TIMEOUT_NOW, Term: 1}))
+	sent := settle(r)
+	if r.role != Candidate || len(sent) != 2 || !sent[0].Transfer {
+		t.Errorf("role %v, sent %v", r.role, sent)
+	}
+}
--- a/replica/protocol_test.go
+++ b/replica/protocol_test.go
@@ -32,6 +32,11 @@
 			g.deliver(s.pick(n), false)
 		}
 	}},
+	{"deliver newest", 12, func(g *group, _ *schedule) {
+		if n := len(g.network); n > 0 {
+			g.deliver(n-1, false)
+		}
+	}},
 	{"duplicate", 4, func(g *group, s *schedule) {
 		if n := len(g.network); n > 0 {
 			g.deliver(s.pick(n), true)
@@ -48,15 +53,36 @@
 		g.cut[s.node(g)] = true
 		g.cut[s.node(g)] = true
 	}},
+	{"isolate leader", 2, func(g *group, _ *schedule) {
+		if leader := g.leader(); leader != nil {
+			clear(g.cut)
+			g.cut[leader.id] = true
+		}
+	}},
 	{"heal", 3, func(g *group, _ *schedule) { clear(g.cut) }},
+	{"freeze", 2, func(g *group, s *schedule) { g.frozen[s.node(g)] = true }},
+	{"freeze leader", 2, func(g *group, _ *schedule) {
+		if leader := g.leader(); leader != nil {
+			g.frozen[leader.id] = true
+		}
+	}},
+	{"thaw", 3, func(g *group, s *schedule) {
+		clear(g.frozen)
+		g.with(s.node(g), g.clients.read)
+	}},
 	{"write", 8, func(g *group, s *schedule) { g.with(s.node(g), g.clients.write) }},
-	{"write at leader", 8, func(g *group, _ *schedule) {
+	{"write at leader", 10, func(g *group, _ *schedule) {
 		if leader := g.leader(); leader != nil {
 			g.with(leader.id, g.clients.write)
 		}
 	}},
 	{"read", 6, func(g *group, s *schedule) { g.with(s.node(g), g.clients.read) }},
-	{"transfer", 1, func(g *group, s *schedule) {
+	{"read at leader", 4, func(g *group, _ *schedule) {
+		if leader := g.leader(); leader != nil {
+			g.with(leader.id, g.clients.read)
+		}
+	}},
+	{"transfer", 2, func(g *group, s *schedule) {
 		if leader := g.leader(); leader != nil {
 			g.with(leader.id, func(n *simNode) { n.engine.raft.TransferLeadership(s.node(g)) })
 		}
@@ -120,10 +146,11 @@
 }
 
 // scheduleLength is the number of events of a schedule.
-const scheduleLength = 150
+const scheduleLength = 250
 
-func runSchedule(t *rapid.T, actions []action, size int) {
+func runSchedule(t *rapid.T, actions []action) {
 	s := &schedule{t: t}
+	size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size")
 	g := newGroup(t, size, rapid.Uint64().Draw(t, "seed"))
 	var weighted []int
 	for i, a := range actions {
@@ -145,6 +172,7 @@
 // checkRecovery checks that the group serves again once all faults are over.
 func (g *group) checkRecovery() {
 	clear(g.cut)
+	clear(g.frozen)
 	for _, id := range g.ids {
 		node := g.nodes[id]
 		node.fs.CrashAfter(-1)
@@ -178,22 +206,22 @@
 
 func TestProtocolHoldsUnderMessageFaults(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) { runSchedule(t, networkActions, 3) })
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, networkActions) })
 }
 
 func TestProtocolHoldsUnderCrashesInWrites(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) { runSchedule(t, join(networkActions, crashActions), 3) })
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, join(networkActions, crashActions)) })
 }
 
 func TestProtocolHoldsUnderMembershipChanges(t *testing.T) {
 	t.Parallel()
-	rapid.Check(t, func(t *rapid.T) { runSchedule(t, join(networkActions, crashActions, memberActions), 3) })
+	rapid.Check(t, func(t *rapid.T) { runSchedule(t, join(networkActions, crashActions, memberActions)) })
 }
 
 func TestProtocolHoldsUnderDiskLoss(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		runSchedule(t, join(networkActions, crashActions, memberActions, diskLossActions), 3)
+		runSchedule(t, join(networkActions, crashActions, memberActions, diskLossActions))
 	})
 }
--- a/replica/schedule_test.go
+++ b/replica/schedule_test.go
@@ -48,7 +48,8 @@
 	nodes    map[uint64]*simNode
 	ids      []uint64 // in order of creation
 	network  []*api.RaftMessage
-	cut      map[uint64]bool // replicas on the smaller side of a partition
+	cut      map[uint64]bool // replicas on one side of a partition
+	frozen   map[uint64]bool // replicas whose process does not run
 	checks   *invariants
 	clients  *clients
 	nextInc  uint64
@@ -58,7 +59,7 @@
 func newGroup(t *rapid.T, size int, seed uint64) *group {
 	g := &group{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)),
-		nodes: map[uint64]*simNode{}, cut: map[uint64]bool{}, checks: newInvariants(t), nextInc: 1000,
+		nodes: map[uint64]*simNode{}, cut: map[uint64]bool{}, frozen: map[uint64]bool{}, checks: newInvariants(t), nextInc: 1000,
 	}
 	g.clients = newClients(g)
 	table := &api.Membership{}
@@ -123,7 +124,7 @@
 	node.engine = &engine{storage: storage, out: g.outputs(node), raft: raft.New(raft.Config{
 		ID: id, Incarnation: node.incarnation,
 		ElectionTicks: testElectionTicks, HeartbeatTicks: testHeartbeat,
-		MaxInflight: 3, MaxMessageBytes: 100, SnapshotRetryTicks: 2 * testElectionTicks, Intn: g.random.IntN,
+		MaxInflight: 3, MaxMessageBytes: 40, SnapshotRetryTicks: 2 * testElectionTicks, Intn: g.random.IntN,
 	}, opened.state)}
 	node.up = true
 	g.clients.restarted(node)
@@ -199,7 +200,7 @@
 // with runs f on a replica that is up, and then all that follows from it.
 func (g *group) with(id uint64, f func(*simNode)) {
 	node := g.nodes[id]
-	if node == nil || !node.up {
+	if node == nil || !node.up || g.frozen[id] {
 		return
 	}
 	f(node)
@@ -257,7 +258,7 @@
 	var best *simNode
 	for _, id := range g.ids {
 		node := g.nodes[id]
-		if !node.up || node.engine.failed != nil || node.engine.raft.Status().Role != raft.Leader {
+		if !node.up || g.frozen[id] || node.engine.failed != nil || node.engine.raft.Status().Role != raft.Leader {
 			continue
 		}
 		if best == nil || node.engine.raft.Status().Term > best.engine.raft.Status().Term {
