--- a/raft/election.go
+++ b/raft/election.go
@@ -136,7 +136,7 @@
 	clear(r.progress)
 	r.syncProgress()
 	for _, p := range r.progress {
-		p.recentActive = true
+		p.silentTicks = 0 // each has a whole window to answer
 	}
 	r.appendOwn(api.EntryType_ENTRY_TYPE_NOOP, nil)
 	r.broadcastAppend()
@@ -167,7 +167,7 @@
 func (r *Raft) mostAdvancedVoter() uint64 {
 	best := uint64(0)
 	for _, id := range Voters(r.membership()) {
-		if id == r.config.ID || !r.progress[id].recentActive {
+		if id == r.config.ID || !r.isActive(id) {
 			continue
 		}
 		if best == 0 || r.progress[id].match > r.progress[best].match {
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -111,7 +111,7 @@
 		return fault.Newf(fault.Conflict, "member id %d is or was in use", id)
 	}
 	for _, member := range table.Members {
-		if member.Address == address && r.progress[member.Id].recentActive {
+		if member.Address == address && r.isActive(member.Id) {
 			return fault.Newf(fault.Conflict, "address %s belongs to member %d", address, member.Id)
 		}
 	}
@@ -134,7 +134,7 @@
 		return fault.Newf(fault.NotFound, "no learner with id %d", id)
 	}
 	progress := r.progress[id]
-	if !progress.recentActive || progress.incarnation == 0 || progress.match < r.log.commit {
+	if !r.isActive(id) || progress.incarnation == 0 || progress.match < r.log.commit {
 		return fault.Newf(fault.Conflict, "learner %d has synced up to %d of %d", id, progress.match, r.log.commit)
 	}
 	member.Role = api.MemberRole_MEMBER_ROLE_VOTER
@@ -194,12 +194,12 @@
 }
 
 // hasActiveQuorum reports whether a majority of the table's voters was heard
-// from in the current check-quorum window.
+// from within the shortest election timeout.
 func (r *Raft) hasActiveQuorum(table *api.Membership) bool {
 	voters := Voters(table)
 	active := 0
 	for _, id := range voters {
-		if id == r.config.ID || (r.progress[id] != nil && r.progress[id].recentActive) {
+		if r.isActive(id) {
 			active++
 		}
 	}
@@ -213,5 +213,5 @@
 	if p == nil {
 		return 0, false
 	}
-	return p.match, id == r.config.ID || p.recentActive
+	return p.match, r.isActive(id)
 }
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -10,16 +10,16 @@
 
 // progress is the leader's view of one member's log.
 type progress struct {
-	match        uint64 // last index known to be synced there
-	next         uint64 // next index to send
-	state        progressState
-	paused       bool     // probing: an append awaits its answer
-	inflight     []uint64 // replicating: last index of each unanswered append
-	snapshot     uint64   // snapshotting: index of the snapshot sent
-	snapshotAge  int      // ticks since the snapshot was sent
-	recentActive bool     // heard from in this check-quorum window
-	incarnation  uint64   // of the data folder that match speaks of
-	readRound    uint64   // last read round confirmed
+	match       uint64 // last index known to be synced there
+	next        uint64 // next index to send
+	state       progressState
+	paused      bool     // probing: an append awaits its answer
+	inflight    []uint64 // replicating: last index of each unanswered append
+	snapshot    uint64   // snapshotting: index of the snapshot sent
+	snapshotAge int      // ticks since the snapshot was sent
+	silentTicks int      // ticks since it was heard from
+	incarnation uint64   // of the data folder that match speaks of
+	readRound   uint64   // last read round confirmed
 }
 
 func (p *progress) becomeProbing() {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -73,6 +73,7 @@
 	transferTo  uint64
 	reads       readQueue
 
+	refused        bool
 	saved          api.HardState
 	written        uint64 // last index handed out in Ready.Entries
 	snapshot       *api.Snapshot
@@ -163,11 +164,14 @@
 
 func (r *Raft) tickLeader() {
 	r.heartbeatElapsed++
+	for _, p := range r.progress {
+		p.silentTicks++
+	}
 	r.retrySnapshots()
 	if r.electionElapsed >= r.config.ElectionTicks {
 		r.electionElapsed = 0
 		r.transferTo = 0
-		if !r.checkQuorum() {
+		if !r.hasActiveQuorum(r.membership()) {
 			r.becomeFollower(r.term, 0)
 			return
 		}
@@ -178,14 +182,10 @@
 	}
 }
 
-// checkQuorum reports whether a majority answered since the last check, and
-// starts the next window.
-func (r *Raft) checkQuorum() bool {
-	active := r.hasActiveQuorum(r.membership())
-	for _, p := range r.progress {
-		p.recentActive = false
-	}
-	return active
+// isActive reports whether the member was heard within the shortest election timeout.
+func (r *Raft) isActive(id uint64) bool {
+	p := r.progress[id]
+	return id == r.config.ID || (p != nil && p.silentTicks <= r.config.ElectionTicks)
 }
 
 // Propose appends data as a new entry and returns its index and term. Errors:
@@ -210,6 +210,11 @@
 // Step takes in a message from another replica, or from itself after a sync.
 func (r *Raft) Step(m *api.RaftMessage) {
 	if !r.Accepts(m) {
+		r.refuse(m)
+		return
+	}
+	if m.Type == api.RaftMessageType_RAFT_MESSAGE_TYPE_REFUSED {
+		r.refused = r.refused || m.Read == r.config.Incarnation
 		return
 	}
 	switch {
@@ -259,6 +264,19 @@
 	return false
 }
 
+// refuse tells a replica that lost its disk that it is not the member it was.
+func (r *Raft) refuse(m *api.RaftMessage) {
+	member := FindMember(r.MembershipAt(r.log.commit), m.From)
+	if m.To != r.config.ID || member == nil || member.Incarnation == 0 || member.Incarnation == m.Incarnation {
+		return
+	}
+	r.send(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_REFUSED, To: m.From, Read: m.Incarnation})
+}
+
+// Refused reports whether the group knows this replica's id with another data
+// folder. Such a replica is never heard.
+func (r *Raft) Refused() bool { return r.refused }
+
 func isVoteRequest(t api.RaftMessageType) bool {
 	return t == api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE || t == api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE
 }
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -66,10 +66,19 @@
 	}
 }
 
-// Compact drops the entries up to index from memory. The caller holds a durable
-// snapshot that covers them.
-func (r *Raft) Compact(index uint64) {
+// Compact drops the entries up to index from memory, but for the last
+// keepEntries of them as far as they fit in keepBytes. The caller holds a
+// durable snapshot that covers them.
+func (r *Raft) Compact(index, keepEntries, keepBytes uint64) {
 	index = min(index, r.log.handedOut)
+	for ; keepEntries > 0 && index >= r.log.firstIndex(); keepEntries-- {
+		size := entryBytes(r.log.entries[index-r.log.firstIndex()])
+		if size > keepBytes {
+			break
+		}
+		keepBytes -= size
+		index--
+	}
 	r.log.compact(index)
 	r.dropTablesBefore(index)
 }
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -14,7 +14,10 @@
 	table := r.membership()
 	for _, member := range table.Members {
 		if r.progress[member.Id] == nil {
-			r.progress[member.Id] = &progress{next: r.log.lastIndex() + 1, incarnation: member.Incarnation}
+			r.progress[member.Id] = &progress{
+				next: r.log.lastIndex() + 1, incarnation: member.Incarnation,
+				silentTicks: r.config.ElectionTicks + 1,
+			}
 		}
 	}
 	for id := range r.progress {
@@ -209,7 +212,7 @@
 		return nil
 	}
 	p.setIncarnation(m.Incarnation)
-	p.recentActive = true
+	p.silentTicks = 0
 	return p
 }
 
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"slices"
+
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/raft"
@@ -85,6 +87,9 @@
 	}
 }
 
+// keepBytes bounds the entries kept in memory behind a snapshot.
+const keepBytes = 16 << 20
+
 // finishSnapshot drops the log before a durable snapshot at index, but for the
 // last entries that slow members may still need.
 func (e *engine) finishSnapshot(index, keepEntries uint64) {
@@ -94,9 +99,24 @@
 	if e.failed = e.storage.release(index); e.failed != nil {
 		return
 	}
-	if index > keepEntries {
-		e.raft.Compact(index - keepEntries)
+	e.raft.Compact(index, keepEntries, keepBytes)
+}
+
+// checkMembership ends the replica's part once the log says that it is no
+// member, or that the member is another data folder.
+func (e *engine) checkMembership(id, incarnation uint64) error {
+	table, committed := e.raft.Membership()
+	if e.failed != nil || !committed {
+		return e.failed
+	}
+	member := raft.FindMember(table, id)
+	switch {
+	case slices.Contains(table.Removed, id):
+		e.failed = fault.Newf(fault.Conflict, "replica %d was removed from the group", id)
+	case e.raft.Refused(), member != nil && member.Incarnation != 0 && member.Incarnation != incarnation:
+		e.failed = fault.Newf(fault.Conflict, "replica %d voted with another data folder; add this one under a new id", id)
 	}
+	return e.failed
 }
 
 // storageFault describes why the replica stopped voting, or is empty.
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -57,7 +57,7 @@
 func (r *Replica) hello(ctx context.Context, id uint64, address string) (*api.HelloReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	conn, err := r.config.Security.Dial(address)
+	conn, err := r.dial(address)
 	if err != nil {
 		return nil, err
 	}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -122,10 +122,14 @@
 		r.readLoop.issue(r)
 		r.engine.raft.Flush()
 	}
-	if err := r.engine.advance(); err != nil && healthy {
-		klog.ErrorS(err, "storage failed; the replica neither votes nor acknowledges any more", "replica", r.config.ID)
-		r.waiting.failAll(fault.Wrap(fault.CommitUnknown, err, "storage failed"))
-		r.readLoop.failAll(fault.Wrap(fault.NotLeader, err, "storage failed"))
+	err := r.engine.advance()
+	if err == nil {
+		err = r.engine.checkMembership(r.config.ID, r.identity.Incarnation)
+	}
+	if err != nil && healthy {
+		klog.ErrorS(err, "the replica neither votes nor acknowledges any more", "replica", r.config.ID)
+		r.waiting.failAll(fault.Wrap(fault.CommitUnknown, err, "replica failed"))
+		r.readLoop.failAll(fault.Wrap(fault.NotLeader, err, "replica failed"))
 	}
 	r.syncPeers()
 	r.view.update(r.engine)
--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -104,20 +104,31 @@
 	}
 }
 
+func waitFault(t *testing.T, h *host) {
+	t.Helper()
+	deadline := time.Now().Add(testWait)
+	for h.replica.Status().StorageFault == "" {
+		if time.Now().After(deadline) {
+			t.Fatalf("status %+v, want a fault", h.replica.Status())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestAnEmptyDiskUnderAnOldIDIsRefused(t *testing.T) {
 	hosts := startGroup(t, 3, nil)
 	leader := waitLeader(t, hosts)
 	lost := others(hosts, leader)[0]
 	lost.stop()
 	lost.config.DataDir = t.TempDir()
+	lost.config.Join = true
 	lost.start()
-	deadline := time.Now().Add(testWait)
-	for lost.replica.Status().StorageFault == "" {
-		if time.Now().After(deadline) {
-			t.Fatalf("status %+v, want a fault", lost.replica.Status())
-		}
-		time.Sleep(time.Millisecond)
-	}
+	waitFault(t, lost)
+	lost.stop()
+	lost.config.DataDir = t.TempDir()
+	lost.config.Join = false
+	lost.start()
+	waitFault(t, lost)
 	if _, err := lost.replica.ConfirmRead(testContext(t)); !fault.Is(err, fault.NotLeader) {
 		t.Errorf("read on the refused replica: %v", err)
 	}
--- a/replica/peer.go
+++ b/replica/peer.go
@@ -116,7 +116,7 @@
 func (p *peer) stream() error {
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
-	conn, err := p.replica.config.Security.Dial(p.address)
+	conn, err := p.replica.dial(p.address)
 	if err != nil {
 		return err
 	}
@@ -249,7 +249,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, snapshotTimeout)
 	defer cancel()
-	conn, err := p.replica.config.Security.Dial(p.address)
+	conn, err := p.replica.dial(p.address)
 	if err != nil {
 		return err
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -76,7 +76,7 @@
 	if h.replica, err = Start(h.config); err != nil {
 		h.tb.Fatal(err)
 	}
-	h.server = grpc.NewServer()
+	h.server = grpc.NewServer(ServerOptions()...)
 	h.replica.Register(h.server)
 	go h.server.Serve(h.listener)
 }
--- a/replica/service.go
+++ b/replica/service.go
@@ -14,6 +14,25 @@
 
 func checksumOf(data []byte) uint32 { return crc32.Checksum(data, castagnoli) }
 
+// windowBytes is the flow-control window of streams and connections. A fixed
+// one turns off the library's bandwidth probes, which cost a ping for each batch.
+const windowBytes = 1 << 20
+
+// ServerOptions returns options for the gRPC server that Register is called on;
+// without them the service works, at a higher cost.
+func ServerOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
+	}
+}
+
+// dial opens a connection to another replica.
+func (r *Replica) dial(address string) (*grpc.ClientConn, error) {
+	return r.config.Security.Dial(address,
+		grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes))
+}
+
 // service is the gRPC side that the other replicas call.
 type service struct {
 	api.UnimplementedRaftServer
