--- /dev/null
+++ b/control/directive_test.go
@@ -0,0 +1,68 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/task"
+)
+
+func TestDirectiveForEachStateOfARun(t *testing.T) {
+	key := runKey{"job/sort/0", 3}
+	now := time.Unix(1000, 0)
+	const none = api.TaskPhase_TASK_PHASE_UNSPECIFIED
+	in := vmSnapshot{known: true, inService: true, takesWork: true}
+	out := vmSnapshot{known: true, takesWork: true}
+	draining := vmSnapshot{known: true, inService: true}
+	for _, test := range []struct {
+		name        string
+		view        vmSnapshot
+		state       task.State
+		listed      api.TaskPhase
+		graceOver   bool
+		start, stop bool
+		checkpoint  bool
+	}{
+		{"a placed run is started", in, task.Starting, none, false, true, false, false},
+		{"a run that the agent lists is not started again", in, task.Starting, api.TaskPhase_TASK_PHASE_STARTING, false, false, false, false},
+		{"no start in a zone that is out", out, task.Starting, none, false, false, false, false},
+		{"no start on a VM that is drained", draining, task.Starting, none, false, false, false, false},
+		{"a running run goes on", in, task.Running, api.TaskPhase_TASK_PHASE_RUNNING, false, false, false, false},
+		{"a run that the agent does not know is stopped for sure", in, task.Running, none, false, false, true, true},
+		{"an evicted run takes a checkpoint", out, task.Stopping, api.TaskPhase_TASK_PHASE_RUNNING, false, false, true, true},
+		{"an evicted run stops without one when its time is over", out, task.Stopping, api.TaskPhase_TASK_PHASE_CHECKPOINTING, true, false, true, false},
+		{"a cancelled run stops at once", in, task.Cancelling, api.TaskPhase_TASK_PHASE_RUNNING, false, false, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runs := newAgentRuns()
+			if test.listed != none {
+				runs.list([]*api.TaskStatus{inPhase(key, test.listed, "")})
+			}
+			grace := graceBook{}
+			if test.graceOver {
+				grace[key] = now.Add(-time.Second)
+			}
+			test.view.runs = []runView{{runKey: key, state: test.state}}
+			d := runs.directive(test.view, nil, grace, now)
+			stop := len(d.Stop) > 0
+			if starts(d) != test.start || stop != test.stop || stop && d.Stop[0].Checkpoint != test.checkpoint {
+				t.Errorf("directive %v", d)
+			}
+		})
+	}
+}
+
+func TestThrottlesAreSentOnceAndOnlyForHeldRuns(t *testing.T) {
+	key, gone := runKey{"job/sort/0", 3}, runKey{"job/sort/1", 1}
+	runs := newAgentRuns()
+	view := vmSnapshot{runs: []runView{{runKey: key, state: task.Running}}}
+	runs.list([]*api.TaskStatus{running(key)})
+	wanted := map[runKey]float64{key: 0.5, gone: 0.5}
+	if d := runs.directive(view, wanted, nil, time.Now()); len(d.Throttle) != 1 || d.Throttle[0].Task != key.task {
+		t.Fatalf("directive %v", d)
+	}
+	if d := runs.directive(view, wanted, nil, time.Now()); len(d.Throttle) != 0 {
+		t.Fatalf("sent again: %v", d)
+	}
+}
--- a/control/http.go
+++ b/control/http.go
@@ -14,6 +14,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/operatorapi"
+	"amaranthpaddle/plan"
 )
 
 const (
@@ -132,8 +133,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := (&plan.DayPlan{}).Decode(body); err != nil {
+		return nil, err
+	}
 	result, err := s.commitAsLeader(r.Context(), &api.Command{Body: &api.Command_SubmitPlan{
-		SubmitPlan: &api.SubmitPlan{Plan: body, ChangeId: id},
+		SubmitPlan: &api.SubmitPlan{Plan: compressPlan(body), ChangeId: id},
 	}})
 	if err != nil {
 		return nil, err
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -70,6 +70,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{})
 		agent := s.connectHolder(t, testVM("vm", "a"), 1)
+		for range 10 {
+			time.Sleep(2 * time.Second)
+			agent.renew(t, 0)
+		}
 		began := time.Now()
 		agent.holder = agentsession.NewHolder()
 		agent.renew(t, 300*time.Millisecond)
@@ -91,6 +95,42 @@
 	})
 }
 
+func TestAVMThatAnnouncesItselfIsNotExpiredBeforeItsFirstLease(t *testing.T) {
+	start := time.Unix(0, 0)
+	leases := newLeaseTable(Config{}.withDefaults().Lease)
+	leases.reset(start)
+	now := start.Add(time.Hour)
+	attempt, ok := leases.beginAnnounce("vm", now)
+	if !ok || len(leases.takeExpired([]string{"vm"}, now)) > 0 {
+		t.Fatal("expired before its first lease")
+	}
+	leases.endAnnounce("vm", attempt)
+	if !leases.grant("vm", now) {
+		t.Fatal("no lease after the announcement")
+	}
+}
+
+func TestADeclarationOfLossUnderWayBlocksLeasesAndAnnouncements(t *testing.T) {
+	start := time.Unix(0, 0)
+	leases := newLeaseTable(Config{}.withDefaults().Lease)
+	leases.reset(start)
+	now := start.Add(time.Hour)
+	leases.takeExpired([]string{"vm"}, now)
+	if _, ok := leases.beginAnnounce("vm", now); ok || leases.grant("vm", now) {
+		t.Fatal("granted while the loss may still be appended")
+	}
+	leases.resolved("vm")
+	attempt, ok := leases.beginAnnounce("vm", now)
+	if !ok || leases.grant("vm", now) {
+		t.Fatal("a lease without a new announcement")
+	}
+	leases.takeExpired([]string{"vm"}, now.Add(time.Hour))
+	leases.endAnnounce("vm", attempt)
+	if leases.grant("vm", now) {
+		t.Fatal("an announcement ended a later declaration of loss")
+	}
+}
+
 func TestANewLeaderWaitsOutOneLeaseBeforeItLosesAVM(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{})
@@ -113,9 +153,10 @@
 	})
 }
 
-func TestALeaseNeverOutlastsItsConfirmationByMoreThanItsDuration(t *testing.T) {
+func TestPermissionsNeverOutlastTheirConfirmationByMoreThanTheirBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{})
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, testPlan(1, 1)))
 		agent := s.connectHolder(t, testVM("vm", "a"), 1)
 		began := time.Now()
 		agent.holder = agentsession.NewHolder()
@@ -134,6 +175,10 @@
 		if limit := cut.Add(s.config.Lease.Duration); until.After(limit) {
 			t.Fatalf("the lease outlasts the last confirmed leadership by %v", until.Sub(limit)+s.config.Lease.Duration)
 		}
+		time.Sleep(time.Until(cut.Add(s.config.Fresh)))
+		if agent.holder.MayStart(time.Now()) {
+			t.Fatal("a start is permitted after the bound")
+		}
 		time.Sleep(2 * confirmTimeout)
 	})
 }
--- a/control/state_plan.go
+++ b/control/state_plan.go
@@ -43,8 +43,12 @@
 // submitPlan accepts a plan with a higher number than the one in force. The
 // plan that was accepted first under a number stands.
 func (s *State) submitPlan(c *api.SubmitPlan, effects *Effects) *api.CommandResult {
+	data, err := decompressPlan(c.Plan)
+	if err != nil {
+		return refusal(err)
+	}
 	submitted := &plan.DayPlan{}
-	if err := submitted.Decode(c.Plan); err != nil {
+	if err := submitted.Decode(data); err != nil {
 		return refusal(err)
 	}
 	canonical, err := submitted.Encode()
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -65,7 +65,7 @@
 		t.Fatal(err)
 	}
 	digest := p.Digest()
-	result := m.apply(t, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: data}}})
+	result := m.apply(t, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(data)}}})
 	first, known := m.accepted[p.Number]
 	switch {
 	case known && bytes.Equal(first, digest[:]):
@@ -275,12 +275,12 @@
 
 func TestAnOperatorsZoneOutOutlivesTheNextPlan(t *testing.T) {
 	s := NewState()
-	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: encodePlan(t, testPlan(1, 1))}}})
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(encodePlan(t, testPlan(1, 1)))}}})
 	setZone := func(id string, in bool) {
 		applyTo(s, &api.Command{Body: &api.Command_SetZone{SetZone: &api.SetZone{Zone: "a", InService: in, ChangeId: id}}})
 	}
 	setZone("c1", false)
-	result := applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: encodePlan(t, testPlan(2, 1))}}})
+	result := applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(encodePlan(t, testPlan(2, 1)))}}})
 	if s.inService("a") || len(result.Warnings) == 0 {
 		t.Fatalf("zone in service %v, warnings %q", s.inService("a"), result.Warnings)
 	}
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -97,8 +97,9 @@
 		early := s.watchFrom(t, 0)
 		synctest.Wait()
 		s.node.setQuorum(false)
-		if err := <-s.watchFrom(t, 0).done; !fault.Is(err, fault.NoQuorum) {
-			t.Fatalf("new watch: %v", err)
+		late := s.watchFrom(t, 0)
+		if err := <-late.done; !fault.Is(err, fault.NoQuorum) || len(late.stream.out) > 0 {
+			t.Fatalf("new watch: %v, %d updates", err, len(late.stream.out))
 		}
 		if err := <-early.done; !fault.Is(err, fault.NoQuorum) {
 			t.Fatalf("early watch: %v", err)
