--- a/control/counts.go
+++ b/control/counts.go
@@ -1,60 +1,69 @@
 package control
 
 import (
-	"maps"
-	"slices"
+	"context"
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/burn"
+	"amaranthpaddle/task"
 )
 
-// entryRetention is how long the report sequence of a silent entry is kept.
-const entryRetention = 24 * time.Hour
-
-// countTable takes in the entries' reports, each once.
-type countTable struct {
-	entries map[string]*api.EntrySequence
-}
-
-func newCountTable() *countTable { return &countTable{entries: map[string]*api.EntrySequence{}} }
-
-// recordCounts takes in an entry's report unless its sequence was taken in before.
+// recordCounts takes in an entry's report; one that was taken in before changes nothing.
 func (s *State) recordCounts(c *api.RecordCounts) *api.CommandResult {
-	report := c.Report
-	last := s.counts.entries[report.Entry]
-	if last == nil || last.Incarnation < report.Incarnation {
-		last = &api.EntrySequence{Entry: report.Entry, Incarnation: report.Incarnation}
-		s.counts.entries[report.Entry] = last
+	sequence, err := s.counts.Record(c.Report, s.now())
+	if err != nil {
+		return refusal(err)
 	}
-	last.SeenMs = s.nowMS
-	s.counts.dropSilent(s.nowMS)
-	if report.Incarnation < last.Incarnation || report.Sequence <= last.Sequence {
-		return &api.CommandResult{Sequence: last.Sequence, Repeated: true}
-	}
-	last.Sequence = report.Sequence
-	return &api.CommandResult{Sequence: last.Sequence}
+	return &api.CommandResult{Sequence: sequence}
+}
+
+// burnReport returns the service-level report at now.
+func (s *State) burnReport(now time.Time) *burn.Report {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.counts.Report(now, s.plan, s.jobProgress())
 }
 
-func (t *countTable) dropSilent(nowMS int64) {
-	for name, entry := range t.entries {
-		if nowMS-entry.SeenMs > entryRetention.Milliseconds() {
-			delete(t.entries, name)
+func (s *State) jobProgress() []burn.JobProgress {
+	if s.plan == nil {
+		return nil
+	}
+	var list []burn.JobProgress
+	for _, declared := range s.plan.Jobs {
+		j := s.tasks.Job(task.JobID(declared.Name))
+		if j == nil {
+			continue
+		}
+		progress := burn.JobProgress{
+			Job:      declared,
+			Finished: j.Finished,
+			Running:  countTasks(j, task.Starting, task.Running, task.Stopping),
+			Stopped:  j.Wanted == 0,
+		}
+		if j.Complete() {
+			progress.FinishedAt = finishedAt(j)
 		}
+		list = append(list, progress)
 	}
+	return list
 }
 
-func (t *countTable) encode() []*api.EntrySequence {
-	var list []*api.EntrySequence
-	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
-		list = append(list, t.entries[name])
+// finishedAt returns when the last task of a complete job finished.
+func finishedAt(j *task.Job) time.Time {
+	var last time.Time
+	for _, k := range j.Tasks {
+		if k.State == task.Finished && k.Since.After(last) {
+			last = k.Since
+		}
 	}
-	return list
+	return last
 }
 
-func decodeCounts(list []*api.EntrySequence) *countTable {
-	t := newCountTable()
-	for _, entry := range list {
-		t.entries[entry.Entry] = entry
+// burnSource returns the report for the operators' page, confirmed by a quorum.
+func (s *Server) burnSource(ctx context.Context) (*burn.Report, error) {
+	if err := s.confirmAsLeader(ctx); err != nil {
+		return nil, err
 	}
-	return t
+	return s.state.burnReport(time.Now()), nil
 }
--- a/control/http.go
+++ b/control/http.go
@@ -12,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/burn"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/plan"
@@ -37,6 +38,8 @@
 	s.handle(mux, "GET "+operatorapi.PathBurn, s.getBurn)
 	s.handle(mux, "GET "+operatorapi.PathControlMembers, s.getMembers)
 	s.handle(mux, "POST "+operatorapi.PathControlReplace, s.postReplace)
+	mux.Handle("GET /burn", burn.Handler(s.burnSource))
+	mux.Handle("GET /burn/", burn.Handler(s.burnSource))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /healthz", s.getHealth)
 	mux.HandleFunc("GET /readyz", s.getReady)
@@ -69,17 +72,11 @@
 }
 
 func (s *Server) writeError(w http.ResponseWriter, err error) {
-	kind := fault.KindOf(err)
-	body := operatorapi.Error{
-		Kind:    kind.String(),
-		Message: err.Error(),
-		Outcome: string(kind.Answer().Outcome),
+	leader := ""
+	if fault.Is(err, fault.NotLeader) {
+		leader = s.leader().OperatorAddress
 	}
-	if kind == fault.NotLeader {
-		body.Leader = s.leader().OperatorAddress
-		w.Header().Set(operatorapi.HeaderLeader, body.Leader)
-	}
-	writeJSON(w, kind.Answer().HTTP, body)
+	operatorapi.WriteError(w, err, leader)
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/control/http_members.go
+++ b/control/http_members.go
@@ -61,8 +61,5 @@
 }
 
 func (s *Server) getBurn(r *http.Request) (any, error) {
-	if err := s.confirmAsLeader(r.Context()); err != nil {
-		return nil, err
-	}
-	return nil, fault.New(fault.NotFound, "no service-level counts are kept yet")
+	return s.burnSource(r.Context())
 }
--- a/control/http_test.go
+++ b/control/http_test.go
@@ -5,7 +5,10 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"time"
 
+	"amaranthpaddle/api"
+	"amaranthpaddle/burn"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/operatorapi"
 )
@@ -137,3 +140,23 @@
 		t.Errorf("status %d", w.Code)
 	}
 }
+
+func TestAReportSentAgainCountsOnce(t *testing.T) {
+	s := newTestServer(t, Config{})
+	s.mustPost(t, operatorapi.PathPlan, "plan", encodePlan(t, testPlan(1, 1)))
+	report := &api.EntryReport{Entry: "e", Incarnation: 1, Sequence: 1, Revision: 1, Counts: []*api.ServiceCounts{{
+		Service: "ledger", MinuteUnix: time.Now().Unix() / 60 * 60, Requests: 10, WithinObjective: 9,
+	}}}
+	for range 2 {
+		if ack, err := s.Report(t.Context(), report); err != nil || ack.Sequence != 1 {
+			t.Fatalf("%v, %v", ack, err)
+		}
+	}
+	var answer burn.Report
+	if status, failure := s.request(t, http.MethodGet, operatorapi.PathBurn, "", nil, &answer); status != http.StatusOK {
+		t.Fatalf("%d %+v", status, failure)
+	}
+	if windows := answer.Services[0].Windows; windows[0].Requests != 10 {
+		t.Fatalf("windows %+v", windows)
+	}
+}
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -228,6 +228,13 @@
 	}}})
 }
 
+func (m *stateMachine) RecordCounts(t *rapid.T) {
+	m.apply(t, &api.Command{Body: &api.Command_RecordCounts{RecordCounts: &api.RecordCounts{Report: &api.EntryReport{
+		Entry: "e", Incarnation: 1, Sequence: rapid.Uint64Range(1, 9).Draw(t, "sequence"),
+		Counts: []*api.ServiceCounts{{Service: "ledger", MinuteUnix: 60, Requests: 1, WithinObjective: 1}},
+	}}}})
+}
+
 // RestoreTwin replaces the twin by one restored from a snapshot.
 func (m *stateMachine) RestoreTwin(t *rapid.T) {
 	snapshot, err := m.state.Snapshot()
