control: unplaceable work is named, lost VMs are forgotten, tests with the real scheduler

Tests drive scheduler.Decide through sessions: zone out moves work with its checkpoint and never in two places, urgent work starts within 4.2 s on a full fleet, a leaving agent gets no new work.

--- a/control/http_status.go
+++ b/control/http_status.go
@@ -8,6 +8,7 @@
 	"amaranthpaddle/fleet"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/resource"
+	"amaranthpaddle/scheduler"
 	"amaranthpaddle/task"
 )
 
@@ -53,9 +54,10 @@
 	}
 	s.addVMStatus(status)
 	s.addServiceStatus(status)
+	unplaceable := s.unplaceableJobs()
 	for _, j := range s.tasks.Jobs() {
 		if j.Class == task.Batch {
-			status.Jobs = append(status.Jobs, jobStatus(j))
+			status.Jobs = append(status.Jobs, jobStatus(j, unplaceable[j.Name]))
 		}
 	}
 	return status
@@ -136,7 +138,19 @@
 	return n
 }
 
-func jobStatus(j *task.Job) operatorapi.JobStatus {
+// unplaceableJobs returns why no VM could ever hold a task, by the name of the job.
+func (s *State) unplaceableJobs() map[string]string {
+	reasons := map[string]string{}
+	if s.plan == nil {
+		return reasons
+	}
+	for _, e := range scheduler.Unschedulable(s.plan, s.capacities()) {
+		reasons[e.Job] = e.Reason
+	}
+	return reasons
+}
+
+func jobStatus(j *task.Job, unplaceable string) operatorapi.JobStatus {
 	view := operatorapi.JobStatus{
 		Name:     j.Name,
 		Team:     j.Team,
@@ -157,6 +171,9 @@
 		view.Deadline = &deadline
 	}
 	view.State = jobState(j, view)
+	if unplaceable != "" && view.State == "pending" {
+		view.State, view.Reason = "unplaceable", unplaceable
+	}
 	return view
 }
 
--- /dev/null
+++ b/control/schedule_test.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/operatorapi"
+	"amaranthpaddle/plan"
+	"amaranthpaddle/resource"
+	"amaranthpaddle/scheduler"
+)
+
+// urgentTarget is the time within which urgent work starts.
+const urgentTarget = 4200 * time.Millisecond
+
+// workerAgent answers directives as an agent with a worker does: it starts at
+// once, and stops after checkpointTime with a checkpoint.
+type workerAgent struct {
+	*testAgent
+	started map[string]time.Time // by task
+	latest  map[string]*api.StartTask
+	stopped map[string]bool
+}
+
+const checkpointTime = time.Second
+
+// work serves directives and heartbeats until the session ends.
+func (a *workerAgent) work() {
+	heartbeat := time.NewTicker(2 * time.Second)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case d := <-a.stream.out:
+			a.carryOut(d)
+		case <-heartbeat.C:
+			a.report()
+		case <-a.stream.ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *workerAgent) carryOut(d *api.Directive) {
+	for _, start := range d.Start {
+		a.started[start.Task], a.latest[start.Task] = time.Now(), start
+		a.report(running(runKey{start.Task, start.Generation}))
+	}
+	for _, stop := range d.Stop {
+		a.stopped[stop.Task] = stop.Checkpoint
+		time.Sleep(checkpointTime)
+		a.report(inPhase(runKey{stop.Task, stop.Generation}, api.TaskPhase_TASK_PHASE_STOPPED, "checkpoint-1"))
+	}
+}
+
+func (s *testServer) connectWorker(t *testing.T, vm *api.VM) *workerAgent {
+	agent := &workerAgent{s.connect(t, vm, 1, nil), map[string]time.Time{}, map[string]*api.StartTask{}, map[string]bool{}}
+	go agent.work()
+	return agent
+}
+
+// batchPlan has one job of as many tasks in zones a and b.
+func batchPlan(number uint64, tasks int, size resource.Vector) *plan.DayPlan {
+	p := testPlan(number, tasks)
+	p.Services = nil
+	p.Jobs[0].Size = size
+	return p
+}
+
+func TestAZoneOutMovesWorkWithItsCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{Decide: scheduler.Decide})
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, batchPlan(1, 1, resource.Vector{MilliCPU: 1000, MemoryMiB: 1024})))
+		first := s.connectWorker(t, testVM("vm-1", "a"))
+		time.Sleep(5 * time.Second)
+		second := s.connectWorker(t, testVM("vm-2", "b"))
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		run := first.latest["job/sort/0"]
+		if run == nil {
+			t.Fatal("not started")
+		}
+		s.mustPost(t, operatorapi.PathZones+"a/out", "c2", nil)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		moved := second.latest["job/sort/0"]
+		if moved == nil || moved.Checkpoint != "checkpoint-1" || moved.Generation != run.Generation+1 || !first.stopped["job/sort/0"] {
+			t.Fatalf("first %v, then %v", run, moved)
+		}
+		if second.started["job/sort/0"].Before(first.started["job/sort/0"].Add(checkpointTime)) {
+			t.Fatal("started elsewhere before it had stopped")
+		}
+		first.close()
+		second.close()
+	})
+}
+
+func TestUrgentWorkStartsInTimeOnAFullFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{Decide: scheduler.Decide})
+		half := resource.Vector{MilliCPU: 2000, MemoryMiB: 8192}
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, batchPlan(1, 4, half)))
+		agents := []*workerAgent{s.connectWorker(t, testVM("vm-1", "a")), s.connectWorker(t, testVM("vm-2", "b"))}
+		time.Sleep(30 * time.Second)
+		urgent := batchPlan(2, 4, half)
+		urgent.Jobs = append(urgent.Jobs, plan.Job{Name: "urgent", Team: "t", Tasks: 1, Size: half, RunTime: time.Minute, Priority: plan.UrgentPriority})
+		s.mustPost(t, operatorapi.PathPlan, "c2", encodePlan(t, urgent))
+		submitted := time.Now()
+		time.Sleep(urgentTarget)
+		synctest.Wait()
+		started := false
+		for _, agent := range agents {
+			_, here := agent.started["job/urgent/0"]
+			started = started || here
+		}
+		if !started {
+			t.Fatalf("not started %v after it was submitted", time.Since(submitted))
+		}
+		for _, agent := range agents {
+			agent.close()
+		}
+	})
+}
+
+func TestWorkThatNoVMCanHoldIsNamedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{Decide: scheduler.Decide})
+		s.connect(t, testVM("vm-1", "a"), 1, nil).next(t)
+		var answer operatorapi.PlanResult
+		body := encodePlan(t, batchPlan(1, 1, resource.Vector{MilliCPU: 64_000, MemoryMiB: 1024}))
+		s.request(t, http.MethodPost, operatorapi.PathPlan, "c1", body, &answer)
+		if len(answer.Warnings) != 1 || !strings.Contains(answer.Warnings[0], "sort") {
+			t.Fatalf("warnings %q", answer.Warnings)
+		}
+		var status operatorapi.Status
+		s.request(t, http.MethodGet, operatorapi.PathStatus, "", nil, &status)
+		if status.Jobs[0].State != "unplaceable" || status.Jobs[0].Reason == "" {
+			t.Fatalf("job %+v", status.Jobs[0])
+		}
+	})
+}
+
+func TestAnAgentThatLeavesGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{Decide: scheduler.Decide})
+		agent := s.connect(t, testVM("vm-1", "a"), 1, []*api.BackendServer{testBackend("server", "vm-1")})
+		agent.next(t)
+		agent.sequence++
+		agent.stream.in <- &api.AgentReport{Sequence: agent.sequence, Incarnation: 1, Leaving: true}
+		if d := agent.next(t); !d.Drain {
+			t.Fatalf("directive %v", d)
+		}
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, testPlan(1, 1)))
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		for len(agent.stream.out) > 0 {
+			if d := <-agent.stream.out; starts(d) {
+				t.Fatalf("directive %v", d)
+			}
+		}
+		if update := s.state.UpdateSince(0); !update.Servers[0].Leaving {
+			t.Fatalf("servers %v", update.Servers)
+		}
+	})
+}
--- a/control/state_fleet.go
+++ b/control/state_fleet.go
@@ -102,7 +102,7 @@
 // loseVM returns the VM's tasks to the queue. The leader has waited out the
 // VM's lease before it proposed this.
 func (s *State) loseVM(c *api.LoseVM, effects *Effects) error {
-	if !s.registry.Lose(c.Vm, c.Incarnation) {
+	if !s.registry.Lose(s.nowMS, c.Vm, c.Incarnation) {
 		return fault.Newf(fault.Stale, "VM %s is already lost or has announced itself again", c.Vm)
 	}
 	s.tasks.VMLost(s.now(), c.Vm)
--- a/control/state_plan.go
+++ b/control/state_plan.go
@@ -8,7 +8,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/plan"
-	"amaranthpaddle/resource"
+	"amaranthpaddle/scheduler"
 )
 
 // maxAcceptedPlans bounds the remembered accepted plans.
@@ -62,7 +62,7 @@
 	if latest := s.accepted.latest(); submitted.Number <= latest.Number {
 		return refusal(fault.Newf(fault.Stale, "plan %d is older than plan %d, which is in force", submitted.Number, latest.Number))
 	}
-	warnings := append(s.zoneWarnings(submitted), s.unplaceable(submitted)...)
+	warnings := append(s.zoneWarnings(submitted), s.unplaceableWarnings(submitted)...)
 	s.enforcePlan(submitted, canonical)
 	effects.Work, effects.AllVMs = true, true
 	result := s.finish(nil)
@@ -131,15 +131,22 @@
 	return warnings
 }
 
-// unplaceable names the work of the plan that no known VM could ever hold.
-func (s *State) unplaceable(p *plan.DayPlan) []string {
-	var capacities []resource.Vector
-	for _, vm := range s.registry.VMs() {
-		capacities = append(capacities, vm.Capacity)
-	}
+// unplaceableWarnings names the work of the plan that no known VM could ever hold.
+func (s *State) unplaceableWarnings(p *plan.DayPlan) []string {
 	var warnings []string
-	for _, f := range p.Unplaceable(capacities) {
-		warnings = append(warnings, f.Error())
+	for _, e := range scheduler.Unschedulable(p, s.capacities()) {
+		warnings = append(warnings, e.Job+" can run nowhere: "+e.Reason)
 	}
 	return warnings
 }
+
+// capacities returns the VMs that are not lost, with their capacities only.
+func (s *State) capacities() []scheduler.VM {
+	var list []scheduler.VM
+	for _, vm := range s.registry.VMs() {
+		if !vm.Lost {
+			list = append(list, scheduler.VM{ID: vm.ID, Capacity: vm.Capacity})
+		}
+	}
+	return list
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"amaranthpaddle/api"
@@ -24,6 +26,7 @@
 
 	servers map[string]*api.BackendServer
 	flap    flapScore
+	lostMS  int64 // when the VM was declared lost
 }
 
 // TakesWork reports whether new work may be placed on the VM.
@@ -156,14 +159,28 @@
 	}
 }
 
-// Lose declares a VM lost, unless a later incarnation has announced itself.
-// It reports whether the VM became lost.
-func (r *Registry) Lose(id string, incarnation uint64) bool {
+// lostRetention is how long a lost VM is remembered that no operator has drained.
+const lostRetention = 24 * time.Hour
+
+// forgetLost drops VMs that were lost long ago, to bound the memory.
+func (r *Registry) forgetLost(nowMS int64) {
+	for id, v := range r.vms {
+		if v.Lost && !v.Draining && nowMS-v.lostMS > lostRetention.Milliseconds() {
+			delete(r.vms, id)
+		}
+	}
+}
+
+// Lose declares a VM lost at nowMS, unless a later incarnation has announced
+// itself. It reports whether the VM became lost.
+func (r *Registry) Lose(nowMS int64, id string, incarnation uint64) bool {
+	r.forgetLost(nowMS)
 	v := r.vms[id]
 	if v == nil || v.Lost || v.Incarnation != incarnation {
 		return false
 	}
 	v.Lost = true
+	v.lostMS = nowMS
 	r.publish(v)
 	return true
 }
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -47,11 +47,11 @@
 func TestALostVMsServersAreWithdrawnUntilItReturns(t *testing.T) {
 	r := newTestRegistry()
 	announceVM(t, r, 0, "vm", 1, "s1")
-	if !r.Lose("vm", 1) || r.publisher.Directory().Server("s1") != nil {
+	if !r.Lose(0, "vm", 1) || r.publisher.Directory().Server("s1") != nil {
 		t.Fatal("the lost VM's server is still published")
 	}
 	announceVM(t, r, 0, "vm", 1, "s1")
-	if r.Lose("vm", 2) || r.publisher.Directory().Server("s1") == nil {
+	if r.Lose(0, "vm", 2) || r.publisher.Directory().Server("s1") == nil {
 		t.Fatal("the VM that returned is not published")
 	}
 }
@@ -70,7 +70,7 @@
 	if err := r.Announce(0, announcementOf("other", 1, "s1")); !fault.Is(err, fault.Conflict) {
 		t.Fatalf("error %v", err)
 	}
-	r.Lose("vm", 1)
+	r.Lose(0, "vm", 1)
 	announceVM(t, r, 0, "other", 1, "s1")
 	announceVM(t, r, 0, "vm", 2)
 	if s := r.publisher.Directory().Server("s1"); s == nil || s.Vm != "other" {
@@ -105,3 +105,19 @@
 		t.Fatal("a VM that has been quiet for five minutes is withheld")
 	}
 }
+
+func TestALostVMIsForgottenAfterADayUnlessItIsDrained(t *testing.T) {
+	r := newTestRegistry()
+	for _, vm := range []string{"gone", "drained", "last"} {
+		announceVM(t, r, 0, vm, 1)
+	}
+	if err := r.SetDraining(0, "drained", true); err != nil {
+		t.Fatal(err)
+	}
+	r.Lose(0, "gone", 1)
+	r.Lose(0, "drained", 1)
+	r.Lose(lostRetention.Milliseconds()+1, "last", 1)
+	if r.VM("gone") != nil || r.VM("drained") == nil || r.VM("last") == nil {
+		t.Fatalf("VMs %v", r.VMs())
+	}
+}
