control: metrics, observed use in the status, silent sessions end

Cause: operators need what the leader sees (use, quarantine); a half-open connection kept its session for ever; a lease set without a margin had none.

Change: metrics per server; status shows observed use and quarantine; a session without a report for a whole lease ends; the margin defaults to a sixteenth of the lease; a stop that an earlier leader asked for has a minute for its checkpoint; 300,000 claims are remembered for 24 hours.

--- a/control/config.go
+++ b/control/config.go
@@ -10,10 +10,10 @@
 
 const (
 	defaultLease         = 8 * time.Second
-	defaultLeaseMargin   = 500 * time.Millisecond
+	leaseMarginPart      = 16 // of a lease, for the drift of clocks
 	defaultFresh         = 2 * time.Second
 	defaultClaimKeep     = 24 * time.Hour
-	defaultClaimLimit    = 200_000
+	defaultClaimLimit    = 300_000
 	confirmInterval      = 400 * time.Millisecond
 	confirmTimeout       = 2 * time.Second
 	confirmMaxAge        = 1 * time.Second // of the confirmation that an answer rests on
@@ -24,6 +24,7 @@
 	watchSpacing         = 50 * time.Millisecond
 	watchConfirmInterval = 2 * time.Second
 	graceMemory          = 10 * time.Minute // of a checkpoint time that has passed
+	defaultGrace         = time.Minute      // for a checkpoint, when the leader that asked for it is gone
 )
 
 // Peer is where another control replica can be reached.
@@ -52,7 +53,10 @@
 
 func (c Config) withDefaults() Config {
 	if c.Lease.Duration == 0 {
-		c.Lease = lease.Terms{Duration: defaultLease, Margin: defaultLeaseMargin}
+		c.Lease.Duration = defaultLease
+	}
+	if c.Lease.Margin == 0 {
+		c.Lease.Margin = c.Lease.Duration / leaseMarginPart
 	}
 	if c.Fresh == 0 {
 		c.Fresh = defaultFresh
--- a/control/directive.go
+++ b/control/directive.go
@@ -157,7 +157,7 @@
 			a.stop(d, run.runKey, true, now)
 		}
 	case task.Stopping:
-		a.stop(d, run.runKey, !grace.over(run.runKey, now), now)
+		a.stop(d, run.runKey, !grace.over(run, now), now)
 	case task.Cancelling:
 		a.stop(d, run.runKey, false, now)
 	}
@@ -223,7 +223,12 @@
 // graceBook holds until when a stopping run may take its checkpoint.
 type graceBook map[runKey]time.Time
 
-func (g graceBook) over(key runKey, now time.Time) bool {
-	until, limited := g[key]
-	return limited && now.After(until)
+// over reports whether the run has had its time. A run that an earlier leader
+// asked to stop has defaultGrace.
+func (g graceBook) over(run *runView, now time.Time) bool {
+	until, known := g[run.runKey]
+	if !known {
+		until = run.since.Add(defaultGrace)
+	}
+	return now.After(until)
 }
--- a/control/directive_test.go
+++ b/control/directive_test.go
@@ -43,7 +43,7 @@
 			if test.graceOver {
 				grace[key] = now.Add(-time.Second)
 			}
-			test.view.runs = []runView{{runKey: key, state: test.state}}
+			test.view.runs = []runView{{runKey: key, state: test.state, since: now}}
 			d := runs.directive(test.view, nil, grace, now)
 			stop := len(d.Stop) > 0
 			if starts(d) != test.start || stop != test.stop || stop && d.Stop[0].Checkpoint != test.checkpoint {
--- a/control/http.go
+++ b/control/http.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"amaranthpaddle/api"
 	"amaranthpaddle/burn"
 	"amaranthpaddle/fault"
@@ -40,7 +38,7 @@
 	s.handle(mux, "POST "+operatorapi.PathControlReplace, s.postReplace)
 	mux.Handle("GET /burn", burn.Handler(s.burnSource))
 	mux.Handle("GET /burn/", burn.Handler(s.burnSource))
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.metrics.write(w) })
 	mux.HandleFunc("GET /healthz", s.getHealth)
 	mux.HandleFunc("GET /readyz", s.getReady)
 	return mux
--- a/control/http_status.go
+++ b/control/http_status.go
@@ -22,9 +22,14 @@
 	status.Leader, status.Term = node.Leader, node.Term
 	status.Watchers = s.watcherStatus()
 	now := time.Now()
+	observed := s.planner.observedVMs()
 	for i := range status.VMs {
 		vm := &status.VMs[i]
 		vm.LeaseMillis = s.leases.left(vm.ID, now).Milliseconds()
+		vm.Used = operatorResources(observed[vm.ID].used)
+		if vm.State == vmReady && observed[vm.ID].quarantined {
+			vm.State = vmQuarantined
+		}
 	}
 	return status, nil
 }
@@ -89,16 +94,24 @@
 	}
 }
 
+// The states of a VM as operators see them.
+const (
+	vmReady       = "ready"
+	vmDraining    = "draining"
+	vmQuarantined = "quarantined"
+	vmLost        = "lost"
+)
+
 func vmState(vm *fleet.VM) string {
 	switch {
 	case vm.Lost:
-		return "lost"
+		return vmLost
 	case vm.Suppressed:
-		return "quarantined"
+		return vmQuarantined
 	case vm.Draining || vm.Leaving:
-		return "draining"
+		return vmDraining
 	default:
-		return "ready"
+		return vmReady
 	}
 }
 
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -345,3 +345,21 @@
 		}
 	})
 }
+
+func TestASilentSessionIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{})
+		agent := s.connect(t, testVM("vm", "a"), 1, nil)
+		agent.next(t)
+		time.Sleep(s.config.Lease.NewLeaderWait() + time.Second)
+		synctest.Wait()
+		select {
+		case err := <-agent.done:
+			if !fault.Is(err, fault.ConnectionLost) {
+				t.Fatalf("error %v", err)
+			}
+		default:
+			t.Fatal("the session of a silent agent is kept")
+		}
+	})
+}
--- a/control/loop.go
+++ b/control/loop.go
@@ -38,6 +38,7 @@
 	}
 	for _, vm := range s.leases.takeExpired(vms, time.Now()) {
 		klog.InfoS("VM lost", "vm", vm)
+		s.metrics.vmsLost.Inc()
 		_, err := s.commit(ctx, &api.Command{Body: &api.Command_LoseVm{LoseVm: &api.LoseVM{
 			Vm:          vm,
 			Incarnation: incarnations[vm],
@@ -85,7 +86,9 @@
 	if snapshot == nil {
 		return
 	}
-	s.carryOut(ctx, s.config.Decide(snapshot), now)
+	decisions := s.config.Decide(snapshot)
+	s.metrics.decide.UpdateDuration(now)
+	s.carryOut(ctx, decisions, now)
 }
 
 // inTouch returns a function that tells whether a VM's agent reported within
@@ -114,6 +117,7 @@
 			evict = append(evict, d)
 		case scheduler.Throttle:
 			s.planner.throttle(d)
+			s.metrics.throttles.Inc()
 			s.planner.decided(d, now)
 			s.notifyVM(d.VM)
 		}
@@ -155,14 +159,24 @@
 	}
 	for i, d := range decisions {
 		if refused := result.Refusals[i]; refused != "" {
+			s.metrics.refused.Inc()
 			klog.V(1).InfoS("Decision no longer held", "action", d.Action, "task", d.Task, "reason", refused)
 			continue
 		}
 		s.planner.decided(d, now)
+		s.countDecision(d)
 		klog.V(1).InfoS("Decision committed", "action", d.Action, "task", d.Task, "vm", d.VM, "reason", d.Reason)
 	}
 }
 
+func (s *Server) countDecision(d *scheduler.Decision) {
+	if d.Action == scheduler.Place {
+		s.metrics.placements.Inc()
+		return
+	}
+	s.metrics.evictions.Inc()
+}
+
 func (s *Server) notifyVM(vm string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// serverMetrics are the metrics of one Server.
+type serverMetrics struct {
+	set        *metrics.Set
+	placements *metrics.Counter
+	evictions  *metrics.Counter
+	throttles  *metrics.Counter
+	refused    *metrics.Counter // decisions that no longer held when they were committed
+	vmsLost    *metrics.Counter
+	decide     *metrics.Summary // seconds for a snapshot and its decisions
+	commit     *metrics.Summary // seconds from a proposal to its result
+}
+
+func newServerMetrics(s *Server) *serverMetrics {
+	set := metrics.NewSet()
+	set.NewGauge("paddle_control_leader", func() float64 {
+		if _, err := s.leading(); err != nil {
+			return 0
+		}
+		return 1
+	})
+	set.NewGauge("paddle_control_sessions", func() float64 { return float64(s.sessionCount()) })
+	set.NewGauge("paddle_control_watchers", func() float64 { return float64(s.watcherCount()) })
+	set.NewGauge("paddle_control_revision", func() float64 {
+		revision, _ := s.state.Revision()
+		return float64(revision)
+	})
+	set.NewGauge("paddle_control_claims", func() float64 { return float64(s.state.claimCount()) })
+	return &serverMetrics{
+		set:        set,
+		placements: set.NewCounter("paddle_control_placements_total"),
+		evictions:  set.NewCounter("paddle_control_evictions_total"),
+		throttles:  set.NewCounter("paddle_control_throttles_total"),
+		refused:    set.NewCounter("paddle_control_decisions_refused_total"),
+		vmsLost:    set.NewCounter("paddle_control_vms_lost_total"),
+		decide:     set.NewSummary("paddle_control_decide_seconds"),
+		commit:     set.NewSummary("paddle_control_commit_seconds"),
+	}
+}
+
+func (m *serverMetrics) write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WritePrometheus(w, true)
+}
+
+func (s *Server) sessionCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+func (s *Server) watcherCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.watchers)
+}
+
+func (s *State) claimCount() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.claims.claims)
+}
--- a/control/planner.go
+++ b/control/planner.go
@@ -6,6 +6,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fleet"
+	"amaranthpaddle/resource"
 	"amaranthpaddle/scheduler"
 	"amaranthpaddle/task"
 )
@@ -22,6 +23,13 @@
 	outcomes  []outcome
 	throttles map[string]map[runKey]float64 // by VM; the inner maps are replaced, not changed
 	grace     map[string]graceBook          // by VM; likewise
+	observed  map[string]observedVM         // by VM, as of the latest snapshot
+}
+
+// observedVM is what the leader knows of a VM beyond the replicated state.
+type observedVM struct {
+	used        resource.Vector
+	quarantined bool
 }
 
 // outcome is a committed effect of a report.
@@ -83,7 +91,33 @@
 	if p.state.plan == nil {
 		return nil
 	}
-	return p.learner.Snapshot(now, p.state.plan, p.state.tasks, p.state.schedulerVMs(inTouch))
+	snapshot := p.learner.Snapshot(now, p.state.plan, p.state.tasks, p.state.schedulerVMs(inTouch))
+	p.noteObserved(snapshot)
+	return snapshot
+}
+
+func (p *planner) noteObserved(snapshot *scheduler.Snapshot) {
+	observed := make(map[string]observedVM, len(snapshot.VMs))
+	for i := range snapshot.VMs {
+		vm := &snapshot.VMs[i]
+		observed[vm.ID] = observedVM{quarantined: vm.Quarantine != scheduler.Trusted}
+	}
+	for i := range snapshot.Tasks {
+		held := &snapshot.Tasks[i]
+		vm := observed[held.VM]
+		vm.used = vm.used.Add(held.Used)
+		observed[held.VM] = vm
+	}
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	p.observed = observed
+}
+
+// observedVMs returns what is known by VM; it must not be changed.
+func (p *planner) observedVMs() map[string]observedVM {
+	p.queueMu.Lock()
+	defer p.queueMu.Unlock()
+	return p.observed
 }
 
 // schedulerVMs returns the VMs that are not lost. A VM that flaps gets no new work.
--- a/control/server.go
+++ b/control/server.go
@@ -22,6 +22,7 @@
 	leases    *leaseTable
 	confirms  *confirmer
 	planner   *planner
+	metrics   *serverMetrics
 	work      chan struct{} // the leader's loop has something to do
 	stop      context.CancelFunc
 	done      sync.WaitGroup
@@ -56,6 +57,7 @@
 		watchers: map[*watcher]struct{}{},
 		entries:  map[string]entryView{},
 	}
+	s.metrics = newServerMetrics(s)
 	return s
 }
 
@@ -197,7 +199,9 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode command")
 	}
+	proposed := time.Now()
 	answer, err := s.config.Node.Propose(ctx, data)
+	s.metrics.commit.UpdateDuration(proposed)
 	if err != nil {
 		return nil, err
 	}
--- a/control/session.go
+++ b/control/session.go
@@ -129,8 +129,12 @@
 	return reports
 }
 
-// serve answers reports and pushes directives until the session ends.
+// serve answers reports and pushes directives until the session ends. A
+// connection that went silent is given up once the lease is over.
 func (c *session) serve(ctx context.Context, reports <-chan *api.AgentReport) error {
+	limit := c.server.config.Lease.NewLeaderWait()
+	silence := time.NewTimer(limit)
+	defer silence.Stop()
 	for {
 		var err error
 		select {
@@ -138,7 +142,10 @@
 			if !ok {
 				return fault.New(fault.Canceled, "the agent ended the session")
 			}
+			silence.Reset(limit)
 			err = c.report(ctx, report)
+		case <-silence.C:
+			return fault.New(fault.ConnectionLost, "the agent reported nothing for a whole lease")
 		case <-c.notify:
 			err = c.push(ctx)
 		case <-c.lead.ctx.Done():
--- a/control/watch.go
+++ b/control/watch.go
@@ -117,7 +117,7 @@
 			return
 		case <-ticker.C:
 		}
-		if !s.hasWatchers() {
+		if s.watcherCount() == 0 {
 			continue
 		}
 		if err := s.confirmRead(ctx); err != nil {
@@ -126,12 +126,6 @@
 	}
 }
 
-func (s *Server) hasWatchers() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.watchers) > 0
-}
-
 func (s *Server) endWatches(cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
