--- a/control/metrics.go
+++ b/control/metrics.go
@@ -14,8 +14,8 @@
 	throttles  *metrics.Counter
 	refused    *metrics.Counter // decisions that no longer held when they were committed
 	vmsLost    *metrics.Counter
-	decide     *metrics.Summary // seconds for a snapshot and its decisions
-	commit     *metrics.Summary // seconds from a proposal to its result
+	decide     *metrics.Histogram // seconds for a snapshot and its decisions
+	commit     *metrics.Histogram // seconds from a proposal to its result
 }
 
 func newServerMetrics(s *Server) *serverMetrics {
@@ -40,8 +40,8 @@
 		throttles:  set.NewCounter("paddle_control_throttles_total"),
 		refused:    set.NewCounter("paddle_control_decisions_refused_total"),
 		vmsLost:    set.NewCounter("paddle_control_vms_lost_total"),
-		decide:     set.NewSummary("paddle_control_decide_seconds"),
-		commit:     set.NewSummary("paddle_control_commit_seconds"),
+		decide:     set.NewHistogram("paddle_control_decide_seconds"),
+		commit:     set.NewHistogram("paddle_control_commit_seconds"),
 	}
 }
 
