--- a/control/state_test.go
+++ b/control/state_test.go
@@ -65,7 +65,7 @@
 		t.Fatal(err)
 	}
 	digest := p.Digest()
-	result := m.apply(t, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: data}}})
+	result := m.apply(t, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(data)}}})
 	first, known := m.accepted[p.Number]
 	switch {
 	case known && bytes.Equal(first, digest[:]):
@@ -228,6 +228,13 @@
 	}}})
 }
 
+func (m *stateMachine) RecordCounts(t *rapid.T) {
+	m.apply(t, &api.Command{Body: &api.Command_RecordCounts{RecordCounts: &api.RecordCounts{Report: &api.EntryReport{
+		Entry: "e", Incarnation: 1, Sequence: rapid.Uint64Range(1, 9).Draw(t, "sequence"),
+		Counts: []*api.ServiceCounts{{Service: "ledger", MinuteUnix: 60, Requests: 1, WithinObjective: 1}},
+	}}}})
+}
+
 // RestoreTwin replaces the twin by one restored from a snapshot.
 func (m *stateMachine) RestoreTwin(t *rapid.T) {
 	snapshot, err := m.state.Snapshot()
@@ -275,12 +282,12 @@
 
 func TestAnOperatorsZoneOutOutlivesTheNextPlan(t *testing.T) {
 	s := NewState()
-	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: encodePlan(t, testPlan(1, 1))}}})
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(encodePlan(t, testPlan(1, 1)))}}})
 	setZone := func(id string, in bool) {
 		applyTo(s, &api.Command{Body: &api.Command_SetZone{SetZone: &api.SetZone{Zone: "a", InService: in, ChangeId: id}}})
 	}
 	setZone("c1", false)
-	result := applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: encodePlan(t, testPlan(2, 1))}}})
+	result := applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(encodePlan(t, testPlan(2, 1)))}}})
 	if s.inService("a") || len(result.Warnings) == 0 {
 		t.Fatalf("zone in service %v, warnings %q", s.inService("a"), result.Warnings)
 	}
