--- a/delivery/call.go
+++ b/delivery/call.go
@@ -30,9 +30,8 @@
 		return
 	}
 	defer response.Body.Close()
-	standing := a.start.Standing
-	if !standing && response.Header.Get(request.HeaderStream) == request.StreamStanding {
-		standing = true
+	standing := isStanding(a.start, response)
+	if standing && !a.start.Standing {
 		hold.convert()
 		a.keepOpen()
 	}
@@ -48,6 +47,13 @@
 	a.finished(end)
 }
 
+// isStanding reports whether the answer is a standing stream: asked for, or
+// marked so by the backend server. An error answer is not.
+func isStanding(start *api.AttemptStart, response *http.Response) bool {
+	marked := response.Header.Get(request.HeaderStream) == request.StreamStanding
+	return (start.Standing || marked) && response.StatusCode < http.StatusMultipleChoices
+}
+
 // keepOpen lifts the deadline of an answer that turned out to be a standing stream.
 func (a *attempt) keepOpen() {
 	a.timeout.Stop()
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -122,6 +122,7 @@
 // send makes one attempt at t.
 func (x *execution) send(ctx context.Context, t *target) *try {
 	a := &try{target: t, collector: newCollector(x.sink, x.claimFlow)}
+	a.collector.onStanding = x.becomeStanding
 	a.result = x.deliverTo(ctx, a)
 	x.service.observe(t, x.request.Standing, a.result)
 	return a
@@ -167,7 +168,7 @@
 		Service:       x.request.Service,
 		Method:        x.request.Method,
 		Uri:           x.request.URI,
-		Headers:       x.headers,
+		Headers:       x.attemptHeaders(),
 		Idempotent:    x.request.Idempotent,
 		Key:           x.request.Key,
 		RequestDigest: x.digest,
--- a/entry/call.go
+++ b/entry/call.go
@@ -213,6 +213,9 @@
 	size  uint64
 	hash  *xxhash.Digest
 	flow  bool // passing on to the caller
+
+	onStanding func() // called once for an answer that is a standing stream
+	messages   messageFilter
 }
 
 // holdBytes is how much of an answer is held back.
@@ -233,17 +236,24 @@
 		return nil
 	}
 	c.head = head
-	if head.Standing {
-		return c.startFlow()
+	if !head.Standing {
+		return nil
 	}
-	return nil
+	if c.onStanding != nil {
+		c.onStanding()
+	}
+	c.messages.events = isEventStream(head)
+	return c.startFlow()
 }
 
 func (c *collector) write(p []byte) error {
 	c.size += uint64(len(p))
 	_, _ = c.hash.Write(p)
+	if c.standing() {
+		return c.sink.write(c.messages.complete(p), true)
+	}
 	if c.flow {
-		return c.sink.write(p, c.standing())
+		return c.sink.write(p, false)
 	}
 	c.held = append(c.held, p...)
 	if len(c.held) <= holdBytes {
@@ -268,7 +278,7 @@
 	}
 	held := c.held
 	c.held = nil
-	return c.sink.write(held, c.standing())
+	return c.sink.write(held, c.standing()) // flushes the head of a standing stream
 }
 
 // verify checks the answer against its announced length and checksum.
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -36,6 +36,11 @@
 	claimAfter string // attempt proven never to have run that holds the key's claim
 	last       *sent
 	attempts   int
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	timer      *time.Timer // ends the request at its deadline
+	turnEnded  bool        // the turn was given back
+	lastEvent  string      // id of the last event of a standing stream
 
 	queued      time.Duration // waiting for a turn and for slots
 	backendTime time.Duration // in the backend server that answered
@@ -57,7 +62,7 @@
 		return err
 	}
 	x.queued = time.Since(arrived)
-	defer x.service.leave()
+	defer x.endTurn()
 	err := x.attempt(ctx)
 	for err != nil {
 		step := x.progress.AfterAttempt(err)
@@ -72,12 +77,42 @@
 		}
 		err = x.attempt(ctx)
 	}
+	if err != nil && x.collector.standing() {
+		return nil
+	}
 	if err != nil {
 		return x.progress.Final(x.atDeadline(err))
 	}
 	return x.collector.deliver()
 }
 
+// endTurn gives the request's turn back, once.
+func (x *execution) endTurn() {
+	if !x.turnEnded {
+		x.turnEnded = true
+		x.service.leave()
+	}
+}
+
+// becomeStanding lifts the deadline of a request whose answer turned out to be
+// a standing stream.
+func (x *execution) becomeStanding() {
+	if x.request.Standing {
+		return
+	}
+	if x.timer != nil {
+		x.timer.Stop()
+	}
+	x.endTurn()
+	go func() {
+		select {
+		case <-x.entry.stopping:
+			x.cancel(errMoved)
+		case <-x.ctx.Done():
+		}
+	}()
+}
+
 // atDeadline replaces a refusal that came because time was up.
 func (x *execution) atDeadline(err error) error {
 	if x.deadline.IsZero() || time.Now().Before(x.deadline) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// errDeadline ends a request whose deadline passed while an attempt was with an agent.
+var errDeadline = fault.New(fault.DeadlineUnknown, "the deadline passed")
+
 // execute reads the body and makes the request's attempts.
 func (e *Entry) execute(w http.ResponseWriter, r *http.Request, s *sink, parsed *request.Request, began time.Time) (*execution, error) {
 	svc, err := e.directory.service(parsed.Service)
@@ -76,12 +79,13 @@
 		tried:    make(map[string]bool),
 	}
 	x.collector = newCollector(s, x.claimFlow)
-	ctx := r.Context()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	x.ctx, x.cancel = ctx, cancel
 	if parsed.Patience > 0 {
 		x.deadline = began.Add(parsed.Patience)
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, x.deadline)
-		defer cancel()
+		x.timer = time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
+		defer x.timer.Stop()
 	}
 	if x.body, err = e.readBody(w, r); err != nil {
 		return x, err
@@ -89,6 +93,9 @@
 	if parsed.NeedsClaim() {
 		x.digest = requestDigest(parsed, x.body)
 	}
+	if parsed.Standing {
+		return x, x.runStanding(ctx)
+	}
 	return x, x.run(ctx)
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -43,6 +43,7 @@
 type target struct {
 	server  *api.BackendServer
 	backend *routing.Backend
+	gone    chan struct{} // closed when it takes no new work any more
 }
 
 // turn is a request that waits to be admitted.
@@ -82,6 +83,11 @@
 		s.backends = append(s.backends, t.backend)
 		ceiling += 2 * t.backend.Slots
 	}
+	for id, t := range s.servers {
+		if kept[id] != t {
+			close(t.gone)
+		}
+	}
 	s.servers = kept
 	s.limit.SetCeiling(ceiling)
 	s.admitNext()
@@ -94,7 +100,11 @@
 		return known
 	}
 	slots := max(int(server.Slots), 1)
-	return &target{server: server, backend: &routing.Backend{ID: server.Id, Zone: server.Zone, Slots: slots}}
+	return &target{
+		server:  server,
+		backend: &routing.Backend{ID: server.Id, Zone: server.Zone, Slots: slots},
+		gone:    make(chan struct{}),
+	}
 }
 
 // admit waits for a turn. Errors: fault.Overloaded, fault.DeadlineNotRun.
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"amaranthpaddle/api"
@@ -21,7 +22,10 @@
 	control *http.ResponseController
 	head    bool // the caller asked for the head only
 	begun   bool
-	counted uint64
+
+	mu      sync.Mutex // guards writes, which a keep-alive may make too
+	written time.Time  // of the last bytes
+	events  bool       // an event stream, in which comments may stand
 }
 
 func newSink(w http.ResponseWriter, r *http.Request) *sink {
@@ -35,6 +39,10 @@
 		return nil
 	}
 	s.begun = true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = head.Standing && isEventStream(head)
+	s.written = time.Now()
 	header := s.w.Header()
 	for _, h := range head.Headers {
 		name := http.CanonicalHeaderKey(h.Name)
@@ -67,11 +75,13 @@
 	if len(p) == 0 && !flush {
 		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.extend()
 	if _, err := s.w.Write(p); err != nil {
 		return fault.Wrap(fault.Canceled, err, "write to the caller")
 	}
-	s.counted += uint64(len(p))
+	s.written = time.Now()
 	if flush {
 		return fault.Wrap(fault.Canceled, s.control.Flush(), "write to the caller")
 	}
