entry, blob, delivery: the slow link's byte budget, bodies by digest

Cause: the morning's 20 MB request crossed the paid link once for each caller, and a bulk body held small calls up.

--- a/blob/store.go
+++ b/blob/store.go
@@ -50,8 +50,9 @@
 }
 
 type entry struct {
-	digest Digest
-	size   int64
+	digest   Digest
+	size     int64
+	verified bool // by this process
 }
 
 // Open opens the store in dir, or in a temporary folder when dir is empty.
@@ -91,20 +92,36 @@
 			}
 			continue
 		}
-		s.insert(digest, info.Size())
+		s.insert(digest, info.Size(), false)
 	}
 	return nil
 }
 
 // Has reports whether the body is stored, and counts as a use of it.
 func (s *Store) Has(digest Digest) bool {
+	_, ok := s.use(digest)
+	return ok
+}
+
+// use moves a body to the front of the order of use.
+func (s *Store) use(digest Digest) (verified, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	element, ok := s.entries[digest]
-	if ok {
-		s.order.MoveToFront(element)
+	if !ok {
+		return false, false
+	}
+	s.order.MoveToFront(element)
+	return element.Value.(*entry).verified, true
+}
+
+// markVerified notes that the whole content was read and matched.
+func (s *Store) markVerified(digest Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if element, ok := s.entries[digest]; ok {
+		element.Value.(*entry).verified = true
 	}
-	return ok
 }
 
 // Bytes returns the stored and reserved bytes.
@@ -114,10 +131,12 @@
 	return s.bytes
 }
 
-// Get opens a stored body. Its reader returns fault.DataCorrupt in place of
-// io.EOF when the content does not match the digest. It fails with fault.NotFound.
+// Get opens a stored body. A body that an earlier process wrote is checked as
+// it is read: the reader returns fault.DataCorrupt in place of io.EOF when the
+// content does not match the digest. It fails with fault.NotFound.
 func (s *Store) Get(digest Digest) (io.ReadCloser, int64, error) {
-	if !s.Has(digest) {
+	verified, ok := s.use(digest)
+	if !ok {
 		return nil, 0, fault.New(fault.NotFound, "the body is not stored")
 	}
 	file, err := os.Open(s.path(digest))
@@ -130,6 +149,9 @@
 		_ = file.Close()
 		return nil, 0, fault.Wrap(fault.StorageFailed, err, "stat stored body")
 	}
+	if verified {
+		return file, info.Size(), nil
+	}
 	return &verifyingReader{file: file, store: s, digest: digest, hash: sha256.New()}, info.Size(), nil
 }
 
@@ -175,14 +197,14 @@
 	s.bytes -= size
 }
 
-func (s *Store) insert(digest Digest, size int64) {
+func (s *Store) insert(digest Digest, size int64, verified bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.entries[digest]; ok {
 		return
 	}
 	s.bytes += size
-	s.entries[digest] = s.order.PushFront(&entry{digest: digest, size: size})
+	s.entries[digest] = s.order.PushFront(&entry{digest: digest, size: size, verified: verified})
 	for s.bytes > s.max && s.order.Len() > 1 {
 		s.removeElement(s.order.Back())
 	}
@@ -207,7 +229,7 @@
 // Read reads from the file and hashes what it read.
 func (r *verifyingReader) Read(p []byte) (int, error) {
 	n, err := r.file.Read(p)
-	_, _ = r.hash.Write(p[:n])
+	hashLimited(r.hash, p[:n])
 	if err != io.EOF {
 		return n, err
 	}
@@ -215,6 +237,7 @@
 		r.store.Remove(r.digest)
 		return n, fault.New(fault.DataCorrupt, "a stored body does not match its digest")
 	}
+	r.store.markVerified(r.digest)
 	return n, io.EOF
 }
 
--- a/blob/writer.go
+++ b/blob/writer.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"hash"
 	"os"
+	"runtime"
 
 	"amaranthpaddle/fault"
 )
@@ -11,6 +12,16 @@
 // reserveStep is how many bytes a writer of unknown length reserves at a time.
 const reserveStep = 1 << 20
 
+// hashing bounds how many processors hash bodies at a time, so that requests
+// without a large body are not held up by them.
+var hashing = make(chan struct{}, max(runtime.GOMAXPROCS(0)/2, 1))
+
+func hashLimited(h hash.Hash, p []byte) {
+	hashing <- struct{}{}
+	defer func() { <-hashing }()
+	_, _ = h.Write(p)
+}
+
 // Writer takes one body into the store.
 type Writer struct {
 	store    *Store
@@ -45,7 +56,7 @@
 		w.reserved += reserveStep
 	}
 	n, err := w.file.Write(p)
-	_, _ = w.hash.Write(p[:n])
+	hashLimited(w.hash, p[:n])
 	w.size += int64(n)
 	return n, fault.Wrap(fault.StorageFailed, err, "write body file")
 }
@@ -69,7 +80,7 @@
 	}
 	w.store.unreserve(w.reserved)
 	w.reserved = 0
-	w.store.insert(digest, w.size)
+	w.store.insert(digest, w.size, true)
 	return digest, nil
 }
 
--- a/delivery/body.go
+++ b/delivery/body.go
@@ -10,7 +10,6 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/blob"
 	"amaranthpaddle/fault"
-	"amaranthpaddle/transport"
 )
 
 // storedBody returns the body with the start's digest, fetched from the agent
@@ -123,17 +122,17 @@
 
 // peerBodies fetches bodies from other agents, each body once at a time.
 type peerBodies struct {
-	security *transport.Security
-	store    *blob.Store
+	dialer Dialer
+	store  *blob.Store
 
 	mu       sync.Mutex
 	inFlight map[blob.Digest]chan struct{}
 	conns    map[string]*grpc.ClientConn
 }
 
-func newPeerBodies(security *transport.Security, store *blob.Store) *peerBodies {
+func newPeerBodies(dialer Dialer, store *blob.Store) *peerBodies {
 	return &peerBodies{
-		security: security,
+		dialer:   dialer,
 		store:    store,
 		inFlight: make(map[blob.Digest]chan struct{}),
 		conns:    make(map[string]*grpc.ClientConn),
@@ -194,7 +193,7 @@
 	if conn, ok := p.conns[address]; ok {
 		return conn, nil
 	}
-	conn, err := p.security.Dial(address)
+	conn, err := p.dialer.Dial(address)
 	if err != nil {
 		return nil, err
 	}
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -31,11 +31,16 @@
 	Claim(ctx context.Context, claim *api.ClaimRequest) (*api.ClaimResponse, error)
 }
 
+// Dialer opens connections to other agents; *transport.Security is one.
+type Dialer interface {
+	Dial(address string, extra ...grpc.DialOption) (*grpc.ClientConn, error)
+}
+
 // Config is what a Delivery needs to run. Zero limits take the defaults.
 type Config struct {
 	Incarnation uint64 // of the agent process; differs after each restart
 	Address     string // ip:port where entries reach this agent
-	Security    *transport.Security
+	Security    Dialer // towards other agents; plaintext on loopback when nil
 	Claimer     Claimer
 	BlobDir     string        // folder of stored bodies, a temporary one when empty
 	BlobBytes   int64         // bytes of stored bodies kept at a time
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -124,6 +124,9 @@
 	a := &try{target: t, collector: newCollector(x.sink, x.claimFlow)}
 	a.collector.onStanding = x.becomeStanding
 	a.result = x.deliverTo(ctx, a)
+	if x.body.stored() {
+		x.forgetHolder(a)
+	}
 	x.service.observe(t, x.request.Standing, a.result)
 	return a
 }
@@ -153,13 +156,20 @@
 	}
 	if remote {
 		start.AcceptZstd = true
-		start.AnswerCredit = answerCredit
+		start.AnswerCredit = firstCredit
 	}
 	a.sent = &sent{attempt: start.Attempt, address: t.server.AgentAddress,
 		incarnation: start.Incarnation, deadline: start.DeadlineUs, link: l}
 	return c.run(ctx)
 }
 
+// forgetHolder drops the body's holder after a refusal that may be due to it.
+func (x *execution) forgetHolder(a *try) {
+	if fault.Is(a.result.err, fault.Fenced) {
+		x.entry.bodies.forget(bodyKey{digest: x.body.digest, region: a.target.server.Region})
+	}
+}
+
 func (x *execution) start(t *target, l *link) *api.AttemptStart {
 	start := &api.AttemptStart{
 		Attempt:       x.entry.newAttempt(),
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -2,30 +2,176 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
 	"amaranthpaddle/request"
+	"amaranthpaddle/routing"
 )
 
-// answerCredit is how many bytes of an answer an agent of another region may
-// have in flight.
-const answerCredit = 64 << 10
+// Sizes on the link to other regions.
+const (
+	urgentBytes   = 4 << 10   // an interactive message up to this size never waits
+	linkBurst     = 16 << 10  // bytes that may go without pacing after a pause
+	firstCredit   = 16 << 10  // answer bytes that an agent may send unasked
+	largestCredit = 128 << 10 // answer bytes in flight of one answer
+	linkHeadroom  = 0.95      // part of the link's rate that is paced out
+	linkQueue     = 1 << 16   // messages that wait at most
+)
 
-// linkBudget shares the bytes to and from other regions.
+// linkBudget shares the bytes to and from other regions, by class.
 type linkBudget struct {
-	rate int64
+	outward *pacer
+	inward  *pacer
 }
 
-func newLinkBudget(rate int64) *linkBudget { return &linkBudget{rate: rate} }
+// newLinkBudget returns the budget for a rate in bytes/s each way; 0 is no limit.
+func newLinkBudget(rate int64) *linkBudget {
+	if rate <= 0 {
+		return &linkBudget{}
+	}
+	paced := int64(linkHeadroom * float64(rate))
+	return &linkBudget{outward: newPacer(paced), inward: newPacer(paced)}
+}
 
-// wait returns when size bytes may be sent.
+// wait returns when size bytes may be sent. Errors: fault.DeadlineNotRun when the context ends first.
 func (b *linkBudget) wait(ctx context.Context, remote bool, class request.Class, size int) error {
-	return nil
+	if !remote || b.outward == nil {
+		return nil
+	}
+	return b.outward.wait(ctx, class, size)
 }
 
 // waitInbound returns when size bytes more may be asked for.
 func (b *linkBudget) waitInbound(ctx context.Context, class request.Class, size int) error {
-	return nil
+	if b.inward == nil {
+		return nil
+	}
+	return b.inward.wait(ctx, class, size)
+}
+
+// pacer lets bytes of one direction go at a rate: urgent messages at once, then
+// those of interactive callers, then those of batch callers.
+type pacer struct {
+	mu      sync.Mutex
+	bucket  *routing.Bucket
+	waiting routing.ClassQueue[*paced]
+	armed   bool // a timer will call advance
+}
+
+type paced struct {
+	size int
+	turn chan struct{}
+}
+
+func newPacer(rate int64) *pacer { return &pacer{bucket: routing.NewBucket(rate, linkBurst)} }
+
+func (p *pacer) wait(ctx context.Context, class request.Class, size int) error {
+	m, err := p.enqueue(class, size)
+	if err != nil || m == nil {
+		return err
+	}
+	select {
+	case <-m.turn:
+		return nil
+	case <-ctx.Done():
+		p.mu.Lock()
+		p.waiting.Remove(class, m)
+		p.mu.Unlock()
+		return fault.New(fault.DeadlineNotRun, "the request ended while it waited for the link")
+	}
+}
+
+// enqueue spends the bytes when they may go at once, and then returns nil.
+func (p *pacer) enqueue(class request.Class, size int) (*paced, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	urgent := class == request.Interactive && size <= urgentBytes
+	if urgent || (p.waiting.Len() == 0 && p.bucket.Wait(now) == 0) {
+		p.bucket.Spend(now, size)
+		return nil, nil
+	}
+	m := &paced{size: size, turn: make(chan struct{})}
+	if _, pushed := p.waiting.Push(class, m, linkQueue); !pushed {
+		return nil, fault.New(fault.Overloaded, "too many messages wait for the link")
+	}
+	p.arm(now)
+	return m, nil
+}
+
+// arm sets a timer for when the next message may go. The caller holds mu.
+func (p *pacer) arm(now time.Time) {
+	if p.armed {
+		return
+	}
+	p.armed = true
+	time.AfterFunc(p.bucket.Wait(now), p.advance)
+}
+
+// advance lets waiting messages go as far as the bucket allows.
+func (p *pacer) advance() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.armed = false
+	now := time.Now()
+	for p.bucket.Wait(now) == 0 {
+		m, ok := p.waiting.Pop()
+		if !ok {
+			return
+		}
+		p.bucket.Spend(now, m.size)
+		close(m.turn)
+	}
+	if p.waiting.Len() > 0 {
+		p.arm(now)
+	}
+}
+
+// granter asks an agent of another region for more of an answer, a window at
+// a time, as the budget allows.
+type granter struct {
+	call   *call
+	send   func(*api.DeliverRequest) error
+	arrive chan int // plain bytes that arrived
+}
+
+func newGranter(ctx context.Context, c *call, send func(*api.DeliverRequest) error) *granter {
+	g := &granter{call: c, send: send, arrive: make(chan int, 64)}
+	go g.run(ctx)
+	return g
+}
+
+// arrived counts bytes of the answer.
+func (g *granter) arrived(ctx context.Context, n int) {
+	select {
+	case g.arrive <- n:
+	case <-ctx.Done():
+	}
+}
+
+// run grants what arrived, and twice that until the window is at its largest.
+func (g *granter) run(ctx context.Context) {
+	window := firstCredit
+	for {
+		var n int
+		select {
+		case n = <-g.arrive:
+		case <-ctx.Done():
+			return
+		}
+		if window < largestCredit {
+			window += n
+			n += n
+		}
+		if g.call.entry.link.waitInbound(ctx, classOfStart(g.call.start), n) != nil {
+			return
+		}
+		// The stream's own error, if there is one, comes from the next Recv.
+		_ = g.send(&api.DeliverRequest{Message: &api.DeliverRequest_Credit{Credit: uint64(n)}})
+	}
 }
 
 func classOfStart(start *api.AttemptStart) request.Class {
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,7 +37,8 @@
 	remote    bool     // the agent is in another region
 	deadline  time.Time
 	collector *collector
-	credited  uint64
+	granter   *granter // set once an answer with credit arrives
+	sendMu    sync.Mutex
 }
 
 // run sends the attempt and collects its answer.
@@ -67,11 +69,15 @@
 	if err := stream.Send(startMessage(c.start)); err != nil {
 		return &result{err: streamError(ctx, receiveError(stream))}
 	}
-	go c.sendChunks(ctx, stream)
-	r := c.collect(ctx, stream, stream.Send)
-	if r.err != nil || r.moved {
-		_ = stream.CloseSend()
+	send := func(message *api.DeliverRequest) error {
+		c.sendMu.Lock()
+		defer c.sendMu.Unlock()
+		return stream.Send(message)
 	}
+	if len(c.chunks) > 0 {
+		go c.sendChunks(ctx, send)
+	}
+	r := c.collect(ctx, stream, send)
 	return r
 }
 
@@ -103,13 +109,13 @@
 	return fault.FromStatus(err)
 }
 
-func (c *call) sendChunks(ctx context.Context, stream api.Agent_DeliverClient) {
+func (c *call) sendChunks(ctx context.Context, send func(*api.DeliverRequest) error) {
 	for _, chunk := range c.chunks {
 		if c.entry.link.wait(ctx, c.remote, classOfStart(c.start), len(chunk)) != nil {
 			return
 		}
 		message := &api.DeliverRequest{Message: &api.DeliverRequest_Chunk{Chunk: chunk}}
-		if stream.Send(message) != nil {
+		if send(message) != nil {
 			return
 		}
 	}
@@ -159,7 +165,6 @@
 }
 
 func (c *call) takeChunk(ctx context.Context, chunk *api.AnswerChunk, send func(*api.DeliverRequest) error) error {
-	size := len(chunk.Data)
 	data := chunk.Data
 	if chunk.Zstd {
 		plain, err := blob.Decompress(data)
@@ -174,23 +179,10 @@
 	if c.start == nil || c.start.AnswerCredit == 0 {
 		return nil
 	}
-	return c.grant(ctx, size, len(data), send)
-}
-
-// grant lets the agent send as many bytes again as arrived, once this entry's
-// share of the link allows it.
-func (c *call) grant(ctx context.Context, size, plain int, send func(*api.DeliverRequest) error) error {
-	if err := c.entry.link.waitInbound(ctx, classOfStart(c.start), size); err != nil {
-		return err
-	}
-	c.credited += uint64(plain)
-	if c.credited < answerCredit/2 {
-		return nil
+	if c.granter == nil {
+		c.granter = newGranter(ctx, c, send)
 	}
-	credit := c.credited
-	c.credited = 0
-	// The stream's own error, if there is one, comes from the next Recv.
-	_ = send(&api.DeliverRequest{Message: &api.DeliverRequest_Credit{Credit: credit}})
+	c.granter.arrived(ctx, len(data))
 	return nil
 }
 
--- a/entry/link.go
+++ b/entry/link.go
@@ -21,6 +21,7 @@
 
 	mu          sync.Mutex
 	using       int
+	bulk        int // bodies in transfer
 	incarnation uint64
 	sequence    uint64
 	sentAt      map[uint64]time.Time // of pings without a pong
@@ -182,6 +183,31 @@
 	}
 }
 
+// useBulk counts a body in transfer, beside which other attempts had better use
+// another link.
+func (l *link) useBulk() (done func()) {
+	l.mu.Lock()
+	l.using++
+	l.bulk++
+	l.mu.Unlock()
+	return func() {
+		l.mu.Lock()
+		l.using--
+		l.bulk--
+		l.mu.Unlock()
+	}
+}
+
+// cost ranks links: those with a body in transfer last, then by streams.
+func (l *link) cost() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.using + l.bulk*bulkCost
+}
+
+// bulkCost is the number of streams that a body in transfer counts as.
+const bulkCost = 1000
+
 func (l *link) inUse() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -185,7 +185,7 @@
 func (p *peer) best(not *link) *link {
 	var best *link
 	for _, l := range p.links {
-		if l != not && l.ctx.Err() == nil && (best == nil || l.inUse() < best.inUse()) {
+		if l != not && l.ctx.Err() == nil && (best == nil || l.cost() < best.cost()) {
 			best = l
 		}
 	}
