--- a/request/protocol_test.go
+++ b/request/protocol_test.go
@@ -144,7 +144,7 @@
 		w.lookup(t, a, m, waits)
 		return
 	}
-	if err, holder := w.admit(a, m); err != nil {
+	if holder, err := w.admit(a, m); err != nil {
 		if waits {
 			w.failed(t, m.caller, err, holder)
 		}
@@ -153,15 +153,15 @@
 	a.ready = append(a.ready, delivered{m.attempt, m.deadline})
 }
 
-func (w *world) admit(a *agentModel, m message) (error, *claimModel) {
+func (w *world) admit(a *agentModel, m message) (*claimModel, error) {
 	if m.incarnation != a.incarnation {
-		return fault.New(fault.NoBackend, "other incarnation"), nil
+		return nil, fault.New(fault.NoBackend, "other incarnation")
 	}
 	if err := a.table.Begin(w.now, m.attempt, m.deadline, true, ""); err != nil {
 		if fault.Is(err, fault.Conflict) {
-			return fault.New(fault.ConnectionLost, "a doubled message gets no reply of its own"), nil
+			return nil, fault.New(fault.ConnectionLost, "a doubled message gets no reply of its own")
 		}
-		return err, nil
+		return nil, err
 	}
 	if !w.keyed {
 		return nil, nil
@@ -176,7 +176,7 @@
 		return nil, nil
 	}
 	a.table.Abandon(w.now, m.attempt)
-	return fault.New(fault.KeyInUse, "claimed"), &held
+	return &held, fault.New(fault.KeyInUse, "claimed")
 }
 
 func (w *world) lookup(t *rapid.T, a *agentModel, m message, waits bool) {
