--- a/entry/service.go
+++ b/entry/service.go
@@ -219,16 +219,16 @@
 		return
 	}
 	if result.status < 500 {
-		t.backend.ObserveLatency(now, result.took)
+		t.backend.ObserveLatency(now, result.backendTime)
 		s.latency.add(result.took)
 	}
-	s.limit.ObserveAnswer(now, result.queue, result.backendTime, s.running)
+	s.limit.ObserveAnswer(s.running)
 }
 
 func (s *service) observeError(now time.Time, t *target, kind fault.Kind) {
 	switch kind {
 	case fault.Overloaded:
-		s.limit.ObserveOverload(now)
+		s.limit.ObserveOverload()
 	case fault.ConnectionLost, fault.AnswerDamaged, fault.BackendUnavailable, fault.DeadlineUnknown:
 		t.backend.ObserveResult(now, true)
 	}
--- a/routing/backend.go
+++ b/routing/backend.go
@@ -7,7 +7,9 @@
 
 // Smoothing of what is known of a backend server.
 const (
-	latencyWeight   = 0.2             // of a new sample
+	leastWeight     = 0.05            // of a new sample among many
+	mostWeight      = 0.5             // of a new sample after a long time
+	latencyMemory   = 2 * time.Second // over which samples are smoothed
 	latencyHalfLife = 5 * time.Second // of trust in a latency without new samples
 	reportLifetime  = 3 * time.Second // after which a reported load is no longer used
 	minimumLatency  = time.Millisecond / 10
@@ -50,13 +52,15 @@
 	b.reported = now
 }
 
-// ObserveLatency takes in the time one answer took.
+// ObserveLatency takes in the time that the backend server took for one
+// answer, without the wait for a slot.
 func (b *Backend) ObserveLatency(now time.Time, latency time.Duration) {
 	sample := float64(max(latency, minimumLatency))
 	if b.latency == 0 {
 		b.latency = sample
 	} else {
-		b.latency += latencyWeight * (sample - b.latency)
+		age := float64(now.Sub(b.sampled)) / float64(latencyMemory)
+		b.latency += min(max(age, leastWeight), mostWeight) * (sample - b.latency)
 	}
 	b.sampled = now
 }
--- a/routing/limit.go
+++ b/routing/limit.go
@@ -1,22 +1,19 @@
 package routing
 
-import "time"
-
-// Adaptation of a Limit.
+// Adaptation of a Limit: one answer raises a limit that is used up by limitRaise
+// over the limit, one refusal for lack of slots lowers it by limitLower. They
+// balance when one attempt in limit*limitLower/limitRaise is refused.
 const (
-	limitDecrease = 0.95                   // factor of one step down
-	limitPause    = 100 * time.Millisecond // between steps down
-	queueShare    = 0.5                    // of the backend time that an attempt may wait for its slot
-	queueFloor    = 5 * time.Millisecond   // wait for a slot that is always allowed
+	limitRaise = 1.0
+	limitLower = 0.5
+	limitInUse = 0.9 // part of the limit in progress from which it counts as used up
 )
 
 // Limit adapts how many attempts of one service an entry keeps in progress. It
-// grows while it is used up and slots are reached without much waiting, and
-// shrinks when agents' queues grow or refuse.
+// grows while it is used up and agents find slots, and shrinks when they refuse.
 type Limit struct {
-	current   float64
-	ceiling   float64
-	loweredAt time.Time
+	current float64
+	ceiling float64
 }
 
 // NewLimit returns a limit that starts at its ceiling.
@@ -36,28 +33,15 @@
 // Current returns how many attempts may be in progress, at least 1.
 func (l *Limit) Current() int { return max(int(l.current), 1) }
 
-// ObserveAnswer takes in how long an attempt waited for its slot and how long
-// the backend server took, with inProgress attempts in progress.
-func (l *Limit) ObserveAnswer(now time.Time, queue, backend time.Duration, inProgress int) {
-	if queue > max(time.Duration(queueShare*float64(backend)), queueFloor) {
-		l.lower(now)
-		return
-	}
-	if float64(inProgress) >= 0.9*l.current {
-		l.current = min(l.current+1/l.current, l.ceiling)
+// ObserveAnswer takes in an answer, with inProgress attempts in progress.
+func (l *Limit) ObserveAnswer(inProgress int) {
+	if float64(inProgress) >= limitInUse*l.current {
+		l.current = min(l.current+limitRaise/l.current, l.ceiling)
 	}
 }
 
 // ObserveOverload takes in a refusal for lack of slots.
-func (l *Limit) ObserveOverload(now time.Time) { l.lower(now) }
-
-func (l *Limit) lower(now time.Time) {
-	if now.Sub(l.loweredAt) < limitPause {
-		return
-	}
-	l.loweredAt = now
-	l.current = max(l.current*limitDecrease, 1)
-}
+func (l *Limit) ObserveOverload() { l.current = max(l.current-limitLower, 1) }
 
 // Budget allows extra attempts as a fraction of the first ones.
 type Budget struct {
