--- a/delivery/call.go
+++ b/delivery/call.go
@@ -91,26 +91,20 @@
 		Body:          a.body,
 		ContentLength: int64(a.start.BodyLength),
 	}
+	// net/http sends a request with an idempotency key or a safe method again by
+	// itself, unless it has a body that can't be read twice. So a request that is
+	// not idempotent always has one, be it empty.
 	if a.start.BodyLength == 0 && a.start.Idempotent {
 		call.Body = http.NoBody
 	}
 	return a.instance.client.RoundTrip(call.WithContext(httptrace.WithClientTrace(ctx, trace)))
 }
 
-// headers returns the caller's headers. Names that net/http takes as leave to
-// send a request again are written in lower case, which it does not recognise;
-// a body without GetBody keeps it from resending the rest.
+// headers returns the caller's headers and the time that is left.
 func (a *attempt) headers() http.Header {
 	header := make(http.Header, len(a.start.Headers)+2)
 	for _, h := range a.start.Headers {
-		name := h.Name
-		switch http.CanonicalHeaderKey(name) {
-		case request.HeaderKey:
-			name = "idempotency-key"
-		case "X-Idempotency-Key":
-			name = "x-idempotency-key"
-		}
-		header[name] = append(header[name], h.Value)
+		header[h.Name] = append(header[h.Name], h.Value)
 	}
 	if !a.start.Standing {
 		header.Set(request.HeaderDeadline, strconv.FormatInt(max(a.remaining().Milliseconds(), 0), 10))
--- a/delivery/deliver.go
+++ b/delivery/deliver.go
@@ -17,9 +17,8 @@
 
 // Bounds of a delivery.
 const (
-	maxInlineBody = 1 << 20         // bytes of a body sent with the attempt
-	overrunLimit  = time.Minute     // how long a started, non-idempotent attempt may run past its deadline
-	claimLimit    = 5 * time.Second // how long a claim is tried
+	maxInlineBody = 1 << 20     // bytes of a body sent with the attempt
+	overrunLimit  = time.Minute // how long a started, non-idempotent attempt may run past its deadline
 	claimBackoff  = 50 * time.Millisecond
 	maxBodyBytes  = 256 << 20 // bytes of a stored body
 )
@@ -249,7 +248,7 @@
 	if a.delivery.config.Claimer == nil {
 		return fault.New(fault.NoQuorum, "this agent can't claim keys")
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	ctx, cancel := context.WithTimeout(ctx, a.delivery.config.ClaimTime)
 	defer cancel()
 	claim := &api.ClaimRequest{
 		Key:         claimKey(a.start),
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -21,6 +21,7 @@
 	defaultBytes     = 64 << 20 // bytes
 	defaultRetention = 10 * time.Minute
 	defaultQueueTime = 200 * time.Millisecond
+	defaultClaimTime = 5 * time.Second
 	answerReserve    = 4 << 10 // bytes
 )
 
@@ -48,6 +49,7 @@
 	AnswerBytes int64         // bytes of kept answers
 	Retention   time.Duration // how long answers and fences are kept after their attempt's deadline
 	QueueTime   time.Duration // how long an attempt waits for a slot
+	ClaimTime   time.Duration // how long a claim is tried
 }
 
 // Server is one backend server that has announced itself.
@@ -118,6 +120,9 @@
 	if config.QueueTime == 0 {
 		config.QueueTime = defaultQueueTime
 	}
+	if config.ClaimTime == 0 {
+		config.ClaimTime = defaultClaimTime
+	}
 	if config.BlobBytes == 0 {
 		config.BlobBytes = blob.DefaultBytes
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -56,10 +57,27 @@
 	x, err := e.execute(w, r, s, parsed, began)
 	e.recorder.record(x, err, time.Since(began))
 	if err != nil {
+		discardBody(s, r)
 		s.refuse(err)
 	}
 }
 
+// Bounds on reading a refused request's body, without which its caller may see
+// a closed connection in place of the refusal.
+const (
+	discardBytes = 4 << 20
+	discardTime  = time.Second
+)
+
+// discardBody reads what the caller still sends, within bounds.
+func discardBody(s *sink, r *http.Request) {
+	if s.begun || r.Body == nil {
+		return
+	}
+	_ = s.control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.CopyN(io.Discard, r.Body, discardBytes)
+}
+
 // errDeadline ends a request whose deadline passed while an attempt was with an agent.
 var errDeadline = fault.New(fault.DeadlineUnknown, "the deadline passed")
 
