entry, routing: a stop test without a race, a test that queues weigh in the choice

Cause: the stop test changed a message that the control stand-in was sending (seen as a data race in the test), and the queue's weight could be removed without a test failing. Change: the test replaces the message; a fifteenth attempt at a fast backend server must lose against an idle one half as slow again.

--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"amaranthpaddle/api"
 )
 
@@ -79,7 +81,9 @@
 	b := startBackground(h, 6)
 	await(t, "no request was answered", func() bool { return b.done.Load() > 20 })
 	leaving := h.agents[0]
-	leaving.servers[0].Leaving = true
+	changed := proto.Clone(leaving.servers[0]).(*api.BackendServer)
+	changed.Leaving = true
+	leaving.servers = []*api.BackendServer{changed}
 	h.announce()
 	leaving.delivery.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -116,6 +116,18 @@
 	}
 }
 
+func TestAQueueWeighsAgainstASlowerBackendServer(t *testing.T) {
+	backends := fleet(2)
+	backends[0].ObserveLatency(start, 150*time.Millisecond)
+	backends[1].ObserveLatency(start, 100*time.Millisecond)
+	for range 15 {
+		backends[1].Begin()
+	}
+	if b := Pick(start, rand.New(rand.NewPCG(1, 2)), backends, Ask{}); b != backends[0] {
+		t.Error("the faster one was picked though a slot's wait makes it slower")
+	}
+}
+
 func TestStandingStreamsAreSpread(t *testing.T) {
 	backends := fleet(4)
 	random := rand.New(rand.NewPCG(1, 2))
