--- a/entry/handler.go
+++ b/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -56,10 +57,30 @@
 	x, err := e.execute(w, r, s, parsed, began)
 	e.recorder.record(x, err, time.Since(began))
 	if err != nil {
+		discardBody(s, r)
 		s.refuse(err)
 	}
 }
 
+// Bounds on reading a refused request's body, without which its caller may see
+// a closed connection in place of the refusal.
+const (
+	discardBytes = 4 << 20
+	discardTime  = time.Second
+)
+
+// discardBody reads what the caller still sends, within bounds.
+func discardBody(s *sink, r *http.Request) {
+	if s.begun || r.Body == nil {
+		return
+	}
+	_ = s.control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.CopyN(io.Discard, r.Body, discardBytes)
+}
+
+// errDeadline ends a request whose deadline passed while an attempt was with an agent.
+var errDeadline = fault.New(fault.DeadlineUnknown, "the deadline passed")
+
 // execute reads the body and makes the request's attempts.
 func (e *Entry) execute(w http.ResponseWriter, r *http.Request, s *sink, parsed *request.Request, began time.Time) (*execution, error) {
 	svc, err := e.directory.service(parsed.Service)
@@ -76,12 +97,13 @@
 		tried:    make(map[string]bool),
 	}
 	x.collector = newCollector(s, x.claimFlow)
-	ctx := r.Context()
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	x.ctx, x.cancel = ctx, cancel
 	if parsed.Patience > 0 {
 		x.deadline = began.Add(parsed.Patience)
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, x.deadline)
-		defer cancel()
+		x.timer = time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
+		defer x.timer.Stop()
 	}
 	if x.body, err = e.readBody(w, r); err != nil {
 		return x, err
@@ -89,6 +111,9 @@
 	if parsed.NeedsClaim() {
 		x.digest = requestDigest(parsed, x.body)
 	}
+	if parsed.Standing {
+		return x, x.runStanding(ctx)
+	}
 	return x, x.run(ctx)
 }
 
