telemetry: lines of package log become JSON lines too

Cause: in a trial with real processes net/http wrote a plain line for a failed TLS handshake between the JSON lines. Change: SetupLogs makes the logger the default of slog, which takes package log over. Figures: telemetry and daemon tests pass under -race; the new check fails without the change (the line never reaches the writer). Conclusion: every line of a daemon is JSON.

--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -24,7 +24,10 @@
 		return fault.Wrap(fault.InvalidArgument, err, "log level")
 	}
 	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: lowestLevel, ReplaceAttr: replaceAttribute})
-	klog.SetSlogLogger(slog.New(handler).With("role", role, "process", name))
+	logger := slog.New(handler).With("role", role, "process", name)
+	klog.SetSlogLogger(logger)
+	// The standard library's servers write to package log, which this redirects.
+	slog.SetDefault(logger)
 	return nil
 }
 
--- a/telemetry/log_test.go
+++ b/telemetry/log_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"log"
+	"log/slog"
 	"strings"
 	"testing"
 
@@ -13,7 +15,13 @@
 
 func TestLogsAreJSONLinesWithAConstantMessage(t *testing.T) {
 	var out bytes.Buffer
-	t.Cleanup(klog.ClearLogger)
+	earlier, flags, writer := slog.Default(), log.Flags(), log.Writer()
+	t.Cleanup(func() {
+		klog.ClearLogger()
+		slog.SetDefault(earlier)
+		log.SetFlags(flags)
+		log.SetOutput(writer)
+	})
 	if err := SetupLogs(&out, "control", "control-1", 2); err != nil {
 		t.Fatal(err)
 	}
@@ -22,11 +30,12 @@
 	klog.V(2).InfoS("Detail")
 	klog.V(3).InfoS("Too much detail")
 	klog.Flush()
+	log.Printf("http: TLS handshake error")
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
-	if len(lines) != 3 {
-		t.Fatalf("%d lines, want 3:\n%s", len(lines), out.String())
+	if len(lines) != 4 {
+		t.Fatalf("%d lines, want 4:\n%s", len(lines), out.String())
 	}
-	var first, second map[string]any
+	var first, second, last map[string]any
 	if err := json.Unmarshal([]byte(lines[0]), &first); err != nil {
 		t.Fatal(err)
 	}
@@ -40,4 +49,10 @@
 	if second["err"] != "no-quorum: 2 of 3 replicas are silent" || second["level"] != "ERROR" {
 		t.Errorf("line %v", second)
 	}
+	if err := json.Unmarshal([]byte(lines[3]), &last); err != nil {
+		t.Fatal(err)
+	}
+	if last["msg"] != "http: TLS handshake error" || last["process"] != "control-1" {
+		t.Errorf("line %v", last)
+	}
 }
