telemetry: the metrics of entry, agent and control, and their page

Cause: no daemon had a metric of its own. Change: telemetry names every metric; entries count requests, retries and refusals, agents deliveries, slots and starts, control replicas write the group and the fleet at each scrape; docs/operators/metrics.md says what to do when one moves. Figures: session, agent, entry, control, controlnode and telemetry tests pass under -race; a test compares the page with the list both ways. Conclusion: each daemon's /metrics answers without a credential.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -38,7 +38,6 @@
 	WorkerURL        string       // base URL of the worker's interface
 	DataDir          string       // bodies known by digest, a temporary folder when empty
 	Security         *transport.Security
-	MetricsHandler   http.Handler // served at /metrics, may be nil
 }
 
 // Agent is the agent process of one VM.
--- a/agent/local.go
+++ b/agent/local.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthpaddle/fault"
+	"amaranthpaddle/telemetry"
 )
 
 const maxAnnouncementBytes = 16 << 10
@@ -17,9 +18,7 @@
 	mux.HandleFunc("DELETE /v1/backends/{id}", a.handleLeave)
 	mux.HandleFunc("GET /healthz", handleHealth)
 	mux.HandleFunc("GET /readyz", a.handleReady)
-	if a.config.MetricsHandler != nil {
-		mux.Handle("GET /metrics", a.config.MetricsHandler)
-	}
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(a.WriteMetrics))
 	return mux
 }
 
--- a/cmd/paddle-agent/main.go
+++ b/cmd/paddle-agent/main.go
@@ -10,7 +10,6 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/daemon"
 	"amaranthpaddle/settings"
-	"amaranthpaddle/telemetry"
 )
 
 // stopTimeout bounds a planned stop; requests' deadlines end earlier.
@@ -46,7 +45,6 @@
 		WorkerURL:        s.Worker,
 		DataDir:          s.BodyFolder,
 		Security:         security,
-		MetricsHandler:   telemetry.MetricsHandler(),
 	})
 	if err != nil {
 		return err
--- a/cmd/paddle-entry/main.go
+++ b/cmd/paddle-entry/main.go
@@ -85,7 +85,7 @@
 		}
 		return fault.New(fault.Draining, "no confirmed configuration yet, or stopping")
 	}
-	server := &http.Server{Handler: telemetry.Mux(ready), ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: telemetry.Mux(ready, e.WriteMetrics), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = server.Serve(listener) }()
 	return func() { server.Close() }, nil
 }
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"io"
+	"strconv"
+
+	"amaranthpaddle/operatorapi"
+	"amaranthpaddle/telemetry"
+)
+
+// WriteMetrics writes the gauges of this replica and, while it leads, of the
+// fleet in the Prometheus text format.
+func (s *Server) WriteMetrics(w io.Writer) {
+	node := s.config.Node.Status()
+	replica := strconv.FormatUint(node.ID, 10)
+	telemetry.ControlLeader.WriteBool(w, node.LeaderReady, replica)
+	telemetry.ControlTerm.Write(w, float64(node.Term), replica)
+	telemetry.ControlCommit.Write(w, float64(node.Commit), replica)
+	telemetry.ControlApplied.Write(w, float64(node.Applied), replica)
+	telemetry.ControlStorage.WriteBool(w, node.StorageFault != "", replica)
+	if !node.LeaderReady {
+		return
+	}
+	status := s.state.status()
+	telemetry.ConfigRevision.Write(w, float64(status.Revision))
+	telemetry.PlanNumber.Write(w, float64(status.PlanNumber))
+	writeFleet(w, status)
+	writeJobs(w, status)
+	writeWatchers(w, status.Revision, s.watcherStatus())
+}
+
+func writeFleet(w io.Writer, status *operatorapi.Status) {
+	for _, z := range status.Zones {
+		telemetry.ZoneInService.WriteBool(w, z.InService, z.Name)
+		telemetry.ZoneTasks.Write(w, float64(z.Tasks), z.Name)
+	}
+	states := map[string]int{"ready": 0, "draining": 0, "quarantined": 0, "lost": 0}
+	for _, vm := range status.VMs {
+		states[vm.State]++
+	}
+	for state, n := range states {
+		telemetry.VMs.Write(w, float64(n), state)
+	}
+	for _, service := range status.Services {
+		telemetry.ServiceRunning.Write(w, float64(service.Running), service.Name)
+		telemetry.ServiceWanted.Write(w, float64(service.Instances), service.Name)
+	}
+}
+
+func writeJobs(w io.Writer, status *operatorapi.Status) {
+	var pending, running, finished, failed, evictions int
+	for _, job := range status.Jobs {
+		pending += job.Pending
+		running += job.Running
+		finished += job.Finished
+		failed += job.Failed
+		evictions += job.Evictions
+	}
+	telemetry.JobTasks.Write(w, float64(pending), "pending")
+	telemetry.JobTasks.Write(w, float64(running), "running")
+	telemetry.JobTasks.Write(w, float64(finished), "finished")
+	telemetry.JobTasks.Write(w, float64(failed), "failed")
+	telemetry.Evictions.Write(w, float64(evictions))
+}
+
+// writeWatchers writes by how many revisions the furthest agent and entry are behind.
+func writeWatchers(w io.Writer, revision uint64, watchers []operatorapi.WatcherStatus) {
+	lag := map[string]uint64{"agent": 0, "entry": 0}
+	for _, watcher := range watchers {
+		if watcher.Revision < revision {
+			lag[watcher.Kind] = max(lag[watcher.Kind], revision-watcher.Revision)
+		}
+	}
+	for kind, n := range lag {
+		telemetry.WatcherLag.Write(w, float64(n), kind)
+	}
+}
--- a/controlnode/controlnode.go
+++ b/controlnode/controlnode.go
@@ -16,6 +16,7 @@
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/replica"
 	"amaranthpaddle/task/lease"
+	"amaranthpaddle/telemetry"
 	"amaranthpaddle/transport"
 )
 
@@ -119,14 +120,15 @@
 // operatorHandler guards the operators' API; health checks and metrics stay open.
 func (n *Node) operatorHandler() http.Handler {
 	handler := n.server.Handler()
-	if n.config.Operators == nil {
-		return handler
-	}
 	mux := http.NewServeMux()
-	mux.Handle("/", n.config.Operators.Require(handler))
-	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
-		mux.Handle(path, handler)
+	if n.config.Operators == nil {
+		mux.Handle("/", handler)
+	} else {
+		mux.Handle("/", n.config.Operators.Require(handler))
 	}
+	mux.Handle("/healthz", handler)
+	mux.Handle("/readyz", handler)
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(n.server.WriteMetrics))
 	return mux
 }
 
--- a/delivery/deliver.go
+++ b/delivery/deliver.go
@@ -13,6 +13,7 @@
 	"amaranthpaddle/blob"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/request"
+	"amaranthpaddle/telemetry"
 )
 
 // Bounds of a delivery.
@@ -52,15 +53,18 @@
 	defer leave()
 	a, err := d.begin(start)
 	if err != nil {
+		observeRefusal(start, err)
 		return stream.Send(d.refusalMessage(start.Server, err))
 	}
 	if err := a.prepare(ctx, stream); err != nil {
+		observeRefusal(start, err)
 		a.abandon(err)
 		return stream.Send(d.refusalMessage(start.Server, err))
 	}
 	credit := newCredit(start.AnswerCredit)
 	canceled := make(chan struct{})
 	go a.receive(stream, credit, canceled)
+	telemetry.Deliveries.Add(1, start.Service)
 	a.launch(ctx, canceled)
 	return d.sendAnswer(ctx, stream, a.answer, &sender{
 		server: start.Server, credit: credit, zstd: start.AcceptZstd, needHead: true,
--- a/entry/report.go
+++ b/entry/report.go
@@ -48,6 +48,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	observe(x, err, took)
 	m := r.minute(x.service.name, time.Now())
 	m.counts.Requests++
 	m.counts.Retries += uint64(max(x.attempts-1, 0))
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -10,6 +10,7 @@
 	"amaranthpaddle/delivery"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/request"
+	"amaranthpaddle/telemetry"
 )
 
 // retryAfter is the pause that a retryable refusal asks for, seconds.
@@ -100,6 +101,7 @@
 	}
 	s.begun = true
 	answer := fault.KindOf(err).Answer()
+	telemetry.Refusals.Add(1, answer.Name)
 	body, _ := json.Marshal(refusalBody{Kind: answer.Name, Message: err.Error(), Outcome: string(answer.Outcome)})
 	header := s.w.Header()
 	header.Set("Content-Type", "application/json")
--- a/session/driver.go
+++ b/session/driver.go
@@ -127,6 +127,7 @@
 func (s *Session) finishStart(key runKey, start pendingStart, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	observeStart(err)
 	switch fault.KindOf(err) {
 	case fault.Stale, fault.InvalidArgument:
 		s.outbox.refuse(key, err.Error())
--- /dev/null
+++ b/telemetry/metrics.go
@@ -0,0 +1,106 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Metric is one metric of the system, with the names of its labels.
+type Metric struct {
+	Name   string
+	Labels []string
+}
+
+// The metrics of paddle-entry.
+var (
+	Requests           = Metric{"paddle_requests_total", []string{"service", "outcome"}}
+	RequestSeconds     = Metric{"paddle_request_duration_seconds", []string{"service"}}
+	RequestRetries     = Metric{"paddle_request_retries_total", []string{"service"}}
+	Refusals           = Metric{"paddle_refusals_total", []string{"kind"}}
+	RequestsInProgress = Metric{"paddle_requests_in_progress", []string{"entry"}}
+	EntryRevision      = Metric{"paddle_entry_revision", []string{"entry"}}
+	EntryReady         = Metric{"paddle_entry_ready", []string{"entry"}}
+)
+
+// The metrics of paddle-agent.
+var (
+	Deliveries           = Metric{"paddle_deliveries_total", []string{"service"}}
+	DeliveryRefusals     = Metric{"paddle_delivery_refusals_total", []string{"service", "kind"}}
+	DeliveriesInProgress = Metric{"paddle_deliveries_in_progress", []string{"vm"}}
+	Slots                = Metric{"paddle_slots", []string{"server"}}
+	SlotsInUse           = Metric{"paddle_slots_in_use", []string{"server"}}
+	SlotWaiters          = Metric{"paddle_slot_waiters", []string{"server"}}
+	StandingStreams      = Metric{"paddle_standing_streams", []string{"server"}}
+	TaskStarts           = Metric{"paddle_task_starts_total", []string{"result"}}
+	AgentTasks           = Metric{"paddle_agent_tasks", []string{"vm"}}
+	AgentRevision        = Metric{"paddle_agent_revision", []string{"vm"}}
+)
+
+// The metrics of paddle-control. Those of the fleet are written by the leader only.
+var (
+	ControlLeader  = Metric{"paddle_control_leader", []string{"replica"}}
+	ControlTerm    = Metric{"paddle_control_term", []string{"replica"}}
+	ControlCommit  = Metric{"paddle_control_commit_index", []string{"replica"}}
+	ControlApplied = Metric{"paddle_control_applied_index", []string{"replica"}}
+	ControlStorage = Metric{"paddle_control_storage_fault", []string{"replica"}}
+	ConfigRevision = Metric{"paddle_config_revision", nil}
+	PlanNumber     = Metric{"paddle_plan_number", nil}
+	ZoneInService  = Metric{"paddle_zone_in_service", []string{"zone"}}
+	ZoneTasks      = Metric{"paddle_zone_tasks", []string{"zone"}}
+	VMs            = Metric{"paddle_vms", []string{"state"}}
+	ServiceRunning = Metric{"paddle_service_instances_running", []string{"service"}}
+	ServiceWanted  = Metric{"paddle_service_instances_wanted", []string{"service"}}
+	JobTasks       = Metric{"paddle_job_tasks", []string{"state"}}
+	Evictions      = Metric{"paddle_evictions", nil}
+	WatcherLag     = Metric{"paddle_watcher_lag_revisions", []string{"kind"}}
+)
+
+// Metrics lists every metric.
+func Metrics() []Metric {
+	return []Metric{
+		Requests, RequestSeconds, RequestRetries, Refusals, RequestsInProgress, EntryRevision, EntryReady,
+		Deliveries, DeliveryRefusals, DeliveriesInProgress, Slots, SlotsInUse, SlotWaiters, StandingStreams,
+		TaskStarts, AgentTasks, AgentRevision,
+		ControlLeader, ControlTerm, ControlCommit, ControlApplied, ControlStorage, ConfigRevision, PlanNumber,
+		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
+	}
+}
+
+// with returns the metric's name with the values of its labels, in their order.
+func (m Metric) with(values []string) string {
+	if len(m.Labels) == 0 {
+		return m.Name
+	}
+	pairs := make([]string, len(m.Labels))
+	for i, label := range m.Labels {
+		pairs[i] = fmt.Sprintf("%s=%q", label, values[i])
+	}
+	return m.Name + "{" + strings.Join(pairs, ",") + "}"
+}
+
+// Add adds n to a counter. values are those of the metric's labels.
+func (m Metric) Add(n int, values ...string) {
+	metrics.GetOrCreateCounter(m.with(values)).Add(n)
+}
+
+// Observe adds a duration of the given seconds to a histogram.
+func (m Metric) Observe(seconds float64, values ...string) {
+	metrics.GetOrCreateHistogram(m.with(values)).Update(seconds)
+}
+
+// Write writes the present value of a gauge.
+func (m Metric) Write(w io.Writer, value float64, values ...string) {
+	metrics.WriteGaugeFloat64(w, m.with(values), value)
+}
+
+// WriteBool writes 1 for true and 0 for false.
+func (m Metric) WriteBool(w io.Writer, value bool, values ...string) {
+	number := 0.0
+	if value {
+		number = 1
+	}
+	m.Write(w, number, values...)
+}
--- /dev/null
+++ b/telemetry/metrics_test.go
@@ -0,0 +1,75 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"amaranthpaddle/fault"
+)
+
+// pageRow matches a metric's row on the operators' page.
+var pageRow = regexp.MustCompile("(?m)^\\| `(paddle_[a-z_]+)` \\| ([a-z, ]*) ?\\| [^|]+ \\| [^|]+ \\|$")
+
+func TestThePageNamesEveryMetricWithItsLabels(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	documented := map[string]string{}
+	for _, row := range pageRow.FindAllStringSubmatch(string(page), -1) {
+		documented[row[1]] = strings.TrimSpace(row[2])
+	}
+	names := map[string]bool{}
+	for _, m := range Metrics() {
+		if names[m.Name] {
+			t.Errorf("%s is defined twice", m.Name)
+		}
+		names[m.Name] = true
+		labels, found := documented[m.Name]
+		if !found || labels != strings.Join(m.Labels, ", ") {
+			t.Errorf("%s: labels %q on the page (found: %v), want %q", m.Name, labels, found, strings.Join(m.Labels, ", "))
+		}
+	}
+	for name := range documented {
+		if !names[name] {
+			t.Errorf("the page names %s, which does not exist", name)
+		}
+	}
+}
+
+func TestMetricsHandlerWritesCountersHistogramsAndGauges(t *testing.T) {
+	Requests.Add(3, `a"b`, "done")
+	RequestSeconds.Observe(0.25, "ledger")
+	mux := Mux(func() error { return fault.New(fault.Draining, "stopping") }, func(w io.Writer) {
+		ConfigRevision.Write(w, 7)
+		ZoneInService.WriteBool(w, true, "Cork")
+	})
+	get := func(path string) *httptest.ResponseRecorder {
+		answer := httptest.NewRecorder()
+		mux.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, path, nil))
+		return answer
+	}
+	lines := strings.Split(get("/metrics").Body.String(), "\n")
+	for _, want := range []string{
+		`paddle_requests_total{service="a\"b",outcome="done"} 3`,
+		`paddle_request_duration_seconds_count{service="ledger"} 1`,
+		`paddle_config_revision 7`,
+		`paddle_zone_in_service{zone="Cork"} 1`,
+	} {
+		if !slices.Contains(lines, want) {
+			t.Errorf("no line %s", want)
+		}
+	}
+	if got := get("/readyz"); got.Code != http.StatusServiceUnavailable || !strings.Contains(got.Body.String(), "stopping") {
+		t.Errorf("readyz: %d %s", got.Code, got.Body)
+	}
+	if got := get("/healthz").Code; got != http.StatusOK {
+		t.Errorf("healthz: %d", got)
+	}
+}
