--- a/cmd/paddlectl/commandline.go
+++ b/cmd/paddlectl/commandline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -87,7 +88,7 @@
 	o.timeout = defaultTimeout
 	o.output = outputTable
 	p := l.parser
-	p.StringSlice(&o.addresses, "a", "address", "ip:port of a control replica's operator listener; repeat for each replica")
+	p.StringSlice(&o.addresses, "a", "address", "ip:port of a control replica's operator listener; repeat it, or separate by commas")
 	p.String(&o.tokenFile, "t", "token-file", "file that holds the operator's token")
 	p.String(&o.certificate, "", "certificate", "PEM file of the operator's certificate; turns TLS on, with --key and --ca")
 	p.String(&o.key, "", "key", "PEM file of the certificate's private key")
@@ -171,14 +172,34 @@
 	return l.commands[l.parser.TrailingSubcommand()]
 }
 
-// applyEnvironment fills in options that were not given.
-func (o *options) applyEnvironment() {
-	if text := os.Getenv(envAddress); len(o.addresses) == 0 && text != "" {
-		o.addresses = strings.Split(text, ",")
-	}
+// complete fills in options that were not given from the environment and
+// splits lists of addresses.
+func (o *options) complete() error {
 	if o.tokenFile == "" {
 		o.tokenFile = os.Getenv(envTokenFile)
 	}
+	var err error
+	o.addresses, err = splitAddresses(o.addresses)
+	if err == nil && len(o.addresses) == 0 {
+		o.addresses, err = splitAddresses([]string{os.Getenv(envAddress)})
+	}
+	return err
+}
+
+// splitAddresses splits each of lists at commas and checks the addresses.
+func splitAddresses(lists []string) ([]string, error) {
+	var addresses []string
+	for _, address := range strings.Split(strings.Join(lists, ","), ",") {
+		address = strings.TrimSpace(address)
+		if address == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return nil, fault.Newf(fault.InvalidArgument, "--address %q is not an ip:port such as 10.0.0.1:7070", address)
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
 }
 
 // security returns the transport security that the options ask for.
--- a/cmd/paddlectl/main_test.go
+++ b/cmd/paddlectl/main_test.go
@@ -211,6 +211,7 @@
 		{"--timeout", "0s", "status"},
 		{"--certificate", "missing.pem", "status"},
 		{"control", "replace", "--remove", "2"},
+		{"--address", "control-1:7070", "status"},
 		{"plan", "check", "missing.csv"},
 	} {
 		if got := paddlectl(t, "127.0.0.1:1", args...); got.code != fault.ExitInvalid {
@@ -218,3 +219,17 @@
 		}
 	}
 }
+
+func TestAddressesAreListedOrRepeatedOrFromTheEnvironment(t *testing.T) {
+	address := (&fakeControl{}).start(t, answer(operatorapi.Status{}))
+	if got := paddlectl(t, "127.0.0.1:1, "+address, "status"); got.code != fault.ExitOK {
+		t.Errorf("list: %+v", got)
+	}
+	if got := paddlectl(t, "127.0.0.1:1", "--address", address, "status"); got.code != fault.ExitOK {
+		t.Errorf("repeated: %+v", got)
+	}
+	t.Setenv(envAddress, "127.0.0.1:1,"+address)
+	if got := paddlectl(t, "", "status"); got.code != fault.ExitOK {
+		t.Errorf("environment: %+v", got)
+	}
+}
--- a/cmd/paddlectl/session.go
+++ b/cmd/paddlectl/session.go
@@ -25,7 +25,9 @@
 	if err := o.check(); err != nil {
 		return nil, err
 	}
-	o.applyEnvironment()
+	if err := o.complete(); err != nil {
+		return nil, err
+	}
 	security, err := o.security()
 	if err != nil {
 		return nil, err
