--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -21,6 +21,10 @@
 	if err != nil {
 		return nil, err
 	}
+	counts, err := s.counts.Encode()
+	if err != nil {
+		return nil, err
+	}
 	snapshot := &api.ControlSnapshot{
 		NowMs:     s.nowMS,
 		Plan:      s.planData,
@@ -31,7 +35,7 @@
 		Changes:   s.changes.encode(),
 		Claims:    s.claims.encode(),
 		Tasks:     tasks,
-		Entries:   s.counts.encode(),
+		Burn:      counts,
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return data, fault.Wrap(fault.Internal, err, "encode snapshot")
@@ -82,7 +86,9 @@
 	if s.claims, err = decodeClaims(snapshot.Claims); err != nil {
 		return err
 	}
-	s.counts = decodeCounts(snapshot.Entries)
+	if err := s.counts.Decode(snapshot.Burn); err != nil {
+		return err
+	}
 	s.tasks, err = task.Decode(snapshot.Tasks)
 	return err
 }
--- a/control/state.go
+++ b/control/state.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/burn"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/fleet"
 	"amaranthpaddle/plan"
@@ -28,7 +29,7 @@
 	tasks     *task.Table
 	changes   *changeMemory
 	claims    *claimTable
-	counts    *countTable
+	counts    *burn.Recorder
 
 	changed  chan struct{} // closed at the next revision
 	observer func(Effects)
@@ -61,7 +62,7 @@
 	s.tasks = task.NewTable()
 	s.changes = newChangeMemory()
 	s.claims = newClaimTable()
-	s.counts = newCountTable()
+	s.counts = burn.NewRecorder()
 }
 
 // observe sets the function that is called after each applied command, from
