--- a/control/http_members.go
+++ b/control/http_members.go
@@ -59,3 +59,10 @@
 	revision, _ := s.state.Revision()
 	return operatorapi.ChangeResult{Revision: revision}, nil
 }
+
+func (s *Server) getBurn(r *http.Request) (any, error) {
+	if err := s.confirmAsLeader(r.Context()); err != nil {
+		return nil, err
+	}
+	return nil, fault.New(fault.NotFound, "no service-level counts are kept yet")
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -21,10 +21,6 @@
 	if err != nil {
 		return nil, err
 	}
-	counts, err := s.counts.Encode()
-	if err != nil {
-		return nil, err
-	}
 	snapshot := &api.ControlSnapshot{
 		NowMs:     s.nowMS,
 		Plan:      s.planData,
@@ -35,7 +31,7 @@
 		Changes:   s.changes.encode(),
 		Claims:    s.claims.encode(),
 		Tasks:     tasks,
-		Burn:      counts,
+		Entries:   s.counts.encode(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	return data, fault.Wrap(fault.Internal, err, "encode snapshot")
@@ -86,9 +82,7 @@
 	if s.claims, err = decodeClaims(snapshot.Claims); err != nil {
 		return err
 	}
-	if err := s.counts.Decode(snapshot.Burn); err != nil {
-		return err
-	}
+	s.counts = decodeCounts(snapshot.Entries)
 	s.tasks, err = task.Decode(snapshot.Tasks)
 	return err
 }
--- a/control/state.go
+++ b/control/state.go
@@ -8,7 +8,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"amaranthpaddle/api"
-	"amaranthpaddle/burn"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/fleet"
 	"amaranthpaddle/plan"
@@ -29,7 +28,7 @@
 	tasks     *task.Table
 	changes   *changeMemory
 	claims    *claimTable
-	counts    *burn.Recorder
+	counts    *countTable
 
 	changed  chan struct{} // closed at the next revision
 	observer func(Effects)
@@ -62,7 +61,7 @@
 	s.tasks = task.NewTable()
 	s.changes = newChangeMemory()
 	s.claims = newClaimTable()
-	s.counts = burn.NewRecorder()
+	s.counts = newCountTable()
 }
 
 // observe sets the function that is called after each applied command, from
--- a/controlnode/controlnode.go
+++ b/controlnode/controlnode.go
@@ -12,7 +12,6 @@
 	"google.golang.org/grpc"
 	"k8s.io/klog/v2"
 
-	"amaranthpaddle/burn"
 	"amaranthpaddle/control"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/replica"
@@ -120,10 +119,7 @@
 
 // operatorHandler guards the operators' API; health checks and metrics stay open.
 func (n *Node) operatorHandler() http.Handler {
-	handler := http.NewServeMux()
-	handler.Handle("/", n.server.Handler())
-	handler.Handle("/burn", burn.Handler(n.server.BurnReport))
-	handler.Handle("/burn/", burn.Handler(n.server.BurnReport))
+	handler := n.server.Handler()
 	mux := http.NewServeMux()
 	if n.config.Operators == nil {
 		mux.Handle("/", handler)
