--- a/burn/plot.go
+++ b/burn/plot.go
@@ -16,6 +16,7 @@
 const (
 	plotWidth  = 22 * vg.Centimeter
 	plotHeight = 8 * vg.Centimeter
+	legendRoom = 1.35 // height of the vertical axis relative to the highest value
 )
 
 // Chart says what a plot shows.
@@ -59,7 +60,7 @@
 	if err := addLines(p, values, limit); err != nil {
 		return err
 	}
-	p.Y.Max = 1.1 * max(limit, highest(values))
+	p.Y.Max = legendRoom * max(limit, highest(values))
 	target, err := p.WriterTo(plotWidth, plotHeight, string(format))
 	if err != nil {
 		return fault.Wrap(fault.InvalidArgument, err, "plot")
