operatorclient, paddlectl: tests without clocks; a silent replica

Cause: some tests ended their calls by short timeouts, which a busy machine can turn into other outcomes; a replica that accepts and never answers was not tested. Change: tests end calls after a number of rounds or by the fake's calls; an attempt's patience is a field.

--- a/cmd/paddlectl/main_test.go
+++ b/cmd/paddlectl/main_test.go
@@ -56,6 +56,11 @@
 }
 
 func paddlectl(t *testing.T, address string, args ...string) result {
+	t.Helper()
+	return paddlectlContext(context.Background(), t, address, args...)
+}
+
+func paddlectlContext(ctx context.Context, t *testing.T, address string, args ...string) result {
 	t.Helper()
 	tokenFile := filepath.Join(t.TempDir(), "token")
 	if err := os.WriteFile(tokenFile, []byte(testToken+"\n"), 0o600); err != nil {
@@ -63,7 +68,7 @@
 	}
 	var stdout, stderr bytes.Buffer
 	args = append([]string{"--address", address, "--token-file", tokenFile}, args...)
-	code := run(context.Background(), args, &stdout, &stderr)
+	code := run(ctx, args, &stdout, &stderr)
 	return result{code: code, stdout: stdout.String(), stderr: stderr.String()}
 }
 
@@ -145,19 +150,39 @@
 	}
 }
 
-func TestAnUnknownOutcomeNamesTheChangeToResend(t *testing.T) {
-	address := (&fakeControl{}).start(t, refuse(fault.CommitUnknown))
-	got := paddlectl(t, address, "--timeout", "200ms", "zone", "out", "Cork")
-	if got.code != fault.ExitUnknown || !strings.Contains(got.stderr, "--change-id zone-out-Cork-") {
-		t.Errorf("%+v", got)
-	}
-	got = paddlectl(t, address, "--timeout", "200ms", "--output", "json", "zone", "out", "Cork")
-	var failed failure
-	if err := json.Unmarshal([]byte(got.stderr), &failed); err != nil {
-		t.Fatalf("%v in %q", err, got.stderr)
+// cancelAtSecondCall answers every call with an unknown outcome, and cancels
+// once the first answer has been read.
+func cancelAtSecondCall(cancel func()) http.HandlerFunc {
+	calls := 0
+	return func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 2 {
+			cancel()
+		}
+		refuse(fault.CommitUnknown)(w, r)
 	}
-	if got.code != fault.ExitUnknown || failed.Outcome != "unknown" || failed.ChangeID == "" {
-		t.Errorf("%+v", failed)
+}
+
+func TestAnUnknownOutcomeNamesTheChangeToResend(t *testing.T) {
+	for _, output := range []string{outputTable, outputJSON} {
+		ctx, cancel := context.WithCancel(context.Background())
+		address := (&fakeControl{}).start(t, cancelAtSecondCall(cancel))
+		got := paddlectlContext(ctx, t, address, "--output", output, "zone", "out", "Cork")
+		if got.code != fault.ExitUnknown {
+			t.Errorf("%s: %+v", output, got)
+		}
+		if output == outputTable {
+			if !strings.Contains(got.stderr, "--change-id zone-out-Cork-") {
+				t.Errorf("%+v", got)
+			}
+			continue
+		}
+		var failed failure
+		if err := json.Unmarshal([]byte(got.stderr), &failed); err != nil {
+			t.Fatalf("%v in %q", err, got.stderr)
+		}
+		if failed.Outcome != "unknown" || failed.ChangeID == "" {
+			t.Errorf("%+v", failed)
+		}
 	}
 }
 
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -71,14 +71,6 @@
 	return addresses
 }
 
-func (g *group) addresses() []string {
-	var addresses []string
-	for _, config := range g.configs {
-		addresses = append(addresses, config.Peers[config.ID].Address)
-	}
-	return addresses
-}
-
 // leader waits for a leader and returns its index.
 func (g *group) leader(t testing.TB) int {
 	t.Helper()
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -31,6 +31,8 @@
 	scheme    string
 	token     string
 	http      *http.Client
+	patience  time.Duration                                   // of one attempt
+	sleep     func(ctx context.Context, d time.Duration) bool // between rounds; false ends the call
 }
 
 // New returns a client of the control replicas at addresses (ip:port of their
@@ -41,6 +43,8 @@
 		addresses: addresses,
 		scheme:    security.Scheme(),
 		token:     token,
+		patience:  attemptTimeout,
+		sleep:     sleep,
 		http: &http.Client{
 			Transport:     security.HTTPTransport(),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -91,7 +95,7 @@
 				return err
 			}
 		}
-		if !sleep(ctx, jitter(pause)) {
+		if !c.sleep(ctx, jitter(pause)) {
 			return seen.giveUp(call)
 		}
 		pause = min(2*pause, maxPause)
@@ -120,7 +124,7 @@
 
 // attempt sends the call once and reports whether its outcome is settled.
 func (c *Client) attempt(ctx context.Context, call *call, address string, answer any, seen *progress) (done bool, err error) {
-	attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	attemptCtx, cancel := context.WithTimeout(ctx, c.patience)
 	defer cancel()
 	request, err := c.request(attemptCtx, call, address)
 	if err != nil {
--- a/operatorclient/client_test.go
+++ b/operatorclient/client_test.go
@@ -77,19 +77,28 @@
 	return listener.Addr().String()
 }
 
-func post(t *testing.T, timeout time.Duration, addresses ...string) (operatorapi.ChangeResult, error) {
+// newClient returns a client whose time is over after some rounds, not by a clock.
+func newClient(t *testing.T, addresses ...string) *Client {
 	t.Helper()
 	client := New(addresses, &transport.Security{}, token)
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
+	t.Cleanup(client.Close)
+	rounds := 0
+	client.sleep = func(context.Context, time.Duration) bool {
+		rounds++
+		return rounds < 8
+	}
+	return client
+}
+
+func post(t *testing.T, addresses ...string) (operatorapi.ChangeResult, error) {
+	t.Helper()
+	client := newClient(t, addresses...)
+	ctx := context.Background()
 	var answer operatorapi.ChangeResult
 	err := client.Post(ctx, operatorapi.PathZones+"Cork/out", "change-1", []byte("{}"), &answer)
 	return answer, err
 }
 
-const plenty = time.Minute
-
 func TestPostReachesTheLeader(t *testing.T) {
 	_, leader := start(t, accept)
 	_, follower := start(t, refuse(fault.NotLeader, leader))
@@ -99,7 +108,7 @@
 		"by the next address":                   {lost, leader},
 		"past a replica that is down":           {closedAddress(t), leader},
 	} {
-		answer, err := post(t, plenty, addresses...)
+		answer, err := post(t, addresses...)
 		if err != nil || answer.Revision != 9 {
 			t.Errorf("%s: %+v, %v", name, answer, err)
 		}
@@ -108,7 +117,7 @@
 
 func TestPostResendsUnderTheSameChangeID(t *testing.T) {
 	replica, address := start(t, hangUp, cutShort, page, refuse(fault.CommitUnknown, ""), refuse(fault.NoQuorum, ""), accept)
-	answer, err := post(t, plenty, address)
+	answer, err := post(t, address)
 	if err != nil || answer.Revision != 9 {
 		t.Fatalf("%+v, %v", answer, err)
 	}
@@ -123,7 +132,6 @@
 }
 
 func TestPostStatesWhatIsKnownOfTheChange(t *testing.T) {
-	const short = 300 * time.Millisecond
 	unauthenticated := refuse(fault.Unauthenticated, "")
 	cases := []struct {
 		name  string
@@ -146,18 +154,18 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			_, address := start(t, c.steps...)
-			if _, err := post(t, short, address); fault.KindOf(err) != c.want {
+			if _, err := post(t, address); fault.KindOf(err) != c.want {
 				t.Errorf("got %v, want %v", err, c.want)
 			}
 		})
 	}
 	t.Run("nobody listens", func(t *testing.T) {
-		if _, err := post(t, short, closedAddress(t)); !fault.Is(err, fault.DeadlineNotRun) {
+		if _, err := post(t, closedAddress(t)); !fault.Is(err, fault.DeadlineNotRun) {
 			t.Errorf("got %v", err)
 		}
 	})
 	t.Run("no address", func(t *testing.T) {
-		if _, err := post(t, short); !fault.Is(err, fault.InvalidArgument) {
+		if _, err := post(t); !fault.Is(err, fault.InvalidArgument) {
 			t.Errorf("got %v", err)
 		}
 	})
@@ -165,12 +173,8 @@
 
 func TestGetNeverReportsAnUnknownChange(t *testing.T) {
 	_, address := start(t, hangUp)
-	client := New([]string{address}, &transport.Security{}, token)
-	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
-	defer cancel()
 	var status operatorapi.Status
-	if err := client.Get(ctx, operatorapi.PathStatus, &status); !fault.Is(err, fault.DeadlineNotRun) {
+	if err := newClient(t, address).Get(context.Background(), operatorapi.PathStatus, &status); !fault.Is(err, fault.DeadlineNotRun) {
 		t.Errorf("got %v", err)
 	}
 }
@@ -190,3 +194,36 @@
 		t.Error("two changes share an id")
 	}
 }
+
+func TestACallEndsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	calls := 0
+	_, address := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		if calls++; calls == 2 {
+			cancel() // the first answer has been read by now
+		}
+		operatorapi.WriteError(w, fault.New(fault.CommitUnknown, "test"), "")
+	})
+	client := New([]string{address}, &transport.Security{}, token)
+	defer client.Close()
+	var answer operatorapi.ChangeResult
+	err := client.Post(ctx, operatorapi.PathZones+"Cork/out", "change-1", nil, &answer)
+	if !fault.Is(err, fault.CommitUnknown) || calls > 3 {
+		t.Errorf("%v after %d calls", err, calls)
+	}
+}
+
+func TestASilentReplicaDoesNotHoldUpTheCall(t *testing.T) {
+	silent := make(chan struct{})
+	_, silentAddress := start(t, func(http.ResponseWriter, *http.Request) { <-silent })
+	t.Cleanup(func() { close(silent) })
+	_, leader := start(t, accept)
+	client := New([]string{silentAddress, leader}, &transport.Security{}, token)
+	defer client.Close()
+	client.patience = 50 * time.Millisecond
+	var answer operatorapi.ChangeResult
+	err := client.Post(context.Background(), operatorapi.PathZones+"Cork/out", "change-1", nil, &answer)
+	if err != nil || answer.Revision != 9 {
+		t.Errorf("%+v, %v", answer, err)
+	}
+}
