--- a/control/http.go
+++ b/control/http.go
@@ -9,12 +9,12 @@
 	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"amaranthpaddle/api"
+	"amaranthpaddle/burn"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/plan"
+	"amaranthpaddle/telemetry"
 )
 
 const (
@@ -37,7 +37,9 @@
 	s.handle(mux, "GET "+operatorapi.PathBurn, s.getBurn)
 	s.handle(mux, "GET "+operatorapi.PathControlMembers, s.getMembers)
 	s.handle(mux, "POST "+operatorapi.PathControlReplace, s.postReplace)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.Handle("GET /burn", burn.Handler(s.burnSource))
+	mux.Handle("GET /burn/", burn.Handler(s.burnSource))
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.WriteMetrics))
 	mux.HandleFunc("GET /healthz", s.getHealth)
 	mux.HandleFunc("GET /readyz", s.getReady)
 	return mux
@@ -69,17 +71,11 @@
 }
 
 func (s *Server) writeError(w http.ResponseWriter, err error) {
-	kind := fault.KindOf(err)
-	body := operatorapi.Error{
-		Kind:    kind.String(),
-		Message: err.Error(),
-		Outcome: string(kind.Answer().Outcome),
-	}
-	if kind == fault.NotLeader {
-		body.Leader = s.leader().OperatorAddress
-		w.Header().Set(operatorapi.HeaderLeader, body.Leader)
+	leader := ""
+	if fault.Is(err, fault.NotLeader) {
+		leader = s.leader().OperatorAddress
 	}
-	writeJSON(w, kind.Answer().HTTP, body)
+	operatorapi.WriteError(w, err, leader)
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -1,77 +1,60 @@
 package control
 
-import (
-	"io"
-	"strconv"
+import "github.com/VictoriaMetrics/metrics"
 
-	"amaranthpaddle/operatorapi"
-	"amaranthpaddle/telemetry"
-)
+// serverMetrics are the metrics of one Server.
+type serverMetrics struct {
+	set        *metrics.Set
+	placements *metrics.Counter
+	evictions  *metrics.Counter
+	throttles  *metrics.Counter
+	refused    *metrics.Counter // decisions that no longer held when they were committed
+	vmsLost    *metrics.Counter
+	decide     *metrics.Histogram // seconds for a snapshot and its decisions
+	commit     *metrics.Histogram // seconds from a proposal to its result
+}
 
-// WriteMetrics writes the gauges of this replica and, while it leads, of the
-// fleet in the Prometheus text format.
-func (s *Server) WriteMetrics(w io.Writer) {
-	node := s.config.Node.Status()
-	replica := strconv.FormatUint(node.ID, 10)
-	telemetry.ControlLeader.WriteBool(w, node.LeaderReady, replica)
-	telemetry.ControlTerm.Write(w, float64(node.Term), replica)
-	telemetry.ControlCommit.Write(w, float64(node.Commit), replica)
-	telemetry.ControlApplied.Write(w, float64(node.Applied), replica)
-	telemetry.ControlStorage.WriteBool(w, node.StorageFault != "", replica)
-	if !node.LeaderReady {
-		return
+func newServerMetrics(s *Server) *serverMetrics {
+	set := metrics.NewSet()
+	set.NewGauge("paddle_control_leader", func() float64 {
+		if _, err := s.leading(); err != nil {
+			return 0
+		}
+		return 1
+	})
+	set.NewGauge("paddle_control_sessions", func() float64 { return float64(s.sessionCount()) })
+	set.NewGauge("paddle_control_watchers", func() float64 { return float64(s.watcherCount()) })
+	set.NewGauge("paddle_control_revision", func() float64 {
+		revision, _ := s.state.Revision()
+		return float64(revision)
+	})
+	set.NewGauge("paddle_control_claims", func() float64 { return float64(s.state.claimCount()) })
+	return &serverMetrics{
+		set:        set,
+		placements: set.NewCounter("paddle_control_placements_total"),
+		evictions:  set.NewCounter("paddle_control_evictions_total"),
+		throttles:  set.NewCounter("paddle_control_throttles_total"),
+		refused:    set.NewCounter("paddle_control_decisions_refused_total"),
+		vmsLost:    set.NewCounter("paddle_control_vms_lost_total"),
+		decide:     set.NewHistogram("paddle_control_decide_seconds"),
+		commit:     set.NewHistogram("paddle_control_commit_seconds"),
 	}
-	status := s.state.status()
-	telemetry.ConfigRevision.Write(w, float64(status.Revision))
-	telemetry.PlanNumber.Write(w, float64(status.PlanNumber))
-	writeFleet(w, status)
-	writeJobs(w, status)
-	writeWatchers(w, status.Revision, s.watcherStatus())
 }
 
-func writeFleet(w io.Writer, status *operatorapi.Status) {
-	for _, z := range status.Zones {
-		telemetry.ZoneInService.WriteBool(w, z.InService, z.Name)
-		telemetry.ZoneTasks.Write(w, float64(z.Tasks), z.Name)
-	}
-	states := map[string]int{"ready": 0, "draining": 0, "quarantined": 0, "lost": 0}
-	for _, vm := range status.VMs {
-		states[vm.State]++
-	}
-	for state, n := range states {
-		telemetry.VMs.Write(w, float64(n), state)
-	}
-	for _, service := range status.Services {
-		telemetry.ServiceRunning.Write(w, float64(service.Running), service.Name)
-		telemetry.ServiceWanted.Write(w, float64(service.Instances), service.Name)
-	}
+func (s *Server) sessionCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
 }
 
-func writeJobs(w io.Writer, status *operatorapi.Status) {
-	var pending, running, finished, failed, evictions int
-	for _, job := range status.Jobs {
-		pending += job.Pending
-		running += job.Running
-		finished += job.Finished
-		failed += job.Failed
-		evictions += job.Evictions
-	}
-	telemetry.JobTasks.Write(w, float64(pending), "pending")
-	telemetry.JobTasks.Write(w, float64(running), "running")
-	telemetry.JobTasks.Write(w, float64(finished), "finished")
-	telemetry.JobTasks.Write(w, float64(failed), "failed")
-	telemetry.Evictions.Write(w, float64(evictions))
+func (s *Server) watcherCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.watchers)
 }
 
-// writeWatchers writes by how many revisions the furthest agent and entry are behind.
-func writeWatchers(w io.Writer, revision uint64, watchers []operatorapi.WatcherStatus) {
-	lag := map[string]uint64{"agent": 0, "entry": 0}
-	for _, watcher := range watchers {
-		if watcher.Revision < revision {
-			lag[watcher.Kind] = max(lag[watcher.Kind], revision-watcher.Revision)
-		}
-	}
-	for kind, n := range lag {
-		telemetry.WatcherLag.Write(w, float64(n), kind)
-	}
+func (s *State) claimCount() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.claims.claims)
 }
--- a/controlnode/controlnode.go
+++ b/controlnode/controlnode.go
@@ -16,7 +16,6 @@
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/replica"
 	"amaranthpaddle/task/lease"
-	"amaranthpaddle/telemetry"
 	"amaranthpaddle/transport"
 )
 
@@ -120,15 +119,14 @@
 // operatorHandler guards the operators' API; health checks and metrics stay open.
 func (n *Node) operatorHandler() http.Handler {
 	handler := n.server.Handler()
-	mux := http.NewServeMux()
 	if n.config.Operators == nil {
-		mux.Handle("/", handler)
-	} else {
-		mux.Handle("/", n.config.Operators.Require(handler))
+		return handler
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", n.config.Operators.Require(handler))
+	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+		mux.Handle(path, handler)
 	}
-	mux.Handle("/healthz", handler)
-	mux.Handle("/readyz", handler)
-	mux.Handle("GET /metrics", telemetry.MetricsHandler(n.server.WriteMetrics))
 	return mux
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -39,14 +39,13 @@
 	AgentRevision        = Metric{"paddle_agent_revision", []string{"vm"}}
 )
 
-// The metrics of paddle-control. Those of the fleet are written by the leader only.
+// The gauges of paddle-control that are taken when they are read; package
+// control defines the others. Those of the fleet are written by the leader only.
 var (
-	ControlLeader  = Metric{"paddle_control_leader", []string{"replica"}}
 	ControlTerm    = Metric{"paddle_control_term", []string{"replica"}}
 	ControlCommit  = Metric{"paddle_control_commit_index", []string{"replica"}}
 	ControlApplied = Metric{"paddle_control_applied_index", []string{"replica"}}
 	ControlStorage = Metric{"paddle_control_storage_fault", []string{"replica"}}
-	ConfigRevision = Metric{"paddle_config_revision", nil}
 	PlanNumber     = Metric{"paddle_plan_number", nil}
 	ZoneInService  = Metric{"paddle_zone_in_service", []string{"zone"}}
 	ZoneTasks      = Metric{"paddle_zone_tasks", []string{"zone"}}
@@ -58,13 +57,13 @@
 	WatcherLag     = Metric{"paddle_watcher_lag_revisions", []string{"kind"}}
 )
 
-// Metrics lists every metric.
+// Metrics lists every metric of this package.
 func Metrics() []Metric {
 	return []Metric{
 		Requests, RequestSeconds, RequestRetries, Refusals, RequestsInProgress, EntryRevision, EntryReady,
 		Deliveries, DeliveryRefusals, DeliveriesInProgress, Slots, SlotsInUse, SlotWaiters, StandingStreams,
 		TaskStarts, AgentTasks, AgentRevision,
-		ControlLeader, ControlTerm, ControlCommit, ControlApplied, ControlStorage, ConfigRevision, PlanNumber,
+		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
 	}
 }
--- a/telemetry/metrics_test.go
+++ b/telemetry/metrics_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"io/fs"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strings"
@@ -36,6 +38,12 @@
 			t.Errorf("%s: labels %q on the page (found: %v), want %q", m.Name, labels, found, strings.Join(m.Labels, ", "))
 		}
 	}
+	for name := range namesInCode(t) {
+		if _, found := documented[name]; !found {
+			t.Errorf("%s is not on the page", name)
+		}
+		names[name] = true
+	}
 	for name := range documented {
 		if !names[name] {
 			t.Errorf("the page names %s, which does not exist", name)
@@ -43,11 +51,32 @@
 	}
 }
 
+// namesInCode returns the metric names that stand in the module's code, tests left out.
+func namesInCode(t *testing.T) map[string]bool {
+	t.Helper()
+	quoted := regexp.MustCompile(`"(paddle_[a-z_]+)`)
+	names := map[string]bool{}
+	err := filepath.WalkDir("..", func(file string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(file, ".go") || strings.HasSuffix(file, "_test.go") {
+			return err
+		}
+		source, err := os.ReadFile(file)
+		for _, match := range quoted.FindAllStringSubmatch(string(source), -1) {
+			names[match[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return names
+}
+
 func TestMetricsHandlerWritesCountersHistogramsAndGauges(t *testing.T) {
 	Requests.Add(3, `a"b`, "done")
 	RequestSeconds.Observe(0.25, "ledger")
 	mux := Mux(func() error { return fault.New(fault.Draining, "stopping") }, func(w io.Writer) {
-		ConfigRevision.Write(w, 7)
+		PlanNumber.Write(w, 7)
 		ZoneInService.WriteBool(w, true, "Cork")
 	})
 	get := func(path string) *httptest.ResponseRecorder {
@@ -59,7 +88,7 @@
 	for _, want := range []string{
 		`paddle_requests_total{service="a\"b",outcome="done"} 3`,
 		`paddle_request_duration_seconds_count{service="ledger"} 1`,
-		`paddle_config_revision 7`,
+		`paddle_plan_number 7`,
 		`paddle_zone_in_service{zone="Cork"} 1`,
 	} {
 		if !slices.Contains(lines, want) {
