control: a damaged report of an entry does not block its later ones

Cause: a report that can't be used was refused; the entry sends its reports in order and would have sent this one again until 90 others had pushed it out. Conclusion: service-level counts go on.

--- a/control/counts.go
+++ b/control/counts.go
@@ -4,16 +4,21 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"amaranthpaddle/api"
 	"amaranthpaddle/burn"
 	"amaranthpaddle/task"
 )
 
-// recordCounts takes in an entry's report; one that was taken in before changes nothing.
+// recordCounts takes in an entry's report; one that was taken in before changes
+// nothing. One that can't be used is dropped and acknowledged: the entry would
+// send it again and again, and none of its later ones.
 func (s *State) recordCounts(c *api.RecordCounts) *api.CommandResult {
 	sequence, err := s.counts.Record(c.Report, s.now())
 	if err != nil {
-		return refusal(err)
+		klog.ErrorS(err, "Report of an entry dropped", "entry", c.Report.Entry, "sequence", c.Report.Sequence)
+		sequence = c.Report.Sequence
 	}
 	return &api.CommandResult{Sequence: sequence}
 }
