burn: fuzz target for entries' reports; bound on a histogram's precision

Cause: reports are applied by every replica at the same log entry; a panic there would end all of them. Change: FuzzRecord; histograms of more than three digits are refused before their buckets are listed.

--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -313,3 +314,30 @@
 		t.Errorf("status %d", answer.Code)
 	}
 }
+
+// FuzzRecord feeds histograms as they might come over the network: a panic here
+// would end every replica at the same log entry.
+func FuzzRecord(f *testing.F) {
+	f.Add(encoded(f, 100, 5_000, 70_000), int64(0), 1.5)
+	f.Add([]byte("damaged"), int64(math.MaxInt64), math.Inf(-1))
+	f.Add([]byte{}, int64(math.MinInt64), math.NaN())
+	f.Fuzz(func(t *testing.T, latency []byte, minute int64, millis float64) {
+		r := NewRecorder()
+		e := report("entry-1", 1, 1, noon, math.MaxUint64, 1)
+		e.Counts[0].LatencyHistogram, e.Counts[0].QueueMs = latency, millis
+		e.Counts = append(e.Counts, &api.ServiceCounts{Service: "ledger", MinuteUnix: minute, WithinObjective: math.MaxUint64})
+		if _, err := r.Record(e, noon); err != nil {
+			return
+		}
+		data, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := NewRecorder().Decode(data); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := json.Marshal(r.Report(noon, testPlan(), nil)); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/burn/histogram.go
+++ b/burn/histogram.go
@@ -18,6 +18,9 @@
 // maxHistogramBytes limits an encoded histogram.
 const maxHistogramBytes = 64 << 10
 
+// maxSignificantDigits limits the memory that a decoded histogram takes.
+const maxSignificantDigits = 3
+
 // bounds holds the upper bound of each bucket, microseconds; the last bucket has none.
 var bounds = latencyBounds()
 
@@ -81,6 +84,9 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.InvalidArgument, err, "latency histogram")
 	}
+	if decoded.SignificantFigures() > maxSignificantDigits {
+		return nil, fault.New(fault.InvalidArgument, "latency histogram is finer than it may be")
+	}
 	for _, bar := range decoded.Distribution() {
 		if bar.Count > 0 {
 			h.add(bar.To, uint64(bar.Count))
