transport, paddlectl: a token over TLS without a client certificate

Cause: following the install page, an operator with a token and no certificate could not reach control replicas that use TLS. Change: OpenClient needs the authorities only; paddlectl takes --ca alone.

--- a/cmd/paddlectl/commandline.go
+++ b/cmd/paddlectl/commandline.go
@@ -90,9 +90,9 @@
 	p := l.parser
 	p.StringSlice(&o.addresses, "a", "address", "ip:port of a control replica's operator listener; repeat it, or separate by commas")
 	p.String(&o.tokenFile, "t", "token-file", "file that holds the operator's token")
-	p.String(&o.certificate, "", "certificate", "PEM file of the operator's certificate; turns TLS on, with --key and --ca")
+	p.String(&o.certificate, "", "certificate", "PEM file of the operator's certificate, with --key and --ca")
 	p.String(&o.key, "", "key", "PEM file of the certificate's private key")
-	p.String(&o.ca, "", "ca", "PEM file of the certificate authorities")
+	p.String(&o.ca, "", "ca", "PEM file of the certificate authorities; turns TLS on, alone with --token-file")
 	p.Bool(&o.insecure, "", "insecure", "allow plaintext to addresses other than loopback")
 	p.String(&o.output, "o", "output", "table or json")
 	p.Duration(&o.timeout, "", "timeout", "of the whole command, such as 30s")
@@ -204,8 +204,11 @@
 
 // security returns the transport security that the options ask for.
 func (o *options) security() (*transport.Security, error) {
-	if o.certificate == "" && o.key == "" && o.ca == "" {
+	switch {
+	case o.certificate == "" && o.key == "" && o.ca == "":
 		return &transport.Security{Insecure: o.insecure}, nil
+	case o.certificate == "" && o.key == "":
+		return transport.OpenClient(o.ca)
 	}
 	return transport.Open(transport.Files{Certificate: o.certificate, Key: o.key, CA: o.ca})
 }
--- a/transport/certificates.go
+++ b/transport/certificates.go
@@ -23,7 +23,7 @@
 
 	mu        sync.Mutex
 	stamps    [3]fileStamp
-	leaf      tls.Certificate
+	leaf      []tls.Certificate // none for a client without a certificate
 	authority *x509.CertPool
 }
 
@@ -48,6 +48,9 @@
 func (c *certificates) readStamps() ([3]fileStamp, error) {
 	var stamps [3]fileStamp
 	for i, name := range []string{c.files.Certificate, c.files.Key, c.files.CA} {
+		if name == "" {
+			continue
+		}
 		info, err := os.Stat(name)
 		if err != nil {
 			return stamps, fault.Wrap(fault.InvalidArgument, err, "TLS file")
@@ -59,9 +62,13 @@
 
 // load reads the files. On an error c keeps what it had.
 func (c *certificates) load(stamps [3]fileStamp) error {
-	leaf, err := tls.LoadX509KeyPair(c.files.Certificate, c.files.Key)
-	if err != nil {
-		return fault.Wrap(fault.InvalidArgument, err, "TLS certificate and key")
+	leaf := []tls.Certificate{}
+	if c.files.Certificate != "" {
+		pair, err := tls.LoadX509KeyPair(c.files.Certificate, c.files.Key)
+		if err != nil {
+			return fault.Wrap(fault.InvalidArgument, err, "TLS certificate and key")
+		}
+		leaf = append(leaf, pair)
 	}
 	data, err := os.ReadFile(c.files.CA)
 	if err != nil {
@@ -78,7 +85,7 @@
 // current returns the certificate and authorities, read again if a file
 // changed. While the changed files can't be used, the earlier ones stay in
 // force: an operator may be replacing them one after the other.
-func (c *certificates) current() (tls.Certificate, *x509.CertPool) {
+func (c *certificates) current() ([]tls.Certificate, *x509.CertPool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	stamps, err := c.readStamps()
@@ -99,7 +106,7 @@
 	leaf, authority := c.current()
 	return &tls.Config{
 		MinVersion:       tls.VersionTLS13,
-		Certificates:     []tls.Certificate{leaf},
+		Certificates:     leaf,
 		ClientAuth:       tls.RequireAndVerifyClientCert,
 		ClientCAs:        authority,
 		VerifyConnection: requireProcess,
@@ -112,7 +119,7 @@
 	leaf, authority := c.current()
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS12,
-		Certificates: []tls.Certificate{leaf},
+		Certificates: leaf,
 		ClientAuth:   tls.VerifyClientCertIfGiven,
 		ClientCAs:    authority,
 		NextProtos:   []string{"h2", "http/1.1"},
@@ -124,7 +131,7 @@
 	leaf, authority := c.current()
 	return &tls.Config{
 		MinVersion:   tls.VersionTLS12,
-		Certificates: []tls.Certificate{leaf},
+		Certificates: leaf,
 		RootCAs:      authority,
 		ServerName:   host,
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -36,6 +36,9 @@
 // Open returns TLS security with the given files, which are read again when
 // they change. It returns fault.InvalidArgument when one can't be used.
 func Open(files Files) (*Security, error) {
+	if files.Certificate == "" || files.Key == "" || files.CA == "" {
+		return nil, fault.New(fault.InvalidArgument, "TLS needs certificate, key and authorities")
+	}
 	loaded, err := openCertificates(files)
 	if err != nil {
 		return nil, err
@@ -43,6 +46,16 @@
 	return &Security{certificates: loaded}, nil
 }
 
+// OpenClient returns TLS security for a process that only dials, with the
+// certificate authorities in the file ca and without a certificate of its own.
+func OpenClient(ca string) (*Security, error) {
+	loaded, err := openCertificates(Files{CA: ca})
+	if err != nil {
+		return nil, err
+	}
+	return &Security{certificates: loaded}, nil
+}
+
 // TLS reports whether connections are encrypted.
 func (s *Security) TLS() bool { return s.certificates != nil }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -194,6 +194,9 @@
 
 func TestOpenNamesTheFileAtFault(t *testing.T) {
 	a := newAuthority(t)
+	if _, err := Open(Files{CA: a.issue(t.TempDir(), "agent").CA}); !fault.Is(err, fault.InvalidArgument) {
+		t.Errorf("without a certificate: %v", err)
+	}
 	for i := range 3 {
 		files := a.issue(t.TempDir(), "agent")
 		name := []string{files.Certificate, files.Key, files.CA}[i]
@@ -265,6 +268,12 @@
 	check("wrong token", 401, get(t, plain, plainURL, "0123456789abcdee"))
 	check("token", 200, get(t, plain, plainURL, token))
 	check("operator's certificate", 200, get(t, a.security(OperatorUnit), tlsURL, ""))
+	tokenOnly, err := OpenClient(a.issue(t.TempDir(), "unused").CA)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check("token over TLS", 200, get(t, tokenOnly, tlsURL, token))
+	check("no credential over TLS", 401, get(t, tokenOnly, tlsURL, ""))
 	check("process's certificate", 403, get(t, a.security("agent"), tlsURL, ""))
 	check("process's certificate with token", 200, get(t, a.security("agent"), tlsURL, token))
 	check("another authority's certificate", 0, get(t, newAuthority(t).security(OperatorUnit), tlsURL, token))
