--- a/cmd/paddlectl/commands.go
+++ b/cmd/paddlectl/commands.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	changes := plan.Diff(current, p)
+	changes := append([]plan.Change{}, plan.Diff(current, p)...)
 	return s.print(changes, func(t *table) {
 		if len(changes) == 0 {
 			t.line("no changes")
--- a/cmd/paddlectl/main_test.go
+++ b/cmd/paddlectl/main_test.go
@@ -219,6 +219,14 @@
 	if got := paddlectl(t, address, "plan", "diff", exampleSheet); got.stdout != "~ service toll-ledger, slots: 4 -> 8\n" {
 		t.Errorf("%+v", got)
 	}
+	current.Services[0].Slots = 8
+	if encoded, err = current.Encode(); err != nil {
+		t.Fatal(err)
+	}
+	address = (&fakeControl{}).start(t, answer(operatorapi.PlanInForce{Number: 1, Plan: encoded}))
+	if got := paddlectl(t, address, "--output", "json", "plan", "diff", exampleSheet); got.stdout != "[]\n" {
+		t.Errorf("no change: %+v", got)
+	}
 }
 
 func TestCheckWithAnAddressComparesWithTheFleet(t *testing.T) {
