entry, delivery: two directory watches, metrics, keys after an entry's death

Cause: one silent connection to a control replica could hold a zone's leaving back for 20 s; the directory's digest was not checked; nothing was counted. Change: an entry follows two replicas and keeps fleet.Directory, which checks the digest; metrics of both roles; a key whose answer is no longer kept is told as key-expired; less memory per request (128 KiB of body, 64 KiB of answer).

--- a/delivery/body.go
+++ b/delivery/body.go
@@ -61,6 +61,7 @@
 	if err := storeBody(d.blobs, digest, int64(offer.Length), next); err != nil {
 		return fault.ToStatus(err)
 	}
+	bodiesStoredTotal.Inc()
 	return stream.Send(&api.PutBodyResponse{Stored: true})
 }
 
@@ -180,6 +181,7 @@
 	if err != nil {
 		return err
 	}
+	bodiesFetchedTotal.Inc()
 	stream, err := api.NewAgentClient(conn).GetBody(ctx, &api.GetBodyRequest{Digest: digest[:]})
 	if err != nil {
 		return fault.FromStatus(err)
--- a/delivery/deliver.go
+++ b/delivery/deliver.go
@@ -17,7 +17,7 @@
 
 // Bounds of a delivery.
 const (
-	maxInlineBody = 1 << 20     // bytes of a body sent with the attempt
+	maxInlineBody = 256 << 10   // bytes of a body sent with the attempt
 	overrunLimit  = time.Minute // how long a started, non-idempotent attempt may run past its deadline
 	claimBackoff  = 50 * time.Millisecond
 	maxBodyBytes  = 256 << 20 // bytes of a stored body
@@ -72,6 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
+	attemptsTotal.Inc()
 	a := &attempt{
 		delivery: d,
 		start:    start,
@@ -315,6 +316,7 @@
 }
 
 func (d *Delivery) refusalMessage(server string, err error) *api.DeliverResponse {
+	countRefusal(err)
 	return &api.DeliverResponse{
 		Message: &api.DeliverResponse_Refusal{Refusal: toRefusal(err)},
 		Load:    d.loadOf(server),
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -95,7 +95,7 @@
 		Reserve:   answerReserve,
 		Retention: config.Retention,
 	}
-	return &Delivery{
+	d := &Delivery{
 		config:      config,
 		started:     time.Now(),
 		blobs:       blobs,
@@ -104,7 +104,9 @@
 		instances:   make(map[string]*instance),
 		table:       request.NewTable[*answer](limits),
 		connections: newConnectionGroups(),
-	}, nil
+	}
+	d.registerMetrics()
+	return d, nil
 }
 
 func applyDefaults(config *Config) {
@@ -211,6 +213,7 @@
 // Close releases connections and stored bodies. Call it after Drain and Wait.
 func (d *Delivery) Close() error {
 	close(d.closed)
+	d.unregisterMetrics()
 	d.peers.close()
 	return d.blobs.Close()
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -90,6 +90,7 @@
 		case <-timer.C:
 			if second := x.hedgeTarget(); second != nil {
 				running++
+				hedgesTotal.Inc()
 				x.attempts++
 				go func() { ended <- x.send(ctx, second) }()
 			}
--- a/entry/body.go
+++ b/entry/body.go
@@ -17,7 +17,7 @@
 // Sizes of request bodies.
 const (
 	inlineBody  = 16 << 10  // bytes sent in one message with the attempt
-	chunkedBody = 256 << 10 // bytes up to which a body is sent with the attempt, in chunks
+	chunkedBody = 128 << 10 // bytes up to which a body is sent with the attempt, in chunks
 	bodyChunk   = 16 << 10  // bytes of one chunk
 )
 
--- a/entry/budget.go
+++ b/entry/budget.go
@@ -38,7 +38,11 @@
 
 // wait returns when size bytes may be sent. Errors: fault.DeadlineNotRun when the context ends first.
 func (b *linkBudget) wait(ctx context.Context, remote bool, class request.Class, size int) error {
-	if !remote || b.outward == nil {
+	if !remote {
+		return nil
+	}
+	countLinkBytes("out", class, size)
+	if b.outward == nil {
 		return nil
 	}
 	return b.outward.wait(ctx, class, size)
@@ -46,6 +50,7 @@
 
 // waitInbound returns when size bytes more may be asked for.
 func (b *linkBudget) waitInbound(ctx context.Context, class request.Class, size int) error {
+	countLinkBytes("in", class, size)
 	if b.inward == nil {
 		return nil
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -211,7 +211,7 @@
 }
 
 // holdBytes is how much of an answer is held back.
-const holdBytes = 256 << 10
+const holdBytes = 64 << 10
 
 func newCollector(s *sink, claim func(*collector) bool) *collector {
 	return &collector{sink: s, claim: claim, hash: xxhash.New()}
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/fleet"
 )
 
 // Pauses before the directory is followed from the next control replica.
@@ -25,11 +27,9 @@
 	queueTime time.Duration
 
 	mu       sync.Mutex
-	revision uint64
-	known    bool // an update was taken in
-	zones    map[string]*api.Zone
-	policies map[string]*api.ServicePolicy
-	servers  map[string]*api.BackendServer
+	content  *fleet.Directory
+	floor    uint64 // lowest revision that is taken in
+	known    bool   // an update was taken in
 	services map[string]*service
 }
 
@@ -37,9 +37,7 @@
 	d := &directory{
 		pool:      p,
 		queueTime: queueTime,
-		zones:     make(map[string]*api.Zone),
-		policies:  make(map[string]*api.ServicePolicy),
-		servers:   make(map[string]*api.BackendServer),
+		content:   fleet.NewDirectory(),
 		services:  make(map[string]*service),
 	}
 	p.onLoad = d.observeLoad
@@ -56,7 +54,7 @@
 func (d *directory) inForce() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.revision
+	return d.content.Revision()
 }
 
 // service returns the named service. Errors: fault.NotFound, and fault.NoBackend before the
@@ -77,9 +75,8 @@
 // observeLoad takes in the load of a backend server, as its agent reports it.
 func (d *directory) observeLoad(server string, load *api.Load) {
 	d.mu.Lock()
-	known, ok := d.servers[server]
 	var s *service
-	if ok {
+	if known := d.content.Server(server); known != nil {
 		s = d.services[known.Service]
 	}
 	d.mu.Unlock()
@@ -88,70 +85,52 @@
 	}
 }
 
-// apply takes an update in. It returns fault.Stale for one that would go back
-// or that leaves a gap; the watch is then opened again.
+// apply takes an update in; one that would go back changes nothing. Errors:
+// fault.Stale for an update that leaves a gap, and fault.DataCorrupt when the
+// content differs from its digest; the next watch then brings the whole directory.
 func (d *directory) apply(update *api.DirectoryUpdate) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.known && update.Revision < d.revision {
-		return fault.Newf(fault.Stale, "revision %d is older than %d in force", update.Revision, d.revision)
+	if update.Revision < d.floor {
+		return nil
 	}
-	if update.BaseRevision != 0 && update.BaseRevision != d.revision {
-		return fault.Newf(fault.Stale, "update from revision %d does not follow %d", update.BaseRevision, d.revision)
+	before := d.content.Revision()
+	if err := d.content.Apply(update); err != nil {
+		if fault.Is(err, fault.DataCorrupt) {
+			d.content = fleet.NewDirectory()
+		}
+		return err
 	}
-	if update.BaseRevision == 0 {
-		clear(d.zones)
-		clear(d.policies)
-		clear(d.servers)
+	d.floor = d.content.Revision()
+	if d.known && d.floor == before {
+		return nil
 	}
-	d.merge(update)
-	d.revision = update.Revision
 	d.known = true
 	d.rebuild()
 	return nil
 }
 
-func (d *directory) merge(update *api.DirectoryUpdate) {
-	for _, zone := range update.Zones {
-		d.zones[zone.Name] = zone
-	}
-	for _, policy := range update.Services {
-		d.policies[policy.Name] = policy
-	}
-	for _, server := range update.Servers {
-		d.servers[server.Id] = server
-	}
-	for _, name := range update.RemovedServices {
-		delete(d.policies, name)
-	}
-	for _, id := range update.RemovedServers {
-		delete(d.servers, id)
-	}
-}
-
 // rebuild brings services and peers in line with the directory. The caller holds mu.
 func (d *directory) rebuild() {
 	byService := make(map[string][]*api.BackendServer)
 	addresses := make(map[string]bool)
-	for _, server := range d.servers {
+	for _, policy := range d.content.Services() {
+		byService[policy.Name] = nil
+	}
+	for _, server := range d.content.Servers() {
 		addresses[server.AgentAddress] = true
-		zone, zoneKnown := d.zones[server.Zone]
-		if server.Leaving || (zoneKnown && !zone.InService) {
-			byService[server.Service] = append(byService[server.Service], nil)
-			continue
-		}
 		byService[server.Service] = append(byService[server.Service], server)
 	}
-	for name := range d.policies {
-		byService[name] = append(byService[name], nil)
-	}
 	for name, servers := range byService {
 		s, ok := d.services[name]
 		if !ok {
 			s = newService(name, d.queueTime)
 			d.services[name] = s
 		}
-		s.update(servers, d.policies[name])
+		s.update(slices.DeleteFunc(servers, d.takesNoWork))
+	}
+	for _, policy := range d.content.Services() {
+		d.services[policy.Name].setPolicy(policy)
 	}
 	for name := range d.services {
 		if _, ok := byService[name]; !ok {
@@ -161,19 +140,29 @@
 	d.pool.keep(addresses)
 }
 
+// takesNoWork reports whether the backend server is leaving or its zone is out of service.
+func (d *directory) takesNoWork(server *api.BackendServer) bool {
+	zone := d.content.Zone(server.Zone)
+	return server.Leaving || (zone != nil && !zone.InService)
+}
+
+// watches is how many replicas an entry follows at a time, so that one silent
+// connection does not hold a change back.
+const watches = 2
+
 // follow keeps a Watch open on one control replica after another.
-func (e *Entry) follow() {
+func (e *Entry) follow(first int) {
+	if len(e.config.Control) == 0 {
+		return
+	}
 	pause := watchPause
-	for i := rand.IntN(max(len(e.config.Control), 1)); e.ctx.Err() == nil; i++ {
-		if len(e.config.Control) == 0 {
-			return
-		}
+	for i := first; e.ctx.Err() == nil; i += watches {
 		address := e.config.Control[i%len(e.config.Control)]
 		received, err := e.watch(address)
 		if received {
 			pause = watchPause
 		}
-		klog.V(1).InfoS("The directory watch ended", "control", address, "reason", err)
+		klog.V(1).InfoS("Directory watch ended", "control", address, "reason", err)
 		if !sleep(e.ctx, pause/2+rand.N(pause/2)) {
 			return
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -21,7 +22,7 @@
 // Defaults of Config.
 const (
 	defaultQueueTime   = 500 * time.Millisecond
-	defaultMaxRequests = 4096
+	defaultMaxRequests = 2048
 	defaultMaxBody     = 64 << 20 // bytes
 	defaultDrainNotice = 2 * time.Second
 	defaultLinks       = 2
@@ -133,7 +134,7 @@
 // newID returns a name that no other process has had.
 func newID(name string) string {
 	var random [8]byte
-	_, _ = rand.Read(random[:])
+	_, _ = cryptorand.Read(random[:])
 	return name + "-" + hex.EncodeToString(random[:])
 }
 
@@ -148,7 +149,11 @@
 		return err
 	}
 	e.listener = listener
-	e.work.Go(func() { e.follow() })
+	e.registerMetrics()
+	first := rand.N(1 << 16)
+	for i := range min(watches, len(e.config.Control)) {
+		e.work.Go(func() { e.follow(first + i) })
+	}
 	e.work.Go(func() { e.report() })
 	e.work.Go(func() {
 		if err := e.server.Serve(listener); err != http.ErrServerClosed {
@@ -178,6 +183,7 @@
 	e.cancel()
 	e.work.Wait()
 	e.pool.close()
+	e.unregisterMetrics()
 	if closeErr := e.blobs.Close(); err == nil {
 		err = fault.Wrap(fault.StorageFailed, closeErr, "remove bodies")
 	}
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -75,6 +75,7 @@
 		if step == request.StepAnswer || !x.mayRetry(ctx, err) {
 			break
 		}
+		retriesTotal.Inc()
 		err = x.attempt(ctx)
 	}
 	if err != nil && x.collector.standing() {
@@ -152,8 +153,11 @@
 func (x *execution) lookupHolder(ctx context.Context, cause error) (request.Step, error) {
 	holder := x.last
 	state, err := x.lookup(ctx, holder, false)
-	if state == request.Fenced {
+	switch {
+	case state == request.Fenced:
 		x.claimAfter = holder.attempt
+	case state == request.Unknown && err == nil:
+		cause = fault.Wrap(fault.KeyExpired, cause, "the answer to this key is no longer kept")
 	}
 	return x.afterLookup(state, err, cause)
 }
@@ -172,6 +176,7 @@
 // lookup asks the attempt's agent for it. A Finished attempt's answer is then
 // in the collector, unless err says otherwise.
 func (x *execution) lookup(ctx context.Context, s *sent, fence bool) (request.State, error) {
+	lookupsTotal.Inc()
 	ctx, cancel := x.lookupContext(ctx)
 	defer cancel()
 	if s == nil || s.address == "" {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -56,6 +56,9 @@
 	}
 	x, err := e.execute(w, r, s, parsed, began)
 	e.recorder.record(x, err, time.Since(began))
+	if x != nil {
+		countRequest(x.service.name, err, time.Since(began))
+	}
 	if err != nil {
 		discardBody(s, r)
 		s.refuse(err)
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -15,6 +15,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/delivery"
+	"amaranthpaddle/fleet"
 	"amaranthpaddle/transport"
 )
 
@@ -48,6 +49,7 @@
 	servers  []*api.BackendServer
 	changed  chan struct{}
 	claims   map[string]*api.ClaimResponse
+	digests  map[string]string // of the requests, by key
 	reports  []*api.EntryReport
 	direct   map[string]string // agents' own addresses by those of the proxies in front
 }
@@ -73,7 +75,12 @@
 }
 
 func newFakeControl(t testing.TB) *fakeControl {
-	c := &fakeControl{changed: make(chan struct{}), claims: make(map[string]*api.ClaimResponse), direct: make(map[string]string)}
+	c := &fakeControl{
+		changed: make(chan struct{}),
+		claims:  make(map[string]*api.ClaimResponse),
+		digests: make(map[string]string),
+		direct:  make(map[string]string),
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -95,11 +102,19 @@
 	c.changed = make(chan struct{})
 }
 
+// fullUpdate returns the whole directory with its digest.
+func fullUpdate(revision uint64, zones []*api.Zone, servers []*api.BackendServer) *api.DirectoryUpdate {
+	content := fleet.NewDirectory()
+	// Without a digest the content is taken in and reported as corrupt.
+	_ = content.Apply(&api.DirectoryUpdate{Revision: revision, Zones: zones, Servers: servers})
+	return content.Full()
+}
+
 // Watch sends the whole directory at each change.
 func (c *fakeControl) Watch(_ *api.WatchRequest, stream api.Control_WatchServer) error {
 	for {
 		c.mu.Lock()
-		update := &api.DirectoryUpdate{Revision: c.revision, Zones: c.zones, Servers: c.servers}
+		update := fullUpdate(c.revision, c.zones, c.servers)
 		changed := c.changed
 		c.mu.Unlock()
 		if update.Revision > 0 {
@@ -122,6 +137,7 @@
 	held, ok := c.claims[ask.Key]
 	if !ok {
 		held = &api.ClaimResponse{Attempt: ask.Attempt, Server: ask.Server, Incarnation: ask.Incarnation}
+		c.digests[ask.Key] = string(ask.Digest)
 		for _, server := range c.servers {
 			if server.Id == ask.Server {
 				held.AgentAddress = server.AgentAddress
@@ -132,6 +148,7 @@
 	return &api.ClaimResponse{
 		Granted: held.Attempt == ask.Attempt, Attempt: held.Attempt, Server: held.Server,
 		Incarnation: held.Incarnation, AgentAddress: held.AgentAddress,
+		DigestDiffers: c.digests[ask.Key] != string(ask.Digest),
 	}, nil
 }
 
--- a/entry/history_test.go
+++ b/entry/history_test.go
@@ -198,3 +198,40 @@
 		t.Fatalf("got %+v", a)
 	}
 }
+
+func TestKeyResentAfterItsEntryDiedGetsTheFirstAnswer(t *testing.T) {
+	started := make(chan struct{})
+	l := newLedger(func() time.Duration {
+		close(started)
+		return 300 * time.Millisecond
+	})
+	h := newHarness(t, []backendSpec{{handler: l}, {handler: l}}, nil)
+	other := startEntry(t, h.control, func(c *Config) { c.Name = "entry-2" })
+	awaitReady(t, other)
+	key := map[string]string{"Idempotency-Key": "k"}
+	go func() { _, _ = h.do("POST", "/ledger/charge", "c", key) }()
+	<-started
+	h.entry.cancel() // its connections to agents and control end, as a dead process's would
+	_ = h.entry.server.Close()
+	for range 2 {
+		a, err := doRequest("http://"+other.Address().String()+"/ledger/charge", "POST", "c", key)
+		if err != nil || a.outcome != "done" || a.body != chargeAnswer("c", 1) {
+			t.Fatalf("got %d %s %.80s, %v", a.status, a.outcome, a.body, err)
+		}
+	}
+	if runs := l.count("c"); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+func TestKeyUsedWithAnotherRequestIsRefused(t *testing.T) {
+	h := newHarness(t, []backendSpec{{handler: newLedger(pauseUpTo(1))}}, nil)
+	key := map[string]string{"Idempotency-Key": "k"}
+	if a, err := h.do("POST", "/ledger/charge", "five", key); err != nil || a.outcome != "done" {
+		t.Fatalf("got %+v, %v", a, err)
+	}
+	a, err := h.do("POST", "/ledger/charge", "six", key)
+	if err != nil || a.status != http.StatusConflict || a.outcome != "not-run" {
+		t.Errorf("got %+v, %v", a, err)
+	}
+}
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -89,6 +89,7 @@
 	candidates := rankHolders(key.digest, x.service.agents(t.server.Region))
 	address, p, mine := e.bodies.join(key, candidates)
 	if p == nil {
+		bodiesKnownTotal.Inc()
 		return address, nil
 	}
 	if mine {
@@ -163,6 +164,7 @@
 	if err != nil || reply.Stored {
 		return fault.FromStatus(err)
 	}
+	bodiesSentTotal.Inc()
 	if err := e.upload(ctx, stream, content, key.region != e.config.Region, class); err != nil {
 		return err
 	}
--- a/entry/link.go
+++ b/entry/link.go
@@ -74,6 +74,7 @@
 	defer ticker.Stop()
 	for {
 		if l.silent(time.Now()) {
+			linksRetiredTotal.Inc()
 			l.cancel(errRetired)
 			return
 		}
--- a/entry/service.go
+++ b/entry/service.go
@@ -64,20 +64,21 @@
 	}
 }
 
-// update replaces the backend servers that take new work; nil ones are skipped.
-func (s *service) update(servers []*api.BackendServer, policy *api.ServicePolicy) {
+// setPolicy takes in what the plan says of the service.
+func (s *service) setPolicy(policy *api.ServicePolicy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objective = time.Duration(policy.ObjectiveMs * float64(time.Millisecond))
+}
+
+// update replaces the backend servers that take new work.
+func (s *service) update(servers []*api.BackendServer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if policy != nil {
-		s.objective = time.Duration(policy.ObjectiveMs * float64(time.Millisecond))
-	}
 	kept := make(map[string]*target, len(servers))
 	s.backends = nil
 	ceiling := 0
 	for _, server := range servers {
-		if server == nil {
-			continue
-		}
 		t := s.targetFor(server)
 		kept[server.Id] = t
 		s.backends = append(s.backends, t.backend)
--- a/entry/standing.go
+++ b/entry/standing.go
@@ -141,6 +141,7 @@
 		x.lastEvent = id
 	}
 	if err == nil && a.result.moved {
+		streamsMovedTotal.Inc()
 		err = errMoved
 	}
 	if err == nil || a.collector.flow {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
 )
 
 // background keeps callers sending until it is stopped, and counts what they got.
@@ -156,9 +157,18 @@
 
 func TestOlderDirectoryIsNotTakenIn(t *testing.T) {
 	h := newHarness(t, []backendSpec{{handler: slowEcho(0)}}, nil)
-	err := h.entry.directory.apply(&api.DirectoryUpdate{Revision: 0})
-	if err == nil || h.entry.directory.inForce() != 1 {
-		t.Errorf("revision %d in force, %v", h.entry.directory.inForce(), err)
+	h.announce() // revision 2
+	await(t, "the update was not taken in", func() bool { return h.entry.directory.inForce() == 2 })
+	if err := h.entry.directory.apply(fullUpdate(1, nil, nil)); err != nil {
+		t.Error(err)
+	}
+	damaged := fullUpdate(3, nil, nil)
+	damaged.Digest[0]++
+	if err := h.entry.directory.apply(damaged); !fault.Is(err, fault.DataCorrupt) {
+		t.Errorf("a damaged update: %v", err)
+	}
+	if err := h.entry.directory.apply(fullUpdate(1, nil, nil)); err != nil || h.entry.directory.inForce() == 1 {
+		t.Errorf("an older directory was taken in after a damaged one: %v", err)
 	}
 	if a, err := h.do("GET", "/ledger/x", "", nil); err != nil || a.status != http.StatusOK {
 		t.Errorf("got %+v, %v", a, err)
