--- a/delivery/deliver.go
+++ b/delivery/deliver.go
@@ -13,14 +13,12 @@
 	"amaranthpaddle/blob"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/request"
-	"amaranthpaddle/telemetry"
 )
 
 // Bounds of a delivery.
 const (
-	maxInlineBody = 1 << 20         // bytes of a body sent with the attempt
-	overrunLimit  = time.Minute     // how long a started, non-idempotent attempt may run past its deadline
-	claimLimit    = 5 * time.Second // how long a claim is tried
+	maxInlineBody = 256 << 10   // bytes of a body sent with the attempt
+	overrunLimit  = time.Minute // how long a started, non-idempotent attempt may run past its deadline
 	claimBackoff  = 50 * time.Millisecond
 	maxBodyBytes  = 256 << 20 // bytes of a stored body
 )
@@ -53,18 +51,15 @@
 	defer leave()
 	a, err := d.begin(start)
 	if err != nil {
-		observeRefusal(start, err)
 		return stream.Send(d.refusalMessage(start.Server, err))
 	}
 	if err := a.prepare(ctx, stream); err != nil {
-		observeRefusal(start, err)
 		a.abandon(err)
 		return stream.Send(d.refusalMessage(start.Server, err))
 	}
 	credit := newCredit(start.AnswerCredit)
 	canceled := make(chan struct{})
 	go a.receive(stream, credit, canceled)
-	telemetry.Deliveries.Add(1, start.Service)
 	a.launch(ctx, canceled)
 	return d.sendAnswer(ctx, stream, a.answer, &sender{
 		server: start.Server, credit: credit, zstd: start.AcceptZstd, needHead: true,
@@ -77,6 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
+	attemptsTotal.Inc()
 	a := &attempt{
 		delivery: d,
 		start:    start,
@@ -253,7 +249,7 @@
 	if a.delivery.config.Claimer == nil {
 		return fault.New(fault.NoQuorum, "this agent can't claim keys")
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	ctx, cancel := context.WithTimeout(ctx, a.delivery.config.ClaimTime)
 	defer cancel()
 	claim := &api.ClaimRequest{
 		Key:         claimKey(a.start),
@@ -320,6 +316,7 @@
 }
 
 func (d *Delivery) refusalMessage(server string, err error) *api.DeliverResponse {
+	countRefusal(err)
 	return &api.DeliverResponse{
 		Message: &api.DeliverResponse_Refusal{Refusal: toRefusal(err)},
 		Load:    d.loadOf(server),
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -14,29 +14,12 @@
 	Labels []string
 }
 
-// The metrics of paddle-entry.
+// The metrics of a VM's tasks; packages entry and delivery define those of the
+// request path.
 var (
-	Requests           = Metric{"paddle_requests_total", []string{"service", "outcome"}}
-	RequestSeconds     = Metric{"paddle_request_duration_seconds", []string{"service"}}
-	RequestRetries     = Metric{"paddle_request_retries_total", []string{"service"}}
-	Refusals           = Metric{"paddle_refusals_total", []string{"kind"}}
-	RequestsInProgress = Metric{"paddle_requests_in_progress", []string{"entry"}}
-	EntryRevision      = Metric{"paddle_entry_revision", []string{"entry"}}
-	EntryReady         = Metric{"paddle_entry_ready", []string{"entry"}}
-)
-
-// The metrics of paddle-agent.
-var (
-	Deliveries           = Metric{"paddle_deliveries_total", []string{"service"}}
-	DeliveryRefusals     = Metric{"paddle_delivery_refusals_total", []string{"service", "kind"}}
-	DeliveriesInProgress = Metric{"paddle_deliveries_in_progress", []string{"vm"}}
-	Slots                = Metric{"paddle_slots", []string{"server"}}
-	SlotsInUse           = Metric{"paddle_slots_in_use", []string{"server"}}
-	SlotWaiters          = Metric{"paddle_slot_waiters", []string{"server"}}
-	StandingStreams      = Metric{"paddle_standing_streams", []string{"server"}}
-	TaskStarts           = Metric{"paddle_task_starts_total", []string{"result"}}
-	AgentTasks           = Metric{"paddle_agent_tasks", []string{"vm"}}
-	AgentRevision        = Metric{"paddle_agent_revision", []string{"vm"}}
+	TaskStarts    = Metric{"paddle_agent_task_starts_total", []string{"result"}}
+	AgentTasks    = Metric{"paddle_agent_tasks", []string{"vm"}}
+	AgentRevision = Metric{"paddle_agent_revision", []string{"vm"}}
 )
 
 // The gauges of paddle-control that are taken when they are read; package
@@ -60,8 +43,6 @@
 // Metrics lists every metric of this package.
 func Metrics() []Metric {
 	return []Metric{
-		Requests, RequestSeconds, RequestRetries, Refusals, RequestsInProgress, EntryRevision, EntryReady,
-		Deliveries, DeliveryRefusals, DeliveriesInProgress, Slots, SlotsInUse, SlotWaiters, StandingStreams,
 		TaskStarts, AgentTasks, AgentRevision,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
@@ -85,11 +66,6 @@
 	metrics.GetOrCreateCounter(m.with(values)).Add(n)
 }
 
-// Observe adds a duration of the given seconds to a histogram.
-func (m Metric) Observe(seconds float64, values ...string) {
-	metrics.GetOrCreateHistogram(m.with(values)).Update(seconds)
-}
-
 // Write writes the present value of a gauge.
 func (m Metric) Write(w io.Writer, value float64, values ...string) {
 	metrics.WriteGaugeFloat64(w, m.with(values), value)
--- a/telemetry/metrics_test.go
+++ b/telemetry/metrics_test.go
@@ -54,7 +54,7 @@
 // namesInCode returns the metric names that stand in the module's code, tests left out.
 func namesInCode(t *testing.T) map[string]bool {
 	t.Helper()
-	quoted := regexp.MustCompile(`"(paddle_[a-z_]+)`)
+	quoted := regexp.MustCompile("[\"`](paddle_[a-z_]+)")
 	names := map[string]bool{}
 	err := filepath.WalkDir("..", func(file string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() || !strings.HasSuffix(file, ".go") || strings.HasSuffix(file, "_test.go") {
@@ -72,9 +72,8 @@
 	return names
 }
 
-func TestMetricsHandlerWritesCountersHistogramsAndGauges(t *testing.T) {
-	Requests.Add(3, `a"b`, "done")
-	RequestSeconds.Observe(0.25, "ledger")
+func TestMetricsHandlerWritesCountersAndGauges(t *testing.T) {
+	TaskStarts.Add(3, `a"b`)
 	mux := Mux(func() error { return fault.New(fault.Draining, "stopping") }, func(w io.Writer) {
 		PlanNumber.Write(w, 7)
 		ZoneInService.WriteBool(w, true, "Cork")
@@ -86,8 +85,7 @@
 	}
 	lines := strings.Split(get("/metrics").Body.String(), "\n")
 	for _, want := range []string{
-		`paddle_requests_total{service="a\"b",outcome="done"} 3`,
-		`paddle_request_duration_seconds_count{service="ledger"} 1`,
+		`paddle_agent_task_starts_total{result="a\"b"} 3`,
 		`paddle_plan_number 7`,
 		`paddle_zone_in_service{zone="Cork"} 1`,
 	} {
