--- a/cmd/paddlectl/main_test.go
+++ b/cmd/paddlectl/main_test.go
@@ -56,6 +56,11 @@
 }
 
 func paddlectl(t *testing.T, address string, args ...string) result {
+	t.Helper()
+	return paddlectlContext(context.Background(), t, address, args...)
+}
+
+func paddlectlContext(ctx context.Context, t *testing.T, address string, args ...string) result {
 	t.Helper()
 	tokenFile := filepath.Join(t.TempDir(), "token")
 	if err := os.WriteFile(tokenFile, []byte(testToken+"\n"), 0o600); err != nil {
@@ -63,7 +68,7 @@
 	}
 	var stdout, stderr bytes.Buffer
 	args = append([]string{"--address", address, "--token-file", tokenFile}, args...)
-	code := run(context.Background(), args, &stdout, &stderr)
+	code := run(ctx, args, &stdout, &stderr)
 	return result{code: code, stdout: stdout.String(), stderr: stderr.String()}
 }
 
@@ -145,19 +150,39 @@
 	}
 }
 
-func TestAnUnknownOutcomeNamesTheChangeToResend(t *testing.T) {
-	address := (&fakeControl{}).start(t, refuse(fault.CommitUnknown))
-	got := paddlectl(t, address, "--timeout", "200ms", "zone", "out", "Cork")
-	if got.code != fault.ExitUnknown || !strings.Contains(got.stderr, "--change-id zone-out-Cork-") {
-		t.Errorf("%+v", got)
-	}
-	got = paddlectl(t, address, "--timeout", "200ms", "--output", "json", "zone", "out", "Cork")
-	var failed failure
-	if err := json.Unmarshal([]byte(got.stderr), &failed); err != nil {
-		t.Fatalf("%v in %q", err, got.stderr)
+// cancelAtSecondCall answers every call with an unknown outcome, and cancels
+// once the first answer has been read.
+func cancelAtSecondCall(cancel func()) http.HandlerFunc {
+	calls := 0
+	return func(w http.ResponseWriter, r *http.Request) {
+		if calls++; calls == 2 {
+			cancel()
+		}
+		refuse(fault.CommitUnknown)(w, r)
 	}
-	if got.code != fault.ExitUnknown || failed.Outcome != "unknown" || failed.ChangeID == "" {
-		t.Errorf("%+v", failed)
+}
+
+func TestAnUnknownOutcomeNamesTheChangeToResend(t *testing.T) {
+	for _, output := range []string{outputTable, outputJSON} {
+		ctx, cancel := context.WithCancel(context.Background())
+		address := (&fakeControl{}).start(t, cancelAtSecondCall(cancel))
+		got := paddlectlContext(ctx, t, address, "--output", output, "zone", "out", "Cork")
+		if got.code != fault.ExitUnknown {
+			t.Errorf("%s: %+v", output, got)
+		}
+		if output == outputTable {
+			if !strings.Contains(got.stderr, "--change-id zone-out-Cork-") {
+				t.Errorf("%+v", got)
+			}
+			continue
+		}
+		var failed failure
+		if err := json.Unmarshal([]byte(got.stderr), &failed); err != nil {
+			t.Fatalf("%v in %q", err, got.stderr)
+		}
+		if failed.Outcome != "unknown" || failed.ChangeID == "" {
+			t.Errorf("%+v", failed)
+		}
 	}
 }
 
@@ -194,6 +219,14 @@
 	if got := paddlectl(t, address, "plan", "diff", exampleSheet); got.stdout != "~ service toll-ledger, slots: 4 -> 8\n" {
 		t.Errorf("%+v", got)
 	}
+	current.Services[0].Slots = 8
+	if encoded, err = current.Encode(); err != nil {
+		t.Fatal(err)
+	}
+	address = (&fakeControl{}).start(t, answer(operatorapi.PlanInForce{Number: 1, Plan: encoded}))
+	if got := paddlectl(t, address, "--output", "json", "plan", "diff", exampleSheet); got.stdout != "[]\n" {
+		t.Errorf("no change: %+v", got)
+	}
 }
 
 func TestCheckWithAnAddressComparesWithTheFleet(t *testing.T) {
@@ -211,6 +244,7 @@
 		{"--timeout", "0s", "status"},
 		{"--certificate", "missing.pem", "status"},
 		{"control", "replace", "--remove", "2"},
+		{"--address", "control-1:7070", "status"},
 		{"plan", "check", "missing.csv"},
 	} {
 		if got := paddlectl(t, "127.0.0.1:1", args...); got.code != fault.ExitInvalid {
@@ -218,3 +252,17 @@
 		}
 	}
 }
+
+func TestAddressesAreListedOrRepeatedOrFromTheEnvironment(t *testing.T) {
+	address := (&fakeControl{}).start(t, answer(operatorapi.Status{}))
+	if got := paddlectl(t, "127.0.0.1:1, "+address, "status"); got.code != fault.ExitOK {
+		t.Errorf("list: %+v", got)
+	}
+	if got := paddlectl(t, "127.0.0.1:1", "--address", address, "status"); got.code != fault.ExitOK {
+		t.Errorf("repeated: %+v", got)
+	}
+	t.Setenv(envAddress, "127.0.0.1:1,"+address)
+	if got := paddlectl(t, "", "status"); got.code != fault.ExitOK {
+		t.Errorf("environment: %+v", got)
+	}
+}
--- a/control/http.go
+++ b/control/http.go
@@ -14,6 +14,7 @@
 	"amaranthpaddle/fault"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/plan"
+	"amaranthpaddle/telemetry"
 )
 
 const (
@@ -38,7 +39,7 @@
 	s.handle(mux, "POST "+operatorapi.PathControlReplace, s.postReplace)
 	mux.Handle("GET /burn", burn.Handler(s.burnSource))
 	mux.Handle("GET /burn/", burn.Handler(s.burnSource))
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { s.metrics.write(w) })
+	mux.Handle("GET /metrics", telemetry.MetricsHandler(s.WriteMetrics))
 	mux.HandleFunc("GET /healthz", s.getHealth)
 	mux.HandleFunc("GET /readyz", s.getReady)
 	return mux
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -1,10 +1,6 @@
 package control
 
-import (
-	"io"
-
-	"github.com/VictoriaMetrics/metrics"
-)
+import "github.com/VictoriaMetrics/metrics"
 
 // serverMetrics are the metrics of one Server.
 type serverMetrics struct {
@@ -45,11 +41,6 @@
 	}
 }
 
-func (m *serverMetrics) write(w io.Writer) {
-	m.set.WritePrometheus(w)
-	metrics.WritePrometheus(w, true)
-}
-
 func (s *Server) sessionCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
