fleet: close the test that a merge left open

Cause: resolving the conflict in registry_test.go dropped two closing braces. Change: put back. Figures: go test ./fleet passes.

--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -118,6 +118,8 @@
 	announceVM(t, r, 2, "vm", 3)
 	if v := r.VM("vm"); v.Lost || v.Incarnation != 3 {
 		t.Errorf("VM %+v", v)
+	}
+}
 
 func TestALostVMIsForgottenAfterADayUnlessItIsDrained(t *testing.T) {
 	r := newTestRegistry()
