--- a/cmd/paddle-scale/main.go
+++ b/cmd/paddle-scale/main.go
@@ -121,7 +121,7 @@
 }
 
 func (s *spread) describe() string {
-	if s.last.IsZero() {
+	if s.revision == 0 || s.last.IsZero() {
 		return "not yet in force everywhere"
 	}
 	return fmt.Sprintf("in force everywhere %v after the first agent", s.last.Sub(s.first).Round(time.Millisecond))
