control: a zstd coder per plan, so that each test passes alone

Cause: tests that ran alone failed: the shared zstd encoder makes its channels at first use, which was inside a test's bubble.

Change: a coder per call.

Conclusion: each test of the package was run alone and passed; the whole with -race as well.

--- a/control/bench_state_test.go
+++ b/control/bench_state_test.go
@@ -46,7 +46,7 @@
 // without the transport.
 func BenchmarkDirective(b *testing.B) {
 	s := NewState()
-	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(encodePlan(b, testPlan(1, 18)))}}})
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(b, testPlan(1, 18))}}})
 	vm := testVM("vm", "a")
 	vm.Capacity = &api.Resources{MilliCpu: 32_000, MemoryMib: 128_000}
 	applyTo(s, &api.Command{Body: &api.Command_AnnounceVm{AnnounceVm: &api.AnnounceVM{Vm: vm, Incarnation: 1}}})
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// fataler is what testing.TB and rapid.T have in common.
+type fataler interface{ Fatal(...any) }
+
+func compressedPlan(t fataler, p *plan.DayPlan) []byte {
+	data, err := p.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	compressed, err := compressPlan(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return compressed
+}
+
 func encodePlan(t testing.TB, p *plan.DayPlan) []byte {
 	data, err := p.Encode()
 	if err != nil {
--- a/control/http.go
+++ b/control/http.go
@@ -131,8 +131,12 @@
 	if err := (&plan.DayPlan{}).Decode(body); err != nil {
 		return nil, err
 	}
+	compressed, err := compressPlan(body)
+	if err != nil {
+		return nil, err
+	}
 	result, err := s.commitAsLeader(r.Context(), &api.Command{Body: &api.Command_SubmitPlan{
-		SubmitPlan: &api.SubmitPlan{Plan: compressPlan(body), ChangeId: id},
+		SubmitPlan: &api.SubmitPlan{Plan: compressed, ChangeId: id},
 	}})
 	if err != nil {
 		return nil, err
--- a/control/plandata.go
+++ b/control/plandata.go
@@ -7,34 +7,24 @@
 	"amaranthpaddle/plan"
 )
 
-// A plan of a whole day may exceed what one log entry can hold, so it travels
-// compressed.
-var (
-	planEncoder = mustEncoder()
-	planDecoder = mustDecoder()
-)
-
-func mustEncoder() *zstd.Encoder {
+// compressPlan compresses an encoded plan: a whole day's plan may exceed what
+// one log entry can hold.
+func compressPlan(data []byte) ([]byte, error) {
 	encoder, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	if err != nil {
-		panic(err)
+		return nil, fault.Wrap(fault.Internal, err, "compress plan")
 	}
-	return encoder
+	defer encoder.Close()
+	return encoder.EncodeAll(data, nil), nil
 }
 
-func mustDecoder() *zstd.Decoder {
+// decompressPlan reverses compressPlan. It refuses plans above plan.MaxEncodedBytes.
+func decompressPlan(data []byte) ([]byte, error) {
 	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(plan.MaxEncodedBytes))
 	if err != nil {
-		panic(err)
+		return nil, fault.Wrap(fault.Internal, err, "decompress plan")
 	}
-	return decoder
-}
-
-// compressPlan compresses an encoded plan.
-func compressPlan(data []byte) []byte { return planEncoder.EncodeAll(data, nil) }
-
-// decompressPlan reverses compressPlan. It refuses plans above plan.MaxEncodedBytes.
-func decompressPlan(data []byte) ([]byte, error) {
-	plain, err := planDecoder.DecodeAll(data, nil)
+	defer decoder.Close()
+	plain, err := decoder.DecodeAll(data, nil)
 	return plain, fault.Wrap(fault.InvalidArgument, err, "decompress plan")
 }
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -60,12 +60,8 @@
 func (m *stateMachine) SubmitPlan(t *rapid.T) {
 	p := testPlan(rapid.Uint64Range(1, 8).Draw(t, "number"), rapid.IntRange(1, 3).Draw(t, "tasks"))
 	p.Zones[1].InService = rapid.Bool().Draw(t, "b in service")
-	data, err := p.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
 	digest := p.Digest()
-	result := m.apply(t, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(data)}}})
+	result := m.apply(t, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(t, p)}}})
 	first, known := m.accepted[p.Number]
 	switch {
 	case known && bytes.Equal(first, digest[:]):
@@ -282,12 +278,12 @@
 
 func TestAnOperatorsZoneOutOutlivesTheNextPlan(t *testing.T) {
 	s := NewState()
-	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(encodePlan(t, testPlan(1, 1)))}}})
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(t, testPlan(1, 1))}}})
 	setZone := func(id string, in bool) {
 		applyTo(s, &api.Command{Body: &api.Command_SetZone{SetZone: &api.SetZone{Zone: "a", InService: in, ChangeId: id}}})
 	}
 	setZone("c1", false)
-	result := applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressPlan(encodePlan(t, testPlan(2, 1)))}}})
+	result := applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(t, testPlan(2, 1))}}})
 	if s.inService("a") || len(result.Warnings) == 0 {
 		t.Fatalf("zone in service %v, warnings %q", s.inService("a"), result.Warnings)
 	}
