--- a/control/bench_state_test.go
+++ b/control/bench_state_test.go
@@ -65,3 +65,56 @@
 		runs.directive(s.viewVM("vm", 1), nil, nil, s.now())
 	}
 }
+
+// filledState returns a state with VMs, their backend servers and 18 running tasks each.
+func filledState(b *testing.B, vms int) *State {
+	s := NewState()
+	p := testPlan(1, vms*18)
+	p.Teams[0].Quota.MilliCPU, p.Teams[0].Quota.MemoryMiB = 100_000_000, 1<<30
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(b, p)}}})
+	for i := range vms {
+		vm := testVM(vmName(i), "a")
+		vm.Capacity = &api.Resources{MilliCpu: 32_000, MemoryMib: 128_000}
+		announce := &api.AnnounceVM{Vm: vm, Incarnation: 1, ServersChanged: true}
+		for n := range 6 {
+			announce.Servers = append(announce.Servers, testBackend(fmt.Sprintf("%s-ledger-%d", vm.Id, n), vm.Id))
+		}
+		applyTo(s, &api.Command{Body: &api.Command_AnnounceVm{AnnounceVm: announce}})
+		place, report := &api.PlaceTasks{}, &api.ReportTasks{Vm: vm.Id, Incarnation: 1}
+		for n := range 18 {
+			id := fmt.Sprintf("job/sort/%d", i*18+n)
+			place.Placements = append(place.Placements, &api.Placement{Task: id, Generation: 1, Vm: vm.Id, Grant: &api.Resources{MilliCpu: 1000, MemoryMib: 1024}})
+			report.Tasks = append(report.Tasks, running(runKey{id, 1}))
+		}
+		applyTo(s, &api.Command{Body: &api.Command_PlaceTasks{PlaceTasks: place}})
+		applyTo(s, &api.Command{Body: &api.Command_ReportTasks{ReportTasks: report}})
+	}
+	return s
+}
+
+// BenchmarkSnapshot measures an encoding of the whole state, the state's memory
+// and its restoring.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, vms := range []int{138, 275, 550} {
+		b.Run(fmt.Sprintf("VMs=%d", vms), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			s := filledState(b, vms)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			var data []byte
+			for b.Loop() {
+				var err error
+				if data, err = s.Snapshot(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			if err := NewState().Restore(data); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB-state")
+			b.ReportMetric(float64(len(data))/1e6, "MB-snapshot")
+		})
+	}
+}
