--- a/delivery/deliver.go
+++ b/delivery/deliver.go
@@ -17,9 +17,8 @@
 
 // Bounds of a delivery.
 const (
-	maxInlineBody = 1 << 20         // bytes of a body sent with the attempt
-	overrunLimit  = time.Minute     // how long a started, non-idempotent attempt may run past its deadline
-	claimLimit    = 5 * time.Second // how long a claim is tried
+	maxInlineBody = 256 << 10   // bytes of a body sent with the attempt
+	overrunLimit  = time.Minute // how long a started, non-idempotent attempt may run past its deadline
 	claimBackoff  = 50 * time.Millisecond
 	maxBodyBytes  = 256 << 20 // bytes of a stored body
 )
@@ -73,6 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
+	attemptsTotal.Inc()
 	a := &attempt{
 		delivery: d,
 		start:    start,
@@ -249,7 +249,7 @@
 	if a.delivery.config.Claimer == nil {
 		return fault.New(fault.NoQuorum, "this agent can't claim keys")
 	}
-	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	ctx, cancel := context.WithTimeout(ctx, a.delivery.config.ClaimTime)
 	defer cancel()
 	claim := &api.ClaimRequest{
 		Key:         claimKey(a.start),
@@ -316,6 +316,7 @@
 }
 
 func (d *Delivery) refusalMessage(server string, err error) *api.DeliverResponse {
+	countRefusal(err)
 	return &api.DeliverResponse{
 		Message: &api.DeliverResponse_Refusal{Refusal: toRefusal(err)},
 		Load:    d.loadOf(server),
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -36,6 +36,11 @@
 	claimAfter string // attempt proven never to have run that holds the key's claim
 	last       *sent
 	attempts   int
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	timer      *time.Timer // ends the request at its deadline
+	turnEnded  bool        // the turn was given back
+	lastEvent  string      // id of the last event of a standing stream
 
 	queued      time.Duration // waiting for a turn and for slots
 	backendTime time.Duration // in the backend server that answered
@@ -57,7 +62,7 @@
 		return err
 	}
 	x.queued = time.Since(arrived)
-	defer x.service.leave()
+	defer x.endTurn()
 	err := x.attempt(ctx)
 	for err != nil {
 		step := x.progress.AfterAttempt(err)
@@ -70,14 +75,45 @@
 		if step == request.StepAnswer || !x.mayRetry(ctx, err) {
 			break
 		}
+		retriesTotal.Inc()
 		err = x.attempt(ctx)
 	}
+	if err != nil && x.collector.standing() {
+		return nil
+	}
 	if err != nil {
 		return x.progress.Final(x.atDeadline(err))
 	}
 	return x.collector.deliver()
 }
 
+// endTurn gives the request's turn back, once.
+func (x *execution) endTurn() {
+	if !x.turnEnded {
+		x.turnEnded = true
+		x.service.leave()
+	}
+}
+
+// becomeStanding lifts the deadline of a request whose answer turned out to be
+// a standing stream.
+func (x *execution) becomeStanding() {
+	if x.request.Standing {
+		return
+	}
+	if x.timer != nil {
+		x.timer.Stop()
+	}
+	x.endTurn()
+	go func() {
+		select {
+		case <-x.entry.stopping:
+			x.cancel(errMoved)
+		case <-x.ctx.Done():
+		}
+	}()
+}
+
 // atDeadline replaces a refusal that came because time was up.
 func (x *execution) atDeadline(err error) error {
 	if x.deadline.IsZero() || time.Now().Before(x.deadline) {
@@ -117,8 +153,11 @@
 func (x *execution) lookupHolder(ctx context.Context, cause error) (request.Step, error) {
 	holder := x.last
 	state, err := x.lookup(ctx, holder, false)
-	if state == request.Fenced {
+	switch {
+	case state == request.Fenced:
 		x.claimAfter = holder.attempt
+	case state == request.Unknown && err == nil:
+		cause = fault.Wrap(fault.KeyExpired, cause, "the answer to this key is no longer kept")
 	}
 	return x.afterLookup(state, err, cause)
 }
@@ -137,6 +176,7 @@
 // lookup asks the attempt's agent for it. A Finished attempt's answer is then
 // in the collector, unless err says otherwise.
 func (x *execution) lookup(ctx context.Context, s *sent, fence bool) (request.State, error) {
+	lookupsTotal.Inc()
 	ctx, cancel := x.lookupContext(ctx)
 	defer cancel()
 	if s == nil || s.address == "" {
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -106,6 +106,21 @@
 	}
 }
 
+func TestAnAgentWhoseClockSteppedBackIsTakenInOnceItsVMIsLost(t *testing.T) {
+	r := newTestRegistry()
+	announceVM(t, r, 0, "vm", 9)
+	if err := r.Announce(1, announcementOf("vm", 3)); !fault.Is(err, fault.Stale) {
+		t.Fatalf("got %v, want stale while the later incarnation may live", err)
+	}
+	if !r.Lose(0, "vm", 9) {
+		t.Fatal("not lost")
+	}
+	announceVM(t, r, 2, "vm", 3)
+	if v := r.VM("vm"); v.Lost || v.Incarnation != 3 {
+		t.Errorf("VM %+v", v)
+	}
+}
+
 func TestALostVMIsForgottenAfterADayUnlessItIsDrained(t *testing.T) {
 	r := newTestRegistry()
 	for _, vm := range []string{"gone", "drained", "last"} {
--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -24,13 +24,13 @@
 		Pending:       s.Pending[:0],
 		Teams:         s.Teams[:0],
 		Pressures:     s.Pressures[:0],
-		Harm:          l.harm,
+		Harm:          l.harm.View(),
 		MovesLeft:     l.budget.left(),
 	}
 	for _, team := range p.Teams {
 		s.Teams = append(s.Teams, Team{Name: team.Name, Quota: team.Quota})
 	}
-	jobs := newJobFacts(l)
+	jobs := newJobFacts(l, vms)
 	for i := range s.VMs {
 		v := &s.VMs[i]
 		v.Quarantine = quarantine(l.health.State(v.ID))
@@ -70,18 +70,25 @@
 
 // jobFacts caches, during one Snapshot, what all tasks of a job share.
 type jobFacts struct {
-	l     *Learner
-	facts map[*task.Job]*facts
+	l       *Learner
+	largest resource.Vector // component-wise, of any VM
+	facts   map[*task.Job]*facts
 }
 
 type facts struct {
-	size    resource.Vector
+	need    resource.Vector
+	grant   resource.Vector
+	untried bool
 	runTime time.Duration
 	work    time.Duration
 }
 
-func newJobFacts(l *Learner) *jobFacts {
-	return &jobFacts{l: l, facts: map[*task.Job]*facts{}}
+func newJobFacts(l *Learner, vms []VM) *jobFacts {
+	f := &jobFacts{l: l, facts: map[*task.Job]*facts{}}
+	for i := range vms {
+		f.largest = f.largest.Max(vms[i].Capacity)
+	}
+	return f
 }
 
 func (f *jobFacts) of(j *task.Job) *facts {
@@ -89,27 +96,46 @@
 		return known
 	}
 	n := &facts{
-		size:    f.l.grant(j),
+		need:    f.need(j),
+		untried: !f.l.sizes.Seen(j.ID),
 		runTime: f.l.sizes.RunTime(j.ID, j.RunTime),
 	}
+	n.grant = grantFor(j, n.need, n.untried)
 	n.work = n.runTime * time.Duration(max(j.Wanted-j.Finished, 0))
 	f.facts[j] = n
 	return n
 }
 
-// grant returns the size to ask for a task of the job. A service instance
-// never gets less than declared: its use follows its callers.
-func (l *Learner) grant(j *task.Job) resource.Vector {
-	size := l.sizes.Size(j.ID, j.Size)
+// need returns the expected use of a task of the job. A learnt size never
+// makes a task too large for every VM.
+func (f *jobFacts) need(j *task.Job) resource.Vector {
+	size := f.l.sizes.Size(j.ID, j.Size)
+	size = size.Min(f.largest.Max(j.Size))
+	size.MilliCPU = min(size.MilliCPU, int64(usableCPU*float64(f.largest.MilliCPU)))
+	return size
+}
+
+// batchGuarantee is the share of its expected processor time that a batch
+// task is granted. The rest it gets while others leave it free.
+const batchGuarantee = 0.75
+
+// grantFor returns the grant to ask for. A service instance never gets less
+// than declared: its use follows its callers.
+func grantFor(j *task.Job, need resource.Vector, untried bool) resource.Vector {
 	if j.Class == task.LatencyCritical {
-		return size.Max(j.Size)
+		return need.Max(j.Size)
 	}
-	return size
+	if untried {
+		return j.Size
+	}
+	need.MilliCPU = int64(batchGuarantee * float64(need.MilliCPU))
+	return need
 }
 
 func (l *Learner) describe(now time.Time, k *task.Task, f *facts) Task {
 	j := k.Job
 	d := Task{
+		Need: f.need, Untried: f.untried,
 		ID: k.ID, Job: j.ID, Team: j.Team, Class: j.Class,
 		State: k.State, Generation: k.Generation, VM: k.VM, Grant: k.Grant,
 		Priority: j.Priority, Deadline: j.Deadline,
@@ -121,11 +147,12 @@
 		d.NotBefore = j.NotBefore
 	}
 	if k.State == task.Pending {
-		d.Grant = f.size
+		d.Grant = f.grant
 		d.VM = ""
 		return d
 	}
 	d.AtRisk = atRisk(now, k)
+	d.Remaining = max(d.Remaining-d.AtRisk, f.runTime/leastRemaining)
 	if r := l.runs[k.ID]; r != nil && r.generation == k.Generation {
 		d.Used = r.used
 		d.Throttle = r.throttle
@@ -134,6 +161,10 @@
 	return d
 }
 
+// leastRemaining bounds from below what is left of a running task that takes
+// longer than expected: one part in so many of its run time.
+const leastRemaining = 10
+
 // atRisk returns the run time since the last checkpoint or the start.
 func atRisk(now time.Time, k *task.Task) time.Duration {
 	if k.State != task.Running {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
@@ -36,6 +37,9 @@
 // Open returns TLS security with the given files, which are read again when
 // they change. It returns fault.InvalidArgument when one can't be used.
 func Open(files Files) (*Security, error) {
+	if files.Certificate == "" || files.Key == "" || files.CA == "" {
+		return nil, fault.New(fault.InvalidArgument, "TLS needs certificate, key and authorities")
+	}
 	loaded, err := openCertificates(files)
 	if err != nil {
 		return nil, err
@@ -43,6 +47,16 @@
 	return &Security{certificates: loaded}, nil
 }
 
+// OpenClient returns TLS security for a process that only dials, with the
+// certificate authorities in the file ca and without a certificate of its own.
+func OpenClient(ca string) (*Security, error) {
+	loaded, err := openCertificates(Files{CA: ca})
+	if err != nil {
+		return nil, err
+	}
+	return &Security{certificates: loaded}, nil
+}
+
 // TLS reports whether connections are encrypted.
 func (s *Security) TLS() bool { return s.certificates != nil }
 
@@ -81,6 +95,15 @@
 	connectionWindow = 2 << 20
 )
 
+// connectParams keeps a peer that accepts connections and never answers, such as
+// a frozen process, from holding up calls for the library's default of 20 s.
+var connectParams = grpc.ConnectParams{
+	Backoff: backoff.Config{
+		BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 2 * time.Second,
+	},
+	MinConnectTimeout: 2 * time.Second,
+}
+
 // Dial returns a client connection to address (ip:port). It connects in the
 // background; discovery, balancing and retries of the library stay off.
 func (s *Security) Dial(address string, extra ...grpc.DialOption) (*grpc.ClientConn, error) {
@@ -92,6 +115,7 @@
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
+		grpc.WithConnectParams(connectParams),
 		grpc.WithContextDialer(dialTCP),
 		grpc.WithStaticStreamWindowSize(streamWindow),
 		grpc.WithStaticConnWindowSize(connectionWindow),
