--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -15,12 +15,16 @@
 	costPerPriority = 10 * time.Second
 )
 
+// reclaimPatience is how long a team waits for room to become free by itself
+// before it takes back what others borrowed.
+const reclaimPatience = 2 * time.Minute
+
 // mayPreempt reports whether room may be made for the task.
 func (c *cycle) mayPreempt(t *Task) bool {
 	if t.Class == task.LatencyCritical || t.Urgent() {
 		return true
 	}
-	return c.slack(t) < tightSlack || c.withinQuota(t)
+	return c.slack(t) < tightSlack || c.s.Now.Sub(t.Since) > reclaimPatience && c.withinQuota(t)
 }
 
 // preempt makes room for the task on the VM where that costs least, or waits
@@ -30,7 +34,7 @@
 	var bestVictims []int
 	for n := range c.vms {
 		v := &c.vms[n]
-		if !c.admits(t, v) || !t.Grant.Fits(v.Capacity) {
+		if !c.admits(t, v) || !fitsEver(t, v) {
 			continue
 		}
 		if fitsLater(t, v) {
@@ -46,8 +50,10 @@
 		return false
 	}
 	reason, grace := ReasonPreempted, checkpointGrace
-	if t.Urgent() || t.Class == task.LatencyCritical {
+	if t.Urgent() {
 		grace = urgentGrace
+	} else if t.Class == task.LatencyCritical {
+		grace = serviceGrace
 	} else if c.slack(t) >= tightSlack {
 		reason = ReasonQuota
 	}
@@ -62,14 +68,15 @@
 // with the cost, or nil.
 func (c *cycle) victims(t *Task, v *vmView) ([]int, time.Duration) {
 	var able []int
-	room := v.free().Add(v.releasing)
+	need := held(t)
+	room := v.free().add(v.releasing)
 	for _, i := range v.tasks {
 		if c.movable(i) && c.preempts(t, &c.s.Tasks[i]) {
 			able = append(able, i)
-			room = room.Add(held(&c.s.Tasks[i]))
+			room = room.add(held(&c.s.Tasks[i]))
 		}
 	}
-	if !t.Grant.Fits(room) {
+	if !need.fits(room) {
 		return nil, 0
 	}
 	slices.SortFunc(able, func(a, b int) int {
@@ -79,8 +86,8 @@
 	var chosen []int
 	var cost time.Duration
 	for _, i := range able {
-		without := room.Sub(held(&c.s.Tasks[i]))
-		if t.Grant.Fits(without) {
+		without := room.sub(held(&c.s.Tasks[i]))
+		if need.fits(without) {
 			room = without
 			continue
 		}
@@ -96,8 +103,6 @@
 	return costPerEviction + t.AtRisk + costPerPriority*time.Duration(max(t.Priority, 0))
 }
 
-func held(t *Task) resource.Vector { return t.Grant.Max(t.Used) }
-
 // preempts reports whether t may take the room of the running task other.
 func (c *cycle) preempts(t, other *Task) bool {
 	if other.Class == task.LatencyCritical {
