control: a settled fleet is scheduled every 2 s instead of every 0.5 s

Cause: at 550 VMs and 10,100 running tasks 40 % of the leader's processor time (3.8 % of a core of 9.4 %, profile of 10 s) was scheduling rounds, and most of them decided nothing. Change: after a round without decisions the next waits for a change or 2 s. Conclusion: changes still wake the loop at once.

--- a/control/config.go
+++ b/control/config.go
@@ -20,6 +20,7 @@
 	proposeTimeout       = 5 * time.Second
 	resendAfter          = 3 * time.Second // a directive whose effect was not reported
 	loopInterval         = 500 * time.Millisecond
+	quietInterval        = 2 * time.Second  // between scheduling rounds that decide nothing
 	digestInterval       = 10 * time.Second // between digests sent to a watcher
 	watchSpacing         = 50 * time.Millisecond
 	watchConfirmInterval = 2 * time.Second
--- a/control/loop.go
+++ b/control/loop.go
@@ -12,19 +12,30 @@
 )
 
 // leaderLoop declares VMs lost, reinstates damped ones, and places and evicts
-// tasks, whenever something changed and at least every loopInterval.
+// tasks, whenever something changed and at least every loopInterval. After a
+// round without decisions the next one waits for a change or quietInterval: a
+// round reads every task, and most rounds of a settled fleet decide nothing.
 func (s *Server) leaderLoop(ctx context.Context) {
 	ticker := time.NewTicker(loopInterval)
 	defer ticker.Stop()
+	changed := true
+	var nextRound time.Time
 	for {
 		s.loseExpired(ctx)
 		s.reinstate(ctx)
-		s.schedule(ctx)
+		if now := time.Now(); changed || !now.Before(nextRound) {
+			nextRound = now.Add(quietInterval)
+			if s.schedule(ctx) > 0 {
+				nextRound = now.Add(loopInterval)
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			changed = false
 		case <-s.work:
+			changed = true
 		}
 	}
 }
@@ -79,16 +90,17 @@
 	return s.registry.NeedsReinstate(now.UnixMilli())
 }
 
-// schedule takes one round of decisions and commits them.
-func (s *Server) schedule(ctx context.Context) {
+// schedule takes one round of decisions, commits them and returns how many there were.
+func (s *Server) schedule(ctx context.Context) int {
 	now := time.Now()
 	snapshot := s.planner.snapshot(now, s.inTouch(now))
 	if snapshot == nil {
-		return
+		return 0
 	}
 	decisions := s.config.Decide(snapshot)
 	s.metrics.decide.UpdateDuration(now)
 	s.carryOut(ctx, decisions, now)
+	return len(decisions)
 }
 
 // inTouch returns a function that tells whether a VM's agent reported within
