control: tests of drains in time, failing workers and observed use

Cause: the wiring of usage and failures to the scheduler's learner had no test, and the drain's 2 s was not asserted.

Change: tests under a given clock: a drained VM's agent and the watchers learn of it within 2 s; a VM that fails every start is quarantined; observed use reaches the status. Benchmark of a plan with 8,300 jobs.

--- a/control/bench_state_test.go
+++ b/control/bench_state_test.go
@@ -118,3 +118,24 @@
 		})
 	}
 }
+
+// BenchmarkSubmitPlan measures the state machine's part of a plan with as many
+// jobs as a day will have. Nothing else is applied meanwhile.
+func BenchmarkSubmitPlan(b *testing.B) {
+	p := testPlan(1, 1)
+	for i := range 8300 {
+		job := p.Jobs[0]
+		job.Name = fmt.Sprintf("job-%d", i)
+		p.Jobs = append(p.Jobs, job)
+	}
+	for b.Loop() {
+		b.StopTimer()
+		s := NewState()
+		data := compressedPlan(b, p)
+		b.ReportMetric(float64(len(data))/1e3, "KB-entry")
+		b.StartTimer()
+		if result := applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: data}}}); result.Kind != "" {
+			b.Fatal(result.Message)
+		}
+	}
+}
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -233,13 +233,17 @@
 	})
 }
 
+// drainTarget is the time within which draining and leaving stop new work.
+const drainTarget = 2 * time.Second
+
 func TestADrainedVMIsToldAndStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{})
 		agent := s.connectHolder(t, testVM("vm", "a"), 1)
 		s.mustPost(t, operatorapi.PathVMs+"vm/drain", "c1", nil)
-		if d := agent.take(t); !d.Drain {
-			t.Fatalf("directive %v", d)
+		drained := time.Now()
+		if d := agent.take(t); !d.Drain || time.Since(drained) > drainTarget {
+			t.Fatalf("directive %v after %v", d, time.Since(drained))
 		}
 		s.mustPost(t, operatorapi.PathPlan, "c2", encodePlan(t, testPlan(1, 1)))
 		for range 3 {
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -24,6 +24,7 @@
 	started map[string]time.Time // by task
 	latest  map[string]*api.StartTask
 	stopped map[string]bool
+	fails   bool // every start fails
 }
 
 const checkpointTime = time.Second
@@ -47,7 +48,11 @@
 func (a *workerAgent) carryOut(d *api.Directive) {
 	for _, start := range d.Start {
 		a.started[start.Task], a.latest[start.Task] = time.Now(), start
-		a.report(running(runKey{start.Task, start.Generation}))
+		phase := api.TaskPhase_TASK_PHASE_RUNNING
+		if a.fails {
+			phase = api.TaskPhase_TASK_PHASE_FAILED
+		}
+		a.report(inPhase(runKey{start.Task, start.Generation}, phase, ""))
 	}
 	for _, stop := range d.Stop {
 		a.stopped[stop.Task] = stop.Checkpoint
@@ -56,8 +61,14 @@
 	}
 }
 
-func (s *testServer) connectWorker(t *testing.T, vm *api.VM) *workerAgent {
-	agent := &workerAgent{s.connect(t, vm, 1, nil), map[string]time.Time{}, map[string]*api.StartTask{}, map[string]bool{}}
+func (s *testServer) connectWorker(t *testing.T, vm *api.VM, fails bool) *workerAgent {
+	agent := &workerAgent{
+		testAgent: s.connect(t, vm, 1, nil),
+		started:   map[string]time.Time{},
+		latest:    map[string]*api.StartTask{},
+		stopped:   map[string]bool{},
+		fails:     fails,
+	}
 	go agent.work()
 	return agent
 }
@@ -74,9 +85,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{Decide: scheduler.Decide})
 		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, batchPlan(1, 1, resource.Vector{MilliCPU: 1000, MemoryMiB: 1024})))
-		first := s.connectWorker(t, testVM("vm-1", "a"))
+		first := s.connectWorker(t, testVM("vm-1", "a"), false)
 		time.Sleep(5 * time.Second)
-		second := s.connectWorker(t, testVM("vm-2", "b"))
+		second := s.connectWorker(t, testVM("vm-2", "b"), false)
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		run := first.latest["job/sort/0"]
@@ -103,7 +114,7 @@
 		s := newTestServer(t, Config{Decide: scheduler.Decide})
 		half := resource.Vector{MilliCPU: 2000, MemoryMiB: 8192}
 		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, batchPlan(1, 4, half)))
-		agents := []*workerAgent{s.connectWorker(t, testVM("vm-1", "a")), s.connectWorker(t, testVM("vm-2", "b"))}
+		agents := []*workerAgent{s.connectWorker(t, testVM("vm-1", "a"), false), s.connectWorker(t, testVM("vm-2", "b"), false)}
 		time.Sleep(30 * time.Second)
 		urgent := batchPlan(2, 4, half)
 		urgent.Jobs = append(urgent.Jobs, plan.Job{Name: "urgent", Team: "t", Tasks: 1, Size: half, RunTime: time.Minute, Priority: plan.UrgentPriority})
@@ -166,3 +177,46 @@
 		}
 	})
 }
+
+func TestAVMThatFailsEverythingIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{Decide: scheduler.Decide})
+		p := batchPlan(1, 3, resource.Vector{MilliCPU: 500, MemoryMiB: 512})
+		other := p.Jobs[0]
+		other.Name = "audit"
+		p.Jobs = append(p.Jobs, other)
+		bad := s.connectWorker(t, testVM("vm-bad", "a"), true)
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, p))
+		time.Sleep(20 * time.Second)
+		var status operatorapi.Status
+		s.request(t, http.MethodGet, operatorapi.PathStatus, "", nil, &status)
+		if status.VMs[0].State != vmQuarantined {
+			t.Fatalf("VM %+v", status.VMs[0])
+		}
+		bad.close()
+	})
+}
+
+func TestObservedUseReachesTheStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{})
+		agent := s.connect(t, testVM("vm", "a"), 1, nil)
+		run := s.placeOne(t, agent)
+		agent.report(running(run))
+		agent.next(t)
+		agent.sequence++
+		now := time.Now()
+		agent.stream.in <- &api.AgentReport{Sequence: agent.sequence, Incarnation: 1, Usage: []*api.UsageSample{{
+			Task: run.task, Generation: run.generation,
+			StartUnixMs: now.Add(-time.Second).UnixMilli(), EndUnixMs: now.UnixMilli(),
+			Used: &api.Resources{MilliCpu: 700, MemoryMib: 300}, Speed: 1,
+		}}}
+		agent.next(t)
+		time.Sleep(2 * loopInterval)
+		var status operatorapi.Status
+		s.request(t, http.MethodGet, operatorapi.PathStatus, "", nil, &status)
+		if used := status.VMs[0].Used; used.MilliCPU != 700 || used.MemoryMiB != 300 {
+			t.Fatalf("used %+v", used)
+		}
+	})
+}
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -78,6 +78,22 @@
 	})
 }
 
+func TestWatchersLearnOfADrainInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{})
+		s.connect(t, testVM("vm", "a"), 1, []*api.BackendServer{testBackend("server", "vm")}).next(t)
+		w := s.watchFrom(t, 0)
+		synctest.Wait()
+		w.takeAll(t)
+		s.mustPost(t, operatorapi.PathVMs+"vm/drain", "c1", nil)
+		time.Sleep(drainTarget)
+		w.takeAll(t)
+		if server := w.directory.Server("server"); server == nil || !server.Leaving {
+			t.Fatalf("server %v", server)
+		}
+	})
+}
+
 func TestAnIdleWatcherGetsDigests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{})
