replica: benchmark of confirmed reads

Cause: the cost of a quorum round for each read was not known. Change: BenchmarkConfirmedReads on leader and follower.

--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -127,6 +127,32 @@
 	}
 }
 
+// BenchmarkConfirmedReads measures quorum-confirmed reads on leader and follower.
+func BenchmarkConfirmedReads(b *testing.B) {
+	hosts := startGroup(b, 3, nil)
+	leader := waitLeader(b, hosts)
+	follower := others(hosts, leader)[0]
+	mustConfirm(b, follower)
+	for name, h := range map[string]*host{"leader": leader, "follower": follower} {
+		for _, readers := range []int{1, 256} {
+			b.Run(fmt.Sprintf("%s/readers=%d", name, readers), func(b *testing.B) {
+				b.SetParallelism(max(1, readers/runtime.GOMAXPROCS(0)))
+				if readers == 1 {
+					for range b.N {
+						mustConfirm(b, h)
+					}
+					return
+				}
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						mustConfirm(b, h)
+					}
+				})
+			})
+		}
+	}
+}
+
 // BenchmarkNewLeader stops the leader of three replicas at once and measures
 // the time until another one is ready.
 func BenchmarkNewLeader(b *testing.B) {
