--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -261,3 +261,24 @@
 		t.Errorf("role %v, sent %v", r.role, sent)
 	}
 }
+
+func TestADelayedAppendCutsNoNewerEntries(t *testing.T) {
+	r := newReplica(1, 1, 1)
+	r.Step(from(2, &api.RaftMessage{
+		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, Term: 1, LogIndex: 1, LogTerm: 1,
+		Entries: []*api.LogEntry{{Index: 2, Term: 1}},
+	}))
+	settle(r)
+	if last := r.log.lastIndex(); last != 4 {
+		t.Errorf("last entry %d after a delayed append of entry 2, want 4", last)
+	}
+}
+
+func TestAHeartbeatCommitsOnlyWhatMatches(t *testing.T) {
+	r := newReplica(1, 1)
+	heartbeat := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, Term: 2, LogIndex: 3, LogTerm: 2}
+	r.Step(from(2, heartbeat))
+	if r.log.commit != 1 {
+		t.Errorf("commit %d by a heartbeat about another entry, want 1", r.log.commit)
+	}
+}
