--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,25 +16,29 @@
 	"amaranthpaddle/transport"
 )
 
-// counter is a state machine that counts its entries and their bytes.
+// counter is a state machine that counts its entries and holds the last value.
 type counter struct {
 	mu      sync.Mutex
 	entries uint64
-	bytes   uint64
+	value   uint64
 }
 
 func (c *counter) Apply(_ uint64, data []byte) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.entries++
-	c.bytes += uint64(len(data))
-	return binary.LittleEndian.AppendUint64(nil, c.entries)
+	result := binary.LittleEndian.AppendUint64(nil, c.entries)
+	result = binary.LittleEndian.AppendUint64(result, c.value)
+	if len(data) == 8 {
+		c.value = binary.LittleEndian.Uint64(data)
+	}
+	return result
 }
 
 func (c *counter) Snapshot() ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, c.entries), c.bytes), nil
+	return binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, c.entries), c.value), nil
 }
 
 func (c *counter) Restore(data []byte) error {
@@ -43,7 +48,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.entries = binary.LittleEndian.Uint64(data)
-	c.bytes = binary.LittleEndian.Uint64(data[8:])
+	c.value = binary.LittleEndian.Uint64(data[8:])
 	return nil
 }
 
@@ -53,6 +58,18 @@
 	return c.entries
 }
 
+func (c *counter) last() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.value
+}
+
+// running is a started replica with its state.
+type running struct {
+	replica *Replica
+	machine *counter
+}
+
 // host is one replica with its server, restartable on the same address and folder.
 type host struct {
 	tb       testing.TB
@@ -61,6 +78,7 @@
 	server   *grpc.Server
 	replica  *Replica
 	listener net.Listener
+	running  atomic.Pointer[running] // for other goroutines
 }
 
 func (h *host) start() {
@@ -79,6 +97,7 @@
 	h.server = grpc.NewServer(ServerOptions()...)
 	h.replica.Register(h.server)
 	go h.server.Serve(h.listener)
+	h.running.Store(&running{h.replica, h.machine})
 }
 
 func (h *host) stop() {
--- a/replica/start.go
+++ b/replica/start.go
@@ -112,6 +112,7 @@
 	r.done.Add(1)
 	go r.apply.run()
 	r.loop()
+	r.view.stop()
 	r.stopPeers()
 	r.waiting.failAll(fault.New(fault.CommitUnknown, "the replica stopped"))
 	r.readLoop.failAll(fault.New(fault.NotLeader, "the replica stopped"))
--- a/replica/view.go
+++ b/replica/view.go
@@ -60,6 +60,14 @@
 	})
 }
 
+// stop publishes that the replica takes no part any more.
+func (v *view) stop() {
+	v.change(func() {
+		v.role = raft.Follower
+		v.status.Leader = 0
+	})
+}
+
 func (v *view) setApplied(index, term uint64) {
 	v.change(func() {
 		v.status.Applied = index
