--- a/replica/history_test.go
+++ b/replica/history_test.go
@@ -34,6 +34,7 @@
 	history []porcupine.Operation
 	start   time.Time
 	value   atomic.Uint64
+	unknown atomic.Int64 // writes with an unknown outcome
 }
 
 func (c *recorder) add(operation porcupine.Operation) {
@@ -57,6 +58,8 @@
 		operation.Output = binary.LittleEndian.Uint64(result[8:])
 	case fault.KindOf(err).Answer().Outcome == fault.OutcomeNotRun:
 		return
+	default:
+		c.unknown.Add(1)
 	}
 	c.add(operation)
 }
@@ -83,6 +86,25 @@
 	}
 }
 
+// loseQuorum stops the followers until writes ended with an unknown outcome.
+func (c *recorder) loseQuorum(t *testing.T, followers []*host) {
+	t.Helper()
+	unknown := c.unknown.Load()
+	for _, h := range followers {
+		h.stop()
+	}
+	deadline := time.Now().Add(testWait)
+	for c.unknown.Load() < unknown+2 {
+		if time.Now().After(deadline) {
+			t.Fatal("no write ended with an unknown outcome")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for _, h := range followers {
+		h.start()
+	}
+}
+
 func (c *recorder) acknowledged() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,14 +118,14 @@
 }
 
 // run makes calls at all replicas until stop is closed.
-func (c *recorder) run(hosts []*host, random *rand.Rand, stop chan struct{}) {
+func (c *recorder) run(hosts []*host, patience time.Duration, random *rand.Rand, stop chan struct{}) {
 	for {
 		select {
 		case <-stop:
 			return
 		default:
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		r := hosts[random.IntN(len(hosts))].running.Load()
 		if random.IntN(3) == 0 {
 			c.read(ctx, r)
@@ -124,22 +146,26 @@
 	stop := make(chan struct{})
 	var done sync.WaitGroup
 	for i := range uint64(4) {
-		done.Go(func() { c.run(hosts, rand.New(rand.NewPCG(i, 1)), stop) })
+		patience := []time.Duration{50 * time.Millisecond, testWait}[i%2]
+		done.Go(func() { c.run(hosts, patience, rand.New(rand.NewPCG(i, 1)), stop) })
 	}
-	for round := range 6 {
+	for round := range 9 {
 		c.waitAcknowledged(t, 40*(round+1))
 		leader := waitLeader(t, hosts)
-		if round%2 == 0 {
+		switch round % 3 {
+		case 0:
 			leader.stop()
 			waitLeader(t, others(hosts, leader))
 			leader.start()
-			continue
-		}
-		if err := leader.replica.TransferLeadership(testContext(t), 0); err != nil {
-			t.Error(err)
+		case 1:
+			if err := leader.replica.TransferLeadership(testContext(t), 0); err != nil {
+				t.Error(err)
+			}
+		case 2:
+			c.loseQuorum(t, others(hosts, leader))
 		}
 	}
-	c.waitAcknowledged(t, 300)
+	c.waitAcknowledged(t, 400)
 	close(stop)
 	done.Wait()
 	if result := porcupine.CheckOperationsTimeout(swapModel, c.history, time.Minute); result != porcupine.Ok {
--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -190,14 +190,14 @@
 }
 
 func TestWithoutAQuorumNothingIsAcknowledged(t *testing.T) {
-	hosts := startGroup(t, 3, nil)
+	hosts := startGroup(t, 3, func(c *Config) { c.Election = 500 * time.Millisecond })
 	leader := waitLeader(t, hosts)
 	for _, h := range others(hosts, leader) {
 		h.stop()
 	}
-	_, err := leader.replica.Propose(testContext(t), []byte("change"))
-	if !fault.Is(err, fault.CommitUnknown) && !fault.Is(err, fault.NotLeader) {
-		t.Errorf("proposal: %v", err)
+	// The leader does not know yet, so the entry is in its log.
+	if _, err := leader.replica.Propose(testContext(t), []byte("change")); !fault.Is(err, fault.CommitUnknown) {
+		t.Errorf("proposal: %v, want commit-unknown", err)
 	}
 	if _, err := leader.replica.ConfirmRead(testContext(t)); !fault.Is(err, fault.NoQuorum) && !fault.Is(err, fault.NotLeader) {
 		t.Errorf("read: %v", err)
