--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -90,6 +90,7 @@
 		case <-timer.C:
 			if second := x.hedgeTarget(); second != nil {
 				running++
+				hedgesTotal.Inc()
 				x.attempts++
 				go func() { ended <- x.send(ctx, second) }()
 			}
@@ -122,7 +123,11 @@
 // send makes one attempt at t.
 func (x *execution) send(ctx context.Context, t *target) *try {
 	a := &try{target: t, collector: newCollector(x.sink, x.claimFlow)}
+	a.collector.onStanding = x.becomeStanding
 	a.result = x.deliverTo(ctx, a)
+	if x.body.stored() {
+		x.forgetHolder(a)
+	}
 	x.service.observe(t, x.request.Standing, a.result)
 	return a
 }
@@ -152,13 +157,20 @@
 	}
 	if remote {
 		start.AcceptZstd = true
-		start.AnswerCredit = answerCredit
+		start.AnswerCredit = firstCredit
 	}
 	a.sent = &sent{attempt: start.Attempt, address: t.server.AgentAddress,
 		incarnation: start.Incarnation, deadline: start.DeadlineUs, link: l}
 	return c.run(ctx)
 }
 
+// forgetHolder drops the body's holder after a refusal that may be due to it.
+func (x *execution) forgetHolder(a *try) {
+	if fault.Is(a.result.err, fault.Fenced) {
+		x.entry.bodies.forget(bodyKey{digest: x.body.digest, region: a.target.server.Region})
+	}
+}
+
 func (x *execution) start(t *target, l *link) *api.AttemptStart {
 	start := &api.AttemptStart{
 		Attempt:       x.entry.newAttempt(),
@@ -167,7 +179,7 @@
 		Service:       x.request.Service,
 		Method:        x.request.Method,
 		Uri:           x.request.URI,
-		Headers:       x.headers,
+		Headers:       x.attemptHeaders(),
 		Idempotent:    x.request.Idempotent,
 		Key:           x.request.Key,
 		RequestDigest: x.digest,
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"amaranthpaddle/api"
@@ -24,6 +26,7 @@
 
 	servers map[string]*api.BackendServer
 	flap    flapScore
+	lostMS  int64 // when the VM was declared lost
 }
 
 // TakesWork reports whether new work may be placed on the VM.
@@ -101,20 +104,26 @@
 	return false
 }
 
-// Announce takes in an announcement. Errors: fault.Stale when a later
-// incarnation of the agent has announced itself, fault.Conflict when a backend
-// server's id belongs to another VM that is not lost.
-func (r *Registry) Announce(nowMS int64, a Announcement) error {
+// Refuses returns why Announce would refuse the announcement, or nil. Errors:
+// fault.Stale when a later incarnation of the agent has announced itself and
+// its VM is not lost, fault.Conflict when a backend server's id belongs to
+// another VM that is not lost.
+func (r *Registry) Refuses(a Announcement) error {
 	if err := CheckAnnouncement(a); err != nil {
 		return err
 	}
-	v := r.vms[a.VM.Id]
-	if v != nil && a.Incarnation < v.Incarnation {
+	if v := r.vms[a.VM.Id]; v != nil && a.Incarnation < v.Incarnation && !v.Lost {
 		return fault.Newf(fault.Stale, "VM %s has a later agent incarnation", v.ID)
 	}
-	if err := r.checkServerOwners(a); err != nil {
+	return r.checkServerOwners(a)
+}
+
+// Announce takes in an announcement. Its errors are those of Refuses.
+func (r *Registry) Announce(nowMS int64, a Announcement) error {
+	if err := r.Refuses(a); err != nil {
 		return err
 	}
+	v := r.vms[a.VM.Id]
 	if v == nil {
 		v = &VM{ID: a.VM.Id, servers: map[string]*api.BackendServer{}}
 		r.vms[v.ID] = v
@@ -156,14 +165,28 @@
 	}
 }
 
-// Lose declares a VM lost, unless a later incarnation has announced itself.
-// It reports whether the VM became lost.
-func (r *Registry) Lose(id string, incarnation uint64) bool {
+// lostRetention is how long a lost VM is remembered that no operator has drained.
+const lostRetention = 24 * time.Hour
+
+// forgetLost drops VMs that were lost long ago, to bound the memory.
+func (r *Registry) forgetLost(nowMS int64) {
+	for id, v := range r.vms {
+		if v.Lost && !v.Draining && nowMS-v.lostMS > lostRetention.Milliseconds() {
+			delete(r.vms, id)
+		}
+	}
+}
+
+// Lose declares a VM lost at nowMS, unless a later incarnation has announced
+// itself. It reports whether the VM became lost.
+func (r *Registry) Lose(nowMS int64, id string, incarnation uint64) bool {
+	r.forgetLost(nowMS)
 	v := r.vms[id]
 	if v == nil || v.Lost || v.Incarnation != incarnation {
 		return false
 	}
 	v.Lost = true
+	v.lostMS = nowMS
 	r.publish(v)
 	return true
 }
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -14,20 +14,26 @@
 	maxStartingPerVM    = 8   // batch tasks of a VM that have not confirmed their start
 	maxStoppingPerVM    = 6   // tasks of a VM that take a checkpoint at the same time
 	rampTime            = time.Minute
-	maxStartingOnRamp   = 2 // as maxStartingPerVM, for a VM that came into service within rampTime
+	probationTime       = time.Minute // that a probe must run before the next one
+	maxStartingOnRamp   = 2           // as maxStartingPerVM, for a VM that came into service within rampTime
 	urgentGrace         = 1500 * time.Millisecond
+	serviceGrace        = 10 * time.Second
 	checkpointGrace     = 30 * time.Second
-	serviceStoppingPart = 4 // at most one instance in so many of a service is moved away at once
+	longPending         = time.Minute // after which a pending instance no longer delays a drain
+	serviceStoppingPart = 4           // at most one instance in so many of a service is moved away at once
 )
 
 // Decide returns the steps to take now, in the order in which they are to be
 // committed. The same snapshot gives the same decisions.
 func Decide(s *Snapshot) []Decision {
 	c := newCycle(s)
+	first, rest := c.order()
+	c.keepRoomForStopping()
+	c.schedulePending(first)
 	c.drain()
 	c.relieve()
 	c.relievePressure()
-	c.schedulePending()
+	c.schedulePending(rest)
 	return c.out
 }
 
@@ -44,20 +50,32 @@
 	batch   int64          // milli-CPU of VMs in service, for slack
 	racks   int            // with a VM that takes work; 0 until counted
 	scored  []candidate    // reused
+	largest amount         // bound of the free part of any VM that takes work
+	budget  budget
 	out     []Decision
 }
 
+// budget bounds the work of one call.
+type budget struct {
+	placements int
+	preemptors int // pending tasks for which victims are sought
+	holds      int // VMs kept free for starved tasks
+}
+
 // vmView is a VM with what runs there and what is assumed to.
 type vmView struct {
 	*VM
-	committed resource.Vector // by the larger of grant and observed use of each task
-	releasing resource.Vector // part of committed that is held by stopping tasks
-	reserved  resource.Vector // of the free part, kept for tasks that wait for releasing
-	tasks     []int           // in s.Tasks
-	placed    []*Task         // placed in this call
+	committed amount  // held by tasks
+	releasing amount  // part of committed that is held by stopping tasks
+	reserved  amount  // of the free part, kept for tasks that wait
+	tasks     []int   // in s.Tasks
+	residents []*Task // that run there or are placed in this call
 	starting  int
 	stopping  int
-	services  int // instances of services
+	services  int         // instances of services
+	young     int         // batch tasks that started less than probationTime ago
+	pressures []*Pressure // of its service instances, not answered yet
+	cores     float64     // that the tasks are expected to use
 }
 
 type teamView struct {
@@ -67,11 +85,12 @@
 
 // jobView counts the tasks of one job that hold a grant.
 type jobView struct {
-	total    int
-	stopping int
-	byZone   map[string]int
-	byRack   map[string]int
-	byVM     map[string]int
+	total   int
+	running int
+	moving  int // stopping, starting, or pending for a short time
+	byZone  map[string]int
+	byRack  map[string]int
+	byVM    map[string]int
 }
 
 // shape is what the filters look at; tasks of one shape fit the same VMs.
@@ -89,6 +108,7 @@
 		jobs:    map[string]*jobView{},
 		noRoom:  map[shape]bool{},
 		evicted: map[int]bool{},
+		budget:  budget{maxPlacements, maxPreemptors, maxHolds},
 	}
 	for i := range s.VMs {
 		c.vms[i].VM = &s.VMs[i]
@@ -103,13 +123,22 @@
 	for i := range s.Tasks {
 		c.addHolder(i)
 	}
+	for i := range s.Pending {
+		c.addPending(&s.Pending[i])
+	}
+	for n := range c.vms {
+		if v := &c.vms[n]; v.open() {
+			c.largest = c.largest.max(v.free())
+		}
+	}
 	return c
 }
 
 // addHolder enters a task of the snapshot that holds a grant.
 func (c *cycle) addHolder(i int) {
 	t := &c.s.Tasks[i]
-	if team := c.teams[t.Team]; team != nil {
+	stopping := t.State == task.Stopping || t.State == task.Cancelling
+	if team := c.teams[t.Team]; team != nil && !stopping {
 		team.used = team.used.Add(t.Grant)
 	}
 	n, ok := c.byID[t.VM]
@@ -117,20 +146,36 @@
 		return
 	}
 	v := &c.vms[n]
-	held := t.Grant.Max(t.Used)
-	v.committed = v.committed.Add(held)
+	v.committed = v.committed.add(held(t))
 	v.tasks = append(v.tasks, i)
+	v.residents = append(v.residents, t)
+	v.cores += cores(t)
 	if t.Class == task.LatencyCritical {
 		v.services++
+	} else if t.State == task.Running && c.s.Now.Sub(t.Since) < probationTime {
+		v.young++
 	}
-	switch t.State {
-	case task.Starting:
-		v.starting++
-	case task.Stopping, task.Cancelling:
+	if stopping {
 		v.stopping++
-		v.releasing = v.releasing.Add(held)
+		v.releasing = v.releasing.add(held(t))
+	}
+	if t.State == task.Starting {
+		v.starting++
 	}
-	c.countJob(t, v, t.State == task.Stopping)
+	c.countJob(t, v)
+}
+
+// addPending counts the instances of services that are on their way to
+// another VM. One that waits for long has nowhere to go and is not counted.
+func (c *cycle) addPending(t *Task) {
+	if t.Class == task.LatencyCritical && c.s.Now.Sub(t.Since) < longPending {
+		c.job(t.Job).moving++
+	}
+}
+
+// open reports whether the VM may take work at all.
+func (v *vmView) open() bool {
+	return v.InService && v.Fresh && !v.Draining && v.Quarantine != Quarantined
 }
 
 func (c *cycle) job(id string) *jobView {
@@ -142,11 +187,13 @@
 	return j
 }
 
-func (c *cycle) countJob(t *Task, v *vmView, stopping bool) {
+func (c *cycle) countJob(t *Task, v *vmView) {
 	j := c.job(t.Job)
 	j.total++
-	if stopping {
-		j.stopping++
+	if t.State == task.Running {
+		j.running++
+	} else {
+		j.moving++
 	}
 	if t.Class != task.LatencyCritical {
 		return
@@ -165,20 +212,21 @@
 func (v *vmView) rackKey() string { return v.Zone + "/" + v.Rack }
 
 // free returns what the VM can take now, less what is kept for others.
-func (v *vmView) free() resource.Vector {
-	return v.Capacity.Sub(v.committed).Sub(v.reserved)
+func (v *vmView) free() amount {
+	return v.whole().sub(v.committed).sub(v.reserved)
 }
 
 // place decides a placement and assumes it.
 func (c *cycle) place(t *Task, n int, reason Reason) {
 	v := &c.vms[n]
-	v.committed = v.committed.Add(t.Grant)
+	v.committed = v.committed.add(held(t))
 	v.starting++
-	v.placed = append(v.placed, t)
+	v.cores += cores(t)
+	v.residents = append(v.residents, t)
 	if team := c.teams[t.Team]; team != nil {
 		team.used = team.used.Add(t.Grant)
 	}
-	c.countJob(t, v, false)
+	c.countJob(t, v)
 	c.out = append(c.out, Decision{
 		Action:     Place,
 		Task:       t.ID,
@@ -198,9 +246,14 @@
 	if n, ok := c.byID[t.VM]; ok {
 		v := &c.vms[n]
 		v.stopping++
-		v.releasing = v.releasing.Add(t.Grant.Max(t.Used))
+		v.releasing = v.releasing.add(held(t))
+	}
+	j := c.job(t.Job)
+	j.moving++
+	j.running--
+	if team := c.teams[t.Team]; team != nil {
+		team.used = team.used.Sub(t.Grant)
 	}
-	c.job(t.Job).stopping++
 	c.out = append(c.out, Decision{
 		Action:     Evict,
 		Task:       t.ID,
--- a/scheduler/filter.go
+++ b/scheduler/filter.go
@@ -4,25 +4,39 @@
 	"slices"
 	"time"
 
-	"amaranthpaddle/resource"
 	"amaranthpaddle/task"
 )
 
 // admits reports whether the VM may take the task at all, capacity aside.
 func (c *cycle) admits(t *Task, v *vmView) bool {
-	if !v.InService || !v.Fresh || v.Draining {
+	if !v.open() {
 		return false
 	}
-	if v.Quarantine == Quarantined {
+	if v.Quarantine == Probation && !probes(t, v) {
 		return false
 	}
-	if v.Quarantine == Probation && (len(v.tasks)+len(v.placed) > 0 || t.Class == task.LatencyCritical) {
-		return false
-	}
-	if !c.mayStart(t, v) {
-		return false
+	return c.mayStart(t, v) && (!t.Untried || t.Urgent() || v.jobTasks(t.Job) < maxUntried)
+}
+
+// maxUntried is how many tasks of a job a VM takes before the first of them
+// was seen running: the declared size may be far too small.
+const maxUntried = 2
+
+// jobTasks counts the job's tasks on the VM.
+func (v *vmView) jobTasks(job string) int {
+	count := 0
+	for _, t := range v.residents {
+		if t.Job == job {
+			count++
+		}
 	}
-	return t.Class != task.LatencyCritical || c.spreads(t, v)
+	return count
+}
+
+// probes reports whether the task may be the one that tries a VM on
+// probation: ordinary batch, and one at a time beside what ran there before.
+func probes(t *Task, v *vmView) bool {
+	return v.starting == 0 && v.young == 0 && t.Class == task.Batch && !t.Urgent()
 }
 
 // mayStart bounds the starts in progress on a VM, and more so on a VM that
@@ -38,9 +52,9 @@
 	return v.starting < limit
 }
 
-// spreads reports whether another instance of the service on the VM keeps the
-// instances spread: no rack holds more than its even share, rounded up, of
-// the instances that the racks in service can hold.
+// spreads reports whether the VM's rack may take another instance of the
+// service: a rack holds at most its even share, rounded up, of the instances
+// in the racks that take work.
 func (c *cycle) spreads(t *Task, v *vmView) bool {
 	j := c.jobs[t.Job]
 	if j == nil || j.byRack == nil {
@@ -48,8 +62,7 @@
 	}
 	racks := c.racksInService()
 	wanted := j.total + 1
-	share := (wanted + racks - 1) / racks
-	return j.byRack[v.rackKey()] < share+1
+	return j.byRack[v.rackKey()] < (wanted+racks-1)/racks
 }
 
 func (c *cycle) racksInService() int {
@@ -58,7 +71,7 @@
 	}
 	seen := map[string]bool{}
 	for i := range c.vms {
-		if v := &c.vms[i]; v.InService && !v.Draining && v.Fresh {
+		if v := &c.vms[i]; v.open() {
 			seen[v.rackKey()] = true
 		}
 	}
@@ -67,24 +80,25 @@
 }
 
 // fits reports whether the VM can hold the task now.
-func fits(t *Task, v *vmView) bool { return t.Grant.Fits(v.free()) }
+func fits(t *Task, v *vmView) bool { return held(t).fits(v.free()) }
 
 // fitsLater reports whether the VM can hold the task once the tasks that are
 // stopping have stopped.
 func fitsLater(t *Task, v *vmView) bool {
-	return t.Grant.Fits(v.free().Add(v.releasing))
+	return held(t).fits(v.free().add(v.releasing))
 }
 
+// fitsEver reports whether the VM could hold the task if it were empty.
+func fitsEver(t *Task, v *vmView) bool { return held(t).fits(v.whole()) }
+
 // reserve keeps room on the VM for a task that waits for stopping ones. The
 // part that they release is kept as well: nobody else can have it yet.
 func reserve(t *Task, v *vmView) {
-	fromFree := positive(t.Grant.Sub(v.releasing))
-	v.reserved = v.reserved.Add(fromFree)
-	v.releasing = positive(v.releasing.Sub(t.Grant))
+	fromFree := held(t).sub(v.releasing).positive()
+	v.reserved = v.reserved.add(fromFree)
+	v.releasing = v.releasing.sub(held(t)).positive()
 }
 
-func positive(v resource.Vector) resource.Vector { return v.Max(resource.Vector{}) }
-
 // avoided reports whether the task's job failed on the VM.
 func avoided(t *Task, v *vmView) bool { return slices.Contains(t.Avoid, v.ID) }
 
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -24,6 +24,7 @@
 	Fresh      bool
 	Draining   bool      // takes no new work, and what runs is moved away
 	InSince    time.Time // when the VM or its zone last came into service
+	OutSince   time.Time // when it last left service or began to drain; zero lets nothing finish there
 	Quarantine Quarantine
 }
 
@@ -47,7 +48,9 @@
 	Generation uint64 // of the present run, or of the last one of a pending task
 	VM         string
 	Grant      resource.Vector // held, or to be asked for by a pending task
+	Need       resource.Vector // expected use, from what the job was seen to use
 	Used       resource.Vector // observed, zero while unknown
+	Untried    bool            // nothing was seen of the job yet: Need is as declared
 	Priority   int
 	Deadline   time.Time     // zero when there is none
 	Remaining  time.Duration // estimated run time that is left
@@ -80,7 +83,8 @@
 type Pressure struct {
 	Task       string
 	VM         string
-	Slowdown   float64 // above running alone, 0.2 is 20% slower
+	Slowdown   float64 // above running alone, smoothed, 0.2 is 20% slower
+	Bound      float64 // of Slowdown, at which something is done
 	Sustained  int     // consecutive measurements above the bound
 	Calm       int     // consecutive measurements below the bound
 	Answered   bool    // something was done since the last measurement
@@ -92,6 +96,9 @@
 	// Slowdown returns how much slower a task of the victim's job gets, 0.1 is
 	// 10%, from a task of the other job that uses so many cores on the same VM.
 	Slowdown(victim, other string, cores float64) float64
+	// LoadSlowdown returns how much slower a task of the job gets on a VM of
+	// which so large a share of the processor time is used.
+	LoadSlowdown(victim string, load float64) float64
 }
 
 // Snapshot is all that a decision depends on.
