--- a/control/planner.go
+++ b/control/planner.go
@@ -100,13 +100,10 @@
 	observed := make(map[string]observedVM, len(snapshot.VMs))
 	for i := range snapshot.VMs {
 		vm := &snapshot.VMs[i]
-		observed[vm.ID] = observedVM{quarantined: vm.Quarantine != scheduler.Trusted}
-	}
-	for i := range snapshot.Tasks {
-		held := &snapshot.Tasks[i]
-		vm := observed[held.VM]
-		vm.used = vm.used.Add(held.Used)
-		observed[held.VM] = vm
+		observed[vm.ID] = observedVM{
+			quarantined: vm.Quarantine != scheduler.Trusted,
+			used:        snapshot.UsedOn(i),
+		}
 	}
 	p.queueMu.Lock()
 	defer p.queueMu.Unlock()
--- a/scheduler/health/tracker.go
+++ b/scheduler/health/tracker.go
@@ -141,13 +141,12 @@
 		}
 	}
 	limit := max(int(maxFleetShare*float64(len(fleet))), 1)
-	median := t.medianRate(fleet, failing)
 	for _, id := range fleet {
 		if held >= limit {
 			return
 		}
 		h := t.vms[id]
-		if h != nil && h.state == Trusted && h.suspect(median, failing) {
+		if h != nil && h.state == Trusted && t.suspect(id, fleet, failing) {
 			h.quarantine(now)
 			held++
 		}
@@ -160,13 +159,14 @@
 	return o.failures / max(o.failures+o.successes, 1)
 }
 
-// medianRate returns the failure rate of the middle VM of those that had
-// work. A mean would let a few bad VMs hide each other.
-func (t *Tracker) medianRate(fleet []string, failing func(string) bool) float64 {
+// peerRate returns the failure rate of the middle one of the other VMs that
+// had work, 0 when there is none. A mean would let a few bad VMs hide each
+// other.
+func (t *Tracker) peerRate(vm string, fleet []string, failing func(string) bool) float64 {
 	t.rates = t.rates[:0]
 	for _, id := range fleet {
 		h := t.vms[id]
-		if h == nil {
+		if h == nil || id == vm {
 			continue
 		}
 		if o, _ := h.outcomes(failing); o.failures+o.successes >= minOutcomes {
@@ -194,13 +194,13 @@
 	return o, jobs
 }
 
-// suspect reports whether the VM fails much more than the fleet's median.
-func (h *vmHealth) suspect(median float64, failing func(string) bool) bool {
-	own, jobs := h.outcomes(failing)
+// suspect reports whether the VM fails much more than its peers.
+func (t *Tracker) suspect(vm string, fleet []string, failing func(string) bool) bool {
+	own, jobs := t.vms[vm].outcomes(failing)
 	if own.failures < minFailures || jobs < minJobs || own.rate() < minFailureRate {
 		return false
 	}
-	return own.rate() >= peerFactor*median
+	return own.rate() >= peerFactor*t.peerRate(vm, fleet, failing)
 }
 
 // State returns how far the VM is trusted.
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -10,8 +10,9 @@
 // vmLoad sums up what holds a grant on a VM.
 type vmLoad struct {
 	tasks     []*Task
-	committed amount // held by the tasks
-	releasing amount // part of committed that is held by stopping tasks
+	used      resource.Vector // observed
+	committed amount          // held by the tasks
+	releasing amount          // part of committed that is held by stopping tasks
 	starting  int
 	stopping  int
 	services  int         // instances of services
@@ -22,6 +23,7 @@
 
 func (l *vmLoad) add(now time.Time, t *Task) {
 	l.tasks = append(l.tasks, t)
+	l.used = l.used.Add(t.Used)
 	l.committed = l.committed.add(held(t))
 	l.cores += cores(t)
 	if t.Class == task.LatencyCritical {
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -117,6 +117,10 @@
 	teamUse map[string]resource.Vector // with loads
 }
 
+// UsedOn returns the observed use of the VM with the index in VMs, in a
+// snapshot made by a Learner.
+func (s *Snapshot) UsedOn(i int) resource.Vector { return s.loads[i].used }
+
 // EachTask calls f for each task that holds a grant on one of the VMs.
 func (s *Snapshot) EachTask(f func(*Task)) {
 	for i := range s.Tasks {
