scheduler: work in a zone that left moves at once when room lies idle, else runs on for 20 minutes

Cause: letting every task that would finish in the window stay delayed moves that cost nobody anything; control's test of a zone leaving failed for it. Change: the window holds only while nothing else has idle room; a VM that drains is emptied at once; the Learner notes when a zone was first seen out, so control need not. Conclusion: prompt where there is room, without loss where there is none.

--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -33,6 +33,7 @@
 	jobs := newJobFacts(l, vms)
 	for i := range s.VMs {
 		v := &s.VMs[i]
+		l.noteOut(v, now)
 		v.Quarantine = quarantine(l.health.State(v.ID))
 		s.loads = append(s.loads, l.load(now, t, v.ID, jobs))
 	}
@@ -74,6 +75,20 @@
 	})
 }
 
+// noteOut fills in since when the VM's zone has been out of service.
+func (l *Learner) noteOut(v *VM, now time.Time) {
+	if v.InService {
+		delete(l.outSince, v.ID)
+		return
+	}
+	if _, ok := l.outSince[v.ID]; !ok {
+		l.outSince[v.ID] = now
+	}
+	if v.OutSince.IsZero() {
+		v.OutSince = l.outSince[v.ID]
+	}
+}
+
 func quarantine(s health.State) Quarantine {
 	switch s {
 	case health.Quarantined:
--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -8,11 +8,21 @@
 	"amaranthpaddle/task"
 )
 
-// drainWindow is how long batch tasks on a VM that leaves go on running there
-// when they will finish or nothing else has room for them: stopping them
-// earlier would only cost work.
+// drainWindow is how long batch tasks in a zone that left go on running there
+// when nothing else has room for them: stopping them earlier would only cost
+// work, and many finish. A VM that drains is emptied at once: its process
+// waits for that.
 const drainWindow = 20 * time.Minute
 
+// outFor returns for how long the VM's zone has been out of service, at least
+// drainWindow when the VM is to be emptied at once.
+func (c *cycle) outFor(v *vmView) time.Duration {
+	if v.Draining || v.OutSince.IsZero() {
+		return drainWindow
+	}
+	return c.s.Now.Sub(v.OutSince)
+}
+
 // drain moves work away from VMs that leave, the nearest deadline first, a
 // few checkpoints at a time on each VM and a part of each service at a time.
 func (c *cycle) drain() {
@@ -23,7 +33,7 @@
 			continue
 		}
 		for _, t := range v.tasks {
-			if c.movable(t) && !c.mayFinish(t, v) {
+			if c.movable(t) {
 				leaving = append(leaving, t)
 			}
 		}
@@ -42,16 +52,6 @@
 	}
 }
 
-// mayFinish reports whether the batch task is expected to finish within the
-// drain window, so that stopping it would only cost time.
-func (c *cycle) mayFinish(t *Task, v *vmView) bool {
-	if t.Class != task.Batch || t.State != task.Running || v.OutSince.IsZero() {
-		return false
-	}
-	left := v.OutSince.Add(drainWindow).Sub(c.s.Now)
-	return t.Remaining <= left
-}
-
 // compareDrain puts urgent work and near deadlines first.
 func (c *cycle) compareDrain(a, b *Task) int {
 	return cmp.Or(
@@ -72,7 +72,7 @@
 	if t.Class == task.LatencyCritical {
 		return c.serviceMayStop(t, v)
 	}
-	if c.s.Now.Sub(v.OutSince) >= drainWindow {
+	if c.outFor(v) >= drainWindow {
 		return true
 	}
 	contended := c.waiting > 0 && !t.Urgent() && c.slack(t) >= tightSlack
@@ -86,7 +86,7 @@
 	if j.moving >= max((j.running+j.moving)/serviceStoppingPart, 1) {
 		return false
 	}
-	if c.keepRoom(t) || c.s.Now.Sub(v.OutSince) >= servicePatience {
+	if c.keepRoom(t) || c.outFor(v) >= servicePatience {
 		return true
 	}
 	c.hold(t)
--- a/scheduler/learner.go
+++ b/scheduler/learner.go
@@ -22,6 +22,7 @@
 	runs       map[string]*run          // by task
 	table      *task.Table              // that loads were made from
 	loads      map[string]*vmCache
+	outSince   map[string]time.Time // by VM of a zone that is out
 	budget     moveBudget
 	swept      time.Time
 	snapshot   Snapshot // its slices are reused
@@ -65,6 +66,7 @@
 		health:     health.NewTracker(),
 		references: map[string]time.Duration{},
 		loads:      map[string]*vmCache{},
+		outSince:   map[string]time.Time{},
 		runs:       map[string]*run{},
 	}
 }
--- a/scheduler/policy_rules_test.go
+++ b/scheduler/policy_rules_test.go
@@ -105,19 +105,30 @@
 		k.Deadline, k.Remaining = now.Add(time.Duration(20-i)*time.Hour), time.Hour
 		s.Tasks = append(s.Tasks, k)
 	}
-	s.Tasks[9].Remaining = drainWindow - time.Minute
 	got := evicted(Decide(s))
-	want := []string{"job/j8/0", "job/j7/0", "job/j6/0", "job/j5/0", "job/j4/0", "job/j3/0"}
+	want := []string{"job/j9/0", "job/j8/0", "job/j7/0", "job/j6/0", "job/j5/0", "job/j4/0"}
 	if !slices.Equal(got, want) {
 		t.Errorf("evicted %v, want %v", got, want)
 	}
+	// Room elsewhere that others wait for is not taken, but for a near deadline.
+	s.Pending = []Task{pendingTask("job/waits/0", cpu(31))}
+	s.Tasks[3].Deadline = now.Add(time.Hour)
+	if got := evicted(Decide(s)); !slices.Equal(got, []string{"job/j3/0"}) {
+		t.Errorf("evicted %v while others wait for room", got)
+	}
+	s.Pending = nil
 	// Without room elsewhere, work goes on until the window ends.
 	s.VMs[1].Capacity = resource.Vector{}
 	if got := evicted(Decide(s)); len(got) != 0 {
 		t.Errorf("evicted %v with nowhere to go", got)
 	}
+	s.VMs[0].Draining = true
+	if got := evicted(Decide(s)); len(got) != maxStoppingPerVM {
+		t.Errorf("evicted %v from a VM that drains", got)
+	}
+	s.VMs[0].Draining = false
 	s.VMs[0].OutSince = now.Add(-drainWindow)
-	if got := evicted(Decide(s)); len(got) != maxStoppingPerVM || got[0] != "job/j9/0" {
+	if got := evicted(Decide(s)); len(got) != maxStoppingPerVM || got[0] != "job/j3/0" {
 		t.Errorf("evicted %v at the end of the window", got)
 	}
 }
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -21,10 +21,12 @@
 	InService bool // its availability zone is in service
 	// Fresh is set while the agent's reports arrive, so that the agent can
 	// learn within the freshness bound that its zone is out of service.
-	Fresh      bool
-	Draining   bool      // takes no new work, and what runs is moved away
-	InSince    time.Time // when the VM or its zone last came into service
-	OutSince   time.Time // when it last left service or began to drain; zero lets nothing finish there
+	Fresh    bool
+	Draining bool      // takes no new work, and what runs is moved away
+	InSince  time.Time // when the VM or its zone last came into service
+	// OutSince is when its zone left service; a Learner that finds it zero takes
+	// the time when it first saw the zone out.
+	OutSince   time.Time
 	Quarantine Quarantine
 }
 
