control, session: the leader names the heartbeat, 2 s to 4 s by the size of the fleet

Cause: at 550 agents a report every 2 s costs 13 KB/s of payload and, with TCP and IP headers, an estimated 56 KB/s, above the target of 30 KB/s a node (docs/measures/control.md); a small fleet wants the short interval. Change: Directive.heartbeat_ms, at most 138 reports a second between 2 s and 4 s; an agent in touch may be one late interval and the freshness bound old; a session is given up after 2.5 intervals without a directive. Figures: control's and session's tests pass; the bound of the lease is tested.

--- a/control/loop.go
+++ b/control/loop.go
@@ -106,11 +106,12 @@
 // inTouch returns a function that tells whether a VM's agent reported within
 // the freshness bound and a heartbeat.
 func (s *Server) inTouch(now time.Time) func(string) bool {
+	bound := s.touchBound()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	heard := make(map[string]bool, len(s.sessions))
 	for vm, session := range s.sessions {
-		heard[vm] = now.Sub(session.view.heard) < 2*s.config.Fresh
+		heard[vm] = now.Sub(session.view.heard) < bound
 	}
 	return func(vm string) bool { return heard[vm] }
 }
--- /dev/null
+++ b/control/pacing.go
@@ -0,0 +1,31 @@
+package control
+
+import "time"
+
+// A large fleet reports less often, so that the leader's bytes and processor
+// time stay within their bounds. A lease outlasts the longest interval.
+const (
+	shortestHeartbeat   = 2 * time.Second
+	longestHeartbeat    = 4 * time.Second
+	heartbeatsPerSecond = 138 // of all sessions, within the bounds above
+	heartbeatSlack      = 0.2 // of an interval, by which agents vary it
+)
+
+// heartbeatFor returns the time between the reports of each of a number of agents.
+func heartbeatFor(sessions int) time.Duration {
+	interval := time.Duration(sessions) * time.Second / heartbeatsPerSecond
+	return min(max(interval, shortestHeartbeat), longestHeartbeat)
+}
+
+// heartbeat returns the time between an agent's reports at the present size of the fleet.
+func (s *Server) heartbeat() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return heartbeatFor(len(s.sessions))
+}
+
+// touchBound is how long ago an agent in touch may have reported.
+func (s *Server) touchBound() time.Duration {
+	late := time.Duration(float64(s.heartbeat()) * (1 + heartbeatSlack))
+	return late + s.config.Fresh
+}
--- /dev/null
+++ b/control/pacing_test.go
@@ -0,0 +1,23 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+func TestHeartbeatsSlowDownWithTheFleetAndStayWithinALease(t *testing.T) {
+	cases := []struct {
+		sessions int
+		want     time.Duration
+	}{
+		{0, 2 * time.Second}, {11, 2 * time.Second}, {276, 2 * time.Second}, {414, 3 * time.Second}, {550, 3985 * time.Millisecond}, {5000, 4 * time.Second},
+	}
+	for _, c := range cases {
+		if got := heartbeatFor(c.sessions).Truncate(time.Millisecond); got != c.want {
+			t.Errorf("%d sessions: every %v, want %v", c.sessions, got, c.want)
+		}
+	}
+	if late := time.Duration(float64(longestHeartbeat) * (1 + heartbeatSlack)); late >= defaultLease {
+		t.Errorf("a report may come %v after the last one, a lease lasts %v", late, defaultLease)
+	}
+}
--- a/control/session.go
+++ b/control/session.go
@@ -313,6 +313,9 @@
 	d.Revision = view.revision
 	d.Drain = !view.takesWork
 	d.ZoneInService = view.inService
+	if interval := server.heartbeat(); interval > shortestHeartbeat {
+		d.HeartbeatMs = millis(interval)
+	}
 	if view.known && server.leases.grant(c.vm.Id, now) {
 		config := server.config
 		d.LeaseMs = millis(min(remainder(config.Lease.Duration, confirmed, c.received), config.Lease.Duration))
--- a/session/session.go
+++ b/session/session.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	heartbeatInterval = 2 * time.Second
-	heartbeatJitter   = 0.2 // of heartbeatInterval, either way
+	heartbeatInterval = 2 * time.Second // until the leader names another one
+	heartbeatJitter   = 0.2             // of the interval, either way
 	pollInterval      = 250 * time.Millisecond
 	workerTimeout     = 1 * time.Second
 	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
 	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
 	usagePollInterval = 1 * time.Second
-	sessionSilence    = 5 * time.Second // without a directive, after which the connection is given up
+	silentHeartbeats  = 2.5 // intervals without a directive, after which the connection is given up
 	reconnectMin      = 50 * time.Millisecond
 	reconnectMax      = 1 * time.Second
 )
@@ -82,8 +82,9 @@
 	throttles   map[runKey]*api.ThrottleTask
 	leaving     bool
 	helloNeeded bool
-	heard       time.Time // when the session began or its last directive came
-	leader      string    // address to try first
+	heartbeat   time.Duration // between reports
+	heard       time.Time     // when the session began or its last directive came
+	leader      string        // address to try first
 	announced   <-chan struct{}
 }
 
@@ -104,6 +105,7 @@
 		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
+		heartbeat: heartbeatInterval,
 	}
 }
 
@@ -243,6 +245,10 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.heard = now
+	s.heartbeat = heartbeatInterval
+	if directive.HeartbeatMs > 0 {
+		s.heartbeat = time.Duration(directive.HeartbeatMs) * time.Millisecond
+	}
 	s.holder.Grant(directive)
 	for _, start := range directive.Start {
 		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now}
@@ -273,7 +279,7 @@
 				return <-received
 			}
 		}
-		timer := time.NewTimer(jitter(heartbeatInterval))
+		timer := time.NewTimer(jitter(s.interval()))
 		select {
 		case <-timer.C:
 		case <-s.report:
@@ -294,7 +300,14 @@
 func (s *Session) silent(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.heard) > sessionSilence
+	return now.Sub(s.heard) > time.Duration(silentHeartbeats*float64(s.heartbeat))
+}
+
+// interval returns the present time between reports.
+func (s *Session) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heartbeat
 }
 
 // announcementChanged returns the channel that was taken before the announcement
