agent: a planned stop waits for the VM's tasks to be checkpointed and stopped

Cause: the control group evicts the tasks of a leaving VM, but the agent left after 2 s, so that a stop directive under way was lost and the work since the last checkpoint with it. Change: the stop waits up to 10 s until no run is active.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -25,6 +25,10 @@
 	// leavePropagation is how long a leaving agent goes on delivering: entries
 	// that have not yet heard of its leaving still send to it.
 	leavePropagation = 2 * time.Second
+	// taskStopLimit bounds the wait for the VM's tasks, which the control group
+	// checkpoints and moves once it hears of the leaving.
+	taskStopLimit = 10 * time.Second
+	taskStopPoll  = 100 * time.Millisecond
 )
 
 // Config is the configuration of an Agent.
@@ -181,14 +185,16 @@
 }
 
 // Stop is a planned stop: readiness fails first, the control group hears that
-// the VM is leaving, requests in progress end, then the process leaves. It
-// returns ctx's error when requests were still in progress at its end.
+// the VM is leaving, tasks are checkpointed and stopped, requests in progress
+// end, then the process leaves. It returns an error when requests were still in
+// progress at ctx's end. Tasks that are still running go on to their lease's end.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.mu.Lock()
 	a.leaving = true
 	a.mu.Unlock()
 	a.session.Leave()
 	waitFor(ctx, leavePropagation)
+	a.awaitTasks(ctx)
 	a.delivery.Drain()
 	err := a.delivery.Wait(ctx)
 	a.Kill()
@@ -207,6 +213,14 @@
 	a.control.Close()
 }
 
+func (a *Agent) awaitTasks(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, taskStopLimit)
+	defer cancel()
+	for a.session.ActiveTasks() > 0 && ctx.Err() == nil {
+		waitFor(ctx, taskStopPoll)
+	}
+}
+
 func waitFor(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
