--- a/control/http_status.go
+++ b/control/http_status.go
@@ -213,16 +213,21 @@
 	if err := s.confirmAsLeader(r.Context()); err != nil {
 		return nil, err
 	}
-	return s.state.taskList(), nil
+	return s.state.taskList(s.planner.whyPending()), nil
 }
 
-func (s *State) taskList() *operatorapi.Tasks {
+// taskList returns all tasks; reasons say why the jobs with the IDs wait.
+func (s *State) taskList(reasons map[string]string) *operatorapi.Tasks {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	list := &operatorapi.Tasks{Revision: s.directory().Revision(), Tasks: []operatorapi.Task{}}
 	for _, j := range s.tasks.Jobs() {
 		for _, k := range j.Tasks {
-			list.Tasks = append(list.Tasks, s.taskView(k))
+			view := s.taskView(k)
+			if k.State == task.Pending && view.Reason == "" {
+				view.Reason = reasons[j.ID]
+			}
+			list.Tasks = append(list.Tasks, view)
 		}
 	}
 	return list
--- a/control/planner.go
+++ b/control/planner.go
@@ -18,6 +18,7 @@
 
 	mu      sync.Mutex // before State.mu
 	learner *scheduler.Learner
+	last    *scheduler.Snapshot // nil before the first
 
 	queueMu   sync.Mutex // a leaf
 	outcomes  []outcome
@@ -53,6 +54,7 @@
 func (p *planner) reset() {
 	p.mu.Lock()
 	p.learner = scheduler.NewLearner()
+	p.last = nil
 	p.mu.Unlock()
 	p.queueMu.Lock()
 	defer p.queueMu.Unlock()
@@ -93,9 +95,20 @@
 	}
 	snapshot := p.learner.Snapshot(now, p.state.plan, p.state.tasks, p.state.schedulerVMs(inTouch))
 	p.noteObserved(snapshot)
+	p.last = snapshot
 	return snapshot
 }
 
+// whyPending returns why jobs waited at the last decision, by the job's ID.
+func (p *planner) whyPending() map[string]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.last == nil {
+		return nil
+	}
+	return scheduler.WhyJobsPending(p.last)
+}
+
 func (p *planner) noteObserved(snapshot *scheduler.Snapshot) {
 	observed := make(map[string]observedVM, len(snapshot.VMs))
 	for i := range snapshot.VMs {
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -197,6 +197,31 @@
 	})
 }
 
+func TestAWaitingTaskSaysWhy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{Decide: scheduler.Decide})
+		worker := s.connectWorker(t, testVM("vm", "a"), false)
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, batchPlan(1, 40, resource.Vector{MilliCPU: 500, MemoryMiB: 512})))
+		time.Sleep(10 * time.Second)
+		var list operatorapi.Tasks
+		s.request(t, http.MethodGet, operatorapi.PathTasks, "", nil, &list)
+		waiting := 0
+		for _, view := range list.Tasks {
+			if view.State != "pending" {
+				continue
+			}
+			waiting++
+			if view.Reason == "" {
+				t.Errorf("%s waits without a reason", view.ID)
+			}
+		}
+		if waiting == 0 {
+			t.Error("no task waits")
+		}
+		worker.close()
+	})
+}
+
 func TestObservedUseReachesTheStatus(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{})
--- a/scheduler/pending_reason.go
+++ b/scheduler/pending_reason.go
@@ -37,6 +37,24 @@
 	return r, true
 }
 
+// WhyJobsPending returns why the first pending task of each job waits, as a
+// summary by the job's ID.
+func WhyJobsPending(s *Snapshot) map[string]string {
+	reasons := map[string]string{}
+	var c *cycle
+	for i := range s.Pending {
+		t := &s.Pending[i]
+		if _, ok := reasons[t.Job]; ok {
+			continue
+		}
+		if c == nil {
+			c = newCycle(s)
+		}
+		reasons[t.Job] = c.whyPending(t).Summary
+	}
+	return reasons
+}
+
 func (c *cycle) whyPending(t *Task) PendingReason {
 	r := PendingReason{Task: t.ID}
 	for n := range c.vms {
