scheduler: among equals, jobs that spare the short resource go first; only jobs without a running task are held room for

Change: when the free share of memory is below half of that of processor time (or the other way round), jobs equal in class, deadline, priority and quota are ordered by what they take of the short one; room is kept only for a task of a job that has none running.

--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -48,13 +48,15 @@
 	jobs    map[string]*jobView // of the jobs asked for so far
 	noRoom  map[shape]bool      // shapes that no VM took in this call
 	evicted map[*Task]bool
-	cpu     int64       // milli-CPU of the VMs in service, for slack
-	racks   int         // with a VM that takes work; 0 until counted
-	scored  []candidate // reused
-	able    []*Task     // reused
-	chosen  []*Task     // reused
-	largest amount      // bound of the free part of any VM that takes work
-	waiting int         // ordinary batch tasks that are due
+	cpu     int64           // milli-CPU of the VMs in service, for slack
+	racks   int             // with a VM that takes work; 0 until counted
+	scored  []candidate     // reused
+	able    []*Task         // reused
+	chosen  []*Task         // reused
+	whole   resource.Vector // capacity of the VMs that take work
+	spare   resource.Vector // free part of whole
+	largest amount          // bound of the free part of any VM that takes work
+	waiting int             // ordinary batch tasks that are due
 	budget  budget
 	out     []Decision
 }
@@ -122,6 +124,8 @@
 	}
 	if v.open() {
 		c.largest = c.largest.max(v.free())
+		c.whole = c.whole.Add(v.Capacity)
+		c.spare = c.spare.Add(v.free().positive().grant)
 	}
 }
 
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -64,10 +64,11 @@
 	maxHolds     = 3 // VMs per call that are kept free for starved tasks
 )
 
-// starves reports whether the task waited so long that smaller ones must not
-// go on taking the room that becomes free.
+// starves reports whether the task waited so long, with no other task of its
+// job running, that smaller ones must not go on taking the room that becomes
+// free. A job that runs gets its turn when one of its own tasks finishes.
 func (c *cycle) starves(t *Task) bool {
-	return c.s.Now.Sub(t.Since) > starvedAfter
+	return c.s.Now.Sub(t.Since) > starvedAfter && c.job(t.Job).total == 0
 }
 
 // hold keeps what becomes free on the VM that lacks least for the task. No
@@ -106,6 +107,7 @@
 	tight    bool
 	borrower bool
 	slack    time.Duration // least of the tasks
+	strain   float64       // on the resource that the fleet is short of
 	since    time.Time     // oldest of the tasks
 }
 
@@ -139,6 +141,7 @@
 		}
 		if last == nil {
 			last = &group{class: classRank(t), borrower: c.borrows(t), slack: noDeadline, since: t.Since}
+			last.strain = c.strain(t)
 			byJob[t.Job] = last
 			groups = append(groups, last)
 		}
@@ -169,8 +172,29 @@
 	return restClass
 }
 
+// scarce is how much smaller the free share of one resource must be than that
+// of another for the fleet to be short of it.
+const scarce = 0.5
+
+// strain returns how much of the resource that the fleet is short of the task
+// takes, for what it takes of the other; 0 when it is short of neither.
+func (c *cycle) strain(t *Task) float64 {
+	cpu := float64(t.Grant.MilliCPU) / float64(max(c.whole.MilliCPU, 1))
+	memory := float64(t.Grant.MemoryMiB) / float64(max(c.whole.MemoryMiB, 1))
+	freeCPU := float64(c.spare.MilliCPU) / float64(max(c.whole.MilliCPU, 1))
+	freeMemory := float64(c.spare.MemoryMiB) / float64(max(c.whole.MemoryMiB, 1))
+	switch {
+	case freeMemory < scarce*freeCPU && cpu > 0:
+		return memory / cpu
+	case freeCPU < scarce*freeMemory && memory > 0:
+		return cpu / memory
+	}
+	return 0
+}
+
 // compareGroups orders by class, then jobs whose deadline is near, then
-// priority, then teams within their quota, then slack, then age.
+// priority, then teams within their quota, then slack, then what is short in
+// the fleet, then age.
 func compareGroups(a, b *group) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
@@ -178,6 +202,7 @@
 		cmp.Compare(b.tasks[0].Priority, a.tasks[0].Priority),
 		compareBool(b.borrower, a.borrower),
 		cmp.Compare(a.slack, b.slack),
+		cmp.Compare(a.strain, b.strain),
 		a.since.Compare(b.since),
 		cmp.Compare(a.tasks[0].Job, b.tasks[0].Job),
 	)
--- a/scheduler/policy_rules_test.go
+++ b/scheduler/policy_rules_test.go
@@ -274,6 +274,22 @@
 	}
 }
 
+func TestAmongEqualsTheJobThatSparesTheShortResourceGoesFirst(t *testing.T) {
+	heavy := pendingTask("job/heavy/0", resource.Vector{MilliCPU: 1000, MemoryMiB: 16000})
+	heavy.Since = now.Add(-time.Minute)
+	light := pendingTask("job/light/0", resource.Vector{MilliCPU: 4000, MemoryMiB: 16000})
+	light.Since = now
+	full := runningTask("job/a/0", "vm-1", resource.Vector{MilliCPU: 4000, MemoryMiB: 110000})
+	s := &Snapshot{Now: now, VMs: []VM{vm("vm-1", "Cork", "r1")}, Tasks: []Task{full}, Pending: []Task{heavy, light}}
+	if out := Decide(s); placedOn(out, "job/light/0") == "" {
+		t.Errorf("decided %+v while memory is short", out)
+	}
+	s.Pending[0].Priority = 1
+	if out := Decide(s); placedOn(out, "job/heavy/0") == "" {
+		t.Errorf("decided %+v although priority goes first", out)
+	}
+}
+
 func TestAStarvedTaskGetsTheRoomThatBecomesFree(t *testing.T) {
 	large := pendingTask("job/large/0", cpu(20))
 	large.Since = now.Add(-starvedAfter - time.Second)
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -150,7 +150,7 @@
 // BenchmarkPolicyDay measures all policies on the same arrivals. It prints a
 // row for each, and the targets that are missed.
 func BenchmarkPolicyDay(b *testing.B) {
-	for seed := uint64(21); seed <= 44; seed++ {
+	for seed := uint64(21); seed <= 52; seed++ {
 		b.Run(fmt.Sprintf("seed=%d", seed), func(b *testing.B) {
 			for b.Loop() {
 				baselines, ours := measureAll(seed, int(policyDay/tick))
