scheduler: tests that fail when a rule is broken, for each rule

Cause: a pass with each rule broken on a scratch copy left five breaks unnoticed: no rack spread, the lender's quota, the borrower's own quota, blame of who runs now, room promised twice. Change: stricter cases for them.

--- a/scheduler/policy_rules_test.go
+++ b/scheduler/policy_rules_test.go
@@ -43,11 +43,18 @@
 			t.Errorf("rack %d has %d instances, want 2: %v", i, rack, count)
 		}
 	}
+	// A rack with instances is not taken as long as another one has room, however little it suits.
+	s.Pending = s.Pending[:2]
+	s.Pending[0].Avoid = []string{"vm-2", "vm-3", "vm-4", "vm-5"}
+	s.Pending[1].Avoid = s.Pending[0].Avoid
+	count = countOn(Decide(s))
+	if count["vm-0"]+count["vm-1"] != 1 {
+		t.Errorf("placed on %v, want one in the rack that suits", count)
+	}
 	// With two racks full, an instance is better placed badly than not at all.
 	for i := range 4 {
 		s.VMs[i].Capacity = cpu(1)
 	}
-	s.Pending = s.Pending[:2]
 	if out := Decide(s); len(out) != 2 {
 		t.Errorf("%d placements on the rack that has room, want 2", len(out))
 	}
@@ -55,7 +62,7 @@
 
 func TestBorrowedQuotaIsGivenBack(t *testing.T) {
 	borrowed := runningTask("job/a/0", "vm-1", cpu(10))
-	borrowed.Team = "clerks"
+	borrowed.Team, borrowed.AtRisk = "clerks", time.Hour
 	own := runningTask("job/a/1", "vm-1", cpu(10))
 	own.Team = "stewards"
 	lent := pendingTask("job/b/0", cpu(20))
@@ -78,6 +85,10 @@
 	if out := Decide(s); len(out) != 0 {
 		t.Errorf("decided %+v for a team above its own quota", out)
 	}
+	s.Pending[0].Deadline = now.Add(time.Minute)
+	if out := Decide(s); len(out) != 0 {
+		t.Errorf("decided %+v: a near deadline took back what was not lent", out)
+	}
 }
 
 func TestANearDeadlineGoesBeforePriorityAndPriorityBeforeAge(t *testing.T) {
@@ -325,3 +336,23 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+func TestRoomThatIsBeingFreedIsPromisedOnce(t *testing.T) {
+	leaving := runningTask("job/a/0", "vm-1", cpu(12))
+	leaving.State = task.Stopping
+	first := pendingTask("job/u/0", cpu(20))
+	first.Priority = plan.UrgentPriority
+	s := &Snapshot{
+		Now: now, VMs: []VM{vm("vm-1", "Cork", "r1")}, Tasks: []Task{leaving, runningTask("job/b/0", "vm-1", cpu(10))},
+		Pending: []Task{first, pendingTask("job/c/0", cpu(4))},
+	}
+	if out := Decide(s); len(out) != 0 {
+		t.Errorf("decided %+v, want the free part kept as well", out)
+	}
+	second := pendingTask("job/w/0", cpu(9))
+	second.Priority = plan.UrgentPriority
+	s.Pending = append(s.Pending, second)
+	if got := evicted(Decide(s)); !slices.Equal(got, []string{"job/b/0"}) {
+		t.Errorf("evicted %v, want room made for the second urgent task", got)
+	}
+}
--- a/scheduler/usage_test.go
+++ b/scheduler/usage_test.go
@@ -52,9 +52,11 @@
 	instance := sample("service/ledger/0", 2)
 	instance.Latency = latency
 	samples := []Sample{instance, sample("job/quiet/0", 6)}
-	if noisyRuns {
-		samples = append(samples, sample("job/noisy/0", 6))
+	noisy := sample("job/noisy/0", 6)
+	if !noisyRuns { // it runs later, in the time that the report is on its way
+		noisy.Start, noisy.End = end, end.Add(10*time.Second)
 	}
+	samples = append(samples, noisy)
 	x.learner.Usage(x.now, &x.vm, samples, x.table, x.plan.LatencyWeight)
 }
 
