--- a/scheduler/scale_bench_test.go
+++ b/scheduler/scale_bench_test.go
@@ -189,6 +189,28 @@
 	})
 }
 
+// BenchmarkPeakSecond is a second at the peak in one round: 29 tasks finish
+// and 29 start.
+func BenchmarkPeakSecond(b *testing.B) {
+	forSizes(b, func(b *testing.B, vms int) {
+		f := newLargeFleet(b, vms)
+		f.addJob("more", 36*vms)
+		f.settle()
+		decided := 0
+		timed(b, func() {
+			f.now = f.now.Add(time.Second)
+			for finished := 0; finished < 29; {
+				if f.finishOne() {
+					finished++
+				}
+			}
+			decided += f.round()
+			f.confirm()
+		})
+		b.ReportMetric(float64(decided)/float64(b.N), "decisions/op")
+	})
+}
+
 // settle places what fits, with a report in between, until nothing does.
 func (f *largeFleet) settle() {
 	for f.round() > 0 {
