scale: urgent job in the plan; standard terms in agent and stand-in

Cause: the start of urgent work on a full fleet could not be measured, and some comments used words of their own.

--- a/agent/registry.go
+++ b/agent/registry.go
@@ -61,7 +61,7 @@
 		return fault.New(fault.Overloaded, "too many backend servers on this VM")
 	}
 	if known.leaving {
-		// A renewal that overtook the farewell must not bring the server back.
+		// A renewal that overtook the deregistration must not bring the server back.
 		return fault.New(fault.Draining, "the backend server is leaving")
 	}
 	r.servers[a.ID] = announced{Announcement: a, expires: now.Add(announcementTTL)}
--- a/agent/registry_test.go
+++ b/agent/registry_test.go
@@ -47,7 +47,7 @@
 	}
 	changed := registry.Changed()
 	registry.Leave(ledger.ID)
-	wantClosed(t, changed, true, "a farewell")
+	wantClosed(t, changed, true, "a deregistration")
 	if servers := registry.Servers(); len(servers) != 1 || !servers[0].Leaving {
 		t.Errorf("the control group must hear of the leaving, got %v", servers)
 	}
--- a/cmd/paddle-scale/main.go
+++ b/cmd/paddle-scale/main.go
@@ -29,12 +29,14 @@
 		runFor          = 2 * time.Minute
 		number   uint64 = 1
 		scale           = 1.0
+		urgent          = 0
 	)
 	flaggy.SetDescription("measures a control group under a large fleet")
 	planCommand := flaggy.NewSubcommand("plan")
 	planCommand.Description = "writes the day plan of a large fleet to standard output"
 	planCommand.UInt64(&number, "n", "number", "plan number")
 	planCommand.Float64(&scale, "s", "scale", "size relative to 550 VMs")
+	planCommand.Int(&urgent, "u", "urgent", "tasks of an urgent job")
 	agentsCommand := flaggy.NewSubcommand("agents")
 	agentsCommand.Description = "runs the sessions of many light agents"
 	agentsCommand.String(&controls, "c", "control", "ip:port of each control replica, separated by commas")
@@ -45,7 +47,7 @@
 	flaggy.Parse()
 	switch {
 	case planCommand.Used:
-		exitOn(writeSheet(os.Stdout, number, scale, time.Now().UTC()))
+		exitOn(writeSheet(os.Stdout, sheetOptions{number: number, scale: scale, urgent: urgent, day: time.Now().UTC()}))
 	case agentsCommand.Used && controls != "":
 		runAgents(strings.Split(controls, ","), agents, runFor)
 	default:
--- a/cmd/paddle-scale/sheet.go
+++ b/cmd/paddle-scale/sheet.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 	"time"
+
+	"amaranthpaddle/plan"
 )
 
 // The size that the generated plan asks for, at a scale of 1.
@@ -38,10 +40,21 @@
 // sheetRow is one row by column name; columns that it does not name are blank.
 type sheetRow map[string]string
 
-// writeSheet writes the day plan of a fleet that is scale times the full size.
-func writeSheet(w io.Writer, number uint64, scale float64, day time.Time) error {
+// sheetOptions says which plan writeSheet writes.
+type sheetOptions struct {
+	number uint64
+	scale  float64 // size of the fleet relative to 550 VMs
+	urgent int     // tasks of an urgent job, 0 for none
+	day    time.Time
+}
+
+// writeSheet writes a day plan.
+func writeSheet(w io.Writer, options sheetOptions) error {
 	out := csv.NewWriter(w)
-	rows := append(planRows(number, day), workRows(scale, day)...)
+	rows := append(planRows(options.number, options.day), workRows(options.scale, options.day)...)
+	if options.urgent > 0 {
+		rows = append(rows, urgentRow(options.urgent))
+	}
 	if err := out.Write(sheetColumns); err != nil {
 		return err
 	}
@@ -94,6 +107,14 @@
 	return rows
 }
 
+func urgentRow(tasks int) sheetRow {
+	return sheetRow{
+		"record": "job", "name": "urgent", "team": teamName(0), "tasks": strconv.Itoa(tasks),
+		"cores": batchCores, "memory_gib": "2", "run_time_s": strconv.Itoa(minRunSeconds),
+		"priority": strconv.Itoa(plan.UrgentPriority),
+	}
+}
+
 func scaled(count int, scale float64) string {
 	return strconv.Itoa(max(1, int(float64(count)*scale+0.5)))
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -117,7 +117,7 @@
 func (b *Backend) Stop(ctx context.Context) {
 	b.once.Do(func() {
 		close(b.done)
-		// A renewal in flight must not arrive after the farewell.
+		// A renewal in flight must not arrive after the deregistration.
 		b.renewing.Wait()
 		b.leave()
 		_ = b.server.Shutdown(ctx)
