--- a/raft/election.go
+++ b/raft/election.go
@@ -19,8 +19,15 @@
 // resetElectionTimeout starts a new randomized timeout. It is longer than the
 // window of leaderIsFresh by a heartbeat, so that the others' windows are over too.
 func (r *Raft) resetElectionTimeout() {
+	r.shortenElectionTimeout()
+	r.electionTimeout += r.config.ElectionTicks
+}
+
+// shortenElectionTimeout starts the timeout of a campaign: after a split vote
+// there is no leader whose window has to end.
+func (r *Raft) shortenElectionTimeout() {
 	r.electionElapsed = 0
-	r.electionTimeout = r.config.ElectionTicks + r.config.HeartbeatTicks + r.config.Intn(r.config.ElectionTicks)
+	r.electionTimeout = r.config.HeartbeatTicks + r.config.Intn(r.config.ElectionTicks)
 }
 
 // hearLeader notes that the leader of this term is alive.
@@ -37,7 +44,7 @@
 	r.role = role
 	r.leader = 0
 	r.votes = map[uint64]bool{}
-	r.resetElectionTimeout()
+	r.shortenElectionTimeout()
 	request := api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, Term: r.term + 1}
 	if role == Candidate {
 		r.term++
@@ -120,6 +127,7 @@
 		r.becomeLeader()
 	case refused >= needed:
 		r.becomeFollower(r.term, 0)
+		r.shortenElectionTimeout()
 	}
 }
 
