--- a/replica/members.go
+++ b/replica/members.go
@@ -115,8 +115,15 @@
 // ReplaceMember replaces a member that lost its disk by one with a new id: the
 // new one is added as a learner, promoted once it has synced everything, and
 // then the old one is removed. A call that ended early can be repeated. Errors:
-// fault.NotLeader, fault.Conflict, fault.NotFound, fault.CommitUnknown.
+// fault.NotLeader, also after the leadership was handed over because the old
+// member led; fault.Conflict, fault.NotFound, fault.CommitUnknown.
 func (r *Replica) ReplaceMember(ctx context.Context, oldID, newID uint64, address string) error {
+	if oldID == r.config.ID && r.Status().Leader == oldID {
+		if err := r.TransferLeadership(ctx, 0); err != nil {
+			return err
+		}
+		return fault.New(fault.NotLeader, "the member to be replaced led; the leadership was handed over")
+	}
 	member, err := r.findMember(newID)
 	if err != nil {
 		return err
--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -177,6 +177,25 @@
 	}
 }
 
+func TestALeaderThatIsToBeReplacedHandsOver(t *testing.T) {
+	hosts := startGroup(t, 3, nil)
+	leader := waitLeader(t, hosts)
+	fresh := newHost(t, 4)
+	fresh.config.Join = true
+	fresh.start()
+	replace := func() error {
+		return waitLeader(t, hosts).replica.ReplaceMember(testContext(t), leader.config.ID, 4, fresh.config.Address)
+	}
+	if err := replace(); !fault.Is(err, fault.NotLeader) {
+		t.Errorf("at the leader itself: %v, want not-leader", err)
+	}
+	hosts = others(hosts, leader)
+	if err := replace(); err != nil {
+		t.Error(err)
+	}
+	mustPropose(t, waitLeader(t, append(hosts, fresh)), []byte("change"))
+}
+
 func TestAnotherReplicasFolderIsRefused(t *testing.T) {
 	h := startGroup(t, 1, nil)[0]
 	waitLeader(t, []*host{h})
