--- a/replica/invariants_test.go
+++ b/replica/invariants_test.go
@@ -12,7 +12,7 @@
 
 // invariants checks what must hold in every schedule.
 type invariants struct {
-	t              *rapid.T
+	t              rapid.TB
 	leaders        map[uint64]uint64   // term to leader
 	created        map[position]origin // every entry that was ever sent
 	committed      map[uint64]uint64   // index to term
@@ -28,7 +28,7 @@
 	data         string
 }
 
-func newInvariants(t *rapid.T) *invariants {
+func newInvariants(t rapid.TB) *invariants {
 	return &invariants{
 		t: t, leaders: map[uint64]uint64{}, created: map[position]origin{},
 		committed: map[uint64]uint64{}, states: map[uint64]string{},
--- a/replica/protocol_test.go
+++ b/replica/protocol_test.go
@@ -204,6 +204,27 @@
 	}
 }
 
+func TestAReturnAfterALongPartitionDisturbsNothing(t *testing.T) {
+	for seed := range uint64(5) {
+		g := newGroup(t, 3, seed)
+		g.run(4 * testElectionTicks)
+		leader := g.leader()
+		term := leader.engine.raft.Status().Term
+		away := g.ids[(leader.id)%3]
+		g.cut[away] = true
+		for range 100 {
+			g.run(10 * testElectionTicks)
+			g.with(leader.id, g.clients.write)
+		}
+		clear(g.cut)
+		g.run(10 * testElectionTicks)
+		status := g.nodes[away].engine.raft.Status()
+		if status.Term != term || status.Leader != leader.id || status.Commit != leader.engine.raft.Status().Commit {
+			t.Errorf("seed %d: the returned replica has %+v, the leader %+v", seed, status, leader.engine.raft.Status())
+		}
+	}
+}
+
 func TestProtocolHoldsUnderMessageFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runSchedule(t, networkActions) })
--- a/replica/schedule_test.go
+++ b/replica/schedule_test.go
@@ -43,7 +43,7 @@
 // group is a set of simNodes with the network between them, and the history of
 // what its clients saw.
 type group struct {
-	t        *rapid.T
+	t        rapid.TB
 	random   *rand.Rand
 	nodes    map[uint64]*simNode
 	ids      []uint64 // in order of creation
@@ -56,7 +56,7 @@
 	nextRead uint64
 }
 
-func newGroup(t *rapid.T, size int, seed uint64) *group {
+func newGroup(t rapid.TB, size int, seed uint64) *group {
 	g := &group{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)),
 		nodes: map[uint64]*simNode{}, cut: map[uint64]bool{}, frozen: map[uint64]bool{}, checks: newInvariants(t), nextInc: 1000,
