--- a/scheduler/drain.go
+++ b/scheduler/drain.go
@@ -8,29 +8,38 @@
 	"amaranthpaddle/task"
 )
 
-// drainWindow is how long batch tasks on a VM that leaves go on running there
-// when they will finish or nothing else has room for them: stopping them
-// earlier would only cost work.
+// drainWindow is how long batch tasks in a zone that left go on running there
+// when nothing else has room for them: stopping them earlier would only cost
+// work, and many finish. A VM that drains is emptied at once: its process
+// waits for that.
 const drainWindow = 20 * time.Minute
 
+// outFor returns for how long the VM's zone has been out of service, at least
+// drainWindow when the VM is to be emptied at once.
+func (c *cycle) outFor(v *vmView) time.Duration {
+	if v.Draining || v.OutSince.IsZero() {
+		return drainWindow
+	}
+	return c.s.Now.Sub(v.OutSince)
+}
+
 // drain moves work away from VMs that leave, the nearest deadline first, a
 // few checkpoints at a time on each VM and a part of each service at a time.
 func (c *cycle) drain() {
-	var leaving []int
+	var leaving []*Task
 	for n := range c.vms {
 		v := &c.vms[n]
-		if v.InService && !v.Draining {
+		if !v.leaves() {
 			continue
 		}
-		for _, i := range v.tasks {
-			if c.movable(i) && !c.mayFinish(&c.s.Tasks[i], v) {
-				leaving = append(leaving, i)
+		for _, t := range v.tasks {
+			if c.movable(t) {
+				leaving = append(leaving, t)
 			}
 		}
 	}
 	slices.SortFunc(leaving, c.compareDrain)
-	for _, i := range leaving {
-		t := &c.s.Tasks[i]
+	for _, t := range leaving {
 		v := &c.vms[c.byID[t.VM]]
 		if v.stopping >= maxStoppingPerVM || !c.mayStop(t, v) {
 			continue
@@ -39,41 +48,35 @@
 		if !v.InService {
 			reason = ReasonZoneOut
 		}
-		c.evict(i, reason, checkpointGrace, "")
+		c.evict(t, reason, checkpointGrace, "")
 	}
 }
 
-// mayFinish reports whether the batch task is expected to finish within the
-// drain window, so that stopping it would only cost time.
-func (c *cycle) mayFinish(t *Task, v *vmView) bool {
-	if t.Class != task.Batch || t.State != task.Running || v.OutSince.IsZero() {
-		return false
-	}
-	left := v.OutSince.Add(drainWindow).Sub(c.s.Now)
-	return t.Remaining <= left
-}
-
 // compareDrain puts urgent work and near deadlines first.
-func (c *cycle) compareDrain(a, b int) int {
-	ta, tb := &c.s.Tasks[a], &c.s.Tasks[b]
+func (c *cycle) compareDrain(a, b *Task) int {
 	return cmp.Or(
-		cmp.Compare(classRank(ta), classRank(tb)),
-		cmp.Compare(c.slack(ta), c.slack(tb)),
-		cmp.Compare(ta.ID, tb.ID),
+		cmp.Compare(classRank(a), classRank(b)),
+		cmp.Compare(c.slack(a), c.slack(b)),
+		cmp.Compare(a.ID, b.ID),
 	)
 }
 
 // servicePatience is how long an instance on a VM that leaves goes on running
 // while room for it becomes free elsewhere by itself.
-const servicePatience = 5 * time.Minute
+const servicePatience = 10 * time.Minute
 
 // mayStop reports whether a task on a VM that leaves is to be stopped now:
-// when there is room for it elsewhere, or its time there is over.
+// when its time there is over, or when room elsewhere would lie idle without
+// it, or when its deadline is near and there is room.
 func (c *cycle) mayStop(t *Task, v *vmView) bool {
 	if t.Class == task.LatencyCritical {
 		return c.serviceMayStop(t, v)
 	}
-	return c.s.Now.Sub(v.OutSince) >= drainWindow || c.keepRoom(t)
+	if c.outFor(v) >= drainWindow {
+		return true
+	}
+	contended := c.waiting > 0 && !t.Urgent() && c.slack(t) >= tightSlack
+	return !contended && c.keepRoom(t)
 }
 
 // serviceMayStop keeps most instances of a service running while it is moved,
@@ -83,7 +86,7 @@
 	if j.moving >= max((j.running+j.moving)/serviceStoppingPart, 1) {
 		return false
 	}
-	if c.keepRoom(t) || c.s.Now.Sub(v.OutSince) >= servicePatience {
+	if c.keepRoom(t) || c.outFor(v) >= servicePatience {
 		return true
 	}
 	c.hold(t)
@@ -111,11 +114,11 @@
 func (c *cycle) keepRoomForStopping() {
 	for n := range c.vms {
 		v := &c.vms[n]
-		if v.InService && !v.Draining {
+		if !v.leaves() {
 			continue
 		}
-		for _, i := range v.tasks {
-			if t := &c.s.Tasks[i]; t.State == task.Stopping {
+		for _, t := range v.tasks {
+			if t.State == task.Stopping {
 				c.keepRoom(t)
 			}
 		}
@@ -131,30 +134,30 @@
 	for n := range c.vms {
 		v := &c.vms[n]
 		spare := int64(fullMemory * float64(v.Capacity.MemoryMiB))
-		for _, i := range v.tasks {
-			if c.movable(i) {
-				spare -= c.s.Tasks[i].Used.MemoryMiB
+		for _, t := range v.tasks {
+			if c.movable(t) {
+				spare -= t.Used.MemoryMiB
 			}
 		}
 		for spare < 0 {
-			i := c.worstMemory(v)
-			if i < 0 {
+			t := c.worstMemory(v)
+			if t == nil {
 				break
 			}
-			spare += c.s.Tasks[i].Used.MemoryMiB
-			c.evict(i, ReasonOvercommit, urgentGrace, "")
+			spare += t.Used.MemoryMiB
+			c.evict(t, ReasonOvercommit, urgentGrace, "")
 		}
 	}
 }
 
-// worstMemory returns the batch task that exceeds its grant of memory most, or -1.
-func (c *cycle) worstMemory(v *vmView) int {
-	worst, worstBy := -1, int64(0)
-	for _, i := range v.tasks {
-		t := &c.s.Tasks[i]
+// worstMemory returns the batch task that exceeds its grant of memory most, or nil.
+func (c *cycle) worstMemory(v *vmView) *Task {
+	var worst *Task
+	worstBy := int64(0)
+	for _, t := range v.tasks {
 		over := t.Used.MemoryMiB - t.Grant.MemoryMiB
-		if c.movable(i) && t.Class == task.Batch && over > worstBy {
-			worst, worstBy = i, over
+		if c.movable(t) && t.Class == task.Batch && over > worstBy {
+			worst, worstBy = t, over
 		}
 	}
 	return worst
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -21,10 +21,12 @@
 	InService bool // its availability zone is in service
 	// Fresh is set while the agent's reports arrive, so that the agent can
 	// learn within the freshness bound that its zone is out of service.
-	Fresh      bool
-	Draining   bool      // takes no new work, and what runs is moved away
-	InSince    time.Time // when the VM or its zone last came into service
-	OutSince   time.Time // when it last left service or began to drain; zero lets nothing finish there
+	Fresh    bool
+	Draining bool      // takes no new work, and what runs is moved away
+	InSince  time.Time // when the VM or its zone last came into service
+	// OutSince is when its zone left service; a Learner that finds it zero takes
+	// the time when it first saw the zone out.
+	OutSince   time.Time
 	Quarantine Quarantine
 }
 
@@ -106,12 +108,31 @@
 	Now           time.Time
 	LatencyWeight float64 // 0 favours batch throughput, 1 favours tail latency
 	VMs           []VM
-	Tasks         []Task // that hold a grant
+	Tasks         []Task // that hold a grant; empty in a snapshot made by a Learner, see EachTask
 	Pending       []Task
 	Teams         []Team
 	Pressures     []Pressure
 	Harm          Harm // nil when nothing is known
 	MovesLeft     int  // evictions for interference that the budget allows now
+
+	loads   []vmLoad                   // by index in VMs; made from Tasks and Pressures when nil
+	teamUse map[string]resource.Vector // with loads
+}
+
+// UsedOn returns the observed use of the VM with the index in VMs, in a
+// snapshot made by a Learner.
+func (s *Snapshot) UsedOn(i int) resource.Vector { return s.loads[i].used }
+
+// EachTask calls f for each task that holds a grant on one of the VMs.
+func (s *Snapshot) EachTask(f func(*Task)) {
+	for i := range s.Tasks {
+		f(&s.Tasks[i])
+	}
+	for i := range s.loads {
+		for _, t := range s.loads[i].tasks {
+			f(t)
+		}
+	}
 }
 
 // Action is what a Decision asks for.
