request, delivery: idempotent attempts no longer fill the agent's table

Cause: every attempt was remembered for ten minutes, so an agent refused new work after 17,500 attempts (seen in BenchmarkThroughEntry: 17,500 answers, then only refusals). Only attempts that are not idempotent are ever looked up. Change: idempotent attempts are dropped at their end, those without a key are kept for a minute after their deadline, keyed ones for ten minutes; large answers leave a quarter of the bytes to new attempts; read buffers are pooled.

--- a/delivery/call.go
+++ b/delivery/call.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"amaranthpaddle/api"
@@ -17,6 +18,8 @@
 // readBuffer is how many bytes of an answer are read at a time.
 const readBuffer = 32 << 10
 
+var readBuffers = sync.Pool{New: func() any { return new([readBuffer]byte) }}
+
 // call delivers the attempt over HTTP and fills its answer.
 func (a *attempt) call(ctx context.Context) {
 	defer a.body.Close()
@@ -140,7 +143,9 @@
 		return a.copyStanding(ctx, body)
 	}
 	m := newMeter()
-	buffer := make([]byte, readBuffer)
+	pooled := readBuffers.Get().(*[readBuffer]byte)
+	defer readBuffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/delivery/deliver.go
+++ b/delivery/deliver.go
@@ -17,10 +17,11 @@
 
 // Bounds of a delivery.
 const (
-	maxInlineBody = 256 << 10   // bytes of a body sent with the attempt
-	overrunLimit  = time.Minute // how long a started, non-idempotent attempt may run past its deadline
-	claimBackoff  = 50 * time.Millisecond
-	maxBodyBytes  = 256 << 20 // bytes of a stored body
+	maxInlineBody   = 256 << 10   // bytes of a body sent with the attempt
+	overrunLimit    = time.Minute // how long a started, non-idempotent attempt may run past its deadline
+	lookupRetention = time.Minute // of an attempt without a key
+	claimBackoff    = 50 * time.Millisecond
+	maxBodyBytes    = 256 << 20 // bytes of a stored body
 )
 
 // attempt is one delivery in progress.
@@ -82,7 +83,20 @@
 	}
 	d.tableMu.Lock()
 	defer d.tableMu.Unlock()
-	return a, d.table.Begin(d.now(), start.Attempt, a.deadline, !start.Idempotent, a.answer)
+	return a, d.table.Begin(d.now(), start.Attempt, a.deadline, d.retention(start), a.answer)
+}
+
+// retention is how long an attempt can be looked up: only its own entry asks
+// for one without a key, any entry for one with a key, and none for an idempotent one.
+func (d *Delivery) retention(start *api.AttemptStart) time.Duration {
+	switch {
+	case start.Idempotent:
+		return 0
+	case start.Key == "":
+		return lookupRetention
+	default:
+		return d.config.Retention
+	}
 }
 
 // prepare gets everything that the attempt needs before it may start: its
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -47,7 +47,7 @@
 	BlobBytes   int64         // bytes of stored bodies kept at a time
 	Attempts    int           // attempts remembered at a time
 	AnswerBytes int64         // bytes of kept answers
-	Retention   time.Duration // how long answers and fences are kept after their attempt's deadline
+	Retention   time.Duration // how long the answers to idempotency keys are kept
 	QueueTime   time.Duration // how long an attempt waits for a slot
 	ClaimTime   time.Duration // how long a claim is tried
 }
@@ -93,7 +93,7 @@
 		Attempts:  config.Attempts,
 		Bytes:     config.AnswerBytes,
 		Reserve:   answerReserve,
-		Retention: config.Retention,
+		Retention: min(lookupRetention, config.Retention),
 	}
 	d := &Delivery{
 		config:      config,
--- a/delivery/standing.go
+++ b/delivery/standing.go
@@ -10,6 +10,10 @@
 	"amaranthpaddle/fault"
 )
 
+// standingBuffer is how many bytes of a standing stream are read at a time; one
+// is held for each stream, however quiet.
+const standingBuffer = 2 << 10
+
 // boundaryScanner finds the ends of messages in a standing stream: an empty
 // line in an event stream, a line end elsewhere.
 type boundaryScanner struct {
@@ -92,7 +96,7 @@
 }
 
 func (s *standingCopy) run(ctx context.Context) (*api.AnswerEnd, error) {
-	buffer := make([]byte, readBuffer)
+	buffer := make([]byte, standingBuffer)
 	for {
 		n, err := s.body.Read(buffer)
 		passed, moved := s.pass(buffer[:n])
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -166,7 +166,9 @@
 	region  string
 	handler http.Handler
 	slots   int
-	via     func(address string) string // returns the address of a proxy in front of the agent
+
+	connections int                         // 64 when 0
+	via         func(address string) string // returns the address of a proxy in front of the agent
 }
 
 func newHarness(t testing.TB, specs []backendSpec, configure func(*Config)) *harness {
@@ -199,7 +201,8 @@
 	if slots == 0 {
 		slots = 8
 	}
-	d.SetServers([]delivery.Server{{ID: id, Service: "ledger", URL: backend.URL, Slots: slots, Connections: 64}})
+	connections := max(spec.connections, 64)
+	d.SetServers([]delivery.Server{{ID: id, Service: "ledger", URL: backend.URL, Slots: slots, Connections: connections}})
 	server := grpc.NewServer(delivery.ServerOptions()...)
 	d.Register(server)
 	go func() { _ = server.Serve(listener) }()
@@ -216,7 +219,7 @@
 		id: id, region: spec.region, zone: spec.zone, address: address, delivery: d, server: server,
 		servers: []*api.BackendServer{{
 			Id: id, Service: "ledger", Zone: spec.zone, Region: spec.region, AgentAddress: address,
-			Incarnation: incarnation, Slots: uint32(slots), Connections: 64,
+			Incarnation: incarnation, Slots: uint32(slots), Connections: uint32(connections),
 		}},
 	}
 }
--- a/request/doc.go
+++ b/request/doc.go
@@ -12,6 +12,7 @@
 //	Running  -> Finished  by Finish
 //	(absent) -> Fenced    by Lookup with a fence
 //
-// Finished and Fenced are final. They are kept until their retention ends;
+// Finished and Fenced are final. They are kept until their retention ends, those of
+// idempotent attempts not at all: their entries never look them up;
 // when the table is full, new attempts are refused.
 package request
--- a/request/protocol_test.go
+++ b/request/protocol_test.go
@@ -157,7 +157,7 @@
 	if m.incarnation != a.incarnation {
 		return nil, fault.New(fault.NoBackend, "other incarnation")
 	}
-	if err := a.table.Begin(w.now, m.attempt, m.deadline, true, ""); err != nil {
+	if err := a.table.Begin(w.now, m.attempt, m.deadline, modelRetention, ""); err != nil {
 		if fault.Is(err, fault.Conflict) {
 			return nil, fault.New(fault.ConnectionLost, "a doubled message gets no reply of its own")
 		}
--- a/request/table.go
+++ b/request/table.go
@@ -33,11 +33,14 @@
 	Attempts  int           // attempts kept at a time
 	Bytes     int64         // answer bytes kept at a time
 	Reserve   int64         // bytes set aside when an attempt with a kept answer is admitted
-	Retention time.Duration // how long an attempt is kept after its deadline or its end, whichever is later
+	Retention time.Duration // how long a kept attempt or a fence is remembered at least after its deadline or its end, whichever is later
 }
 
-// fenceShare is the part of the table, as a divisor, that only fences may fill.
-const fenceShare = 8
+// Parts of a table, as divisors, that are held free.
+const (
+	fenceShare = 8 // of the attempts, for fences
+	smallShare = 4 // of the bytes, for the reservations of new attempts
+)
 
 // Table is an agent's memory of attempts. A is what the agent keeps of an
 // answer. Times are on the agent's clock, counted from the start of its process.
@@ -54,7 +57,8 @@
 	deadline time.Duration
 	expires  time.Duration // valid once the state is final
 	bytes    int64
-	keep     bool
+	keep     time.Duration // how long the attempt is remembered, 0 when it is dropped at its end
+	dropped  bool          // the answer did not fit
 	answer   A
 }
 
@@ -63,11 +67,13 @@
 	return &Table[A]{limits: limits, records: make(map[string]*record[A])}
 }
 
-// Begin admits an attempt as Waiting. With keep, its answer will be retained
-// and bytes are reserved for it. Errors: fault.Fenced when the attempt was
+// Begin admits an attempt as Waiting. It is remembered, with its answer, for
+// keep after its deadline or its end, and at least for the table's retention.
+// With a keep of 0 it is dropped at its end: its fate can't be looked up, which
+// suits idempotent requests only. Errors: fault.Fenced when the attempt was
 // fenced before it arrived, fault.Conflict when it arrives twice,
 // fault.DeadlineNotRun after its deadline, and fault.Overloaded when the table is full.
-func (t *Table[A]) Begin(now time.Duration, id string, deadline time.Duration, keep bool, answer A) error {
+func (t *Table[A]) Begin(now time.Duration, id string, deadline, keep time.Duration, answer A) error {
 	t.expire(now)
 	if r, known := t.records[id]; known {
 		if r.state == Fenced {
@@ -79,8 +85,9 @@
 		return fault.New(fault.DeadlineNotRun, "the deadline passed before the attempt arrived")
 	}
 	reserve := int64(0)
-	if keep {
+	if keep > 0 {
 		reserve = t.limits.Reserve
+		keep = max(keep, t.limits.Retention)
 	}
 	if len(t.records) >= t.limits.Attempts-t.limits.Attempts/fenceShare || t.bytes+reserve > t.limits.Bytes {
 		return fault.New(fault.Overloaded, "the table of attempts is full")
@@ -118,17 +125,17 @@
 // they fit; if not, the attempt's reservation is released and its answer is not kept.
 func (t *Table[A]) Grow(id string, size int64) bool {
 	r, known := t.records[id]
-	if !known || !r.keep {
+	if !known || r.keep == 0 || r.dropped {
 		return false
 	}
 	more := size - r.bytes
 	if more <= 0 {
 		return true
 	}
-	if t.bytes+more > t.limits.Bytes {
+	if t.bytes+more > t.limits.Bytes-t.limits.Bytes/smallShare {
 		t.bytes -= r.bytes
 		r.bytes = 0
-		r.keep = false
+		r.dropped = true
 		return false
 	}
 	t.bytes += more
@@ -142,7 +149,7 @@
 	if !known || r.state != Running {
 		return
 	}
-	if r.keep && size < r.bytes {
+	if size < r.bytes {
 		t.bytes -= r.bytes - size
 		r.bytes = size
 	}
@@ -160,12 +167,12 @@
 		if fence && r.state == Waiting {
 			t.end(now, r, Fenced)
 		}
-		return r.state, r.answer, r.keep
+		return r.state, r.answer, r.keep > 0 && !r.dropped
 	}
 	if !fence || now >= deadline+t.limits.Retention || len(t.records) >= t.limits.Attempts {
 		return Unknown, none, false
 	}
-	r = &record[A]{id: id, deadline: deadline}
+	r = &record[A]{id: id, deadline: deadline, keep: t.limits.Retention}
 	t.records[id] = r
 	t.end(now, r, Fenced)
 	return Fenced, none, false
@@ -183,9 +190,12 @@
 	if state == Fenced {
 		t.bytes -= r.bytes
 		r.bytes = 0
-		r.keep = false
 	}
-	r.expires = max(now, r.deadline) + t.limits.Retention
+	if r.keep == 0 {
+		delete(t.records, r.id)
+		return
+	}
+	r.expires = max(now, r.deadline) + r.keep
 	heap.Push(&t.expiry, r)
 }
 
--- a/request/table_test.go
+++ b/request/table_test.go
@@ -34,7 +34,7 @@
 			"run one": func(t *rapid.T) {
 				next++
 				id := fmt.Sprint(next)
-				err := table.Begin(now, id, now+time.Second, true, next)
+				err := table.Begin(now, id, now+time.Second, time.Minute, next)
 				if err != nil {
 					if !fault.Is(err, fault.Overloaded) {
 						t.Fatal(err)
@@ -60,15 +60,50 @@
 	})
 }
 
+func TestIdempotentAttemptsDoNotFillTheTable(t *testing.T) {
+	table := NewTable[int](Limits{Attempts: 16, Bytes: 100, Reserve: 10, Retention: time.Minute})
+	for i := range 1000 {
+		id := fmt.Sprint(i)
+		if err := table.Begin(0, id, time.Second, 0, 0); err != nil {
+			t.Fatalf("attempt %d: %v", i, err)
+		}
+		if err := table.Start(0, id); err != nil {
+			t.Fatal(err)
+		}
+		table.Finish(0, id, 50)
+	}
+	if table.Len() != 0 || table.Bytes() != 0 {
+		t.Errorf("%d attempts and %d bytes are left", table.Len(), table.Bytes())
+	}
+}
+
+func TestLargeAnswersLeaveRoomForNewAttempts(t *testing.T) {
+	table := NewTable[int](Limits{Attempts: 100, Bytes: 400, Reserve: 10, Retention: time.Minute})
+	for i := range 10 {
+		id := fmt.Sprint(i)
+		if err := table.Begin(0, id, time.Second, time.Minute, 0); err != nil {
+			t.Fatalf("attempt %d: %v", i, err)
+		}
+		if err := table.Start(0, id); err != nil {
+			t.Fatal(err)
+		}
+		table.Grow(id, 150)
+		table.Finish(0, id, 150)
+	}
+	if state, _, kept := table.Lookup(0, "9", time.Second, true); state != Finished || kept {
+		t.Errorf("the last one is %v, kept %v", state, kept)
+	}
+}
+
 func TestFencedAttemptNeverStarts(t *testing.T) {
 	table := NewTable[int](Limits{Attempts: 8, Bytes: 100, Reserve: 1, Retention: time.Minute})
 	if state, _, _ := table.Lookup(0, "early", time.Second, true); state != Fenced {
 		t.Fatalf("an absent attempt is %v", state)
 	}
-	if err := table.Begin(0, "early", time.Second, true, 0); !fault.Is(err, fault.Fenced) {
+	if err := table.Begin(0, "early", time.Second, time.Minute, 0); !fault.Is(err, fault.Fenced) {
 		t.Fatalf("a fenced attempt was admitted: %v", err)
 	}
-	if err := table.Begin(0, "waiting", time.Second, true, 0); err != nil {
+	if err := table.Begin(0, "waiting", time.Second, time.Minute, 0); err != nil {
 		t.Fatal(err)
 	}
 	if state, _, _ := table.Lookup(0, "waiting", time.Second, true); state != Fenced {
@@ -81,7 +116,7 @@
 
 func TestAttemptAfterItsRetentionIsUnknownNotFenced(t *testing.T) {
 	table := NewTable[int](Limits{Attempts: 8, Bytes: 100, Reserve: 1, Retention: time.Minute})
-	if err := table.Begin(0, "a", time.Second, true, 0); err != nil {
+	if err := table.Begin(0, "a", time.Second, time.Minute, 0); err != nil {
 		t.Fatal(err)
 	}
 	if err := table.Start(0, "a"); err != nil {
@@ -95,7 +130,7 @@
 
 func TestFrozenProcessDoesNotStartAfterTheDeadline(t *testing.T) {
 	table := NewTable[int](Limits{Attempts: 8, Bytes: 100, Reserve: 1, Retention: time.Minute})
-	if err := table.Begin(0, "a", time.Second, true, 0); err != nil {
+	if err := table.Begin(0, "a", time.Second, time.Minute, 0); err != nil {
 		t.Fatal(err)
 	}
 	if err := table.Start(time.Second, "a"); !fault.Is(err, fault.DeadlineNotRun) {
