--- a/control/http_status.go
+++ b/control/http_status.go
@@ -8,6 +8,7 @@
 	"amaranthpaddle/fleet"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/resource"
+	"amaranthpaddle/scheduler"
 	"amaranthpaddle/task"
 )
 
@@ -21,9 +22,14 @@
 	status.Leader, status.Term = node.Leader, node.Term
 	status.Watchers = s.watcherStatus()
 	now := time.Now()
+	observed := s.planner.observedVMs()
 	for i := range status.VMs {
 		vm := &status.VMs[i]
 		vm.LeaseMillis = s.leases.left(vm.ID, now).Milliseconds()
+		vm.Used = operatorResources(observed[vm.ID].used)
+		if vm.State == vmReady && observed[vm.ID].quarantined {
+			vm.State = vmQuarantined
+		}
 	}
 	return status, nil
 }
@@ -53,9 +59,10 @@
 	}
 	s.addVMStatus(status)
 	s.addServiceStatus(status)
+	unplaceable := s.unplaceableJobs()
 	for _, j := range s.tasks.Jobs() {
 		if j.Class == task.Batch {
-			status.Jobs = append(status.Jobs, jobStatus(j))
+			status.Jobs = append(status.Jobs, jobStatus(j, unplaceable[j.Name]))
 		}
 	}
 	return status
@@ -87,16 +94,24 @@
 	}
 }
 
+// The states of a VM as operators see them.
+const (
+	vmReady       = "ready"
+	vmDraining    = "draining"
+	vmQuarantined = "quarantined"
+	vmLost        = "lost"
+)
+
 func vmState(vm *fleet.VM) string {
 	switch {
 	case vm.Lost:
-		return "lost"
+		return vmLost
 	case vm.Suppressed:
-		return "quarantined"
+		return vmQuarantined
 	case vm.Draining || vm.Leaving:
-		return "draining"
+		return vmDraining
 	default:
-		return "ready"
+		return vmReady
 	}
 }
 
@@ -136,7 +151,19 @@
 	return n
 }
 
-func jobStatus(j *task.Job) operatorapi.JobStatus {
+// unplaceableJobs returns why no VM could ever hold a task, by the name of the job.
+func (s *State) unplaceableJobs() map[string]string {
+	reasons := map[string]string{}
+	if s.plan == nil {
+		return reasons
+	}
+	for _, e := range scheduler.Unschedulable(s.plan, s.capacities()) {
+		reasons[e.Job] = e.Reason
+	}
+	return reasons
+}
+
+func jobStatus(j *task.Job, unplaceable string) operatorapi.JobStatus {
 	view := operatorapi.JobStatus{
 		Name:     j.Name,
 		Team:     j.Team,
@@ -157,6 +184,9 @@
 		view.Deadline = &deadline
 	}
 	view.State = jobState(j, view)
+	if unplaceable != "" && view.State == "pending" {
+		view.State, view.Reason = "unplaceable", unplaceable
+	}
 	return view
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -12,19 +12,30 @@
 )
 
 // leaderLoop declares VMs lost, reinstates damped ones, and places and evicts
-// tasks, whenever something changed and at least every loopInterval.
+// tasks, whenever something changed and at least every loopInterval. After a
+// round without decisions the next one waits for a change or quietInterval: a
+// round reads every task, and most rounds of a settled fleet decide nothing.
 func (s *Server) leaderLoop(ctx context.Context) {
 	ticker := time.NewTicker(loopInterval)
 	defer ticker.Stop()
+	changed := true
+	var nextRound time.Time
 	for {
 		s.loseExpired(ctx)
 		s.reinstate(ctx)
-		s.schedule(ctx)
+		if now := time.Now(); changed || !now.Before(nextRound) {
+			nextRound = now.Add(quietInterval)
+			if s.schedule(ctx) > 0 {
+				nextRound = now.Add(loopInterval)
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			changed = false
 		case <-s.work:
+			changed = true
 		}
 	}
 }
@@ -38,6 +49,7 @@
 	}
 	for _, vm := range s.leases.takeExpired(vms, time.Now()) {
 		klog.InfoS("VM lost", "vm", vm)
+		s.metrics.vmsLost.Inc()
 		_, err := s.commit(ctx, &api.Command{Body: &api.Command_LoseVm{LoseVm: &api.LoseVM{
 			Vm:          vm,
 			Incarnation: incarnations[vm],
@@ -78,24 +90,28 @@
 	return s.registry.NeedsReinstate(now.UnixMilli())
 }
 
-// schedule takes one round of decisions and commits them.
-func (s *Server) schedule(ctx context.Context) {
+// schedule takes one round of decisions, commits them and returns how many there were.
+func (s *Server) schedule(ctx context.Context) int {
 	now := time.Now()
 	snapshot := s.planner.snapshot(now, s.inTouch(now))
 	if snapshot == nil {
-		return
+		return 0
 	}
-	s.carryOut(ctx, s.config.Decide(snapshot), now)
+	decisions := s.config.Decide(snapshot)
+	s.metrics.decide.UpdateDuration(now)
+	s.carryOut(ctx, decisions, now)
+	return len(decisions)
 }
 
 // inTouch returns a function that tells whether a VM's agent reported within
 // the freshness bound and a heartbeat.
 func (s *Server) inTouch(now time.Time) func(string) bool {
+	bound := s.touchBound()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	heard := make(map[string]bool, len(s.sessions))
 	for vm, session := range s.sessions {
-		heard[vm] = now.Sub(session.view.heard) < 2*s.config.Fresh
+		heard[vm] = now.Sub(session.view.heard) < bound
 	}
 	return func(vm string) bool { return heard[vm] }
 }
@@ -114,6 +130,7 @@
 			evict = append(evict, d)
 		case scheduler.Throttle:
 			s.planner.throttle(d)
+			s.metrics.throttles.Inc()
 			s.planner.decided(d, now)
 			s.notifyVM(d.VM)
 		}
@@ -155,14 +172,24 @@
 	}
 	for i, d := range decisions {
 		if refused := result.Refusals[i]; refused != "" {
+			s.metrics.refused.Inc()
 			klog.V(1).InfoS("Decision no longer held", "action", d.Action, "task", d.Task, "reason", refused)
 			continue
 		}
 		s.planner.decided(d, now)
+		s.countDecision(d)
 		klog.V(1).InfoS("Decision committed", "action", d.Action, "task", d.Task, "vm", d.VM, "reason", d.Reason)
 	}
 }
 
+func (s *Server) countDecision(d *scheduler.Decision) {
+	if d.Action == scheduler.Place {
+		s.metrics.placements.Inc()
+		return
+	}
+	s.metrics.evictions.Inc()
+}
+
 func (s *Server) notifyVM(vm string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/control/watch_test.go
+++ b/control/watch_test.go
@@ -78,6 +78,22 @@
 	})
 }
 
+func TestWatchersLearnOfADrainInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{})
+		s.connect(t, testVM("vm", "a"), 1, []*api.BackendServer{testBackend("server", "vm")}).next(t)
+		w := s.watchFrom(t, 0)
+		synctest.Wait()
+		w.takeAll(t)
+		s.mustPost(t, operatorapi.PathVMs+"vm/drain", "c1", nil)
+		time.Sleep(drainTarget)
+		w.takeAll(t)
+		if server := w.directory.Server("server"); server == nil || !server.Leaving {
+			t.Fatalf("server %v", server)
+		}
+	})
+}
+
 func TestAnIdleWatcherGetsDigests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{})
@@ -97,8 +113,9 @@
 		early := s.watchFrom(t, 0)
 		synctest.Wait()
 		s.node.setQuorum(false)
-		if err := <-s.watchFrom(t, 0).done; !fault.Is(err, fault.NoQuorum) {
-			t.Fatalf("new watch: %v", err)
+		late := s.watchFrom(t, 0)
+		if err := <-late.done; !fault.Is(err, fault.NoQuorum) || len(late.stream.out) > 0 {
+			t.Fatalf("new watch: %v, %d updates", err, len(late.stream.out))
 		}
 		if err := <-early.done; !fault.Is(err, fault.NoQuorum) {
 			t.Fatalf("early watch: %v", err)
--- a/session/session.go
+++ b/session/session.go
@@ -17,13 +17,14 @@
 )
 
 const (
-	heartbeatInterval = 2 * time.Second
-	heartbeatJitter   = 0.2 // of heartbeatInterval, either way
+	heartbeatInterval = 2 * time.Second // until the leader names another one
+	heartbeatJitter   = 0.2             // of the interval, either way
 	pollInterval      = 250 * time.Millisecond
 	workerTimeout     = 1 * time.Second
 	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
 	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
 	usagePollInterval = 1 * time.Second
+	silentHeartbeats  = 2.5 // intervals without a directive, after which the connection is given up
 	reconnectMin      = 50 * time.Millisecond
 	reconnectMax      = 1 * time.Second
 )
@@ -50,7 +51,7 @@
 // Config is the configuration of a Session.
 type Config struct {
 	VM               *api.VM
-	Incarnation      uint64
+	Incarnation      uint64   // higher than that of earlier processes of this agent
 	ControlAddresses []string // ip:port of the control replicas
 	Security         *transport.Security
 	Worker           Worker
@@ -81,7 +82,9 @@
 	throttles   map[runKey]*api.ThrottleTask
 	leaving     bool
 	helloNeeded bool
-	leader      string // address to try first
+	heartbeat   time.Duration // between reports
+	heard       time.Time     // when the session began or its last directive came
+	leader      string        // address to try first
 	announced   <-chan struct{}
 }
 
@@ -102,6 +105,7 @@
 		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
+		heartbeat: heartbeatInterval,
 	}
 }
 
@@ -210,6 +214,7 @@
 	defer s.mu.Unlock()
 	s.outbox.reset()
 	s.helloNeeded = true
+	s.heard = time.Now()
 }
 
 func (s *Session) receiveLoop(stream grpc.BidiStreamingClient[api.AgentReport, api.Directive]) error {
@@ -237,9 +242,14 @@
 }
 
 func (s *Session) takeDirective(directive *api.Directive) {
+	now := time.Now()
 	s.mu.Lock()
+	s.heard = now
+	s.heartbeat = heartbeatInterval
+	if directive.HeartbeatMs > 0 {
+		s.heartbeat = time.Duration(directive.HeartbeatMs) * time.Millisecond
+	}
 	s.holder.Grant(directive)
-	now := time.Now()
 	for _, start := range directive.Start {
 		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now}
 	}
@@ -261,12 +271,15 @@
 	received <-chan error,
 ) error {
 	for {
+		if s.silent(time.Now()) {
+			return fault.New(fault.ConnectionLost, "the control replica is silent")
+		}
 		if report := s.nextReport(time.Now()); report != nil {
 			if err := stream.Send(report); err != nil {
 				return <-received
 			}
 		}
-		timer := time.NewTimer(jitter(heartbeatInterval))
+		timer := time.NewTimer(jitter(s.interval()))
 		select {
 		case <-timer.C:
 		case <-s.report:
@@ -282,6 +295,21 @@
 	}
 }
 
+// silent reports whether the session has gone without directives for so long
+// that its connection may be dead while new ones would work.
+func (s *Session) silent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.heard) > time.Duration(silentHeartbeats*float64(s.heartbeat))
+}
+
+// interval returns the present time between reports.
+func (s *Session) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heartbeat
+}
+
 // announcementChanged returns the channel that was taken before the announcement
 // was last read, so that no change in between is missed.
 func (s *Session) announcementChanged() <-chan struct{} {
