--- a/entry/body.go
+++ b/entry/body.go
@@ -4,9 +4,11 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/blob"
@@ -31,18 +33,18 @@
 func (b *body) stored() bool { return b.size > chunkedBody }
 
 // readBody takes in the caller's body. Memory is bounded: a long one goes to
-// the store. A caller that stalls is cut off.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (*body, error) {
+// the store. A caller that stalls, or is not done by the deadline, is refused.
+func (e *Entry) readBody(s *sink, r *http.Request, deadline time.Time) (*body, error) {
 	if r.ContentLength > e.config.MaxBody {
 		return nil, fault.Newf(fault.TooLarge, "the body exceeds %d bytes", e.config.MaxBody)
 	}
 	if r.Body == nil || r.Body == http.NoBody {
 		return &body{}, nil
 	}
-	reader := &patientReader{control: http.NewResponseController(w), body: r.Body}
+	reader := &patientReader{sink: s, body: r.Body, deadline: deadline}
 	small, err := io.ReadAll(io.LimitReader(reader, chunkedBody+1))
 	if err != nil {
-		return nil, fault.Wrap(fault.InvalidArgument, err, "read the request body")
+		return nil, bodyError(err)
 	}
 	if len(small) <= chunkedBody {
 		return &body{small: small, size: int64(len(small))}, nil
@@ -71,22 +73,35 @@
 			break
 		}
 		if err != nil {
-			return nil, fault.Wrap(fault.InvalidArgument, err, "read the request body")
+			return nil, bodyError(err)
 		}
 	}
 	digest, err := writer.Commit(blob.Digest{})
 	return &body{digest: digest, size: writer.Size()}, err
 }
 
-// patientReader gives the caller callerStall for each read.
+// bodyError names the failure to read a caller's body. Nothing ran.
+func bodyError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fault.Wrap(fault.DeadlineNotRun, err, "the request body did not arrive in time")
+	}
+	return fault.Wrap(fault.InvalidArgument, err, "read the request body")
+}
+
+// patientReader gives the caller a bounded time for each read.
 type patientReader struct {
-	control *http.ResponseController
-	body    io.Reader
+	sink     *sink
+	body     io.Reader
+	deadline time.Time // of the whole body, zero for none
 }
 
 // Read reads the next bytes of the caller's body.
 func (p *patientReader) Read(b []byte) (int, error) {
-	_ = p.control.SetReadDeadline(time.Now().Add(callerStall))
+	until := time.Now().Add(p.sink.stall)
+	if !p.deadline.IsZero() && p.deadline.Before(until) {
+		until = p.deadline
+	}
+	_ = p.sink.control.SetReadDeadline(until)
 	return p.body.Read(b)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	defaultMaxBody     = 64 << 20 // bytes
 	defaultDrainNotice = 2 * time.Second
 	defaultLinks       = 2
+	defaultCallerStall = 30 * time.Second
 )
 
 // Bounds on callers' connections.
@@ -33,7 +34,6 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	callerStall    = 30 * time.Second // without progress in reading a body or writing an answer
 )
 
 // Config is what an Entry needs to run. Zero limits take the defaults.
@@ -51,6 +51,7 @@
 	BlobDir     string        // folder of bodies in transfer, a temporary one when empty
 	BlobBytes   int64         // bytes of bodies kept at a time
 	LinkRate    int64         // this entry's share of the link to other regions, bytes/s each way; 0 for no limit
+	CallerStall time.Duration // without progress of a caller who sends a body or takes an answer
 	DrainNotice time.Duration // between readiness failing and the end of the listener
 }
 
@@ -123,6 +124,9 @@
 	if config.DrainNotice == 0 {
 		config.DrainNotice = defaultDrainNotice
 	}
+	if config.CallerStall == 0 {
+		config.CallerStall = defaultCallerStall
+	}
 	if config.Links == 0 {
 		config.Links = defaultLinks
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -24,6 +24,8 @@
 	mux.HandleFunc(pathReady, e.serveReady)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == pathLive || r.URL.Path == pathReady {
+			// An earlier request may have left its deadline on the connection.
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 			mux.ServeHTTP(w, r)
 			return
 		}
@@ -42,7 +44,7 @@
 // serve answers one caller.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	s := newSink(w, r)
+	s := newSink(w, r, e.config.CallerStall)
 	if e.active.Add(1) > int64(e.config.MaxRequests) {
 		e.active.Add(-1)
 		s.refuse(fault.New(fault.Overloaded, "too many requests are in progress"))
@@ -108,7 +110,7 @@
 		x.timer = time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
 		defer x.timer.Stop()
 	}
-	if x.body, err = e.readBody(w, r); err != nil {
+	if x.body, err = e.readBody(s, r, x.deadline); err != nil {
 		return x, err
 	}
 	if parsed.NeedsClaim() {
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -22,14 +22,15 @@
 	control *http.ResponseController
 	head    bool // the caller asked for the head only
 	begun   bool
+	stall   time.Duration // that the caller may take for the next bytes
 
 	mu      sync.Mutex // guards writes, which a keep-alive may make too
 	written time.Time  // of the last bytes
 	events  bool       // an event stream, in which comments may stand
 }
 
-func newSink(w http.ResponseWriter, r *http.Request) *sink {
-	return &sink{w: w, control: http.NewResponseController(w), head: r.Method == http.MethodHead}
+func newSink(w http.ResponseWriter, r *http.Request, stall time.Duration) *sink {
+	return &sink{w: w, control: http.NewResponseController(w), head: r.Method == http.MethodHead, stall: stall}
 }
 
 // begin writes the head. A length of -1 means that the answer is passed on as
@@ -69,7 +70,7 @@
 }
 
 // extend gives the caller more time to take the next bytes.
-func (s *sink) extend() { _ = s.control.SetWriteDeadline(time.Now().Add(callerStall)) }
+func (s *sink) extend() { _ = s.control.SetWriteDeadline(time.Now().Add(s.stall)) }
 
 func (s *sink) write(p []byte, flush bool) error {
 	if len(p) == 0 && !flush {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -229,3 +230,44 @@
 		t.Error("a request with half a body ran")
 	}
 }
+
+func TestCallerThatTricklesItsBodyIsRefusedAtItsDeadline(t *testing.T) {
+	var runs atomic.Int64
+	h := newHarness(t, []backendSpec{{handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) })}}, nil)
+	conn, err := net.Dial("tcp", h.entry.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	head := "POST /ledger/charge HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\nPaddle-Deadline-Ms: 300\r\n\r\n"
+	if _, err := io.WriteString(conn, head); err != nil {
+		t.Fatal(err)
+	}
+	trickling, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() {
+		for sleep(trickling, 20*time.Millisecond) {
+			if _, err := io.WriteString(conn, "x"); err != nil {
+				return
+			}
+		}
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if response.Header.Get("Paddle-Outcome") != "not-run" || response.StatusCode != http.StatusGatewayTimeout || runs.Load() != 0 {
+		t.Errorf("got %d %v after %d runs", response.StatusCode, response.Header, runs.Load())
+	}
+}
+
+func TestAnswerMayTakeLongerThanACallerMayStall(t *testing.T) {
+	h := newHarness(t, []backendSpec{{handler: slowEcho(500 * time.Millisecond)}}, func(c *Config) { c.CallerStall = 100 * time.Millisecond })
+	for range 2 {
+		a, err := h.do("POST", "/ledger/charge", "toll", nil)
+		if err != nil || a.body != "toll" || a.outcome != "done" {
+			t.Errorf("got %+v, %v", a, err)
+		}
+	}
+}
