--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -77,7 +77,7 @@
 		{"entry.ini", ";# queue_time = 500ms", "queue_time = -1s", `[limits] queue_time = "-1s": is not from 1ms to 1m0s`},
 		{"entry.ini", ";# max_body = 64MiB", "max_body = 64MB", `[limits] max_body = "64MB": is not a size`},
 		{"entry.ini", ";# max_body = 64MiB", "max_body = 0B", `[limits] max_body = "0B": is not from 1`},
-		{"entry.ini", ";# max_requests = 4096", "max_requests = many", `[limits] max_requests = "many": is not a whole number`},
+		{"entry.ini", ";# max_requests = 2048", "max_requests = many", `[limits] max_requests = "many": is not a whole number`},
 		{"entry.ini", "callers = 10.1.0.21:8080", "callers = localhost:8080", `[listen] callers = "localhost:8080": is not an ip:port`},
 		{"entry.ini", "callers = 10.1.0.21:8080", "callers = 10.1.0.21:80800", "is not an ip:port"},
 		{"entry.ini", "10.1.0.12:7071", "10.1.0.11:7071", `"10.1.0.11:7071" stands twice`},
