control: an answer rests on a confirmation that began after its report

Cause: a leader that is paused together with its clock (a VM that its platform stops) measures the age of its last confirmation too short, and could grant a lease after another leader had taken the VM for lost.

Change: confirmations are made on demand, at most every 50 ms for all agents together, and the answer to a report waits for one that began after it arrived. Only the order of events counts then, not the leader's clock.

--- a/control/config.go
+++ b/control/config.go
@@ -15,8 +15,9 @@
 	defaultClaimKeep     = 24 * time.Hour
 	defaultClaimLimit    = 300_000
 	confirmInterval      = 400 * time.Millisecond
+	confirmSpacing       = 50 * time.Millisecond // at least, between confirmations
 	confirmTimeout       = 2 * time.Second
-	confirmMaxAge        = 1 * time.Second // of the confirmation that an answer rests on
+	confirmMaxAge        = 1 * time.Second // of the confirmation that a pushed directive rests on
 	proposeTimeout       = 5 * time.Second
 	resendAfter          = 3 * time.Second // a directive whose effect was not reported
 	loopInterval         = 500 * time.Millisecond
--- a/control/confirm.go
+++ b/control/confirm.go
@@ -18,22 +18,32 @@
 	mu      sync.Mutex
 	began   time.Time
 	changed chan struct{} // closed at the next confirmation
+	demand  chan struct{} // a newer confirmation is waited for
 }
 
 func newConfirmer(node replica.Node, interval time.Duration) *confirmer {
-	return &confirmer{node: node, interval: interval, changed: make(chan struct{})}
+	return &confirmer{node: node, interval: interval, changed: make(chan struct{}), demand: make(chan struct{}, 1)}
 }
 
-// run confirms again and again until ctx ends.
+// run confirms on demand, no closer than confirmSpacing, and at least every
+// interval, until ctx ends.
 func (c *confirmer) run(ctx context.Context, term uint64) {
-	ticker := time.NewTicker(c.interval)
-	defer ticker.Stop()
+	idle := time.NewTicker(c.interval)
+	defer idle.Stop()
+	spacing := time.NewTicker(confirmSpacing)
+	defer spacing.Stop()
 	for {
 		c.confirm(ctx, term)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-spacing.C:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.demand:
+		case <-idle.C:
 		}
 	}
 }
@@ -81,6 +91,7 @@
 		if !began.IsZero() && !began.Before(notBefore) {
 			return began, nil
 		}
+		signal(c.demand)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/control/doc.go
+++ b/control/doc.go
@@ -17,11 +17,13 @@
 // # Leases and freshness
 //
 // An agent counts its lease from when it sent the report, the leader from when
-// it answered, plus a margin for clock drift. A lease never outlasts the start
-// of the quorum confirmation that it rests on by more than the lease duration,
-// so a new leader that waits one lease and the margin after its election has
-// waited out every lease that an earlier leader granted. Freshness of
-// zone_in_service is bounded in the same way.
+// it answered, plus a margin for clock drift. The answer to a report rests on a
+// quorum confirmation that began after the report arrived, so a later leader was
+// elected after the report was sent. When it waits one lease and the margin, it
+// has waited out every lease that an earlier leader granted, even if that leader
+// was paused with its clock. Directives that are pushed between reports never
+// reach further than one lease after the last report, and their freshness no
+// further than the bound after the start of their confirmation.
 //
 // # Lock order
 //
--- a/control/session.go
+++ b/control/session.go
@@ -265,18 +265,22 @@
 	return changing
 }
 
-// answer sends the directive that answers the acknowledged report.
+// answer sends the directive that answers the acknowledged report. It rests on
+// a confirmation that began after the report arrived: a new leader is elected
+// later than that, whatever pause this process or its clock had.
 func (c *session) answer(ctx context.Context) error {
-	d, err := c.build(ctx)
+	d, err := c.build(ctx, c.received)
 	if err != nil {
 		return err
 	}
 	return c.send(d)
 }
 
-// push sends a directive without a report, if there is anything new in it.
+// push sends a directive without a report, if there is anything new in it. Its
+// permissions are counted from the last report, so that an earlier
+// confirmation will do.
 func (c *session) push(ctx context.Context) error {
-	d, err := c.build(ctx)
+	d, err := c.build(ctx, time.Now().Add(-confirmMaxAge))
 	if err != nil {
 		return err
 	}
@@ -293,10 +297,11 @@
 }
 
 // build returns the directive for the present state. Lease and freshness rest
-// on a quorum confirmation and are counted from the acknowledged report.
-func (c *session) build(ctx context.Context) (*api.Directive, error) {
+// on a quorum confirmation that did not begin before the time, and are counted
+// from the acknowledged report.
+func (c *session) build(ctx context.Context, notBefore time.Time) (*api.Directive, error) {
 	server := c.server
-	confirmed, err := server.confirms.wait(ctx, time.Now().Add(-confirmMaxAge))
+	confirmed, err := server.confirms.wait(ctx, notBefore)
 	if err != nil {
 		return nil, err
 	}
