control: the scheduler learns since when a zone or VM is being emptied; stricter tests

Two broken rules had survived the tests: no capacity check in the committer, and an answer that rests on an older confirmation.

Change: zones and VMs keep when they left service, in the replicated state; an agent that leaves lets nothing run on. A direct test of the committer's capacity check; a report is answered only after a confirmation that began later (an equal time does not count either). Light agents report usage, since the scheduler tries only two tasks of a job per VM before it has seen any.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -133,12 +133,8 @@
 			return
 		}
 		a.zoneIn.Store(d.ZoneInService)
-		var started []*api.TaskStatus
-		for _, start := range d.Start {
-			started = append(started, &api.TaskStatus{Task: start.Task, Generation: start.Generation, Phase: api.TaskPhase_TASK_PHASE_RUNNING})
-		}
-		if len(started) > 0 {
-			_ = a.send(&api.AgentReport{Incarnation: 1, Tasks: started})
+		if len(d.Start) > 0 {
+			_ = a.send(startedReport(d.Start))
 		}
 		select {
 		case a.answered <- d.Acknowledged:
@@ -147,6 +143,19 @@
 	}
 }
 
+// startedReport reports runs as running, with a first sample of their use.
+func startedReport(starts []*api.StartTask) *api.AgentReport {
+	report := &api.AgentReport{Incarnation: 1}
+	now := time.Now().UnixMilli()
+	for _, start := range starts {
+		report.Tasks = append(report.Tasks, &api.TaskStatus{Task: start.Task, Generation: start.Generation, Phase: api.TaskPhase_TASK_PHASE_RUNNING})
+		report.Usage = append(report.Usage, &api.UsageSample{
+			Task: start.Task, Generation: start.Generation, StartUnixMs: now - 1000, EndUnixMs: now, Used: start.Grant, Speed: 1,
+		})
+	}
+	return report
+}
+
 func (a *lightAgent) followWatch(watch grpc.ServerStreamingClient[api.DirectoryUpdate]) {
 	for {
 		update, err := watch.Recv()
--- a/control/confirm.go
+++ b/control/confirm.go
@@ -79,7 +79,7 @@
 	c.began = time.Time{}
 }
 
-// wait returns the beginning of a confirmation that is not before the time.
+// wait returns the beginning of a confirmation that began after the time.
 // It returns fault.NoQuorum when none comes.
 func (c *confirmer) wait(ctx context.Context, notBefore time.Time) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
@@ -88,7 +88,7 @@
 		c.mu.Lock()
 		began, changed := c.began, c.changed
 		c.mu.Unlock()
-		if !began.IsZero() && !began.Before(notBefore) {
+		if began.After(notBefore) {
 			return began, nil
 		}
 		signal(c.demand)
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -367,3 +367,23 @@
 		}
 	})
 }
+
+func TestAReportIsAnsweredOnlyAfterAConfirmationThatBeganLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{})
+		agent := s.connect(t, testVM("vm", "a"), 1, nil)
+		agent.next(t)
+		synctest.Wait()
+		s.node.setQuorum(false)
+		agent.report()
+		time.Sleep(confirmMaxAge / 2)
+		synctest.Wait()
+		if len(agent.stream.out) > 0 {
+			t.Fatalf("answered on an earlier confirmation: %v", <-agent.stream.out)
+		}
+		s.node.setQuorum(true)
+		if d := agent.next(t); d.LeaseMs == 0 {
+			t.Fatalf("directive %v", d)
+		}
+	})
+}
--- a/control/planner.go
+++ b/control/planner.go
@@ -147,9 +147,32 @@
 		view.InService = z.inService()
 		view.InSince = time.UnixMilli(max(vm.InSinceMS, z.inSinceMS))
 	}
+	view.OutSince = s.outSince(vm)
 	return view
 }
 
+// outSince returns when the VM or its zone began to be emptied; the first of
+// both decides how long work may take to finish there. It is zero when neither
+// is, and when the agent waits for nothing but its last run to stop.
+func (s *State) outSince(vm *fleet.VM) time.Time {
+	var since time.Time
+	if vm.Leaving {
+		return since
+	}
+	if vm.Draining {
+		since = time.UnixMilli(vm.OutSinceMS)
+	}
+	z := s.zones[vm.Zone]
+	if z == nil || z.inService() {
+		return since
+	}
+	out := time.UnixMilli(z.outSinceMS)
+	if since.IsZero() || out.Before(since) {
+		return out
+	}
+	return since
+}
+
 // observe learns from the usage in an agent's report.
 func (p *planner) observe(vm string, samples []*api.UsageSample, now time.Time) {
 	if len(samples) == 0 {
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -84,7 +84,9 @@
 func TestAZoneOutMovesWorkWithItsCheckpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestServer(t, Config{Decide: scheduler.Decide})
-		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, batchPlan(1, 1, resource.Vector{MilliCPU: 1000, MemoryMiB: 1024})))
+		p := batchPlan(1, 1, resource.Vector{MilliCPU: 1000, MemoryMiB: 1024})
+		p.Jobs[0].RunTime = 6 * time.Hour // cannot finish before the zone must be empty
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, p))
 		first := s.connectWorker(t, testVM("vm-1", "a"), false)
 		time.Sleep(5 * time.Second)
 		second := s.connectWorker(t, testVM("vm-2", "b"), false)
@@ -220,3 +222,23 @@
 		}
 	})
 }
+
+func TestShortWorkMayEndInAZoneThatIsOutButNotOnAVMThatLeaves(t *testing.T) {
+	s := NewState()
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(t, testPlan(1, 1))}}})
+	announce := &api.AnnounceVM{Vm: testVM("vm", "a"), Incarnation: 1}
+	applyTo(s, &api.Command{NowMs: 1000, Body: &api.Command_AnnounceVm{AnnounceVm: announce}})
+	if !s.outSince(s.registry.VM("vm")).IsZero() {
+		t.Error("a VM in service is being emptied")
+	}
+	applyTo(s, &api.Command{NowMs: 2000, Body: &api.Command_SetDrain{SetDrain: &api.SetDrain{Vm: "vm", Drain: true, ChangeId: "c1"}}})
+	applyTo(s, &api.Command{NowMs: 3000, Body: &api.Command_SetZone{SetZone: &api.SetZone{Zone: "a", ChangeId: "c2"}}})
+	if since := s.outSince(s.registry.VM("vm")); since.UnixMilli() != 2000 {
+		t.Errorf("being emptied since %v", since)
+	}
+	announce.Leaving = true
+	applyTo(s, &api.Command{NowMs: 4000, Body: &api.Command_AnnounceVm{AnnounceVm: announce}})
+	if !s.outSince(s.registry.VM("vm")).IsZero() {
+		t.Error("work may go on on a VM whose agent leaves")
+	}
+}
--- a/control/session.go
+++ b/control/session.go
@@ -297,8 +297,8 @@
 }
 
 // build returns the directive for the present state. Lease and freshness rest
-// on a quorum confirmation that did not begin before the time, and are counted
-// from the acknowledged report.
+// on a quorum confirmation that began after the time, and are counted from the
+// acknowledged report.
 func (c *session) build(ctx context.Context, notBefore time.Time) (*api.Directive, error) {
 	server := c.server
 	confirmed, err := server.confirms.wait(ctx, notBefore)
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -114,6 +114,7 @@
 			PlannedIn:   z.plannedIn,
 			OperatorOut: z.operatorOut,
 			InSinceMs:   z.inSinceMS,
+			OutSinceMs:  z.outSinceMS,
 		})
 	}
 	return list
@@ -121,6 +122,6 @@
 
 func (s *State) decodeZones(list []*api.ZoneState) {
 	for _, z := range list {
-		s.zones[z.Name] = &zone{z.Name, z.Region, z.PlannedIn, z.OperatorOut, z.InSinceMs}
+		s.zones[z.Name] = &zone{z.Name, z.Region, z.PlannedIn, z.OperatorOut, z.InSinceMs, z.OutSinceMs}
 	}
 }
--- a/control/state_fleet.go
+++ b/control/state_fleet.go
@@ -18,6 +18,7 @@
 	plannedIn   bool  // by the plan in force, or by an operator after it
 	operatorOut bool  // taken out by an operator, until one puts it in again
 	inSinceMS   int64 // when the zone last came into service
+	outSinceMS  int64 // when the zone last left service
 }
 
 func (z *zone) inService() bool { return z.plannedIn && !z.operatorOut }
@@ -70,6 +71,9 @@
 	if in && !was {
 		z.inSinceMS = s.nowMS
 	}
+	if was && !in {
+		z.outSinceMS = s.nowMS
+	}
 	s.tasks.SetZone(z.name, in)
 	s.publisher.SetZone(&api.Zone{Name: z.name, Region: z.region, InService: in})
 }
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -338,3 +338,19 @@
 		}
 	}
 }
+
+func TestTheCommitterNeverGrantsMoreThanAVMHas(t *testing.T) {
+	s := NewState()
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(t, testPlan(1, 3))}}})
+	applyTo(s, &api.Command{Body: &api.Command_AnnounceVm{AnnounceVm: &api.AnnounceVM{Vm: testVM("vm", "a"), Incarnation: 1}}})
+	batch := &api.PlaceTasks{}
+	for i := range 3 {
+		batch.Placements = append(batch.Placements, &api.Placement{
+			Task: fmt.Sprintf("job/sort/%d", i), Generation: 1, Vm: "vm", Grant: &api.Resources{MilliCpu: 1500, MemoryMib: 512},
+		})
+	}
+	result := applyTo(s, &api.Command{Body: &api.Command_PlaceTasks{PlaceTasks: batch}})
+	if result.Refusals[0] != "" || result.Refusals[1] != "" || result.Refusals[2] == "" {
+		t.Fatalf("refusals %q", result.Refusals)
+	}
+}
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -40,6 +40,7 @@
 		Suppressed:  v.Suppressed,
 		Servers:     v.Servers(),
 		InSinceMs:   v.InSinceMS,
+		OutSinceMs:  v.OutSinceMS,
 		LostMs:      v.lostMS,
 	}
 }
@@ -68,6 +69,7 @@
 		Lost:        record.Lost,
 		Suppressed:  record.Suppressed,
 		InSinceMS:   record.InSinceMs,
+		OutSinceMS:  record.OutSinceMs,
 		lostMS:      record.LostMs,
 		servers:     make(map[string]*api.BackendServer, len(record.Servers)),
 		flap:        flapScore{record.FlapPenalty, record.FlapMs},
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -23,6 +23,7 @@
 	Lost        bool   // the lease expired without a renewal
 	Suppressed  bool   // withheld because it flaps
 	InSinceMS   int64  // when the VM last began to take work, Unix milliseconds
+	OutSinceMS  int64  // when the VM last began to drain or leave
 
 	servers map[string]*api.BackendServer
 	flap    flapScore
@@ -233,6 +234,9 @@
 	if !before && v.TakesWork() {
 		v.InSinceMS = nowMS
 	}
+	if before && (v.Draining || v.Leaving) {
+		v.OutSinceMS = nowMS
+	}
 }
 
 func (v *VM) noteFlap(nowMS int64) {
