--- a/control/state_test.go
+++ b/control/state_test.go
@@ -167,8 +167,8 @@
 	placeable := known != nil && known.TakesWork() && m.state.inService(known.Zone)
 	result := m.apply(t, &api.Command{Body: &api.Command_PlaceTasks{PlaceTasks: &api.PlaceTasks{
 		Placements: []*api.Placement{{
-			Task: k.ID, Generation: k.Generation + rapid.Uint64Range(0, 2).Draw(t, "step"), Vm: vm,
-			Grant: fleet.Resources(resource.Vector{MilliCPU: rapid.Int64Range(500, 3000).Draw(t, "cpu"), MemoryMiB: 512}),
+			Task: k.ID, Generation: k.Generation + rapid.SampledFrom([]uint64{1, 1, 1, 0, 2}).Draw(t, "step"), Vm: vm,
+			Grant: fleet.Resources(resource.Vector{MilliCPU: rapid.Int64Range(1500, 3500).Draw(t, "cpu"), MemoryMiB: 512}),
 		}},
 	}}})
 	if result.Refusals[0] == "" && !placeable {
@@ -272,7 +272,13 @@
 
 func TestStateMachineKeepsItsRules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		t.Repeat(rapid.StateMachineActions(newStateMachine()))
+		m := newStateMachine()
+		for range 4 {
+			m.SubmitPlan(t)
+			m.Announce(t)
+			m.Announce(t)
+		}
+		t.Repeat(rapid.StateMachineActions(m))
 	})
 }
 
@@ -332,3 +338,19 @@
 		}
 	}
 }
+
+func TestTheCommitterNeverGrantsMoreThanAVMHas(t *testing.T) {
+	s := NewState()
+	applyTo(s, &api.Command{Body: &api.Command_SubmitPlan{SubmitPlan: &api.SubmitPlan{Plan: compressedPlan(t, testPlan(1, 3))}}})
+	applyTo(s, &api.Command{Body: &api.Command_AnnounceVm{AnnounceVm: &api.AnnounceVM{Vm: testVM("vm", "a"), Incarnation: 1}}})
+	batch := &api.PlaceTasks{}
+	for i := range 3 {
+		batch.Placements = append(batch.Placements, &api.Placement{
+			Task: fmt.Sprintf("job/sort/%d", i), Generation: 1, Vm: "vm", Grant: &api.Resources{MilliCpu: 1500, MemoryMib: 512},
+		})
+	}
+	result := applyTo(s, &api.Command{Body: &api.Command_PlaceTasks{PlaceTasks: batch}})
+	if result.Refusals[0] != "" || result.Refusals[1] != "" || result.Refusals[2] == "" {
+		t.Fatalf("refusals %q", result.Refusals)
+	}
+}
