health: probation ends after ten minutes without work to try the VM with

Cause: only batch probes a VM on probation; in a fleet that runs services alone the VM would have stayed there for ever. Change: trusted again after ten minutes; the codec's comment no longer promises equal bytes across processes, which gob does not give. Conclusion: quarantine always ends.

--- a/scheduler/health/tracker.go
+++ b/scheduler/health/tracker.go
@@ -24,7 +24,8 @@
 	maxFleetShare    = 0.2
 	firstQuarantine  = time.Minute
 	maxQuarantine    = 30 * time.Minute
-	probationSuccess = 2 // successes in a row that end a probation
+	probationSuccess = 2                // successes in a row that end a probation
+	maxProbation     = 10 * time.Minute // after which a VM that got no work to fail is trusted again
 )
 
 // State says how far a VM is trusted.
@@ -95,12 +96,16 @@
 	}
 	h.streak++
 	if h.streak >= probationSuccess {
-		h.state = Trusted
-		h.failures = map[string]float64{}
-		h.relapses = 0
+		h.trust()
 	}
 }
 
+func (h *vmHealth) trust() {
+	h.state = Trusted
+	h.failures = map[string]float64{}
+	h.relapses = 0
+}
+
 // Failed records that a task of the job failed on the VM.
 func (t *Tracker) Failed(now time.Time, vm, job string) {
 	h := t.vm(vm, now)
@@ -136,6 +141,9 @@
 			h.state = Probation
 			h.streak = 0
 		}
+		if h.state == Probation && now.Sub(h.until) >= maxProbation {
+			h.trust()
+		}
 		if h.state != Trusted {
 			held++
 		}
--- a/scheduler/health/tracker_test.go
+++ b/scheduler/health/tracker_test.go
@@ -112,3 +112,15 @@
 		t.Errorf("%d of 20 VMs quarantined, want 4", held)
 	}
 }
+
+func TestProbationEndsWhenThereIsNothingToTryTheVMWith(t *testing.T) {
+	vms := names(11)
+	tracker := NewTracker()
+	work(tracker, start, vms, 1)
+	tracker.Review(start, vms, never)
+	at := start.Add(firstQuarantine)
+	tracker.Review(at.Add(maxProbation-time.Second), vms, never)
+	wantStates(t, tracker, vms, map[string]State{"vm-00": Probation})
+	tracker.Review(at.Add(maxProbation), vms, never)
+	wantStates(t, tracker, vms, map[string]State{})
+}
--- a/task/codec.go
+++ b/task/codec.go
@@ -11,7 +11,7 @@
 )
 
 // tableRecord is the encoded form of a Table. Its slices are sorted, so that
-// equal tables have equal encodings.
+// the order of maps does not show.
 type tableRecord struct {
 	PlanNumber uint64
 	Day        string
@@ -48,8 +48,8 @@
 	StopReason, LastError       string
 }
 
-// Encode returns the table in a form that Decode reads. Equal tables have
-// equal encodings.
+// Encode returns the table in a form that Decode reads. Replicas must not be
+// compared by it: the numbers of types in it depend on the process.
 func (t *Table) Encode() ([]byte, error) {
 	r := tableRecord{PlanNumber: t.planNumber, Day: t.day, Floor: t.floor}
 	for zone := range t.zonesOut {
