replica: refuse a folder that lost a part of its content

Cause: with the log folder gone and the identity still there, a replica would start with an empty log and no memory of its votes, under an incarnation that the others trust. The new test fails without either of the two checks.

--- a/replica/schedule_test.go
+++ b/replica/schedule_test.go
@@ -97,6 +97,9 @@
 	if err := node.fs.MkdirAll("data"); err != nil {
 		g.t.Fatal(err)
 	}
+	if err := createStorage(node.fs, "data", identity); err != nil {
+		g.t.Fatal(err)
+	}
 	if err := saveIdentity(node.fs, "data", identity); err != nil {
 		g.t.Fatal(err)
 	}
--- a/replica/start.go
+++ b/replica/start.go
@@ -146,6 +146,9 @@
 			return err
 		}
 	}
+	if err := createStorage(r.config.FS, r.config.DataDir, identity); err != nil {
+		return err
+	}
 	if err := saveIdentity(r.config.FS, r.config.DataDir, identity); err != nil {
 		return err
 	}
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -83,7 +83,20 @@
 	return fault.Wrap(fault.StorageFailed, err, "write identity")
 }
 
-// openStorage opens log and snapshots of a folder whose group is known.
+// createStorage makes the log of a folder that enters a group. The identity
+// names the group only afterwards, so that a log lost later is noticed.
+func createStorage(fs disk.FS, folder string, identity *api.Identity) error {
+	log, _, err := wal.Open(wal.Options{
+		FS: fs, Folder: filepath.Join(folder, logFolder), ID: identity.Id, Group: identity.Group,
+	})
+	if err != nil {
+		return err
+	}
+	return fault.Wrap(fault.StorageFailed, log.Close(), "close new log")
+}
+
+// openStorage opens log and snapshots of a folder whose group is known. Errors:
+// fault.DataCorrupt when a part of them is damaged or missing.
 func openStorage(fs disk.FS, folder string, identity *api.Identity) (*storage, *opened, error) {
 	s := &storage{fs: fs, folder: folder, identity: identity}
 	var err error
@@ -97,10 +110,14 @@
 	var restored *wal.Restored
 	s.log, restored, err = wal.Open(wal.Options{
 		FS: fs, Folder: filepath.Join(folder, logFolder), ID: identity.Id, Group: identity.Group,
+		MustExist: true,
 	})
 	if err != nil {
 		return nil, nil, err
 	}
+	if len(restored.Entries) == 0 && restored.LastIndex > snapshot.GetIndex() {
+		return nil, nil, fault.Newf(fault.DataCorrupt, "the log ends at %d, the snapshot before it is missing", restored.LastIndex)
+	}
 	entries, err := s.joinLog(snapshot, restored.Entries)
 	if err != nil {
 		return nil, nil, err
--- a/replica/storage_test.go
+++ b/replica/storage_test.go
@@ -30,6 +30,9 @@
 func checkInstall(t *testing.T, point int, seed uint64) {
 	fs := disktest.New(rand.New(rand.NewPCG(seed, 1)))
 	identity := &api.Identity{Id: 1, Incarnation: 1, Group: 1}
+	if err := createStorage(fs, "data", identity); err != nil {
+		t.Fatal(err)
+	}
 	s, _, err := openStorage(fs, "data", identity)
 	if err != nil {
 		t.Fatal(err)
@@ -89,7 +92,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, _, err := openStorage(fs, "data", identity); err != nil {
+	if err := createStorage(fs, "data", identity); err != nil {
 		t.Fatal(err)
 	}
 	if err := fs.Remove("data/" + identityFile); err != nil {
@@ -99,3 +102,38 @@
 		t.Errorf("got %v, want data-corrupt", err)
 	}
 }
+
+func TestAMissingPartOfAFolderIsRefused(t *testing.T) {
+	for _, part := range []string{logFolder, snapshotFolder} {
+		fs := disktest.New(rand.New(rand.NewPCG(1, 1)))
+		identity := &api.Identity{Id: 1, Incarnation: 1, Group: 1}
+		if err := createStorage(fs, "data", identity); err != nil {
+			t.Fatal(err)
+		}
+		s, _, err := openStorage(fs, "data", identity)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.save(&api.HardState{Term: 1}, entriesOf(1, 1, 9)); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.snaps.Save(&api.Snapshot{Index: 9, Term: 1}); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.release(9); err != nil {
+			t.Fatal(err)
+		}
+		names, err := fs.List("data/" + part)
+		if err != nil || len(names) == 0 {
+			t.Fatalf("%s holds %v, %v", part, names, err)
+		}
+		for _, name := range names {
+			if err := fs.Remove("data/" + part + "/" + name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, _, err := openStorage(fs, "data", identity); !fault.Is(err, fault.DataCorrupt) {
+			t.Errorf("without %s: %v, want data-corrupt", part, err)
+		}
+	}
+}
--- a/wal/replay.go
+++ b/wal/replay.go
@@ -75,6 +75,7 @@
 	}
 	if record.Reset_ {
 		restored.Entries = nil
+		w.lastIndex = 0
 	}
 	for _, entry := range record.Entries {
 		restored.Entries = appendEntry(restored.Entries, entry)
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -26,13 +26,15 @@
 	Folder       string
 	ID           uint64 // of the replica
 	Group        uint64
-	SegmentBytes int // 0 means DefaultSegmentBytes
+	SegmentBytes int  // 0 means DefaultSegmentBytes
+	MustExist    bool // refuses a folder without a log: its votes would be forgotten
 }
 
 // Restored is what a log held when it was opened.
 type Restored struct {
 	HardState *api.HardState
 	Entries   []*api.LogEntry
+	LastIndex uint64 // last index that the log names; 0 after a reset
 	BytesRead int64
 	CutBytes  int64 // of a torn last frame
 }
@@ -69,6 +71,10 @@
 	if err := w.replay(restored); err != nil {
 		return nil, nil, err
 	}
+	if options.MustExist && len(w.segments) == 0 {
+		return nil, nil, fault.New(fault.DataCorrupt, "the log is missing")
+	}
+	restored.LastIndex = w.lastIndex
 	restored.HardState = proto.Clone(w.hardState).(*api.HardState)
 	if err := w.openLast(); err != nil {
 		return nil, nil, fault.Wrap(fault.StorageFailed, err, "open log segment")
