--- a/scheduler/pending_reason.go
+++ b/scheduler/pending_reason.go
@@ -16,15 +16,43 @@
 	Admitted                                                                  int // VMs that would take it now
 }
 
-// WhyPending returns why the pending task of the snapshot waits. ok is false
-// when no such task is pending.
+// WhyPending returns why the pending task waits. A task of the same job stands
+// for one that the snapshot leaves out. ok is false when there is neither.
 func WhyPending(s *Snapshot, id string) (r PendingReason, ok bool) {
+	found := -1
 	for i := range s.Pending {
 		if s.Pending[i].ID == id {
-			return newCycle(s).whyPending(&s.Pending[i]), true
+			found = i
+			break
 		}
+		if s.Pending[i].Job == jobOf(id) {
+			found = i
+		}
+	}
+	if found < 0 {
+		return PendingReason{}, false
+	}
+	r = newCycle(s).whyPending(&s.Pending[found])
+	r.Task = id
+	return r, true
+}
+
+// WhyJobsPending returns why the first pending task of each job waits, as a
+// summary by the job's ID.
+func WhyJobsPending(s *Snapshot) map[string]string {
+	reasons := map[string]string{}
+	var c *cycle
+	for i := range s.Pending {
+		t := &s.Pending[i]
+		if _, ok := reasons[t.Job]; ok {
+			continue
+		}
+		if c == nil {
+			c = newCycle(s)
+		}
+		reasons[t.Job] = c.whyPending(t).Summary
 	}
-	return PendingReason{}, false
+	return reasons
 }
 
 func (c *cycle) whyPending(t *Task) PendingReason {
