raft: step.go and short names

Change: the handling of messages has its own file, and the generated constants short names within the package. No behaviour changes.

--- a/raft/election.go
+++ b/raft/election.go
@@ -45,11 +45,11 @@
 	r.leader = 0
 	r.votes = map[uint64]bool{}
 	r.shortenElectionTimeout()
-	request := api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, Term: r.term + 1}
+	request := api.RaftMessage{Type: msgPreVote, Term: r.term + 1}
 	if role == Candidate {
 		r.term++
 		r.vote = r.config.ID
-		request.Type = api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE
+		request.Type = msgVote
 		request.Term = r.term
 		request.Transfer = transfer
 	}
@@ -68,9 +68,9 @@
 // voteForSelf sends the own vote through the sync like any other, so that it
 // counts only once it is durable.
 func (r *Raft) voteForSelf(role Role) {
-	vote := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE, To: r.config.ID}
+	vote := &api.RaftMessage{Type: msgVoteResponse, To: r.config.ID}
 	if role == PreCandidate {
-		vote.Type = api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+		vote.Type = msgPreVoteResponse
 		vote.Term = r.term + 1
 	}
 	r.send(vote)
@@ -79,15 +79,15 @@
 // handleVote answers a candidate. A PreVote is answered for the term it asks
 // about and changes nothing here.
 func (r *Raft) handleVote(m *api.RaftMessage) {
-	pre := m.Type == api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE
+	pre := m.Type == msgPreVote
 	free := r.vote == m.From || (r.vote == 0 && r.leader == 0)
 	if pre {
 		free = m.Term > r.term
 	}
 	granted := free && r.log.isUpToDate(m.LogIndex, m.LogTerm)
-	response := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE, To: m.From, Reject: !granted}
+	response := &api.RaftMessage{Type: msgVoteResponse, To: m.From, Reject: !granted}
 	if pre {
-		response.Type = api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+		response.Type = msgPreVoteResponse
 	}
 	if granted {
 		response.Term = m.Term
@@ -100,7 +100,7 @@
 }
 
 func (r *Raft) handleVoteResponse(m *api.RaftMessage) {
-	pre := m.Type == api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE
+	pre := m.Type == msgPreVoteResponse
 	if pre && (r.role != PreCandidate || (!m.Reject && m.Term != r.term+1)) {
 		return
 	}
@@ -146,7 +146,7 @@
 	for _, p := range r.progress {
 		p.silentTicks = 0 // each has a whole window to answer
 	}
-	r.appendOwn(api.EntryType_ENTRY_TYPE_NOOP, nil)
+	r.appendOwn(entryNoop, nil)
 	r.broadcastAppend()
 }
 
@@ -186,7 +186,7 @@
 }
 
 func (r *Raft) sendTimeoutNow(to uint64) {
-	r.sendNow(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_TIMEOUT_NOW, To: to})
+	r.sendNow(&api.RaftMessage{Type: msgTimeoutNow, To: to})
 }
 
 func (r *Raft) handleTimeoutNow() {
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -29,14 +29,14 @@
 // IsVoter reports whether id is a voter of table.
 func IsVoter(table *api.Membership, id uint64) bool {
 	member := FindMember(table, id)
-	return member != nil && member.Role == api.MemberRole_MEMBER_ROLE_VOTER
+	return member != nil && member.Role == roleVoter
 }
 
 // Voters returns the ids of the voters of table.
 func Voters(table *api.Membership) []uint64 {
 	var ids []uint64
 	for _, member := range table.GetMembers() {
-		if member.Role == api.MemberRole_MEMBER_ROLE_VOTER {
+		if member.Role == roleVoter {
 			ids = append(ids, member.Id)
 		}
 	}
@@ -115,7 +115,7 @@
 			return fault.Newf(fault.Conflict, "address %s belongs to member %d", address, member.Id)
 		}
 	}
-	learner := &api.Member{Id: id, Address: address, Role: api.MemberRole_MEMBER_ROLE_LEARNER}
+	learner := &api.Member{Id: id, Address: address, Role: roleLearner}
 	table.Members = append(table.Members, learner)
 	slices.SortFunc(table.Members, func(a, b *api.Member) int { return cmp.Compare(a.Id, b.Id) })
 	return r.proposeTable(table)
@@ -130,14 +130,14 @@
 	}
 	table := cloneTable(r.membership())
 	member := FindMember(table, id)
-	if member == nil || member.Role != api.MemberRole_MEMBER_ROLE_LEARNER {
+	if member == nil || member.Role != roleLearner {
 		return fault.Newf(fault.NotFound, "no learner with id %d", id)
 	}
 	progress := r.progress[id]
 	if !r.isActive(id) || progress.incarnation == 0 || progress.match < r.log.commit {
 		return fault.Newf(fault.Conflict, "learner %d has synced up to %d of %d", id, progress.match, r.log.commit)
 	}
-	member.Role = api.MemberRole_MEMBER_ROLE_VOTER
+	member.Role = roleVoter
 	member.Incarnation = progress.incarnation
 	if !r.hasActiveQuorum(table) {
 		return fault.New(fault.Conflict, "too few voters answer for this change")
@@ -184,7 +184,7 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "encode membership")
 	}
-	r.appendOwn(api.EntryType_ENTRY_TYPE_MEMBERSHIP, data)
+	r.appendOwn(entryMembership, data)
 	r.broadcastAppend()
 	return nil
 }
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -8,8 +8,6 @@
 package raft
 
 import (
-	"slices"
-
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 )
@@ -92,7 +90,7 @@
 	}
 	for _, entry := range state.Entries {
 		r.log.append(entry)
-		if entry.Type == api.EntryType_ENTRY_TYPE_MEMBERSHIP {
+		if entry.Type == entryMembership {
 			r.addTable(entry)
 		}
 	}
@@ -197,7 +195,7 @@
 	if r.uncommitted > 0 && r.uncommitted+uint64(len(data)) > r.config.MaxUncommittedBytes {
 		return 0, 0, fault.New(fault.Overloaded, "too much is uncommitted")
 	}
-	return r.appendOwn(api.EntryType_ENTRY_TYPE_DATA, data), r.term, nil
+	return r.appendOwn(entryData, data), r.term, nil
 }
 
 // Flush sends the proposals appended since the last call to the members.
@@ -207,151 +205,10 @@
 	}
 }
 
-// Step takes in a message from another replica, or from itself after a sync.
-func (r *Raft) Step(m *api.RaftMessage) {
-	if !r.Accepts(m) {
-		r.refuse(m)
-		return
-	}
-	if m.Type == api.RaftMessageType_RAFT_MESSAGE_TYPE_REFUSED {
-		r.refused = r.refused || m.Read == r.config.Incarnation
-		return
-	}
-	switch {
-	case m.Term > r.term:
-		if !r.stepHigherTerm(m) {
-			return
-		}
-	case m.Term < r.term:
-		r.stepLowerTerm(m)
-		return
-	}
-	r.stepCurrentTerm(m)
-}
-
-// Accepts reports whether the sender may be heard. A member that lost its disk
-// answers under another incarnation, and a removed one must not disturb. A
-// removal counts once it is committed: one that is not may be undone by the
-// very leader that it would silence. An id that this replica's log does not know
-// yet may lead or ask for votes, since the replica may be the one that lags, but
-// it can't answer.
-func (r *Raft) Accepts(m *api.RaftMessage) bool {
-	if m.To != r.config.ID {
-		return false
-	}
-	table, committed := r.membership(), r.MembershipAt(r.log.commit)
-	if slices.Contains(committed.Removed, m.From) {
-		return false
-	}
-	member := FindMember(table, m.From)
-	if member == nil {
-		member = FindMember(committed, m.From)
-	}
-	if member == nil {
-		return len(table.Members) == 0 || isFromLeader(m.Type) || isVoteRequest(m.Type)
-	}
-	return member.Incarnation == 0 || member.Incarnation == m.Incarnation
-}
-
-// isFromLeader reports whether only a leader sends messages of this type.
-func isFromLeader(t api.RaftMessageType) bool {
-	switch t {
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND,
-		api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT,
-		api.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT:
-		return true
-	}
-	return false
-}
-
-// refuse tells a replica that lost its disk that it is not the member it was.
-func (r *Raft) refuse(m *api.RaftMessage) {
-	member := FindMember(r.MembershipAt(r.log.commit), m.From)
-	if m.To != r.config.ID || member == nil || member.Incarnation == 0 || member.Incarnation == m.Incarnation {
-		return
-	}
-	r.send(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_REFUSED, To: m.From, Read: m.Incarnation})
-}
-
-// Refused reports whether the group knows this replica's id with another data
-// folder. Such a replica is never heard.
-func (r *Raft) Refused() bool { return r.refused }
-
-func isVoteRequest(t api.RaftMessageType) bool {
-	return t == api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE || t == api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE
-}
-
-// stepHigherTerm adopts the term of m where the protocol says so, and reports
-// whether m is to be handled further.
-func (r *Raft) stepHigherTerm(m *api.RaftMessage) bool {
-	switch m.Type {
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE:
-		return !r.leaderIsFresh()
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE:
-		if r.leaderIsFresh() && !(m.Transfer && IsVoter(r.membership(), m.From)) {
-			return false
-		}
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE:
-		if !m.Reject {
-			return true // granted for the term after ours
-		}
-	}
-	leader := uint64(0)
-	if isFromLeader(m.Type) {
-		leader = m.From
-	}
-	r.becomeFollower(m.Term, leader)
-	return true
-}
-
-// leaderIsFresh reports whether a leader was heard within the shortest election
-// timeout; such a replica refuses to help anyone replace it.
-func (r *Raft) leaderIsFresh() bool {
-	return r.leader != 0 && r.electionElapsed < r.config.ElectionTicks
-}
-
-// stepLowerTerm answers a sender that has fallen behind, so that it learns the term.
-func (r *Raft) stepLowerTerm(m *api.RaftMessage) {
-	switch {
-	case isFromLeader(m.Type):
-		r.send(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From, Reject: true})
-	case m.Type == api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE:
-		r.send(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE, To: m.From, Reject: true})
-	}
-}
-
-func (r *Raft) stepCurrentTerm(m *api.RaftMessage) {
-	switch m.Type {
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE:
-		r.handleVote(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE, api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE:
-		r.handleVoteResponse(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND:
-		r.hearLeader(m.From)
-		r.handleAppend(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT:
-		r.hearLeader(m.From)
-		r.handleHeartbeat(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT:
-		r.hearLeader(m.From)
-		r.handleSnapshot(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE:
-		r.handleAppendResponse(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE:
-		r.handleHeartbeatResponse(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_TIMEOUT_NOW:
-		r.handleTimeoutNow()
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_READ_INDEX:
-		r.handleReadIndex(m)
-	case api.RaftMessageType_RAFT_MESSAGE_TYPE_READ_INDEX_RESPONSE:
-		r.readStates = append(r.readStates, ReadState{ID: m.Read, Index: m.LogIndex})
-	}
-}
-
 // isVoter reports whether this replica, with this data folder, may campaign.
 func (r *Raft) isVoter() bool {
 	member := FindMember(r.membership(), r.config.ID)
-	return member != nil && member.Role == api.MemberRole_MEMBER_ROLE_VOTER && member.Incarnation == r.config.Incarnation
+	return member != nil && member.Role == roleVoter && member.Incarnation == r.config.Incarnation
 }
 
 // send queues a message that must wait for the sync of what precedes it.
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -15,7 +15,7 @@
 )
 
 func voter(id uint64) *api.Member {
-	return &api.Member{Id: id, Address: "address", Role: api.MemberRole_MEMBER_ROLE_VOTER, Incarnation: id}
+	return &api.Member{Id: id, Address: "address", Role: roleVoter, Incarnation: id}
 }
 
 // newReplica returns replica 1 of voters 1 to 3 with entries of the given terms
@@ -74,9 +74,9 @@
 func lead(t *testing.T, r *Raft) {
 	t.Helper()
 	tick(r, testElectionTicks+testHeartbeatTicks)
-	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE_RESPONSE, Term: r.term + 1}))
+	r.Step(from(2, &api.RaftMessage{Type: msgPreVoteResponse, Term: r.term + 1}))
 	settle(r)
-	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE_RESPONSE, Term: r.term}))
+	r.Step(from(2, &api.RaftMessage{Type: msgVoteResponse, Term: r.term}))
 	settle(r)
 	if r.role != Leader {
 		t.Fatalf("role %v, want leader", r.role)
@@ -84,7 +84,7 @@
 }
 
 func ack(id, term, index uint64) *api.RaftMessage {
-	return from(id, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, Term: term, LogIndex: index})
+	return from(id, &api.RaftMessage{Type: msgAppendResponse, Term: term, LogIndex: index})
 }
 
 func TestAnEntryOfAnEarlierTermIsNotCommittedByCounting(t *testing.T) {
@@ -108,7 +108,7 @@
 	if err := r.ReadIndex(9); err != nil {
 		t.Fatal(err)
 	}
-	answer := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE, Term: r.term, Read: 1}
+	answer := &api.RaftMessage{Type: msgHeartbeatResponse, Term: r.term, Read: 1}
 	r.Step(from(2, proto.Clone(answer).(*api.RaftMessage)))
 	if len(r.readStates) != 0 {
 		t.Fatalf("read answered with %+v before the leader knows its commit index", r.readStates)
@@ -149,10 +149,10 @@
 
 func TestAReplicaThatHearsItsLeaderHelpsNobodyReplaceIt(t *testing.T) {
 	for _, kind := range []api.RaftMessageType{
-		api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE, api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE,
+		msgPreVote, msgVote,
 	} {
 		r := newReplica()
-		r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, Term: 1}))
+		r.Step(from(2, &api.RaftMessage{Type: msgHeartbeat, Term: 1}))
 		settle(r)
 		r.Step(from(3, &api.RaftMessage{Type: kind, Term: 9, LogIndex: 99, LogTerm: 9}))
 		if sent := settle(r); len(sent) != 0 || r.term != 1 || r.leader != 2 {
@@ -173,10 +173,10 @@
 	r := newReplica()
 	r.tables[0].table.Removed = []uint64{7}
 	for _, kind := range []api.RaftMessageType{
-		api.RaftMessageType_RAFT_MESSAGE_TYPE_PRE_VOTE,
-		api.RaftMessageType_RAFT_MESSAGE_TYPE_VOTE,
-		api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND,
-		api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT,
+		msgPreVote,
+		msgVote,
+		msgAppend,
+		msgHeartbeat,
 	} {
 		r.Step(from(7, &api.RaftMessage{Type: kind, Term: 9, LogIndex: 99, LogTerm: 9, Transfer: true}))
 		if sent := settle(r); len(sent) != 0 || r.term != 1 {
@@ -253,9 +253,9 @@
 
 func TestATransferElectsTheTargetAtOnce(t *testing.T) {
 	r := newReplica()
-	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, Term: 1}))
+	r.Step(from(2, &api.RaftMessage{Type: msgHeartbeat, Term: 1}))
 	settle(r)
-	r.Step(from(2, &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_TIMEOUT_NOW, Term: 1}))
+	r.Step(from(2, &api.RaftMessage{Type: msgTimeoutNow, Term: 1}))
 	sent := settle(r)
 	if r.role != Candidate || len(sent) != 2 || !sent[0].Transfer {
 		t.Errorf("role %v, sent %v", r.role, sent)
@@ -265,7 +265,7 @@
 func TestADelayedAppendCutsNoNewerEntries(t *testing.T) {
 	r := newReplica(1, 1, 1)
 	r.Step(from(2, &api.RaftMessage{
-		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, Term: 1, LogIndex: 1, LogTerm: 1,
+		Type: msgAppend, Term: 1, LogIndex: 1, LogTerm: 1,
 		Entries: []*api.LogEntry{{Index: 2, Term: 1}},
 	}))
 	settle(r)
@@ -276,7 +276,7 @@
 
 func TestAHeartbeatCommitsOnlyWhatMatches(t *testing.T) {
 	r := newReplica(1, 1)
-	heartbeat := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, Term: 2, LogIndex: 3, LogTerm: 2}
+	heartbeat := &api.RaftMessage{Type: msgHeartbeat, Term: 2, LogIndex: 3, LogTerm: 2}
 	r.Step(from(2, heartbeat))
 	if r.log.commit != 1 {
 		t.Errorf("commit %d by a heartbeat about another entry, want 1", r.log.commit)
--- a/raft/read.go
+++ b/raft/read.go
@@ -37,7 +37,7 @@
 	if r.leader == 0 {
 		return fault.New(fault.NotLeader, "no leader is known")
 	}
-	r.send(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_READ_INDEX, To: r.leader, Read: id})
+	r.send(&api.RaftMessage{Type: msgReadIndex, To: r.leader, Read: id})
 	return nil
 }
 
@@ -96,7 +96,7 @@
 		return
 	}
 	r.send(&api.RaftMessage{
-		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_READ_INDEX_RESPONSE, To: read.from,
+		Type: msgReadIndexResponse, To: read.from,
 		Read: read.id, LogIndex: read.index,
 	})
 }
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -49,7 +49,7 @@
 // ownAck counts the leader's own entries once they are synced.
 func (r *Raft) ownAck() *api.RaftMessage {
 	ack := &api.RaftMessage{
-		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE,
+		Type: msgAppendResponse,
 		To:   r.config.ID, LogIndex: r.log.lastIndex(),
 	}
 	r.address(ack)
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -33,7 +33,7 @@
 	entry := &api.LogEntry{Term: r.term, Index: r.log.lastIndex() + 1, Type: entryType, Data: data}
 	r.log.append(entry)
 	r.uncommitted += entryBytes(entry)
-	if entryType == api.EntryType_ENTRY_TYPE_MEMBERSHIP {
+	if entryType == entryMembership {
 		r.addTable(entry)
 	}
 	return entry.Index
@@ -86,7 +86,7 @@
 	}
 	entries := r.log.slice(p.next, r.log.lastIndex(), r.config.MaxMessageBytes)
 	r.sendNow(&api.RaftMessage{
-		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: to,
+		Type: msgAppend, To: to,
 		LogIndex: p.next - 1, LogTerm: prevTerm, Commit: r.log.commit, Entries: entries,
 	})
 	if p.state == probing {
@@ -105,7 +105,7 @@
 func (r *Raft) sendSnapshot(to uint64, p *progress) {
 	p.becomeSnapshotting(r.log.compactIndex)
 	r.sendNow(&api.RaftMessage{
-		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_SNAPSHOT, To: to,
+		Type: msgSnapshot, To: to,
 		Snapshot: &api.Snapshot{Index: r.log.compactIndex, Term: r.log.compactTerm},
 	})
 }
@@ -127,7 +127,7 @@
 			index = 0
 		}
 		r.sendNow(&api.RaftMessage{
-			Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT, To: id,
+			Type: msgHeartbeat, To: id,
 			LogIndex: index, LogTerm: term, Read: r.reads.round,
 		})
 	}
@@ -139,13 +139,13 @@
 	if r.log.matches(m.LogIndex, m.LogTerm) {
 		r.commitTo(m.LogIndex)
 	}
-	r.send(&api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_HEARTBEAT_RESPONSE, To: m.From, Read: m.Read})
+	r.send(&api.RaftMessage{Type: msgHeartbeatResponse, To: m.From, Read: m.Read})
 }
 
 // handleAppend stores the entries that follow a matching one. Entries already
 // held are kept: an old, delayed append must not cut off newer ones.
 func (r *Raft) handleAppend(m *api.RaftMessage) {
-	response := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From, LogIndex: m.LogIndex}
+	response := &api.RaftMessage{Type: msgAppendResponse, To: m.From, LogIndex: m.LogIndex}
 	if m.LogIndex < r.log.commit {
 		response.LogIndex = r.log.commit
 		r.send(response)
@@ -175,7 +175,7 @@
 		r.written = min(r.written, entry.Index-1)
 	}
 	r.log.append(entry)
-	if entry.Type == api.EntryType_ENTRY_TYPE_MEMBERSHIP {
+	if entry.Type == entryMembership {
 		r.addTable(entry)
 	}
 }
@@ -185,7 +185,7 @@
 // handleSnapshot replaces the log by a snapshot that is ahead of it.
 func (r *Raft) handleSnapshot(m *api.RaftMessage) {
 	snapshot := m.Snapshot
-	response := &api.RaftMessage{Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND_RESPONSE, To: m.From}
+	response := &api.RaftMessage{Type: msgAppendResponse, To: m.From}
 	if snapshot.Index <= r.log.commit {
 		response.LogIndex = r.log.commit
 		r.send(response)
@@ -294,7 +294,7 @@
 		return
 	}
 	r.sendNow(&api.RaftMessage{
-		Type: api.RaftMessageType_RAFT_MESSAGE_TYPE_APPEND, To: to,
+		Type: msgAppend, To: to,
 		LogIndex: p.next - 1, LogTerm: prevTerm, Commit: r.log.commit,
 	})
 }
