entry, delivery: a target does not change under its readers; small answers in one message

Small answers took three messages. Change: an announcement makes a new target that keeps what was learnt; an answer that is whole within one chunk goes as one message.

--- a/delivery/answer.go
+++ b/delivery/answer.go
@@ -107,8 +107,9 @@
 	gap     bool // bytes before this offset are no longer there
 }
 
-// next returns the head and up to limit bytes at offset, or the end. It waits
-// until there is something new; a nil piece means that the context ended.
+// next returns the head, up to limit bytes at offset, and the end when it
+// follows on them. It waits for that many bytes or the end, and for any byte of a
+// standing stream; a nil piece means that the context ended.
 func (a *answer) next(ctx context.Context, needHead bool, offset uint64, limit int) *piece {
 	for {
 		a.mu.Lock()
@@ -130,23 +131,26 @@
 	if offset < a.base {
 		return &piece{gap: true}
 	}
+	available := a.data[offset-a.base:]
+	standing := a.head != nil && a.head.Standing
+	if !a.done && len(available) < limit && !standing {
+		return nil
+	}
 	p := &piece{}
 	if needHead {
 		p.head = a.head
 	}
-	if available := a.data[offset-a.base:]; len(available) > 0 && limit > 0 {
-		p.data = append([]byte(nil), available[:min(limit, len(available))]...)
-		a.forget(offset + uint64(len(p.data)))
-		return p
+	if n := min(limit, len(available)); n > 0 {
+		p.data = append([]byte(nil), available[:n]...)
+		a.forget(offset + uint64(n))
 	}
-	if a.done && offset-a.base == uint64(len(a.data)) {
+	if a.done && len(p.data) == len(available) {
 		p.end, p.refusal = a.end, a.refusal
-		return p
 	}
-	if p.head != nil {
-		return p
+	if p.head == nil && p.data == nil && p.end == nil && p.refusal == nil {
+		return nil
 	}
-	return nil
+	return p
 }
 
 // forget frees what the one reader of an answer that isn't kept has taken.
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -80,6 +80,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if whole := message.GetWhole(); whole != nil {
+			return &api.DeliverResponse{Message: &api.DeliverResponse_End{End: whole.End}}
+		}
 		if message.GetEnd() != nil || message.GetRefusal() != nil {
 			return message
 		}
@@ -106,6 +109,7 @@
 			t.Fatal(err)
 		}
 		body = append(body, message.GetChunk().GetData()...)
+		body = append(body, message.GetWhole().GetChunk().GetData()...)
 	}
 }
 
--- a/delivery/send.go
+++ b/delivery/send.go
@@ -74,6 +74,15 @@
 	offset   uint64
 }
 
+// chunk returns the message for a piece of the answer.
+func (s *sender) chunk(data []byte) *api.AnswerChunk {
+	chunk := &api.AnswerChunk{Data: data}
+	if s.zstd {
+		chunk.Data, chunk.Zstd = blob.Compress(data)
+	}
+	return chunk
+}
+
 type responseStream interface {
 	Send(*api.DeliverResponse) error
 }
@@ -94,6 +103,11 @@
 }
 
 func (d *Delivery) sendPiece(stream responseStream, p *piece, s *sender) (done bool, err error) {
+	if p.head != nil && p.end != nil {
+		whole := &api.AnswerWhole{Head: p.head, Chunk: s.chunk(p.data), End: p.end}
+		return true, stream.Send(&api.DeliverResponse{
+			Message: &api.DeliverResponse_Whole{Whole: whole}, Load: d.loadOf(s.server)})
+	}
 	if p.head != nil {
 		s.needHead = false
 		if err := stream.Send(&api.DeliverResponse{Message: &api.DeliverResponse_Head{Head: p.head}}); err != nil {
@@ -101,10 +115,7 @@
 		}
 	}
 	if len(p.data) > 0 {
-		chunk := &api.AnswerChunk{Data: p.data}
-		if s.zstd {
-			chunk.Data, chunk.Zstd = blob.Compress(p.data)
-		}
+		chunk := s.chunk(p.data)
 		s.credit.spend(len(p.data))
 		s.offset += uint64(len(p.data))
 		if err := stream.Send(&api.DeliverResponse{Message: &api.DeliverResponse_Chunk{Chunk: chunk}}); err != nil {
--- a/entry/call.go
+++ b/entry/call.go
@@ -154,20 +154,38 @@
 	case *api.DeliverResponse_Refusal:
 		r.err = refusalError(m.Refusal)
 		r.holder = m.Refusal.Holder
-	case *api.DeliverResponse_End:
-		r.moved = m.End.Moved
-		r.queue = time.Duration(m.End.QueueMs * float64(time.Millisecond))
-		r.backendTime = time.Duration(m.End.BackendMs * float64(time.Millisecond))
-		r.err = c.collector.verify(m.End)
-		if r.moved {
-			c.collector.messages.pending = nil
+	case *api.DeliverResponse_Whole:
+		r.status, r.standing = m.Whole.GetHead().GetStatus(), m.Whole.GetHead().GetStanding()
+		if r.err = c.collector.setHead(m.Whole.GetHead()); r.err != nil {
+			return true
+		}
+		if r.err = c.takeChunk(ctx, m.Whole.GetChunk(), send); r.err != nil {
+			return true
 		}
+		c.takeEnd(m.Whole.GetEnd(), r)
+		return true
+	case *api.DeliverResponse_End:
+		c.takeEnd(m.End, r)
 		return true
 	}
 	return r.err != nil
 }
 
+// takeEnd checks the answer that ends here.
+func (c *call) takeEnd(end *api.AnswerEnd, r *result) {
+	r.moved = end.GetMoved()
+	r.queue = time.Duration(end.GetQueueMs() * float64(time.Millisecond))
+	r.backendTime = time.Duration(end.GetBackendMs() * float64(time.Millisecond))
+	r.err = c.collector.verify(end)
+	if r.moved {
+		c.collector.messages.pending = nil
+	}
+}
+
 func (c *call) takeChunk(ctx context.Context, chunk *api.AnswerChunk, send func(*api.DeliverRequest) error) error {
+	if len(chunk.GetData()) == 0 {
+		return nil
+	}
 	data := chunk.Data
 	if chunk.Zstd {
 		plain, err := blob.Decompress(data)
@@ -230,6 +248,9 @@
 	if c.head != nil {
 		return nil
 	}
+	if head == nil {
+		return fault.New(fault.AnswerDamaged, "the answer has no head")
+	}
 	c.head = head
 	if !head.Standing {
 		return nil
@@ -278,7 +299,7 @@
 
 // verify checks the answer against its announced length and checksum.
 func (c *collector) verify(end *api.AnswerEnd) error {
-	if c.head == nil || end.Length != c.size || !bytes.Equal(end.Checksum, c.hash.Sum(nil)) {
+	if c.head == nil || end.GetLength() != c.size || !bytes.Equal(end.GetChecksum(), c.hash.Sum(nil)) {
 		return fault.New(fault.AnswerDamaged, "the answer does not match its length and checksum")
 	}
 	return nil
--- a/entry/service.go
+++ b/entry/service.go
@@ -39,7 +39,8 @@
 	latency   latencyWindow
 }
 
-// target is one backend server with what the entry knows of it.
+// target is one backend server with what the entry knows of it. Its fields do
+// not change; backend is guarded by the service's mu.
 type target struct {
 	server  *api.BackendServer
 	backend *routing.Backend
@@ -85,7 +86,7 @@
 		ceiling += 2 * t.backend.Slots
 	}
 	for id, t := range s.servers {
-		if kept[id] != t {
+		if now, ok := kept[id]; !ok || now.gone != t.gone {
 			close(t.gone)
 		}
 	}
@@ -94,13 +95,15 @@
 	s.admitNext()
 }
 
+// targetFor returns the target of an announced backend server. One that is
+// known goes on with what was learnt of it.
 func (s *service) targetFor(server *api.BackendServer) *target {
+	slots := max(int(server.Slots), 1)
 	known, ok := s.servers[server.Id]
 	if ok && known.server.Incarnation == server.Incarnation {
-		known.server = server
-		return known
+		known.backend.Slots = slots
+		return &target{server: server, backend: known.backend, gone: known.gone}
 	}
-	slots := max(int(server.Slots), 1)
 	return &target{
 		server:  server,
 		backend: &routing.Backend{ID: server.Id, Zone: server.Zone, Slots: slots},
