delivery: Wait lets the last answers leave, Close may be called before GracefulStop

Cause: the stop test hung in 1 of 3 repeated runs: the agent's server was stopped hard right after Wait, which cut an answer or a refusal on its way, and the caller's entry looked the attempt up until its deadline of 30 s. Change: Wait needs 200 ms without an attempt in progress; Close can be called twice and ends the pings, so that GracefulStop after it returns; the stop test stops in that order. Conclusion: package agent still stops its server hard before Close and should take the same order.

--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -69,6 +69,7 @@
 	blobs   *blob.Store
 	peers   *peerBodies
 	closed  chan struct{}
+	closing sync.Once
 
 	mu        sync.Mutex
 	instances map[string]*instance
@@ -172,11 +173,15 @@
 	}
 }
 
-// Wait returns once no attempt is in progress, or with the context's error.
+// Wait returns once no attempt has been in progress for settleTime, in which the
+// last answers leave the process, or with the context's error.
 func (d *Delivery) Wait(ctx context.Context) error {
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
-	for d.inProgress() > 0 {
+	for idleSince := time.Now(); time.Since(idleSince) < settleTime; {
+		if d.inProgress() > 0 {
+			idleSince = time.Now()
+		}
 		select {
 		case <-ctx.Done():
 			return fault.Wrap(fault.Canceled, ctx.Err(), "attempts are still in progress")
@@ -186,7 +191,11 @@
 	return nil
 }
 
-const idlePoll = 20 * time.Millisecond
+// Timing of Wait.
+const (
+	idlePoll   = 20 * time.Millisecond
+	settleTime = 200 * time.Millisecond
+)
 
 func (d *Delivery) inProgress() int {
 	d.mu.Lock()
@@ -210,12 +219,18 @@
 	return loads
 }
 
-// Close releases connections and stored bodies. Call it after Drain and Wait.
+// Close ends the entries' pings and releases connections and stored bodies. Call
+// it after Drain and Wait, and the gRPC server's GracefulStop after it, so that
+// no answer and no refusal is cut. Further calls have no effect.
 func (d *Delivery) Close() error {
-	close(d.closed)
-	d.unregisterMetrics()
-	d.peers.close()
-	return d.blobs.Close()
+	var err error
+	d.closing.Do(func() {
+		close(d.closed)
+		d.unregisterMetrics()
+		d.peers.close()
+		err = d.blobs.Close()
+	})
+	return err
 }
 
 // now returns the agent's clock: the time since the process started.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -93,7 +93,10 @@
 	if err := leaving.delivery.Wait(ctx); err != nil {
 		t.Fatal(err)
 	}
-	leaving.server.Stop()
+	if err := leaving.delivery.Close(); err != nil {
+		t.Fatal(err)
+	}
+	leaving.server.GracefulStop()
 	before := b.done.Load()
 	await(t, "no request was answered after the stop", func() bool { return b.done.Load() > before+20 })
 	b.end()
