control: measures at 550 agents with 9,900 running tasks; idle benchmark

Cause: light agents reported a use equal to the grant, which made the learnt size grow with each placement; the fleet was never full.

--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -27,6 +27,12 @@
 // tasksPerVM is 9,900 running tasks on 550 workers.
 const tasksPerVM = 18
 
+// What each task uses, whatever it is granted.
+const (
+	usedMilliCPU  = 1000
+	usedMemoryMiB = 3000
+)
+
 // wireCounter counts payload bytes on the wire at the clients' side.
 type wireCounter struct{ in, out atomic.Int64 }
 
@@ -150,7 +156,8 @@
 	for _, start := range starts {
 		report.Tasks = append(report.Tasks, &api.TaskStatus{Task: start.Task, Generation: start.Generation, Phase: api.TaskPhase_TASK_PHASE_RUNNING})
 		report.Usage = append(report.Usage, &api.UsageSample{
-			Task: start.Task, Generation: start.Generation, StartUnixMs: now - 1000, EndUnixMs: now, Used: start.Grant, Speed: 1,
+			Task: start.Task, Generation: start.Generation, StartUnixMs: now - 1000, EndUnixMs: now, Speed: 1,
+			Used: &api.Resources{MilliCpu: usedMilliCPU, MemoryMib: usedMemoryMiB},
 		})
 	}
 	return report
@@ -324,3 +331,22 @@
 		}
 	}
 }
+
+// idleTime is how long BenchmarkIdle watches the fleet per round.
+const idleTime = 2 * time.Second
+
+// BenchmarkIdle measures the CPU time of a fleet in which nobody reports.
+func BenchmarkIdle(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("agents=%d", size), func(b *testing.B) {
+			f := startLightFleet(b, size)
+			f.drainAnswers()
+			before := cpuTime()
+			for b.Loop() {
+				time.Sleep(idleTime)
+			}
+			used := float64(cpuTime() - before)
+			b.ReportMetric(100*used/float64(b.N)/float64(idleTime), "cpu-%-of-a-core")
+		})
+	}
+}
