--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -47,7 +47,7 @@
 	BlobBytes   int64         // bytes of stored bodies kept at a time
 	Attempts    int           // attempts remembered at a time
 	AnswerBytes int64         // bytes of kept answers
-	Retention   time.Duration // how long answers and fences are kept after their attempt's deadline
+	Retention   time.Duration // how long the answers to idempotency keys are kept
 	QueueTime   time.Duration // how long an attempt waits for a slot
 	ClaimTime   time.Duration // how long a claim is tried
 }
@@ -93,7 +93,7 @@
 		Attempts:  config.Attempts,
 		Bytes:     config.AnswerBytes,
 		Reserve:   answerReserve,
-		Retention: config.Retention,
+		Retention: min(lookupRetention, config.Retention),
 	}
 	d := &Delivery{
 		config:      config,
@@ -161,8 +161,8 @@
 	}
 }
 
-// Drain stops new attempts at every backend server and moves standing streams
-// at their next message boundary. Attempts in progress go on to their end.
+// Drain stops new attempts at every backend server and ends standing streams as
+// moved. Attempts in progress go on to their end.
 func (d *Delivery) Drain() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -20,10 +20,10 @@
 		Now:           now,
 		LatencyWeight: p.LatencyWeight,
 		VMs:           append(s.VMs[:0], vms...),
-		Tasks:         s.Tasks[:0],
 		Pending:       s.Pending[:0],
 		Teams:         s.Teams[:0],
-		Pressures:     s.Pressures[:0],
+		loads:         s.loads[:0],
+		teamUse:       t.TeamUse(),
 		Harm:          l.harm.View(),
 		MovesLeft:     l.budget.left(),
 	}
@@ -33,19 +33,36 @@
 	jobs := newJobFacts(l, vms)
 	for i := range s.VMs {
 		v := &s.VMs[i]
+		l.noteOut(v, now)
 		v.Quarantine = quarantine(l.health.State(v.ID))
-		for _, k := range t.OnVM(v.ID) {
-			s.Tasks = append(s.Tasks, l.describe(now, k, jobs.of(k.Job)))
-			l.addPressure(s, k)
-		}
+		s.loads = append(s.loads, l.load(now, t, v.ID, jobs))
 	}
+	l.addPending(s, t, jobs)
+	return s
+}
+
+// addPending describes the pending tasks, of each job no more than one
+// decision can place.
+func (l *Learner) addPending(s *Snapshot, t *task.Table, jobs *jobFacts) {
 	for _, k := range t.Pending() {
-		s.Pending = append(s.Pending, l.describe(now, k, jobs.of(k.Job)))
+		f := jobs.of(k.Job)
+		described := &f.due
+		if k.NotBefore.After(s.Now) {
+			described = &f.notDue
+		}
+		if *described >= maxPlacements {
+			continue
+		}
+		*described++
+		s.Pending = append(s.Pending, l.describe(s.Now, k, f))
 	}
-	return s
 }
 
 func (l *Learner) review(now time.Time, t *task.Table, vms []VM) {
+	if t != l.table {
+		l.table = t
+		clear(l.loads)
+	}
 	l.sweep(now)
 	l.budget.refill(now, len(vms))
 	l.fleet = l.fleet[:0]
@@ -58,6 +75,20 @@
 	})
 }
 
+// noteOut fills in since when the VM's zone has been out of service.
+func (l *Learner) noteOut(v *VM, now time.Time) {
+	if v.InService {
+		delete(l.outSince, v.ID)
+		return
+	}
+	if _, ok := l.outSince[v.ID]; !ok {
+		l.outSince[v.ID] = now
+	}
+	if v.OutSince.IsZero() {
+		v.OutSince = l.outSince[v.ID]
+	}
+}
+
 func quarantine(s health.State) Quarantine {
 	switch s {
 	case health.Quarantined:
@@ -73,14 +104,18 @@
 	l       *Learner
 	largest resource.Vector // component-wise, of any VM
 	facts   map[*task.Job]*facts
+	last    *task.Job // asked for, with its facts
+	lastOf  *facts
 }
 
 type facts struct {
 	need    resource.Vector
 	grant   resource.Vector
 	untried bool
-	runTime time.Duration
-	work    time.Duration
+	// due and notDue count the job's pending tasks in the snapshot.
+	due, notDue int
+	runTime     time.Duration
+	work        time.Duration
 }
 
 func newJobFacts(l *Learner, vms []VM) *jobFacts {
@@ -92,9 +127,19 @@
 }
 
 func (f *jobFacts) of(j *task.Job) *facts {
-	if known := f.facts[j]; known != nil {
-		return known
+	if j == f.last {
+		return f.lastOf
 	}
+	n := f.facts[j]
+	if n == nil {
+		n = f.gather(j)
+		f.facts[j] = n
+	}
+	f.last, f.lastOf = j, n
+	return n
+}
+
+func (f *jobFacts) gather(j *task.Job) *facts {
 	n := &facts{
 		need:    f.need(j),
 		untried: !f.l.sizes.Seen(j.ID),
@@ -102,7 +147,6 @@
 	}
 	n.grant = grantFor(j, n.need, n.untried)
 	n.work = n.runTime * time.Duration(max(j.Wanted-j.Finished, 0))
-	f.facts[j] = n
 	return n
 }
 
@@ -177,12 +221,12 @@
 	return max(now.Sub(from), 0)
 }
 
-func (l *Learner) addPressure(s *Snapshot, k *task.Task) {
+func (l *Learner) addPressure(c *vmCache, k *task.Task) {
 	if k.Job.Class != task.LatencyCritical || k.State != task.Running {
 		return
 	}
 	r := l.runs[k.ID]
 	if r != nil && r.generation == k.Generation && r.pressure.Task != "" {
-		s.Pressures = append(s.Pressures, r.pressure)
+		c.pressures = append(c.pressures, r.pressure)
 	}
 }
