session: a start holds only under the lease that it came with

Cause: an agent paused past its lease and then renewed could carry out a start that was still pending, although the VM had been lost meanwhile and the task placed elsewhere: found by the scheduler part's state machine, which judges a start by the directive that carries it. Change: a pending start ends with the lease held when it came, and with its session, whose successor sends the starts that still hold. The control process uses the replica's server options (fixed flow control windows). Figures: the new test fails without the deadline; clearing at a new session is a second guard that no test needs. Conclusion: no start outlives the lease it came with.

--- a/controlnode/controlnode.go
+++ b/controlnode/controlnode.go
@@ -109,7 +109,7 @@
 		Node: started, State: state, Peers: n.peer, Membership: membership{n},
 		Lease: n.config.Lease, Fresh: n.config.Fresh,
 	})
-	n.grpc = grpc.NewServer(n.config.Security.ServerOptions()...)
+	n.grpc = grpc.NewServer(append(replica.ServerOptions(), n.config.Security.ServerOptions()...)...)
 	n.replica.Register(n.grpc)
 	n.server.Register(n.grpc)
 	n.operator = &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: readHeaderTimeout}
--- a/session/driver.go
+++ b/session/driver.go
@@ -67,7 +67,7 @@
 		if s.awaitPermission(start) {
 			continue
 		}
-		err := withTimeout(ctx, func(ctx context.Context) error { return s.startNow(ctx, start.StartTask) })
+		err := withTimeout(ctx, func(ctx context.Context) error { return s.startNow(ctx, start) })
 		s.finishStart(key, start, err)
 	}
 }
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if s.holder.MayStart(now) || s.holder.Refuses() || now.Sub(start.received) > startPatience {
+	if s.holder.MayStart(now) || s.holder.Refuses() || now.Sub(start.received) > startPatience || !now.Before(start.deadline) {
 		return false
 	}
 	signal(s.report)
@@ -101,9 +101,10 @@
 
 // startNow checks the lease and the freshness right before the call, because
 // this process may have been paused since the directive arrived.
-func (s *Session) startNow(ctx context.Context, start *api.StartTask) error {
+func (s *Session) startNow(ctx context.Context, start pendingStart) error {
 	s.mu.Lock()
-	may := s.holder.MayStart(time.Now())
+	now := time.Now()
+	may := s.holder.MayStart(now) && now.Before(start.deadline)
 	until, epoch := s.holder.WorkerLeaseUntil(), s.epoch
 	s.mu.Unlock()
 	if !may {
@@ -242,7 +243,7 @@
 	defer s.mu.Unlock()
 	for _, usage := range list.Usage {
 		s.usageAfter = max(s.usageAfter, usage.EndMS)
-		s.usage = append(s.usage, sampleOf(usage, list.ClockMS, asked))
+		s.usage.add(sampleOf(usage, list.ClockMS, asked))
 	}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -70,7 +70,8 @@
 	mu          sync.Mutex
 	holder      *Holder
 	outbox      *outbox
-	usage       []*api.UsageSample // not yet sent
+	usage       *usageBook    // not yet sent
+	usageEvery  time.Duration // least length of a usage sample
 	sequence    uint64
 	epoch       string    // of the worker process
 	clockMS     int64     // last reading of the worker's clock
@@ -88,10 +89,14 @@
 	announced   <-chan struct{}
 }
 
-// pendingStart is a start directive that has not been carried out.
+// pendingStart is a start directive that has not been carried out. It is good
+// only until the lease ends that was held when it came: after that the VM may
+// have been declared lost and the task placed elsewhere, whatever lease the VM
+// was granted since.
 type pendingStart struct {
 	*api.StartTask
 	received time.Time
+	deadline time.Time
 }
 
 // New returns a Session that is not yet running.
@@ -102,6 +107,7 @@
 		report:    make(chan struct{}, 1),
 		holder:    NewHolder(),
 		outbox:    newOutbox(),
+		usage:     newUsageBook(),
 		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
@@ -213,6 +219,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outbox.reset()
+	// The leader of the new session sends the starts that still hold.
+	clear(s.starts)
 	s.helloNeeded = true
 	s.heard = time.Now()
 }
@@ -245,13 +253,14 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.heard = now
+	s.usageEvery = time.Duration(directive.UsageMs) * time.Millisecond
 	s.heartbeat = heartbeatInterval
 	if directive.HeartbeatMs > 0 {
 		s.heartbeat = time.Duration(directive.HeartbeatMs) * time.Millisecond
 	}
 	s.holder.Grant(directive)
 	for _, start := range directive.Start {
-		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now}
+		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now, s.holder.leaseUntil}
 	}
 	for _, stop := range directive.Stop {
 		key := runKey{stop.Task, stop.Generation}
@@ -332,10 +341,9 @@
 		Incarnation: s.config.Incarnation,
 		Revision:    s.holder.Revision(),
 		Tasks:       s.outbox.take(s.sequence),
-		Usage:       s.usage,
+		Usage:       s.usage.take(s.usageEvery, s.outbox.active),
 		Leaving:     s.leaving,
 	}
-	s.usage = nil
 	s.addAnnouncement(report)
 	if s.helloNeeded {
 		report.Vm = s.config.VM
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -300,3 +300,22 @@
 		}
 	})
 }
+
+func TestSessionPausedPastItsLeaseDoesNotStartUnderALaterOne(t *testing.T) {
+	for _, newSession := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t)
+			r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+			time.Sleep(10 * time.Second)
+			r.session.readTasks(context.Background())
+			if newSession {
+				r.session.beginSession()
+			}
+			r.grant(&api.Directive{})
+			r.drive()
+			if r.worker.starts != 0 {
+				t.Errorf("new session %v: a start came into effect that is older than the lease it came with", newSession)
+			}
+		})
+	}
+}
