--- a/control/loop.go
+++ b/control/loop.go
@@ -97,6 +97,7 @@
 	if snapshot == nil {
 		return 0
 	}
+	s.runningTasks.Store(int64(len(snapshot.Tasks)))
 	decisions := s.config.Decide(snapshot)
 	s.metrics.decide.UpdateDuration(now)
 	s.carryOut(ctx, decisions, now)
--- a/control/pacing.go
+++ b/control/pacing.go
@@ -17,6 +17,17 @@
 	return min(max(interval, shortestHeartbeat), longestHeartbeat)
 }
 
+// Usage samples are spaced so that those of all running tasks stay within a rate.
+const (
+	shortestUsage    = 1 * time.Second
+	samplesPerSecond = 330
+)
+
+// usageFor returns the least length of a usage sample at a number of running tasks.
+func usageFor(tasks int) time.Duration {
+	return max((time.Duration(tasks)*time.Second+samplesPerSecond-1)/samplesPerSecond, shortestUsage)
+}
+
 // heartbeat returns the time between an agent's reports at the present size of the fleet.
 func (s *Server) heartbeat() time.Duration {
 	s.mu.Lock()
--- a/control/pacing_test.go
+++ b/control/pacing_test.go
@@ -21,3 +21,12 @@
 		t.Errorf("a report may come %v after the last one, a lease lasts %v", late, defaultLease)
 	}
 }
+
+func TestUsageSamplesOfAllTasksStayWithinTheirRate(t *testing.T) {
+	for _, tasks := range []int{0, 100, 330, 9900, 50_000} {
+		interval := usageFor(tasks)
+		if rate := float64(tasks) / interval.Seconds(); rate > samplesPerSecond || interval < shortestUsage {
+			t.Errorf("%d tasks: a sample every %v, %.0f a second", tasks, interval, rate)
+		}
+	}
+}
--- a/control/server.go
+++ b/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -17,16 +18,18 @@
 // Server is the service of one control replica.
 type Server struct {
 	api.UnimplementedControlServer
-	config    Config
-	state     *State
-	leases    *leaseTable
-	confirms  *confirmer
-	planner   *planner
-	metrics   *serverMetrics
-	work      chan struct{} // the leader's loop has something to do
-	stop      context.CancelFunc
-	done      sync.WaitGroup
-	watchDone context.Context
+	config   Config
+	state    *State
+	leases   *leaseTable
+	confirms *confirmer
+	planner  *planner
+	metrics  *serverMetrics
+	work     chan struct{} // the leader's loop has something to do
+	// runningTasks is the number of tasks that held a grant in the last round.
+	runningTasks atomic.Int64
+	stop         context.CancelFunc
+	done         sync.WaitGroup
+	watchDone    context.Context
 
 	mu       sync.Mutex
 	lead     *leadership         // nil while another replica leads
--- a/control/session.go
+++ b/control/session.go
@@ -321,6 +321,7 @@
 	if interval := server.heartbeat(); interval > shortestHeartbeat {
 		d.HeartbeatMs = millis(interval)
 	}
+	d.UsageMs = millis(usageFor(int(server.runningTasks.Load())))
 	if view.known && server.leases.grant(c.vm.Id, now) {
 		config := server.config
 		d.LeaseMs = millis(min(remainder(config.Lease.Duration, confirmed, c.received), config.Lease.Duration))
--- a/session/outbox.go
+++ b/session/outbox.go
@@ -93,6 +93,12 @@
 	return refused
 }
 
+// active reports whether the worker lists the run and it has not ended.
+func (o *outbox) active(key runKey) bool {
+	status, known := o.present[key]
+	return known && !status.Phase.Final()
+}
+
 // take returns the states that report sequence must carry.
 func (o *outbox) take(sequence uint64) []*api.TaskStatus {
 	var tasks []*api.TaskStatus
--- /dev/null
+++ b/session/usage.go
@@ -0,0 +1,58 @@
+package session
+
+import (
+	"time"
+
+	"amaranthpaddle/api"
+)
+
+// usageBook merges the worker's usage samples of each run until they span the
+// interval that the leader asked for, so that the bytes of a large fleet's
+// reports stay within their bound. It is not safe for concurrent use.
+type usageBook struct {
+	merged map[runKey]*api.UsageSample
+}
+
+func newUsageBook() *usageBook { return &usageBook{merged: map[runKey]*api.UsageSample{}} }
+
+// add takes in a sample. Samples of a run come in the order of time.
+func (u *usageBook) add(sample *api.UsageSample) {
+	key := runKey{sample.Task, sample.Generation}
+	if earlier, known := u.merged[key]; known {
+		mergeUsage(earlier, sample)
+		return
+	}
+	u.merged[key] = sample
+}
+
+// mergeUsage extends a sample by a later one: means weighted by time, and the
+// worse of the two latencies.
+func mergeUsage(into, later *api.UsageSample) {
+	before := float64(into.EndUnixMs - into.StartUnixMs)
+	after := float64(later.EndUnixMs - later.StartUnixMs)
+	if before+after <= 0 {
+		return
+	}
+	mean := func(a, b float64) float64 { return (a*before + b*after) / (before + after) }
+	into.Used = &api.Resources{
+		MilliCpu:     int64(mean(float64(into.Used.GetMilliCpu()), float64(later.Used.GetMilliCpu()))),
+		MemoryMib:    max(into.Used.GetMemoryMib(), later.Used.GetMemoryMib()),
+		Accelerators: max(into.Used.GetAccelerators(), later.Used.GetAccelerators()),
+	}
+	into.Speed = mean(into.Speed, later.Speed)
+	into.LatencyMs = max(into.LatencyMs, later.LatencyMs)
+	into.EndUnixMs = later.EndUnixMs
+}
+
+// take returns and forgets the samples that span the interval, and those of
+// runs that are no longer present.
+func (u *usageBook) take(interval time.Duration, present func(runKey) bool) []*api.UsageSample {
+	var ready []*api.UsageSample
+	for key, sample := range u.merged {
+		if sample.EndUnixMs-sample.StartUnixMs >= interval.Milliseconds() || !present(key) {
+			ready = append(ready, sample)
+			delete(u.merged, key)
+		}
+	}
+	return ready
+}
