--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,8 +39,9 @@
 // Config is what an Entry needs to run. Zero limits take the defaults.
 type Config struct {
 	Name        string
-	Control     []string // ip:port of the control replicas
-	Listen      string   // ip:port for callers
+	Control     []string     // ip:port of the control replicas
+	Listen      string       // ip:port for callers
+	Listener    net.Listener // for callers; nil to open Listen
 	Security    *transport.Security
 	Zone        string
 	Region      string
@@ -144,9 +145,13 @@
 // Start opens the listener, follows the directory and serves callers. Until the
 // first confirmed directory update, requests are refused and readiness fails.
 func (e *Entry) Start() error {
-	listener, err := e.config.Security.ListenHTTP(e.config.Listen)
-	if err != nil {
-		return err
+	listener := e.config.Listener
+	if listener == nil {
+		opened, err := e.config.Security.ListenHTTP(e.config.Listen)
+		if err != nil {
+			return err
+		}
+		listener = opened
 	}
 	e.listener = listener
 	e.registerMetrics()
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"flag"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -20,6 +22,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/control"
 	"amaranthpaddle/controlnode"
+	"amaranthpaddle/entry"
 	"amaranthpaddle/resource"
 	"amaranthpaddle/standin"
 	"amaranthpaddle/task/lease"
@@ -30,11 +33,15 @@
 // test binary runs itself as each process of the system.
 const childEnvironment = "PADDLE_TEST_ROLE"
 
+// requestsSuffix names the file of request events beside a worker's events.
+const requestsSuffix = ".requests"
+
 // The durations are shorter than in production, so that a test sees many leases.
 const (
-	leaseDuration = 4 * time.Second
-	leaseMargin   = 500 * time.Millisecond
-	freshness     = 2 * time.Second
+	plannedStopLimit = 20 * time.Second
+	leaseDuration    = 4 * time.Second
+	leaseMargin      = 500 * time.Millisecond
+	freshness        = 2 * time.Second
 )
 
 var vmCapacity = resource.Vector{MilliCPU: 8000, MemoryMiB: 16 << 10}
@@ -49,6 +56,8 @@
 		runAgent(arguments[1:])
 	case "worker":
 		runWorker(arguments[1:])
+	case "entry":
+		runEntry(arguments[1:])
 	default:
 		os.Exit(m.Run())
 	}
@@ -93,7 +102,7 @@
 
 func runAgent(arguments []string) {
 	vm, zone, workerURL, controls := arguments[0], arguments[1], arguments[2], arguments[3]
-	must(agent.Start(agent.Config{
+	started := must(agent.Start(agent.Config{
 		VM: &api.VM{
 			Id: vm, Zone: zone, Region: "r", Rack: vm,
 			Capacity: &api.Resources{MilliCpu: vmCapacity.MilliCPU, MemoryMib: vmCapacity.MemoryMiB},
@@ -101,14 +110,43 @@
 		ControlAddresses: strings.Split(controls, ","), ListenAddress: "127.0.0.1:0", Local: inherited(0),
 		WorkerURL: workerURL, Security: &transport.Security{},
 	}))
+	stopOnSignal(started.Stop)
+}
+
+func runEntry(arguments []string) {
+	name, zone, controls := arguments[0], arguments[1], arguments[2]
+	e := must(entry.New(entry.Config{
+		Name: name, Zone: zone, Region: "r", Control: strings.Split(controls, ","),
+		Listener: inherited(0), Security: &transport.Security{},
+	}))
+	if err := e.Start(); err != nil {
+		must(0, err)
+	}
+	stopOnSignal(e.Stop)
+}
+
+// stopOnSignal makes SIGTERM a planned stop, as in the daemons: the process ends
+// with code 0 once nothing is in progress.
+func stopOnSignal(stop func(context.Context) error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	go func() {
+		<-signals
+		ctx, cancel := context.WithTimeout(context.Background(), plannedStopLimit)
+		defer cancel()
+		must(0, stop(ctx))
+		os.Exit(0)
+	}()
 }
 
 func runWorker(arguments []string) {
 	vm, zone, announceURL, events := arguments[0], arguments[1], arguments[2], arguments[3]
-	file := must(os.OpenFile(events, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600))
+	appending := os.O_CREATE | os.O_APPEND | os.O_WRONLY
+	file := must(os.OpenFile(events, appending, 0o600))
+	requests := must(os.OpenFile(events+requestsSuffix, appending, 0o600))
 	must(standin.StartWorker(standin.WorkerOptions{
 		VM: vm, Zone: zone, Capacity: vmCapacity, AnnounceURL: announceURL,
-		Listener: inherited(0), Events: file,
+		Listener: inherited(0), Events: file, Requests: requests,
 	}))
 }
 
@@ -137,6 +175,17 @@
 func (p *process) kill() {
 	_ = p.command.Process.Kill()
 	_ = p.command.Wait()
+	if p.command.ProcessState.Exited() {
+		p.t.Errorf("%.40s ended by itself: %v %s", p.arguments, p.command.ProcessState, p.command.Stderr)
+	}
+}
+
+// stop asks for a planned stop and returns how the process ended.
+func (p *process) stop() error {
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	late := time.AfterFunc(2*plannedStopLimit, func() { _ = p.command.Process.Kill() })
+	defer late.Stop()
+	return p.command.Wait()
 }
 
 func (p *process) freeze() { _ = p.command.Process.Signal(syscall.SIGSTOP) }
@@ -168,16 +217,19 @@
 	t         *testing.T
 	dir       string
 	operators []string
+	addresses string // of the control replicas
 	controls  []*process
 	machines  []*machine
+	entries   []*process
+	callersAt []string // ip:port of each entry
 }
 
 func startSystem(t *testing.T, zones []string, vmsPerZone int) *system {
 	s := &system{t: t, dir: t.TempDir()}
-	addresses := s.startControls()
+	s.addresses = s.startControls()
 	for _, zone := range zones {
 		for i := range vmsPerZone {
-			s.startMachine(fmt.Sprintf("vm-%s%d", zone, i), zone, addresses)
+			s.startMachine(fmt.Sprintf("vm-%s%d", zone, i), zone, s.addresses)
 		}
 	}
 	t.Cleanup(s.stop)
@@ -216,8 +268,22 @@
 	s.machines = append(s.machines, m)
 }
 
+// startEntries starts count entries, spread over the zones.
+func (s *system) startEntries(count int, zones []string) {
+	for i := range count {
+		address, file := port(s.t)
+		name := fmt.Sprintf("entry-%d", i)
+		p := &process{t: s.t, files: []*os.File{file},
+			arguments: fmt.Sprintf("entry %s %s %s", name, zones[i%len(zones)], s.addresses)}
+		p.start()
+		s.entries = append(s.entries, p)
+		s.callersAt = append(s.callersAt, address)
+	}
+}
+
 func (s *system) stop() {
 	all := append([]*process(nil), s.controls...)
+	all = append(all, s.entries...)
 	for _, m := range s.machines {
 		all = append(all, m.worker, m.agent)
 	}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -37,6 +38,9 @@
 	Connections int
 	AnnounceURL string // base URL of the agent's local interface, empty for none
 	Ledger      *Ledger
+	VM          string
+	Zone        string
+	Events      io.Writer // gets one JSON line per RequestEvent, may be nil
 }
 
 // Announcement is what a backend server tells its agent, again and again while it serves.
@@ -55,6 +59,8 @@
 	Digest string `json:"digest"` // SHA-256 of the request's body
 	Size   int    `json:"size"`
 	Server string `json:"server"`
+	Run    string `json:"run"` // unique for each run
+	Filler string `json:"filler,omitempty"`
 }
 
 // Backend is a stand-in backend server: one instance of a service.
@@ -136,26 +142,37 @@
 	if b.options.Ledger != nil && token != "" {
 		b.options.Ledger.Request(token)
 	}
+	event := RequestEvent{
+		VM: b.options.VM, Zone: b.options.Zone, Server: b.options.ID,
+		Run: rand.Text(), Token: token, Send: r.Header.Get(SendHeader),
+	}
+	event.write(b.options.Events, RequestBegin)
 	hash := sha256.New()
 	size, err := io.Copy(hash, r.Body)
 	if err != nil {
 		http.Error(rw, err.Error(), http.StatusBadRequest)
 		return
 	}
-	time.Sleep(b.serviceTime())
+	event.Digest = hex.EncodeToString(hash.Sum(nil))
+	event.write(b.options.Events, RequestWhole)
+	b.work(workTime(r))
 	encode(rw, Answer{
-		Token: token, Digest: hex.EncodeToString(hash.Sum(nil)),
-		Size: int(size), Server: b.options.ID,
+		Token: token, Digest: event.Digest, Size: int(size),
+		Server: b.options.ID, Run: event.Run, Filler: filler(r),
 	})
+	event.write(b.options.Events, RequestEnd)
 	b.mu.Lock()
 	_ = b.latency.RecordValue(time.Since(began).Microseconds())
 	b.mu.Unlock()
 }
 
-func (b *Backend) serviceTime() time.Duration {
+// work takes as long as the undisturbed time at the present speed. A caller that
+// leaves does not end it: a charge that has begun is carried out.
+func (b *Backend) work(undisturbed time.Duration) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	return time.Duration(float64(baseServiceTime) / b.speed)
+	took := time.Duration(float64(undisturbed) / b.speed)
+	b.mu.Unlock()
+	time.Sleep(took)
 }
 
 // handleWatch is a standing stream: one event an interval until either side leaves.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -39,6 +39,7 @@
 	Use         func(job string) resource.Vector // true use of a task of the job or service; nil for its first grant here
 	Listener    net.Listener                     // of the interface; nil for a free loopback port
 	Events      io.Writer                        // gets one JSON line per Event, may be nil
+	Requests    io.Writer                        // gets one JSON line per RequestEvent of its backend servers, may be nil
 }
 
 // Event is something that really happened to a run at a worker.
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -99,6 +99,7 @@
 		Slots:       parameter(r.request.Parameters, "slots", defaultSlots),
 		Connections: parameter(r.request.Parameters, "connections", defaultConnections),
 		AnnounceURL: w.options.AnnounceURL, Ledger: w.options.Ledger,
+		VM: w.options.VM, Zone: w.options.Zone, Events: w.options.Requests,
 	})
 	if err != nil {
 		w.end(r, worker.PhaseFailed, err.Error())
