entry: answers during the stop's notice close callers' kept connections

Cause: callers kept their connections until the listener's end, where one is closed under a request that is on its way: the caller gets no answer and a charge's outcome is unknown.

Change: during the notice answers carry Connection: close, so that callers come with new connections, and the next ones are taken by another entry of the balancer.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -100,7 +100,7 @@
 	e.pool = newPool(ctx, config.Security, config.Links)
 	e.directory = newDirectory(e.pool, config.QueueTime)
 	e.server = &http.Server{
-		Handler:           e.Handler(),
+		Handler:           e.closeWhileDraining(e.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -174,6 +174,17 @@
 // Ready reports whether callers are served.
 func (e *Entry) Ready() bool { return e.directory.confirmed() && !e.draining.Load() }
 
+// closeWhileDraining asks callers to come with a new connection during the
+// notice, so that no kept one is closed under a request that is on its way.
+func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Stop stops gracefully: readiness fails, after the notice the listener closes,
 // standing streams end at a message boundary and all other requests in
 // progress are answered. It returns early with fault.Canceled when ctx ends.
