integration, agent: agents keep their port; a stopped agent takes no work while it waits for its tasks

Cause: agents came back on another port, so no lookup ever met a restarted agent: the rule that an attempt at an earlier incarnation is unknown could be broken without a failure. A request cut by an agent's planned stop could show as deadline-unknown, which the check passed over. The agent's stop waited up to 10 s for its tasks before it closed to requests.

Change: agent.Config.Listener, inherited like the local one. The check compares with the end of the run that the backend server recorded: work done 2 s before the deadline whose caller is told unknown or nothing was cut.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,7 @@
 	VM               *api.VM
 	ControlAddresses []string     // ip:port of the control replicas
 	ListenAddress    string       // ip:port where entries reach this agent
+	Listener         net.Listener // for entries; nil to open ListenAddress
 	LocalAddress     string       // ip:port of the local interface, on loopback
 	Local            net.Listener // of the local interface; nil to open LocalAddress
 	WorkerURL        string       // base URL of the worker's interface
@@ -65,7 +66,7 @@
 // Start opens the agent's listeners and joins the fleet. Errors:
 // fault.InvalidArgument for bad addresses, fault.StorageFailed for the data folder.
 func Start(config Config) (*Agent, error) {
-	listener, err := config.Security.Listen(config.ListenAddress)
+	listener, err := listenEntries(config)
 	if err != nil {
 		return nil, err
 	}
@@ -84,6 +85,13 @@
 	return a, nil
 }
 
+func listenEntries(config Config) (net.Listener, error) {
+	if config.Listener != nil {
+		return config.Listener, nil
+	}
+	return config.Security.Listen(config.ListenAddress)
+}
+
 func listenLocal(config Config) (net.Listener, error) {
 	if config.Local != nil {
 		return config.Local, nil
@@ -207,8 +215,9 @@
 	a.mu.Unlock()
 	a.session.Leave()
 	waitFor(ctx, leavePropagation)
-	a.awaitTasks(ctx)
+	// Also when the control group can't be told, no new work is taken from here on.
 	a.delivery.Drain()
+	a.awaitTasks(ctx)
 	err := a.delivery.Wait(ctx)
 	a.Kill()
 	return err
--- a/integration/callers_test.go
+++ b/integration/callers_test.go
@@ -50,6 +50,7 @@
 	entry        int
 	digest       string // of the body
 	begun, ended time.Time
+	deadline     time.Time
 	outcome      fault.Outcome
 	kind         string // of a refusal
 	answer       standin.Answer
@@ -180,6 +181,7 @@
 		var timeout net.Error
 		sent.cut = !(errors.As(sent.err, &timeout) && timeout.Timeout()) && ctx.Err() == nil
 	}
+	sent.deadline = sent.begun.Add(o.deadline)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls = append(c.calls, sent)
--- a/integration/process_test.go
+++ b/integration/process_test.go
@@ -107,7 +107,7 @@
 			Id: vm, Zone: zone, Region: "r", Rack: vm,
 			Capacity: &api.Resources{MilliCpu: vmCapacity.MilliCPU, MemoryMib: vmCapacity.MemoryMiB},
 		},
-		ControlAddresses: strings.Split(controls, ","), ListenAddress: "127.0.0.1:0", Local: inherited(0),
+		ControlAddresses: strings.Split(controls, ","), Listener: inherited(1), Local: inherited(0),
 		WorkerURL: workerURL, Security: &transport.Security{},
 	}))
 	stopOnSignal(started.Stop)
@@ -258,10 +258,11 @@
 func (s *system) startMachine(id, zone, controls string) {
 	workerAddress, workerFile := port(s.t)
 	localAddress, localFile := port(s.t)
+	_, entriesFile := port(s.t)
 	m := &machine{id: id, zone: zone, events: filepath.Join(s.dir, id+".events")}
 	m.worker = &process{t: s.t, files: []*os.File{workerFile},
 		arguments: fmt.Sprintf("worker %s %s http://%s %s", id, zone, localAddress, m.events)}
-	m.agent = &process{t: s.t, files: []*os.File{localFile},
+	m.agent = &process{t: s.t, files: []*os.File{localFile, entriesFile},
 		arguments: fmt.Sprintf("agent %s %s http://%s %s", id, zone, workerAddress, controls)}
 	m.worker.start()
 	m.agent.start()
--- a/integration/request_checks_test.go
+++ b/integration/request_checks_test.go
@@ -20,13 +20,14 @@
 	begins  map[string][]standin.RequestEvent // by token
 	sends   map[string]int                    // runs by sending
 	wholes  map[string]standin.RequestEvent   // by run
+	ends    map[string]standin.RequestEvent   // by run
 	byToken map[string][]*call
 }
 
 func newRequestHistory(events []standin.RequestEvent, calls []*call) *requestHistory {
 	h := &requestHistory{
 		events: events, calls: calls, begins: map[string][]standin.RequestEvent{}, sends: map[string]int{},
-		wholes: map[string]standin.RequestEvent{}, byToken: map[string][]*call{},
+		wholes: map[string]standin.RequestEvent{}, ends: map[string]standin.RequestEvent{}, byToken: map[string][]*call{},
 	}
 	for _, event := range events {
 		switch event.Kind {
@@ -35,6 +36,8 @@
 			h.sends[event.Send]++
 		case standin.RequestWhole:
 			h.wholes[event.Run] = event
+		case standin.RequestEnd:
+			h.ends[event.Run] = event
 		}
 	}
 	for _, c := range calls {
@@ -152,7 +155,7 @@
 				continue
 			}
 			inProgress++
-			if c.cut || c.kind == fault.ConnectionLost.String() || c.kind == fault.AnswerDamaged.String() {
+			if c.cut || h.answerWithheld(c, event) {
 				t.Errorf("the planned stop of %s cut %s: %s %s %v", stop.name, c.id, c.outcome, c.kind, c.err)
 			}
 		}
@@ -161,6 +164,14 @@
 	}
 }
 
+// answerWithheld reports whether the run's work was done in time, and yet its
+// caller was not told its outcome.
+func (h *requestHistory) answerWithheld(c *call, run standin.RequestEvent) bool {
+	end, done := h.ends[run.Run]
+	inTime := done && time.Unix(0, end.At).Before(c.deadline.Add(-answerMargin))
+	return inTime && (c.outcome == outcomeLost || c.outcome == fault.OutcomeUnknown)
+}
+
 // checkDrained: a VM gets no request from drainBound after its drain was
 // acknowledged, or after its agent was asked to stop, until it takes work again.
 func (h *requestHistory) checkDrained(t *testing.T, closures []closure) {
--- a/integration/requests_test.go
+++ b/integration/requests_test.go
@@ -24,6 +24,7 @@
 	servingLimit    = 40 * time.Second
 	requestFaults   = 12
 	noticeShare     = 1500 * time.Millisecond // of an entry's notice, in which it takes requests as before
+	answerMargin    = 2 * time.Second         // before its deadline, in which a done run's answer reaches its caller
 	slowRunMS       = 3000                    // of the requests that are in progress at a planned stop
 	slowCalls       = 12
 )
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -156,11 +156,11 @@
 	event.Digest = hex.EncodeToString(hash.Sum(nil))
 	event.write(b.options.Events, RequestWhole)
 	b.work(workTime(r))
+	event.write(b.options.Events, RequestEnd)
 	encode(rw, Answer{
 		Token: token, Digest: event.Digest, Size: int(size),
 		Server: b.options.ID, Run: event.Run, Filler: filler(r),
 	})
-	event.write(b.options.Events, RequestEnd)
 	b.mu.Lock()
 	_ = b.latency.RecordValue(time.Since(began).Microseconds())
 	b.mu.Unlock()
--- a/standin/request_event.go
+++ b/standin/request_event.go
@@ -29,7 +29,7 @@
 const (
 	RequestBegin RequestEventKind = "begin" // the head has arrived
 	RequestWhole RequestEventKind = "whole" // the body has arrived whole
-	RequestEnd   RequestEventKind = "end"   // the answer was written whole
+	RequestEnd   RequestEventKind = "end"   // the work is done, and its answer goes out
 )
 
 // RequestEvent is something that really happened to a request at a backend server.
