--- a/integration/request_checks_test.go
+++ b/integration/request_checks_test.go
@@ -190,7 +190,7 @@
 func (h *requestHistory) logFigures(t *testing.T) {
 	t.Helper()
 	counts := map[work]map[string]int{}
-	misread := 0
+	afterRun := 0
 	for _, c := range h.calls {
 		if counts[c.work] == nil {
 			counts[c.work] = map[string]int{}
@@ -200,15 +200,16 @@
 			name += "/" + c.kind
 		}
 		counts[c.work][name]++
-		if c.work == keyed && c.outcome == fault.OutcomeNotRun && len(h.begins[c.token]) > 0 {
-			misread++
+		runs := h.begins[c.token]
+		if c.outcome == fault.OutcomeNotRun && len(runs) > 0 && runs[0].At < c.ended.UnixNano() {
+			afterRun++
 		}
 	}
 	for kind, outcomes := range counts {
 		t.Logf("%s: %v", kind, outcomes)
 	}
-	t.Logf("%d requests, %d sendings, %d runs; %d sendings of a keyed charge told not-run while another one ran",
-		len(h.byToken), len(h.calls), len(h.wholes), misread)
+	t.Logf("%d requests, %d sendings, %d runs; %d sendings told not-run after another sending of the same request had run",
+		len(h.byToken), len(h.calls), len(h.wholes), afterRun)
 }
 
 func describe(calls []*call) string {
