--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,7 @@
 	VM               *api.VM
 	ControlAddresses []string     // ip:port of the control replicas
 	ListenAddress    string       // ip:port where entries reach this agent
+	Listener         net.Listener // for entries; nil to open ListenAddress
 	LocalAddress     string       // ip:port of the local interface, on loopback
 	Local            net.Listener // of the local interface; nil to open LocalAddress
 	WorkerURL        string       // base URL of the worker's interface
@@ -57,14 +58,15 @@
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 
-	mu      sync.Mutex
-	leaving bool
+	mu           sync.Mutex
+	leaving      bool
+	wasInService bool // the VM's zone, in an earlier directive
 }
 
 // Start opens the agent's listeners and joins the fleet. Errors:
 // fault.InvalidArgument for bad addresses, fault.StorageFailed for the data folder.
 func Start(config Config) (*Agent, error) {
-	listener, err := config.Security.Listen(config.ListenAddress)
+	listener, err := listenEntries(config)
 	if err != nil {
 		return nil, err
 	}
@@ -83,6 +85,13 @@
 	return a, nil
 }
 
+func listenEntries(config Config) (net.Listener, error) {
+	if config.Listener != nil {
+		return config.Listener, nil
+	}
+	return config.Security.Listen(config.ListenAddress)
+}
+
 func listenLocal(config Config) (net.Listener, error) {
 	if config.Local != nil {
 		return config.Local, nil
@@ -117,6 +126,7 @@
 		Security:         a.config.Security,
 		Worker:           worker.NewClient(a.config.WorkerURL, &http.Client{}),
 		Announcer:        a.registry,
+		OnDirective:      a.takeDirective,
 	})
 	a.server = grpc.NewServer(a.config.Security.ServerOptions()...)
 	a.delivery.Register(a.server)
@@ -174,6 +184,17 @@
 	}
 }
 
+// takeDirective closes the VM to new requests once it is drained or its zone
+// went out of service. Entries hear of it too, but one that is cut off from the
+// control group goes on sending here.
+func (a *Agent) takeDirective(directive *api.Directive) {
+	a.mu.Lock()
+	wentOut := a.wasInService && !directive.ZoneInService
+	a.wasInService = a.wasInService || directive.ZoneInService
+	a.mu.Unlock()
+	a.delivery.Pause(directive.Drain || wentOut)
+}
+
 func deliveryServers(present []Announcement) []delivery.Server {
 	servers := make([]delivery.Server, 0, len(present))
 	for _, p := range present {
@@ -194,8 +215,9 @@
 	a.mu.Unlock()
 	a.session.Leave()
 	waitFor(ctx, leavePropagation)
-	a.awaitTasks(ctx)
+	// Also when the control group can't be told, no new work is taken from here on.
 	a.delivery.Drain()
+	a.awaitTasks(ctx)
 	err := a.delivery.Wait(ctx)
 	a.Kill()
 	return err
--- a/delivery/delivery.go
+++ b/delivery/delivery.go
@@ -73,7 +73,8 @@
 
 	mu        sync.Mutex
 	instances map[string]*instance
-	draining  bool
+	draining  bool // for good
+	paused    bool // until the VM takes work again
 
 	tableMu sync.Mutex
 	table   *request.Table[*answer]
@@ -152,7 +153,7 @@
 		if ok {
 			known.leave()
 		}
-		d.instances[server.ID] = newInstance(server, d.draining)
+		d.instances[server.ID] = newInstance(server, d.draining || d.paused)
 	}
 	for id, known := range d.instances {
 		if !listed[id] {
@@ -173,6 +174,25 @@
 	}
 }
 
+// Pause stops new attempts as Drain does, but only until it is called with
+// false. An entry that has not heard of a drained VM is refused in this way.
+func (d *Delivery) Pause(paused bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.paused == paused {
+		return
+	}
+	d.paused = paused
+	for id, known := range d.instances {
+		switch {
+		case paused:
+			known.leave()
+		case !d.draining:
+			d.instances[id] = known.resumed()
+		}
+	}
+}
+
 // Wait returns once no attempt has been in progress for settleTime, in which the
 // last answers leave the process, or with the context's error.
 func (d *Delivery) Wait(ctx context.Context) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,8 +39,9 @@
 // Config is what an Entry needs to run. Zero limits take the defaults.
 type Config struct {
 	Name        string
-	Control     []string // ip:port of the control replicas
-	Listen      string   // ip:port for callers
+	Control     []string     // ip:port of the control replicas
+	Listen      string       // ip:port for callers
+	Listener    net.Listener // for callers; nil to open Listen
 	Security    *transport.Security
 	Zone        string
 	Region      string
@@ -100,7 +101,7 @@
 	e.pool = newPool(ctx, config.Security, config.Links)
 	e.directory = newDirectory(e.pool, config.QueueTime)
 	e.server = &http.Server{
-		Handler:           e.Handler(),
+		Handler:           e.closeWhileDraining(e.Handler()),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -148,9 +149,13 @@
 // Start opens the listener, follows the directory and serves callers. Until the
 // first confirmed directory update, requests are refused and readiness fails.
 func (e *Entry) Start() error {
-	listener, err := e.config.Security.ListenHTTP(e.config.Listen)
-	if err != nil {
-		return err
+	listener := e.config.Listener
+	if listener == nil {
+		opened, err := e.config.Security.ListenHTTP(e.config.Listen)
+		if err != nil {
+			return err
+		}
+		listener = opened
 	}
 	e.listener = listener
 	e.registerMetrics()
@@ -173,6 +178,17 @@
 // Ready reports whether callers are served.
 func (e *Entry) Ready() bool { return e.directory.confirmed() && !e.draining.Load() }
 
+// closeWhileDraining asks callers to come with a new connection during the
+// notice, so that no kept one is closed under a request that is on its way.
+func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Stop stops gracefully: readiness fails, after the notice the listener closes,
 // standing streams end at a message boundary and all other requests in
 // progress are answered. It returns early with fault.Canceled when ctx ends.
