session: a replica that does not answer is given up before the lease ends

Cause: a session gave its connection up after 2.5 heartbeats, 10 s at the size to come, and a lease lasted 8 s: a leader that froze would have ended the batch work of every VM, although a new leader is there within a second. Change: a report waits 2 s for its directive, whatever the heartbeat; the lease lasts 10 s, so that a late report (4.8 s), the wait (2 s) and a reconnection with one dead end (2 s) fit into it. Conclusion: a frozen leader costs no lease.

--- a/control/config.go
+++ b/control/config.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	defaultLease         = 8 * time.Second
+	defaultLease         = 10 * time.Second
 	leaseMarginPart      = 16 // of a lease, for the drift of clocks
 	defaultFresh         = 2 * time.Second
 	defaultClaimKeep     = 24 * time.Hour
--- a/session/session.go
+++ b/session/session.go
@@ -24,7 +24,7 @@
 	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
 	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
 	usagePollInterval = 1 * time.Second
-	silentHeartbeats  = 2.5 // intervals without a directive, after which the connection is given up
+	answerTimeout     = 2 * time.Second // for a report's directive, after which the connection is given up
 	reconnectMin      = 50 * time.Millisecond
 	reconnectMax      = 1 * time.Second
 )
@@ -84,7 +84,7 @@
 	leaving     bool
 	helloNeeded bool
 	heartbeat   time.Duration // between reports
-	heard       time.Time     // when the session began or its last directive came
+	waiting     time.Time     // when the oldest report without an answer was sent, zero for none
 	leader      string        // address to try first
 	announced   <-chan struct{}
 }
@@ -222,7 +222,7 @@
 	// The leader of the new session sends the starts that still hold.
 	clear(s.starts)
 	s.helloNeeded = true
-	s.heard = time.Now()
+	s.waiting = time.Time{}
 }
 
 func (s *Session) receiveLoop(stream grpc.BidiStreamingClient[api.AgentReport, api.Directive]) error {
@@ -252,7 +252,7 @@
 func (s *Session) takeDirective(directive *api.Directive) {
 	now := time.Now()
 	s.mu.Lock()
-	s.heard = now
+	s.waiting = time.Time{}
 	s.usageEvery = time.Duration(directive.UsageMs) * time.Millisecond
 	s.heartbeat = heartbeatInterval
 	if directive.HeartbeatMs > 0 {
@@ -288,7 +288,7 @@
 				return <-received
 			}
 		}
-		timer := time.NewTimer(jitter(s.interval()))
+		timer := time.NewTimer(s.pause(time.Now()))
 		select {
 		case <-timer.C:
 		case <-s.report:
@@ -304,19 +304,24 @@
 	}
 }
 
-// silent reports whether the session has gone without directives for so long
-// that its connection may be dead while new ones would work.
+// silent reports whether a report has gone without an answer for so long that
+// the connection, or the replica behind it, may be dead while others work. The
+// VM's lease must not run out meanwhile.
 func (s *Session) silent(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.heard) > time.Duration(silentHeartbeats*float64(s.heartbeat))
+	return !s.waiting.IsZero() && now.Sub(s.waiting) >= answerTimeout
 }
 
-// interval returns the present time between reports.
-func (s *Session) interval() time.Duration {
+// pause returns how long to wait for the next report, or for an answer to the last.
+func (s *Session) pause(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heartbeat
+	next := jitter(s.heartbeat)
+	if s.waiting.IsZero() {
+		return next
+	}
+	return min(next, s.waiting.Add(answerTimeout).Sub(now))
 }
 
 // announcementChanged returns the channel that was taken before the announcement
@@ -336,6 +341,9 @@
 		return nil
 	}
 	s.sequence++
+	if s.waiting.IsZero() {
+		s.waiting = now
+	}
 	report := &api.AgentReport{
 		Sequence:    s.sequence,
 		Incarnation: s.config.Incarnation,
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -319,3 +319,23 @@
 		})
 	}
 }
+
+func TestSessionGivesUpAReplicaThatDoesNotAnswerBeforeTheLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{HeartbeatMs: 4000})
+		time.Sleep(4 * time.Second)
+		r.session.readTasks(context.Background())
+		if r.session.silent(time.Now()) {
+			t.Fatal("given up although every report was answered")
+		}
+		r.session.nextReport(time.Now())
+		if wait := r.session.pause(time.Now()); wait > answerTimeout {
+			t.Errorf("the next look is in %v, the answer is due in %v", wait, answerTimeout)
+		}
+		time.Sleep(answerTimeout)
+		if !r.session.silent(time.Now()) {
+			t.Error("a report without an answer is waited for past its time")
+		}
+	})
+}
