agent: a planned stop lets the last answers leave before connections close

Cause: the gRPC server was stopped hard before the request side was closed; in the request part's own stop test that order cut an answer, and its caller waited out 30 s. Change: close the request side, then end connections gracefully within 2 s; the server takes package delivery's options (windows, message limits, keepalive).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -29,6 +29,8 @@
 	// checkpoints and moves once it hears of the leaving.
 	taskStopLimit = 10 * time.Second
 	taskStopPoll  = 100 * time.Millisecond
+	// serverStopLimit bounds the end of connections once no request is in progress.
+	serverStopLimit = 2 * time.Second
 )
 
 // Config is the configuration of an Agent.
@@ -128,7 +130,7 @@
 		Announcer:        a.registry,
 		OnDirective:      a.takeDirective,
 	})
-	a.server = grpc.NewServer(a.config.Security.ServerOptions()...)
+	a.server = grpc.NewServer(append(delivery.ServerOptions(), a.config.Security.ServerOptions()...)...)
 	a.delivery.Register(a.server)
 	a.local = &http.Server{Handler: a.routes(), ReadHeaderTimeout: readHeaderTimeout}
 	return nil
@@ -219,22 +221,32 @@
 	a.delivery.Drain()
 	a.awaitTasks(ctx)
 	err := a.delivery.Wait(ctx)
-	a.Kill()
+	a.end(a.stopServer)
 	return err
 }
 
 // Kill ends the agent at once, as the loss of its process would.
-func (a *Agent) Kill() {
+func (a *Agent) Kill() { a.end(a.server.Stop) }
+
+func (a *Agent) end(stopServer func()) {
 	a.cancel()
-	a.server.Stop()
-	a.local.Close()
 	if err := a.delivery.Close(); err != nil {
 		klog.ErrorS(err, "Closing the request side failed", "vm", a.config.VM.Id)
 	}
+	stopServer()
+	a.local.Close()
 	a.wait.Wait()
 	a.control.Close()
 }
 
+// stopServer lets the last answers and refusals leave before connections close:
+// an entry whose answer is cut would have to look it up at a process that is gone.
+func (a *Agent) stopServer() {
+	late := time.AfterFunc(serverStopLimit, a.server.Stop)
+	defer late.Stop()
+	a.server.GracefulStop()
+}
+
 func (a *Agent) awaitTasks(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, taskStopLimit)
 	defer cancel()
