--- a/cmd/paddle-scale/agent.go
+++ b/cmd/paddle-scale/agent.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"amaranthpaddle/api"
 	"amaranthpaddle/session"
 	"amaranthpaddle/standin"
@@ -26,8 +28,9 @@
 	servers *lightAnnouncer
 }
 
-// newLightAgent returns the agent of the numbered VM.
-func newLightAgent(number int, zone zoneName, controls []string) *lightAgent {
+// newLightAgent returns the agent of the numbered VM. requests is its request
+// side, nil for none.
+func newLightAgent(number int, zone zoneName, controls []string, requests *requestSide) *lightAgent {
 	vm := &api.VM{
 		Id:   fmt.Sprintf("vm-%04d", number),
 		Zone: zone.name, Region: zone.region,
@@ -35,10 +38,14 @@
 		Capacity: &api.Resources{MilliCpu: workerMilliCPU, MemoryMib: workerMemoryMiB, Accelerators: acceleratorsOf(number)},
 	}
 	a := &lightAgent{worker: standin.NewLightWorker()}
-	a.servers = newLightAnnouncer(vm, a.worker)
+	identity := &api.BackendServer{
+		Vm: vm.Id, Zone: vm.Zone, Region: vm.Region, AgentAddress: requests.address(),
+		Incarnation: uint64(time.Now().UnixNano()), Slots: 8, Connections: 64,
+	}
+	a.servers = newLightAnnouncer(identity, a.worker)
 	a.session = session.New(session.Config{
 		VM:               vm,
-		Incarnation:      uint64(time.Now().UnixNano()),
+		Incarnation:      identity.Incarnation,
 		ControlAddresses: controls,
 		Security:         &transport.Security{},
 		Worker:           a.worker,
@@ -69,16 +76,16 @@
 
 // lightAnnouncer announces a backend server for each service run of a worker.
 type lightAnnouncer struct {
-	vm     *api.VM
-	worker *standin.LightWorker
+	identity *api.BackendServer // what all servers of the VM share
+	worker   *standin.LightWorker
 
 	mu      sync.Mutex
 	servers []*api.BackendServer
 	changed chan struct{}
 }
 
-func newLightAnnouncer(vm *api.VM, worker *standin.LightWorker) *lightAnnouncer {
-	return &lightAnnouncer{vm: vm, worker: worker, changed: make(chan struct{})}
+func newLightAnnouncer(identity *api.BackendServer, worker *standin.LightWorker) *lightAnnouncer {
+	return &lightAnnouncer{identity: identity, worker: worker, changed: make(chan struct{})}
 }
 
 func (l *lightAnnouncer) loop(ctx context.Context) {
@@ -103,11 +110,9 @@
 	}
 	l.servers = nil
 	for _, run := range running {
-		l.servers = append(l.servers, &api.BackendServer{
-			Id: run.Task, Service: run.Service,
-			Vm: l.vm.Id, Zone: l.vm.Zone, Region: l.vm.Region,
-			AgentAddress: "127.0.0.1:1", Incarnation: 1, Slots: 8, Connections: 64,
-		})
+		server := proto.Clone(l.identity).(*api.BackendServer)
+		server.Id, server.Service = run.Task, run.Service
+		l.servers = append(l.servers, server)
 	}
 	close(l.changed)
 	l.changed = make(chan struct{})
--- a/cmd/paddle-scale/main.go
+++ b/cmd/paddle-scale/main.go
@@ -15,6 +15,9 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	"amaranthpaddle/controlclient"
+	"amaranthpaddle/transport"
 )
 
 const (
@@ -30,6 +33,7 @@
 		number   uint64 = 1
 		scale           = 1.0
 		urgent          = 0
+		deliver         = false
 	)
 	flaggy.SetDescription("measures a control group under a large fleet")
 	planCommand := flaggy.NewSubcommand("plan")
@@ -41,6 +45,7 @@
 	agentsCommand.Description = "runs the sessions of many light agents"
 	agentsCommand.String(&controls, "c", "control", "ip:port of each control replica, separated by commas")
 	agentsCommand.Int(&agents, "a", "agents", "number of agents")
+	agentsCommand.Bool(&deliver, "r", "requests", "open each agent's request side, for entries to connect to")
 	agentsCommand.Duration(&runFor, "d", "duration", "how long to run")
 	flaggy.AttachSubcommand(planCommand, 1)
 	flaggy.AttachSubcommand(agentsCommand, 1)
@@ -49,7 +54,7 @@
 	case planCommand.Used:
 		exitOn(writeSheet(os.Stdout, sheetOptions{number: number, scale: scale, urgent: urgent, day: time.Now().UTC()}))
 	case agentsCommand.Used && controls != "":
-		runAgents(strings.Split(controls, ","), agents, runFor)
+		exitOn(runAgents(strings.Split(controls, ","), agents, runFor, deliver))
 	default:
 		flaggy.ShowHelpAndExit("a command is needed; agents also needs --control")
 	}
@@ -64,15 +69,25 @@
 
 // runAgents runs the agents and prints, every few seconds, how many runs
 // started and how long the last revision took to be in force at all of them.
-func runAgents(controls []string, count int, runFor time.Duration) {
+func runAgents(controls []string, count int, runFor time.Duration, deliver bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), runFor)
 	defer cancel()
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	control := controlclient.New(&transport.Security{}, controls)
+	defer control.Close()
 	fleet := make([]*lightAgent, count)
 	var wait sync.WaitGroup
 	for i := range fleet {
-		fleet[i] = newLightAgent(i, zones[i%len(zones)], controls)
+		var requests *requestSide
+		if deliver {
+			started, err := startRequestSide(control)
+			if err != nil {
+				return err
+			}
+			requests = started
+		}
+		fleet[i] = newLightAgent(i, zones[i%len(zones)], controls, requests)
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
@@ -81,6 +96,7 @@
 	}
 	observe(ctx, fleet)
 	wait.Wait()
+	return nil
 }
 
 // spread is when a revision was first seen at one agent and at all of them.
