--- a/session/session.go
+++ b/session/session.go
@@ -24,7 +24,7 @@
 	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
 	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
 	usagePollInterval = 1 * time.Second
-	silentHeartbeats  = 2.5 // intervals without a directive, after which the connection is given up
+	answerTimeout     = 2 * time.Second // for a report's directive, after which the connection is given up
 	reconnectMin      = 50 * time.Millisecond
 	reconnectMax      = 1 * time.Second
 )
@@ -70,7 +70,8 @@
 	mu          sync.Mutex
 	holder      *Holder
 	outbox      *outbox
-	usage       []*api.UsageSample // not yet sent
+	usage       *usageBook    // not yet sent
+	usageEvery  time.Duration // least length of a usage sample
 	sequence    uint64
 	epoch       string    // of the worker process
 	clockMS     int64     // last reading of the worker's clock
@@ -83,15 +84,19 @@
 	leaving     bool
 	helloNeeded bool
 	heartbeat   time.Duration // between reports
-	heard       time.Time     // when the session began or its last directive came
+	waiting     time.Time     // when the oldest report without an answer was sent, zero for none
 	leader      string        // address to try first
 	announced   <-chan struct{}
 }
 
-// pendingStart is a start directive that has not been carried out.
+// pendingStart is a start directive that has not been carried out. It is good
+// only until the lease ends that was held when it came: after that the VM may
+// have been declared lost and the task placed elsewhere, whatever lease the VM
+// was granted since.
 type pendingStart struct {
 	*api.StartTask
 	received time.Time
+	deadline time.Time
 }
 
 // New returns a Session that is not yet running.
@@ -102,6 +107,7 @@
 		report:    make(chan struct{}, 1),
 		holder:    NewHolder(),
 		outbox:    newOutbox(),
+		usage:     newUsageBook(),
 		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
@@ -213,8 +219,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outbox.reset()
+	// The leader of the new session sends the starts that still hold.
+	clear(s.starts)
 	s.helloNeeded = true
-	s.heard = time.Now()
+	s.waiting = time.Time{}
 }
 
 func (s *Session) receiveLoop(stream grpc.BidiStreamingClient[api.AgentReport, api.Directive]) error {
@@ -244,14 +252,15 @@
 func (s *Session) takeDirective(directive *api.Directive) {
 	now := time.Now()
 	s.mu.Lock()
-	s.heard = now
+	s.waiting = time.Time{}
+	s.usageEvery = time.Duration(directive.UsageMs) * time.Millisecond
 	s.heartbeat = heartbeatInterval
 	if directive.HeartbeatMs > 0 {
 		s.heartbeat = time.Duration(directive.HeartbeatMs) * time.Millisecond
 	}
 	s.holder.Grant(directive)
 	for _, start := range directive.Start {
-		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now}
+		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now, s.holder.leaseUntil}
 	}
 	for _, stop := range directive.Stop {
 		key := runKey{stop.Task, stop.Generation}
@@ -279,7 +288,7 @@
 				return <-received
 			}
 		}
-		timer := time.NewTimer(jitter(s.interval()))
+		timer := time.NewTimer(s.pause(time.Now()))
 		select {
 		case <-timer.C:
 		case <-s.report:
@@ -295,19 +304,24 @@
 	}
 }
 
-// silent reports whether the session has gone without directives for so long
-// that its connection may be dead while new ones would work.
+// silent reports whether a report has gone without an answer for so long that
+// the connection, or the replica behind it, may be dead while others work. The
+// VM's lease must not run out meanwhile.
 func (s *Session) silent(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.heard) > time.Duration(silentHeartbeats*float64(s.heartbeat))
+	return !s.waiting.IsZero() && now.Sub(s.waiting) >= answerTimeout
 }
 
-// interval returns the present time between reports.
-func (s *Session) interval() time.Duration {
+// pause returns how long to wait for the next report, or for an answer to the last.
+func (s *Session) pause(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.heartbeat
+	next := jitter(s.heartbeat)
+	if s.waiting.IsZero() {
+		return next
+	}
+	return min(next, s.waiting.Add(answerTimeout).Sub(now))
 }
 
 // announcementChanged returns the channel that was taken before the announcement
@@ -327,15 +341,17 @@
 		return nil
 	}
 	s.sequence++
+	if s.waiting.IsZero() {
+		s.waiting = now
+	}
 	report := &api.AgentReport{
 		Sequence:    s.sequence,
 		Incarnation: s.config.Incarnation,
 		Revision:    s.holder.Revision(),
 		Tasks:       s.outbox.take(s.sequence),
-		Usage:       s.usage,
+		Usage:       s.usage.take(s.usageEvery, s.outbox.active),
 		Leaving:     s.leaving,
 	}
-	s.usage = nil
 	s.addAnnouncement(report)
 	if s.helloNeeded {
 		report.Vm = s.config.VM
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -300,3 +300,42 @@
 		}
 	})
 }
+
+func TestSessionPausedPastItsLeaseDoesNotStartUnderALaterOne(t *testing.T) {
+	for _, newSession := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t)
+			r.grant(&api.Directive{Start: []*api.StartTask{start("a", 1)}})
+			time.Sleep(10 * time.Second)
+			r.session.readTasks(context.Background())
+			if newSession {
+				r.session.beginSession()
+			}
+			r.grant(&api.Directive{})
+			r.drive()
+			if r.worker.starts != 0 {
+				t.Errorf("new session %v: a start came into effect that is older than the lease it came with", newSession)
+			}
+		})
+	}
+}
+
+func TestSessionGivesUpAReplicaThatDoesNotAnswerBeforeTheLeaseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.grant(&api.Directive{HeartbeatMs: 4000})
+		time.Sleep(4 * time.Second)
+		r.session.readTasks(context.Background())
+		if r.session.silent(time.Now()) {
+			t.Fatal("given up although every report was answered")
+		}
+		r.session.nextReport(time.Now())
+		if wait := r.session.pause(time.Now()); wait > answerTimeout {
+			t.Errorf("the next look is in %v, the answer is due in %v", wait, answerTimeout)
+		}
+		time.Sleep(answerTimeout)
+		if !r.session.silent(time.Now()) {
+			t.Error("a report without an answer is waited for past its time")
+		}
+	})
+}
