--- /dev/null
+++ b/session/connection.go
@@ -0,0 +1,180 @@
+package session
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
+	"amaranthpaddle/fault"
+)
+
+const (
+	heartbeatInterval = 2 * time.Second // until the leader names another one
+	heartbeatJitter   = 0.2             // of the interval, either way
+	answerTimeout     = 2 * time.Second // for a report's directive, after which the connection is given up
+	reconnectMin      = 50 * time.Millisecond
+	reconnectMax      = 1 * time.Second
+)
+
+// connectLoop opens one session after the other, to the leader where it is known.
+func (s *Session) connectLoop(ctx context.Context) {
+	delay := reconnectMin
+	for next := rand.IntN(max(len(s.config.ControlAddresses), 1)); ctx.Err() == nil; next++ {
+		began := time.Now()
+		err := s.connect(ctx, s.chooseAddress(next))
+		if ctx.Err() != nil {
+			return
+		}
+		klog.V(1).InfoS("Session ended", "vm", s.config.VM.Id, "error", err)
+		if time.Since(began) > reconnectMax {
+			delay = reconnectMin
+		}
+		sleep(ctx, jitter(delay))
+		delay = min(2*delay, reconnectMax)
+	}
+}
+
+// chooseAddress takes the leader's address when one was named, else the next in turn.
+func (s *Session) chooseAddress(next int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if leader := s.leader; leader != "" {
+		s.leader = ""
+		return leader
+	}
+	return s.config.ControlAddresses[next%len(s.config.ControlAddresses)]
+}
+
+func (s *Session) connect(ctx context.Context, address string) error {
+	connection, err := s.config.Security.Dial(address)
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := api.NewControlClient(connection).Session(ctx)
+	if err != nil {
+		return fault.FromStatus(err)
+	}
+	s.beginSession()
+	received := make(chan error, 1)
+	go func() { received <- s.receiveLoop(stream) }()
+	sendErr := s.sendLoop(ctx, stream, received)
+	cancel()
+	if sendErr != nil {
+		return sendErr
+	}
+	return nil
+}
+
+func (s *Session) beginSession() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outbox.reset()
+	// The leader of the new session sends the starts that still hold.
+	clear(s.starts)
+	s.helloNeeded = true
+	s.waiting = time.Time{}
+}
+
+func (s *Session) receiveLoop(stream grpc.BidiStreamingClient[api.AgentReport, api.Directive]) error {
+	for {
+		directive, err := stream.Recv()
+		if err != nil {
+			s.noteLeader(stream)
+			return fault.FromStatus(err)
+		}
+		s.takeDirective(directive)
+		if s.config.OnDirective != nil {
+			s.config.OnDirective(directive)
+		}
+	}
+}
+
+func (s *Session) noteLeader(stream grpc.ClientStream) {
+	values := stream.Trailer().Get(controlclient.LeaderTrailer)
+	if len(values) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = values[0]
+}
+
+// sendLoop sends a report whenever something changed, and at each heartbeat.
+func (s *Session) sendLoop(
+	ctx context.Context,
+	stream grpc.BidiStreamingClient[api.AgentReport, api.Directive],
+	received <-chan error,
+) error {
+	for {
+		if s.silent(time.Now()) {
+			return fault.New(fault.ConnectionLost, "the control replica is silent")
+		}
+		if report := s.nextReport(time.Now()); report != nil {
+			if err := stream.Send(report); err != nil {
+				return <-received
+			}
+		}
+		timer := time.NewTimer(s.pause(time.Now()))
+		select {
+		case <-timer.C:
+		case <-s.report:
+		case <-s.announcementChanged():
+		case err := <-received:
+			timer.Stop()
+			return err
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// silent reports whether a report has gone without an answer for so long that
+// the connection, or the replica behind it, may be dead while others work. The
+// VM's lease must not run out meanwhile.
+func (s *Session) silent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.waiting.IsZero() && now.Sub(s.waiting) >= answerTimeout
+}
+
+// pause returns how long to wait for the next report, or for an answer to the last.
+func (s *Session) pause(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := jitter(s.heartbeat)
+	if s.waiting.IsZero() {
+		return next
+	}
+	return min(next, s.waiting.Add(answerTimeout).Sub(now))
+}
+
+// announcementChanged returns the channel that was taken before the announcement
+// was last read, so that no change in between is missed.
+func (s *Session) announcementChanged() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.announced
+}
+
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - heartbeatJitter + 2*heartbeatJitter*rand.Float64()))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/session/driver.go
+++ b/session/driver.go
@@ -12,6 +12,13 @@
 	"amaranthpaddle/worker"
 )
 
+const (
+	pollInterval      = 250 * time.Millisecond // between readings of the worker's tasks
+	usagePollInterval = 1 * time.Second
+	workerTimeout     = 1 * time.Second // of one call to the worker
+	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
+)
+
 // driveLoop carries out directives at the worker and reads its state.
 func (s *Session) driveLoop(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
--- a/session/holder.go
+++ b/session/holder.go
@@ -1,6 +1,3 @@
-// Package session is an agent's side of its session with the control group: it
-// announces the VM and its backend servers, holds the VM's lease, and starts,
-// throttles and stops tasks through the worker.
 package session
 
 import (
