request, entry, session: timeout, deadlineReader and outcome are named so

Cause: Patience, patientReader and an attempt's fate were words of our own. Change: Request.Timeout, deadlineReader, startTimeout and "outcome" in the comments; nothing else.

--- a/entry/body.go
+++ b/entry/body.go
@@ -41,7 +41,7 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return &body{}, nil
 	}
-	reader := &patientReader{sink: s, body: r.Body, deadline: deadline}
+	reader := &deadlineReader{sink: s, body: r.Body, deadline: deadline}
 	small, err := io.ReadAll(io.LimitReader(reader, chunkedBody+1))
 	if err != nil {
 		return nil, bodyError(err)
@@ -88,15 +88,15 @@
 	return fault.Wrap(fault.InvalidArgument, err, "read the request body")
 }
 
-// patientReader gives the caller a bounded time for each read.
-type patientReader struct {
+// deadlineReader gives the caller a bounded time for each read.
+type deadlineReader struct {
 	sink     *sink
 	body     io.Reader
 	deadline time.Time // of the whole body, zero for none
 }
 
 // Read reads the next bytes of the caller's body.
-func (p *patientReader) Read(b []byte) (int, error) {
+func (p *deadlineReader) Read(b []byte) (int, error) {
 	until := time.Now().Add(p.sink.stall)
 	if !p.deadline.IsZero() && p.deadline.Before(until) {
 		until = p.deadline
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -15,7 +15,7 @@
 // Bounds on the attempts of one request.
 const (
 	maxAttempts = 6
-	lookupGrace = 500 * time.Millisecond // past the deadline, to learn an attempt's fate
+	lookupGrace = 500 * time.Millisecond // past the deadline, to learn an attempt's outcome
 	retryPause  = 20 * time.Millisecond  // before trying again when no backend server was left
 )
 
@@ -142,13 +142,13 @@
 	return sleep(ctx, retryPause/2+rand.N(retryPause<<min(x.attempts, 5)))
 }
 
-// lookupLast learns the fate of the last attempt over another connection.
+// lookupLast asks for the outcome of the last attempt over another connection.
 func (x *execution) lookupLast(ctx context.Context, cause error) (request.Step, error) {
 	state, err := x.lookup(ctx, x.last, true)
 	return x.afterLookup(state, err, cause)
 }
 
-// lookupHolder learns the fate of the attempt that holds the key's claim. When
+// lookupHolder asks for the outcome of the attempt that holds the key's claim. When
 // it never ran, the next attempt claims in its place.
 func (x *execution) lookupHolder(ctx context.Context, cause error) (request.Step, error) {
 	holder := x.last
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -105,8 +105,8 @@
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	x.ctx, x.cancel = ctx, cancel
-	if parsed.Patience > 0 {
-		x.deadline = began.Add(parsed.Patience)
+	if parsed.Timeout > 0 {
+		x.deadline = began.Add(parsed.Timeout)
 		x.timer = time.AfterFunc(time.Until(x.deadline), func() { cancel(errDeadline) })
 		defer x.timer.Stop()
 	}
--- a/request/request.go
+++ b/request/request.go
@@ -48,7 +48,7 @@
 	Class      Class
 	Idempotent bool
 	Key        string        // idempotency key, empty when there is none
-	Patience   time.Duration // how long the caller waits; 0 for a standing stream
+	Timeout    time.Duration // how long the caller waits; 0 for a standing stream
 	Standing   bool
 }
 
@@ -58,7 +58,7 @@
 // Parse reads a caller's request line and headers. It returns
 // fault.InvalidArgument when one of them is malformed.
 func Parse(h *http.Request) (*Request, error) {
-	r := &Request{Method: h.Method, Class: Interactive, Patience: DefaultDeadline, Key: h.Header.Get(HeaderKey)}
+	r := &Request{Method: h.Method, Class: Interactive, Timeout: DefaultDeadline, Key: h.Header.Get(HeaderKey)}
 	r.Service, r.URI = target(h)
 	if r.Service == "" || len(r.Service) > maxNameLength {
 		return nil, fault.New(fault.InvalidArgument, "the request names no service")
@@ -134,7 +134,7 @@
 
 func (r *Request) parseDeadline(value string) error {
 	if r.Standing {
-		r.Patience = 0
+		r.Timeout = 0
 		return nil
 	}
 	if value == "" {
@@ -144,6 +144,6 @@
 	if err != nil || ms <= 0 || ms > MaxDeadline.Milliseconds() {
 		return fault.Newf(fault.InvalidArgument, "%s must be from 1 to %d", HeaderDeadline, MaxDeadline.Milliseconds())
 	}
-	r.Patience = time.Duration(ms) * time.Millisecond
+	r.Timeout = time.Duration(ms) * time.Millisecond
 	return nil
 }
--- a/request/table.go
+++ b/request/table.go
@@ -69,7 +69,7 @@
 
 // Begin admits an attempt as Waiting. It is remembered, with its answer, for
 // keep after its deadline or its end, and at least for the table's retention.
-// With a keep of 0 it is dropped at its end: its fate can't be looked up, which
+// With a keep of 0 it is dropped at its end: its outcome can't be looked up, which
 // suits idempotent requests only. Errors: fault.Fenced when the attempt was
 // fenced before it arrived, fault.Conflict when it arrives twice,
 // fault.DeadlineNotRun after its deadline, and fault.Overloaded when the table is full.
--- a/session/driver.go
+++ b/session/driver.go
@@ -16,7 +16,7 @@
 	pollInterval      = 250 * time.Millisecond // between readings of the worker's tasks
 	usagePollInterval = 1 * time.Second
 	workerTimeout     = 1 * time.Second // of one call to the worker
-	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
+	startTimeout      = 4 * time.Second // how long a start waits for confirmed permission
 )
 
 // driveLoop carries out directives at the worker and reads its state.
@@ -85,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if s.holder.MayStart(now) || s.holder.Refuses() || now.Sub(start.received) > startPatience || !now.Before(start.deadline) {
+	if s.holder.MayStart(now) || s.holder.Refuses() || now.Sub(start.received) > startTimeout || !now.Before(start.deadline) {
 		return false
 	}
 	signal(s.report)
