agent, request, routing: drop accessors that nothing calls

Cause: a search of all exported functions for their callers found three in these packages with none, in code or tests. Change: Agent.LocalURL, Progress.MaybeRan and Backend.Own are gone. Figures: build, vet, staticcheck and go test -race of the three packages pass. Conclusion: what is exported is used.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -163,9 +163,6 @@
 // Address returns the ip:port where entries reach this agent.
 func (a *Agent) Address() string { return a.listener.Addr().String() }
 
-// LocalURL returns the base URL of the local interface.
-func (a *Agent) LocalURL() string { return "http://" + a.localAt.Addr().String() }
-
 // Revision returns the configuration revision in force at this agent.
 func (a *Agent) Revision() uint64 { return a.session.Revision() }
 
--- a/request/progress.go
+++ b/request/progress.go
@@ -70,6 +70,3 @@
 	}
 	return fault.Wrap(fault.ConnectionLost, err, "an earlier attempt may have run")
 }
-
-// MaybeRan reports whether an attempt may have run without an answer.
-func (p *Progress) MaybeRan() bool { return p.maybeRan }
--- a/routing/backend.go
+++ b/routing/backend.go
@@ -42,9 +42,6 @@
 // EndStanding counts a standing stream that ended.
 func (b *Backend) EndStanding() { b.standing-- }
 
-// Own returns this entry's attempts in progress.
-func (b *Backend) Own() int { return b.own }
-
 // ReportLoad takes in the agent's count of running and waiting attempts, this
 // entry's included.
 func (b *Backend) ReportLoad(now time.Time, busy int) {
