timing: sleep, jitter and backoff stand once

Cause: a sleep that ends with its context stood five times in operatorclient, session, agent, controlclient and replica, the jitter of a period twice (control, session) and a doubling, jittered pause twice (operatorclient, replica), each in its own shape. Change: package timing has Sleep, Jitter and Backoff; these packages use it. The ranges of the pauses stay. operatorclient's field "patience" is "timeout", in its test too. agent.LocalURL had no caller and is gone. Conclusion: entry, delivery and cmd/paddle-dev still have a sleep of their own.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"amaranthpaddle/delivery"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/session"
+	"amaranthpaddle/timing"
 	"amaranthpaddle/transport"
 	"amaranthpaddle/worker"
 )
@@ -161,9 +162,6 @@
 // Address returns the ip:port where entries reach this agent.
 func (a *Agent) Address() string { return a.listener.Addr().String() }
 
-// LocalURL returns the base URL of the local interface.
-func (a *Agent) LocalURL() string { return "http://" + a.localAt.Addr().String() }
-
 // Revision returns the configuration revision in force at this agent.
 func (a *Agent) Revision() uint64 { return a.session.Revision() }
 
@@ -214,7 +212,7 @@
 	a.leaving = true
 	a.mu.Unlock()
 	a.session.Leave()
-	waitFor(ctx, leavePropagation)
+	timing.Sleep(ctx, leavePropagation)
 	// Also when the control group can't be told, no new work is taken from here on.
 	a.delivery.Drain()
 	a.awaitTasks(ctx)
@@ -239,16 +237,7 @@
 	ctx, cancel := context.WithTimeout(ctx, taskStopLimit)
 	defer cancel()
 	for a.session.ActiveTasks() > 0 && ctx.Err() == nil {
-		waitFor(ctx, taskStopPoll)
-	}
-}
-
-func waitFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		timing.Sleep(ctx, taskStopPoll)
 	}
 }
 
--- a/control/config.go
+++ b/control/config.go
@@ -23,6 +23,7 @@
 	loopInterval         = 500 * time.Millisecond
 	quietInterval        = 2 * time.Second  // between scheduling rounds that decide nothing
 	digestInterval       = 10 * time.Second // between digests sent to a watcher
+	digestJitter         = 0.2              // of the interval, either way
 	watchSpacing         = 50 * time.Millisecond
 	watchConfirmInterval = 2 * time.Second
 	graceMemory          = 10 * time.Minute // of a checkpoint time that has passed
--- a/control/watch.go
+++ b/control/watch.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"google.golang.org/grpc"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 )
 
 // watcher is one stream of directory updates. Server.mu guards revision.
@@ -50,7 +50,7 @@
 	if err := s.sendUpdate(stream, w, &sent); err != nil {
 		return err
 	}
-	digests := time.NewTicker(jitter(digestInterval))
+	digests := time.NewTicker(timing.Jitter(digestInterval, digestJitter))
 	defer digests.Stop()
 	for {
 		revision, changed := s.state.Revision()
@@ -156,10 +156,3 @@
 		return fault.New(fault.Draining, "this control replica stops")
 	}
 }
-
-// jitterPart is the part of a period by which it varies either way.
-const jitterPart = 0.2
-
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - jitterPart + 2*jitterPart*rand.Float64()))
-}
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -11,6 +11,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 	"amaranthpaddle/transport"
 )
 
@@ -57,12 +58,8 @@
 		if err == nil || !mayTryElsewhere(err) {
 			return err
 		}
-		timer := time.NewTimer(retryDelay)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !timing.Sleep(ctx, retryDelay) {
 			return err
-		case <-timer.C:
 		}
 	}
 }
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -7,17 +7,17 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
 	"amaranthpaddle/fault"
 	"amaranthpaddle/operatorapi"
+	"amaranthpaddle/timing"
 	"amaranthpaddle/transport"
 )
 
-// Pacing of attempts.
+// Times and limits of attempts.
 const (
 	attemptTimeout = 3 * time.Second       // after which another replica is tried
 	firstPause     = 50 * time.Millisecond // after every address was tried once
@@ -31,7 +31,7 @@
 	scheme    string
 	token     string
 	http      *http.Client
-	patience  time.Duration                                   // of one attempt
+	timeout   time.Duration                                   // of one attempt
 	sleep     func(ctx context.Context, d time.Duration) bool // between rounds; false ends the call
 }
 
@@ -43,8 +43,8 @@
 		addresses: addresses,
 		scheme:    security.Scheme(),
 		token:     token,
-		patience:  attemptTimeout,
-		sleep:     sleep,
+		timeout:   attemptTimeout,
+		sleep:     timing.Sleep,
 		http: &http.Client{
 			Transport:     security.HTTPTransport(),
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -88,17 +88,16 @@
 		return fault.New(fault.InvalidArgument, "no address of a control replica is given")
 	}
 	seen := &progress{}
-	pause := firstPause
+	backoff := timing.NewBackoff(firstPause, maxPause)
 	for {
 		for _, address := range c.addresses {
 			if done, err := c.tryAddress(ctx, call, address, answer, seen); done {
 				return err
 			}
 		}
-		if !c.sleep(ctx, jitter(pause)) {
+		if !c.sleep(ctx, backoff.Next()) {
 			return seen.giveUp(call)
 		}
-		pause = min(2*pause, maxPause)
 	}
 }
 
@@ -124,7 +123,7 @@
 
 // attempt sends the call once and reports whether its outcome is settled.
 func (c *Client) attempt(ctx context.Context, call *call, address string, answer any, seen *progress) (done bool, err error) {
-	attemptCtx, cancel := context.WithTimeout(ctx, c.patience)
+	attemptCtx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	request, err := c.request(attemptCtx, call, address)
 	if err != nil {
@@ -244,20 +243,3 @@
 		return fault.New(fault.DeadlineNotRun, "the time was over before the first attempt")
 	}
 }
-
-// jitter returns a random duration from half of d to d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d/2+1)
-}
-
-// sleep waits for d and reports whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/operatorclient/client_test.go
+++ b/operatorclient/client_test.go
@@ -220,7 +220,7 @@
 	_, leader := start(t, accept)
 	client := New([]string{silentAddress, leader}, &transport.Security{}, token)
 	defer client.Close()
-	client.patience = 50 * time.Millisecond
+	client.timeout = 50 * time.Millisecond
 	var answer operatorapi.ChangeResult
 	err := client.Post(context.Background(), operatorapi.PathZones+"Cork/out", "change-1", nil, &answer)
 	if err != nil || answer.Revision != 9 {
--- a/replica/peer.go
+++ b/replica/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/raft"
+	"amaranthpaddle/timing"
 )
 
 // peer sends to one other replica. Messages that do not fit its queue are lost,
@@ -92,7 +92,7 @@
 // run keeps a stream to the replica open.
 func (p *peer) run() {
 	defer p.replica.done.Done()
-	pause := minRedial
+	backoff := timing.NewBackoff(minRedial, maxRedial)
 	for p.ctx.Err() == nil {
 		opened := time.Now()
 		err := p.stream()
@@ -101,14 +101,11 @@
 		}
 		klog.V(2).InfoS("stream to replica ended", "replica", p.id, "address", p.address, "err", err)
 		if time.Since(opened) > maxRedial {
-			pause = minRedial
+			backoff.Reset()
 		}
-		select {
-		case <-p.ctx.Done():
+		if !timing.Sleep(p.ctx, backoff.Next()) {
 			return
-		case <-time.After(pause/2 + rand.N(pause/2)):
 		}
-		pause = min(2*pause, maxRedial)
 	}
 }
 
--- a/session/session.go
+++ b/session/session.go
@@ -12,6 +12,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 	"amaranthpaddle/transport"
 	"amaranthpaddle/worker"
 )
@@ -176,7 +177,7 @@
 		if time.Since(began) > reconnectMax {
 			delay = reconnectMin
 		}
-		sleep(ctx, jitter(delay))
+		timing.Sleep(ctx, timing.Jitter(delay, heartbeatJitter))
 		delay = min(2*delay, reconnectMax)
 	}
 }
@@ -288,7 +289,7 @@
 				return <-received
 			}
 		}
-		timer := time.NewTimer(jitter(s.interval()))
+		timer := time.NewTimer(timing.Jitter(s.interval(), heartbeatJitter))
 		select {
 		case <-timer.C:
 		case <-s.report:
@@ -368,16 +369,3 @@
 	report.Servers = s.config.Announcer.Servers()
 	report.ServersChanged = true
 }
-
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - heartbeatJitter + 2*heartbeatJitter*rand.Float64()))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
