control, session, raft: names by the field's terms

Cause: some unexported names were metaphors or said less than the usual term. Change: control: graceBook is checkpointDeadlines, graceMemory deadlineRetention, defaultGrace checkpointTimeout, touchBound heartbeatTimeout, inTouch reachable, heartbeatSlack heartbeatJitter (as in session), whyPending pendingReasons. session: startPatience is startTimeout, usageBook usageBuffer. raft: hear is markActive, hearLeader followLeader, nudge resendMissing. Tests follow the names; no assertion changed. Conclusion: the same code under other names.

--- a/control/config.go
+++ b/control/config.go
@@ -26,8 +26,8 @@
 	digestJitter         = 0.2              // of the interval, either way
 	watchSpacing         = 50 * time.Millisecond
 	watchConfirmInterval = 2 * time.Second
-	graceMemory          = 10 * time.Minute // of a checkpoint time that has passed
-	defaultGrace         = time.Minute      // for a checkpoint, when the leader that asked for it is gone
+	deadlineRetention    = 10 * time.Minute // of a checkpoint deadline that has passed
+	checkpointTimeout    = time.Minute      // of a checkpoint, when the leader that asked for it is gone
 )
 
 // Peer is where another control replica can be reached.
--- a/control/directive.go
+++ b/control/directive.go
@@ -147,13 +147,13 @@
 
 // directive returns the starts, stops and throttles that are due at now. A
 // start needs the zone in service and a VM that takes work.
-func (a *agentRuns) directive(view vmSnapshot, throttles map[runKey]float64, grace graceBook, now time.Time) *api.Directive {
+func (a *agentRuns) directive(view vmSnapshot, throttles map[runKey]float64, deadlines checkpointDeadlines, now time.Time) *api.Directive {
 	d := &api.Directive{}
 	held := make(map[runKey]bool, len(view.runs))
 	for i := range view.runs {
 		run := &view.runs[i]
 		held[run.runKey] = true
-		a.directRun(d, run, view, grace, now)
+		a.directRun(d, run, view, deadlines, now)
 	}
 	a.stopUnowned(d, held, now)
 	a.throttle(d, held, throttles)
@@ -161,7 +161,7 @@
 	return d
 }
 
-func (a *agentRuns) directRun(d *api.Directive, run *runView, view vmSnapshot, grace graceBook, now time.Time) {
+func (a *agentRuns) directRun(d *api.Directive, run *runView, view vmSnapshot, deadlines checkpointDeadlines, now time.Time) {
 	_, listed := a.listed[run.runKey]
 	switch run.state {
 	case task.Starting:
@@ -175,7 +175,7 @@
 			a.stop(d, run.runKey, true, now)
 		}
 	case task.Stopping:
-		a.stop(d, run.runKey, !grace.over(run, now), now)
+		a.stop(d, run.runKey, !deadlines.passed(run, now), now)
 	case task.Cancelling:
 		a.stop(d, run.runKey, false, now)
 	}
@@ -238,15 +238,16 @@
 	}
 }
 
-// graceBook holds until when a stopping run may take its checkpoint.
-type graceBook map[runKey]time.Time
+// checkpointDeadlines holds the time by which a stopping run must have taken its
+// checkpoint.
+type checkpointDeadlines map[runKey]time.Time
 
-// over reports whether the run has had its time. A run that an earlier leader
-// asked to stop has defaultGrace.
-func (g graceBook) over(run *runView, now time.Time) bool {
-	until, known := g[run.runKey]
+// passed reports whether the run's deadline is over. A run that an earlier leader
+// asked to stop has checkpointTimeout from then.
+func (d checkpointDeadlines) passed(run *runView, now time.Time) bool {
+	until, known := d[run.runKey]
 	if !known {
-		until = run.since.Add(defaultGrace)
+		until = run.since.Add(checkpointTimeout)
 	}
 	return now.After(until)
 }
--- a/control/directive_test.go
+++ b/control/directive_test.go
@@ -39,12 +39,12 @@
 			if test.listed != none {
 				runs.list([]*api.TaskStatus{inPhase(key, test.listed, "")})
 			}
-			grace := graceBook{}
+			deadlines := checkpointDeadlines{}
 			if test.graceOver {
-				grace[key] = now.Add(-time.Second)
+				deadlines[key] = now.Add(-time.Second)
 			}
 			test.view.runs = []runView{{runKey: key, state: test.state, since: now}}
-			d := runs.directive(test.view, nil, grace, now)
+			d := runs.directive(test.view, nil, deadlines, now)
 			stop := len(d.Stop) > 0
 			if starts(d) != test.start || stop != test.stop || stop && d.Stop[0].Checkpoint != test.checkpoint {
 				t.Errorf("directive %v", d)
--- a/control/http_status.go
+++ b/control/http_status.go
@@ -213,7 +213,7 @@
 	if err := s.confirmAsLeader(r.Context()); err != nil {
 		return nil, err
 	}
-	return s.state.taskList(s.planner.whyPending()), nil
+	return s.state.taskList(s.planner.pendingReasons()), nil
 }
 
 // taskList returns all tasks; reasons say why the jobs with the IDs wait.
--- a/control/loop.go
+++ b/control/loop.go
@@ -93,7 +93,7 @@
 // schedule takes one round of decisions, commits them and returns how many there were.
 func (s *Server) schedule(ctx context.Context) int {
 	now := time.Now()
-	snapshot := s.planner.snapshot(now, s.inTouch(now))
+	snapshot := s.planner.snapshot(now, s.reachable(now))
 	if snapshot == nil {
 		return 0
 	}
@@ -104,10 +104,10 @@
 	return len(decisions)
 }
 
-// inTouch returns a function that tells whether a VM's agent reported within
-// the freshness bound and a heartbeat.
-func (s *Server) inTouch(now time.Time) func(string) bool {
-	bound := s.touchBound()
+// reachable returns a function that tells whether a VM's agent last reported
+// within the heartbeat timeout.
+func (s *Server) reachable(now time.Time) func(string) bool {
+	bound := s.heartbeatTimeout()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	heard := make(map[string]bool, len(s.sessions))
@@ -127,7 +127,7 @@
 		case scheduler.Place:
 			place = append(place, d)
 		case scheduler.Evict:
-			s.planner.allowCheckpoint(d, now)
+			s.planner.limitCheckpoint(d, now)
 			evict = append(evict, d)
 		case scheduler.Throttle:
 			s.planner.throttle(d)
--- a/control/pacing.go
+++ b/control/pacing.go
@@ -8,7 +8,7 @@
 	shortestHeartbeat   = 2 * time.Second
 	longestHeartbeat    = 4 * time.Second
 	heartbeatsPerSecond = 138 // of all sessions, within the bounds above
-	heartbeatSlack      = 0.2 // of an interval, by which agents vary it
+	heartbeatJitter     = 0.2 // of an interval, by which agents vary it
 )
 
 // heartbeatFor returns the time between the reports of each of a number of agents.
@@ -35,8 +35,8 @@
 	return heartbeatFor(len(s.sessions))
 }
 
-// touchBound is how long ago an agent in touch may have reported.
-func (s *Server) touchBound() time.Duration {
-	late := time.Duration(float64(s.heartbeat()) * (1 + heartbeatSlack))
+// heartbeatTimeout is the longest silence of an agent that still gets work.
+func (s *Server) heartbeatTimeout() time.Duration {
+	late := time.Duration(float64(s.heartbeat()) * (1 + heartbeatJitter))
 	return late + s.config.Fresh
 }
--- a/control/pacing_test.go
+++ b/control/pacing_test.go
@@ -17,7 +17,7 @@
 			t.Errorf("%d sessions: every %v, want %v", c.sessions, got, c.want)
 		}
 	}
-	if late := time.Duration(float64(longestHeartbeat) * (1 + heartbeatSlack)); late >= defaultLease {
+	if late := time.Duration(float64(longestHeartbeat) * (1 + heartbeatJitter)); late >= defaultLease {
 		t.Errorf("a report may come %v after the last one, a lease lasts %v", late, defaultLease)
 	}
 }
--- a/control/planner.go
+++ b/control/planner.go
@@ -22,9 +22,9 @@
 
 	queueMu   sync.Mutex // a leaf
 	outcomes  []outcome
-	throttles map[string]map[runKey]float64 // by VM; the inner maps are replaced, not changed
-	grace     map[string]graceBook          // by VM; likewise
-	observed  map[string]observedVM         // by VM, as of the latest snapshot
+	throttles map[string]map[runKey]float64  // by VM; the inner maps are replaced, not changed
+	deadlines map[string]checkpointDeadlines // by VM; likewise
+	observed  map[string]observedVM          // by VM, as of the latest snapshot
 }
 
 // observedVM is what the leader knows of a VM beyond the replicated state.
@@ -60,7 +60,7 @@
 	defer p.queueMu.Unlock()
 	p.outcomes = nil
 	p.throttles = map[string]map[runKey]float64{}
-	p.grace = map[string]graceBook{}
+	p.deadlines = map[string]checkpointDeadlines{}
 }
 
 // note queues committed outcomes. It does not block on a running decision.
@@ -82,7 +82,7 @@
 
 // snapshot returns what a decision at now depends on, nil before the first
 // plan. It is valid until the next call.
-func (p *planner) snapshot(now time.Time, inTouch func(vm string) bool) *scheduler.Snapshot {
+func (p *planner) snapshot(now time.Time, reachable func(vm string) bool) *scheduler.Snapshot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range p.takeOutcomes() {
@@ -93,14 +93,14 @@
 	if p.state.plan == nil {
 		return nil
 	}
-	snapshot := p.learner.Snapshot(now, p.state.plan, p.state.tasks, p.state.schedulerVMs(inTouch))
+	snapshot := p.learner.Snapshot(now, p.state.plan, p.state.tasks, p.state.schedulerVMs(reachable))
 	p.noteObserved(snapshot)
 	p.last = snapshot
 	return snapshot
 }
 
-// whyPending returns why jobs waited at the last decision, by the job's ID.
-func (p *planner) whyPending() map[string]string {
+// pendingReasons returns why jobs waited at the last decision, by the job's ID.
+func (p *planner) pendingReasons() map[string]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.last == nil {
@@ -131,14 +131,14 @@
 }
 
 // schedulerVMs returns the VMs that are not lost. A VM that flaps gets no new work.
-func (s *State) schedulerVMs(inTouch func(vm string) bool) []scheduler.VM {
+func (s *State) schedulerVMs(reachable func(vm string) bool) []scheduler.VM {
 	var list []scheduler.VM
 	for _, vm := range s.registry.VMs() {
 		if vm.Lost {
 			continue
 		}
 		view := s.schedulerVM(vm)
-		view.Fresh = inTouch(vm.ID) && !vm.Suppressed
+		view.Fresh = reachable(vm.ID) && !vm.Suppressed
 		list = append(list, view)
 	}
 	return list
@@ -224,27 +224,27 @@
 }
 
 // controls returns the throttles and checkpoint times of a VM's runs.
-func (p *planner) controls(vm string) (map[runKey]float64, graceBook) {
+func (p *planner) controls(vm string) (map[runKey]float64, checkpointDeadlines) {
 	p.queueMu.Lock()
 	defer p.queueMu.Unlock()
-	return p.throttles[vm], p.grace[vm]
+	return p.throttles[vm], p.deadlines[vm]
 }
 
-// allowCheckpoint limits the time that an evicted run has for its checkpoint.
-func (p *planner) allowCheckpoint(d *scheduler.Decision, now time.Time) {
+// limitCheckpoint sets the deadline of an evicted run's checkpoint.
+func (p *planner) limitCheckpoint(d *scheduler.Decision, now time.Time) {
 	if d.Grace <= 0 {
 		return
 	}
 	p.queueMu.Lock()
 	defer p.queueMu.Unlock()
-	book := graceBook{}
-	for key, until := range p.grace[d.VM] {
-		if now.Sub(until) < graceMemory {
-			book[key] = until
+	deadlines := checkpointDeadlines{}
+	for key, until := range p.deadlines[d.VM] {
+		if now.Sub(until) < deadlineRetention {
+			deadlines[key] = until
 		}
 	}
-	book[runKey{d.Task, d.Generation}] = now.Add(d.Grace)
-	p.grace[d.VM] = book
+	deadlines[runKey{d.Task, d.Generation}] = now.Add(d.Grace)
+	p.deadlines[d.VM] = deadlines
 }
 
 // throttle records the wanted throttle of a run.
--- a/control/session.go
+++ b/control/session.go
@@ -309,9 +309,9 @@
 	view := &c.state
 	now := time.Now()
 	d := &api.Directive{}
-	throttles, grace := server.planner.controls(c.vm.Id)
+	throttles, deadlines := server.planner.controls(c.vm.Id)
 	if changed || !c.runs.settled() || len(throttles) > 0 {
-		d = c.runs.directive(*view, throttles, grace, now)
+		d = c.runs.directive(*view, throttles, deadlines, now)
 	}
 	c.listed = false
 	d.Acknowledged = c.acknowledged
--- a/raft/election.go
+++ b/raft/election.go
@@ -30,8 +30,8 @@
 	r.electionTimeout = r.config.HeartbeatTicks + r.config.Intn(r.config.ElectionTicks)
 }
 
-// hearLeader notes that the leader of this term is alive.
-func (r *Raft) hearLeader(leader uint64) {
+// followLeader notes that the leader of this term is alive.
+func (r *Raft) followLeader(leader uint64) {
 	if r.role != Follower || r.leader != leader {
 		r.becomeFollower(r.term, leader)
 	}
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -205,8 +205,8 @@
 	r.send(response)
 }
 
-// hear returns the sender's progress after noting that it is alive, or nil.
-func (r *Raft) hear(m *api.RaftMessage) *progress {
+// markActive returns the sender's progress after noting that it is alive, or nil.
+func (r *Raft) markActive(m *api.RaftMessage) *progress {
 	p := r.progress[m.From]
 	if r.role != Leader || p == nil {
 		return nil
@@ -217,7 +217,7 @@
 }
 
 func (r *Raft) handleAppendResponse(m *api.RaftMessage) {
-	p := r.hear(m)
+	p := r.markActive(m)
 	if p == nil {
 		return
 	}
@@ -257,13 +257,13 @@
 }
 
 func (r *Raft) handleHeartbeatResponse(m *api.RaftMessage) {
-	p := r.hear(m)
+	p := r.markActive(m)
 	if p == nil {
 		return
 	}
 	p.paused = false
 	if p.match < r.log.lastIndex() {
-		r.nudge(m.From, p)
+		r.resendMissing(m.From, p)
 	}
 	if m.Read > p.readRound {
 		p.readRound = m.Read
@@ -271,10 +271,10 @@
 	}
 }
 
-// nudge resends to a member that lacks entries. When all were sent already, or
+// resendMissing resends to a member that lacks entries. When all were sent already, or
 // the window is full, an empty append lets the member reject, and so reveals
 // what was lost.
-func (r *Raft) nudge(to uint64, p *progress) {
+func (r *Raft) resendMissing(to uint64, p *progress) {
 	switch {
 	case p.state == snapshotting:
 	case p.next > r.log.lastIndex():
--- a/raft/step.go
+++ b/raft/step.go
@@ -126,13 +126,13 @@
 	case msgPreVoteResponse, msgVoteResponse:
 		r.handleVoteResponse(m)
 	case msgAppend:
-		r.hearLeader(m.From)
+		r.followLeader(m.From)
 		r.handleAppend(m)
 	case msgHeartbeat:
-		r.hearLeader(m.From)
+		r.followLeader(m.From)
 		r.handleHeartbeat(m)
 	case msgSnapshot:
-		r.hearLeader(m.From)
+		r.followLeader(m.From)
 		r.handleSnapshot(m)
 	case msgAppendResponse:
 		r.handleAppendResponse(m)
--- a/session/driver.go
+++ b/session/driver.go
@@ -78,7 +78,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if s.holder.MayStart(now) || s.holder.Refuses() || now.Sub(start.received) > startPatience || !now.Before(start.deadline) {
+	if s.holder.MayStart(now) || s.holder.Refuses() || now.Sub(start.received) > startTimeout || !now.Before(start.deadline) {
 		return false
 	}
 	signal(s.report)
--- a/session/session.go
+++ b/session/session.go
@@ -23,7 +23,7 @@
 	pollInterval      = 250 * time.Millisecond
 	workerTimeout     = 1 * time.Second
 	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
-	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
+	startTimeout      = 4 * time.Second // how long a start waits for confirmed permission
 	usagePollInterval = 1 * time.Second
 	answerTimeout     = 2 * time.Second // for a report's directive, after which the connection is given up
 	reconnectMin      = 50 * time.Millisecond
@@ -71,7 +71,7 @@
 	mu          sync.Mutex
 	holder      *Holder
 	outbox      *outbox
-	usage       *usageBook    // not yet sent
+	usage       *usageBuffer  // not yet sent
 	usageEvery  time.Duration // least length of a usage sample
 	sequence    uint64
 	epoch       string    // of the worker process
@@ -108,7 +108,7 @@
 		report:    make(chan struct{}, 1),
 		holder:    NewHolder(),
 		outbox:    newOutbox(),
-		usage:     newUsageBook(),
+		usage:     newUsageBuffer(),
 		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -168,7 +168,7 @@
 		if r.worker.starts != 0 {
 			t.Fatal("a task started after the freshness bound")
 		}
-		time.Sleep(startPatience)
+		time.Sleep(startTimeout)
 		r.drive()
 		if status := r.report("a"); status.GetPhase() != api.TaskPhase_TASK_PHASE_STOPPED {
 			t.Errorf("a refused start must be reported as stopped, got %v", status)
--- a/session/usage.go
+++ b/session/usage.go
@@ -6,17 +6,17 @@
 	"amaranthpaddle/api"
 )
 
-// usageBook merges the worker's usage samples of each run until they span the
+// usageBuffer merges the worker's usage samples of each run until they span the
 // interval that the leader asked for, so that the bytes of a large fleet's
 // reports stay within their bound. It is not safe for concurrent use.
-type usageBook struct {
+type usageBuffer struct {
 	merged map[runKey]*api.UsageSample
 }
 
-func newUsageBook() *usageBook { return &usageBook{merged: map[runKey]*api.UsageSample{}} }
+func newUsageBuffer() *usageBuffer { return &usageBuffer{merged: map[runKey]*api.UsageSample{}} }
 
 // add takes in a sample. Samples of a run come in the order of time.
-func (u *usageBook) add(sample *api.UsageSample) {
+func (u *usageBuffer) add(sample *api.UsageSample) {
 	key := runKey{sample.Task, sample.Generation}
 	if earlier, known := u.merged[key]; known {
 		mergeUsage(earlier, sample)
@@ -46,7 +46,7 @@
 
 // take returns and forgets the samples that span the interval, and those of
 // runs that are no longer present.
-func (u *usageBook) take(interval time.Duration, present func(runKey) bool) []*api.UsageSample {
+func (u *usageBuffer) take(interval time.Duration, present func(runKey) bool) []*api.UsageSample {
 	var ready []*api.UsageSample
 	for key, sample := range u.merged {
 		if sample.EndUnixMs-sample.StartUnixMs >= interval.Milliseconds() || !present(key) {
