--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 	"amaranthpaddle/delivery"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/session"
+	"amaranthpaddle/timing"
 	"amaranthpaddle/transport"
 	"amaranthpaddle/worker"
 )
@@ -213,7 +214,7 @@
 	a.leaving = true
 	a.mu.Unlock()
 	a.session.Leave()
-	waitFor(ctx, leavePropagation)
+	timing.Sleep(ctx, leavePropagation)
 	// Also when the control group can't be told, no new work is taken from here on.
 	a.delivery.Drain()
 	a.awaitTasks(ctx)
@@ -248,16 +249,7 @@
 	ctx, cancel := context.WithTimeout(ctx, taskStopLimit)
 	defer cancel()
 	for a.session.ActiveTasks() > 0 && ctx.Err() == nil {
-		waitFor(ctx, taskStopPoll)
-	}
-}
-
-func waitFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		timing.Sleep(ctx, taskStopPoll)
 	}
 }
 
--- a/session/connection.go
+++ b/session/connection.go
@@ -11,6 +11,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 )
 
 const (
@@ -34,7 +35,7 @@
 		if time.Since(began) > reconnectMax {
 			delay = reconnectMin
 		}
-		sleep(ctx, jitter(delay))
+		timing.Sleep(ctx, timing.Jitter(delay, heartbeatJitter))
 		delay = min(2*delay, reconnectMax)
 	}
 }
@@ -151,7 +152,7 @@
 func (s *Session) pause(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := jitter(s.heartbeat)
+	next := timing.Jitter(s.heartbeat, heartbeatJitter)
 	if s.waiting.IsZero() {
 		return next
 	}
@@ -165,16 +166,3 @@
 	defer s.mu.Unlock()
 	return s.announced
 }
-
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - heartbeatJitter + 2*heartbeatJitter*rand.Float64()))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/session/session.go
+++ b/session/session.go
@@ -54,7 +54,7 @@
 	mu          sync.Mutex
 	holder      *Holder
 	outbox      *outbox
-	usage       *usageBook    // not yet sent
+	usage       *usageBuffer  // not yet sent
 	usageEvery  time.Duration // least length of a usage sample
 	sequence    uint64
 	epoch       string    // of the worker process
@@ -91,7 +91,7 @@
 		report:    make(chan struct{}, 1),
 		holder:    NewHolder(),
 		outbox:    newOutbox(),
-		usage:     newUsageBook(),
+		usage:     newUsageBuffer(),
 		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
