plan: a record of each kind is made by its own function

Change: zoneRecord, serviceRecord and jobRecord; the cells are the same. Conclusion: no change of behaviour.

--- a/plan/diff.go
+++ b/plan/diff.go
@@ -114,6 +114,7 @@
 	return text
 }
 
+// records returns the plan in the form of its sheet, as column values by kind of record.
 func (p *DayPlan) records() map[record][]namedRecord {
 	w := p.wire()
 	all := map[record][]namedRecord{recordPlan: {{values: []cellValue{
@@ -123,40 +124,49 @@
 		{colLatencyWeight, formatFloat(w.LatencyWeight)},
 	}}}}
 	for _, z := range w.Zones {
-		state := "out"
-		if z.InService {
-			state = "in"
-		}
-		all[recordZone] = append(all[recordZone], namedRecord{z.Name, []cellValue{
-			{colRegion, z.Region},
-			{colState, state},
-		}})
+		all[recordZone] = append(all[recordZone], zoneRecord(z))
 	}
 	for _, t := range w.Teams {
 		all[recordTeam] = append(all[recordTeam], namedRecord{t.Name, sizeValues(t.Quota)})
 	}
 	for _, s := range w.Services {
-		all[recordService] = append(all[recordService], namedRecord{s.Name, append([]cellValue{
-			{colTeam, s.Team},
-			{colInstances, strconv.Itoa(s.Instances)},
-			{colObjective, formatFloat(float64(s.ObjectiveNanos) / float64(time.Millisecond))},
-			{colObjectivePercent, formatFloat(s.ObjectiveFraction * percent)},
-			{colSlots, strconv.Itoa(s.Slots)},
-			{colConnections, strconv.Itoa(s.Connections)},
-		}, sizeValues(s.Size)...)})
+		all[recordService] = append(all[recordService], serviceRecord(s))
 	}
 	for _, j := range w.Jobs {
-		all[recordJob] = append(all[recordJob], namedRecord{j.Name, append([]cellValue{
-			{colTeam, j.Team},
-			{colTasks, strconv.Itoa(j.Tasks)},
-			{colRunTime, formatFloat(time.Duration(j.RunTimeNanos).Seconds())},
-			{colDeadline, j.Deadline},
-			{colPriority, strconv.Itoa(j.Priority)},
-		}, sizeValues(j.Size)...)})
+		all[recordJob] = append(all[recordJob], jobRecord(j))
 	}
 	return all
 }
 
+func zoneRecord(z wireZone) namedRecord {
+	state := "out"
+	if z.InService {
+		state = "in"
+	}
+	return namedRecord{z.Name, []cellValue{{colRegion, z.Region}, {colState, state}}}
+}
+
+func serviceRecord(s wireService) namedRecord {
+	return namedRecord{s.Name, append([]cellValue{
+		{colTeam, s.Team},
+		{colInstances, strconv.Itoa(s.Instances)},
+		{colObjective, formatFloat(float64(s.ObjectiveNanos) / float64(time.Millisecond))},
+		{colObjectivePercent, formatFloat(s.ObjectiveFraction * percent)},
+		{colSlots, strconv.Itoa(s.Slots)},
+		{colConnections, strconv.Itoa(s.Connections)},
+	}, sizeValues(s.Size)...)}
+}
+
+func jobRecord(j wireJob) namedRecord {
+	return namedRecord{j.Name, append([]cellValue{
+		{colTeam, j.Team},
+		{colTasks, strconv.Itoa(j.Tasks)},
+		{colRunTime, formatFloat(time.Duration(j.RunTimeNanos).Seconds())},
+		{colDeadline, j.Deadline},
+		{colPriority, strconv.Itoa(j.Priority)},
+	}, sizeValues(j.Size)...)}
+}
+
 func sizeValues(size wireVector) []cellValue {
 	v := resource.Vector(size)
 	const mibPerGiB = 1024
