replica: a planned stop has one path

Cause: StopGracefully was called by a test only; the process (controlnode.Stop) calls TransferLeadership, ends the operators' calls and then stops. Change: StopGracefully is gone. The test of the hand-over calls TransferLeadership, fails on its error as it did not before, and stops the host; its assertion on the term stands. Conclusion: the test now guards the path that the process takes.

--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -169,7 +169,9 @@
 	hosts := startGroup(t, 3, nil)
 	leader := waitLeader(t, hosts)
 	term := leader.replica.Status().Term
-	leader.replica.StopGracefully(testContext(t))
+	if err := leader.replica.TransferLeadership(testContext(t), 0); err != nil {
+		t.Fatal(err)
+	}
 	leader.stop()
 	next := waitLeader(t, others(hosts, leader))
 	if got := next.replica.Status().Term; got != term+1 {
--- a/replica/start.go
+++ b/replica/start.go
@@ -84,21 +84,13 @@
 	return r, nil
 }
 
-// Stop stops the replica at once. Proposals that wait end with fault.CommitUnknown.
+// Stop stops the replica at once; TransferLeadership before it spares the others
+// an election timeout. Proposals that wait end with fault.CommitUnknown.
 func (r *Replica) Stop() {
 	r.cancel()
 	r.done.Wait()
 }
 
-// StopGracefully hands the leadership over, if this replica leads, and stops. It
-// stops without a hand-over when ctx ends first.
-func (r *Replica) StopGracefully(ctx context.Context) {
-	if err := r.TransferLeadership(ctx, 0); err != nil {
-		klog.InfoS("stopping without handing the leadership over", "err", err)
-	}
-	r.Stop()
-}
-
 // run finds the group, if need be, and then runs the loop until the replica stops.
 func (r *Replica) run() {
 	defer r.done.Done()
