examples: the sample shows the margin's real default

Cause: the sample names 500ms as the margin's default; the default is a sixteenth of the lease, which is 625ms at the lease of 10s. Change: the sample, and the text that a settings test looks for in it. Conclusion: no behaviour changed; the test's assertion stands.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -100,7 +100,7 @@
 		{"control.ini", "members = 1=", ";", "[control] members: is missing"},
 		{"control.ini", ";# join = false", "join = true", "a replica that joins a group has no first members"},
 		{"control.ini", ";# election = 300ms", "heartbeat = 200ms\nelection = 300ms", `[consensus] election = "300ms": must be at least twice`},
-		{"control.ini", ";# margin = 500ms", "duration = 8s\nmargin = 5s", `[leases] margin = "5s": must be at most half`},
+		{"control.ini", ";# margin = 625ms", "duration = 8s\nmargin = 5s", `[leases] margin = "5s": must be at most half`},
 		{"control.ini", "data_folder = /var/lib/amaranthpaddle/control", "", "[control] data_folder: is missing"},
 	}
 	for _, c := range cases {
