entry: with an idempotency key, not-run speaks of the work and not of the sending

Change: a refusal of a keyed request says unknown, whatever its kind, unless the caller states Paddle-First-Sending: true, the key belongs to another request, or no request can have such a key. The checks of both histories are stricter: no charge that was told not-run has a run of any sending.

--- a/cmd/paddle-dev/callers.go
+++ b/cmd/paddle-dev/callers.go
@@ -31,6 +31,7 @@
 	outcomeHeader     = "Paddle-Outcome"
 	deadlineHeader    = "Paddle-Deadline-Ms"
 	keyHeader         = "Idempotency-Key"
+	firstHeader       = "Paddle-First-Sending"
 )
 
 // sentRequest is one request as its caller saw it.
@@ -121,6 +122,7 @@
 	request.Header.Set(deadlineHeader, strconv.FormatInt(requestDeadline.Milliseconds(), 10))
 	if charge {
 		request.Header.Set(keyHeader, token)
+		request.Header.Set(firstHeader, "true")
 	} else {
 		request.Header.Set("Paddle-Idempotent", "true")
 	}
--- a/entry/history_test.go
+++ b/entry/history_test.go
@@ -62,7 +62,7 @@
 		}
 		for _, a := range h.answers {
 			outcomes[a.outcome]++
-			if a.outcome == "not-run" && runs > 0 && len(h.answers) == 1 {
+			if a.outcome == "not-run" && runs > 0 {
 				t.Errorf("charge %s ran, its caller was told not-run: %s", h.charge, a.body)
 			}
 			if a.outcome == "done" && (runs != 1 || a.body != chargeAnswer(h.charge, 1)) {
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -19,6 +19,7 @@
 // sink writes one answer to a caller.
 type sink struct {
 	w       http.ResponseWriter
+	asked   *http.Request
 	control *http.ResponseController
 	head    bool // the caller asked for the head only
 	begun   bool
@@ -30,7 +31,7 @@
 }
 
 func newSink(w http.ResponseWriter, r *http.Request, stall time.Duration) *sink {
-	return &sink{w: w, control: http.NewResponseController(w), head: r.Method == http.MethodHead, stall: stall}
+	return &sink{w: w, asked: r, control: http.NewResponseController(w), head: r.Method == http.MethodHead, stall: stall}
 }
 
 // begin writes the head. A length of -1 means that the answer is passed on as
@@ -110,12 +111,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.begun = true
-	answer := fault.KindOf(err).Answer()
-	body, _ := json.Marshal(refusalBody{Kind: answer.Name, Message: err.Error(), Outcome: string(answer.Outcome)})
+	kind := fault.KindOf(err)
+	answer := kind.Answer()
+	outcome := string(request.RefusalOutcome(s.asked, kind))
+	body, _ := json.Marshal(refusalBody{Kind: answer.Name, Message: err.Error(), Outcome: outcome})
 	header := s.w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	header.Set(request.HeaderOutcome, string(answer.Outcome))
+	header.Set(request.HeaderOutcome, outcome)
 	if answer.Retryable {
 		header.Set("Retry-After", retryAfter)
 	}
--- a/integration/request_checks_test.go
+++ b/integration/request_checks_test.go
@@ -78,14 +78,17 @@
 	}
 }
 
-// checkNotRun: a sending that was told "not run" has no run, and a charge all of
-// whose sendings were told so has none.
+// checkNotRun: a sending that was told "not run" has no run, and a charge with
+// a key has none of any sending.
 func (h *requestHistory) checkNotRun(t *testing.T) {
 	t.Helper()
 	for _, c := range h.calls {
 		if c.outcome == fault.OutcomeNotRun && h.sends[c.id] > 0 {
 			t.Errorf("%s was told not-run (%s) and ran: %+v", c.id, c.kind, h.begins[c.token])
 		}
+		if c.outcome == fault.OutcomeNotRun && c.work == keyed && len(h.begins[c.token]) > 0 {
+			t.Errorf("%s was told not-run (%s), and its charge ran: %+v", c.id, c.kind, h.begins[c.token])
+		}
 		if c.work == keyed && c.kind == fault.Conflict.String() {
 			t.Errorf("%s was told that its key was used with another request", c.id)
 		}
--- a/request/request.go
+++ b/request/request.go
@@ -11,13 +11,14 @@
 
 // Headers of callers' requests and of their answers.
 const (
-	HeaderService    = "Paddle-Service"     // service name, when the path does not start with it
-	HeaderDeadline   = "Paddle-Deadline-Ms" // time the caller waits, milliseconds
-	HeaderIdempotent = "Paddle-Idempotent"  // true or false; safe methods default to true
-	HeaderKey        = "Idempotency-Key"    // the same key never runs twice
-	HeaderClass      = "Paddle-Class"       // interactive or batch
-	HeaderOutcome    = "Paddle-Outcome"     // on answers: done, not-run or unknown
-	HeaderStream     = "Paddle-Stream"      // standing, on requests and backend servers' answers
+	HeaderService    = "Paddle-Service"       // service name, when the path does not start with it
+	HeaderDeadline   = "Paddle-Deadline-Ms"   // time the caller waits, milliseconds
+	HeaderIdempotent = "Paddle-Idempotent"    // true or false; safe methods default to true
+	HeaderKey        = "Idempotency-Key"      // the same key never runs twice
+	HeaderFirst      = "Paddle-First-Sending" // true when no request with the key was sent before
+	HeaderClass      = "Paddle-Class"         // interactive or batch
+	HeaderOutcome    = "Paddle-Outcome"       // on answers: done, not-run or unknown
+	HeaderStream     = "Paddle-Stream"        // standing, on requests and backend servers' answers
 )
 
 // StreamStanding is the value of HeaderStream that marks a standing stream.
--- a/session/report.go
+++ b/session/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/timing"
 )
 
 // workerSilence is how long a worker may be silent before it counts as lost.
@@ -26,7 +27,7 @@
 		Incarnation: s.config.Incarnation,
 		Revision:    s.holder.Revision(),
 		Tasks:       s.outbox.take(s.sequence),
-		Usage:       s.usage.take(s.usageEvery, s.outbox.active),
+		Usage:       s.usage.take(timing.Jitter(s.usageEvery, heartbeatJitter), s.outbox.active),
 		Leaving:     s.leaving,
 	}
 	s.addAnnouncement(report)
