--- a/control/pacing.go
+++ b/control/pacing.go
@@ -20,7 +20,7 @@
 // Usage samples are spaced so that those of all running tasks stay within a rate.
 const (
 	shortestUsage    = 1 * time.Second
-	samplesPerSecond = 330
+	samplesPerSecond = 250
 )
 
 // usageFor returns the least length of a usage sample at a number of running tasks.
