entry, delivery, paddle-dev: waits and retries use package timing

Cause: three copies of sleep and two of a doubling, jittered pause were left after package timing came. Change: they use timing.Sleep and timing.Backoff; the ranges of the pauses stay. stop_test.go only names the function anew. Conclusion: sleep and backoff stand once.

--- a/cmd/paddle-dev/callers.go
+++ b/cmd/paddle-dev/callers.go
@@ -19,6 +19,7 @@
 
 	"amaranthpaddle/fault"
 	"amaranthpaddle/standin"
+	"amaranthpaddle/timing"
 )
 
 const (
@@ -78,7 +79,7 @@
 		token := service + "-" + strconv.Itoa(number) + "-" + strconv.Itoa(n)
 		charge := n%2 == 1
 		sendOne(ctx, service, entries[n%len(entries)], token, charge, small, stats)
-		pause(ctx, time.Duration(random.Float64()*2*float64(callerPause)))
+		timing.Sleep(ctx, time.Duration(random.Float64()*2*float64(callerPause)))
 	}
 }
 
@@ -198,12 +199,3 @@
 	}
 	return data
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/cmd/paddle-dev/scenario.go
+++ b/cmd/paddle-dev/scenario.go
@@ -12,6 +12,7 @@
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/operatorclient"
 	"amaranthpaddle/plan"
+	"amaranthpaddle/timing"
 )
 
 const (
@@ -65,7 +66,7 @@
 		if err == nil && len(status.VMs) == count {
 			return nil
 		}
-		pause(ctx, statusPoll)
+		timing.Sleep(ctx, statusPoll)
 		if ctx.Err() != nil {
 			return fault.Newf(fault.NoQuorum, "%d of %d VMs announced within %v (last error %v)", len(status.VMs), count, upLimit, err)
 		}
@@ -100,7 +101,7 @@
 			fmt.Printf("services up after %v\n", time.Since(began).Round(10*time.Millisecond))
 			return nil
 		}
-		pause(ctx, statusPoll)
+		timing.Sleep(ctx, statusPoll)
 		if ctx.Err() != nil {
 			return fault.Newf(fault.Internal, "services not up within %v: %+v (last error %v)", upLimit, status.Services, err)
 		}
@@ -139,18 +140,18 @@
 
 func takeZoneOutAndIn(ctx context.Context, client *operatorclient.Client, f *fleet, r *result) error {
 	zone := f.vms[0].zone
-	pause(ctx, beforeOut)
+	timing.Sleep(ctx, beforeOut)
 	if err := changeZone(ctx, client, zone, "out"); err != nil {
 		return err
 	}
 	o := outage{zone: zone, out: time.Now()}
-	pause(ctx, outFor)
+	timing.Sleep(ctx, outFor)
 	o.in = time.Now()
 	r.outages = append(r.outages, o)
 	if err := changeZone(ctx, client, zone, "in"); err != nil {
 		return err
 	}
-	pause(ctx, afterIn)
+	timing.Sleep(ctx, afterIn)
 	return nil
 }
 
@@ -175,7 +176,7 @@
 		if err == nil && len(late) == 0 {
 			return nil
 		}
-		pause(ctx, jobsDonePoll)
+		timing.Sleep(ctx, jobsDonePoll)
 		if ctx.Err() != nil {
 			return append(late, "the day's time is over")
 		}
--- a/delivery/deliver.go
+++ b/delivery/deliver.go
@@ -13,6 +13,7 @@
 	"amaranthpaddle/blob"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/request"
+	"amaranthpaddle/timing"
 )
 
 // Bounds of a delivery.
@@ -277,7 +278,7 @@
 		if err == nil {
 			return claimResult(response, a.start.Attempt)
 		}
-		if !sleep(ctx, claimBackoff) {
+		if !timing.Sleep(ctx, claimBackoff) {
 			return fault.Wrap(fault.NoQuorum, err, "claim the idempotency key")
 		}
 	}
@@ -309,17 +310,6 @@
 	return fault.Wrap(fault.KeyInUse, held, "claim the idempotency key")
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func toRefusal(err error) *api.Refusal {
 	refusal := &api.Refusal{Kind: fault.KindOf(err).String(), Message: err.Error()}
 	var held *HeldError
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/fleet"
+	"amaranthpaddle/timing"
 )
 
 // Pauses before the directory is followed from the next control replica.
@@ -155,18 +155,17 @@
 	if len(e.config.Control) == 0 {
 		return
 	}
-	pause := watchPause
+	backoff := timing.NewBackoff(watchPause, watchPauseMax)
 	for i := first; e.ctx.Err() == nil; i += watches {
 		address := e.config.Control[i%len(e.config.Control)]
 		received, err := e.watch(address)
 		if received {
-			pause = watchPause
+			backoff.Reset()
 		}
 		klog.V(1).InfoS("Directory watch ended", "control", address, "reason", err)
-		if !sleep(e.ctx, pause/2+rand.N(pause/2)) {
+		if !timing.Sleep(e.ctx, backoff.Next()) {
 			return
 		}
-		pause = min(2*pause, watchPauseMax)
 	}
 }
 
@@ -198,14 +197,3 @@
 		received = true
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -10,6 +10,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/request"
+	"amaranthpaddle/timing"
 )
 
 // Bounds on the attempts of one request.
@@ -139,7 +140,7 @@
 		return true
 	}
 	clear(x.tried)
-	return sleep(ctx, retryPause/2+rand.N(retryPause<<min(x.attempts, 5)))
+	return timing.Sleep(ctx, retryPause/2+rand.N(retryPause<<min(x.attempts, 5)))
 }
 
 // lookupLast asks for the outcome of the last attempt over another connection.
@@ -187,7 +188,7 @@
 		if err == nil || fault.Is(err, fault.AnswerDamaged) {
 			return state, err
 		}
-		if !sleep(ctx, pause) {
+		if !timing.Sleep(ctx, pause) {
 			return request.Unknown, err
 		}
 	}
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 	"amaranthpaddle/transport"
 )
 
@@ -106,17 +106,16 @@
 
 // maintain keeps one link open, a new one after each that is retired.
 func (p *peer) maintain() {
-	pause := redialPause
+	backoff := timing.NewBackoff(redialPause, redialMax)
 	for p.ctx.Err() == nil {
 		began := time.Now()
 		p.runLink()
 		if time.Since(began) > redialMax {
-			pause = redialPause
+			backoff.Reset()
 		}
-		if !sleep(p.ctx, pause/2+rand.N(pause/2)) {
+		if !timing.Sleep(p.ctx, backoff.Next()) {
 			return
 		}
-		pause = min(2*pause, redialMax)
 	}
 }
 
@@ -194,7 +193,7 @@
 
 // closeWhenIdle closes the peer once no attempt uses its links.
 func (p *peer) closeWhenIdle() {
-	for p.busy() && sleep(p.ctx, pingTick) {
+	for p.busy() && timing.Sleep(p.ctx, pingTick) {
 	}
 	p.cancel()
 }
--- a/entry/report.go
+++ b/entry/report.go
@@ -12,6 +12,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 )
 
 // Reports of service-level counts.
@@ -105,7 +106,7 @@
 	defer client.Close()
 	incarnation := rand.Uint64()
 	var pending []*api.EntryReport
-	for sequence := uint64(1); sleep(e.ctx, reportInterval); sequence++ {
+	for sequence := uint64(1); timing.Sleep(e.ctx, reportInterval); sequence++ {
 		pending = append(pending, &api.EntryReport{
 			Entry: e.config.Name, Incarnation: incarnation, Sequence: sequence, Counts: e.recorder.take(),
 		})
--- a/entry/standing.go
+++ b/entry/standing.go
@@ -9,6 +9,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 )
 
 // Standing streams.
@@ -94,7 +95,7 @@
 		if !x.sink.begun && failures > openAttempts {
 			return x.endStream(err)
 		}
-		if failures > maxAttempts || !sleep(ctx, rand.N(reopenPause<<failures)) {
+		if failures > maxAttempts || !timing.Sleep(ctx, rand.N(reopenPause<<failures)) {
 			return x.endStream(err)
 		}
 	}
@@ -155,7 +156,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for sleep(ctx, keepAliveInterval/2) {
+		for timing.Sleep(ctx, keepAliveInterval/2) {
 			x.sink.comment(keepAliveInterval)
 		}
 	}()
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -17,6 +17,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
 )
 
 // background keeps callers sending until it is stopped, and counts what they got.
@@ -249,7 +250,7 @@
 	trickling, stop := context.WithCancel(t.Context())
 	defer stop()
 	go func() {
-		for sleep(trickling, 20*time.Millisecond) {
+		for timing.Sleep(trickling, 20*time.Millisecond) {
 			if _, err := io.WriteString(conn, "x"); err != nil {
 				return
 			}
