worker: one Announcement for agent and backend servers

Cause: agent and standin each had the type that a backend server posts. Change: worker.Announcement, in the package that holds the rest of the VM's local interface, serves both. The registry's tests name it anew; their assertions stay. Conclusion: a field that is added cannot be missed on one side.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -195,7 +195,7 @@
 	a.delivery.Pause(directive.Drain || wentOut)
 }
 
-func deliveryServers(present []Announcement) []delivery.Server {
+func deliveryServers(present []worker.Announcement) []delivery.Server {
 	servers := make([]delivery.Server, 0, len(present))
 	for _, p := range present {
 		servers = append(servers, delivery.Server{
--- a/agent/doc.go
+++ b/agent/doc.go
@@ -4,7 +4,7 @@
 //
 // Its local interface is HTTP on a loopback address:
 //
-//	POST   /v1/backends       Announcement; renew at least once a second
+//	POST   /v1/backends       worker.Announcement; renew at least once a second
 //	DELETE /v1/backends/{id}  the backend server is leaving and takes no new work
 //	GET    /healthz           the process runs
 //	GET    /readyz            the agent takes new work
--- a/agent/local.go
+++ b/agent/local.go
@@ -7,6 +7,7 @@
 
 	"amaranthpaddle/fault"
 	"amaranthpaddle/telemetry"
+	"amaranthpaddle/worker"
 )
 
 const maxAnnouncementBytes = 16 << 10
@@ -23,7 +24,7 @@
 }
 
 func (a *Agent) handleAnnounce(w http.ResponseWriter, r *http.Request) {
-	var announcement Announcement
+	var announcement worker.Announcement
 	body := http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)
 	if err := json.NewDecoder(body).Decode(&announcement); err != nil {
 		writeError(w, fault.Wrap(fault.InvalidArgument, err, "announcement"))
--- a/agent/registry.go
+++ b/agent/registry.go
@@ -7,6 +7,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/worker"
 )
 
 // announcementTTL is how long an announcement lasts without renewal.
@@ -15,19 +16,9 @@
 // maxBackendServers bounds the backend servers of one VM.
 const maxBackendServers = 256
 
-// Announcement is what a backend server posts to its agent, again and again
-// while it serves.
-type Announcement struct {
-	ID          string `json:"id"` // unique in the fleet
-	Service     string `json:"service"`
-	URL         string `json:"url"` // base URL, such as http://127.0.0.1:8080
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-}
-
 // announced is one backend server of this VM.
 type announced struct {
-	Announcement
+	worker.Announcement
 	expires time.Time
 	leaving bool
 }
@@ -50,7 +41,7 @@
 
 // Announce adds or renews a backend server. It returns fault.InvalidArgument for
 // an incomplete announcement and fault.Overloaded when the VM has too many.
-func (r *Registry) Announce(a Announcement, now time.Time) error {
+func (r *Registry) Announce(a worker.Announcement, now time.Time) error {
 	if a.ID == "" || a.Service == "" || a.URL == "" || a.Slots <= 0 || a.Connections <= 0 {
 		return fault.New(fault.InvalidArgument, "an announcement needs id, service, url, slots and connections")
 	}
@@ -137,10 +128,10 @@
 }
 
 // Present returns the backend servers that take new work.
-func (r *Registry) Present() []Announcement {
+func (r *Registry) Present() []worker.Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := make([]Announcement, 0, len(r.servers))
+	list := make([]worker.Announcement, 0, len(r.servers))
 	for _, server := range r.servers {
 		if !server.leaving {
 			list = append(list, server.Announcement)
--- a/agent/registry_test.go
+++ b/agent/registry_test.go
@@ -6,11 +6,12 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/worker"
 )
 
 var (
 	noon   = time.Unix(1_000_000, 0)
-	ledger = Announcement{ID: "ledger-0", Service: "ledger", URL: "http://127.0.0.1:1", Slots: 8, Connections: 64}
+	ledger = worker.Announcement{ID: "ledger-0", Service: "ledger", URL: "http://127.0.0.1:1", Slots: 8, Connections: 64}
 )
 
 func TestRegistryAnnouncesRenewsAndExpires(t *testing.T) {
@@ -61,12 +62,12 @@
 
 func TestRegistryRefusesIncompleteAnnouncements(t *testing.T) {
 	registry := NewRegistry(&api.BackendServer{})
-	spoil := map[string]func(*Announcement){
-		"without id":          func(a *Announcement) { a.ID = "" },
-		"without service":     func(a *Announcement) { a.Service = "" },
-		"without url":         func(a *Announcement) { a.URL = "" },
-		"without slots":       func(a *Announcement) { a.Slots = 0 },
-		"without connections": func(a *Announcement) { a.Connections = -1 },
+	spoil := map[string]func(*worker.Announcement){
+		"without id":          func(a *worker.Announcement) { a.ID = "" },
+		"without service":     func(a *worker.Announcement) { a.Service = "" },
+		"without url":         func(a *worker.Announcement) { a.URL = "" },
+		"without slots":       func(a *worker.Announcement) { a.Slots = 0 },
+		"without connections": func(a *worker.Announcement) { a.Connections = -1 },
 	}
 	for name, change := range spoil {
 		announcement := ledger
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -16,6 +16,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"amaranthpaddle/worker"
 )
 
 const (
@@ -43,15 +45,6 @@
 	Events      io.Writer // gets one JSON line per RequestEvent, may be nil
 }
 
-// Announcement is what a backend server tells its agent, again and again while it serves.
-type Announcement struct {
-	ID          string `json:"id"`
-	Service     string `json:"service"`
-	URL         string `json:"url"`
-	Slots       int    `json:"slots"`
-	Connections int    `json:"connections"`
-}
-
 // Answer is the stand-in's answer: it names the request, so that a caller can
 // check that the answer is its own and whole.
 type Answer struct {
@@ -216,7 +209,7 @@
 }
 
 func (b *Backend) announce() {
-	body, _ := json.Marshal(Announcement{
+	body, _ := json.Marshal(worker.Announcement{
 		ID: b.options.ID, Service: b.options.Service, URL: b.URL(),
 		Slots: b.options.Slots, Connections: b.options.Connections,
 	})
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -18,6 +18,9 @@
 // reading plus the granted time. A delay or a pause anywhere on the way can
 // then only shorten the lease, never lengthen it. A worker process has an epoch
 // of its own, so that a reading of one process's clock is never used on another's.
+//
+// The backend servers that a worker runs announce themselves to the agent with
+// an Announcement.
 package worker
 
 import "amaranthpaddle/resource"
