--- a/cmd/paddle-dev/main.go
+++ b/cmd/paddle-dev/main.go
@@ -48,13 +48,14 @@
 	}
 	f, err := startFleet(dataDir, day)
 	if err != nil {
+		_ = f.stop() // the error of the start says more
 		return fail(err)
 	}
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	result, err := runDay(f, day)
 	if err == nil && keep {
-		printAddresses(f)
+		printAddresses(f, day)
 		<-interrupted
 	}
 	stopErr := f.stop()
@@ -86,11 +87,14 @@
 	return fault.KindOf(err).Answer().Exit
 }
 
-func printAddresses(f *fleet) {
+// printAddresses prints commands that can be typed as they stand.
+func printAddresses(f *fleet, day *plan.DayPlan) {
 	fmt.Println("\nThe fleet keeps running. Interrupt to stop it.")
-	fmt.Printf("  paddlectl --address %s status\n", joined(f.operatorAddresses()))
+	fmt.Printf("  go run ./cmd/paddlectl --address %s status\n", joined(f.operatorAddresses()))
 	for _, url := range f.entryURLs() {
-		fmt.Printf("  curl -i %s/SERVICE/check\n", url)
+		for _, service := range day.Services {
+			fmt.Printf("  curl -i %s/%s/check\n", url, service.Name)
+		}
 	}
 }
 
