session: the agent's lease is lease.Holder, which the state machine test proves

Cause: session.Holder counted the VM's lease by its own code; lease.Holder, the same rule, was used by tests only, among them the fleet's state machine test, which so proved code that no process ran. Change: session.Holder holds a lease.Holder. The property test reads the expiry from it; its assertions stand. With Valid always true a session test fails; with a lease a second too long session and task tests fail. A renewal that may shorten the lease is not caught by either: that is safe, and costs a lease when answers overtake each other. Conclusion: one rule, in one place; no change of behaviour.

--- a/session/holder.go
+++ b/session/holder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/task/lease"
 )
 
 // maxSentReports bounds the reports whose send times are remembered.
@@ -25,7 +26,7 @@
 type Holder struct {
 	sent         map[uint64]sentReport
 	oldest       uint64 // lowest sequence that may be in sent
-	leaseUntil   time.Time
+	lease        lease.Holder
 	workerUntil  int64 // the lease on the worker's clock, in milliseconds
 	freshUntil   time.Time
 	inService    bool
@@ -60,11 +61,9 @@
 		return
 	}
 	h.acknowledged = max(h.acknowledged, directive.Acknowledged)
-	lease := time.Duration(directive.LeaseMs) * time.Millisecond
-	if until := report.at.Add(lease); until.After(h.leaseUntil) {
-		h.leaseUntil = until
-	}
-	h.workerUntil = max(h.workerUntil, report.workerClockMS+lease.Milliseconds())
+	terms := lease.Terms{Duration: time.Duration(directive.LeaseMs) * time.Millisecond}
+	h.lease.Renew(terms, report.at)
+	h.workerUntil = max(h.workerUntil, report.workerClockMS+terms.Duration.Milliseconds())
 	h.grantFreshness(directive, report)
 	h.forgetUpTo(directive.Acknowledged)
 }
@@ -95,7 +94,7 @@
 // MayStart reports whether a task may start at now: the VM's lease runs, and
 // its availability zone is in service as confirmed within the freshness bound.
 func (h *Holder) MayStart(now time.Time) bool {
-	return h.inService && !h.draining && now.Before(h.freshUntil) && now.Before(h.leaseUntil)
+	return h.inService && !h.draining && now.Before(h.freshUntil) && h.lease.Valid(now)
 }
 
 // Refuses reports whether the last directive forbade starts, so that waiting
--- a/session/holder_test.go
+++ b/session/holder_test.go
@@ -42,8 +42,8 @@
 			now = now.Add(delay(t))
 			holder.Grant(answers[rapid.IntRange(0, len(answers)-1).Draw(t, "which")])
 		}
-		if holder.leaseUntil.After(granted) {
-			t.Fatalf("holder's lease ends %v after the grant", holder.leaseUntil.Sub(granted))
+		if holder.lease.Expiry().After(granted) {
+			t.Fatalf("holder's lease ends %v after the grant", holder.lease.Expiry().Sub(granted))
 		}
 		if end := start.Add(time.Duration(holder.WorkerLeaseUntil()) * time.Millisecond); end.After(granted) {
 			t.Fatalf("worker's lease ends %v after the grant", end.Sub(granted))
--- a/session/session.go
+++ b/session/session.go
@@ -261,7 +261,7 @@
 	}
 	s.holder.Grant(directive)
 	for _, start := range directive.Start {
-		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now, s.holder.leaseUntil}
+		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now, s.holder.lease.Expiry()}
 	}
 	for _, stop := range directive.Stop {
 		key := runKey{stop.Task, stop.Generation}
