replica, operatorapi: log lines in one form; burn: ServerMicros as its siblings

Cause: replica's log messages began in lower case and named errors "err", the other packages' begin in upper case and use "error", so that a search over the logs misses one or the other. burn's counts had QueueMicros and LinkMicros, but ServerMicro. Conclusion: constant messages of one form.

--- a/burn/compute.go
+++ b/burn/compute.go
@@ -119,7 +119,7 @@
 	}
 	const microsPerMilli = 1000
 	mean := func(micros int64) float64 { return float64(micros) / microsPerMilli / float64(c.Requests) }
-	queue, link, server := mean(c.QueueMicros), mean(c.LinkMicros), mean(c.ServerMicro)
+	queue, link, server := mean(c.QueueMicros), mean(c.LinkMicros), mean(c.ServerMicros)
 	retries := float64(c.Retries) / float64(c.Requests) * (queue + link + server)
 	list = append(list, Cause{Name: "queue", MeanMillis: queue}, Cause{Name: "link", MeanMillis: link},
 		Cause{Name: "backend server", MeanMillis: server}, Cause{Name: "retries", MeanMillis: retries})
--- a/burn/encode.go
+++ b/burn/encode.go
@@ -81,7 +81,7 @@
 	c := m.Counts
 	encoded := minuteSnapshot{Minute: m.Minute, Numbers: [8]int64{
 		int64(c.Requests), int64(c.Within), int64(c.NotRun), int64(c.Unknown), int64(c.Retries),
-		c.QueueMicros, c.LinkMicros, c.ServerMicro,
+		c.QueueMicros, c.LinkMicros, c.ServerMicros,
 	}}
 	encoded.Buckets = slices.Sorted(maps.Keys(c.Latency))
 	for _, bucket := range encoded.Buckets {
@@ -94,7 +94,7 @@
 	n := m.Numbers
 	c := &counts{
 		Requests: uint64(n[0]), Within: uint64(n[1]), NotRun: uint64(n[2]), Unknown: uint64(n[3]), Retries: uint64(n[4]),
-		QueueMicros: n[5], LinkMicros: n[6], ServerMicro: n[7],
+		QueueMicros: n[5], LinkMicros: n[6], ServerMicros: n[7],
 		Latency: histogram{},
 	}
 	for i, bucket := range m.Buckets {
--- a/burn/recorder.go
+++ b/burn/recorder.go
@@ -23,15 +23,15 @@
 
 // counts are one service's counts over some time.
 type counts struct {
-	Requests    uint64
-	Within      uint64
-	NotRun      uint64
-	Unknown     uint64
-	Retries     uint64
-	QueueMicros int64
-	LinkMicros  int64
-	ServerMicro int64 // at the backend servers
-	Latency     histogram
+	Requests     uint64
+	Within       uint64
+	NotRun       uint64
+	Unknown      uint64
+	Retries      uint64
+	QueueMicros  int64
+	LinkMicros   int64
+	ServerMicros int64 // at the backend servers
+	Latency      histogram
 }
 
 func newCounts() *counts { return &counts{Latency: histogram{}} }
@@ -44,7 +44,7 @@
 	c.Retries += o.Retries
 	c.QueueMicros += o.QueueMicros
 	c.LinkMicros += o.LinkMicros
-	c.ServerMicro += o.ServerMicro
+	c.ServerMicros += o.ServerMicros
 	c.Latency.merge(o.Latency)
 }
 
@@ -159,15 +159,15 @@
 	}
 	s.dropBefore(now - keptMinutes + 1)
 	s.at(minute).merge(&counts{
-		Requests:    c.Requests,
-		Within:      c.WithinObjective,
-		NotRun:      c.NotRun,
-		Unknown:     c.Unknown,
-		Retries:     c.Retries,
-		QueueMicros: micros(c.QueueMs),
-		LinkMicros:  micros(c.LinkMs),
-		ServerMicro: micros(c.BackendMs),
-		Latency:     latency,
+		Requests:     c.Requests,
+		Within:       c.WithinObjective,
+		NotRun:       c.NotRun,
+		Unknown:      c.Unknown,
+		Retries:      c.Retries,
+		QueueMicros:  micros(c.QueueMs),
+		LinkMicros:   micros(c.LinkMs),
+		ServerMicros: micros(c.BackendMs),
+		Latency:      latency,
 	})
 }
 
--- a/operatorapi/answer.go
+++ b/operatorapi/answer.go
@@ -21,6 +21,6 @@
 	}
 	w.WriteHeader(answer.HTTP)
 	if err := json.NewEncoder(w).Encode(body); err != nil {
-		klog.V(1).InfoS("error answer not written", "err", err)
+		klog.V(1).InfoS("Error answer not written", "error", err)
 	}
 }
--- a/replica/applier.go
+++ b/replica/applier.go
@@ -204,7 +204,7 @@
 	data, err := a.machine.Snapshot()
 	if err != nil {
 		<-a.saving
-		klog.ErrorS(err, "the state machine gave no snapshot", "index", a.applied)
+		klog.ErrorS(err, "State machine gave no snapshot", "index", a.applied)
 		return
 	}
 	snapshot := &api.Snapshot{Index: a.applied, Term: a.appliedTerm, Membership: a.membership, Data: data}
@@ -227,7 +227,7 @@
 		return nil
 	}
 	if err := r.do(finish); err != nil {
-		klog.V(2).InfoS("snapshot written, log not compacted", "err", err)
+		klog.V(2).InfoS("Snapshot written, log not compacted", "error", err)
 	}
 }
 
@@ -240,6 +240,6 @@
 		return nil
 	})
 	if err != nil {
-		klog.ErrorS(cause, "storage failed while stopping")
+		klog.ErrorS(cause, "Storage failed while stopping")
 	}
 }
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -37,7 +37,7 @@
 			}
 			reply, err := r.hello(ctx, id, address)
 			if err != nil {
-				klog.V(2).InfoS("initial member does not answer yet", "member", id, "address", address, "err", err)
+				klog.V(2).InfoS("Initial member does not answer yet", "member", id, "address", address, "error", err)
 				continue
 			}
 			replies[id] = reply
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -127,7 +127,7 @@
 		err = r.engine.checkMembership(r.config.ID, r.identity.Incarnation)
 	}
 	if err != nil && healthy {
-		klog.ErrorS(err, "the replica neither votes nor acknowledges any more", "replica", r.config.ID)
+		klog.ErrorS(err, "Replica neither votes nor acknowledges any more", "replica", r.config.ID)
 		r.waiting.failAll(fault.Wrap(fault.CommitUnknown, err, "replica failed"))
 		r.readLoop.failAll(fault.Wrap(fault.NotLeader, err, "replica failed"))
 	}
--- a/replica/peer.go
+++ b/replica/peer.go
@@ -99,7 +99,7 @@
 		if p.ctx.Err() != nil {
 			return
 		}
-		klog.V(2).InfoS("stream to replica ended", "replica", p.id, "address", p.address, "err", err)
+		klog.V(2).InfoS("Stream to replica ended", "replica", p.id, "address", p.address, "error", err)
 		if time.Since(opened) > maxRedial {
 			backoff.Reset()
 		}
@@ -228,7 +228,7 @@
 		if err == nil {
 			return
 		}
-		klog.InfoS("snapshot was not delivered", "replica", p.id, "err", err)
+		klog.InfoS("Snapshot not delivered", "replica", p.id, "error", err)
 		_ = p.replica.do(func() error {
 			p.replica.engine.raft.SnapshotFailed(p.id)
 			return nil
--- a/replica/start.go
+++ b/replica/start.go
@@ -109,7 +109,7 @@
 	r.waiting.failAll(fault.New(fault.CommitUnknown, "the replica stopped"))
 	r.readLoop.failAll(fault.New(fault.NotLeader, "the replica stopped"))
 	if err := r.engine.storage.close(); err != nil {
-		klog.ErrorS(err, "closing the log")
+		klog.ErrorS(err, "Closing the log failed")
 	}
 }
 
@@ -146,7 +146,7 @@
 	}
 	r.view.setGroup(group, table)
 	r.identity = identity
-	klog.InfoS("entered the group", "replica", identity.Id, "group", group)
+	klog.InfoS("Group entered", "replica", identity.Id, "group", group)
 	return r.open()
 }
 
@@ -155,7 +155,7 @@
 	if fault.Is(err, fault.Canceled) {
 		return
 	}
-	klog.ErrorS(err, "the replica does not take part", "replica", r.config.ID)
+	klog.ErrorS(err, "Replica does not take part", "replica", r.config.ID)
 	r.view.setFault(fault.KindOf(err).String() + ": " + err.Error())
 }
 
