operatorapi: the states of VMs and jobs are named types

Cause: the states of a job and the kinds of a watcher stood as string literals in control's status and gauges, those of a VM as constants there and literals in the gauges; the API's closed lists stood in comments. Change: operatorapi.VMState, JobState and their constants, WatcherAgent and WatcherEntry; control uses them. The JSON is the same, and tests still compare with the literals of the wire. Conclusion: no change of behaviour.

--- a/control/gauges.go
+++ b/control/gauges.go
@@ -33,12 +33,14 @@
 		telemetry.ZoneInService.WriteBool(w, z.InService, z.Name)
 		telemetry.ZoneTasks.Write(w, float64(z.Tasks), z.Name)
 	}
-	states := map[string]int{"ready": 0, "draining": 0, "quarantined": 0, "lost": 0}
+	states := map[operatorapi.VMState]int{
+		operatorapi.VMReady: 0, operatorapi.VMDraining: 0, operatorapi.VMQuarantined: 0, operatorapi.VMLost: 0,
+	}
 	for _, vm := range status.VMs {
 		states[vm.State]++
 	}
 	for state, n := range states {
-		telemetry.VMs.Write(w, float64(n), state)
+		telemetry.VMs.Write(w, float64(n), string(state))
 	}
 	for _, service := range status.Services {
 		telemetry.ServiceRunning.Write(w, float64(service.Running), service.Name)
@@ -64,7 +66,7 @@
 
 // writeWatchers writes by how many revisions the furthest agent and entry are behind.
 func writeWatchers(w io.Writer, revision uint64, watchers []operatorapi.WatcherStatus) {
-	lag := map[string]uint64{"agent": 0, "entry": 0}
+	lag := map[string]uint64{operatorapi.WatcherAgent: 0, operatorapi.WatcherEntry: 0}
 	for _, watcher := range watchers {
 		if watcher.Revision < revision {
 			lag[watcher.Kind] = max(lag[watcher.Kind], revision-watcher.Revision)
--- a/control/http_status.go
+++ b/control/http_status.go
@@ -27,8 +27,8 @@
 		vm := &status.VMs[i]
 		vm.LeaseMillis = s.leases.left(vm.ID, now).Milliseconds()
 		vm.Used = operatorResources(observed[vm.ID].used)
-		if vm.State == vmReady && observed[vm.ID].quarantined {
-			vm.State = vmQuarantined
+		if vm.State == operatorapi.VMReady && observed[vm.ID].quarantined {
+			vm.State = operatorapi.VMQuarantined
 		}
 	}
 	return status, nil
@@ -40,10 +40,10 @@
 	defer s.mu.Unlock()
 	var list []operatorapi.WatcherStatus
 	for vm, session := range s.sessions {
-		list = append(list, operatorapi.WatcherStatus{Name: vm, Kind: "agent", Revision: session.view.revision})
+		list = append(list, operatorapi.WatcherStatus{Name: vm, Kind: operatorapi.WatcherAgent, Revision: session.view.revision})
 	}
 	for name, entry := range s.entries {
-		list = append(list, operatorapi.WatcherStatus{Name: name, Kind: "entry", Revision: entry.revision})
+		list = append(list, operatorapi.WatcherStatus{Name: name, Kind: operatorapi.WatcherEntry, Revision: entry.revision})
 	}
 	sort.Slice(list, func(a, b int) bool { return list[a].Name < list[b].Name })
 	return list
@@ -94,24 +94,16 @@
 	}
 }
 
-// The states of a VM as operators see them.
-const (
-	vmReady       = "ready"
-	vmDraining    = "draining"
-	vmQuarantined = "quarantined"
-	vmLost        = "lost"
-)
-
-func vmState(vm *fleet.VM) string {
+func vmState(vm *fleet.VM) operatorapi.VMState {
 	switch {
 	case vm.Lost:
-		return vmLost
+		return operatorapi.VMLost
 	case vm.Suppressed:
-		return vmQuarantined
+		return operatorapi.VMQuarantined
 	case vm.Draining || vm.Leaving:
-		return vmDraining
+		return operatorapi.VMDraining
 	default:
-		return vmReady
+		return operatorapi.VMReady
 	}
 }
 
@@ -184,24 +176,24 @@
 		view.Deadline = &deadline
 	}
 	view.State = jobState(j, view)
-	if unplaceable != "" && view.State == "pending" {
-		view.State, view.Reason = "unplaceable", unplaceable
+	if unplaceable != "" && view.State == operatorapi.JobPending {
+		view.State, view.Reason = operatorapi.JobUnplaceable, unplaceable
 	}
 	return view
 }
 
-func jobState(j *task.Job, view operatorapi.JobStatus) string {
+func jobState(j *task.Job, view operatorapi.JobStatus) operatorapi.JobState {
 	switch {
 	case j.Wanted == 0:
-		return "canceled"
+		return operatorapi.JobCanceled
 	case j.Complete():
-		return "finished"
+		return operatorapi.JobFinished
 	case j.Failing():
-		return "failed"
+		return operatorapi.JobFailed
 	case view.Running > 0:
-		return "running"
+		return operatorapi.JobRunning
 	default:
-		return "pending"
+		return operatorapi.JobPending
 	}
 }
 
--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -192,7 +192,7 @@
 		time.Sleep(20 * time.Second)
 		var status operatorapi.Status
 		s.request(t, http.MethodGet, operatorapi.PathStatus, "", nil, &status)
-		if status.VMs[0].State != vmQuarantined {
+		if status.VMs[0].State != operatorapi.VMQuarantined {
 			t.Fatalf("VM %+v", status.VMs[0])
 		}
 		bad.close()
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -105,12 +105,23 @@
 	Tasks     int    `json:"tasks"` // starting, running or stopping there
 }
 
+// VMState is what a VM may do.
+type VMState string
+
+// The states of a VM.
+const (
+	VMReady       VMState = "ready"       // takes work
+	VMDraining    VMState = "draining"    // drained by an operator, or its agent is leaving
+	VMQuarantined VMState = "quarantined" // fails its work or flaps; gets none for a while
+	VMLost        VMState = "lost"        // its lease is over
+)
+
 // VMStatus is the state of one VM.
 type VMStatus struct {
 	ID          string    `json:"id"`
 	Zone        string    `json:"zone"`
 	Rack        string    `json:"rack"`
-	State       string    `json:"state"` // "ready", "draining", "quarantined", "lost"
+	State       VMState   `json:"state"`
 	Capacity    Resources `json:"capacity"`
 	Granted     Resources `json:"granted"`
 	Used        Resources `json:"used"` // last report
@@ -126,11 +137,24 @@
 	BackendServers int    `json:"backend_servers"` // announced and taking work
 }
 
+// JobState is how far a batch job has come.
+type JobState string
+
+// The states of a batch job.
+const (
+	JobPending     JobState = "pending"
+	JobRunning     JobState = "running"
+	JobFinished    JobState = "finished"
+	JobFailed      JobState = "failed"
+	JobCanceled    JobState = "canceled"
+	JobUnplaceable JobState = "unplaceable" // no VM of the fleet could hold one of its tasks
+)
+
 // JobStatus is the state of one batch job.
 type JobStatus struct {
 	Name      string     `json:"name"`
 	Team      string     `json:"team"`
-	State     string     `json:"state"` // "pending", "running", "finished", "failed", "canceled", "unplaceable"
+	State     JobState   `json:"state"`
 	Tasks     int        `json:"tasks"`
 	Pending   int        `json:"pending"`
 	Running   int        `json:"running"`
@@ -141,10 +165,16 @@
 	Reason    string     `json:"reason,omitempty"` // why it waits or failed
 }
 
+// The kinds of a watcher.
+const (
+	WatcherAgent = "agent"
+	WatcherEntry = "entry"
+)
+
 // WatcherStatus is the configuration revision in force at an entry or agent.
 type WatcherStatus struct {
 	Name     string `json:"name"`
-	Kind     string `json:"kind"` // "entry" or "agent"
+	Kind     string `json:"kind"` // WatcherAgent or WatcherEntry
 	Revision uint64 `json:"revision"`
 }
 
