entry: idle links to agents are looked at when their next ping is due

Change: an idle link without an open ping sleeps until its next one; an attempt that begins on it wakes it. Conclusion: the cost follows the pings, not the looks.

--- a/entry/link.go
+++ b/entry/link.go
@@ -18,6 +18,7 @@
 	client api.AgentClient
 	ctx    context.Context // ends, with a cause, when the link is retired
 	cancel context.CancelCauseFunc
+	begun  chan struct{} // an attempt began on an idle link
 
 	mu          sync.Mutex
 	using       int
@@ -70,8 +71,8 @@
 		defer close(ended)
 		l.receivePongs(stream)
 	}()
-	ticker := time.NewTicker(pingTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		if l.silent(time.Now()) {
 			linksRetiredTotal.Inc()
@@ -84,8 +85,10 @@
 				return
 			}
 		}
+		timer.Reset(l.untilNextLook(time.Now()))
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+		case <-l.begun:
 		case <-ended:
 			l.cancel(errRetired)
 			return
@@ -93,6 +96,30 @@
 	}
 }
 
+// untilNextLook returns when the link must be looked at again. An entry holds
+// links to every agent, and most are idle: looking at each of them at every
+// pingTick costs more than their pings.
+func (l *link) untilNextLook(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.using > 0 || l.clock.count == 0 || len(l.sentAt) > 0 {
+		return pingTick
+	}
+	return max(l.lastPing.Add(pingIdle).Sub(now), pingTick)
+}
+
+// beginUse counts an attempt in progress. The caller holds mu.
+func (l *link) beginUse() {
+	l.using++
+	if l.using > 1 {
+		return
+	}
+	select {
+	case l.begun <- struct{}{}:
+	default:
+	}
+}
+
 // silent reports whether a ping has had no pong for too long.
 func (l *link) silent(now time.Time) bool {
 	l.mu.Lock()
@@ -175,7 +202,7 @@
 // use counts a stream on the link; the function returned ends it.
 func (l *link) use() (done func()) {
 	l.mu.Lock()
-	l.using++
+	l.beginUse()
 	l.mu.Unlock()
 	return func() {
 		l.mu.Lock()
@@ -188,7 +215,7 @@
 // another link.
 func (l *link) useBulk() (done func()) {
 	l.mu.Lock()
-	l.using++
+	l.beginUse()
 	l.bulk++
 	l.mu.Unlock()
 	return func() {
--- a/entry/pool.go
+++ b/entry/pool.go
@@ -130,7 +130,9 @@
 	defer conn.Close()
 	ctx, cancel := context.WithCancelCause(p.ctx)
 	defer cancel(errRetired)
-	l := &link{peer: p, client: api.NewAgentClient(conn), ctx: ctx, cancel: cancel}
+	l := &link{
+		peer: p, client: api.NewAgentClient(conn), ctx: ctx, cancel: cancel, begun: make(chan struct{}, 1),
+	}
 	l.run()
 	p.remove(l)
 	l.drain()
