scheduler: instances of services are spread again once there is room

Cause: after a zone had left and returned, all instances of a service stayed in the other zone, two and three on a VM, since running services were never rebalanced.

Change: Decide moves an instance to the VM that would be picked for it, if that lowers the imbalance: zones first, then VMs, then racks, which differ in size. One instance of a service at a time, and only while all others run on VMs in touch for 20 s; services of fewer than four instances are left alone. A task has one run at a time, so it stops before it starts elsewhere. Nothing moves while a VM that leaves holds a task, to a VM that came into service less than a minute ago or failed the job, or to one that lacks room. Room is kept for an instance that stops. A token bucket of its own allows 5 moves at once and 1 an hour for 11 VMs; moves between VMs and racks of even zones wait for a full bucket; a task rests for 20 minutes. Between zones a move needs a difference of two, so that the sums of squared counts fall and moves end.

--- a/scheduler/assemble.go
+++ b/scheduler/assemble.go
@@ -26,6 +26,8 @@
 		teamUse:       t.TeamUse(),
 		Harm:          l.harm.View(),
 		MovesLeft:     l.budget.left(),
+		SpreadsLeft:   l.spreadsLeft(now),
+		SpreadVMs:     l.spreads.full(len(vms)),
 	}
 	for _, team := range p.Teams {
 		s.Teams = append(s.Teams, Team{Name: team.Name, Quota: team.Quota})
@@ -65,6 +67,7 @@
 	}
 	l.sweep(now)
 	l.budget.refill(now, len(vms))
+	l.spreads.refill(now, len(vms))
 	l.fleet = l.fleet[:0]
 	for i := range vms {
 		l.fleet = append(l.fleet, vms[i].ID)
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -30,10 +30,12 @@
 	first, rest := c.order()
 	c.waiting = len(rest)
 	c.keepRoomForStopping()
+	c.keepRoomForSpread()
 	c.schedulePending(first)
 	c.drain()
 	c.relieve()
 	c.relievePressure()
+	c.rebalance()
 	c.schedulePending(rest)
 	return c.out
 }
--- a/scheduler/learner.go
+++ b/scheduler/learner.go
@@ -24,6 +24,8 @@
 	loads      map[string]*vmCache
 	outSince   map[string]time.Time // by VM of a zone that is out
 	budget     moveBudget
+	spreads    moveBudget
+	spreadAt   time.Time // when a snapshot last allowed a move that spreads a service
 	swept      time.Time
 	snapshot   Snapshot // its slices are reused
 	fleet      []string
@@ -38,7 +40,7 @@
 	throttle   float64 // 0 and 1 mean none
 	pressure   Pressure
 	answered   time.Time // when the pressure was last answered
-	moved      time.Time // last eviction for interference, over all generations
+	moved      time.Time // last eviction for interference or to spread a service, over all generations
 	seen       time.Time
 }
 
@@ -68,6 +70,8 @@
 		loads:      map[string]*vmCache{},
 		outSince:   map[string]time.Time{},
 		runs:       map[string]*run{},
+		budget:     moveBudget{perHour: movesPerHour, burst: moveBurst},
+		spreads:    moveBudget{perHour: spreadsPerHour, burst: spreadBurst},
 	}
 }
 
@@ -87,6 +91,10 @@
 			l.budget.take()
 			l.answered(now, d.For)
 		}
+		if d.Reason == ReasonRebalance {
+			r.moved = now
+			l.spreads.take()
+		}
 	}
 }
 
@@ -168,31 +176,55 @@
 	l.harm.Sweep(now.Add(-forgetJob))
 }
 
-// Budget of evictions for interference: a token bucket over the fleet.
+// Budgets of evictions for interference and of moves that spread services:
+// token buckets over the fleet.
 const (
-	movesPerHour  = 6.0 // for a fleet of moveFleet VMs, and in proportion for others
-	moveFleet     = 11.0
-	moveBurst     = 2.0
-	moveCooldown  = 20 * time.Minute // of one task
-	smallestBurst = 1.0
+	spreadsPerHour = 1.0 // for a fleet of moveFleet VMs, and in proportion for others
+	spreadBurst    = 5.0
+	spreadEvery    = 5 * time.Second
+	movesPerHour   = 6.0 // for a fleet of moveFleet VMs, and in proportion for others
+	moveFleet      = 11.0
+	moveBurst      = 2.0
+	moveCooldown   = 20 * time.Minute // of one task
+	smallestBurst  = 1.0
 )
 
 type moveBudget struct {
-	tokens float64
-	filled time.Time
+	perHour float64 // for a fleet of moveFleet VMs
+	burst   float64 // likewise
+	tokens  float64
+	filled  time.Time
 }
 
 func (b *moveBudget) refill(now time.Time, vms int) {
 	scale := float64(vms) / moveFleet
-	limit := max(moveBurst*scale, smallestBurst)
+	limit := b.limit(vms)
 	if b.filled.IsZero() {
 		b.tokens = limit
 	} else {
-		b.tokens += now.Sub(b.filled).Hours() * movesPerHour * scale
+		b.tokens += now.Sub(b.filled).Hours() * b.perHour * scale
 	}
 	b.tokens = min(b.tokens, limit)
 	b.filled = now
 }
 
+// limit returns the most tokens that the bucket holds.
+func (b *moveBudget) limit(vms int) float64 {
+	return max(b.burst*float64(vms)/moveFleet, smallestBurst)
+}
+
+// full reports whether nothing was taken, or it was filled up since.
+func (b *moveBudget) full(vms int) bool { return b.tokens >= b.limit(vms) }
+
 func (b *moveBudget) take()     { b.tokens-- }
 func (b *moveBudget) left() int { return max(int(b.tokens), 0) }
+
+// spreadsLeft returns how many moves that spread services are allowed now; 0
+// until spreadEvery after it last allowed any, since looking reads every instance.
+func (l *Learner) spreadsLeft(now time.Time) int {
+	if now.Sub(l.spreadAt) < spreadEvery {
+		return 0
+	}
+	l.spreadAt = now
+	return l.spreads.left()
+}
--- a/scheduler/policy_world_test.go
+++ b/scheduler/policy_world_test.go
@@ -56,6 +56,7 @@
 	evictions, outOfMemory int
 	zoneEvictions          int
 	throttles, moves       int
+	spreads                int // moves of instances to spread a service
 	overfull               int // ticks in which a VM was given more than it holds
 }
 
@@ -206,6 +207,9 @@
 }
 
 func (w *world) countEviction(d *Decision) {
+	if d.Reason == ReasonRebalance {
+		w.out.spreads++
+	}
 	if strings.HasPrefix(d.Task, serviceName) {
 		return
 	}
--- a/scheduler/snapshot.go
+++ b/scheduler/snapshot.go
@@ -114,6 +114,8 @@
 	Pressures     []Pressure
 	Harm          Harm // nil when nothing is known
 	MovesLeft     int  // evictions for interference that the budget allows now
+	SpreadsLeft   int  // moves that spread services that the budget allows now
+	SpreadVMs     bool // the budget allows moves between VMs and racks of even zones
 
 	loads   []vmLoad                   // by index in VMs; made from Tasks and Pressures when nil
 	teamUse map[string]resource.Vector // with loads
@@ -163,6 +165,7 @@
 	ReasonQuota        Reason = "quota"        // a team takes back what was borrowed
 	ReasonOvercommit   Reason = "overcommit"   // observed use exceeds the VM's capacity
 	ReasonInterference Reason = "interference" // a service instance is slowed down
+	ReasonRebalance    Reason = "rebalance"    // a zone, rack or VM holds more of the service than another
 	ReasonCalm         Reason = "calm"         // the slowdown is over
 	ReasonQuarantine   Reason = "quarantine"   // the VM fails what it is given
 )
