estimate: a use that equals the grant teaches the grant and no more

Cause: the learnt size is the upper bound of a bucket, for memory plus 10%. A task that takes all it is granted was granted more with every placement; one declared at 4 GiB had reached 14 GiB.

Change: a use from 98% to 100% of the grant is observed without what the headroom and the bucket add, so that the grant is its fixed point. A use above the grant is a real one and is taken as it is.

Test: with the rule out, 20 placements take 4,096 MiB to 29,789; with it at most 4,096. With uses above the grant cut as well, the third row fails.

Given up: a task whose real need is hidden by a limit at its grant is not given more; it must be declared larger.

--- a/scheduler/estimate/book.go
+++ b/scheduler/estimate/book.go
@@ -55,6 +55,28 @@
 	u.memory.add(now, useHalfLife, float64(used.MemoryMiB), 1)
 }
 
+// saturated is the share of a grant from which on a use counts as all of it.
+const saturated = 0.98
+
+// BoundedUse returns the use to observe of a task that used so much of its
+// grant. A task that takes all it is granted shows that it takes as much, not
+// that it needs more: its size would grow with every placement. A use above
+// the grant is a real one and is returned as it is.
+func BoundedUse(used, grant resource.Vector) resource.Vector {
+	used.MilliCPU = boundedUse(used.MilliCPU, grant.MilliCPU, cpuHeadroom)
+	used.MemoryMiB = boundedUse(used.MemoryMiB, grant.MemoryMiB, memoryHeadroom)
+	return used
+}
+
+// boundedUse leaves out of a saturated use what Size adds for headroom and
+// for the width of a bucket.
+func boundedUse(used, grant int64, headroom float64) int64 {
+	if used > grant || float64(used) < saturated*float64(grant) {
+		return used
+	}
+	return int64(float64(used) / (headroom * bucketGrowth))
+}
+
 const runTimeUnit = 100 * time.Millisecond
 
 // ObserveRun records the run time that a finished task of the job needed.
--- a/scheduler/estimate/book_test.go
+++ b/scheduler/estimate/book_test.go
@@ -71,3 +71,30 @@
 		t.Errorf("run time %v after the job was forgotten", got)
 	}
 }
+
+func TestATaskThatTakesAllItIsGrantedDoesNotGrowWithEveryPlacement(t *testing.T) {
+	declared := resource.Vector{MilliCPU: 8000, MemoryMiB: 4096}
+	cases := []struct {
+		name            string
+		use             func(grant int64) int64
+		lowest, highest int64 // memory learnt
+	}{
+		{"use equal to the grant teaches the grant", func(g int64) int64 { return g }, 3500, 4096},
+		{"use just below the grant teaches no more than the grant", func(g int64) int64 { return g * 99 / 100 }, 3500, 4096},
+		{"use above the grant is a real one", func(int64) int64 { return 12000 }, 12000, 14000},
+		{"use far below the grant is a real one", func(int64) int64 { return 2000 }, 2000, 2600},
+	}
+	for _, c := range cases {
+		b := NewBook()
+		grant := declared
+		for range 20 {
+			for range 20 {
+				used := resource.Vector{MilliCPU: grant.MilliCPU, MemoryMiB: c.use(grant.MemoryMiB)}
+				b.ObserveUse(now, "job/a", BoundedUse(used, grant), false)
+			}
+			grant = b.Size("job/a", declared).Max(resource.Vector{MilliCPU: declared.MilliCPU})
+		}
+		within(t, c.name+": memory", grant.MemoryMiB, c.lowest, c.highest)
+		within(t, c.name+": CPU", grant.MilliCPU, declared.MilliCPU, declared.MilliCPU)
+	}
+}
--- a/scheduler/usage.go
+++ b/scheduler/usage.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"amaranthpaddle/resource"
+	"amaranthpaddle/scheduler/estimate"
 	"amaranthpaddle/scheduler/interference"
 	"amaranthpaddle/task"
 )
@@ -62,7 +63,7 @@
 	r.used.MilliCPU = max(s.Used.MilliCPU, int64(usedDecay*float64(r.used.MilliCPU)))
 	r.used.MemoryMiB = max(s.Used.MemoryMiB, int64(usedDecay*float64(r.used.MemoryMiB)))
 	r.usedAt = now
-	l.sizes.ObserveUse(now, k.Job.ID, s.Used, l.throttled(s.Task))
+	l.sizes.ObserveUse(now, k.Job.ID, estimate.BoundedUse(s.Used, k.Grant), l.throttled(s.Task))
 }
 
 // measurement returns the slowdown that a sample shows, and whether it shows
