--- a/control/config.go
+++ b/control/config.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	defaultLease         = 8 * time.Second
+	defaultLease         = 10 * time.Second
 	leaseMarginPart      = 16 // of a lease, for the drift of clocks
 	defaultFresh         = 2 * time.Second
 	defaultClaimKeep     = 24 * time.Hour
@@ -23,10 +23,11 @@
 	loopInterval         = 500 * time.Millisecond
 	quietInterval        = 2 * time.Second  // between scheduling rounds that decide nothing
 	digestInterval       = 10 * time.Second // between digests sent to a watcher
+	digestJitter         = 0.2              // of the interval, either way
 	watchSpacing         = 50 * time.Millisecond
 	watchConfirmInterval = 2 * time.Second
-	graceMemory          = 10 * time.Minute // of a checkpoint time that has passed
-	defaultGrace         = time.Minute      // for a checkpoint, when the leader that asked for it is gone
+	deadlineRetention    = 10 * time.Minute // of a checkpoint deadline that has passed
+	checkpointTimeout    = time.Minute      // of a checkpoint, when the leader that asked for it is gone
 )
 
 // Peer is where another control replica can be reached.
--- a/request/request.go
+++ b/request/request.go
@@ -11,13 +11,14 @@
 
 // Headers of callers' requests and of their answers.
 const (
-	HeaderService    = "Paddle-Service"     // service name, when the path does not start with it
-	HeaderDeadline   = "Paddle-Deadline-Ms" // time the caller waits, milliseconds
-	HeaderIdempotent = "Paddle-Idempotent"  // true or false; safe methods default to true
-	HeaderKey        = "Idempotency-Key"    // the same key never runs twice
-	HeaderClass      = "Paddle-Class"       // interactive or batch
-	HeaderOutcome    = "Paddle-Outcome"     // on answers: done, not-run or unknown
-	HeaderStream     = "Paddle-Stream"      // standing, on requests and backend servers' answers
+	HeaderService    = "Paddle-Service"       // service name, when the path does not start with it
+	HeaderDeadline   = "Paddle-Deadline-Ms"   // time the caller waits, milliseconds
+	HeaderIdempotent = "Paddle-Idempotent"    // true or false; safe methods default to true
+	HeaderKey        = "Idempotency-Key"      // the same key never runs twice
+	HeaderFirst      = "Paddle-First-Sending" // true when no request with the key was sent before
+	HeaderClass      = "Paddle-Class"         // interactive or batch
+	HeaderOutcome    = "Paddle-Outcome"       // on answers: done, not-run or unknown
+	HeaderStream     = "Paddle-Stream"        // standing, on requests and backend servers' answers
 )
 
 // StreamStanding is the value of HeaderStream that marks a standing stream.
@@ -48,7 +49,7 @@
 	Class      Class
 	Idempotent bool
 	Key        string        // idempotency key, empty when there is none
-	Patience   time.Duration // how long the caller waits; 0 for a standing stream
+	Timeout    time.Duration // how long the caller waits; 0 for a standing stream
 	Standing   bool
 }
 
@@ -58,7 +59,7 @@
 // Parse reads a caller's request line and headers. It returns
 // fault.InvalidArgument when one of them is malformed.
 func Parse(h *http.Request) (*Request, error) {
-	r := &Request{Method: h.Method, Class: Interactive, Patience: DefaultDeadline, Key: h.Header.Get(HeaderKey)}
+	r := &Request{Method: h.Method, Class: Interactive, Timeout: DefaultDeadline, Key: h.Header.Get(HeaderKey)}
 	r.Service, r.URI = target(h)
 	if r.Service == "" || len(r.Service) > maxNameLength {
 		return nil, fault.New(fault.InvalidArgument, "the request names no service")
@@ -134,7 +135,7 @@
 
 func (r *Request) parseDeadline(value string) error {
 	if r.Standing {
-		r.Patience = 0
+		r.Timeout = 0
 		return nil
 	}
 	if value == "" {
@@ -144,6 +145,6 @@
 	if err != nil || ms <= 0 || ms > MaxDeadline.Milliseconds() {
 		return fault.Newf(fault.InvalidArgument, "%s must be from 1 to %d", HeaderDeadline, MaxDeadline.Milliseconds())
 	}
-	r.Patience = time.Duration(ms) * time.Millisecond
+	r.Timeout = time.Duration(ms) * time.Millisecond
 	return nil
 }
--- a/session/session.go
+++ b/session/session.go
@@ -1,34 +1,18 @@
+// Package session is an agent's side of its session with the control group: it
+// announces the VM and its backend servers, holds the VM's lease, and starts,
+// throttles and stops tasks through the worker.
 package session
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
-	"k8s.io/klog/v2"
-
 	"amaranthpaddle/api"
-	"amaranthpaddle/controlclient"
-	"amaranthpaddle/fault"
 	"amaranthpaddle/transport"
 	"amaranthpaddle/worker"
 )
 
-const (
-	heartbeatInterval = 2 * time.Second // until the leader names another one
-	heartbeatJitter   = 0.2             // of the interval, either way
-	pollInterval      = 250 * time.Millisecond
-	workerTimeout     = 1 * time.Second
-	workerSilence     = 3 * time.Second // a worker silent for longer counts as lost
-	startPatience     = 4 * time.Second // how long a start waits for confirmed permission
-	usagePollInterval = 1 * time.Second
-	silentHeartbeats  = 2.5 // intervals without a directive, after which the connection is given up
-	reconnectMin      = 50 * time.Millisecond
-	reconnectMax      = 1 * time.Second
-)
-
 // Worker is what a session needs of the VM's worker; worker.Client implements it.
 type Worker interface {
 	Start(ctx context.Context, task string, request worker.StartRequest) error
@@ -70,7 +54,7 @@
 	mu          sync.Mutex
 	holder      *Holder
 	outbox      *outbox
-	usage       *usageBook    // not yet sent
+	usage       *usageBuffer  // not yet sent
 	usageEvery  time.Duration // least length of a usage sample
 	sequence    uint64
 	epoch       string    // of the worker process
@@ -84,7 +68,7 @@
 	leaving     bool
 	helloNeeded bool
 	heartbeat   time.Duration // between reports
-	heard       time.Time     // when the session began or its last directive came
+	waiting     time.Time     // when the oldest report without an answer was sent, zero for none
 	leader      string        // address to try first
 	announced   <-chan struct{}
 }
@@ -107,7 +91,7 @@
 		report:    make(chan struct{}, 1),
 		holder:    NewHolder(),
 		outbox:    newOutbox(),
-		usage:     newUsageBook(),
+		usage:     newUsageBuffer(),
 		starts:    map[runKey]pendingStart{},
 		stops:     map[runKey]*api.StopTask{},
 		throttles: map[runKey]*api.ThrottleTask{},
@@ -162,222 +146,3 @@
 	default:
 	}
 }
-
-// connectLoop opens one session after the other, to the leader where it is known.
-func (s *Session) connectLoop(ctx context.Context) {
-	delay := reconnectMin
-	for next := rand.IntN(max(len(s.config.ControlAddresses), 1)); ctx.Err() == nil; next++ {
-		began := time.Now()
-		err := s.connect(ctx, s.chooseAddress(next))
-		if ctx.Err() != nil {
-			return
-		}
-		klog.V(1).InfoS("Session ended", "vm", s.config.VM.Id, "error", err)
-		if time.Since(began) > reconnectMax {
-			delay = reconnectMin
-		}
-		sleep(ctx, jitter(delay))
-		delay = min(2*delay, reconnectMax)
-	}
-}
-
-// chooseAddress takes the leader's address when one was named, else the next in turn.
-func (s *Session) chooseAddress(next int) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if leader := s.leader; leader != "" {
-		s.leader = ""
-		return leader
-	}
-	return s.config.ControlAddresses[next%len(s.config.ControlAddresses)]
-}
-
-func (s *Session) connect(ctx context.Context, address string) error {
-	connection, err := s.config.Security.Dial(address)
-	if err != nil {
-		return err
-	}
-	defer connection.Close()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stream, err := api.NewControlClient(connection).Session(ctx)
-	if err != nil {
-		return fault.FromStatus(err)
-	}
-	s.beginSession()
-	received := make(chan error, 1)
-	go func() { received <- s.receiveLoop(stream) }()
-	sendErr := s.sendLoop(ctx, stream, received)
-	cancel()
-	if sendErr != nil {
-		return sendErr
-	}
-	return nil
-}
-
-func (s *Session) beginSession() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.outbox.reset()
-	// The leader of the new session sends the starts that still hold.
-	clear(s.starts)
-	s.helloNeeded = true
-	s.heard = time.Now()
-}
-
-func (s *Session) receiveLoop(stream grpc.BidiStreamingClient[api.AgentReport, api.Directive]) error {
-	for {
-		directive, err := stream.Recv()
-		if err != nil {
-			s.noteLeader(stream)
-			return fault.FromStatus(err)
-		}
-		s.takeDirective(directive)
-		if s.config.OnDirective != nil {
-			s.config.OnDirective(directive)
-		}
-	}
-}
-
-func (s *Session) noteLeader(stream grpc.ClientStream) {
-	values := stream.Trailer().Get(controlclient.LeaderTrailer)
-	if len(values) == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leader = values[0]
-}
-
-func (s *Session) takeDirective(directive *api.Directive) {
-	now := time.Now()
-	s.mu.Lock()
-	s.heard = now
-	s.usageEvery = time.Duration(directive.UsageMs) * time.Millisecond
-	s.heartbeat = heartbeatInterval
-	if directive.HeartbeatMs > 0 {
-		s.heartbeat = time.Duration(directive.HeartbeatMs) * time.Millisecond
-	}
-	s.holder.Grant(directive)
-	for _, start := range directive.Start {
-		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now, s.holder.leaseUntil}
-	}
-	for _, stop := range directive.Stop {
-		key := runKey{stop.Task, stop.Generation}
-		s.stops[key] = stop
-	}
-	for _, throttle := range directive.Throttle {
-		s.throttles[runKey{throttle.Task, throttle.Generation}] = throttle
-	}
-	s.mu.Unlock()
-	signal(s.wakeup)
-}
-
-// sendLoop sends a report whenever something changed, and at each heartbeat.
-func (s *Session) sendLoop(
-	ctx context.Context,
-	stream grpc.BidiStreamingClient[api.AgentReport, api.Directive],
-	received <-chan error,
-) error {
-	for {
-		if s.silent(time.Now()) {
-			return fault.New(fault.ConnectionLost, "the control replica is silent")
-		}
-		if report := s.nextReport(time.Now()); report != nil {
-			if err := stream.Send(report); err != nil {
-				return <-received
-			}
-		}
-		timer := time.NewTimer(jitter(s.interval()))
-		select {
-		case <-timer.C:
-		case <-s.report:
-		case <-s.announcementChanged():
-		case err := <-received:
-			timer.Stop()
-			return err
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		}
-		timer.Stop()
-	}
-}
-
-// silent reports whether the session has gone without directives for so long
-// that its connection may be dead while new ones would work.
-func (s *Session) silent(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Sub(s.heard) > time.Duration(silentHeartbeats*float64(s.heartbeat))
-}
-
-// interval returns the present time between reports.
-func (s *Session) interval() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.heartbeat
-}
-
-// announcementChanged returns the channel that was taken before the announcement
-// was last read, so that no change in between is missed.
-func (s *Session) announcementChanged() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.announced
-}
-
-// nextReport builds the report to send at now. It returns nil while the worker
-// is silent: a VM that can't be driven must not keep its lease.
-func (s *Session) nextReport(now time.Time) *api.AgentReport {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.clockAt.IsZero() || now.Sub(s.clockAt) > workerSilence {
-		return nil
-	}
-	s.sequence++
-	report := &api.AgentReport{
-		Sequence:    s.sequence,
-		Incarnation: s.config.Incarnation,
-		Revision:    s.holder.Revision(),
-		Tasks:       s.outbox.take(s.sequence),
-		Usage:       s.usage.take(s.usageEvery, s.outbox.active),
-		Leaving:     s.leaving,
-	}
-	s.addAnnouncement(report)
-	if s.helloNeeded {
-		report.Vm = s.config.VM
-		s.helloNeeded = false
-	}
-	s.holder.Sent(s.sequence, now, s.clockMS)
-	return report
-}
-
-func (s *Session) addAnnouncement(report *api.AgentReport) {
-	changed := s.helloNeeded
-	select {
-	case <-s.announced:
-		changed = true
-	default:
-		changed = changed || s.announced == nil
-	}
-	if !changed {
-		return
-	}
-	s.announced = s.config.Announcer.Changed()
-	report.Servers = s.config.Announcer.Servers()
-	report.ServersChanged = true
-}
-
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - heartbeatJitter + 2*heartbeatJitter*rand.Float64()))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
