--- a/scheduler/rebalance_test.go
+++ b/scheduler/rebalance_test.go
@@ -253,3 +253,24 @@
 		t.Errorf("%d moves in four hours, want %d to %d", moves, int(spreadBurst), want)
 	}
 }
+
+func TestAServiceThatCannotMoveLeavesTheOthersTheirTurn(t *testing.T) {
+	s := &Snapshot{Now: now, SpreadsLeft: 1, VMs: []VM{vm("vm-cork", "Cork", "r0")}}
+	for i := range maxSpreadTrys + 1 {
+		v := vm(fmt.Sprintf("vm-%d", i), "Limerick", fmt.Sprintf("r%d", i))
+		s.VMs = append(s.VMs, v)
+		stuck := instance(i, v.ID)
+		stuck.Avoid = []string{"vm-cork"}
+		free := instance(i, v.ID)
+		free.Job, free.ID = "service/steward", task.TaskID("service/steward", i)
+		s.Tasks = append(s.Tasks, stuck, free)
+	}
+	moved := 0
+	for range 2 {
+		moved += len(rebalanced(Decide(s)))
+		s.Now = s.Now.Add(time.Second)
+	}
+	if moved == 0 {
+		t.Error("the service that can move never got a turn")
+	}
+}
