--- a/fault/fault.go
+++ b/fault/fault.go
@@ -5,6 +5,7 @@
 import (
 	stderrors "errors"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
@@ -137,8 +138,16 @@
 	cause error
 }
 
-// Error returns the message of the cause, after the kind's name.
-func (e *Error) Error() string { return e.Kind.String() + ": " + e.cause.Error() }
+// Error returns the message of the cause, after the kind's name. The name is
+// not repeated when the cause, such as the error of a call to another process,
+// begins with it.
+func (e *Error) Error() string {
+	message, prefix := e.cause.Error(), e.Kind.String()+": "
+	if strings.HasPrefix(message, prefix) {
+		return message
+	}
+	return prefix + message
+}
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
--- a/fault/fault_test.go
+++ b/fault/fault_test.go
@@ -52,3 +52,14 @@
 		t.Error("a kind outside the list must be answered as internal")
 	}
 }
+
+func TestMessageNamesItsKindOnceOverProcesses(t *testing.T) {
+	first := New(Conflict, "plan 7 was accepted with other content")
+	over := FromStatus(ToStatus(FromStatus(ToStatus(first))))
+	if over.Error() != first.Error() {
+		t.Errorf("%q became %q", first, over)
+	}
+	if wrapped := Wrap(NoQuorum, first, "submit"); wrapped.Error() != "no-quorum: submit: "+first.Error() {
+		t.Errorf("another kind's cause became %q", wrapped)
+	}
+}
