session: the look for a missing answer sends no report

Cause: with a report under way the sender woke after 2 s to see whether its answer was missing, and then sent the next report, so that the 4 s which the leader names at 550 agents never took effect. Change: a report is sent when it is due or something changed; the look alone sends nothing.

--- a/session/connection.go
+++ b/session/connection.go
@@ -114,20 +114,27 @@
 	stream grpc.BidiStreamingClient[api.AgentReport, api.Directive],
 	received <-chan error,
 ) error {
+	var due time.Time // of the next report
 	for {
-		if s.silent(time.Now()) {
+		now := time.Now()
+		if s.silent(now) {
 			return fault.New(fault.ConnectionLost, "the control replica is silent")
 		}
-		if report := s.nextReport(time.Now()); report != nil {
-			if err := stream.Send(report); err != nil {
-				return <-received
+		if !now.Before(due) {
+			due = now.Add(timing.Jitter(s.interval(), heartbeatJitter))
+			if report := s.nextReport(now); report != nil {
+				if err := stream.Send(report); err != nil {
+					return <-received
+				}
 			}
 		}
-		timer := time.NewTimer(s.pause(time.Now()))
+		timer := time.NewTimer(s.pause(now, due))
 		select {
 		case <-timer.C:
 		case <-s.report:
+			due = time.Time{}
 		case <-s.announcementChanged():
+			due = time.Time{}
 		case err := <-received:
 			timer.Stop()
 			return err
@@ -148,15 +155,22 @@
 	return !s.waiting.IsZero() && now.Sub(s.waiting) >= answerTimeout
 }
 
-// pause returns how long to wait for the next report, or for an answer to the last.
-func (s *Session) pause(now time.Time) time.Duration {
+// interval returns the present time between reports.
+func (s *Session) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heartbeat
+}
+
+// pause returns how long to wait until the next report is due, or until the
+// answer to the last one is.
+func (s *Session) pause(now, due time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := timing.Jitter(s.heartbeat, heartbeatJitter)
 	if s.waiting.IsZero() {
-		return next
+		return due.Sub(now)
 	}
-	return min(next, s.waiting.Add(answerTimeout).Sub(now))
+	return min(due.Sub(now), s.waiting.Add(answerTimeout).Sub(now))
 }
 
 // announcementChanged returns the channel that was taken before the announcement
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/worker"
@@ -330,7 +333,7 @@
 			t.Fatal("given up although every report was answered")
 		}
 		r.session.nextReport(time.Now())
-		if wait := r.session.pause(time.Now()); wait > answerTimeout {
+		if wait := r.session.pause(time.Now(), time.Now().Add(4*time.Second)); wait > answerTimeout {
 			t.Errorf("the next look is in %v, the answer is due in %v", wait, answerTimeout)
 		}
 		time.Sleep(answerTimeout)
@@ -339,3 +342,47 @@
 		}
 	})
 }
+
+// answeringStream is a leader that answers every report after answerDelay and
+// names the longest heartbeat.
+type answeringStream struct {
+	grpc.ClientStream
+	session *Session
+	reports int
+}
+
+func (a *answeringStream) Send(report *api.AgentReport) error {
+	a.reports++
+	time.AfterFunc(answerDelay, func() {
+		a.session.takeDirective(&api.Directive{Acknowledged: report.Sequence, HeartbeatMs: 4000})
+	})
+	return nil
+}
+
+const answerDelay = 50 * time.Millisecond
+
+func (a *answeringStream) Recv() (*api.Directive, error) { select {} }
+
+func TestSessionReportsNoMoreOftenThanTheLeaderAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		stream := &answeringStream{session: r.session}
+		ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
+		defer cancel()
+		var polling sync.WaitGroup
+		polling.Go(func() {
+			for ctx.Err() == nil {
+				r.session.readTasks(ctx)
+				time.Sleep(pollInterval)
+			}
+		})
+		_ = r.session.sendLoop(ctx, stream, make(chan error))
+		polling.Wait()
+		time.Sleep(answerDelay)
+		shortest := time.Duration(float64(4*time.Second) * (1 - heartbeatJitter))
+		// The first two come before the leader's interval is known, and at the first reading.
+		if most := int(40*time.Second/shortest) + 2; stream.reports > most || stream.reports < 5 {
+			t.Errorf("%d reports in 40 s at 4 s each, want 5 to %d", stream.reports, most)
+		}
+	})
+}
