control: usage samples are spaced by the tasks that hold a grant

Found by reading the change again. Change: the count comes from the task table (Table.Holding). Figures: the new test fails with the former count; control, task and session pass with -race. Conclusion: the pacing rule was right and had the wrong input.

--- a/control/loop.go
+++ b/control/loop.go
@@ -90,6 +90,13 @@
 	return s.registry.NeedsReinstate(now.UnixMilli())
 }
 
+// holdingTasks returns how many tasks hold a grant.
+func (s *State) holdingTasks() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.tasks.Holding()
+}
+
 // schedule takes one round of decisions, commits them and returns how many there were.
 func (s *Server) schedule(ctx context.Context) int {
 	now := time.Now()
@@ -97,7 +104,7 @@
 	if snapshot == nil {
 		return 0
 	}
-	s.runningTasks.Store(int64(len(snapshot.Tasks)))
+	s.runningTasks.Store(int64(s.state.holdingTasks()))
 	decisions := s.config.Decide(snapshot)
 	s.metrics.decide.UpdateDuration(now)
 	s.carryOut(ctx, decisions, now)
--- a/control/pacing_test.go
+++ b/control/pacing_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/operatorapi"
+	"amaranthpaddle/resource"
 )
 
 func TestHeartbeatsSlowDownWithTheFleetAndStayWithinALease(t *testing.T) {
@@ -30,3 +35,17 @@
 		}
 	}
 }
+
+func TestDirectivesSpaceUsageByTheTasksThatHoldAGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, Config{})
+		agent := s.connect(t, testVM("vm", "a"), 1, nil)
+		agent.next(t)
+		p := batchPlan(1, 300, resource.Vector{MilliCPU: 10, MemoryMiB: 10})
+		s.mustPost(t, operatorapi.PathPlan, "c1", encodePlan(t, p))
+		time.Sleep(2 * quietInterval)
+		agent.report()
+		want := uint32(usageFor(300).Milliseconds())
+		agent.until(t, func(d *api.Directive) bool { return d.UsageMs == want })
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -25,7 +25,7 @@
 	planner  *planner
 	metrics  *serverMetrics
 	work     chan struct{} // the leader's loop has something to do
-	// runningTasks is the number of tasks that held a grant in the last round.
+	// runningTasks is the number of tasks that held a grant before the last round.
 	runningTasks atomic.Int64
 	stop         context.CancelFunc
 	done         sync.WaitGroup
--- a/task/table.go
+++ b/task/table.go
@@ -99,6 +99,15 @@
 	return used
 }
 
+// Holding returns how many tasks hold a grant on a VM.
+func (t *Table) Holding() int {
+	count := 0
+	for _, vm := range t.vms {
+		count += len(vm.tasks)
+	}
+	return count
+}
+
 // VMs returns the VMs on which a task holds a grant, in order.
 func (t *Table) VMs() []string {
 	vms := make([]string, 0, len(t.vms))
