replica, controlclient, daemon: what submitted jobs need of the foundation

Confirmer moves to replica and takes its clock; proposals can be queued in order (Enqueue); a learner that lacks what is on its way can be promoted, since under steady load a distant one always lacks it; the client of the control group makes any call at the leader and drops connections that went silent.

--- a/cmd/paddle-agent/main.go
+++ b/cmd/paddle-agent/main.go
@@ -25,7 +25,7 @@
 	}.Main()
 }
 
-func run(ctx context.Context, s *settings.Agent) error {
+func run(ctx context.Context, s *settings.Agent, _ <-chan *settings.Agent) error {
 	security, err := s.TLS.Security()
 	if err != nil {
 		return err
--- a/cmd/paddle-control/main.go
+++ b/cmd/paddle-control/main.go
@@ -27,7 +27,7 @@
 	}.Main()
 }
 
-func run(ctx context.Context, s *settings.Control) error {
+func run(ctx context.Context, s *settings.Control, _ <-chan *settings.Control) error {
 	security, err := s.TLS.Security()
 	if err != nil {
 		return err
--- a/cmd/paddle-entry/main.go
+++ b/cmd/paddle-entry/main.go
@@ -31,7 +31,7 @@
 	}.Main()
 }
 
-func run(ctx context.Context, s *settings.Entry) error {
+func run(ctx context.Context, s *settings.Entry, _ <-chan *settings.Entry) error {
 	security, err := s.TLS.Security()
 	if err != nil {
 		return err
--- a/control/config.go
+++ b/control/config.go
@@ -15,7 +15,6 @@
 	defaultClaimKeep     = 24 * time.Hour
 	defaultClaimLimit    = 300_000
 	confirmInterval      = 400 * time.Millisecond
-	confirmSpacing       = 50 * time.Millisecond // at least, between confirmations
 	confirmTimeout       = 2 * time.Second
 	confirmMaxAge        = 1 * time.Second // of the confirmation that a pushed directive rests on
 	proposeTimeout       = 5 * time.Second
--- a/control/doc.go
+++ b/control/doc.go
@@ -11,7 +11,7 @@
 // time from the log entry, so that every replica computes the same state.
 //
 // Soft, on the leader only, and rebuilt after an election: VM leases
-// (leaseTable), the latest quorum confirmation (confirmer), the sessions with
+// (leaseTable), the latest quorum confirmation (replica.Confirmer), the sessions with
 // what each agent has listed and been sent, usage, throttles and progress.
 //
 // # Leases and freshness
@@ -27,7 +27,7 @@
 //
 // # Lock order
 //
-// Server.mu, then State.mu. leaseTable and confirmer have locks of their own
+// Server.mu, then State.mu. leaseTable and replica.Confirmer have locks of their own
 // that are leaves: nothing is called under them. State calls its observer
 // without a lock held. A session's own fields belong to the goroutine that
 // serves it. No lock is held during a Propose, a ConfirmRead, a Send or a Recv.
--- a/control/server.go
+++ b/control/server.go
@@ -13,6 +13,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/replica"
 )
 
 // Server is the service of one control replica.
@@ -21,7 +22,7 @@
 	config   Config
 	state    *State
 	leases   *leaseTable
-	confirms *confirmer
+	confirms *replica.Confirmer
 	planner  *planner
 	metrics  *serverMetrics
 	work     chan struct{} // the leader's loop has something to do
@@ -53,7 +54,7 @@
 		config:   config,
 		state:    config.State,
 		leases:   newLeaseTable(config.Lease),
-		confirms: newConfirmer(config.Node, confirmInterval),
+		confirms: replica.NewConfirmer(config.Node, confirmInterval, time.Now),
 		planner:  newPlanner(config.State),
 		work:     make(chan struct{}, 1),
 		sessions: map[string]*session{},
@@ -138,16 +139,16 @@
 	defer cancel()
 	lead := &leadership{ctx: ctx, cancel: cancel, term: term, since: time.Now()}
 	s.leases.reset(lead.since)
-	s.confirms.reset()
+	s.confirms.Reset()
 	s.planner.reset()
 	s.setLead(lead)
 	defer s.setLead(nil)
 	var loops sync.WaitGroup
-	loops.Go(func() { s.confirms.run(ctx, term) })
+	loops.Go(func() { s.confirms.Run(ctx, term) })
 	loops.Go(func() { s.leaderLoop(ctx) })
 	for ctx.Err() == nil {
 		changed := s.config.Node.StatusChanged()
-		if !leads(s.config.Node, term) {
+		if !replica.Leads(s.config.Node, term) {
 			break
 		}
 		select {
--- a/control/session.go
+++ b/control/session.go
@@ -301,7 +301,7 @@
 // acknowledged report.
 func (c *session) build(ctx context.Context, notBefore time.Time) (*api.Directive, error) {
 	server := c.server
-	confirmed, err := server.confirms.wait(ctx, notBefore)
+	confirmed, err := server.confirms.Wait(ctx, notBefore)
 	if err != nil {
 		return nil, err
 	}
--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,13 +32,15 @@
 
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
-	leader      string // address that answered last
-	next        int    // index into addresses to try when no leader is known
+	answered    map[string]time.Time // when an address last answered anything
+	leader      string               // address that answered last
+	next        int                  // index into addresses to try when no leader is known
 }
 
 // New returns a client of the control group with the replicas' addresses (ip:port).
 func New(security *transport.Security, addresses []string) *Client {
-	return &Client{security: security, addresses: addresses, connections: map[string]*grpc.ClientConn{}}
+	return &Client{security: security, addresses: addresses, connections: map[string]*grpc.ClientConn{},
+		answered: map[string]time.Time{}}
 }
 
 // Close closes all connections.
@@ -53,6 +56,13 @@
 // Call makes an idempotent call at the leader, again at other replicas while it
 // fails for want of a leader, until ctx ends. The last error is returned.
 func (c *Client) Call(ctx context.Context, call func(context.Context, api.ControlClient, ...grpc.CallOption) error) error {
+	return c.Do(ctx, func(ctx context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
+		return call(ctx, api.NewControlClient(connection), options...)
+	})
+}
+
+// Do makes an idempotent call as Call does, over a connection to the leader.
+func (c *Client) Do(ctx context.Context, call func(context.Context, *grpc.ClientConn, ...grpc.CallOption) error) error {
 	for {
 		err := c.tryOnce(ctx, call)
 		if err == nil || !mayTryElsewhere(err) {
@@ -93,21 +103,23 @@
 	return false
 }
 
-func (c *Client) tryOnce(ctx context.Context, call func(context.Context, api.ControlClient, ...grpc.CallOption) error) error {
-	address := c.target()
-	connection, err := c.connection(address)
+func (c *Client) tryOnce(ctx context.Context, call func(context.Context, *grpc.ClientConn, ...grpc.CallOption) error) error {
+	address := c.Target()
+	connection, err := c.Connection(address)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	var trailer metadata.MD
-	err = fault.FromStatus(call(ctx, api.NewControlClient(connection), grpc.Trailer(&trailer)))
-	c.note(address, trailer, err)
+	err = fault.FromStatus(call(attempt, connection, grpc.Trailer(&trailer)))
+	c.Note(address, trailer, err)
 	return err
 }
 
-func (c *Client) target() string {
+// Target returns the address to call next: that of the leader, when it is
+// known, or the next one of the replicas.
+func (c *Client) Target() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader != "" {
@@ -117,10 +129,52 @@
 	return c.addresses[c.next%len(c.addresses)]
 }
 
-// note remembers who leads, or that the address did not.
-func (c *Client) note(address string, trailer metadata.MD, err error) {
+// SetAddresses replaces the addresses (ip:port) of the replicas; an empty list
+// changes nothing. Connections to other addresses are closed.
+func (c *Client) SetAddresses(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = slices.Clone(addresses)
+	if !slices.Contains(addresses, c.leader) {
+		c.leader = ""
+	}
+	for address := range c.connections {
+		if !slices.Contains(addresses, address) {
+			c.dropLocked(address)
+		}
+	}
+}
+
+// AddAddresses adds addresses (ip:port) of replicas that may be asked.
+func (c *Client) AddAddresses(addresses []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	for _, address := range addresses {
+		if !slices.Contains(c.addresses, address) {
+			c.addresses = append(c.addresses, address)
+		}
+	}
+}
+
+func (c *Client) dropLocked(address string) {
+	if connection := c.connections[address]; connection != nil {
+		connection.Close()
+		delete(c.connections, address)
+	}
+}
+
+// Note remembers who leads, or that the address did not. A connection that gave
+// no answer in time is closed: it may have gone silent while a new one works.
+func (c *Client) Note(address string, trailer metadata.MD, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	silent := fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.ConnectionLost)
+	if !silent {
+		c.answered[address] = time.Now()
+	}
 	if err == nil {
 		c.leader = address
 		return
@@ -128,13 +182,17 @@
 	if !mayTryElsewhere(err) {
 		return
 	}
+	if silent && time.Since(c.answered[address]) >= attemptTimeout {
+		c.dropLocked(address)
+	}
 	c.leader = ""
 	if named := trailer.Get(LeaderTrailer); len(named) > 0 && named[0] != address {
 		c.leader = named[0]
 	}
 }
 
-func (c *Client) connection(address string) (*grpc.ClientConn, error) {
+// Connection returns the connection to an address, which it opens when there is none.
+func (c *Client) Connection(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if connection, known := c.connections[address]; known {
--- /dev/null
+++ b/daemon/servers.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/fault"
+	"amaranthpaddle/telemetry"
+)
+
+// Servers are the HTTP servers of one process.
+type Servers struct {
+	list []namedServer
+}
+
+type namedServer struct {
+	name    string
+	address string
+	server  *http.Server
+}
+
+// Add adds a server for an address (ip:port).
+func (s *Servers) Add(name, address string, server *http.Server) {
+	s.list = append(s.list, namedServer{name, address, server})
+}
+
+// AddMetrics adds a server of metrics, unless the address is empty.
+func (s *Servers) AddMetrics(address string, ready func() error) {
+	if address != "" {
+		s.Add("metrics", address, &http.Server{Handler: telemetry.Mux(ready)})
+	}
+}
+
+// Start opens all listeners and serves them. Error: fault.InvalidArgument when
+// one can't be opened.
+func (s *Servers) Start() error {
+	for i, named := range s.list {
+		listener, err := net.Listen("tcp", named.address)
+		if err != nil {
+			for _, opened := range s.list[:i] {
+				opened.server.Close()
+			}
+			return fault.Wrap(fault.InvalidArgument, err, "listen for "+named.name)
+		}
+		go func() {
+			if err := named.server.Serve(listener); err != http.ErrServerClosed {
+				klog.ErrorS(err, "Listener ended", "server", named.name)
+			}
+		}()
+		klog.InfoS("Listening", "server", named.name, "address", named.address)
+	}
+	return nil
+}
+
+// Stop serves on for the notice, then takes no new connections and lets what is
+// in progress end, and returns within the limit.
+func (s *Servers) Stop(notice, limit time.Duration) {
+	time.Sleep(notice)
+	ctx, cancel := context.WithTimeout(context.Background(), limit-notice)
+	defer cancel()
+	for _, named := range s.list {
+		if err := named.server.Shutdown(ctx); err != nil {
+			klog.InfoS("Requests were cut", "server", named.name, "error", err)
+		}
+	}
+}
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -121,9 +121,13 @@
 	return r.proposeTable(table)
 }
 
+// promoteLag is how many committed entries a learner may lack when it becomes a
+// voter. Under steady load a distant learner always lacks those on their way.
+const promoteLag = 32
+
 // Promote proposes that a learner becomes a voter. Errors: fault.NotLeader;
 // fault.NotFound for an id that is no learner; fault.Conflict while another
-// change is not committed or the learner has not synced what is committed.
+// change is not committed or the learner lags behind what is committed.
 func (r *Raft) Promote(id uint64) error {
 	if err := r.checkChange(); err != nil {
 		return err
@@ -134,7 +138,7 @@
 		return fault.Newf(fault.NotFound, "no learner with id %d", id)
 	}
 	progress := r.progress[id]
-	if !r.isActive(id) || progress.incarnation == 0 || progress.match < r.log.commit {
+	if !r.isActive(id) || progress.incarnation == 0 || progress.match+promoteLag < r.log.commit {
 		return fault.Newf(fault.Conflict, "learner %d has synced up to %d of %d", id, progress.match, r.log.commit)
 	}
 	member.Role = roleVoter
--- a/control/confirm.go
+++ b/replica/confirmer.go
@@ -1,4 +1,4 @@
-package control
+package replica
 
 import (
 	"context"
@@ -6,14 +6,20 @@
 	"time"
 
 	"amaranthpaddle/fault"
-	"amaranthpaddle/replica"
 )
 
-// confirmer keeps a recent proof that this replica leads and that its state is
+// Times of confirmations.
+const (
+	confirmSpacing = 50 * time.Millisecond // at least, between confirmations; a fifth of the shortest bound that rests on one
+	confirmTimeout = 2 * time.Second       // of one; longer than an election
+)
+
+// Confirmer keeps a recent proof that this replica leads and that its state is
 // current: the time at which the latest successful quorum confirmation began.
-type confirmer struct {
-	node     replica.Node
+type Confirmer struct {
+	node     Node
 	interval time.Duration
+	clock    func() time.Time
 
 	mu      sync.Mutex
 	began   time.Time
@@ -21,13 +27,15 @@
 	demand  chan struct{} // a newer confirmation is waited for
 }
 
-func newConfirmer(node replica.Node, interval time.Duration) *confirmer {
-	return &confirmer{node: node, interval: interval, changed: make(chan struct{}), demand: make(chan struct{}, 1)}
+// NewConfirmer returns a Confirmer that confirms at least every interval and
+// reads the time from clock.
+func NewConfirmer(node Node, interval time.Duration, clock func() time.Time) *Confirmer {
+	return &Confirmer{node: node, interval: interval, clock: clock, changed: make(chan struct{}), demand: make(chan struct{}, 1)}
 }
 
-// run confirms on demand, no closer than confirmSpacing, and at least every
+// Run confirms on demand, no closer than confirmSpacing, and at least every
 // interval, until ctx ends.
-func (c *confirmer) run(ctx context.Context, term uint64) {
+func (c *Confirmer) Run(ctx context.Context, term uint64) {
 	idle := time.NewTicker(c.interval)
 	defer idle.Stop()
 	spacing := time.NewTicker(confirmSpacing)
@@ -50,14 +58,14 @@
 
 // confirm counts a confirmation only if this replica led in the term before
 // and after it: the node may have asked another leader otherwise.
-func (c *confirmer) confirm(ctx context.Context, term uint64) {
-	began := time.Now()
-	if !leads(c.node, term) {
+func (c *Confirmer) confirm(ctx context.Context, term uint64) {
+	began := c.clock()
+	if !Leads(c.node, term) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	if _, err := c.node.ConfirmRead(ctx); err != nil || !leads(c.node, term) {
+	if _, err := c.node.ConfirmRead(ctx); err != nil || !Leads(c.node, term) {
 		return
 	}
 	c.mu.Lock()
@@ -67,21 +75,30 @@
 	c.changed = make(chan struct{})
 }
 
-func leads(node replica.Node, term uint64) bool {
+// Leads reports whether the node leads in the term, with everything of earlier
+// terms applied.
+func Leads(node Node, term uint64) bool {
 	status := node.Status()
 	return status.LeaderReady && status.Term == term
 }
 
-// reset forgets the confirmations of an earlier leadership.
-func (c *confirmer) reset() {
+// Began returns when the latest confirmation began, the zero time for none.
+func (c *Confirmer) Began() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.began
+}
+
+// Reset forgets the confirmations of an earlier leadership.
+func (c *Confirmer) Reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.began = time.Time{}
 }
 
-// wait returns the beginning of a confirmation that began after the time.
+// Wait returns the beginning of a confirmation that began after the time.
 // It returns fault.NoQuorum when none comes.
-func (c *confirmer) wait(ctx context.Context, notBefore time.Time) (time.Time, error) {
+func (c *Confirmer) Wait(ctx context.Context, notBefore time.Time) (time.Time, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	for {
@@ -91,7 +108,10 @@
 		if began.After(notBefore) {
 			return began, nil
 		}
-		signal(c.demand)
+		select {
+		case c.demand <- struct{}{}:
+		default: // one is asked for already
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/replica/members.go
+++ b/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"amaranthpaddle/api"
@@ -39,6 +40,17 @@
 	return members, err
 }
 
+// WasRemoved reports whether the id was a member and never will be again.
+// Errors: fault.NotLeader while the replica is in no group.
+func (r *Replica) WasRemoved(id uint64) (removed bool, err error) {
+	err = r.do(func() error {
+		table, _ := r.engine.raft.Membership()
+		removed = slices.Contains(table.Removed, id)
+		return nil
+	})
+	return removed, err
+}
+
 // AddLearner adds a new member that receives the log and does not vote. It
 // returns once the change is committed. Errors: fault.NotLeader, fault.Conflict
 // for an id that was ever in use, fault.CommitUnknown.
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -35,6 +35,17 @@
 // fault.TooLarge when the entry was not appended, fault.CommitUnknown when it
 // may still be committed.
 func (r *Replica) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	wait, err := r.Enqueue(data)
+	if err != nil {
+		return nil, err
+	}
+	return wait(ctx)
+}
+
+// Enqueue queues data as the next entry and returns a function that waits for
+// its result. Entries of calls that follow each other are appended in that
+// order. Errors of both are those of Propose.
+func (r *Replica) Enqueue(data []byte) (wait func(context.Context) ([]byte, error), err error) {
 	if len(data) > MaxProposalBytes {
 		return nil, fault.Newf(fault.TooLarge, "a proposal of %d bytes exceeds %d", len(data), MaxProposalBytes)
 	}
@@ -50,6 +61,10 @@
 	default:
 		return nil, fault.New(fault.Overloaded, "too many proposals wait")
 	}
+	return func(ctx context.Context) ([]byte, error) { return r.await(ctx, p) }, nil
+}
+
+func (r *Replica) await(ctx context.Context, p *proposal) ([]byte, error) {
 	select {
 	case result := <-p.done:
 		return result.data, result.err
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -59,7 +60,36 @@
 	return identity, saveIdentity(fs, folder, identity)
 }
 
+// StoredID returns the id of the replica that a data folder belongs to, and
+// whether it has entered a group. The id is 0 for an empty folder. Errors:
+// fault.DataCorrupt, fault.StorageFailed.
+func StoredID(fs disk.FS, folder string) (id uint64, inGroup bool, err error) {
+	if err := disk.MakeFolder(fs, folder); err != nil {
+		return 0, false, fault.Wrap(fault.StorageFailed, err, "create data folder")
+	}
+	names, err := fs.List(folder)
+	if err != nil {
+		return 0, false, fault.Wrap(fault.StorageFailed, err, "list data folder")
+	}
+	if !slices.Contains(names, identityFile) {
+		return 0, false, nil
+	}
+	identity, err := decodeIdentity(fs, folder)
+	return identity.GetId(), identity.GetGroup() != 0, err
+}
+
 func readIdentity(fs disk.FS, folder string, id uint64) (*api.Identity, error) {
+	identity, err := decodeIdentity(fs, folder)
+	if err != nil {
+		return nil, err
+	}
+	if identity.Id != id {
+		return nil, fault.Newf(fault.Conflict, "the data folder belongs to replica %d", identity.Id)
+	}
+	return identity, nil
+}
+
+func decodeIdentity(fs disk.FS, folder string) (*api.Identity, error) {
 	data, err := fs.ReadFile(filepath.Join(folder, identityFile))
 	if err != nil {
 		return nil, fault.Wrap(fault.StorageFailed, err, "read identity")
@@ -68,9 +98,6 @@
 	if err := proto.Unmarshal(data, identity); err != nil || identity.Id == 0 || identity.Incarnation == 0 {
 		return nil, fault.New(fault.DataCorrupt, "the identity file is damaged")
 	}
-	if identity.Id != id {
-		return nil, fault.Newf(fault.Conflict, "the data folder belongs to replica %d", identity.Id)
-	}
 	return identity, nil
 }
 
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -272,6 +272,19 @@
 	})
 }
 
+// withPort returns the addresses with another port.
+func withPort(addresses []string, port int) []string {
+	changed := make([]string, len(addresses))
+	for i, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return addresses // parseAddress has checked them
+		}
+		changed[i] = net.JoinHostPort(host, strconv.Itoa(port))
+	}
+	return changed
+}
+
 // members reads a list such as "1=10.0.0.1:7071, 2=10.0.0.2:7071".
 func (r *reader) members(section, key string) map[uint64]string {
 	return parsed(r, section, key, optional, func(text string) (map[uint64]string, error) {
