--- /dev/null
+++ b/cmd/paddle-jobcontrol/main.go
@@ -0,0 +1,110 @@
+// Command paddle-jobcontrol runs one control replica of submitted jobs.
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/controlclient"
+	"amaranthpaddle/daemon"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobnode"
+	"amaranthpaddle/platform"
+	"amaranthpaddle/settings"
+	"amaranthpaddle/transport"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	// stopPart of the grace is for the hand-over of the leadership, the rest for
+	// the orders in progress.
+	stopPart = 0.5
+)
+
+func main() {
+	daemon.Program[settings.JobControl]{
+		Name:        "paddle-jobcontrol",
+		Description: "runs one control replica of submitted jobs",
+		Load:        settings.LoadJobControl,
+		Process:     func(s *settings.JobControl) (string, int) { return s.Name, s.LogLevel },
+		Run:         run,
+	}.Main()
+}
+
+func run(ctx context.Context, s *settings.JobControl, reloads <-chan *settings.JobControl) error {
+	s.SetRuntime()
+	security, err := s.TLS.Security()
+	if err != nil {
+		return err
+	}
+	client := controlclient.New(security, s.Seeds)
+	defer client.Close()
+	for {
+		removed, err := runReplica(ctx, s, reloads, security, client)
+		if err != nil || !removed {
+			return err
+		}
+		klog.InfoS("The group has removed this replica; it joins anew with an empty data folder")
+		if err := emptyFolder(s.DataFolder); err != nil {
+			return err
+		}
+		s.FirstStart = false
+	}
+}
+
+// runReplica runs a replica until ctx ends, or the group has removed it.
+func runReplica(ctx context.Context, s *settings.JobControl, reloads <-chan *settings.JobControl,
+	security *transport.Security, client *controlclient.Client) (removed bool, err error) {
+	control, err := jobnode.StartControl(jobnode.Config{
+		Address: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
+		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), Retain: s.Retain, Security: security,
+	}, client)
+	if err != nil {
+		return false, err
+	}
+	mux := http.NewServeMux()
+	platform.RegisterOperators(mux, control.Operators())
+	servers := daemon.Servers{}
+	servers.Add("operators", s.Operators, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	servers.AddMetrics(s.Metrics, control.Ready)
+	if err := servers.Start(); err != nil {
+		control.Kill()
+		return false, err
+	}
+	for {
+		select {
+		case changed := <-reloads:
+			client.AddAddresses(changed.Seeds)
+		case <-control.Removed:
+			servers.Stop(0, s.Grace)
+			control.Kill()
+			return true, nil
+		case <-ctx.Done():
+			stopping, cancel := context.WithTimeout(context.Background(), time.Duration(stopPart*float64(s.Grace)))
+			defer cancel()
+			control.HandOver(stopping)
+			servers.Stop(0, time.Duration((1-stopPart)*float64(s.Grace)))
+			control.Kill()
+			return false, nil
+		}
+	}
+}
+
+// emptyFolder removes what a data folder holds.
+func emptyFolder(folder string) error {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return fault.Wrap(fault.StorageFailed, err, "list data folder")
+	}
+	for _, entry := range entries {
+		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
+			return fault.Wrap(fault.StorageFailed, err, "empty data folder")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,269 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// Input is what a plan rests on besides the jobs.
+type Input struct {
+	UnixMS  int64                         // time of day, for scheduled occurrences only
+	Age     func(*jobs.Job) time.Duration // since the job was submitted
+	Workers []Worker
+}
+
+// Start is a decision to begin a run.
+type Start struct {
+	Run    jobs.RunID
+	Worker string // key of the worker's incarnation
+}
+
+// Plan returns the runs to begin now, in the order of their urgency. Each start
+// holds after those before it.
+func Plan(view jobs.View, in Input) []Start {
+	p := planner{view: view, in: in, loads: loads(view, in.Workers)}
+	for _, c := range candidates(view, in) {
+		p.place(c)
+	}
+	return p.starts
+}
+
+// candidate is a group with tasks that could start.
+type candidate struct {
+	job        *jobs.Job
+	queue      *api.JobQueue
+	occurrence int32
+	index      int32
+	group      *jobs.Group
+	lateness   lateness
+	deadline   time.Duration // until the job's objective; negative when it has passed
+}
+
+// lateness says what a job is still worth.
+type lateness int
+
+const (
+	inTime    lateness = iota // the objective can still be met
+	late                      // worth a part
+	worthless                 // past the time in which a late job counts
+)
+
+// candidates returns the groups with tasks to start, the most urgent first:
+// by priority among those that are still worth something, then by the time
+// that is left to the job's objective.
+func candidates(view jobs.View, in Input) []candidate {
+	var all []candidate
+	view.ActiveJobs(func(job *jobs.Job) {
+		if !job.Phase.Ended() {
+			all = append(all, jobCandidates(view, in, job)...)
+		}
+	})
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.rank(), b.rank()),
+			cmp.Compare(a.deadline, b.deadline),
+			cmp.Compare(a.job.ID, b.job.ID),
+			cmp.Compare(a.occurrence, b.occurrence),
+			cmp.Compare(a.index, b.index),
+		)
+	})
+	return all
+}
+
+// rank orders by what a start is worth: worthless jobs come after all others.
+func (c candidate) rank() int {
+	rank := int(c.queue.Priority) * lateFactor
+	if c.lateness == worthless {
+		rank += worthlessRank
+	}
+	return rank
+}
+
+// worthlessRank exceeds any rank of a priority.
+const worthlessRank = 1 << 20
+
+func jobCandidates(view jobs.View, in Input, job *jobs.Job) []candidate {
+	queue := view.QueueOf(job)
+	objective := Objective(queue, job.Spec)
+	var all []candidate
+	for k, occurrence := range job.Occurrences {
+		age := in.Age(job)
+		if due, scheduled := job.DueMS(int32(k)); scheduled {
+			if in.UnixMS < due {
+				break
+			}
+			age = time.Duration(in.UnixMS-due) * time.Millisecond
+		}
+		for g, group := range occurrence.Groups {
+			if group.Done() || !occurrence.Ready(group) || !hasStartable(group) {
+				continue
+			}
+			c := candidate{
+				job: job, queue: queue, occurrence: int32(k), index: int32(g), group: group,
+				deadline: objective - age,
+			}
+			if !group.Spec.LongRunning {
+				c.lateness = latenessOf(age, objective)
+			}
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+func latenessOf(age, objective time.Duration) lateness {
+	switch {
+	case age > lateFactor*objective:
+		return worthless
+	case age > objective:
+		return late
+	}
+	return inTime
+}
+
+func hasStartable(group *jobs.Group) bool {
+	for i := range group.Tasks {
+		if startable(group, i) {
+			return true
+		}
+	}
+	return false
+}
+
+// startable reports whether a task has no run and needs one.
+func startable(group *jobs.Group, index int) bool {
+	return !group.Tasks[index].Done && len(group.Tasks[index].Runs) == 0
+}
+
+// planner places candidates one after the other.
+type planner struct {
+	view   jobs.View
+	in     Input
+	loads  []*load
+	starts []Start
+}
+
+func (p *planner) place(c candidate) {
+	if c.group.Spec.Gang {
+		p.placeGang(c)
+		return
+	}
+	spread := p.spreadOf(c)
+	for i := range c.group.Tasks {
+		if !startable(c.group, i) {
+			continue
+		}
+		chosen := p.choose(c, spread)
+		if chosen == nil {
+			return // the tasks of a group need the same room
+		}
+		p.start(c, i, c.group.NextRun(i), chosen, spread)
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (p *planner) placeGang(c candidate) {
+	for i := range c.group.Tasks {
+		if !startable(c.group, i) {
+			return // an earlier run of the gang has not ended everywhere
+		}
+	}
+	number := c.group.NextRun(0)
+	spread := p.spreadOf(c)
+	placed := len(p.starts)
+	for i := range c.group.Tasks {
+		chosen := p.choose(c, spread)
+		if chosen == nil {
+			p.undo(placed, c)
+			return
+		}
+		p.start(c, i, number, chosen, spread)
+	}
+}
+
+// undo takes back the starts from a position on.
+func (p *planner) undo(from int, c candidate) {
+	for _, start := range p.starts[from:] {
+		for _, l := range p.loads {
+			if l.worker.Key == start.Worker {
+				l.remove(c.group.Spec)
+			}
+		}
+	}
+	p.starts = p.starts[:from]
+}
+
+func (l *load) remove(group *api.TaskGroup) {
+	l.used = l.used.Sub(demand(group))
+	l.runs--
+	if group.BestEffort {
+		l.bestEffort -= group.MilliCpu
+	}
+	if group.TargetLatencyMs > 0 {
+		l.serving--
+	}
+}
+
+func (p *planner) start(c candidate, index int, number int32, l *load, spread spread) {
+	l.add(c.group.Spec)
+	spread.workers[l.worker.Key]++
+	spread.racks[l.worker.Rack]++
+	p.starts = append(p.starts, Start{
+		Run: jobs.RunID{
+			Task:   jobs.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.index, Index: int32(index)},
+			Number: number,
+		},
+		Worker: l.worker.Key,
+	})
+}
+
+// spread counts the runs of one group by where they are.
+type spread struct {
+	workers map[string]int
+	racks   map[string]int
+}
+
+func (p *planner) spreadOf(c candidate) spread {
+	s := spread{workers: map[string]int{}, racks: map[string]int{}}
+	for i := range c.group.Tasks {
+		for _, run := range c.group.Tasks[i].Runs {
+			s.workers[run.Worker]++
+			for _, l := range p.loads {
+				if l.worker.Key == run.Worker {
+					s.racks[l.worker.Rack]++
+				}
+			}
+		}
+	}
+	return s
+}
+
+// choose returns the best worker with room for one more task of the candidate,
+// nil when there is none.
+func (p *planner) choose(c candidate, spread spread) *load {
+	need := demand(c.group.Spec)
+	var best *load
+	var bestScore float64
+	for _, l := range p.loads {
+		if !p.fits(c, l, spread) || !need.Fits(l.free()) {
+			continue
+		}
+		if s := score(c.group.Spec, l, spread); best == nil || s > bestScore {
+			best, bestScore = l, s
+		}
+	}
+	return best
+}
+
+// fits reports whether the group may start on a worker, room apart.
+func (p *planner) fits(c candidate, l *load, spread spread) bool {
+	group := c.group.Spec
+	if !l.worker.Open || !l.worker.allows(c.queue, group) {
+		return false
+	}
+	return group.MaxPerWorker == 0 || spread.workers[l.worker.Key] < int(group.MaxPerWorker)
+}
--- /dev/null
+++ b/jobagent/hold.go
@@ -0,0 +1,251 @@
+package jobagent
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+)
+
+// runHolds renews the worker's lease and takes in its lists until the
+// incarnation ends.
+func (w *incarnation) runHolds() {
+	pause := retryPause
+	for w.ctx.Err() == nil {
+		err := w.hold()
+		if err == nil {
+			pause = retryPause
+			w.waitRecorded()
+			continue
+		}
+		if w.ctx.Err() != nil {
+			return
+		}
+		w.noteUnanswered(err)
+		select {
+		case <-w.ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, maxRetry)
+	}
+}
+
+// hold makes one call and takes in its answer.
+func (w *incarnation) hold() error {
+	a := w.agent
+	a.mu.Lock()
+	call := w.holdCall()
+	target := w.target()
+	a.mu.Unlock()
+	timeout := time.Duration(call.WaitMS)*time.Millisecond + holdSlack
+	ctx, cancel := context.WithTimeout(w.ctx, timeout)
+	defer cancel()
+	answer, err := a.config.Worker.Hold(ctx, target, call)
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if answer.Born != w.worker.Born {
+		return fault.Newf(fault.Conflict, "incarnation %d answered in place of %d", answer.Born, w.worker.Born)
+	}
+	w.take(answer)
+	return nil
+}
+
+// holdCall returns the next call. While the worker does not answer, its lease
+// is not extended. The lock is held.
+func (w *incarnation) holdCall() HoldCall {
+	call := HoldCall{Fence: w.agent.term, Cursor: w.cursor()}
+	if w.unanswered.IsZero() {
+		if call.DeadlineMS = w.deadlineMS(); call.DeadlineMS > 0 {
+			until, _ := w.agent.lease()
+			w.renewedTo = later(w.renewedTo, until)
+		}
+		call.WaitMS = w.wait().Milliseconds()
+	}
+	return call
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// wait returns for how long the worker may wait for an end. The lock is held.
+func (w *incarnation) wait() time.Duration {
+	if w.clockRead.IsZero() {
+		return 0
+	}
+	for _, r := range w.runs {
+		if r.stoppedAt > 0 && !r.listedOnce {
+			return 0 // the next list decides about it
+		}
+	}
+	if w.mixed() {
+		return pacingWait
+	}
+	return longWait
+}
+
+// mixed reports whether best-effort runs work beside services.
+func (w *incarnation) mixed() bool {
+	serving, bestEffort := false, false
+	for _, r := range w.runs {
+		serving = serving || r.order.GetTargetLatencyMs() > 0
+		bestEffort = bestEffort || r.order.GetBestEffort()
+	}
+	return serving && bestEffort
+}
+
+// waitRecorded gives the leader a moment to record what was just listed: until
+// it has, the worker lists it again.
+func (w *incarnation) waitRecorded() {
+	limit := time.NewTimer(recordWait)
+	defer limit.Stop()
+	for {
+		w.agent.mu.Lock()
+		waiting := len(w.open) > 0
+		w.agent.mu.Unlock()
+		if !waiting {
+			return
+		}
+		select {
+		case <-w.recorded:
+		case <-limit.C:
+			return
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// take takes in an answer. The lock is held.
+func (w *incarnation) take(answer *HoldAnswer) {
+	if !w.unanswered.IsZero() {
+		klog.InfoS("Worker answers again", "worker", w.key, "silent_ms", w.agent.config.Clock().Sub(w.unanswered).Milliseconds())
+		w.unanswered = time.Time{}
+	}
+	w.holds++
+	w.noteClock(answer.ClockMS)
+	for _, listed := range answer.Ends {
+		if listed.Position <= w.listed {
+			continue
+		}
+		w.listed = listed.Position
+		w.open[listed.Position] = struct{}{}
+		w.finish(listed.Run, listed.Outcome, listed.Checkpoint, listed.Reason, listed.Position)
+	}
+	w.takeRunning(answer.Running)
+	w.pace()
+}
+
+// takeRunning compares the worker's list with the runs that are known.
+func (w *incarnation) takeRunning(list []*api.RunStatus) {
+	running := make(map[jobs.RunID]bool, len(list))
+	for _, status := range list {
+		id := jobs.RunOf(status.Run)
+		running[id] = true
+		r := w.runs[id]
+		if r == nil {
+			if w.ends[id] != nil {
+				continue // an older list
+			}
+			r = &run{phase: runRunning, pace: fullPace}
+			w.runs[id] = r
+		}
+		if r.phase == runStarting {
+			r.phase = runRunning
+		}
+		r.status, r.listedOnce = status, true
+	}
+	for id, r := range w.runs {
+		switch {
+		case running[id]:
+		case r.phase == runFencing && r.stoppedAt > 0 && w.holds > r.stoppedAt:
+			w.finish(id, api.RunOutcome_RUN_OUTCOME_LOST, "", "the worker does not know the run and never will", 0)
+		case r.phase == runRunning && r.listedOnce && !r.stopping:
+			// It is no longer listed, so its end is in a list that follows, or the
+			// worker has forgotten it. A stop makes sure of either.
+			w.stop(id)
+		}
+	}
+}
+
+// noteUnanswered takes in that a hold got no answer. Once the latest lease that
+// was sent is over, nothing runs there any more.
+func (w *incarnation) noteUnanswered(err error) {
+	a := w.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.config.Clock()
+	if w.unanswered.IsZero() {
+		w.unanswered = now
+		klog.InfoS("Worker does not answer", "worker", w.key, "runs", len(w.runs), "error", err)
+		a.signal()
+	}
+	if now.Before(w.renewedTo.Add(lapseMargin)) {
+		return
+	}
+	for id, r := range w.runs {
+		if r.phase == runStarting {
+			continue // its call decides
+		}
+		checkpoint := ""
+		if r.status != nil {
+			checkpoint = r.status.Checkpoint
+		}
+		w.finish(id, api.RunOutcome_RUN_OUTCOME_LOST, checkpoint, "the worker does not answer and its lease is over", 0)
+	}
+}
+
+// lapseMargin is the time that a worker may take to act on a lease that is over.
+const lapseMargin = 250 * time.Millisecond
+
+// pace adapts the pace of best-effort runs to the services beside them.
+func (w *incarnation) pace() {
+	var services []dispatch.Serving
+	for _, r := range w.runs {
+		if target := r.order.GetTargetLatencyMs(); target > 0 && r.status != nil {
+			services = append(services, dispatch.Serving{TailMS: r.status.Usage, TargetMS: target})
+		}
+	}
+	percent := fullPace
+	if len(services) > 0 {
+		percent = w.pacing.Look(services)
+	}
+	for id, r := range w.runs {
+		if r.order.GetBestEffort() && r.phase == runRunning && r.pace != percent {
+			klog.InfoS("Pace changed", "job", id.Task.Job, "run", id.String(), "worker", w.key, "from", r.pace, "to", percent)
+			r.pace = percent
+			w.agent.done.Go(func() { w.callPace(id, percent) })
+		}
+	}
+}
+
+func (w *incarnation) callPace(id jobs.RunID, percent int) {
+	if !w.acquire() {
+		return
+	}
+	defer w.release()
+	w.agent.mu.Lock()
+	target, fence := w.target(), w.agent.term
+	w.agent.mu.Unlock()
+	ctx, cancel := context.WithTimeout(w.ctx, stopTimeout)
+	defer cancel()
+	if err := w.agent.config.Worker.Pace(ctx, target, id, percent, fence); err != nil {
+		klog.InfoS("Pace not set", "job", id.Task.Job, "run", id.String(), "worker", w.key, "percent", percent, "error", err)
+		w.agent.mu.Lock()
+		defer w.agent.mu.Unlock()
+		if r := w.runs[id]; r != nil {
+			r.pace = -1 // the next look sets it again
+		}
+	}
+}
--- /dev/null
+++ b/jobcontrol/call.go
@@ -0,0 +1,137 @@
+package jobcontrol
+
+import (
+	"context"
+	"regexp"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+)
+
+// jobIDPattern is what callers may name a job.
+var jobIDPattern = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// Call answers one call of a caller. Errors: fault.NotLeader, fault.NoQuorum
+// when nothing was done; fault.CommitUnknown when a submission or cancellation
+// may still take effect.
+func (s *Server) Call(ctx context.Context, call *api.JobCall) (*api.JobAnswer, error) {
+	lead, err := s.leading()
+	if err != nil {
+		return nil, s.refuse(ctx, err)
+	}
+	answer, err := s.answerCall(ctx, lead, call)
+	if err != nil {
+		return nil, s.refuse(ctx, err)
+	}
+	return answer, nil
+}
+
+// target is the queue and the job that a path names.
+type target struct {
+	queue   string // key
+	job     string // empty for a look at the queue
+	found   bool   // there is such a queue
+	version int64  // of the configuration that decided, 0 for none
+}
+
+func (l *leadership) resolve(call *api.JobCall) (t target) {
+	l.server.config.State.Read(func(view jobs.View) {
+		t.version = view.Configuration().GetVersion()
+		t.queue, t.job, t.found = view.Resolve(call.Host, call.Path)
+	})
+	return t
+}
+
+func (s *Server) answerCall(ctx context.Context, lead *leadership, call *api.JobCall) (*api.JobAnswer, error) {
+	t := lead.resolve(call)
+	if !t.found || t.job == "" || call.Kind == api.JobCallKind_JOB_CALL_KIND_LOOK {
+		if err := s.confirmRead(ctx); err != nil {
+			return nil, err
+		}
+		t = lead.resolve(call)
+	}
+	answer, err := s.answerTarget(ctx, lead, call, t)
+	if answer != nil {
+		answer.Version = t.version
+	}
+	return answer, err
+}
+
+func (s *Server) answerTarget(ctx context.Context, lead *leadership, call *api.JobCall, t target) (*api.JobAnswer, error) {
+	switch {
+	case t.version == 0:
+		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_UNCONFIGURED, Reason: "no configuration yet"}, nil
+	case !t.found:
+		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_NO_QUEUE}, nil
+	case t.job == "" && call.Kind == api.JobCallKind_JOB_CALL_KIND_LOOK:
+		return s.countPending(t), nil
+	case !jobIDPattern.MatchString(t.job):
+		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_NO_JOB, Reason: "not a job id"}, nil
+	}
+	switch call.Kind {
+	case api.JobCallKind_JOB_CALL_KIND_SUBMIT:
+		return lead.submit(ctx, call, t)
+	case api.JobCallKind_JOB_CALL_KIND_CANCEL:
+		return lead.cancelJob(ctx, call, t)
+	}
+	return s.look(t), nil
+}
+
+func (s *Server) countPending(t target) *api.JobAnswer {
+	answer := &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_PENDING}
+	s.config.State.Read(func(view jobs.View) { answer.Pending = view.Pending(t.queue) })
+	return answer
+}
+
+func (s *Server) look(t target) *api.JobAnswer {
+	answer := &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_NO_JOB, Reason: "no such job"}
+	s.config.State.Read(func(view jobs.View) {
+		job := view.Job(t.job)
+		if job == nil || job.QueueKey != t.queue || job.Spec == nil {
+			return
+		}
+		answer.Kind, answer.Reason = api.JobAnswerKind_JOB_ANSWER_KIND_STATE, ""
+		answer.State = job.Phase.String()
+	})
+	return answer
+}
+
+func (l *leadership) submit(ctx context.Context, call *api.JobCall, t target) (*api.JobAnswer, error) {
+	if err := jobs.CheckSpec(call.Spec); err != nil {
+		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_INVALID, Reason: err.Error()}, nil
+	}
+	received := l.server.now()
+	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Submit{
+		Submit: &api.SubmitJob{Key: &api.JobKey{Queue: t.queue, Job: t.job}, Spec: call.Spec},
+	}})
+	klog.InfoS("Job submitted", "job", t.job, "request", call.RequestId, "queue", t.queue, "version", t.version,
+		"attempt", call.Attempt, "groups", len(call.Spec.Groups), "commit_ms", l.millisSince(received), "error", err)
+	if fault.Is(err, fault.NotFound) {
+		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_NO_QUEUE}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_ACCEPTED}, nil
+}
+
+// millisSince returns the milliseconds since a time, for logs.
+func (l *leadership) millisSince(t time.Time) int64 { return l.server.now().Sub(t).Milliseconds() }
+
+func (l *leadership) cancelJob(ctx context.Context, call *api.JobCall, t target) (*api.JobAnswer, error) {
+	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Cancel{
+		Cancel: &api.JobKey{Queue: t.queue, Job: t.job},
+	}})
+	klog.InfoS("Job cancelled", "job", t.job, "request", call.RequestId, "queue", t.queue, "attempt", call.Attempt, "error", err)
+	if fault.Is(err, fault.NotFound) {
+		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_NO_JOB, Reason: "no such job"}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_CANCELLED}, nil
+}
--- /dev/null
+++ b/jobcontrol/memberplan.go
@@ -0,0 +1,150 @@
+package jobcontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"amaranthpaddle/replica"
+)
+
+type memberStepKind string
+
+const (
+	memberKeep    memberStepKind = "keep"
+	memberAdd     memberStepKind = "add-learner"
+	memberPromote memberStepKind = "promote"
+	memberRemove  memberStepKind = "remove"
+)
+
+// memberStep is one change of the members.
+type memberStep struct {
+	kind    memberStepKind
+	id      uint64
+	address string
+	reason  string
+}
+
+// Silences after which a member counts as lost for good.
+const (
+	// replacedAfter holds once a replica has joined that is younger than the
+	// silence. It exceeds a restart of a process and an election.
+	replacedAfter = 1500 * time.Millisecond
+	// abandonedAfter holds for a standing learner in place of a voter. It exceeds
+	// the pauses and partitions that a member comes back from.
+	abandonedAfter = 20 * time.Second
+	// replacementSlack allows for a silence that began before this leader could
+	// notice it.
+	replacementSlack = 3 * time.Second
+)
+
+// memberView is what a membership decision rests on.
+type memberView struct {
+	members []replica.MemberStatus
+	joining map[uint64]joiner
+	silent  func(id uint64) time.Duration
+	now     time.Time
+	voters  int // wanted
+}
+
+// nextMemberStep returns the next change that brings the members closer to the
+// wanted number of sound voters. A member that lost its data folder comes back
+// under a new id at the old address, so the old id is gone for good.
+func nextMemberStep(v memberView) memberStep {
+	if len(v.members) == 0 {
+		return memberStep{kind: memberKeep}
+	}
+	if step := v.addStep(); step.kind != memberKeep {
+		return step
+	}
+	if step := v.removeLearner(); step.kind != memberKeep {
+		return step
+	}
+	voting := v.voting()
+	lost := v.lostVoter()
+	if lost != 0 && len(voting) > v.voters {
+		return memberStep{kind: memberRemove, id: lost, reason: "a replacement votes"}
+	}
+	ready := v.readyLearner()
+	if ready != 0 && (len(voting) < v.voters || lost != 0) {
+		return memberStep{kind: memberPromote, id: ready, reason: "a voter is missing"}
+	}
+	return memberStep{kind: memberKeep}
+}
+
+func (v memberView) addStep() memberStep {
+	for _, id := range slices.Sorted(maps.Keys(v.joining)) {
+		known := slices.ContainsFunc(v.members, func(m replica.MemberStatus) bool { return m.ID == id })
+		if !known {
+			return memberStep{kind: memberAdd, id: id, address: v.joining[id].address, reason: "it asked to join"}
+		}
+	}
+	return memberStep{kind: memberKeep}
+}
+
+func (v memberView) voting() []replica.MemberStatus {
+	var voting []replica.MemberStatus
+	for _, member := range v.members {
+		if member.Voter {
+			voting = append(voting, member)
+		}
+	}
+	return voting
+}
+
+// lost reports whether a member is gone for good: another id speaks from its
+// address, a younger replica has come for it, or it was silent for very long.
+func (v memberView) lost(member replica.MemberStatus) bool {
+	silence := v.silent(member.ID)
+	if member.Leader || silence == 0 {
+		return false
+	}
+	for _, other := range v.members {
+		if other.ID != member.ID && other.Address == member.Address && v.silent(other.ID) == 0 {
+			return true
+		}
+	}
+	for id, joiner := range v.joining {
+		if id != member.ID && silence >= replacedAfter && v.now.Sub(joiner.made) <= silence+replacementSlack {
+			return true
+		}
+	}
+	return silence >= abandonedAfter
+}
+
+// removeLearner removes a learner that is gone.
+func (v memberView) removeLearner() memberStep {
+	for _, member := range v.members {
+		if !member.Voter && v.silent(member.ID) >= abandonedAfter || !member.Voter && v.lost(member) {
+			return memberStep{kind: memberRemove, id: member.ID, reason: "the learner is gone"}
+		}
+	}
+	return memberStep{kind: memberKeep}
+}
+
+// lostVoter returns the voter that has been lost for longest, 0 for none.
+func (v memberView) lostVoter() uint64 {
+	var longest time.Duration
+	var id uint64
+	for _, member := range v.voting() {
+		if silence := v.silent(member.ID); v.lost(member) && silence > longest {
+			longest, id = silence, member.ID
+		}
+	}
+	return id
+}
+
+// readyLearner returns a learner that could vote: the youngest joiner first, as
+// a standing learner is kept for voters that are gone for good.
+func (v memberView) readyLearner() uint64 {
+	var best uint64
+	for _, member := range v.members {
+		if member.Voter || !member.Active || member.Match == 0 || v.silent(member.ID) > 0 {
+			continue
+		}
+		if best == 0 || v.joining[member.ID].made.After(v.joining[best].made) {
+			best = member.ID
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/jobcontrol/members.go
@@ -0,0 +1,151 @@
+package jobcontrol
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/replica"
+)
+
+// joiners are the replicas that asked to become members.
+type joiners struct {
+	mu   sync.Mutex
+	list map[uint64]joiner
+}
+
+// joiner is a replica that asks to become a voter, again and again until it is one.
+type joiner struct {
+	address string
+	heard   time.Time
+	made    time.Time // its data folder
+}
+
+// Times of membership changes.
+const (
+	memberRound   = 200 * time.Millisecond // between looks at the members
+	memberTimeout = 3 * time.Second        // of one change
+	joinerSilence = 3 * time.Second        // after which a joiner is forgotten; several of its calls
+)
+
+// Join takes note of a replica that asks to become a member, at the leader.
+func (s *Server) Join(ctx context.Context, request *api.JoinRequest) (*api.JoinAnswer, error) {
+	lead, err := s.leading()
+	if err != nil {
+		return nil, s.refuse(ctx, err)
+	}
+	if request.Id == 0 || request.Address == "" {
+		return nil, s.refuse(ctx, fault.New(fault.InvalidArgument, "a joining replica has an id and an address"))
+	}
+	answer := &api.JoinAnswer{}
+	for _, member := range s.members() {
+		answer.Members = append(answer.Members, member.Address)
+		if member.ID == request.Id {
+			answer.Member, answer.Voter = true, member.Voter
+		}
+	}
+	if answer.Removed, err = s.config.Replica.WasRemoved(request.Id); err != nil {
+		return nil, s.refuse(ctx, err)
+	}
+	if !answer.Voter && !answer.Removed {
+		lead.joiners.note(request, s.now())
+	}
+	return answer, nil
+}
+
+func (j *joiners) note(request *api.JoinRequest, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, known := j.list[request.Id]; !known {
+		klog.InfoS("Replica asks to join", "member", request.Id, "address", request.Address, "age_ms", request.AgeMs)
+	}
+	j.list[request.Id] = joiner{
+		address: request.Address,
+		heard:   now,
+		made:    now.Add(-time.Duration(request.AgeMs) * time.Millisecond),
+	}
+}
+
+// current returns those that asked lately.
+func (j *joiners) current(now time.Time) map[uint64]joiner {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	list := map[uint64]joiner{}
+	for id, joiner := range j.list {
+		if now.Sub(joiner.heard) > joinerSilence {
+			delete(j.list, id)
+			continue
+		}
+		list[id] = joiner
+	}
+	return list
+}
+
+// maintainMembers brings the members to what they should be, one change at a time.
+func (s *Server) maintainMembers(ctx context.Context, lead *leadership) {
+	ticker := time.NewTicker(memberRound)
+	defer ticker.Stop()
+	silent := map[uint64]time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		members := s.members()
+		noteSilent(silent, members, s.now())
+		now := s.now()
+		step := nextMemberStep(memberView{
+			members: members, joining: lead.joiners.current(now),
+			silent: silentFor(silent, now), now: now, voters: s.config.Voters,
+		})
+		if step.kind == memberKeep {
+			continue
+		}
+		s.changeMembers(ctx, step)
+	}
+}
+
+func noteSilent(since map[uint64]time.Time, members []replica.MemberStatus, now time.Time) {
+	for _, member := range members {
+		if member.Active || member.Leader {
+			delete(since, member.ID)
+		} else if _, known := since[member.ID]; !known {
+			since[member.ID] = now
+		}
+	}
+}
+
+func silentFor(since map[uint64]time.Time, now time.Time) func(id uint64) time.Duration {
+	return func(id uint64) time.Duration {
+		start, silent := since[id]
+		if !silent {
+			return 0
+		}
+		return now.Sub(start)
+	}
+}
+
+func (s *Server) changeMembers(ctx context.Context, step memberStep) {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	var err error
+	switch step.kind {
+	case memberAdd:
+		err = s.config.Replica.AddLearner(ctx, step.id, step.address)
+	case memberPromote:
+		err = s.config.Replica.Promote(ctx, step.id)
+	case memberRemove:
+		err = s.config.Replica.Remove(ctx, step.id)
+	}
+	if fault.Is(err, fault.Conflict) {
+		klog.V(1).InfoS("Membership change waits", "step", step.kind, "member", step.id, "error", err)
+		return
+	}
+	klog.InfoS("Membership change", "step", step.kind, "member", step.id, "address", step.address,
+		"reason", step.reason, "error", err)
+}
--- /dev/null
+++ b/jobcontrol/operate.go
@@ -0,0 +1,59 @@
+package jobcontrol
+
+import (
+	"context"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+)
+
+// Operate carries out an operator's order at the leader. An order that was
+// accepted before is acknowledged again. Errors: fault.InvalidArgument;
+// fault.NotLeader, fault.NoQuorum when nothing was done; fault.CommitUnknown.
+func (s *Server) Operate(ctx context.Context, order *api.OperatorOrder) (*api.OperatorAnswer, error) {
+	answer, err := s.operate(ctx, order)
+	if err != nil {
+		return nil, s.refuse(ctx, err)
+	}
+	return answer, nil
+}
+
+func (s *Server) operate(ctx context.Context, order *api.OperatorOrder) (*api.OperatorAnswer, error) {
+	var change *api.JobChange
+	switch body := order.Body.(type) {
+	case *api.OperatorOrder_Configure:
+		if err := jobs.CheckConfiguration(body.Configure); err != nil {
+			return nil, err
+		}
+		change = &api.JobChange{Body: &api.JobChange_Configure{Configure: body.Configure}}
+	case *api.OperatorOrder_Zone:
+		change = &api.JobChange{Body: &api.JobChange_Zone{Zone: body.Zone}}
+	default:
+		configuration, err := s.Configuration(ctx)
+		return &api.OperatorAnswer{Configuration: configuration}, err
+	}
+	lead, err := s.leading()
+	if err != nil {
+		return nil, err
+	}
+	if err := lead.commit(ctx, change); err != nil {
+		return nil, err
+	}
+	return &api.OperatorAnswer{}, nil
+}
+
+// Configuration returns the configuration in force, confirmed by a quorum; any
+// replica can. Errors: fault.NotLeader, fault.NoQuorum; fault.NotFound before
+// the first configuration.
+func (s *Server) Configuration(ctx context.Context) (*api.JobConfiguration, error) {
+	if _, err := s.config.Replica.ConfirmRead(ctx); err != nil {
+		return nil, err
+	}
+	var configuration *api.JobConfiguration
+	s.config.State.Read(func(view jobs.View) { configuration = view.Configuration() })
+	if configuration == nil {
+		return nil, fault.New(fault.NotFound, "no configuration yet")
+	}
+	return configuration, nil
+}
--- /dev/null
+++ b/jobcontrol/operators.go
@@ -0,0 +1,47 @@
+package jobcontrol
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
+	"amaranthpaddle/fault"
+)
+
+// Operators takes operators' orders at any replica and carries them to the leader.
+type Operators struct {
+	Server *Server
+	Client *controlclient.Client
+}
+
+// Configure makes a configuration the accepted one, unless a version as high is.
+// Errors: fault.InvalidArgument; fault.NotLeader, fault.NoQuorum when nothing
+// was done; fault.CommitUnknown.
+func (o Operators) Configure(ctx context.Context, configuration *api.JobConfiguration) error {
+	return o.order(ctx, &api.OperatorOrder{Body: &api.OperatorOrder_Configure{Configure: configuration}})
+}
+
+// SetZone takes a zone out of service or in again. Errors as Configure.
+func (o Operators) SetZone(ctx context.Context, zone string, out bool) error {
+	return o.order(ctx, &api.OperatorOrder{Body: &api.OperatorOrder_Zone{Zone: &api.ZoneOrder{Zone: zone, Out: out}}})
+}
+
+// Configuration returns the configuration in force, as Server.Configuration.
+func (o Operators) Configuration(ctx context.Context) (*api.JobConfiguration, error) {
+	return o.Server.Configuration(ctx)
+}
+
+func (o Operators) order(ctx context.Context, order *api.OperatorOrder) error {
+	if o.Server.Leads() {
+		_, err := o.Server.operate(ctx, order)
+		if !fault.Is(err, fault.NotLeader) {
+			return err
+		}
+	}
+	return o.Client.Do(ctx, func(ctx context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
+		_, err := api.NewJobsClient(connection).Operate(ctx, order, options...)
+		return err
+	})
+}
--- /dev/null
+++ b/jobcontrol/session.go
@@ -0,0 +1,307 @@
+package jobcontrol
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+)
+
+// session is the leader's side of one agent's stream. Its fields are guarded by
+// leadership.mu.
+type session struct {
+	lead   *leadership
+	agent  string
+	key    string // of the worker's incarnation, empty while none has registered
+	cancel context.CancelFunc
+	notify chan struct{}
+
+	received     int64     // sequence of the latest report
+	receivedAt   time.Time // when it arrived
+	answered     int64     // sequence that the latest directive answered
+	listExpected bool      // the agent must be told what the leader counts here
+	starts       []*api.RunOrder
+	stops        []*api.RunRef
+	stopsSent    map[jobs.RunID]time.Time
+	recorded     []*api.RunRef
+	members      int // hash of the members that the agent was told of
+}
+
+// resendStop is the pause after which a stop whose effect was not reported is
+// ordered again.
+const resendStop = time.Second
+
+// Drive serves one agent. Only the leader does.
+func (s *Server) Drive(stream grpc.BidiStreamingServer[api.WorkerReport, api.WorkerDirective]) error {
+	err := s.drive(stream)
+	if fault.Is(err, fault.NotLeader) {
+		stream.SetTrailer(s.leaderTrailer())
+	}
+	return fault.ToStatus(err)
+}
+
+func (s *Server) drive(stream grpc.BidiStreamingServer[api.WorkerReport, api.WorkerDirective]) error {
+	lead, err := s.leading()
+	if err != nil {
+		return err
+	}
+	report, err := stream.Recv()
+	if err != nil {
+		return fault.Wrap(fault.Canceled, err, "first report")
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	session := lead.openSession(report.Agent, cancel)
+	defer lead.closeSession(session)
+	lead.takeReport(session, report)
+	go func() {
+		defer cancel()
+		for {
+			report, err := stream.Recv()
+			if err != nil {
+				klog.V(1).InfoS("Session's stream ended", "agent", session.agent, "error", err)
+				return
+			}
+			lead.takeReport(session, report)
+		}
+	}()
+	return lead.sendDirectives(ctx, session, stream)
+}
+
+// openSession replaces an earlier session of the same agent.
+func (l *leadership) openSession(agent string, cancel context.CancelFunc) *session {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if earlier := l.sessions[agent]; earlier != nil {
+		earlier.cancel()
+	}
+	session := &session{
+		lead: l, agent: agent, cancel: cancel, notify: make(chan struct{}, 1),
+		stopsSent: map[jobs.RunID]time.Time{},
+	}
+	l.sessions[agent] = session
+	klog.InfoS("Agent's session began", "agent", agent, "term", l.term)
+	return session
+}
+
+func (l *leadership) closeSession(session *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sessions[session.agent] == session {
+		delete(l.sessions, session.agent)
+		klog.InfoS("Agent's session ended", "agent", session.agent, "worker", session.key, "term", l.term)
+	}
+}
+
+// takeReport takes in a report and queues what it changes.
+func (l *leadership) takeReport(session *session, report *api.WorkerReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sessions[session.agent] != session {
+		return // a later session of this agent counts
+	}
+	session.received = report.Sequence
+	session.receivedAt = l.server.now()
+	defer session.signal()
+	if report.Worker == nil {
+		return
+	}
+	view := l.takeWorker(session.agent, report)
+	if view == nil {
+		return
+	}
+	if session.key != view.key {
+		session.key = view.key
+		session.listExpected = true
+	}
+	if report.RunsListed {
+		view.takeRuns(report.Runs)
+	}
+	for _, end := range report.Ends {
+		l.takeEnd(session, view, end)
+	}
+	l.signal()
+}
+
+func (v *workerView) takeRuns(list []*api.RunStatus) {
+	v.runs = make(map[jobs.RunID]*api.RunStatus, len(list))
+	for _, status := range list {
+		v.runs[jobs.RunOf(status.Run)] = status
+	}
+}
+
+// takeEnd queues an end. One that the committed state does not know is
+// acknowledged at once: it was recorded before, or is of a run that was lost.
+func (l *leadership) takeEnd(session *session, view *workerView, end *api.WorkerEnd) {
+	run := jobs.RunOf(end.Run)
+	known := false
+	l.server.config.State.Read(func(state jobs.View) {
+		_, _, task := state.Run(run)
+		known = task != nil
+	})
+	if !known {
+		session.queueRecorded(run)
+		return
+	}
+	if l.queuedEnds(view.key)[run] {
+		return
+	}
+	var assumed bool
+	l.assumed.Read(func(state jobs.View) {
+		_, _, task := state.Run(run)
+		assumed = task != nil
+	})
+	if !assumed {
+		return // its end is on the way to the disks
+	}
+	l.add(endChange(run, view.key, end.Outcome, end.Checkpoint))
+	if end.Reason != "" {
+		klog.InfoS("Run's end reported", "job", run.Task.Job, "run", run.String(), "worker", view.key,
+			"outcome", outcomeName(end.Outcome), "reason", end.Reason)
+	}
+}
+
+func (l *leadership) sessionOf(key string) *session {
+	for _, session := range l.sessions {
+		if session.key == key {
+			return session
+		}
+	}
+	return nil
+}
+
+func (s *session) signal() {
+	select {
+	case s.notify <- struct{}{}:
+	default:
+	}
+}
+
+// queueStart queues the order to begin a committed run. The lock is held.
+func (s *session) queueStart(state *jobs.State, run jobs.RunID, start *api.StartRun) {
+	state.Read(func(view jobs.View) {
+		job, group, task := view.Run(run)
+		if job == nil || job.Phase.Ended() {
+			return
+		}
+		s.starts = append(s.starts, &api.RunOrder{
+			Run: start.Run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: start.Ticket,
+			BestEffort: group.Spec.BestEffort, LongRunning: group.Spec.LongRunning,
+			TargetLatencyMs: group.Spec.TargetLatencyMs, Image: group.Spec.Image,
+		})
+	})
+	s.signal()
+}
+
+func (s *session) queueRecorded(run jobs.RunID) {
+	s.recorded = append(s.recorded, run.Ref())
+	delete(s.stopsSent, run)
+	s.signal()
+}
+
+// queueStops orders the end of runs whose job has ended, or whose task is done
+// by another run. The lock is held.
+func (l *leadership) queueStops() {
+	now := l.server.now()
+	l.server.config.State.Read(func(view jobs.View) {
+		for _, session := range l.sessions {
+			view.RunsOn(session.key, func(run jobs.RunID) {
+				job, _, task := view.Run(run)
+				if job != nil && (job.Phase.Ended() || task.Done) {
+					session.queueStop(run, now)
+				}
+			})
+		}
+	})
+}
+
+func (s *session) queueStop(run jobs.RunID, now time.Time) {
+	if sent, known := s.stopsSent[run]; known && now.Sub(sent) < resendStop {
+		return
+	}
+	s.stopsSent[run] = now
+	s.stops = append(s.stops, run.Ref())
+	klog.InfoS("Stop ordered", "job", run.Task.Job, "run", run.String(), "worker", s.key)
+	s.signal()
+}
+
+// sendDirectives answers reports and sends orders until the session ends.
+func (l *leadership) sendDirectives(ctx context.Context, session *session,
+	stream grpc.BidiStreamingServer[api.WorkerReport, api.WorkerDirective]) error {
+	for {
+		select {
+		case <-session.notify:
+		case <-l.ctx.Done():
+			return fault.New(fault.NotLeader, "this control replica leads no more")
+		case <-ctx.Done():
+			return fault.New(fault.Canceled, "the session ended")
+		}
+		directive := l.directive(session)
+		if directive == nil {
+			continue
+		}
+		if err := stream.Send(directive); err != nil {
+			return fault.Wrap(fault.ConnectionLost, err, "send directive")
+		}
+	}
+}
+
+// directive returns what the agent must be told now, nil for nothing.
+func (l *leadership) directive(session *session) *api.WorkerDirective {
+	members := l.server.memberAddresses()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sessions[session.agent] != session {
+		return nil
+	}
+	d := &api.WorkerDirective{Acknowledged: session.received, Term: l.term, Worker: session.key}
+	if session.answered != session.received {
+		d.LeaseMs = l.grantLease(session).Milliseconds()
+		d.Members = members
+	}
+	d.Starts, session.starts = session.starts, nil
+	d.Stops, session.stops = session.stops, nil
+	d.Recorded, session.recorded = session.recorded, nil
+	if session.listExpected && session.key != "" {
+		session.listExpected = false
+		d.ExpectedListed = true
+		d.Expected = l.expected(session.key)
+	}
+	if session.answered == session.received && len(d.Starts)+len(d.Stops)+len(d.Recorded) == 0 && !d.ExpectedListed {
+		return nil
+	}
+	session.answered = session.received
+	return d
+}
+
+// grantLease returns the lease that answers the latest report, 0 while no
+// quorum has confirmed lately that this replica leads. The lock is held.
+func (l *leadership) grantLease(session *session) time.Duration {
+	config := &l.server.config
+	age := max(session.receivedAt.Sub(l.server.confirms.Began()), 0)
+	granted := config.Lease - age
+	if granted <= 0 {
+		return 0
+	}
+	until := l.server.now().Add(granted + config.leaseMargin())
+	for _, view := range l.workers {
+		if view.key == session.key && until.After(view.granted) {
+			view.granted = until
+		}
+	}
+	return granted
+}
+
+// expected returns all committed runs on a worker's incarnation.
+func (l *leadership) expected(key string) []*api.RunRef {
+	var list []*api.RunRef
+	l.server.config.State.Read(func(view jobs.View) {
+		view.RunsOn(key, func(run jobs.RunID) { list = append(list, run.Ref()) })
+	})
+	return list
+}
--- /dev/null
+++ b/jobcontrol/workers.go
@@ -0,0 +1,145 @@
+package jobcontrol
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/jobs"
+)
+
+// workerView is what the leader knows of a worker's latest incarnation.
+type workerView struct {
+	worker  *api.Worker
+	key     string
+	agent   string
+	leaving bool
+	granted time.Time // until when its agent may hold a lease, margin included
+	heard   time.Time
+	runs    map[jobs.RunID]*api.RunStatus // as last listed
+	silent  time.Duration                 // for which the worker has not answered its agent
+}
+
+// takeWorker takes in the worker that a report names. The lock is held.
+func (l *leadership) takeWorker(agent string, report *api.WorkerReport) *workerView {
+	worker := report.Worker
+	key := jobs.WorkerKey(worker.Id, worker.Born)
+	view := l.workers[worker.Id]
+	if view != nil && view.key != key && worker.Born < view.worker.Born {
+		return nil // a late report of an earlier incarnation
+	}
+	if view == nil || view.key != key {
+		klog.InfoS("Worker joined", "worker", key, "agent", agent, "zone", worker.Zone, "rack", worker.Rack,
+			"service", worker.Service, "milli_cpu", worker.MilliCpu, "memory_mib", worker.MemoryMib)
+		if view != nil {
+			l.loseRuns(view.key, "the worker started anew")
+		}
+		view = &workerView{key: key, runs: map[jobs.RunID]*api.RunStatus{}}
+		l.workers[worker.Id] = view
+	}
+	if view.worker != nil && worker.Draining != view.worker.Draining {
+		klog.InfoS("Worker's draining changed", "worker", key, "draining", worker.Draining,
+			"remaining_ms", worker.DrainRemainingMs)
+	}
+	view.worker, view.agent, view.leaving = worker, agent, report.Leaving
+	view.heard = l.server.now()
+	view.silent = time.Duration(report.UnansweredMs) * time.Millisecond
+	return view
+}
+
+// loseWorkers ends the runs on workers whose leases are certainly over. The
+// lock is held.
+func (l *leadership) loseWorkers() {
+	now := l.server.now()
+	// Leases of earlier leaders are over by then.
+	start := l.since.Add(l.server.config.Lease + l.server.config.leaseMargin())
+	var lost []string
+	l.assumed.Read(func(view jobs.View) {
+		view.Workers(func(key string, _ int) {
+			if !now.Before(start) && !l.held(key, now) {
+				lost = append(lost, key)
+			}
+		})
+	})
+	for _, key := range lost {
+		l.loseRuns(key, "the lease is over")
+	}
+	for id, view := range l.workers {
+		if now.After(view.granted) && !now.Before(start) && l.sessions[view.agent] == nil {
+			klog.InfoS("Worker lost", "worker", view.key, "agent", view.agent, "unheard_ms", now.Sub(view.heard).Milliseconds())
+			delete(l.workers, id)
+		}
+	}
+}
+
+// held reports whether the agent of a worker's incarnation may hold a lease.
+func (l *leadership) held(key string, now time.Time) bool {
+	for _, view := range l.workers {
+		if view.key == key {
+			return now.Before(view.granted)
+		}
+	}
+	return false
+}
+
+// loseRuns queues the ends of all runs on a worker's incarnation that is over.
+func (l *leadership) loseRuns(key, reason string) {
+	queued := l.queuedEnds(key)
+	l.assumed.Read(func(view jobs.View) {
+		view.RunsOn(key, func(run jobs.RunID) {
+			if queued[run] {
+				return
+			}
+			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason)
+			l.add(endChange(run, key, api.RunOutcome_RUN_OUTCOME_LOST, l.checkpoint(key, run)))
+		})
+	})
+	l.signal()
+}
+
+func (l *leadership) queuedEnds(key string) map[jobs.RunID]bool {
+	queued := map[jobs.RunID]bool{}
+	for _, p := range l.pending {
+		if end := p.change.GetEnd(); end != nil && end.Worker == key {
+			queued[jobs.RunOf(end.Run)] = true
+		}
+	}
+	return queued
+}
+
+// checkpoint returns the latest one that the worker listed for a run.
+func (l *leadership) checkpoint(key string, run jobs.RunID) string {
+	for _, view := range l.workers {
+		if view.key == key {
+			return view.runs[run].GetCheckpoint()
+		}
+	}
+	return ""
+}
+
+func endChange(run jobs.RunID, worker string, outcome api.RunOutcome, checkpoint string) *api.JobChange {
+	return &api.JobChange{Body: &api.JobChange_End{End: &api.EndRun{
+		Run: run.Ref(), Worker: worker, Outcome: outcome, Checkpoint: checkpoint,
+	}}}
+}
+
+// silenceLimit is how long a worker may leave its agent's calls unanswered
+// before it gets no new runs.
+const silenceLimit = 700 * time.Millisecond
+
+// dispatchWorkers returns the workers as the planner sees them.
+func (l *leadership) dispatchWorkers(state jobs.View, now time.Time) []dispatch.Worker {
+	workers := make([]dispatch.Worker, 0, len(l.workers))
+	for _, view := range l.workers {
+		w := view.worker
+		open := l.sessions[view.agent] != nil && now.Before(view.granted.Add(-l.server.config.Lease/2)) &&
+			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.silent < silenceLimit
+		workers = append(workers, dispatch.Worker{
+			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
+			Capacity: dispatch.Capacity(w), Open: open, Slowness: 1,
+		})
+	}
+	return workers
+}
--- /dev/null
+++ b/jobentry/gateway.go
@@ -0,0 +1,165 @@
+// Package jobentry is the callers' side of submitted jobs on an entry: it
+// carries each call to the leader of the control group and says truthfully
+// whether a submission was taken.
+package jobentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
+)
+
+// Times of the gateway.
+const (
+	answerReserve = 60 * time.Millisecond  // of the caller's time, for the answer's way back
+	probeInterval = 700 * time.Millisecond // between probes of the leader while no call shows it
+	probeTimeout  = 900 * time.Millisecond
+	readyWithin   = 2500 * time.Millisecond // of the leader's last answer; longer than an election
+)
+
+// Gateway carries calls to the leader. Start it once.
+type Gateway struct {
+	client *controlclient.Client
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	heard    time.Time // when the leader last answered
+	draining bool
+}
+
+// New returns a gateway that calls the control group by client.
+func New(client *controlclient.Client) *Gateway { return &Gateway{client: client} }
+
+// Start keeps the gateway's knowledge of the leader fresh.
+func (g *Gateway) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.done.Go(func() { g.probe(ctx) })
+}
+
+// Stop ends the probes.
+func (g *Gateway) Stop() {
+	g.cancel()
+	g.done.Wait()
+}
+
+// Drain makes Ready fail; calls are still served.
+func (g *Gateway) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+}
+
+// Draining reports whether Drain was called.
+func (g *Gateway) Draining() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining
+}
+
+// Ready returns why the gateway should get no new callers, nil when it should.
+func (g *Gateway) Ready() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.draining:
+		return fault.New(fault.Draining, "the entry stops")
+	case timing.Boot().Sub(g.heard) > readyWithin:
+		return fault.New(fault.NotLeader, "the leader has not answered lately")
+	}
+	return nil
+}
+
+func (g *Gateway) probe(ctx context.Context) {
+	for timing.Sleep(ctx, timing.Jitter(probeInterval, 0.2)) {
+		g.mu.Lock()
+		fresh := timing.Boot().Sub(g.heard) < probeInterval
+		g.mu.Unlock()
+		if fresh {
+			continue
+		}
+		probe, cancel := context.WithTimeout(ctx, probeTimeout)
+		_, err := g.Call(probe, &api.JobCall{Kind: api.JobCallKind_JOB_CALL_KIND_LOOK})
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			klog.InfoS("Leader does not answer", "error", err)
+		}
+	}
+}
+
+// Call carries one call to the leader, again while that may help, until ctx
+// ends. Errors: fault.NoQuorum when the call has done nothing and never will;
+// fault.CommitUnknown when a submission or a cancellation may have taken
+// effect, or still may.
+func (g *Gateway) Call(ctx context.Context, call *api.JobCall) (*api.JobAnswer, error) {
+	received := time.Now()
+	if deadline, given := ctx.Deadline(); given {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerReserve))
+		defer cancel()
+		call.RemainingMs = time.Until(deadline).Milliseconds()
+	}
+	var answer *api.JobAnswer
+	uncertain := false
+	err := g.client.Do(ctx, func(ctx context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
+		call.Attempt++
+		var err error
+		answer, err = api.NewJobsClient(connection).Call(ctx, call, options...)
+		if err != nil && fault.KindOf(fault.FromStatus(err)).Answer().Outcome != fault.OutcomeNotRun {
+			uncertain = true
+		}
+		return err
+	})
+	if err == nil {
+		g.noteHeard()
+		err = contradiction(answer, uncertain)
+	} else {
+		err = finalError(err, uncertain)
+	}
+	logCall(call, answer, err, time.Since(received))
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+func (g *Gateway) noteHeard() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.heard = timing.Boot()
+}
+
+// contradiction returns fault.CommitUnknown for a refusal that an earlier,
+// unanswered attempt may still contradict.
+func contradiction(answer *api.JobAnswer, uncertain bool) error {
+	if !uncertain || answer.Kind != api.JobAnswerKind_JOB_ANSWER_KIND_REFUSED {
+		return nil
+	}
+	return fault.New(fault.CommitUnknown, "an earlier attempt may still be taken")
+}
+
+func finalError(err error, uncertain bool) error {
+	if uncertain {
+		return fault.Wrap(fault.CommitUnknown, err, "no answer from the leader")
+	}
+	return fault.Wrap(fault.NoQuorum, err, "no leader")
+}
+
+// logCall writes one line for a call that may have touched a job.
+func logCall(call *api.JobCall, answer *api.JobAnswer, err error, took time.Duration) {
+	if call.RequestId == "" {
+		return // a probe
+	}
+	klog.InfoS("Call answered", "request", call.RequestId, "path", call.Path, "kind", call.Kind.String(),
+		"answer", answer.GetKind().String(), "state", answer.GetState(), "reason", answer.GetReason(),
+		"version", answer.GetVersion(), "attempts", call.Attempt, "took_ms", took.Milliseconds(), "error", err)
+}
