dispatch: best-effort work is placed and paced by what it costs each service

Change: headroom (target/tail) is linear in the disturbance; the leader learns its cost per core and pair from differences over half a second; placement avoids costly pairs and agents pace only those.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -1,69 +1,104 @@
 package dispatch
 
-// Serving is what a worker shows of a task with a latency target.
+// Serving is what a worker shows of a service.
 type Serving struct {
-	TailMS   int64 // tail latency over the last interval, 0 when nothing is known
-	TargetMS int64
+	Image    string
+	Headroom Headroom // 0 when nothing is known
 }
 
-// Pacing is the pace of the best-effort tasks beside services on one worker.
-// The load pattern that it answers: the services' load swings within seconds,
-// and best-effort tasks disturb them by amounts that nobody declares. It goes
-// down at once when a service nears its target, and up slowly while all are
-// well below. The zero value is not ready for use; see NewPacing.
+// Filler is what a worker shows of a best-effort run.
+type Filler struct {
+	Image string
+	Cores float64 // in use now
+	Full  float64 // that it would use at full pace
+}
+
+// Pacing decides how fast the best-effort runs on one worker may work. The load
+// pattern that it answers: the services' load swings within seconds, and
+// best-effort tasks disturb them by amounts that differ by pair of images.
+//
+// A run that disturbs no service beside it works at full pace. The others share
+// the headroom that the services can spare. Where that is not enough, because
+// too little is known yet, all are slowed down until the services recover.
 type Pacing struct {
-	percent int
-	calm    int // looks in a row at which a higher pace would have been fine
+	caution float64 // share of the pace that is left to all; 1 unless a service was over its target
 }
 
-// Limits of the pace, in percent, and when it changes, as tail latency relative
-// to the target.
+// Parameters of the pace.
 const (
-	fullPace   = 100
-	lowestPace = 5    // below it a task is paused instead
-	easePart   = 0.85 // from here on the pace goes down
-	raisePart  = 0.6  // below it the pace goes up
-	overFactor = 0.35 // of the pace, when a service is over its target
-	nearFactor = 0.7  // of the pace, when one is near it
-	raiseStep  = 15   // percent points
-	calmLooks  = 2    // looks before a raise
+	spareHeadroom = 1.35 // that is left to a service: its load may grow by that much until the next look
+	overHeadroom  = 1.0  // below it a service is over its target
+	calmHeadroom  = 1.2  // above it caution ends
+	harmlessCore  = 0.03 // headroom for each core, below which a pair is taken for harmless
+	cautionFactor = 0.5  // for each look at which a service is over its target
+	cautionStep   = 0.25 // back, for each look at which all are well
+	leastCaution  = 0.06 // below it best-effort work is paused
+	lowestPercent = 5    // of pace, below it a run is paused
+	fullPercent   = 100
 )
 
-// NewPacing returns the pacing of a worker that runs at full pace.
-func NewPacing() *Pacing { return &Pacing{percent: fullPace} }
+// NewPacing returns the pacing of a worker on which no service was disturbed yet.
+func NewPacing() *Pacing { return &Pacing{caution: 1} }
 
-// Percent returns the pace in force, from 0 to 100.
-func (p *Pacing) Percent() int { return p.percent }
+// Look takes in one look at a worker and returns the pace of each filler, in percent.
+func (p *Pacing) Look(services []Serving, fillers []Filler, perCore func(Pair) float64) []int {
+	p.takeCare(services)
+	paces := make([]int, len(fillers))
+	for i := range fillers {
+		paces[i] = fullPercent
+	}
+	for _, service := range services {
+		if service.Headroom <= 0 {
+			continue
+		}
+		share := allowedShare(service, fillers, perCore)
+		for i, filler := range fillers {
+			if perCore(Pair{service.Image, filler.Image}) > harmlessCore {
+				paces[i] = min(paces[i], int(share*fullPercent))
+			}
+		}
+	}
+	for i := range paces {
+		paces[i] = int(p.caution * float64(paces[i]))
+		if paces[i] < lowestPercent {
+			paces[i] = 0
+		}
+	}
+	return paces
+}
 
-// Look takes in one look at the services of the worker and returns the pace
-// that its best-effort tasks should have.
-func (p *Pacing) Look(services []Serving) int {
-	worst := 0.0
-	for _, s := range services {
-		if s.TargetMS > 0 {
-			worst = max(worst, float64(s.TailMS)/float64(s.TargetMS))
+// takeCare slows all best-effort work down while a service is over its target.
+func (p *Pacing) takeCare(services []Serving) {
+	lowest := Headroom(mostHeadroom)
+	for _, service := range services {
+		if service.Headroom > 0 {
+			lowest = min(lowest, service.Headroom)
 		}
 	}
 	switch {
-	case worst >= 1:
-		p.lower(overFactor)
-	case worst >= easePart:
-		p.lower(nearFactor)
-	case worst < raisePart:
-		p.calm++
-		if p.calm >= calmLooks {
-			p.percent = min(p.percent+raiseStep, fullPace)
+	case lowest < overHeadroom:
+		p.caution *= cautionFactor
+		if p.caution < leastCaution {
+			p.caution = 0
 		}
-	default:
-		p.calm = 0
+	case lowest > calmHeadroom:
+		p.caution = min(1, p.caution+cautionStep)
 	}
-	return p.percent
 }
 
-func (p *Pacing) lower(factor float64) {
-	p.calm = 0
-	p.percent = int(float64(p.percent) * factor)
-	if p.percent < lowestPace {
-		p.percent = 0
+// allowedShare returns at what share of their full pace the fillers that
+// disturb a service may work.
+func allowedShare(service Serving, fillers []Filler, perCore func(Pair) float64) float64 {
+	now, full := 0.0, 0.0
+	for _, filler := range fillers {
+		if cost := perCore(Pair{service.Image, filler.Image}); cost > harmlessCore {
+			now += cost * filler.Cores
+			full += cost * filler.Full
+		}
+	}
+	if full <= 0 {
+		return 1
 	}
+	spare := float64(service.Headroom) + now - spareHeadroom
+	return min(max(spare/full, 0), 1)
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,6 +13,7 @@
 type Input struct {
 	UnixMS  int64                         // time of day, for scheduled occurrences only
 	Age     func(*jobs.Job) time.Duration // since the job was submitted
+	PerCore func(Pair) float64            // headroom that a core of best-effort work costs a service
 	Workers []Worker
 }
 
@@ -197,17 +198,6 @@
 	p.starts = p.starts[:from]
 }
 
-func (l *load) remove(group *api.TaskGroup) {
-	l.used = l.used.Sub(demand(group))
-	l.runs--
-	if group.BestEffort {
-		l.bestEffort -= group.MilliCpu
-	}
-	if group.TargetLatencyMs > 0 {
-		l.serving--
-	}
-}
-
 func (p *planner) start(c candidate, index int, number int32, l *load, spread spread) {
 	l.add(c.group.Spec)
 	spread.workers[l.worker.Key]++
@@ -252,7 +242,7 @@
 		if !p.fits(c, l, spread) || !need.Fits(l.free()) {
 			continue
 		}
-		if s := score(c.group.Spec, l, spread); best == nil || s > bestScore {
+		if s := p.score(c.group.Spec, l, spread); best == nil || s > bestScore {
 			best, bestScore = l, s
 		}
 	}
@@ -265,5 +255,8 @@
 	if !l.worker.Open || !l.worker.allows(c.queue, group) {
 		return false
 	}
+	if group.BestEffort && !p.mayFill(group, l) {
+		return false
+	}
 	return group.MaxPerWorker == 0 || spread.workers[l.worker.Key] < int(group.MaxPerWorker)
 }
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -5,43 +5,97 @@
 // Weights of a worker's score, relative to the share of its processors that
 // stays free, which is 0 to 1.
 const (
-	weightDistrust    = 4.0 // a worker that fails everything comes after any full one
-	weightSlowness    = 1.0 // a worker that takes twice the time comes after any that keeps pace
-	weightOtherRack   = 2.0 // for data or neighbours on another rack, which slows the work by half or more
-	weightServing     = 0.5 // for best-effort work beside services, and the reverse
-	weightSameService = 0.1 // spreads the tasks of a long-running group over workers
+	weightDistrust  = 4.0 // a worker that fails everything comes after any full one
+	weightSlowness  = 1.0 // a worker that takes twice the time comes after any that keeps pace
+	weightOtherRack = 2.0 // for data or neighbours on another rack, which slows the work by half or more
+	weightServing   = 8.0 // keeps best-effort work and services apart as long as there is any choice
+	weightPack      = 1.0 // gathers services, and what does not disturb them, on few workers
+	weightSameGroup = 0.1 // spreads the tasks of a long-running group over workers
 )
 
+// servingUse is the share of their declared processors that services use at
+// most, as a rule: their tail latency would not hold above it.
+const servingUse = 0.75
+
 // score returns how good a worker is for one more task of a group.
-func score(group *api.TaskGroup, l *load, spread spread) float64 {
-	s := freeShare(l)
-	s -= weightDistrust * l.worker.Distrust
-	s -= weightSlowness * max(0, l.worker.Slowness-1)
+//
+// Best-effort tasks disturb services beside them. So services gather on few
+// workers, counted tasks, which disturb nobody, fill those up, and best-effort
+// tasks go where they disturb nobody and most is unused.
+func (p *planner) score(group *api.TaskGroup, l *load, spread spread) float64 {
+	s := -weightDistrust*l.worker.Distrust - weightSlowness*max(0, l.worker.Slowness-1)
 	if group.DataRack != "" && group.DataRack != l.worker.Rack {
 		s -= weightOtherRack
 	}
 	if group.RackLocal && len(spread.racks) > 0 && spread.racks[l.worker.Rack] == 0 {
 		s -= weightOtherRack
 	}
-	switch {
-	case group.BestEffort:
-		s -= weightServing * float64(l.serving)
-	case group.TargetLatencyMs > 0 && l.bestEffort > 0:
-		s -= weightServing
-	}
 	if group.LongRunning {
-		s -= weightSameService * float64(spread.workers[l.worker.Key])
+		s -= weightSameGroup * float64(spread.workers[l.worker.Key])
+	}
+	if group.BestEffort {
+		return s + unusedShare(l) - weightServing*p.disturbance(group, l)
+	}
+	if group.TargetLatencyMs > 0 && l.bestEffort > 0 {
+		s -= weightServing * share(l.bestEffort, l)
 	}
-	return s
+	if l.serving > 0 {
+		s += weightPack
+	}
+	return s - weightPack*(1-share(l.used.MilliCPU, l))
+}
+
+// unusedShare returns the share of the processors that is left for best-effort
+// work, since services use less than they declare. It is negative when the
+// best-effort work that is there wants more than is left.
+func unusedShare(l *load) float64 {
+	counted := l.used.MilliCPU - int64((1-servingUse)*float64(l.services))
+	return 1 - share(counted+l.bestEffort, l)
 }
 
-// freeShare returns the share of the processors that neither counted nor
-// best-effort work claims. It is negative when best-effort work claims more
-// than there is.
-func freeShare(l *load) float64 {
+// share returns what part of a worker's processors an amount is.
+func share(milliCPU int64, l *load) float64 {
 	if l.worker.Capacity.MilliCPU <= 0 {
-		return 0
+		return 1
 	}
-	claimed := l.used.MilliCPU + l.bestEffort
-	return float64(l.worker.Capacity.MilliCPU-claimed) / float64(l.worker.Capacity.MilliCPU)
+	return float64(milliCPU) / float64(l.worker.Capacity.MilliCPU)
 }
+
+// mayFill reports whether a best-effort task could work on the worker: with
+// processors that are unused, and beside services that can spare the headroom.
+func (p *planner) mayFill(group *api.TaskGroup, l *load) bool {
+	if l.bestEffort > 0 && unusedShare(l) < share(group.MilliCpu, l) {
+		return false // it would only slow down those that are there
+	}
+	return p.disturbance(group, l) < 1
+}
+
+// disturbance returns what part of the headroom that the services on a worker
+// can spare would be gone with one more task of a best-effort group; 1 and more
+// when it would have to be slowed down. A group that disturbs no service there
+// gives 0.
+func (p *planner) disturbance(group *api.TaskGroup, l *load) float64 {
+	worst := 0.0
+	for _, service := range l.worker.Look.Services {
+		cost := p.in.PerCore(Pair{service.Image, group.Image})
+		if cost <= harmlessCore || service.Headroom <= 0 {
+			continue
+		}
+		spare := float64(service.Headroom) - spareHeadroom
+		for image, cores := range l.worker.Look.Cores {
+			spare += p.in.PerCore(Pair{service.Image, image}) * cores
+		}
+		taken := cost * float64(group.MilliCpu) / 1000
+		for image, cores := range l.fillers {
+			taken += p.in.PerCore(Pair{service.Image, image}) * cores
+		}
+		if spare <= 0 {
+			return taken / leastSpare
+		}
+		worst = max(worst, taken/max(spare, leastSpare))
+	}
+	return worst
+}
+
+// leastSpare is the spare headroom below which a service is taken to have none.
+const leastSpare = 0.05
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -22,6 +22,7 @@
 	Open      bool          // its agent holds a lease, and it is neither draining nor out of service
 	Remaining time.Duration // until it leaves, 0 for one that stays
 	Slowness  float64       // time that it takes for work, relative to its peers; 1 when nothing is known
+	Look      Look          // at its services and best-effort runs
 	Distrust  float64       // 0 for a sound worker, 1 for one that fails whatever it starts
 }
 
@@ -44,21 +45,33 @@
 type load struct {
 	worker     *Worker
 	used       resource.Vector
-	bestEffort int64 // milli-cores that best-effort runs would use
-	serving    int   // runs with a latency target
+	bestEffort int64              // milli-cores that best-effort runs would use
+	fillers    map[string]float64 // the same in cores, by image
+	serving    int                // runs with a latency target
+	services   int64              // milli-cores that they may use
 	runs       int
 }
 
 func (l *load) free() resource.Vector { return l.worker.Capacity.Sub(l.used) }
 
-func (l *load) add(group *api.TaskGroup) {
-	l.used = l.used.Add(demand(group))
-	l.runs++
+func (l *load) add(group *api.TaskGroup) { l.count(group, 1) }
+
+func (l *load) remove(group *api.TaskGroup) { l.count(group, -1) }
+
+// count adds or takes away the demand of runs of a group.
+func (l *load) count(group *api.TaskGroup, runs int64) {
+	need := demand(group)
+	l.used.MilliCPU += runs * need.MilliCPU
+	l.used.MemoryMiB += runs * need.MemoryMiB
+	l.used.Accelerators += runs * need.Accelerators
+	l.runs += int(runs)
 	if group.BestEffort {
-		l.bestEffort += group.MilliCpu
+		l.bestEffort += runs * group.MilliCpu
+		l.fillers[group.Image] += float64(runs*group.MilliCpu) / 1000
 	}
 	if group.TargetLatencyMs > 0 {
-		l.serving++
+		l.serving += int(runs)
+		l.services += runs * group.MilliCpu
 	}
 }
 
@@ -66,7 +79,7 @@
 func loads(view jobs.View, workers []Worker) []*load {
 	all := make([]*load, len(workers))
 	for i := range workers {
-		l := &load{worker: &workers[i]}
+		l := &load{worker: &workers[i], fillers: map[string]float64{}}
 		view.RunsOn(l.worker.Key, func(run jobs.RunID) {
 			if _, group, _ := view.Run(run); group != nil {
 				l.add(group.Spec)
--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -9,6 +9,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/timing"
@@ -37,8 +38,9 @@
 	current    *incarnation // nil while no worker has registered
 	leaving    bool         // the worker said that it ends
 	stopping   bool
-	term       uint64    // of the latest leader
-	leaseUntil time.Time // until when runs may be begun and renewed
+	term       uint64                // of the latest leader
+	leaseUntil time.Time             // until when runs may be begun and renewed
+	costs      *dispatch.Disturbance // as the leader learnt it
 }
 
 // Times of the agent's calls.
@@ -51,9 +53,12 @@
 	recordWait   = 30 * time.Millisecond  // for the leader to record ends before the next look, a commit's latency
 	retryPause   = 100 * time.Millisecond
 	maxRetry     = 500 * time.Millisecond
-	concurrency  = 16 // calls to the worker at a time
 )
 
+// Concurrency is the number of calls to the worker at a time, without the one
+// that waits for ends.
+const Concurrency = 16
+
 // clockPart of the worker's time passes at least while ours does: workers'
 // clocks may be 2 % slow.
 const clockPart = 0.98
@@ -63,7 +68,7 @@
 	if config.Clock == nil {
 		config.Clock = timing.Boot
 	}
-	return &Agent{config: config, notify: make(chan struct{}, 1)}
+	return &Agent{config: config, notify: make(chan struct{}, 1), costs: dispatch.NewDisturbance()}
 }
 
 // Start begins the session with the leader.
--- a/jobagent/hold.go
+++ b/jobagent/hold.go
@@ -211,25 +211,48 @@
 
 // pace adapts the pace of best-effort runs to the services beside them.
 func (w *incarnation) pace() {
+	now := w.agent.config.Clock()
+	if now.Sub(w.pacedAt) < paceInterval {
+		return // the worker's figures have hardly changed
+	}
+	w.pacedAt = now
 	var services []dispatch.Serving
-	for _, r := range w.runs {
-		if target := r.order.GetTargetLatencyMs(); target > 0 && r.status != nil {
-			services = append(services, dispatch.Serving{TailMS: r.status.Usage, TargetMS: target})
+	var fillers []dispatch.Filler
+	var ids []jobs.RunID
+	for id, r := range w.runs {
+		if r.order == nil || r.status == nil {
+			continue
+		}
+		if target := r.order.TargetLatencyMs; target > 0 {
+			services = append(services, dispatch.Serving{
+				Image: r.order.Image, Headroom: dispatch.HeadroomOf(r.status.Usage, target),
+			})
+		} else if r.order.BestEffort && r.phase == runRunning {
+			ids = append(ids, id)
+			fillers = append(fillers, dispatch.Filler{
+				Image: r.order.Image, Cores: cores(r.status.Usage), Full: cores(r.order.MilliCpu),
+			})
 		}
 	}
-	percent := fullPace
-	if len(services) > 0 {
-		percent = w.pacing.Look(services)
-	}
-	for id, r := range w.runs {
-		if r.order.GetBestEffort() && r.phase == runRunning && r.pace != percent {
-			klog.InfoS("Pace changed", "job", id.Task.Job, "run", id.String(), "worker", w.key, "from", r.pace, "to", percent)
+	changed := 0
+	for i, percent := range w.pacing.Look(services, fillers, w.agent.costs.PerCore) {
+		if r := w.runs[ids[i]]; r.pace != percent {
 			r.pace = percent
-			w.agent.done.Go(func() { w.callPace(id, percent) })
+			changed++
+			w.agent.done.Go(func() { w.callPace(ids[i], percent) })
 		}
 	}
+	if changed > 0 {
+		klog.InfoS("Best-effort pace changed", "worker", w.key, "runs", changed, "of", len(ids), "services", services)
+	}
 }
 
+// paceInterval is the shortest time between changes of pace: the worker's
+// figures speak of half a second.
+const paceInterval = 350 * time.Millisecond
+
+func cores(milliCPU int64) float64 { return float64(milliCPU) / 1000 }
+
 func (w *incarnation) callPace(id jobs.RunID, percent int) {
 	if !w.acquire() {
 		return
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -38,6 +38,7 @@
 	unanswered time.Time // since when holds get no answer; the zero time while they do
 	renewedTo  time.Time // the latest lease that was sent to the worker
 	pacing     *dispatch.Pacing
+	pacedAt    time.Time
 }
 
 // runPhase is what the agent knows of a run.
@@ -73,7 +74,7 @@
 	return &incarnation{
 		agent: a, ctx: ctx, cancel: cancel,
 		key:    jobs.WorkerKey(r.Worker.Id, r.Worker.Born),
-		calls:  make(chan struct{}, concurrency),
+		calls:  make(chan struct{}, Concurrency),
 		worker: r.Worker, address: r.Address, sequence: r.Sequence,
 		runs: map[jobs.RunID]*run{}, ends: map[jobs.RunID]*end{}, open: map[int64]struct{}{},
 		recorded: make(chan struct{}, 1),
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/timing"
@@ -147,6 +148,11 @@
 	l.answered = true
 	a.term = d.Term
 	l.noteAnswer(d)
+	for _, cost := range d.Costs {
+		a.costs.Set(dispatch.Known{
+			Pair: dispatch.Pair{Service: cost.Service, Filler: cost.Filler}, PerCore: cost.PerCore,
+		})
+	}
 	if w := a.current; w != nil && d.Worker == w.key {
 		w.obey(d)
 	}
--- a/jobcontrol/call.go
+++ b/jobcontrol/call.go
@@ -108,8 +108,8 @@
 	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Submit{
 		Submit: &api.SubmitJob{Key: &api.JobKey{Queue: t.queue, Job: t.job}, Spec: call.Spec},
 	}})
-	klog.InfoS("Job submitted", "job", t.job, "request", call.RequestId, "queue", t.queue, "version", t.version,
-		"attempt", call.Attempt, "groups", len(call.Spec.Groups), "commit_ms", l.millisSince(received), "error", err)
+	klog.InfoS("Job submitted", "job", t.job, "queue", t.queue, "version", t.version,
+		"attempt", call.Attempt, "commit_ms", l.millisSince(received), "error", err, "shape", jobs.Shape(call.Spec))
 	if fault.Is(err, fault.NotFound) {
 		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_NO_QUEUE}, nil
 	}
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -31,6 +31,8 @@
 	sessions map[string]*session    // by agent
 	first    map[string]time.Time   // when a job that has not ended was first seen
 
+	disturbance *dispatch.Disturbance
+
 	joiners joiners
 }
 
@@ -57,7 +59,10 @@
 		workers:  map[string]*workerView{},
 		sessions: map[string]*session{},
 		first:    map[string]time.Time{},
-		joiners:  joiners{list: map[uint64]joiner{}},
+
+		disturbance: dispatch.NewDisturbance(),
+
+		joiners: joiners{list: map[uint64]joiner{}},
 	}
 	l.dateJobs()
 	return l
@@ -209,6 +214,7 @@
 	now := l.server.now()
 	return dispatch.Input{
 		UnixMS:  l.server.config.UnixTime().UnixMilli(),
+		PerCore: l.disturbance.PerCore,
 		Age:     func(job *jobs.Job) time.Duration { return l.age(job, now) },
 		Workers: l.dispatchWorkers(view, now),
 	}
@@ -317,7 +323,12 @@
 		klog.InfoS("Start not committed", "run", run.String(), "worker", start.Worker, "error", err)
 		return
 	}
-	klog.InfoS("Run placed", "job", run.Task.Job, "run", run.String(), "worker", start.Worker, "term", l.term)
+	l.server.config.State.Read(func(view jobs.View) {
+		if _, group, task := view.Run(run); group != nil {
+			klog.InfoS("Run placed", "job", run.Task.Job, "run", run.String(), "worker", start.Worker, "term", l.term,
+				"group", jobs.GroupShape(group.Spec), "from_checkpoint", task.Checkpoint != "", "failures", task.Failures)
+		}
+	})
 	if session := l.sessionOf(start.Worker); session != nil {
 		session.queueStart(l.server.config.State, run, start)
 	}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -29,7 +29,7 @@
 	stops        []*api.RunRef
 	stopsSent    map[jobs.RunID]time.Time
 	recorded     []*api.RunRef
-	members      int // hash of the members that the agent was told of
+	costsSent    int64 // version of the pair costs that the agent was told
 }
 
 // resendStop is the pause after which a stop whose effect was not reported is
@@ -121,6 +121,8 @@
 	}
 	if report.RunsListed {
 		view.takeRuns(report.Runs)
+		view.look = l.lookAt(view)
+		l.disturbance.Learn(view.key, view.look)
 	}
 	for _, end := range report.Ends {
 		l.takeEnd(session, view, end)
@@ -192,7 +194,7 @@
 		s.starts = append(s.starts, &api.RunOrder{
 			Run: start.Run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: start.Ticket,
 			BestEffort: group.Spec.BestEffort, LongRunning: group.Spec.LongRunning,
-			TargetLatencyMs: group.Spec.TargetLatencyMs, Image: group.Spec.Image,
+			TargetLatencyMs: group.Spec.TargetLatencyMs, Image: group.Spec.Image, MilliCpu: group.Spec.MilliCpu,
 		})
 	})
 	s.signal()
@@ -263,6 +265,7 @@
 	if session.answered != session.received {
 		d.LeaseMs = l.grantLease(session).Milliseconds()
 		d.Members = members
+		d.Costs = l.costsFor(session)
 	}
 	d.Starts, session.starts = session.starts, nil
 	d.Stops, session.stops = session.stops, nil
@@ -279,6 +282,22 @@
 	return d
 }
 
+// costsFor returns the pair costs, when the agent was not told of the latest
+// ones. The lock is held.
+func (l *leadership) costsFor(session *session) []*api.PairCost {
+	if session.costsSent == l.disturbance.Version() {
+		return nil
+	}
+	session.costsSent = l.disturbance.Version()
+	var costs []*api.PairCost
+	for _, known := range l.disturbance.Known() {
+		costs = append(costs, &api.PairCost{
+			Service: known.Pair.Service, Filler: known.Pair.Filler, PerCore: known.PerCore,
+		})
+	}
+	return costs
+}
+
 // grantLease returns the lease that answers the latest report, 0 while no
 // quorum has confirmed lately that this replica leads. The lock is held.
 func (l *leadership) grantLease(session *session) time.Duration {
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -20,6 +20,7 @@
 	heard   time.Time
 	runs    map[jobs.RunID]*api.RunStatus // as last listed
 	silent  time.Duration                 // for which the worker has not answered its agent
+	look    dispatch.Look                 // at its services and best-effort runs
 }
 
 // takeWorker takes in the worker that a report names. The lock is held.
@@ -125,6 +126,30 @@
 	}}}
 }
 
+// lookAt returns what the worker's latest list shows of services and
+// best-effort runs. The lock is held.
+func (l *leadership) lookAt(view *workerView) dispatch.Look {
+	look := dispatch.Look{
+		At: view.heard, Services: map[jobs.RunID]dispatch.ServiceLook{}, Cores: map[string]float64{},
+	}
+	l.server.config.State.Read(func(state jobs.View) {
+		for run, status := range view.runs {
+			_, group, _ := state.Run(run)
+			switch {
+			case group == nil:
+			case group.Spec.TargetLatencyMs > 0:
+				look.Services[run] = dispatch.ServiceLook{
+					Image:    group.Spec.Image,
+					Headroom: dispatch.HeadroomOf(status.Usage, group.Spec.TargetLatencyMs),
+				}
+			case group.Spec.BestEffort:
+				look.Cores[group.Spec.Image] += float64(status.Usage) / 1000
+			}
+		}
+	})
+	return look
+}
+
 // silenceLimit is how long a worker may leave its agent's calls unanswered
 // before it gets no new runs.
 const silenceLimit = 700 * time.Millisecond
@@ -138,7 +163,7 @@
 			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.silent < silenceLimit
 		workers = append(workers, dispatch.Worker{
 			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
-			Capacity: dispatch.Capacity(w), Open: open, Slowness: 1,
+			Capacity: dispatch.Capacity(w), Open: open, Slowness: 1, Look: view.look,
 		})
 	}
 	return workers
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 
 	"amaranthpaddle/api"
 )
@@ -193,3 +195,44 @@
 	}
 	return true
 }
+
+// Shape describes a job's groups for logs; see GroupShape.
+func Shape(spec *api.JobSpec) string {
+	var parts []string
+	for _, group := range spec.GetGroups() {
+		part := GroupShape(group)
+		if len(group.DependsOn) > 0 {
+			part += fmt.Sprintf(" after %v", group.DependsOn)
+		}
+		parts = append(parts, part)
+	}
+	return strings.Join(parts, "; ")
+}
+
+// GroupShape describes a group for logs: how many tasks, with what demand and
+// estimated duration, and what is special about them, such as
+// "2x3500m/6400Mi 900ms best-effort".
+func GroupShape(group *api.TaskGroup) string {
+	shape := fmt.Sprintf("%dx%dm/%dMi %dms", group.Count, group.MilliCpu, group.MemoryMib, group.EstimatedMs)
+	for _, flag := range []struct {
+		set  bool
+		name string
+	}{
+		{group.BestEffort, "best-effort"}, {group.LongRunning, "long-running"}, {group.Gang, "gang"},
+		{group.Checkpointing, "saves"}, {group.Speculative, "speculative"}, {group.RackLocal, "rack-local"},
+	} {
+		if flag.set {
+			shape += " " + flag.name
+		}
+	}
+	if group.Image != "" {
+		shape += " image " + group.Image
+	}
+	if group.TargetLatencyMs > 0 {
+		shape += fmt.Sprintf(" target %dms", group.TargetLatencyMs)
+	}
+	if group.MaxPerWorker > 0 {
+		shape += fmt.Sprintf(" max %d", group.MaxPerWorker)
+	}
+	return shape
+}
