jobagent: a new agent process does not take a silent worker's runs for lost

Change: a new process assumes the longest lease, and reports the worker only once it has listed its runs, so that runs the leader counts are not fenced for want of a list. Ruled out: the leader's own wait (the end came from the agent).

--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -22,7 +22,7 @@
 	Worker  Worker
 	Control *controlclient.Client
 	Clock   func() time.Time // timing.Boot when nil; counts suspensions
-	// LeaseLimit is the longest lease that the worker grants, 0 for no limit.
+	// LeaseLimit is the longest lease that the worker grants.
 	LeaseLimit time.Duration
 }
 
@@ -55,6 +55,9 @@
 	maxRetry     = 500 * time.Millisecond
 )
 
+// defaultLeaseLimit is the longest lease of workers that state none.
+const defaultLeaseLimit = 10 * time.Second
+
 // Concurrency is the number of calls to the worker at a time, without the one
 // that waits for ends.
 const Concurrency = 16
@@ -68,6 +71,9 @@
 	if config.Clock == nil {
 		config.Clock = timing.Boot
 	}
+	if config.LeaseLimit == 0 {
+		config.LeaseLimit = defaultLeaseLimit
+	}
 	return &Agent{config: config, notify: make(chan struct{}, 1), costs: dispatch.NewDisturbance()}
 }
 
--- a/jobagent/hold.go
+++ b/jobagent/hold.go
@@ -134,6 +134,9 @@
 		w.unanswered = time.Time{}
 	}
 	w.holds++
+	if w.holds == 1 {
+		w.agent.signal()
+	}
 	w.noteClock(answer.ClockMS)
 	for _, listed := range answer.Ends {
 		if listed.Position <= w.listed {
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -79,6 +79,8 @@
 		runs: map[jobs.RunID]*run{}, ends: map[jobs.RunID]*end{}, open: map[int64]struct{}{},
 		recorded: make(chan struct{}, 1),
 		pacing:   dispatch.NewPacing(),
+		// An earlier process of this agent may have granted the longest lease just now.
+		renewedTo: a.config.Clock().Add(a.config.LeaseLimit),
 	}
 }
 
@@ -103,10 +105,7 @@
 	if !held || w.clockRead.IsZero() {
 		return 0
 	}
-	left := until.Sub(w.agent.config.Clock())
-	if limit := w.agent.config.LeaseLimit; limit > 0 {
-		left = min(left, limit)
-	}
+	left := min(until.Sub(w.agent.config.Clock()), w.agent.config.LeaseLimit)
 	sinceRead := w.agent.config.Clock().Sub(w.clockRead)
 	return w.clockMS + int64(clockPart*float64((sinceRead+left).Milliseconds()))
 }
@@ -281,8 +280,12 @@
 	w.agent.signal()
 }
 
-// fill adds what the leader should know of the worker. The lock is held.
+// fill adds what the leader should know of the worker, which is nothing before
+// the worker has listed its runs. The lock is held.
 func (w *incarnation) fill(report *api.WorkerReport, stream int64) {
+	if w.holds == 0 {
+		return
+	}
 	now := w.agent.config.Clock()
 	report.Worker = w.worker
 	report.RunsListed = true
