dispatch: jobs in order of worth per remaining work; sparser pair costs

Change: costs shrink towards zero and learn from real changes only; only costly pairs are paced; services count with the half that they use. Jobs that can still meet their objective go first, by worth for each core-second left; durations are learnt by queue, since declared ones explain little.

--- a/dispatch/disturbance.go
+++ b/dispatch/disturbance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -33,11 +34,17 @@
 // seconds and is not shown, so it learns from differences over short times, in
 // which the load hardly changes. It is not safe for concurrent use.
 type Disturbance struct {
-	pairs   map[Pair]float64
+	pairs   map[Pair]cost
 	looks   map[string]Look // latest by worker
 	version int64           // rises with each change that matters
 }
 
+// cost is what is known of a pair.
+type cost struct {
+	perCore float64
+	lessons float64 // differences that it was learnt from
+}
+
 // Look is what one worker showed at a time, averaged over about half a second.
 type Look struct {
 	At       time.Time
@@ -55,9 +62,13 @@
 const (
 	unknownPerCore = 0.04 // of pairs that were not met; a fraction of what a bad pair costs
 	mostPerCore    = 2.0
-	learnRate      = 0.3 // of the error of one difference
-	leastChange    = 0.5 // square cores; smaller changes of best-effort work teach nothing
-	mostHeadroom   = 8.0 // above it a tail is too short to tell differences
+	firstRate      = 0.6   // of the error of one difference, for a pair that was not met
+	lastRate       = 0.15  // for one that was met often; images change over a day
+	rateLessons    = 6.0   // in which the first rate halves
+	shrinkage      = 0.003 // of a cost a lesson: most pairs cost nothing, and noise must not look like it
+	leastCores     = 0.4   // by which an image's work must change to teach about it
+	leastChange    = 0.5   // square cores; smaller changes of best-effort work teach nothing
+	mostHeadroom   = 8.0   // above it a tail is too short to tell differences
 	shortestLook   = 400 * time.Millisecond
 	longestLook    = 1600 * time.Millisecond // after it the service's load may have changed too
 	changeMatters  = 0.02
@@ -65,13 +76,13 @@
 
 // NewDisturbance returns a Disturbance that knows nothing.
 func NewDisturbance() *Disturbance {
-	return &Disturbance{pairs: map[Pair]float64{}, looks: map[string]Look{}}
+	return &Disturbance{pairs: map[Pair]cost{}, looks: map[string]Look{}}
 }
 
 // PerCore returns the headroom that a core of the filler costs the service.
 func (d *Disturbance) PerCore(pair Pair) float64 {
-	if cost, known := d.pairs[pair]; known {
-		return cost
+	if c, known := d.pairs[pair]; known {
+		return c.perCore
 	}
 	return unknownPerCore
 }
@@ -85,8 +96,8 @@
 // Known returns what was learnt, in a fixed order.
 func (d *Disturbance) Known() []Known {
 	known := make([]Known, 0, len(d.pairs))
-	for pair, cost := range d.pairs {
-		known = append(known, Known{pair, cost})
+	for pair, c := range d.pairs {
+		known = append(known, Known{pair, c.perCore})
 	}
 	slices.SortFunc(known, func(a, b Known) int {
 		return cmp.Or(cmp.Compare(a.Pair.Service, b.Pair.Service), cmp.Compare(a.Pair.Filler, b.Pair.Filler))
@@ -98,7 +109,7 @@
 func (d *Disturbance) Version() int64 { return d.version }
 
 // Set replaces what is known of a pair, by what another process learnt.
-func (d *Disturbance) Set(known Known) { d.pairs[known.Pair] = known.PerCore }
+func (d *Disturbance) Set(known Known) { d.pairs[known.Pair] = cost{perCore: known.PerCore} }
 
 // Learn takes in a look at a worker.
 func (d *Disturbance) Learn(worker string, look Look) {
@@ -150,14 +161,25 @@
 	for image, cores := range change {
 		expected += d.PerCore(Pair{service, image}) * cores
 	}
-	step := learnRate * (loss - expected) / (square + 1)
+	step := (loss - expected) / (square + 1)
 	for image, cores := range change {
-		pair := Pair{service, image}
-		old := d.PerCore(pair)
-		cost := min(max(old+step*cores, 0), mostPerCore)
-		d.pairs[pair] = cost
-		if cost-old > changeMatters || old-cost > changeMatters {
-			d.version++
+		if math.Abs(cores) >= leastCores {
+			d.learnPair(Pair{service, image}, step*cores)
 		}
 	}
 }
+
+func (d *Disturbance) learnPair(pair Pair, correction float64) {
+	c, known := d.pairs[pair]
+	if !known {
+		c.perCore = unknownPerCore
+	}
+	old := c.perCore
+	rate := max(firstRate*rateLessons/(rateLessons+c.lessons), lastRate)
+	c.perCore = min(max(old+rate*correction-shrinkage, 0), mostPerCore)
+	c.lessons++
+	d.pairs[pair] = c
+	if c.perCore-old > changeMatters || old-c.perCore > changeMatters {
+		d.version++
+	}
+}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -18,10 +18,11 @@
 // best-effort tasks disturb them by amounts that differ by pair of images.
 //
 // A run that disturbs no service beside it works at full pace. The others share
-// the headroom that the services can spare. Where that is not enough, because
-// too little is known yet, all are slowed down until the services recover.
+// the headroom that the services can spare. Where that is not enough, they are
+// slowed down further, and in the end all are paused until the services recover.
 type Pacing struct {
-	caution float64 // share of the pace that is left to all; 1 unless a service was over its target
+	caution float64 // share of the pace that is left to those that may disturb; 1 unless a service was over its target
+	over    int     // looks in a row at which a service was over its target
 }
 
 // Parameters of the pace.
@@ -29,12 +30,13 @@
 	spareHeadroom = 1.35 // that is left to a service: its load may grow by that much until the next look
 	overHeadroom  = 1.0  // below it a service is over its target
 	calmHeadroom  = 1.2  // above it caution ends
-	harmlessCore  = 0.03 // headroom for each core, below which a pair is taken for harmless
+	harmlessCore  = 0.09 // headroom for each core, below which a pair is taken for harmless; learnt costs of harmless ones stay below
+	panicLooks    = 4    // at which a service is over its target, before all best-effort work is paused; two seconds
 	cautionFactor = 0.5  // for each look at which a service is over its target
 	cautionStep   = 0.25 // back, for each look at which all are well
 	leastCaution  = 0.06 // below it best-effort work is paused
 	lowestPercent = 5    // of pace, below it a run is paused
-	fullPercent   = 100
+	FullPace      = 100
 )
 
 // NewPacing returns the pacing of a worker on which no service was disturbed yet.
@@ -45,21 +47,23 @@
 	p.takeCare(services)
 	paces := make([]int, len(fillers))
 	for i := range fillers {
-		paces[i] = fullPercent
+		paces[i] = FullPace
+		if p.over >= panicLooks {
+			paces[i] = 0
+		}
 	}
 	for _, service := range services {
 		if service.Headroom <= 0 {
 			continue
 		}
-		share := allowedShare(service, fillers, perCore)
+		share := p.caution * allowedShare(service, fillers, perCore)
 		for i, filler := range fillers {
 			if perCore(Pair{service.Image, filler.Image}) > harmlessCore {
-				paces[i] = min(paces[i], int(share*fullPercent))
+				paces[i] = min(paces[i], int(share*FullPace))
 			}
 		}
 	}
 	for i := range paces {
-		paces[i] = int(p.caution * float64(paces[i]))
 		if paces[i] < lowestPercent {
 			paces[i] = 0
 		}
@@ -75,6 +79,11 @@
 			lowest = min(lowest, service.Headroom)
 		}
 	}
+	if lowest < overHeadroom {
+		p.over++
+	} else {
+		p.over = 0
+	}
 	switch {
 	case lowest < overHeadroom:
 		p.caution *= cautionFactor
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -11,10 +11,12 @@
 
 // Input is what a plan rests on besides the jobs.
 type Input struct {
-	UnixMS  int64                         // time of day, for scheduled occurrences only
-	Age     func(*jobs.Job) time.Duration // since the job was submitted
-	PerCore func(Pair) float64            // headroom that a core of best-effort work costs a service
-	Workers []Worker
+	UnixMS    int64                         // time of day, for scheduled occurrences only
+	Age       func(*jobs.Job) time.Duration // since the job was submitted
+	PerCore   func(Pair) float64            // headroom that a core of best-effort work costs a service
+	Durations *Durations
+	Works     *Works
+	Workers   []Worker
 }
 
 // Start is a decision to begin a run.
@@ -41,7 +43,7 @@
 	index      int32
 	group      *jobs.Group
 	lateness   lateness
-	deadline   time.Duration // until the job's objective; negative when it has passed
+	density    float64 // worth of the job for each core-second that it still needs
 }
 
 // lateness says what a job is still worth.
@@ -53,9 +55,12 @@
 	worthless                 // past the time in which a late job counts
 )
 
-// candidates returns the groups with tasks to start, the most urgent first:
-// by priority among those that are still worth something, then by the time
-// that is left to the job's objective.
+// candidates returns the groups with tasks to start, the most urgent first.
+//
+// The load pattern that this answers: more work than the workers can do in
+// time. Then work on a job that misses its objective all the same is wasted, and
+// a job that needs little for what it is worth goes first. A job that has begun
+// needs less and less, so it is finished rather than left for the next one.
 func candidates(view jobs.View, in Input) []candidate {
 	var all []candidate
 	view.ActiveJobs(func(job *jobs.Job) {
@@ -66,7 +71,8 @@
 	slices.SortFunc(all, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.rank(), b.rank()),
-			cmp.Compare(a.deadline, b.deadline),
+			cmp.Compare(a.lateness, b.lateness),
+			-cmp.Compare(a.density, b.density),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
 			cmp.Compare(a.index, b.index),
@@ -75,21 +81,22 @@
 	return all
 }
 
-// rank orders by what a start is worth: worthless jobs come after all others.
+// rank orders by priority; worthless jobs come after all others.
 func (c candidate) rank() int {
-	rank := int(c.queue.Priority) * lateFactor
 	if c.lateness == worthless {
-		rank += worthlessRank
+		return worthlessRank + int(c.queue.Priority)
 	}
-	return rank
+	return int(c.queue.Priority)
 }
 
-// worthlessRank exceeds any rank of a priority.
+// worthlessRank exceeds any priority.
 const worthlessRank = 1 << 20
 
 func jobCandidates(view jobs.View, in Input, job *jobs.Job) []candidate {
 	queue := view.QueueOf(job)
-	objective := Objective(queue, job.Spec)
+	expect := func(group *api.TaskGroup) float64 { return in.Durations.Expect(job.QueueKey, group.EstimatedMs) }
+	objective := Objective(queue, job.Spec, expect)
+	worth := in.Works.Worth(job.QueueKey, Work(job.Spec, expect))
 	var all []candidate
 	for k, occurrence := range job.Occurrences {
 		age := in.Age(job)
@@ -105,10 +112,10 @@
 			}
 			c := candidate{
 				job: job, queue: queue, occurrence: int32(k), index: int32(g), group: group,
-				deadline: objective - age,
+				density: worth / remainingWork(occurrence, expect),
 			}
 			if !group.Spec.LongRunning {
-				c.lateness = latenessOf(age, objective)
+				c.lateness = latenessOf(age, remainingChain(occurrence, expect), objective)
 			}
 			all = append(all, c)
 		}
@@ -116,11 +123,12 @@
 	return all
 }
 
-func latenessOf(age, objective time.Duration) lateness {
+// latenessOf judges a job by its age and the time that it needs at least.
+func latenessOf(age, needed, objective time.Duration) lateness {
 	switch {
 	case age > lateFactor*objective:
 		return worthless
-	case age > objective:
+	case age+needed > objective:
 		return late
 	}
 	return inTime
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -13,9 +13,9 @@
 	weightSameGroup = 0.1 // spreads the tasks of a long-running group over workers
 )
 
-// servingUse is the share of their declared processors that services use at
-// most, as a rule: their tail latency would not hold above it.
-const servingUse = 0.75
+// servingUse is the share of their declared processors that services use on
+// average: for their tail latency to hold they keep about half in reserve.
+const servingUse = 0.55
 
 // score returns how good a worker is for one more task of a group.
 //
--- a/jobagent/hold.go
+++ b/jobagent/hold.go
@@ -161,7 +161,7 @@
 			if w.ends[id] != nil {
 				continue // an older list
 			}
-			r = &run{phase: runRunning, pace: fullPace}
+			r = &run{phase: runRunning, pace: dispatch.FullPace}
 			w.runs[id] = r
 		}
 		if r.phase == runStarting {
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -123,14 +123,11 @@
 	if w.runs[id] != nil || w.ends[id] != nil {
 		return // ordered before
 	}
-	r := &run{phase: runStarting, order: order, pace: fullPace}
+	r := &run{phase: runStarting, order: order, pace: dispatch.FullPace}
 	w.runs[id] = r
 	w.agent.done.Go(func() { w.start(id, r) })
 }
 
-// fullPace is the pace of a run when it begins, in percent.
-const fullPace = 100
-
 // acquire takes a slot for a call to the worker.
 func (w *incarnation) acquire() bool {
 	select {
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -32,6 +32,9 @@
 	first    map[string]time.Time   // when a job that has not ended was first seen
 
 	disturbance *dispatch.Disturbance
+	durations   *dispatch.Durations
+	works       *dispatch.Works
+	began       map[jobs.RunID]time.Time // of runs that were placed under this leadership
 
 	joiners joiners
 }
@@ -61,6 +64,9 @@
 		first:    map[string]time.Time{},
 
 		disturbance: dispatch.NewDisturbance(),
+		durations:   dispatch.NewDurations(),
+		works:       dispatch.NewWorks(),
+		began:       map[jobs.RunID]time.Time{},
 
 		joiners: joiners{list: map[uint64]joiner{}},
 	}
@@ -214,7 +220,7 @@
 	now := l.server.now()
 	return dispatch.Input{
 		UnixMS:  l.server.config.UnixTime().UnixMilli(),
-		PerCore: l.disturbance.PerCore,
+		PerCore: l.disturbance.PerCore, Durations: l.durations, Works: l.works,
 		Age:     func(job *jobs.Job) time.Duration { return l.age(job, now) },
 		Workers: l.dispatchWorkers(view, now),
 	}
@@ -300,6 +306,8 @@
 // note acts on one committed change.
 func (l *leadership) note(change *api.JobChange, err error) {
 	switch body := change.Body.(type) {
+	case *api.JobChange_Submit:
+		l.learnWork(body.Submit, err)
 	case *api.JobChange_Start:
 		l.noteStart(body.Start, err)
 	case *api.JobChange_End:
@@ -312,6 +320,17 @@
 	}
 }
 
+// learnWork takes in how much work a submitted job is. The lock is held.
+func (l *leadership) learnWork(submit *api.SubmitJob, err error) {
+	if err != nil {
+		return
+	}
+	queue := submit.GetKey().GetQueue()
+	l.works.Learn(queue, dispatch.Work(submit.Spec, func(group *api.TaskGroup) float64 {
+		return l.durations.Expect(queue, group.EstimatedMs)
+	}))
+}
+
 func (l *leadership) configurationVersion() (version int64) {
 	l.server.config.State.Read(func(view jobs.View) { version = view.Configuration().GetVersion() })
 	return version
@@ -323,6 +342,7 @@
 		klog.InfoS("Start not committed", "run", run.String(), "worker", start.Worker, "error", err)
 		return
 	}
+	l.began[run] = l.server.now()
 	l.server.config.State.Read(func(view jobs.View) {
 		if _, group, task := view.Run(run); group != nil {
 			klog.InfoS("Run placed", "job", run.Task.Job, "run", run.String(), "worker", start.Worker, "term", l.term,
@@ -336,6 +356,10 @@
 
 func (l *leadership) noteEnd(end *api.EndRun, err error) {
 	run := jobs.RunOf(end.Run)
+	if err == nil {
+		l.learnDuration(run, end)
+	}
+	delete(l.began, run)
 	phase := "forgotten"
 	l.server.config.State.Read(func(view jobs.View) {
 		if job := view.Job(run.Task.Job); job != nil {
@@ -352,6 +376,34 @@
 	}
 }
 
+// learnDuration takes in how long a run took that was done at full pace and
+// from the beginning. The lock is held.
+func (l *leadership) learnDuration(run jobs.RunID, end *api.EndRun) {
+	began, known := l.began[run]
+	if !known || end.Outcome != api.RunOutcome_RUN_OUTCOME_DONE || l.slowed(end.Worker, run) {
+		return
+	}
+	l.assumed.Read(func(view jobs.View) {
+		job := view.Job(run.Task.Job)
+		if job == nil {
+			return
+		}
+		if group, task := job.Task(run.Task); group != nil && task.LastRun == 1 {
+			l.durations.Learn(job.QueueKey, group.Spec.EstimatedMs, l.server.now().Sub(began).Milliseconds())
+		}
+	})
+}
+
+// slowed reports whether the worker listed the run below full pace.
+func (l *leadership) slowed(worker string, run jobs.RunID) bool {
+	for _, view := range l.workers {
+		if status := view.runs[run]; view.key == worker && status != nil {
+			return status.Pace < dispatch.FullPace
+		}
+	}
+	return false
+}
+
 var outcomeNames = map[api.RunOutcome]string{
 	api.RunOutcome_RUN_OUTCOME_DONE:    "done",
 	api.RunOutcome_RUN_OUTCOME_FAILED:  "failed",
--- /dev/null
+++ b/jobcontrol/summary.go
@@ -0,0 +1,94 @@
+package jobcontrol
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/jobs"
+)
+
+// summaryInterval is the pause between summaries in the log.
+const summaryInterval = 2 * time.Second
+
+// logSummaries writes what the fleet does, from time to time, until the
+// leadership ends.
+func (l *leadership) logSummaries() {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-ticker.C:
+			l.logSummary()
+		}
+	}
+}
+
+// fleetSummary is what all workers do, in cores, and what waits.
+type fleetSummary struct {
+	capacity, counted, services, bestEffort, bestEffortUsed float64
+	running, waitingTasks, waitingJobs                      int
+}
+
+func (l *leadership) logSummary() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.summary()
+	klog.InfoS("Fleet", "term", l.term, "workers", len(l.workers), "sessions", len(l.sessions),
+		"capacity_cores", int(s.capacity), "counted_cores", int(s.counted), "service_cores", int(s.services),
+		"best_effort_cores", int(s.bestEffort), "best_effort_used", int(s.bestEffortUsed),
+		"runs", s.running, "waiting_tasks", s.waitingTasks, "waiting_jobs", s.waitingJobs)
+}
+
+func (l *leadership) summary() (s fleetSummary) {
+	l.server.config.State.Read(func(state jobs.View) {
+		for _, view := range l.workers {
+			s.capacity += float64(view.worker.MilliCpu) / 1000
+			state.RunsOn(view.key, func(run jobs.RunID) { s.addRun(state, view, run) })
+		}
+		state.ActiveJobs(func(job *jobs.Job) { s.addWaiting(job) })
+	})
+	return s
+}
+
+func (s *fleetSummary) addRun(state jobs.View, view *workerView, run jobs.RunID) {
+	_, group, _ := state.Run(run)
+	if group == nil {
+		return
+	}
+	s.running++
+	cores := float64(group.Spec.MilliCpu) / 1000
+	switch {
+	case group.Spec.BestEffort:
+		s.bestEffort += cores
+		s.bestEffortUsed += float64(view.runs[run].GetUsage()) / 1000
+	case group.Spec.TargetLatencyMs > 0:
+		s.services += cores
+	default:
+		s.counted += cores
+	}
+}
+
+func (s *fleetSummary) addWaiting(job *jobs.Job) {
+	before := s.waitingTasks
+	if job.Phase.Ended() {
+		return
+	}
+	for _, occurrence := range job.Occurrences {
+		for _, group := range occurrence.Groups {
+			if group.Done() || !occurrence.Ready(group) {
+				continue
+			}
+			for i := range group.Tasks {
+				if !group.Tasks[i].Done && len(group.Tasks[i].Runs) == 0 {
+					s.waitingTasks++
+				}
+			}
+		}
+	}
+	if s.waitingTasks > before {
+		s.waitingJobs++
+	}
+}
