dispatch: costs of pairs are learnt from healthy services and outlive the leader

Cause: services over their target taught that pausing best-effort work helps nothing, since their queue had yet to drain, so costs were unlearnt as soon as they were met; and each new leader began anew (over-target looks gathered in the first 10 s of each leadership, trial with a line for each). Change: only looks that begin under the target teach; what was learnt goes into the log every 3 s; services gather by image; a job of which nothing runs goes beside services that it disturbs only while half of the fleet is free.

--- a/dispatch/disturbance.go
+++ b/dispatch/disturbance.go
@@ -65,7 +65,7 @@
 	firstRate      = 0.6   // of the error of one difference, for a pair that was not met
 	lastRate       = 0.15  // for one that was met often; images change over a day
 	rateLessons    = 6.0   // in which the first rate halves
-	shrinkage      = 0.003 // of a cost a lesson: most pairs cost nothing, and noise must not look like it
+	shrinkage      = 0.001 // of a cost a lesson: most pairs cost nothing, and noise must not look like it
 	leastCores     = 0.4   // by which an image's work must change to teach about it
 	leastChange    = 0.5   // square cores; smaller changes of best-effort work teach nothing
 	mostHeadroom   = 8.0   // above it a tail is too short to tell differences
@@ -111,7 +111,9 @@
 // Set replaces what is known of a pair, by what another process learnt.
 func (d *Disturbance) Set(known Known) { d.pairs[known.Pair] = cost{perCore: known.PerCore} }
 
-// Learn takes in a look at a worker.
+// Learn takes in a look at a worker. A service that was over its target teaches
+// nothing: requests have piled up, and its tail stays long for a while whatever
+// has become of the best-effort work.
 func (d *Disturbance) Learn(worker string, look Look) {
 	before, seen := d.looks[worker]
 	elapsed := look.At.Sub(before.At)
@@ -128,7 +130,7 @@
 	}
 	for run, service := range look.Services {
 		earlier, known := before.Services[run]
-		if known && usable(earlier.Headroom) && usable(service.Headroom) {
+		if known && earlier.Headroom >= overHeadroom && usable(earlier.Headroom) && usable(service.Headroom) {
 			d.adjust(service.Image, float64(earlier.Headroom-service.Headroom), change, square)
 		}
 	}
--- /dev/null
+++ b/dispatch/learnt.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+
+	"amaranthpaddle/api"
+)
+
+// Knowledge is all that decisions learn from what the workers show.
+type Knowledge struct {
+	Disturbance *Disturbance
+	Durations   *Durations
+	Works       *Works
+}
+
+// NewKnowledge returns what an earlier leader left, nil for nothing.
+func NewKnowledge(learnt *api.Learnt) Knowledge {
+	k := Knowledge{Disturbance: NewDisturbance(), Durations: NewDurations(), Works: NewWorks()}
+	for _, c := range learnt.GetCosts() {
+		k.Disturbance.pairs[Pair{c.Service, c.Filler}] = cost{perCore: c.PerCore, lessons: rateLessons}
+	}
+	for _, q := range learnt.GetQueues() {
+		k.Durations.queues[q.Queue] = &durationStats{
+			weight: q.Weight, meanX: q.MeanX, meanY: q.MeanY, varX: q.VarX, covXY: q.CovXy,
+		}
+		if q.MeanWork > 0 {
+			k.Works.means[q.Queue] = q.MeanWork
+		}
+	}
+	return k
+}
+
+// Learnt returns what a later leader needs.
+func (k Knowledge) Learnt() *api.Learnt {
+	learnt := &api.Learnt{Costs: k.Disturbance.Costs()}
+	for _, queue := range slices.Sorted(maps.Keys(k.Durations.queues)) {
+		s := k.Durations.queues[queue]
+		learnt.Queues = append(learnt.Queues, &api.QueueLearnt{
+			Queue: queue, Weight: s.weight, MeanX: s.meanX, MeanY: s.meanY, VarX: s.varX, CovXy: s.covXY,
+			MeanWork: k.Works.means[queue],
+		})
+	}
+	return learnt
+}
+
+// Costs returns what was learnt of the pairs, in a fixed order.
+func (d *Disturbance) Costs() []*api.PairCost {
+	var costs []*api.PairCost
+	for _, known := range d.Known() {
+		costs = append(costs, &api.PairCost{
+			Service: known.Pair.Service, Filler: known.Pair.Filler, PerCore: known.PerCore,
+		})
+	}
+	return costs
+}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -27,7 +27,7 @@
 
 // Parameters of the pace.
 const (
-	spareHeadroom = 1.35 // that is left to a service: its load may grow by that much until the next look
+	spareHeadroom = 1.6  // that is left to a service: its load may grow by that much until the next look
 	overHeadroom  = 1.0  // below it a service is over its target
 	calmHeadroom  = 1.2  // above it caution ends
 	harmlessCore  = 0.09 // headroom for each core, below which a pair is taken for harmless; learnt costs of harmless ones stay below
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -43,7 +43,8 @@
 	index      int32
 	group      *jobs.Group
 	lateness   lateness
-	density    float64 // worth of the job for each core-second that it still needs
+	waited     time.Duration // since the job was submitted, while nothing of it runs; 0 otherwise
+	density    float64       // worth of the job for each core-second that it still needs
 }
 
 // lateness says what a job is still worth.
@@ -114,6 +115,9 @@
 				job: job, queue: queue, occurrence: int32(k), index: int32(g), group: group,
 				density: worth / remainingWork(occurrence, expect),
 			}
+			if job.Active() == 0 {
+				c.waited = age
+			}
 			if !group.Spec.LongRunning {
 				c.lateness = latenessOf(age, remainingChain(occurrence, expect), objective)
 			}
@@ -263,7 +267,7 @@
 	if !l.worker.Open || !l.worker.allows(c.queue, group) {
 		return false
 	}
-	if group.BestEffort && !p.mayFill(group, l) {
+	if group.BestEffort && !p.mayFill(c, l) {
 		return false
 	}
 	return group.MaxPerWorker == 0 || spread.workers[l.worker.Key] < int(group.MaxPerWorker)
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "amaranthpaddle/api"
+import (
+	"math"
+	"time"
+
+	"amaranthpaddle/api"
+)
 
 // Weights of a worker's score, relative to the share of its processors that
 // stays free, which is 0 to 1.
@@ -9,6 +14,7 @@
 	weightSlowness  = 1.0 // a worker that takes twice the time comes after any that keeps pace
 	weightOtherRack = 2.0 // for data or neighbours on another rack, which slows the work by half or more
 	weightServing   = 8.0 // keeps best-effort work and services apart as long as there is any choice
+	weightImages    = 0.3 // keeps services of different images on different workers
 	weightPack      = 1.0 // gathers services, and what does not disturb them, on few workers
 	weightSameGroup = 0.1 // spreads the tasks of a long-running group over workers
 )
@@ -36,15 +42,38 @@
 	if group.BestEffort {
 		return s + unusedShare(l) - weightServing*p.disturbance(group, l)
 	}
-	if group.TargetLatencyMs > 0 && l.bestEffort > 0 {
-		s -= weightServing * share(l.bestEffort, l)
+	if group.TargetLatencyMs > 0 {
+		s -= weightServing*p.incoming(group, l) + weightImages*float64(otherImages(l, group.Image))
 	}
-	if l.serving > 0 {
+	if len(l.serving) > 0 {
 		s += weightPack
 	}
 	return s - weightPack*(1-share(l.used.MilliCPU, l))
 }
 
+// otherImages returns how many images of services other than this one are on a
+// worker. Each best-effort image disturbs services of some images only: the
+// fewer images stand on a worker, the more best-effort work fits beside them.
+func otherImages(l *load, image string) int {
+	others := len(l.serving)
+	if l.serving[image] > 0 {
+		others--
+	}
+	return others
+}
+
+// incoming returns what part of the processors is used by best-effort work that
+// a service of the group would suffer from.
+func (p *planner) incoming(group *api.TaskGroup, l *load) float64 {
+	cores := 0.0
+	for image, used := range l.fillers {
+		if p.in.PerCore(Pair{group.Image, image}) > harmlessCore {
+			cores += used
+		}
+	}
+	return share(int64(1000*cores), l)
+}
+
 // unusedShare returns the share of the processors that is left for best-effort
 // work, since services use less than they declare. It is negative when the
 // best-effort work that is there wants more than is left.
@@ -63,11 +92,34 @@
 
 // mayFill reports whether a best-effort task could work on the worker: with
 // processors that are unused, and beside services that can spare the headroom.
-func (p *planner) mayFill(group *api.TaskGroup, l *load) bool {
+func (p *planner) mayFill(c candidate, l *load) bool {
+	group := c.group.Spec
 	if l.bestEffort > 0 && unusedShare(l) < share(group.MilliCpu, l) {
 		return false // it would only slow down those that are there
 	}
-	return p.disturbance(group, l) < 1
+	limit := mostDisturbance
+	if c.waited > fillPatience && p.halfEmpty() {
+		limit = math.Inf(1) // it works when the services can spare it
+	}
+	return p.disturbance(group, l) < limit
+}
+
+// Limits of what a best-effort task may take of the headroom that services can spare.
+const (
+	mostDisturbance = 0.5 // a service's load may double until its next look
+	// fillPatience is how long a job of which nothing runs waits for a place where
+	// it disturbs nobody, while half of the fleet is free.
+	fillPatience = 1500 * time.Millisecond
+)
+
+// halfEmpty reports whether less than half of all processors is claimed.
+func (p *planner) halfEmpty() bool {
+	var claimed, capacity int64
+	for _, l := range p.loads {
+		claimed += l.used.MilliCPU + l.bestEffort
+		capacity += l.worker.Capacity.MilliCPU
+	}
+	return 2*claimed < capacity
 }
 
 // disturbance returns what part of the headroom that the services on a worker
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -47,7 +47,7 @@
 	used       resource.Vector
 	bestEffort int64              // milli-cores that best-effort runs would use
 	fillers    map[string]float64 // the same in cores, by image
-	serving    int                // runs with a latency target
+	serving    map[string]int     // runs with a latency target, by image
 	services   int64              // milli-cores that they may use
 	runs       int
 }
@@ -70,8 +70,10 @@
 		l.fillers[group.Image] += float64(runs*group.MilliCpu) / 1000
 	}
 	if group.TargetLatencyMs > 0 {
-		l.serving += int(runs)
 		l.services += runs * group.MilliCpu
+		if l.serving[group.Image] += int(runs); l.serving[group.Image] == 0 {
+			delete(l.serving, group.Image)
+		}
 	}
 }
 
@@ -79,7 +81,7 @@
 func loads(view jobs.View, workers []Worker) []*load {
 	all := make([]*load, len(workers))
 	for i := range workers {
-		l := &load{worker: &workers[i], fillers: map[string]float64{}}
+		l := &load{worker: &workers[i], fillers: map[string]float64{}, serving: map[string]int{}}
 		view.RunsOn(l.worker.Key, func(run jobs.RunID) {
 			if _, group, _ := view.Run(run); group != nil {
 				l.add(group.Spec)
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -31,10 +31,10 @@
 	sessions map[string]*session    // by agent
 	first    map[string]time.Time   // when a job that has not ended was first seen
 
-	disturbance *dispatch.Disturbance
-	durations   *dispatch.Durations
-	works       *dispatch.Works
-	began       map[jobs.RunID]time.Time // of runs that were placed under this leadership
+	knowledge  dispatch.Knowledge
+	learntAt   time.Time                // when it was last put into the log
+	learntSent int64                    // version of the pair costs that were
+	began      map[jobs.RunID]time.Time // of runs that were placed under this leadership
 
 	joiners joiners
 }
@@ -63,13 +63,11 @@
 		sessions: map[string]*session{},
 		first:    map[string]time.Time{},
 
-		disturbance: dispatch.NewDisturbance(),
-		durations:   dispatch.NewDurations(),
-		works:       dispatch.NewWorks(),
-		began:       map[jobs.RunID]time.Time{},
+		began: map[jobs.RunID]time.Time{},
 
 		joiners: joiners{list: map[uint64]joiner{}},
 	}
+	l.assumed.Read(func(view jobs.View) { l.knowledge = dispatch.NewKnowledge(view.Learnt()) })
 	l.dateJobs()
 	return l
 }
@@ -176,6 +174,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.loseWorkers()
+	l.keepLearnt()
 	next := &batch{message: &api.JobBatch{
 		NowUnixMs: l.server.config.UnixTime().UnixMilli(),
 		RetainMs:  l.server.config.Retain.Milliseconds(),
@@ -197,6 +196,20 @@
 	return l.propose(next)
 }
 
+// learntInterval is the pause between entries of what was learnt: a kilobyte
+// each, and as much is learnt anew within that time.
+const learntInterval = 3 * time.Second
+
+// keepLearnt puts what was learnt into the log, for a later leader. The lock is held.
+func (l *leadership) keepLearnt() {
+	now, version := l.server.now(), l.knowledge.Disturbance.Version()
+	if version == l.learntSent || now.Sub(l.learntAt) < learntInterval {
+		return
+	}
+	l.learntAt, l.learntSent = now, version
+	l.add(&api.JobChange{Body: &api.JobChange_Learnt{Learnt: l.knowledge.Learnt()}})
+}
+
 // planStarts adds the starts that the assumed state allows, and applies them to it.
 func (l *leadership) planStarts(next *batch) {
 	var starts []dispatch.Start
@@ -220,7 +233,7 @@
 	now := l.server.now()
 	return dispatch.Input{
 		UnixMS:  l.server.config.UnixTime().UnixMilli(),
-		PerCore: l.disturbance.PerCore, Durations: l.durations, Works: l.works,
+		PerCore: l.knowledge.Disturbance.PerCore, Durations: l.knowledge.Durations, Works: l.knowledge.Works,
 		Age:     func(job *jobs.Job) time.Duration { return l.age(job, now) },
 		Workers: l.dispatchWorkers(view, now),
 	}
@@ -326,8 +339,8 @@
 		return
 	}
 	queue := submit.GetKey().GetQueue()
-	l.works.Learn(queue, dispatch.Work(submit.Spec, func(group *api.TaskGroup) float64 {
-		return l.durations.Expect(queue, group.EstimatedMs)
+	l.knowledge.Works.Learn(queue, dispatch.Work(submit.Spec, func(group *api.TaskGroup) float64 {
+		return l.knowledge.Durations.Expect(queue, group.EstimatedMs)
 	}))
 }
 
@@ -389,7 +402,7 @@
 			return
 		}
 		if group, task := job.Task(run.Task); group != nil && task.LastRun == 1 {
-			l.durations.Learn(job.QueueKey, group.Spec.EstimatedMs, l.server.now().Sub(began).Milliseconds())
+			l.knowledge.Durations.Learn(job.QueueKey, group.Spec.EstimatedMs, l.server.now().Sub(began).Milliseconds())
 		}
 	})
 }
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -122,7 +122,7 @@
 	if report.RunsListed {
 		view.takeRuns(report.Runs)
 		view.look = l.lookAt(view)
-		l.disturbance.Learn(view.key, view.look)
+		l.knowledge.Disturbance.Learn(view.key, view.look)
 	}
 	for _, end := range report.Ends {
 		l.takeEnd(session, view, end)
@@ -285,17 +285,12 @@
 // costsFor returns the pair costs, when the agent was not told of the latest
 // ones. The lock is held.
 func (l *leadership) costsFor(session *session) []*api.PairCost {
-	if session.costsSent == l.disturbance.Version() {
+	version := l.knowledge.Disturbance.Version()
+	if session.costsSent == version && version > 0 {
 		return nil
 	}
-	session.costsSent = l.disturbance.Version()
-	var costs []*api.PairCost
-	for _, known := range l.disturbance.Known() {
-		costs = append(costs, &api.PairCost{
-			Service: known.Pair.Service, Filler: known.Pair.Filler, PerCore: known.PerCore,
-		})
-	}
-	return costs
+	session.costsSent = version
+	return l.knowledge.Disturbance.Costs()
 }
 
 // grantLease returns the lease that answers the latest report, 0 while no
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -172,6 +172,9 @@
 	return group, &group.Tasks[id.Index]
 }
 
+// Active returns the number of runs that have not ended.
+func (j *Job) Active() int { return j.active }
+
 // LongRunning reports whether the job has tasks that run until it is cancelled.
 func (j *Job) LongRunning() bool {
 	return slices.ContainsFunc(j.Spec.GetGroups(), func(g *api.TaskGroup) bool { return g.LongRunning })
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -45,6 +45,7 @@
 		NowUnixMs:     s.nowMS,
 		Configuration: s.configuration,
 		ZonesOut:      slices.Sorted(maps.Keys(s.zonesOut)),
+		Learnt:        s.learnt,
 	}
 	for _, job := range s.jobs {
 		record.Jobs = append(record.Jobs, jobRecord(job))
@@ -97,6 +98,7 @@
 func (s *State) load(record *api.JobStateSnapshot) {
 	s.reset()
 	s.nowMS = record.NowUnixMs
+	s.learnt = record.Learnt
 	if record.Configuration != nil {
 		s.useConfiguration(record.Configuration)
 	}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -25,6 +25,7 @@
 	active        map[string]*Job               // jobs that have not ended, or have runs that have not
 	runs          map[string]map[RunID]struct{} // runs that have not ended, by worker
 	ended         []string                      // jobs that ended, in that order
+	learnt        *api.Learnt                   // by the leaders so far
 }
 
 // NewState returns the empty state.
@@ -44,6 +45,7 @@
 	s.active = map[string]*Job{}
 	s.runs = map[string]map[RunID]struct{}{}
 	s.ended = nil
+	s.learnt = nil
 }
 
 // Apply applies a committed api.JobBatch and returns an encoded api.JobBatchResult.
@@ -104,6 +106,9 @@
 		return s.start(body.Start)
 	case *api.JobChange_End:
 		return s.end(body.End)
+	case *api.JobChange_Learnt:
+		s.learnt = body.Learnt
+		return nil
 	}
 	return fault.New(fault.Internal, "change of an unknown type")
 }
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -22,6 +22,9 @@
 // Configuration returns the configuration in force, nil before the first one.
 func (v View) Configuration() *api.JobConfiguration { return v.state.configuration }
 
+// Learnt returns what the leaders have learnt so far, nil for nothing.
+func (v View) Learnt() *api.Learnt { return v.state.learnt }
+
 // Resolve returns the key of the queue that a call is for, with the longest
 // matching prefix, and the rest of the path. It returns false when there is none.
 func (v View) Resolve(host, path string) (key, rest string, found bool) {
