--- /dev/null
+++ b/dispatch/harness_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/resource"
+)
+
+// world is a state with workers, and a clock that tests move.
+type world struct {
+	t         *testing.T
+	state     *jobs.State
+	workers   []Worker
+	submitted map[string]time.Duration
+	now       time.Duration
+	unixMS    int64
+	knowledge Knowledge
+	jobs      int
+}
+
+const (
+	urgentQueue = "h /urgent/"
+	batchQueue  = "h /batch/"
+)
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{t: t, state: jobs.NewState(), submitted: map[string]time.Duration{}, knowledge: NewKnowledge(nil)}
+	w.apply(&api.JobChange{Body: &api.JobChange_Configure{Configure: &api.JobConfiguration{
+		Version:  1,
+		Services: []*api.JobService{{Name: "s"}},
+		Queues: []*api.JobQueue{
+			{Name: "urgent", Host: "h", PathPrefix: "/urgent/", Service: "s", TimeoutMs: 1, MaxAttempts: 3, SlackFactor: 1.5, TargetCompletionMs: 400},
+			{Name: "batch", Host: "h", PathPrefix: "/batch/", Service: "s", TimeoutMs: 1, MaxAttempts: 3, SlackFactor: 2, TargetCompletionMs: 1000, Priority: 2},
+		},
+	}}})
+	for i := range workers {
+		w.workers = append(w.workers, Worker{
+			Key: fmt.Sprintf("w%d", i), Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", i/2), Labels: []string{"a"},
+			Capacity: resource.Vector{MilliCPU: 10_000, MemoryMiB: 100_000}, Open: true, Slowness: 1,
+		})
+	}
+	return w
+}
+
+func (w *world) apply(changes ...*api.JobChange) {
+	w.t.Helper()
+	for i, result := range w.state.ApplyBatch(&api.JobBatch{Changes: changes}).Results {
+		if err := jobs.ResultError(result); err != nil {
+			w.t.Fatalf("%v: %v", changes[i], err)
+		}
+	}
+}
+
+func (w *world) submit(queue string, groups ...*api.TaskGroup) string {
+	w.t.Helper()
+	w.jobs++
+	return w.submitSpec(queue, &api.JobSpec{Groups: groups})
+}
+
+func (w *world) submitSpec(queue string, spec *api.JobSpec) string {
+	w.t.Helper()
+	id := fmt.Sprintf("job%d", w.jobs)
+	w.apply(&api.JobChange{Body: &api.JobChange_Submit{Submit: &api.SubmitJob{
+		Key: &api.JobKey{Queue: queue, Job: id}, Spec: spec,
+	}}})
+	w.submitted[id] = w.now
+	return id
+}
+
+// plan returns the starts, and makes them real.
+func (w *world) plan() []Start {
+	w.t.Helper()
+	var starts []Start
+	w.state.Read(func(view jobs.View) {
+		starts = Plan(view, Input{
+			UnixMS: w.unixMS, Workers: w.workers,
+			Age:     func(job *jobs.Job) time.Duration { return w.now - w.submitted[job.ID] },
+			PerCore: w.knowledge.Disturbance.PerCore, Durations: w.knowledge.Durations, Works: w.knowledge.Works,
+		})
+	})
+	for _, start := range starts {
+		w.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
+	}
+	return starts
+}
+
+func (w *world) end(start Start, outcome api.RunOutcome) {
+	w.t.Helper()
+	w.apply(&api.JobChange{Body: &api.JobChange_End{End: &api.EndRun{
+		Run: start.Run.Ref(), Worker: start.Worker, Outcome: outcome,
+	}}})
+}
+
+// placed returns how many starts of a job are on each worker.
+func placed(starts []Start, job string) map[string]int {
+	count := map[string]int{}
+	for _, start := range starts {
+		if start.Run.Task.Job == job {
+			count[start.Worker]++
+		}
+	}
+	return count
+}
+
+func total(count map[string]int) (n int) {
+	for _, c := range count {
+		n += c
+	}
+	return n
+}
--- /dev/null
+++ b/jobcontrol/harness_test.go
@@ -0,0 +1,280 @@
+package jobcontrol
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/replica"
+)
+
+const commitDelay = 10 * time.Millisecond
+
+// fakeReplica commits what it is given after a while, unless told otherwise.
+type fakeReplica struct {
+	state *jobs.State
+
+	mu      sync.Mutex
+	status  replica.Status
+	changed chan struct{}
+	index   uint64
+	cutOff  bool // commits and confirms nothing
+}
+
+func newFakeReplica(state *jobs.State) *fakeReplica {
+	return &fakeReplica{
+		state: state, changed: make(chan struct{}),
+		status: replica.Status{ID: 1, Leader: 1, Term: 1, LeaderReady: true, LeaderSince: 1},
+	}
+}
+
+func (f *fakeReplica) Enqueue(data []byte) (func(context.Context) ([]byte, error), error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.status.LeaderReady {
+		return nil, fault.New(fault.NotLeader, "not leading")
+	}
+	committed := make(chan []byte, 1)
+	if !f.cutOff {
+		f.index++
+		index := f.index
+		time.AfterFunc(commitDelay, func() { committed <- f.state.Apply(index, data) })
+	}
+	return func(ctx context.Context) ([]byte, error) {
+		select {
+		case result := <-committed:
+			return result, nil
+		case <-ctx.Done():
+			return nil, fault.New(fault.CommitUnknown, "no quorum")
+		}
+	}, nil
+}
+
+func (f *fakeReplica) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	wait, err := f.Enqueue(data)
+	if err != nil {
+		return nil, err
+	}
+	return wait(ctx)
+}
+
+func (f *fakeReplica) ConfirmRead(ctx context.Context) (uint64, error) {
+	f.mu.Lock()
+	cutOff := f.cutOff
+	f.mu.Unlock()
+	if cutOff {
+		<-ctx.Done()
+		return 0, fault.New(fault.NoQuorum, "cut off")
+	}
+	time.Sleep(time.Millisecond)
+	return 0, nil
+}
+
+func (f *fakeReplica) Status() replica.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status
+}
+
+func (f *fakeReplica) StatusChanged() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// lead makes the replica lead the term, or follow when leads is false.
+func (f *fakeReplica) lead(term uint64, leads bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.status.Term, f.status.LeaderReady = term, leads
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeReplica) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeReplica) Members() ([]replica.MemberStatus, error) {
+	return []replica.MemberStatus{{ID: 1, Address: "10.0.0.1:1", Voter: true, Leader: true}}, nil
+}
+
+func (f *fakeReplica) WasRemoved(uint64) (bool, error)                  { return false, nil }
+func (f *fakeReplica) AddLearner(context.Context, uint64, string) error { return nil }
+func (f *fakeReplica) Promote(context.Context, uint64) error            { return nil }
+func (f *fakeReplica) Remove(context.Context, uint64) error             { return nil }
+
+// rig is a server on a fake replica, on a clock of its own.
+type rig struct {
+	t       *testing.T
+	state   *jobs.State
+	replica *fakeReplica
+	server  *Server
+}
+
+const (
+	testLease = 4 * time.Second
+	testJob   = "00000000000000aa"
+	testPath  = "/q/" + testJob
+)
+
+func inBubble(t *testing.T, test func(r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		state := jobs.NewState()
+		r := &rig{t: t, state: state, replica: newFakeReplica(state)}
+		r.server = New(Config{Replica: r.replica, State: state, Lease: testLease, Clock: time.Now, UnixTime: time.Now})
+		r.server.Start()
+		defer r.server.Stop()
+		r.wait(100 * time.Millisecond)
+		test(r)
+	})
+}
+
+func (r *rig) wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (r *rig) configure() {
+	r.t.Helper()
+	err := Operators{Server: r.server}.Configure(context.Background(), testConfiguration(1))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func testConfiguration(version int64) *api.JobConfiguration {
+	return &api.JobConfiguration{
+		Version: version, Document: []byte("{}"),
+		Services: []*api.JobService{{Name: "s"}},
+		Queues: []*api.JobQueue{{
+			Name: "q", Host: "h", PathPrefix: "/q/", Service: "s", MaxAttempts: 2, TimeoutMs: 3000, TargetCompletionMs: 400,
+		}},
+	}
+}
+
+func (r *rig) call(kind api.JobCallKind, path string, spec *api.JobSpec) (*api.JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	answer, err := r.server.Call(ctx, &api.JobCall{Host: "h", Path: path, Kind: kind, Spec: spec})
+	return answer, fault.FromStatus(err)
+}
+
+func (r *rig) mustCall(kind api.JobCallKind, path string, spec *api.JobSpec, want api.JobAnswerKind) *api.JobAnswer {
+	r.t.Helper()
+	answer, err := r.call(kind, path, spec)
+	if err != nil || answer.Kind != want {
+		r.t.Fatalf("%v %s: %v, %v; want %v", kind, path, answer, err, want)
+	}
+	return answer
+}
+
+func oneTask() *api.JobSpec {
+	return &api.JobSpec{Groups: []*api.TaskGroup{{Count: 1, MilliCpu: 1000}}}
+}
+
+// fakeStream is an agent's end of a session.
+type fakeStream struct {
+	grpc.ServerStream
+	ctx        context.Context
+	cancel     context.CancelFunc
+	reports    chan *api.WorkerReport
+	directives chan *api.WorkerDirective
+	ended      chan error
+}
+
+func (s *fakeStream) Context() context.Context { return s.ctx }
+
+func (s *fakeStream) Recv() (*api.WorkerReport, error) {
+	select {
+	case report := <-s.reports:
+		return report, nil
+	case <-s.ctx.Done():
+		return nil, s.ctx.Err()
+	}
+}
+
+func (s *fakeStream) Send(d *api.WorkerDirective) error {
+	select {
+	case s.directives <- d:
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+// fakeAgent is an agent with a worker, as the leader sees it.
+type fakeAgent struct {
+	r        *rig
+	name     string
+	born     int64
+	stream   *fakeStream
+	sequence int64
+}
+
+func (r *rig) connect(name string) *fakeAgent {
+	r.t.Helper()
+	a := &fakeAgent{r: r, name: name, born: 1}
+	a.reconnect()
+	return a
+}
+
+func (a *fakeAgent) reconnect() {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stream = &fakeStream{
+		ctx: ctx, cancel: cancel, reports: make(chan *api.WorkerReport, 16),
+		directives: make(chan *api.WorkerDirective, 256), ended: make(chan error, 1),
+	}
+	stream := a.stream
+	go func() {
+		defer cancel() // as gRPC does when a handler returns
+		stream.ended <- a.r.server.drive(stream)
+	}()
+	a.report()
+}
+
+func (a *fakeAgent) report(ends ...*api.WorkerEnd) {
+	a.sequence++
+	report := &api.WorkerReport{
+		Sequence: a.sequence, Agent: a.name, Ends: ends,
+		Worker: &api.Worker{Id: "w-" + a.name, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000},
+	}
+	select {
+	case a.stream.reports <- report:
+	case <-a.stream.ctx.Done():
+		a.r.t.Fatal("the session has ended")
+	}
+	a.r.wait(50 * time.Millisecond)
+}
+
+// taken returns the directives so far.
+func (a *fakeAgent) taken() (starts []jobs.RunID, stops []jobs.RunID, recorded []jobs.RunID, lease time.Duration) {
+	for {
+		select {
+		case d := <-a.stream.directives:
+			for _, order := range d.Starts {
+				starts = append(starts, jobs.RunOf(order.Run))
+			}
+			for _, ref := range d.Stops {
+				stops = append(stops, jobs.RunOf(ref))
+			}
+			for _, ref := range d.Recorded {
+				recorded = append(recorded, jobs.RunOf(ref))
+			}
+			if d.LeaseMs > 0 {
+				lease = time.Duration(d.LeaseMs) * time.Millisecond
+			}
+		default:
+			return starts, stops, recorded, lease
+		}
+	}
+}
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -188,6 +188,7 @@
 	l.assumed.ApplyBatch(next.message)
 	l.planStarts(next)
 	if len(next.changes) == 0 {
+		l.queueStops() // again, for those without an effect
 		return nil
 	}
 	if len(l.pending) > 0 {
--- /dev/null
+++ b/jobcontrol/memberplan_test.go
@@ -0,0 +1,90 @@
+package jobcontrol
+
+import (
+	"testing"
+	"time"
+
+	"amaranthpaddle/replica"
+)
+
+func voter(id uint64, address string, active bool) replica.MemberStatus {
+	return replica.MemberStatus{ID: id, Address: address, Voter: true, Match: 10, Active: active}
+}
+
+func learner(id uint64, address string, active bool) replica.MemberStatus {
+	return replica.MemberStatus{ID: id, Address: address, Match: 10, Active: active}
+}
+
+func leader(id uint64, address string) replica.MemberStatus {
+	m := voter(id, address, false)
+	m.Leader = true
+	return m
+}
+
+func TestNextMemberStep(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) joiner { return joiner{made: now.Add(-d), heard: now} }
+	at := func(address string, d time.Duration) joiner {
+		j := ago(d)
+		j.address = address
+		return j
+	}
+	cases := []struct {
+		name    string
+		members []replica.MemberStatus
+		joining map[uint64]joiner
+		silent  map[uint64]time.Duration
+		voters  int
+		want    memberStepKind
+		id      uint64
+	}{
+		{"a sound group is kept", []replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", true)},
+			nil, nil, 3, memberKeep, 0},
+		{"a voter that is silent for a moment is kept",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", false)},
+			nil, map[uint64]time.Duration{3: 5 * time.Second}, 3, memberKeep, 0},
+		{"who asks to join becomes a learner", []replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", true)},
+			map[uint64]joiner{9: at("d", time.Second)}, nil, 3, memberAdd, 9},
+		{"a learner becomes the voter that is missing", []replica.MemberStatus{leader(1, "a"), voter(2, "b", true), learner(9, "d", true)},
+			nil, nil, 3, memberPromote, 9},
+		{"an empty folder at the same address replaces the old one: it votes first",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", false), learner(9, "c", true)},
+			nil, map[uint64]time.Duration{3: 300 * time.Millisecond}, 3, memberPromote, 9},
+		{"and then the old one goes",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", false), voter(9, "c", true)},
+			nil, map[uint64]time.Duration{3: 300 * time.Millisecond}, 3, memberRemove, 3},
+		{"a younger joiner at another address replaces a silent voter",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", false), learner(9, "d", true)},
+			map[uint64]joiner{9: at("d", time.Second)}, map[uint64]time.Duration{3: 2 * time.Second}, 3, memberPromote, 9},
+		{"an older learner stands by while a voter is silent",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", false), learner(9, "d", true)},
+			map[uint64]joiner{9: at("d", time.Hour)}, map[uint64]time.Duration{3: 5 * time.Second}, 3, memberKeep, 0},
+		{"and takes its place in the end",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", false), learner(9, "d", true)},
+			map[uint64]joiner{9: at("d", time.Hour)}, map[uint64]time.Duration{3: abandonedAfter}, 3, memberPromote, 9},
+		{"a spare voter that is lost goes", []replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", false), voter(9, "d", true)},
+			nil, map[uint64]time.Duration{3: abandonedAfter}, 3, memberRemove, 3},
+		{"a learner that is gone goes", []replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", true), learner(9, "d", false)},
+			nil, map[uint64]time.Duration{9: abandonedAfter}, 3, memberRemove, 9},
+		{"a learner that is not in touch does not vote", []replica.MemberStatus{leader(1, "a"), voter(2, "b", true), learner(9, "d", false)},
+			nil, map[uint64]time.Duration{9: time.Second}, 3, memberKeep, 0},
+		{"six VMs and five voters: the sixth stands by",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", true), voter(4, "d", true), voter(5, "e", true), learner(6, "f", true)},
+			map[uint64]joiner{6: at("f", time.Hour)}, nil, 5, memberKeep, 0},
+		{"three seeds grow to five voters",
+			[]replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", true), learner(4, "d", true)},
+			map[uint64]joiner{4: at("d", time.Second)}, nil, 5, memberPromote, 4},
+		{"no members known", nil, map[uint64]joiner{9: at("d", time.Second)}, nil, 3, memberKeep, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			step := nextMemberStep(memberView{
+				members: c.members, joining: c.joining, now: now, voters: c.voters,
+				silent: func(id uint64) time.Duration { return c.silent[id] },
+			})
+			if step.kind != c.want || step.id != c.id {
+				t.Errorf("step %s %d (%s), want %s %d", step.kind, step.id, step.reason, c.want, c.id)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/jobcontrol/server_test.go
@@ -0,0 +1,276 @@
+package jobcontrol
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+)
+
+const (
+	submit = api.JobCallKind_JOB_CALL_KIND_SUBMIT
+	look   = api.JobCallKind_JOB_CALL_KIND_LOOK
+	cancel = api.JobCallKind_JOB_CALL_KIND_CANCEL
+
+	accepted     = api.JobAnswerKind_JOB_ANSWER_KIND_ACCEPTED
+	noQueue      = api.JobAnswerKind_JOB_ANSWER_KIND_NO_QUEUE
+	noJob        = api.JobAnswerKind_JOB_ANSWER_KIND_NO_JOB
+	stateAnswer  = api.JobAnswerKind_JOB_ANSWER_KIND_STATE
+	pendingCount = api.JobAnswerKind_JOB_ANSWER_KIND_PENDING
+	cancelled    = api.JobAnswerKind_JOB_ANSWER_KIND_CANCELLED
+	unconfigured = api.JobAnswerKind_JOB_ANSWER_KIND_UNCONFIGURED
+	invalid      = api.JobAnswerKind_JOB_ANSWER_KIND_INVALID
+)
+
+var testRun = jobs.RunID{Task: jobs.TaskID{Job: testJob}, Number: 1}
+
+func (a *fakeAgent) end(run jobs.RunID, outcome api.RunOutcome) {
+	a.report(&api.WorkerEnd{Run: run.Ref(), Outcome: outcome})
+}
+
+func TestAJobGoesFromItsSubmissionToItsEnd(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.mustCall(submit, testPath, oneTask(), unconfigured)
+		r.configure()
+		r.mustCall(look, testPath, nil, noJob)
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		if answer := r.mustCall(look, "/q/", nil, pendingCount); answer.Pending != 1 {
+			t.Errorf("%d pending", answer.Pending)
+		}
+		a := r.connect("a")
+		r.wait(time.Second)
+		starts, _, _, lease := a.taken()
+		if len(starts) != 1 || starts[0] != testRun {
+			t.Fatalf("starts %v", starts)
+		}
+		if lease <= testLease/2 || lease > testLease {
+			t.Errorf("lease %v", lease)
+		}
+		if answer := r.mustCall(look, testPath, nil, stateAnswer); answer.State != "running" {
+			t.Errorf("state %s", answer.State)
+		}
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_DONE)
+		r.wait(100 * time.Millisecond)
+		if _, _, recorded, _ := a.taken(); len(recorded) != 1 {
+			t.Errorf("recorded %v", recorded)
+		}
+		if answer := r.mustCall(look, testPath, nil, stateAnswer); answer.State != "completed" {
+			t.Errorf("state %s", answer.State)
+		}
+		r.mustCall(submit, testPath, oneTask(), accepted) // a resend after the end is the same job
+		r.wait(time.Second)
+		if starts, _, _, _ := a.taken(); len(starts) > 0 {
+			t.Errorf("the job started again: %v", starts)
+		}
+	})
+}
+
+func TestCallsThatNameNothingAreAnswered(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		r.mustCall(look, "/other/"+testJob, nil, noQueue)
+		r.mustCall(submit, "/other/"+testJob, oneTask(), noQueue)
+		r.mustCall(submit, "/q/short", oneTask(), noJob)
+		r.mustCall(submit, testPath, &api.JobSpec{}, invalid)
+		r.mustCall(cancel, testPath, nil, noJob)
+		r.mustCall(submit, testPath, oneTask(), accepted) // its cancellation came first
+		a := r.connect("a")
+		r.wait(time.Second)
+		if starts, _, _, _ := a.taken(); len(starts) > 0 {
+			t.Errorf("a job that was cancelled before it came starts: %v", starts)
+		}
+	})
+}
+
+func TestARefusalIsNeverGuessed(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		r.replica.set(func() { r.replica.cutOff = true })
+		_, err := r.call(submit, testPath, oneTask())
+		if !fault.Is(err, fault.CommitUnknown) {
+			t.Errorf("a submission that may still be committed: %v", err)
+		}
+		if _, err := r.call(look, "/q/", nil); !fault.Is(err, fault.NoQuorum) {
+			t.Errorf("a count that nobody confirmed: %v", err)
+		}
+		r.replica.lead(1, false)
+		r.wait(time.Second)
+		if _, err := r.call(submit, testPath, oneTask()); !fault.Is(err, fault.NotLeader) {
+			t.Errorf("a submission at a follower: %v", err)
+		}
+	})
+}
+
+func TestACancelledJobsRunsAreStopped(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		a.taken()
+		r.mustCall(cancel, testPath, nil, cancelled)
+		r.wait(100 * time.Millisecond)
+		if _, stops, _, _ := a.taken(); len(stops) != 1 || stops[0] != testRun {
+			t.Fatalf("stops %v", stops)
+		}
+		for range 3 {
+			a.report()
+			r.wait(time.Second)
+		}
+		if _, stops, _, _ := a.taken(); len(stops) == 0 {
+			t.Error("a stop without effect is not ordered again")
+		}
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_STOPPED)
+		r.mustCall(cancel, testPath, nil, cancelled)
+	})
+}
+
+func TestAWorkersRunsAreLostWhenItsLeaseIsOver(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		a.taken()
+		b := r.connect("b")
+		a.stream.cancel()
+		granted := time.Now()
+		for time.Since(granted) < testLease-500*time.Millisecond {
+			b.report()
+			r.wait(200 * time.Millisecond)
+		}
+		if starts, _, _, _ := b.taken(); len(starts) > 0 {
+			t.Fatalf("the task started again %v after the last lease", time.Since(granted))
+		}
+		for range 8 {
+			b.report()
+			r.wait(200 * time.Millisecond)
+		}
+		if starts, _, _, _ := b.taken(); len(starts) != 1 || starts[0].Number != 2 {
+			t.Errorf("starts %v, want run 2", starts)
+		}
+	})
+}
+
+func TestANewLeaderWaitsForTheLeasesOfTheFormerOne(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		a.taken()
+		r.replica.lead(2, false)
+		a.stream.cancel()
+		r.wait(500 * time.Millisecond)
+		r.replica.lead(3, true)
+		began := time.Now()
+		r.wait(50 * time.Millisecond)
+		b := r.connect("b")
+		for time.Since(began) < testLease {
+			b.report()
+			r.wait(200 * time.Millisecond)
+		}
+		if starts, _, _, _ := b.taken(); len(starts) > 0 {
+			t.Fatalf("the task started again before the former leader's leases were over")
+		}
+		for range 5 {
+			b.report()
+			r.wait(200 * time.Millisecond)
+		}
+		if starts, _, _, _ := b.taken(); len(starts) != 1 {
+			t.Errorf("starts %v", starts)
+		}
+	})
+}
+
+func TestNoLeaseWithoutAQuorumsConfirmation(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		a.taken()
+		r.replica.set(func() { r.replica.cutOff = true })
+		r.wait(testLease + time.Second)
+		a.taken()
+		a.report()
+		if _, _, _, lease := a.taken(); lease != 0 {
+			t.Errorf("a leader that is cut off granted %v", lease)
+		}
+	})
+}
+
+func TestAWorkersNextIncarnationLosesTheFormerOnesRuns(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		a.taken()
+		a.born = 2
+		a.report()
+		r.wait(200 * time.Millisecond)
+		if starts, _, _, _ := a.taken(); len(starts) != 1 || starts[0].Number != 2 {
+			t.Fatalf("starts %v, want run 2 at once", starts)
+		}
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_DONE) // of the former incarnation, late
+		if answer := r.mustCall(look, testPath, nil, stateAnswer); answer.State != "running" {
+			t.Errorf("a late end of the former incarnation made the job %s", answer.State)
+		}
+	})
+}
+
+func TestNothingStartsInAZoneThatIsOut(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		operators := Operators{Server: r.server}
+		if err := operators.SetZone(context.Background(), "z", true); err != nil {
+			t.Fatal(err)
+		}
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(time.Second)
+		if starts, _, _, _ := a.taken(); len(starts) > 0 {
+			t.Fatalf("starts %v", starts)
+		}
+		if err := operators.SetZone(context.Background(), "z", false); err != nil {
+			t.Fatal(err)
+		}
+		a.report()
+		r.wait(500 * time.Millisecond)
+		if starts, _, _, _ := a.taken(); len(starts) != 1 {
+			t.Errorf("starts %v after the zone was taken in again", starts)
+		}
+	})
+}
+
+func TestOperatorsOrdersAreCheckedAndConfirmed(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		operators := Operators{Server: r.server}
+		ctx := context.Background()
+		if _, err := operators.Configuration(ctx); !fault.Is(err, fault.NotFound) {
+			t.Errorf("before the first configuration: %v", err)
+		}
+		spoilt := testConfiguration(1)
+		spoilt.Queues[0].Service = "unknown"
+		if err := operators.Configure(ctx, spoilt); !fault.Is(err, fault.InvalidArgument) {
+			t.Errorf("an invalid configuration: %v", err)
+		}
+		for _, version := range []int64{3, 2, 3} {
+			if err := operators.Configure(ctx, testConfiguration(version)); err != nil {
+				t.Errorf("version %d: %v", version, err)
+			}
+		}
+		configuration, err := operators.Configuration(ctx)
+		if err != nil || configuration.Version != 3 {
+			t.Errorf("version %d, %v", configuration.GetVersion(), err)
+		}
+		r.replica.set(func() { r.replica.cutOff = true })
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		if _, err := operators.Configuration(short); !fault.Is(err, fault.NoQuorum) {
+			t.Errorf("a read that nobody confirmed: %v", err)
+		}
+	})
+}
