--- a/raft/membership.go
+++ b/raft/membership.go
@@ -122,12 +122,14 @@
 }
 
 // promoteLag is how many committed entries a learner may lack when it becomes a
-// voter. Under steady load a distant learner always lacks those on their way.
-const promoteLag = 32
+// voter, besides those that it was asked to sync first.
+const promoteLag = 64
 
 // Promote proposes that a learner becomes a voter. Errors: fault.NotLeader;
 // fault.NotFound for an id that is no learner; fault.Conflict while another
-// change is not committed or the learner lags behind what is committed.
+// change is not committed, or the learner has not synced what was committed when
+// its promotion was first asked for: under steady load a distant one never has
+// all that is committed by now.
 func (r *Raft) Promote(id uint64) error {
 	if err := r.checkChange(); err != nil {
 		return err
@@ -138,7 +140,11 @@
 		return fault.Newf(fault.NotFound, "no learner with id %d", id)
 	}
 	progress := r.progress[id]
-	if !r.isActive(id) || progress.incarnation == 0 || progress.match+promoteLag < r.log.commit {
+	if progress.promoteAt == 0 {
+		progress.promoteAt = r.log.commit
+	}
+	behind := progress.match < progress.promoteAt || progress.match+promoteLag < r.log.commit
+	if !r.isActive(id) || progress.incarnation == 0 || behind {
 		return fault.Newf(fault.Conflict, "learner %d has synced up to %d of %d", id, progress.match, r.log.commit)
 	}
 	member.Role = roleVoter
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -20,6 +20,7 @@
 	silentTicks int      // ticks since it was heard from
 	incarnation uint64   // of the data folder that match speaks of
 	readRound   uint64   // last read round confirmed
+	promoteAt   uint64   // commit index when its promotion was first asked for, 0 before
 }
 
 func (p *progress) becomeProbing() {
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -41,7 +41,7 @@
 	DefaultMaxInflight         = 64
 	DefaultMaxMessageBytes     = 256 << 10
 	DefaultMaxUncommittedBytes = 32 << 20
-	snapshotRetryElections     = 40 // in shortest election timeouts
+	snapshotRetryElections     = 4 // in shortest election timeouts; one under way is not sent twice
 )
 
 // State is what a replica restores from its disk. Snapshot needs no data.
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -222,6 +222,45 @@
 	}
 }
 
+// A learner in another region always lacks what was committed in the last
+// milliseconds; on the users' platform it was never promoted under load.
+func TestALearnerIsPromotedUnderSteadyLoad(t *testing.T) {
+	r := newReplica()
+	lead(t, r)
+	r.Step(ack(2, r.term, 2))
+	if err := r.AddLearner(4, "other"); err != nil {
+		t.Fatal(err)
+	}
+	settle(r)
+	commit := uint64(3)
+	r.Step(ack(2, r.term, commit))
+	settle(r)
+	r.Step(ack(4, r.term, commit-1))
+	for range 5 {
+		if err := r.Promote(4); err == nil {
+			return
+		}
+		if _, _, err := r.Propose([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		settle(r)
+		commit++
+		r.Step(ack(2, r.term, commit))
+		settle(r)
+		r.Step(ack(4, r.term, commit-1))
+	}
+	t.Error("the learner was not promoted, though it lacks the latest entry only")
+}
+
+// A lost answer to a snapshot kept a new member from voting for twelve seconds.
+func TestASnapshotWithoutAnAnswerIsSentAgainWithinFiveElections(t *testing.T) {
+	config := Config{ElectionTicks: 10, HeartbeatTicks: 2, Intn: func(int) int { return 0 }}
+	config.setDefaults()
+	if limit := 5 * config.ElectionTicks; config.SnapshotRetryTicks > limit {
+		t.Errorf("a snapshot without an answer is sent again after %d ticks, at most %d", config.SnapshotRetryTicks, limit)
+	}
+}
+
 func TestAMemberIDIsNeverUsedAgain(t *testing.T) {
 	r := newReplica()
 	lead(t, r)
--- /dev/null
+++ b/settings/jobs_test.go
@@ -0,0 +1,82 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"amaranthpaddle/fault"
+)
+
+// sampleValues fill the placeholders of the templates in deploy/, as a
+// deployment would.
+var sampleValues = map[string]string{
+	"node_name": "frontend-cork-a-1", "zone": "cork-a", "region": "munster", "ip": "10.1.0.13", "bootstrap": "true",
+	"seeds": "10.1.0.13:8166,10.2.0.30:8166", "internal_port_range.0": "7720", "internal_port_range.1": "7735",
+	"data_dir": "/data/control", "fault_tolerance.machines": "2", "bounds.hold_max_ms": "6000", "bounds.grace_s": "6",
+	"bounds.status_s": "120", "limits.memory_mb": "284", "listen_addrs.frontend": "10.1.0.13:8161",
+	"listen_addrs.readiness": "10.1.0.13:8167", "listen_addrs.control_plane": "10.1.0.13:8166",
+}
+
+var placeholder = regexp.MustCompile(`\{\{([a-z0-9_.]+)\}\}`)
+
+func fill(t *testing.T, template string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", "deploy", template))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return placeholder.ReplaceAllFunc(data, func(match []byte) []byte {
+		value, known := sampleValues[strings.Trim(string(match), "{}")]
+		if !known {
+			t.Errorf("%s: no sample value for %s", template, match)
+		}
+		return []byte(value)
+	})
+}
+
+func TestTheDeploymentsTemplatesAreValidSettings(t *testing.T) {
+	entry, err := ParseJobEntry("entry.ini", fill(t, "entry.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if entry.Seeds[0] != "10.1.0.13:7720" || entry.Grace != 6*time.Second || entry.MemoryLimit != 284<<20 {
+		t.Errorf("%+v", entry)
+	}
+	control, err := ParseJobControl("control.ini", fill(t, "control.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if control.Listen != "10.1.0.13:7720" || !control.FirstStart || control.Tolerated != 2 || control.Lease() != 4*time.Second {
+		t.Errorf("%+v, lease %v", control, control.Lease())
+	}
+	agent, err := ParseJobAgent("agent.ini", fill(t, "agent.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if agent.LeaseLimit != 6*time.Second || agent.Listen != "10.1.0.13:8166" {
+		t.Errorf("%+v", agent)
+	}
+}
+
+func TestTheLeaseStaysBelowWhatWorkersGrant(t *testing.T) {
+	for limit, want := range map[time.Duration]time.Duration{
+		0: 4 * time.Second, 2 * time.Second: 1600 * time.Millisecond, 10 * time.Second: 4 * time.Second,
+	} {
+		if got := (&JobControl{LeaseLimit: limit}).Lease(); got != want {
+			t.Errorf("limit %v: lease %v, want %v", limit, got, want)
+		}
+	}
+}
+
+func TestFaultsInJobSettingsAreNamed(t *testing.T) {
+	data := strings.Replace(string(fill(t, "agent.ini")), "seeds =", "sed =", 1)
+	_, err := ParseJobAgent("agent.ini", []byte(data))
+	if !fault.Is(err, fault.InvalidArgument) || !strings.Contains(err.Error(), "[control] seeds: is missing") ||
+		!strings.Contains(err.Error(), "unknown key") {
+		t.Errorf("%v", err)
+	}
+}
