--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -24,7 +24,9 @@
 func TestProgramExitCodes(t *testing.T) {
 	t.Cleanup(klog.ClearLogger)
 	sample := "../examples/entry.ini"
-	failing := func(context.Context, *settings.Entry, <-chan *settings.Entry) error { return fault.New(fault.StorageFailed, "disk full") }
+	failing := func(context.Context, *settings.Entry, <-chan *settings.Entry) error {
+		return fault.New(fault.StorageFailed, "disk full")
+	}
 	fine := func(context.Context, *settings.Entry, <-chan *settings.Entry) error { return nil }
 	cases := []struct {
 		name string
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -29,9 +29,9 @@
 }
 
 // AddMetrics adds a server of metrics, unless the address is empty.
-func (s *Servers) AddMetrics(address string, ready func() error) {
+func (s *Servers) AddMetrics(address string, ready func() error, gauges ...telemetry.Gauges) {
 	if address != "" {
-		s.Add("metrics", address, &http.Server{Handler: telemetry.Mux(ready)})
+		s.Add("metrics", address, &http.Server{Handler: telemetry.Mux(ready, gauges...)})
 	}
 }
 
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,6 +11,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
 )
 
 // incarnation is what the agent knows of one incarnation of its worker. Its
@@ -158,7 +160,9 @@
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, startTimeout)
 	defer cancel()
+	sent := time.Now()
 	clockMS, err := a.config.Worker.Start(ctx, target, call)
+	observeCall("start", sent, err)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w.noteClock(clockMS)
@@ -253,7 +257,9 @@
 	w.agent.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, stopTimeout)
 	defer cancel()
+	sent := time.Now()
 	clockMS, err := w.agent.config.Worker.Stop(ctx, target, id, fence)
+	observeCall("stop", sent, err)
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
 	w.noteClock(clockMS)
@@ -269,14 +275,30 @@
 		}
 		return
 	}
+	telemetry.JobAgentEnds.Add(1, outcomeName(outcome))
 	klog.InfoS("Run's end seen", "job", id.Task.Job, "run", id.String(), "worker", w.key,
-		"outcome", outcome.String(), "reason", reason)
+		"outcome", outcomeName(outcome), "reason", reason)
 	w.ends[id] = &end{position: position, message: &api.WorkerEnd{
 		Run: id.Ref(), Outcome: outcome, Checkpoint: checkpoint, Reason: reason,
 	}}
 	w.agent.signal()
 }
 
+// observeCall counts a call to the worker.
+func observeCall(call string, sent time.Time, err error) {
+	result := "ok"
+	if err != nil {
+		result = fault.KindOf(err).String()
+	}
+	telemetry.JobAgentCalls.Add(1, call, result)
+	telemetry.JobAgentSeconds.Observe(time.Since(sent), call)
+}
+
+// outcomeName is an outcome's name in logs and metrics.
+func outcomeName(outcome api.RunOutcome) string {
+	return strings.ToLower(strings.TrimPrefix(outcome.String(), "RUN_OUTCOME_"))
+}
+
 // fill adds what the leader should know of the worker, which is nothing before
 // the worker has listed its runs. The lock is held.
 func (w *incarnation) fill(report *api.WorkerReport, stream int64) {
--- a/jobcontrol/call.go
+++ b/jobcontrol/call.go
@@ -10,6 +10,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
 )
 
 // jobIDPattern is what callers may name a job.
@@ -24,12 +25,21 @@
 		return nil, s.refuse(ctx, err)
 	}
 	answer, err := s.answerCall(ctx, lead, call)
+	telemetry.JobCalls.Add(1, call.Kind.String(), answerName(answer, err))
 	if err != nil {
 		return nil, s.refuse(ctx, err)
 	}
 	return answer, nil
 }
 
+// answerName is the answer's name in metrics.
+func answerName(answer *api.JobAnswer, err error) string {
+	if err != nil {
+		return fault.KindOf(err).String()
+	}
+	return answer.Kind.String()
+}
+
 // target is the queue and the job that a path names.
 type target struct {
 	queue   string // key
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -12,6 +12,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
 )
 
 // leadership is what the leader of one term knows beyond the replicated state.
@@ -30,6 +31,7 @@
 	workers  map[string]*workerView // latest incarnation by worker id
 	sessions map[string]*session    // by agent
 	first    map[string]time.Time   // when a job that has not ended was first seen
+	started  map[string]bool        // jobs that have not ended and of which a task has started
 
 	knowledge  dispatch.Knowledge
 	learntAt   time.Time                // when it was last put into the log
@@ -47,9 +49,10 @@
 
 // batch is a proposed set of changes.
 type batch struct {
-	message *api.JobBatch
-	changes []*pendingChange
-	wait    func(context.Context) ([]byte, error)
+	proposed time.Time
+	message  *api.JobBatch
+	changes  []*pendingChange
+	wait     func(context.Context) ([]byte, error)
 }
 
 func newLeadership(ctx context.Context, cancel context.CancelFunc, server *Server, term uint64) *leadership {
@@ -62,6 +65,7 @@
 		workers:  map[string]*workerView{},
 		sessions: map[string]*session{},
 		first:    map[string]time.Time{},
+		started:  map[string]bool{},
 
 		began: map[jobs.RunID]time.Time{},
 
@@ -264,6 +268,7 @@
 		l.abandon()
 		return nil
 	}
+	next.proposed = l.server.now()
 	return next
 }
 
@@ -305,6 +310,7 @@
 
 // complete passes the results on: to the callers that wait, and to the agents.
 func (l *leadership) complete(b *batch, result *api.JobBatchResult) {
+	telemetry.JobBatchSeconds.Observe(l.server.now().Sub(b.proposed))
 	l.mu.Lock()
 	for i, p := range b.changes {
 		l.note(p.change, jobs.ResultError(result.Results[i]))
@@ -357,6 +363,7 @@
 		return
 	}
 	l.began[run] = l.server.now()
+	l.observeWait(run)
 	l.server.config.State.Read(func(view jobs.View) {
 		if _, group, task := view.Run(run); group != nil {
 			klog.InfoS("Run placed", "job", run.Task.Job, "run", run.String(), "worker", start.Worker, "term", l.term,
@@ -380,9 +387,11 @@
 			phase = job.Phase.String()
 			if job.Phase.Ended() {
 				delete(l.first, job.ID)
+				delete(l.started, job.ID)
 			}
 		}
 	})
+	telemetry.JobRunsEnded.Add(1, outcomeName(end.Outcome))
 	klog.InfoS("Run ended", "job", run.Task.Job, "run", run.String(), "worker", end.Worker,
 		"outcome", outcomeName(end.Outcome), "job_state", phase, "stale", err != nil)
 	if session := l.sessionOf(end.Worker); session != nil {
@@ -390,6 +399,17 @@
 	}
 }
 
+// observeWait measures the time from a job's submission to its first start. The
+// lock is held.
+func (l *leadership) observeWait(run jobs.RunID) {
+	first, known := l.first[run.Task.Job]
+	if !known || l.started[run.Task.Job] {
+		return
+	}
+	l.started[run.Task.Job] = true
+	telemetry.JobWaitSeconds.Observe(l.server.now().Sub(first))
+}
+
 // learnDuration takes in how long a run took that was done at full pace and
 // from the beginning. The lock is held.
 func (l *leadership) learnDuration(run jobs.RunID, end *api.EndRun) {
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -1,11 +1,13 @@
 package jobcontrol
 
 import (
+	"io"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
 )
 
 // summaryInterval is the pause between summaries in the log.
@@ -92,3 +94,25 @@
 		s.waitingJobs++
 	}
 }
+
+// WriteMetrics writes the fleet's gauges, when this replica leads.
+func (s *Server) WriteMetrics(w io.Writer) {
+	lead, err := s.leading()
+	if err != nil {
+		return
+	}
+	lead.mu.Lock()
+	defer lead.mu.Unlock()
+	f := lead.summary()
+	for _, gauge := range []struct {
+		what  string
+		value float64
+	}{
+		{"workers", float64(len(lead.workers))}, {"sessions", float64(len(lead.sessions))},
+		{"capacity_cores", f.capacity}, {"counted_cores", f.counted}, {"service_cores", f.services},
+		{"best_effort_cores", f.bestEffort}, {"best_effort_cores_used", f.bestEffortUsed},
+		{"runs", float64(f.running)}, {"waiting_tasks", float64(f.waitingTasks)}, {"waiting_jobs", float64(f.waitingJobs)},
+	} {
+		telemetry.JobFleet.Write(w, gauge.value, gauge.what)
+	}
+}
--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/telemetry"
 	"amaranthpaddle/timing"
 )
 
@@ -159,7 +161,22 @@
 	if call.RequestId == "" {
 		return // a probe
 	}
-	klog.InfoS("Call answered", "request", call.RequestId, "path", call.Path, "kind", call.Kind.String(),
-		"answer", answer.GetKind().String(), "state", answer.GetState(), "reason", answer.GetReason(),
+	kind, result := callName(call.Kind), answerName(answer, err)
+	telemetry.JobEntryCalls.Add(1, kind, result)
+	telemetry.JobEntrySeconds.Observe(took, kind)
+	klog.InfoS("Call answered", "request", call.RequestId, "path", call.Path, "call", kind,
+		"answer", result, "state", answer.GetState(), "reason", answer.GetReason(),
 		"version", answer.GetVersion(), "attempts", call.Attempt, "took_ms", took.Milliseconds(), "error", err)
 }
+
+// callName and answerName are the short names in logs and metrics.
+func callName(kind api.JobCallKind) string {
+	return strings.ToLower(strings.TrimPrefix(kind.String(), "JOB_CALL_KIND_"))
+}
+
+func answerName(answer *api.JobAnswer, err error) string {
+	if err != nil {
+		return fault.KindOf(err).String()
+	}
+	return strings.ToLower(strings.TrimPrefix(answer.GetKind().String(), "JOB_ANSWER_KIND_"))
+}
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -138,6 +139,9 @@
 	return nil
 }
 
+// WriteMetrics writes the gauges of this replica.
+func (c *Control) WriteMetrics(w io.Writer) { c.server.WriteMetrics(w) }
+
 // HandOver gives the leadership to another replica, if this one has it.
 func (c *Control) HandOver(ctx context.Context) {
 	if err := c.replica.TransferLeadership(ctx, 0); err != nil {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -40,10 +41,26 @@
 	WatcherLag     = Metric{"paddle_watcher_lag_revisions", []string{"kind"}}
 )
 
+// Metrics of submitted jobs. Those of the fleet are written by the leader only.
+var (
+	JobEntryCalls   = Metric{"paddle_jobentry_calls_total", []string{"call", "answer"}}
+	JobEntrySeconds = Metric{"paddle_jobentry_call_seconds", []string{"call"}}
+	JobCalls        = Metric{"paddle_jobs_calls_total", []string{"call", "answer"}}
+	JobBatchSeconds = Metric{"paddle_jobs_commit_seconds", nil}
+	JobWaitSeconds  = Metric{"paddle_jobs_first_start_seconds", nil}
+	JobRunsEnded    = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
+	JobFleet        = Metric{"paddle_jobs_fleet", []string{"what"}}
+	JobAgentEnds    = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
+	JobAgentCalls   = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
+	JobAgentSeconds = Metric{"paddle_jobagent_worker_call_seconds", []string{"call"}}
+)
+
 // Metrics lists every metric of this package.
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
+		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobFleet,
+		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
 	}
@@ -66,6 +83,11 @@
 	metrics.GetOrCreateCounter(m.with(values)).Add(n)
 }
 
+// Observe adds a duration to the histogram.
+func (m Metric) Observe(d time.Duration, values ...string) {
+	metrics.GetOrCreateHistogram(m.with(values)).Update(d.Seconds())
+}
+
 // Write writes the present value of a gauge.
 func (m Metric) Write(w io.Writer, value float64, values ...string) {
 	metrics.WriteGaugeFloat64(w, m.with(values), value)
