Workers that fail everything are shut out for a while; advised queues; broken gangs are stopped

dispatch.Health judges ends against the fleet's; a queue with an adviser starts only with its tickets; the rest of a gang that has lost a member is stopped, so that none of them waits alone.

--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -13,6 +13,7 @@
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/daemon"
 	"amaranthpaddle/fault"
+	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobnode"
 	"amaranthpaddle/platform"
 	"amaranthpaddle/settings"
@@ -63,6 +64,7 @@
 	control, err := jobnode.StartControl(jobnode.Config{
 		Address: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
 		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), Retain: s.Retain, Security: security,
+		Adviser: adviser(s, security),
 	}, client)
 	if err != nil {
 		return false, err
@@ -95,6 +97,13 @@
 	}
 }
 
+func adviser(s *settings.JobControl, security *transport.Security) jobcontrol.Adviser {
+	if s.Adviser == "" {
+		return nil
+	}
+	return platform.NewAdviser(s.Adviser, security.HTTPTransport())
+}
+
 // emptyFolder removes what a data folder holds.
 func emptyFolder(folder string) error {
 	entries, err := os.ReadDir(folder)
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -20,6 +20,8 @@
 	unixMS    int64
 	knowledge Knowledge
 	jobs      int
+	advised   bool              // the urgent queue has an adviser
+	tickets   map[string]string // that it has given, by worker; nil for no answer yet
 }
 
 const (
@@ -76,9 +78,14 @@
 	w.t.Helper()
 	var starts []Start
 	w.state.Read(func(view jobs.View) {
+		view.Queue(urgentQueue).Advice = nil
+		if w.advised {
+			view.Queue(urgentQueue).Advice = &api.PlacementAdvice{ValidityMs: 1000}
+		}
 		starts = Plan(view, Input{
 			UnixMS: w.unixMS, Workers: w.workers,
 			Age:     func(job *jobs.Job) time.Duration { return w.now - w.submitted[job.ID] },
+			Tickets: func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
 			PerCore: w.knowledge.Disturbance.PerCore, Durations: w.knowledge.Durations, Works: w.knowledge.Works,
 		})
 	})
--- /dev/null
+++ b/dispatch/health.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// Health judges workers by how their runs end, against their peers. The load
+// pattern that it answers: a worker that fails whatever it starts is free again
+// at once, and so draws ever more work. A job that fails everywhere, or a fault
+// of the whole fleet, speaks against no worker. It is not safe for concurrent use.
+type Health struct {
+	workers map[string]*endRate
+	fleet   endRate
+}
+
+// endRate is the share of bad ends, of which old ones count less.
+type endRate struct {
+	bad, all float64
+	at       time.Time
+}
+
+// Parameters of the judgement.
+const (
+	healthMemory  = 4 * time.Second // after which an end counts a third; a worker is tried again after some of these
+	leastEnds     = 2.5             // weighed ends before a worker is judged
+	suspiciousGap = 0.45            // share of bad ends above the fleet's, at which a worker gets nothing
+	mostSuspects  = 0.34            // share of the workers that may be shut out at a time
+)
+
+// NewHealth returns a Health that knows nothing.
+func NewHealth() *Health { return &Health{workers: map[string]*endRate{}} }
+
+// Learn takes in how a run ended on a worker.
+func (h *Health) Learn(worker string, bad bool, now time.Time) {
+	rate := h.workers[worker]
+	if rate == nil {
+		rate = &endRate{at: now}
+		h.workers[worker] = rate
+	}
+	rate.add(bad, now)
+	h.fleet.add(bad, now)
+}
+
+func (r *endRate) add(bad bool, now time.Time) {
+	r.age(now)
+	r.all++
+	if bad {
+		r.bad++
+	}
+}
+
+func (r *endRate) age(now time.Time) {
+	if !r.at.IsZero() && now.After(r.at) {
+		factor := math.Exp(-float64(now.Sub(r.at)) / float64(healthMemory))
+		r.bad *= factor
+		r.all *= factor
+	}
+	r.at = now
+}
+
+// Distrust returns by how much more often than elsewhere runs end badly on a
+// worker, from 0 to 1.
+func (h *Health) Distrust(worker string, now time.Time) float64 {
+	rate := h.workers[worker]
+	if rate == nil {
+		return 0
+	}
+	rate.age(now)
+	h.fleet.age(now)
+	if rate.all < leastEnds {
+		return 0
+	}
+	elsewhere := 0.0
+	if all := h.fleet.all - rate.all; all > 0 {
+		elsewhere = max(h.fleet.bad-rate.bad, 0) / all
+	}
+	return min(max(rate.bad/rate.all-elsewhere, 0), 1)
+}
+
+// Suspects returns the workers that should get nothing for now, the worst ones
+// when there are too many: then the fault is rather elsewhere.
+func (h *Health) Suspects(now time.Time, workers []string) map[string]bool {
+	suspects := map[string]bool{}
+	for _, worker := range workers {
+		if h.Distrust(worker, now) >= suspiciousGap {
+			suspects[worker] = true
+		}
+	}
+	if float64(len(suspects)) > mostSuspects*float64(len(workers)) {
+		return nil
+	}
+	return suspects
+}
+
+// Forget drops a worker that is gone.
+func (h *Health) Forget(worker string) { delete(h.workers, worker) }
--- /dev/null
+++ b/dispatch/health_test.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// Load pattern: one worker fails all that it starts, within milliseconds, while
+// the others work; one task in twenty fails anywhere.
+func TestAWorkerThatFailsEverythingIsShutOutAndTriedAgain(t *testing.T) {
+	h := NewHealth()
+	now := time.Unix(1000, 0)
+	workers := []string{"w0", "w1", "w2", "w3"}
+	for i := range 60 {
+		now = now.Add(30 * time.Millisecond)
+		h.Learn(workers[1+i%3], i%20 == 0, now)
+		if i%10 == 0 {
+			h.Learn("w0", true, now)
+		}
+	}
+	suspects := h.Suspects(now, workers)
+	if len(suspects) != 1 || !suspects["w0"] {
+		t.Errorf("suspects %v, want w0", suspects)
+	}
+	now = now.Add(3 * healthMemory)
+	if suspects := h.Suspects(now, workers); len(suspects) > 0 {
+		t.Errorf("suspects %v after a while, want it tried again", suspects)
+	}
+}
+
+func TestAJobThatFailsEverywhereSpeaksAgainstNoWorker(t *testing.T) {
+	h := NewHealth()
+	now := time.Unix(1000, 0)
+	workers := []string{"w0", "w1", "w2"}
+	for i := range 30 {
+		h.Learn(workers[i%3], true, now)
+	}
+	if suspects := h.Suspects(now, workers); len(suspects) > 0 {
+		t.Errorf("suspects %v", suspects)
+	}
+}
+
+func TestNotMoreThanAThirdOfTheWorkersIsShutOut(t *testing.T) {
+	h := NewHealth()
+	now := time.Unix(1000, 0)
+	workers := []string{"w0", "w1", "w2", "w3"}
+	for range 10 {
+		h.Learn("w0", true, now)
+		h.Learn("w1", true, now)
+		h.Learn("w2", false, now)
+		h.Learn("w3", false, now)
+	}
+	if suspects := h.Suspects(now, workers); len(suspects) > 0 {
+		t.Errorf("half of the fleet was shut out: %v", suspects)
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -17,6 +17,9 @@
 	Durations *Durations
 	Works     *Works
 	Workers   []Worker
+	// Tickets returns the tickets of a group by worker key, for a queue with an
+	// adviser, and false while they are not known.
+	Tickets func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool)
 }
 
 // Start is a decision to begin a run.
@@ -43,8 +46,9 @@
 	index      int32
 	group      *jobs.Group
 	lateness   lateness
-	waited     time.Duration // since the job was submitted, while nothing of it runs; 0 otherwise
-	density    float64       // worth of the job for each core-second that it still needs
+	waited     time.Duration     // since the job was submitted, while nothing of it runs; 0 otherwise
+	tickets    map[string]string // of the queue's adviser, by worker key
+	density    float64           // worth of the job for each core-second that it still needs
 }
 
 // lateness says what a job is still worth.
@@ -161,6 +165,13 @@
 }
 
 func (p *planner) place(c candidate) {
+	if c.queue.Advice != nil {
+		tickets, known := p.in.Tickets(c.queue, jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.index})
+		if !known {
+			return
+		}
+		c.tickets = tickets
+	}
 	if c.group.Spec.Gang {
 		p.placeGang(c)
 		return
@@ -267,6 +278,9 @@
 	if !l.worker.Open || !l.worker.allows(c.queue, group) {
 		return false
 	}
+	if c.queue.Advice != nil && c.tickets[l.worker.Key] == "" {
+		return false
+	}
 	if group.BestEffort && !p.mayFill(c, l) {
 		return false
 	}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -158,6 +158,19 @@
 	}
 }
 
+func TestAQueueWithAnAdviserStartsOnlyWhereItHasTickets(t *testing.T) {
+	w := newWorld(t, 3)
+	w.advised = true
+	job := w.submit(urgentQueue, &api.TaskGroup{Count: 2, MilliCpu: 1000})
+	if starts := w.plan(); len(starts) != 0 {
+		t.Fatalf("%v start before the adviser has answered", starts)
+	}
+	w.tickets = map[string]string{"w1": "t1"}
+	if on := placed(w.plan(), job); on["w1"] != 2 {
+		t.Errorf("placed on %v, want the worker with a ticket", on)
+	}
+}
+
 // Load pattern: best-effort work beside services that some of it disturbs.
 func TestBestEffortWorkAvoidsServicesThatItDisturbs(t *testing.T) {
 	w := newWorld(t, 2)
--- a/jobcontrol/config.go
+++ b/jobcontrol/config.go
@@ -26,11 +26,10 @@
 	Replica Replica
 	State   *jobs.State
 
-	Lease     time.Duration // of a worker's runs; at most what workers allow
-	Retain    time.Duration // how long a job that ended is still known
-	Voters    int           // members that vote; twice the tolerated losses and one
-	CatchUp   time.Duration // within which a silent member counts as failed
-	CancelAck time.Duration
+	Lease   time.Duration // of a worker's runs; at most what workers allow
+	Retain  time.Duration // how long a job that ended is still known
+	Voters  int           // members that vote; twice the tolerated losses and one
+	Adviser Adviser       // nil when there is none
 
 	Clock    func() time.Time // timing.Boot when nil; counts suspensions
 	UnixTime func() time.Time // time.Now when nil; the time of day
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -38,6 +38,10 @@
 	learntSent int64                    // version of the pair costs that were
 	began      map[jobs.RunID]time.Time // of runs that were placed under this leadership
 
+	health *dispatch.Health
+	advice map[jobs.GroupID]*advice
+	asking sync.Mutex // held for a question to the adviser; taken without mu
+
 	joiners joiners
 }
 
@@ -67,7 +71,9 @@
 		first:    map[string]time.Time{},
 		started:  map[string]bool{},
 
-		began: map[jobs.RunID]time.Time{},
+		began:  map[jobs.RunID]time.Time{},
+		health: dispatch.NewHealth(),
+		advice: map[jobs.GroupID]*advice{},
 
 		joiners: joiners{list: map[uint64]joiner{}},
 	}
@@ -218,14 +224,17 @@
 // planStarts adds the starts that the assumed state allows, and applies them to it.
 func (l *leadership) planStarts(next *batch) {
 	var starts []dispatch.Start
-	l.assumed.Read(func(view jobs.View) { starts = dispatch.Plan(view, l.planInput(view)) })
+	l.assumed.Read(func(view jobs.View) {
+		l.forgetAdvice(view)
+		starts = dispatch.Plan(view, l.planInput(view))
+	})
 	if len(starts) == 0 {
 		return
 	}
 	part := &api.JobBatch{NowUnixMs: next.message.NowUnixMs}
 	for _, start := range starts {
 		change := &api.JobChange{Body: &api.JobChange_Start{
-			Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker},
+			Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker, Ticket: l.ticketOf(start)},
 		}}
 		part.Changes = append(part.Changes, change)
 		next.changes = append(next.changes, &pendingChange{change: change})
@@ -241,6 +250,9 @@
 		PerCore: l.knowledge.Disturbance.PerCore, Durations: l.knowledge.Durations, Works: l.knowledge.Works,
 		Age:     func(job *jobs.Job) time.Duration { return l.age(job, now) },
 		Workers: l.dispatchWorkers(view, now),
+		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
+			return l.ticketsFor(view, queue, group)
+		},
 	}
 }
 
@@ -379,6 +391,7 @@
 	run := jobs.RunOf(end.Run)
 	if err == nil {
 		l.learnDuration(run, end)
+		l.learnHealth(end)
 	}
 	delete(l.began, run)
 	phase := "forgotten"
@@ -428,6 +441,16 @@
 	})
 }
 
+// learnHealth takes in whether the worker ended the run as it should. The lock is held.
+func (l *leadership) learnHealth(end *api.EndRun) {
+	switch end.Outcome {
+	case api.RunOutcome_RUN_OUTCOME_DONE:
+		l.health.Learn(end.Worker, false, l.server.now())
+	case api.RunOutcome_RUN_OUTCOME_FAILED, api.RunOutcome_RUN_OUTCOME_REFUSED:
+		l.health.Learn(end.Worker, true, l.server.now())
+	}
+}
+
 // slowed reports whether the worker listed the run below full pace.
 func (l *leadership) slowed(worker string, run jobs.RunID) bool {
 	for _, view := range l.workers {
--- a/jobcontrol/server_test.go
+++ b/jobcontrol/server_test.go
@@ -274,3 +274,39 @@
 		}
 	})
 }
+
+// fakeAdviser allows one worker.
+type fakeAdviser struct{ calls int }
+
+func (f *fakeAdviser) Advise(_ context.Context, group jobs.GroupID, workers []string) (map[string]string, error) {
+	f.calls++
+	time.Sleep(20 * time.Millisecond)
+	if group.Job != testJob || len(workers) != 2 {
+		return nil, fault.New(fault.Overloaded, "asked too early")
+	}
+	return map[string]string{"w-b": "ticket"}, nil
+}
+
+func TestAnAdvisedQueuesStartsCarryTickets(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		adviser := &fakeAdviser{}
+		r.server.config.Adviser = adviser
+		advised := testConfiguration(1)
+		advised.Queues[0].Advice = &api.PlacementAdvice{ValidityMs: 2000}
+		if err := (Operators{Server: r.server}).Configure(context.Background(), advised); err != nil {
+			t.Fatal(err)
+		}
+		a, b := r.connect("a"), r.connect("b")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(time.Second)
+		if starts, _, _, _ := a.taken(); len(starts) > 0 {
+			t.Errorf("starts %v at a worker that the adviser does not allow", starts)
+		}
+		if starts, _, _, _ := b.taken(); len(starts) != 1 {
+			t.Errorf("starts %v", starts)
+		}
+		if adviser.calls != 1 {
+			t.Errorf("the adviser was asked %d times", adviser.calls)
+		}
+	})
+}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -206,15 +206,15 @@
 	s.signal()
 }
 
-// queueStops orders the end of runs whose job has ended, or whose task is done
-// by another run. The lock is held.
+// queueStops orders the end of runs whose job has ended, whose task is done by
+// another run, or whose gang has lost a member. The lock is held.
 func (l *leadership) queueStops() {
 	now := l.server.now()
 	l.server.config.State.Read(func(view jobs.View) {
 		for _, session := range l.sessions {
 			view.RunsOn(session.key, func(run jobs.RunID) {
-				job, _, task := view.Run(run)
-				if job != nil && (job.Phase.Ended() || task.Done) {
+				job, group, task := view.Run(run)
+				if job != nil && (job.Phase.Ended() || task.Done || group.Broken(run.Number)) {
 					session.queueStop(run, now)
 				}
 			})
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -21,6 +21,15 @@
 	runs    map[jobs.RunID]*api.RunStatus // as last listed
 	silent  time.Duration                 // for which the worker has not answered its agent
 	look    dispatch.Look                 // at its services and best-effort runs
+	suspect bool                          // its runs end badly more often than elsewhere
+}
+
+// noteSuspect logs a change of the judgement of a worker.
+func (v *workerView) noteSuspect(suspect bool) {
+	if v.suspect != suspect {
+		klog.InfoS("Worker's judgement changed", "worker", v.key, "suspect", suspect)
+		v.suspect = suspect
+	}
 }
 
 // takeWorker takes in the worker that a report names. The lock is held.
@@ -71,6 +80,7 @@
 		if now.After(view.granted) && !now.Before(start) && l.sessions[view.agent] == nil {
 			klog.InfoS("Worker lost", "worker", view.key, "agent", view.agent, "unheard_ms", now.Sub(view.heard).Milliseconds())
 			delete(l.workers, id)
+			l.health.Forget(view.key)
 		}
 	}
 }
@@ -157,13 +167,20 @@
 // dispatchWorkers returns the workers as the planner sees them.
 func (l *leadership) dispatchWorkers(state jobs.View, now time.Time) []dispatch.Worker {
 	workers := make([]dispatch.Worker, 0, len(l.workers))
+	keys := make([]string, 0, len(l.workers))
+	for _, view := range l.workers {
+		keys = append(keys, view.key)
+	}
+	suspects := l.health.Suspects(now, keys)
 	for _, view := range l.workers {
 		w := view.worker
 		open := l.sessions[view.agent] != nil && now.Before(view.granted.Add(-l.server.config.Lease/2)) &&
-			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.silent < silenceLimit
+			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.silent < silenceLimit && !suspects[view.key]
+		view.noteSuspect(suspects[view.key])
 		workers = append(workers, dispatch.Worker{
 			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
 			Capacity: dispatch.Capacity(w), Open: open, Slowness: 1, Look: view.look,
+			Distrust: l.health.Distrust(view.key, now),
 		})
 	}
 	return workers
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -37,6 +37,7 @@
 	Heartbeat  time.Duration
 	Election   time.Duration
 	Security   *transport.Security
+	Adviser    jobcontrol.Adviser // nil for none
 }
 
 // Control is a running control replica.
@@ -110,6 +111,7 @@
 	}
 	c.server = jobcontrol.New(jobcontrol.Config{
 		Replica: started, State: state, Lease: config.Lease, Retain: config.Retain, Voters: config.Voters,
+		Adviser: config.Adviser,
 	})
 	c.grpc = grpc.NewServer(append(replica.ServerOptions(), config.Security.ServerOptions()...)...)
 	started.Register(c.grpc)
--- a/jobs/id.go
+++ b/jobs/id.go
@@ -19,6 +19,16 @@
 	return fmt.Sprintf("%s/%d/%d/%d", t.Job, t.Occurrence, t.Group, t.Index)
 }
 
+// GroupID names a task group of an occurrence of a job.
+type GroupID struct {
+	Job        string
+	Occurrence int32
+	Group      int32
+}
+
+// GroupID returns the group that the task belongs to.
+func (t TaskID) GroupID() GroupID { return GroupID{t.Job, t.Occurrence, t.Group} }
+
 // RunID names one run of a task. Numbers begin at 1 and rise.
 type RunID struct {
 	Task   TaskID
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -132,6 +132,21 @@
 	return !task.Done && (len(task.Runs) == 0 || g.Spec.Speculative)
 }
 
+// Broken reports whether a run of a gang has lost a member. Its other members
+// can't work any more.
+func (g *Group) Broken(number int32) bool {
+	if !g.Spec.Gang {
+		return false
+	}
+	for i := range g.Tasks {
+		runs := slices.ContainsFunc(g.Tasks[i].Runs, func(r Run) bool { return r.Number == number })
+		if !runs && !g.Tasks[i].Done {
+			return true
+		}
+	}
+	return false
+}
+
 // NextRun returns the number that the next run of a task takes. The tasks of a
 // gang share their numbers.
 func (g *Group) NextRun(index int) int32 {
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -199,6 +199,27 @@
 	f.state.Read(func(view View) { view.RunsOn("w1", func(run RunID) { t.Errorf("%v is still counted", run) }) })
 }
 
+func TestAGangIsBrokenOnceAMemberHasEnded(t *testing.T) {
+	f := newFixture(t)
+	f.submit(&api.TaskGroup{Count: 2, Gang: true})
+	f.mustApply(startChange(runID(0, 0, 1), "w1"))
+	f.mustApply(startChange(runID(0, 1, 1), "w2"))
+	broken := func() (b bool) {
+		f.state.Read(func(view View) {
+			_, group, _ := view.Run(runID(0, 0, 1))
+			b = group.Broken(1)
+		})
+		return b
+	}
+	if broken() {
+		t.Error("a whole gang counts as broken")
+	}
+	f.mustApply(endChange(runID(0, 1, 1), "w2", api.RunOutcome_RUN_OUTCOME_REFUSED, ""))
+	if !broken() {
+		t.Error("a gang without one member does not count as broken")
+	}
+}
+
 func TestACancellationThatOvertakesItsSubmissionHolds(t *testing.T) {
 	f := newFixture(t)
 	f.wantKind(f.apply(cancelChange(testJob)), fault.NotFound)
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -43,6 +43,7 @@
 	Tolerated  int    // control VMs that may be lost at a time
 	LeaseLimit time.Duration
 	Retain     time.Duration // how long a job that ended is known
+	Adviser    string        // ip:port of the placement adviser, empty for none
 	Grace      time.Duration
 }
 
@@ -110,6 +111,7 @@
 		Tolerated:  r.count("control", "tolerated_losses", 0, mostTolerated),
 		LeaseLimit: r.duration("leases", "limit", time.Second, longestLease),
 		Retain:     r.duration("limits", "retain", time.Second, longestRetain),
+		Adviser:    r.address("adviser", "address", optional),
 		Grace:      r.duration("limits", "grace", 0, longestGrace),
 	}
 	return finish(r, s)
