--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -45,6 +45,12 @@
 // Look takes in one look at a worker and returns the pace of each filler, in percent.
 func (p *Pacing) Look(services []Serving, fillers []Filler, perCore func(Pair) float64) []int {
 	p.takeCare(services)
+	return p.Paces(services, fillers, perCore)
+}
+
+// Paces returns the pace of each filler by what the latest look showed, when
+// only the fillers have changed since.
+func (p *Pacing) Paces(services []Serving, fillers []Filler, perCore func(Pair) float64) []int {
 	paces := make([]int, len(fillers))
 	for i := range fillers {
 		paces[i] = FullPace
--- a/jobagent/agent_test.go
+++ b/jobagent/agent_test.go
@@ -277,3 +277,27 @@
 		}
 	})
 }
+
+// Load pattern: several best-effort runs begin at once beside a service; what
+// they do to it shows only half a second later.
+func TestANewCostlyRunIsPacedBeforeItsEffectShows(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		service, heavy := testRun(1), jobs.RunID{Task: jobs.TaskID{Job: "k"}, Number: 1}
+		r.register(1, false)
+		r.grant(20 * time.Second)
+		r.wait(100 * time.Millisecond)
+		r.agent.costs.Set(known("s", "heavy", 0.5))
+		r.worker.set(func() { r.worker.usage[service] = 70 })
+		r.direct(&api.WorkerDirective{Starts: []*api.RunOrder{
+			{Run: service.Ref(), LongRunning: true, TargetLatencyMs: 150, Image: "s", MilliCpu: 6000},
+		}})
+		r.wait(3 * time.Second)
+		r.direct(&api.WorkerDirective{Starts: []*api.RunOrder{
+			{Run: heavy.Ref(), BestEffort: true, Image: "heavy", MilliCpu: 6000},
+		}})
+		r.wait(20 * time.Millisecond)
+		if pace, paced := r.worker.paces[heavy]; !paced || pace > 50 {
+			t.Errorf("paced %v, to %d %%", paced, pace)
+		}
+	})
+}
--- a/jobagent/hold.go
+++ b/jobagent/hold.go
@@ -212,33 +212,50 @@
 // lapseMargin is the time that a worker may take to act on a lease that is over.
 const lapseMargin = 250 * time.Millisecond
 
-// pace adapts the pace of best-effort runs to the services beside them.
+// pace adapts the pace of best-effort runs to the services beside them, after a
+// list of the worker. The lock is held.
 func (w *incarnation) pace() {
 	now := w.agent.config.Clock()
 	if now.Sub(w.pacedAt) < paceInterval {
 		return // the worker's figures have hardly changed
 	}
 	w.pacedAt = now
-	var services []dispatch.Serving
-	var fillers []dispatch.Filler
-	var ids []jobs.RunID
+	services, fillers, ids := w.neighbours()
+	w.setPaces(ids, w.pacing.Look(services, fillers, w.agent.costs.PerCore), services)
+}
+
+// paceNew paces a best-effort run that has just begun, before the worker's
+// figures show what it does to the services. The lock is held.
+func (w *incarnation) paceNew() {
+	services, fillers, ids := w.neighbours()
+	w.setPaces(ids, w.pacing.Paces(services, fillers, w.agent.costs.PerCore), services)
+}
+
+// neighbours returns the services and the best-effort runs with their ids, as
+// the worker listed them last. The lock is held.
+func (w *incarnation) neighbours() (services []dispatch.Serving, fillers []dispatch.Filler, ids []jobs.RunID) {
 	for id, r := range w.runs {
-		if r.order == nil || r.status == nil {
+		if r.order == nil {
 			continue
 		}
-		if target := r.order.TargetLatencyMs; target > 0 {
+		if target := r.order.TargetLatencyMs; target > 0 && r.status != nil {
 			services = append(services, dispatch.Serving{
 				Image: r.order.Image, Headroom: dispatch.HeadroomOf(r.status.Usage, target),
 			})
 		} else if r.order.BestEffort && r.phase == runRunning {
 			ids = append(ids, id)
 			fillers = append(fillers, dispatch.Filler{
-				Image: r.order.Image, Cores: cores(r.status.Usage), Full: cores(r.order.MilliCpu),
+				Image: r.order.Image, Cores: cores(r.status.GetUsage()), Full: cores(r.order.MilliCpu),
 			})
 		}
 	}
+	return services, fillers, ids
+}
+
+// setPaces orders the paces that have changed. The lock is held.
+func (w *incarnation) setPaces(ids []jobs.RunID, paces []int, services []dispatch.Serving) {
 	changed := 0
-	for i, percent := range w.pacing.Look(services, fillers, w.agent.costs.PerCore) {
+	for i, percent := range paces {
 		if r := w.runs[ids[i]]; r.pace != percent {
 			r.pace = percent
 			changed++
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -200,6 +200,9 @@
 		if r.phase == runStarting {
 			r.phase = runRunning
 		}
+		if r.order.GetBestEffort() {
+			w.paceNew()
+		}
 	case fault.KindOf(err).Answer().Outcome == fault.OutcomeNotRun:
 		w.finish(id, api.RunOutcome_RUN_OUTCOME_REFUSED, "", err.Error(), 0)
 	default:
