--- a/dispatch/disturbance.go
+++ b/dispatch/disturbance.go
@@ -138,6 +138,9 @@
 
 func usable(h Headroom) bool { return h > 0 && h < mostHeadroom }
 
+// Forget drops the latest look at a worker that is gone.
+func (d *Disturbance) Forget(worker string) { delete(d.looks, worker) }
+
 // difference returns by how much the cores of each image changed, and the sum
 // of the squares.
 func difference(before, now map[string]float64) (change map[string]float64, square float64) {
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -340,6 +340,8 @@
 	switch body := change.Body.(type) {
 	case *api.JobChange_Submit:
 		l.learnWork(body.Submit, err)
+	case *api.JobChange_Cancel:
+		l.forgetAge(body.Cancel.Job)
 	case *api.JobChange_Start:
 		l.noteStart(body.Start, err)
 	case *api.JobChange_End:
@@ -352,6 +354,12 @@
 	}
 }
 
+// forgetAge drops what is known of a job that has ended. The lock is held.
+func (l *leadership) forgetAge(job string) {
+	delete(l.first, job)
+	delete(l.started, job)
+}
+
 // learnWork takes in how much work a submitted job is. The lock is held.
 func (l *leadership) learnWork(submit *api.SubmitJob, err error) {
 	if err != nil {
@@ -399,8 +407,7 @@
 		if job := view.Job(run.Task.Job); job != nil {
 			phase = job.Phase.String()
 			if job.Phase.Ended() {
-				delete(l.first, job.ID)
-				delete(l.started, job.ID)
+				l.forgetAge(job.ID)
 			}
 		}
 	})
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -81,6 +81,7 @@
 			klog.InfoS("Worker lost", "worker", view.key, "agent", view.agent, "unheard_ms", now.Sub(view.heard).Milliseconds())
 			delete(l.workers, id)
 			l.health.Forget(view.key)
+			l.knowledge.Disturbance.Forget(view.key)
 		}
 	}
 }
