--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -42,7 +42,7 @@
 	for i := range workers {
 		w.workers = append(w.workers, Worker{
 			Key: fmt.Sprintf("w%d", i), Service: "s", Zone: "z", Rack: fmt.Sprintf("r%d", i/2), Labels: []string{"a"},
-			Capacity: resource.Vector{MilliCPU: 10_000, MemoryMiB: 100_000}, Open: true, Slowness: 1,
+			Capacity: resource.Vector{MilliCPU: 10_000, MemoryMiB: 100_000}, Open: true,
 		})
 	}
 	return w
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -11,7 +11,6 @@
 // stays free, which is 0 to 1.
 const (
 	weightDistrust  = 4.0 // a worker that fails everything comes after any full one
-	weightSlowness  = 1.0 // a worker that takes twice the time comes after any that keeps pace
 	weightOtherRack = 2.0 // for data or neighbours on another rack, which slows the work by half or more
 	weightServing   = 8.0 // keeps best-effort work and services apart as long as there is any choice
 	weightImages    = 0.3 // keeps services of different images on different workers
@@ -29,7 +28,7 @@
 // workers, counted tasks, which disturb nobody, fill those up, and best-effort
 // tasks go where they disturb nobody and most is unused.
 func (p *planner) score(group *api.TaskGroup, l *load, spread spread) float64 {
-	s := -weightDistrust*l.worker.Distrust - weightSlowness*max(0, l.worker.Slowness-1)
+	s := -weightDistrust * l.worker.Distrust
 	if group.DataRack != "" && group.DataRack != l.worker.Rack {
 		s -= weightOtherRack
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
@@ -19,11 +18,9 @@
 	Labels   []string
 	Capacity resource.Vector
 
-	Open      bool          // its agent holds a lease, and it is neither draining nor out of service
-	Remaining time.Duration // until it leaves, 0 for one that stays
-	Slowness  float64       // time that it takes for work, relative to its peers; 1 when nothing is known
-	Look      Look          // at its services and best-effort runs
-	Distrust  float64       // 0 for a sound worker, 1 for one that fails whatever it starts
+	Open     bool    // its agent holds a lease, and it is neither draining nor out of service
+	Look     Look    // at its services and best-effort runs
+	Distrust float64 // 0 for a sound worker, 1 for one that fails whatever it starts
 }
 
 // Capacity returns what a worker offers.
--- a/jobagent/agent_test.go
+++ b/jobagent/agent_test.go
@@ -264,7 +264,7 @@
 			r.worker.usage[service], r.worker.usage[heavy], r.worker.usage[light] = 120, 3000, 3000
 		})
 		r.direct(&api.WorkerDirective{Starts: []*api.RunOrder{
-			{Run: service.Ref(), LongRunning: true, TargetLatencyMs: 150, Image: "s", MilliCpu: 6000},
+			{Run: service.Ref(), TargetLatencyMs: 150, Image: "s", MilliCpu: 6000},
 			{Run: heavy.Ref(), BestEffort: true, Image: "heavy", MilliCpu: 3000},
 			{Run: light.Ref(), BestEffort: true, Image: "light", MilliCpu: 3000},
 		}})
@@ -289,7 +289,7 @@
 		r.agent.costs.Set(known("s", "heavy", 0.5))
 		r.worker.set(func() { r.worker.usage[service] = 70 })
 		r.direct(&api.WorkerDirective{Starts: []*api.RunOrder{
-			{Run: service.Ref(), LongRunning: true, TargetLatencyMs: 150, Image: "s", MilliCpu: 6000},
+			{Run: service.Ref(), TargetLatencyMs: 150, Image: "s", MilliCpu: 6000},
 		}})
 		r.wait(3 * time.Second)
 		r.direct(&api.WorkerDirective{Starts: []*api.RunOrder{
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -193,7 +193,7 @@
 		}
 		s.starts = append(s.starts, &api.RunOrder{
 			Run: start.Run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: start.Ticket,
-			BestEffort: group.Spec.BestEffort, LongRunning: group.Spec.LongRunning,
+			BestEffort:      group.Spec.BestEffort,
 			TargetLatencyMs: group.Spec.TargetLatencyMs, Image: group.Spec.Image, MilliCpu: group.Spec.MilliCpu,
 		})
 	})
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -180,7 +180,7 @@
 		view.noteSuspect(suspects[view.key])
 		workers = append(workers, dispatch.Worker{
 			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
-			Capacity: dispatch.Capacity(w), Open: open, Slowness: 1, Look: view.look,
+			Capacity: dispatch.Capacity(w), Open: open, Look: view.look,
 			Distrust: l.health.Distrust(view.key, now),
 		})
 	}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -190,11 +190,6 @@
 // Active returns the number of runs that have not ended.
 func (j *Job) Active() int { return j.active }
 
-// LongRunning reports whether the job has tasks that run until it is cancelled.
-func (j *Job) LongRunning() bool {
-	return slices.ContainsFunc(j.Spec.GetGroups(), func(g *api.TaskGroup) bool { return g.LongRunning })
-}
-
 // markDone marks a task done and reports whether it was not before.
 func (j *Job) markDone(id TaskID) bool {
 	group, task := j.Task(id)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -19,7 +19,6 @@
 	nowMS         int64 // clock of the log, never goes back
 	configuration *api.JobConfiguration
 	queues        map[string]*api.JobQueue // of the configuration, by key
-	services      map[string]*api.JobService
 	zonesOut      map[string]bool
 	jobs          map[string]*Job
 	active        map[string]*Job               // jobs that have not ended, or have runs that have not
@@ -39,7 +38,6 @@
 	s.nowMS = 0
 	s.configuration = nil
 	s.queues = map[string]*api.JobQueue{}
-	s.services = map[string]*api.JobService{}
 	s.zonesOut = map[string]bool{}
 	s.jobs = map[string]*Job{}
 	s.active = map[string]*Job{}
@@ -128,13 +126,9 @@
 func (s *State) useConfiguration(c *api.JobConfiguration) {
 	s.configuration = c
 	s.queues = map[string]*api.JobQueue{}
-	s.services = map[string]*api.JobService{}
 	for _, queue := range c.GetQueues() {
 		s.queues[QueueKey(queue.Host, queue.PathPrefix)] = queue
 	}
-	for _, service := range c.GetServices() {
-		s.services[service.Name] = service
-	}
 }
 
 func (s *State) setZone(order *api.ZoneOrder) error {
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -47,15 +47,9 @@
 // the submission.
 func (v View) QueueOf(job *Job) *api.JobQueue { return v.state.queueOf(job) }
 
-// Service returns a configured service, nil when there is none.
-func (v View) Service(name string) *api.JobService { return v.state.services[name] }
-
 // ZoneOut reports whether operators have taken a zone out of service.
 func (v View) ZoneOut(zone string) bool { return v.state.zonesOut[zone] }
 
-// ZonesOut returns the number of zones out of service.
-func (v View) ZonesOut() int { return len(v.state.zonesOut) }
-
 // Job returns a job, nil when the id is not known.
 func (v View) Job(id string) *Job { return v.state.jobs[id] }
 
