--- /dev/null
+++ b/jobcontrol/complete.go
@@ -0,0 +1,130 @@
+package jobcontrol
+
+import (
+	"context"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
+)
+
+// completeBatches waits for the commits, in order, and tells who waits for them.
+func (l *leadership) completeBatches() {
+	for b := range l.sent {
+		ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
+		data, err := b.wait(ctx)
+		cancel()
+		result := &api.JobBatchResult{}
+		if err == nil {
+			err = fault.Wrap(fault.Internal, proto.Unmarshal(data, result), "decode results")
+		}
+		if err == nil && len(result.Results) != len(b.changes) {
+			err = fault.New(fault.Internal, "the results do not match the changes")
+		}
+		if err != nil {
+			klog.ErrorS(err, "Batch not committed", "changes", len(b.changes))
+			b.fail(err)
+			l.mu.Lock()
+			l.abandon()
+			l.mu.Unlock()
+			continue
+		}
+		l.complete(b, result)
+	}
+}
+
+// complete passes the results on: to the callers that wait, and to the agents.
+func (l *leadership) complete(b *batch, result *api.JobBatchResult) {
+	telemetry.JobBatchSeconds.Observe(l.server.now().Sub(b.proposed))
+	l.mu.Lock()
+	for i, p := range b.changes {
+		l.note(p.change, jobs.ResultError(result.Results[i]))
+	}
+	l.queueStops()
+	l.mu.Unlock()
+	for i, p := range b.changes {
+		p.finish(jobs.ResultError(result.Results[i]))
+	}
+	l.signal()
+}
+
+// note acts on one committed change.
+func (l *leadership) note(change *api.JobChange, err error) {
+	switch body := change.Body.(type) {
+	case *api.JobChange_Submit:
+		l.learnWork(body.Submit, err)
+	case *api.JobChange_Cancel:
+		l.forgetAge(body.Cancel.Job)
+	case *api.JobChange_Start:
+		l.noteStart(body.Start, err)
+	case *api.JobChange_End:
+		l.noteEnd(body.End, err)
+	case *api.JobChange_Configure:
+		klog.InfoS("Configuration taken", "version", body.Configure.Version,
+			"in_force", l.configurationVersion(), "error", err)
+	case *api.JobChange_Zone:
+		klog.InfoS("Zone order taken", "zone", body.Zone.Zone, "out", body.Zone.Out)
+	}
+}
+
+func (l *leadership) configurationVersion() (version int64) {
+	l.server.config.State.Read(func(view jobs.View) { version = view.Configuration().GetVersion() })
+	return version
+}
+
+func (l *leadership) noteStart(start *api.StartRun, err error) {
+	run := jobs.RunOf(start.Run)
+	if err != nil {
+		klog.InfoS("Start not committed", "run", run.String(), "worker", start.Worker, "error", err)
+		return
+	}
+	l.began[run] = l.server.now()
+	l.observeWait(run)
+	l.server.config.State.Read(func(view jobs.View) {
+		if _, group, task := view.Run(run); group != nil {
+			klog.InfoS("Run placed", "job", run.Task.Job, "run", run.String(), "worker", start.Worker, "term", l.term,
+				"group", jobs.GroupShape(group.Spec), "from_checkpoint", task.Checkpoint != "", "failures", task.Failures)
+		}
+	})
+	if session := l.sessionOf(start.Worker); session != nil {
+		session.queueStart(l.server.config.State, run, start)
+	}
+}
+
+func (l *leadership) noteEnd(end *api.EndRun, err error) {
+	run := jobs.RunOf(end.Run)
+	if err == nil {
+		l.learnDuration(run, end)
+		l.learnHealth(end)
+	}
+	delete(l.began, run)
+	phase := "forgotten"
+	l.server.config.State.Read(func(view jobs.View) {
+		if job := view.Job(run.Task.Job); job != nil {
+			phase = job.Phase.String()
+			if job.Phase.Ended() {
+				l.forgetAge(job.ID)
+			}
+		}
+	})
+	telemetry.JobRunsEnded.Add(1, outcomeName(end.Outcome))
+	klog.InfoS("Run ended", "job", run.Task.Job, "run", run.String(), "worker", end.Worker,
+		"outcome", outcomeName(end.Outcome), "job_state", phase, "stale", err != nil)
+	if session := l.sessionOf(end.Worker); session != nil {
+		session.queueRecorded(run)
+	}
+}
+
+var outcomeNames = map[api.RunOutcome]string{
+	api.RunOutcome_RUN_OUTCOME_DONE:    "done",
+	api.RunOutcome_RUN_OUTCOME_FAILED:  "failed",
+	api.RunOutcome_RUN_OUTCOME_STOPPED: "stopped",
+	api.RunOutcome_RUN_OUTCOME_LOST:    "lost",
+	api.RunOutcome_RUN_OUTCOME_REFUSED: "refused",
+}
+
+func outcomeName(outcome api.RunOutcome) string { return outcomeNames[outcome] }
--- /dev/null
+++ b/jobcontrol/learn.go
@@ -0,0 +1,110 @@
+package jobcontrol
+
+import (
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
+)
+
+// dateJobs notes the age of the jobs of earlier leaders, as far as the log's
+// clock tells it.
+func (l *leadership) dateJobs() {
+	l.assumed.Read(func(view jobs.View) {
+		view.ActiveJobs(func(job *jobs.Job) {
+			age := time.Duration(view.NowMS()-job.SubmittedMS) * time.Millisecond
+			l.first[job.ID] = l.since.Add(-max(age, 0))
+		})
+	})
+}
+
+// learntInterval is the pause between entries of what was learnt: a kilobyte
+// each, and as much is learnt anew within that time.
+const learntInterval = 3 * time.Second
+
+// keepLearnt puts what was learnt into the log, for a later leader. The lock is held.
+func (l *leadership) keepLearnt() {
+	now, version := l.server.now(), l.knowledge.Disturbance.Version()
+	if version == l.learntSent || now.Sub(l.learntAt) < learntInterval {
+		return
+	}
+	l.learntAt, l.learntSent = now, version
+	l.add(&api.JobChange{Body: &api.JobChange_Learnt{Learnt: l.knowledge.Learnt()}})
+}
+
+func (l *leadership) age(job *jobs.Job, now time.Time) time.Duration {
+	first, known := l.first[job.ID]
+	if !known {
+		first = now
+		l.first[job.ID] = now
+	}
+	return now.Sub(first)
+}
+
+// forgetAge drops what is known of a job that has ended. The lock is held.
+func (l *leadership) forgetAge(job string) {
+	delete(l.first, job)
+	delete(l.started, job)
+}
+
+// learnWork takes in how much work a submitted job is. The lock is held.
+func (l *leadership) learnWork(submit *api.SubmitJob, err error) {
+	if err != nil {
+		return
+	}
+	queue := submit.GetKey().GetQueue()
+	l.knowledge.Works.Learn(queue, dispatch.Work(submit.Spec, func(group *api.TaskGroup) float64 {
+		return l.knowledge.Durations.Expect(queue, group.EstimatedMs)
+	}))
+}
+
+// observeWait measures the time from a job's submission to its first start. The
+// lock is held.
+func (l *leadership) observeWait(run jobs.RunID) {
+	first, known := l.first[run.Task.Job]
+	if !known || l.started[run.Task.Job] {
+		return
+	}
+	l.started[run.Task.Job] = true
+	telemetry.JobWaitSeconds.Observe(l.server.now().Sub(first))
+}
+
+// learnDuration takes in how long a run took that was done at full pace and
+// from the beginning. The lock is held.
+func (l *leadership) learnDuration(run jobs.RunID, end *api.EndRun) {
+	began, known := l.began[run]
+	if !known || end.Outcome != api.RunOutcome_RUN_OUTCOME_DONE || l.slowed(end.Worker, run) {
+		return
+	}
+	l.assumed.Read(func(view jobs.View) {
+		job := view.Job(run.Task.Job)
+		if job == nil {
+			return
+		}
+		if group, task := job.Task(run.Task); group != nil && task.LastRun == 1 {
+			l.knowledge.Durations.Learn(job.QueueKey, group.Spec.EstimatedMs, l.server.now().Sub(began).Milliseconds())
+		}
+	})
+}
+
+// learnHealth takes in whether the worker ended the run as it should. The lock is held.
+func (l *leadership) learnHealth(end *api.EndRun) {
+	switch end.Outcome {
+	case api.RunOutcome_RUN_OUTCOME_DONE:
+		l.health.Learn(end.Worker, false, l.server.now())
+	case api.RunOutcome_RUN_OUTCOME_FAILED, api.RunOutcome_RUN_OUTCOME_REFUSED:
+		l.health.Learn(end.Worker, true, l.server.now())
+	}
+}
+
+// slowed reports whether the worker listed the run below full pace.
+func (l *leadership) slowed(worker string, run jobs.RunID) bool {
+	for _, view := range l.workers {
+		if status := view.runs[run]; view.key == worker && status != nil {
+			return status.Pace < dispatch.FullPace
+		}
+	}
+	return false
+}
