--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -81,7 +81,7 @@
 		defer close(done)
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		for len(w.buffer) > 0 || w.writing {
+		for len(w.buffer) > 0 || w.dropped > 0 || w.writing {
 			w.idle.Wait()
 		}
 	}()
