--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -59,6 +59,10 @@
 
 func (w *Writer) flush() {
 	w.mu.Lock()
+	if len(w.buffer) == 0 && w.dropped == 0 {
+		w.mu.Unlock()
+		return // an earlier write took what the wake-up was for
+	}
 	lines, dropped := w.buffer, w.dropped
 	w.buffer, w.dropped = nil, 0
 	w.writing = true
