jobcontrol: one look-up of a worker's incarnation; a test that could not matter is gone

Cause: four loops over the workers looked for the same key, and the removal of a learner checked a silence that lost() checks already. Change: viewOf serves all; the first half of the condition goes.

--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -101,10 +101,9 @@
 
 // slowed reports whether the worker listed the run below full pace.
 func (l *leadership) slowed(worker string, run jobs.RunID) bool {
-	for _, view := range l.workers {
-		if status := view.runs[run]; view.key == worker && status != nil {
-			return status.Pace < dispatch.FullPace
-		}
+	view := l.viewOf(worker)
+	if view == nil || view.runs[run] == nil {
+		return false
 	}
-	return false
+	return view.runs[run].Pace < dispatch.FullPace
 }
--- a/jobcontrol/memberplan.go
+++ b/jobcontrol/memberplan.go
@@ -115,7 +115,7 @@
 // removeLearner removes a learner that is gone.
 func (v memberView) removeLearner() memberStep {
 	for _, member := range v.members {
-		if !member.Voter && v.silent(member.ID) >= abandonedAfter || !member.Voter && v.lost(member) {
+		if !member.Voter && v.lost(member) {
 			return memberStep{kind: memberRemove, id: member.ID, reason: "the learner is gone"}
 		}
 	}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -303,10 +303,8 @@
 		return 0
 	}
 	until := l.server.now().Add(granted + config.leaseMargin())
-	for _, view := range l.workers {
-		if view.key == session.key && until.After(view.granted) {
-			view.granted = until
-		}
+	if view := l.viewOf(session.key); view != nil && until.After(view.granted) {
+		view.granted = until
 	}
 	return granted
 }
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -86,14 +86,21 @@
 	}
 }
 
-// held reports whether the agent of a worker's incarnation may hold a lease.
-func (l *leadership) held(key string, now time.Time) bool {
+// viewOf returns what is known of a worker's incarnation, nil when it is not the
+// latest one. The lock is held.
+func (l *leadership) viewOf(key string) *workerView {
 	for _, view := range l.workers {
 		if view.key == key {
-			return now.Before(view.granted)
+			return view
 		}
 	}
-	return false
+	return nil
+}
+
+// held reports whether the agent of a worker's incarnation may hold a lease.
+func (l *leadership) held(key string, now time.Time) bool {
+	view := l.viewOf(key)
+	return view != nil && now.Before(view.granted)
 }
 
 // loseRuns queues the ends of all runs on a worker's incarnation that is over.
@@ -123,10 +130,8 @@
 
 // checkpoint returns the latest one that the worker listed for a run.
 func (l *leadership) checkpoint(key string, run jobs.RunID) string {
-	for _, view := range l.workers {
-		if view.key == key {
-			return view.runs[run].GetCheckpoint()
-		}
+	if view := l.viewOf(key); view != nil {
+		return view.runs[run].GetCheckpoint()
 	}
 	return ""
 }
