jobcontrol: runs that stand still are moved, runs that are behind get a copy

Cause: a worker that hangs what it starts reports itself well, and its runs kept their tasks until they lapsed; groups that allow copies never got one. Change: the leader watches each run's percent from list to list. A run at full pace without progress for 2 s (a quarter of a long task) is stopped, begun elsewhere, and speaks against its worker. A run behind twice its expected time gets a copy on another worker when its group allows copies.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -20,7 +20,8 @@
 	unixMS    int64
 	knowledge Knowledge
 	jobs      int
-	advised   bool              // the urgent queue has an adviser
+	advised   bool // the urgent queue has an adviser
+	behind    map[jobs.RunID]bool
 	tickets   map[string]string // that it has given, by worker; nil for no answer yet
 }
 
@@ -85,6 +86,7 @@
 		starts = Plan(view, Input{
 			UnixMS: w.unixMS, Workers: w.workers,
 			Age:     func(job *jobs.Job) time.Duration { return w.now - w.submitted[job.ID] },
+			Behind:  func(run jobs.RunID) bool { return w.behind[run] },
 			Tickets: func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
 			PerCore: w.knowledge.Disturbance.PerCore, Durations: w.knowledge.Durations, Works: w.knowledge.Works,
 		})
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -17,6 +17,9 @@
 	Durations *Durations
 	Works     *Works
 	Workers   []Worker
+	// Behind reports whether a copy of a run would likely be done before it; nil
+	// when nothing is known of runs.
+	Behind func(run jobs.RunID) bool
 	// Tickets returns the tickets of a group by worker key, for a queue with an
 	// adviser, and false while they are not known.
 	Tickets func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool)
@@ -112,13 +115,16 @@
 			age = time.Duration(in.UnixMS-due) * time.Millisecond
 		}
 		for g, group := range occurrence.Groups {
-			if group.Done() || !occurrence.Ready(group) || !hasStartable(group) {
+			if group.Done() || !occurrence.Ready(group) {
 				continue
 			}
 			c := candidate{
 				job: job, queue: queue, occurrence: int32(k), index: int32(g), group: group,
 				density: worth / remainingWork(occurrence, expect),
 			}
+			if !c.anyStartable(in) {
+				continue
+			}
 			if job.Active() == 0 {
 				c.waited = age
 			}
@@ -142,20 +148,39 @@
 	return inTime
 }
 
-func hasStartable(group *jobs.Group) bool {
-	for i := range group.Tasks {
-		if startable(group, i) {
+func (c *candidate) anyStartable(in Input) bool {
+	for i := range c.group.Tasks {
+		if c.startable(i, in) {
 			return true
 		}
 	}
 	return false
 }
 
-// startable reports whether a task has no run and needs one.
-func startable(group *jobs.Group, index int) bool {
+// startable reports whether a task needs a run, or a copy of the one that it has.
+func (c *candidate) startable(index int, in Input) bool {
+	return Waits(c.group, index) || c.copyable(index, in)
+}
+
+// Waits reports whether a task has no run and needs one.
+func Waits(group *jobs.Group, index int) bool {
 	return !group.Tasks[index].Done && len(group.Tasks[index].Runs) == 0
 }
 
+// copyable reports whether a second run of a task would likely be done before
+// the first.
+func (c *candidate) copyable(index int, in Input) bool {
+	task := &c.group.Tasks[index]
+	if !c.group.Spec.Speculative || c.group.Spec.Gang || task.Done || len(task.Runs) != 1 || in.Behind == nil {
+		return false
+	}
+	return in.Behind(jobs.RunID{Task: c.task(index), Number: task.Runs[0].Number})
+}
+
+func (c *candidate) task(index int) jobs.TaskID {
+	return jobs.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.index, Index: int32(index)}
+}
+
 // planner places candidates one after the other.
 type planner struct {
 	view   jobs.View
@@ -178,10 +203,10 @@
 	}
 	spread := p.spreadOf(c)
 	for i := range c.group.Tasks {
-		if !startable(c.group, i) {
+		if !c.startable(i, p.in) {
 			continue
 		}
-		chosen := p.choose(c, spread)
+		chosen := p.choose(c, spread, c.group.Tasks[i].Runs)
 		if chosen == nil {
 			return // the tasks of a group need the same room
 		}
@@ -192,7 +217,7 @@
 // placeGang places all tasks of a gang or none.
 func (p *planner) placeGang(c candidate) {
 	for i := range c.group.Tasks {
-		if !startable(c.group, i) {
+		if !Waits(c.group, i) {
 			return // an earlier run of the gang has not ended everywhere
 		}
 	}
@@ -200,7 +225,7 @@
 	spread := p.spreadOf(c)
 	placed := len(p.starts)
 	for i := range c.group.Tasks {
-		chosen := p.choose(c, spread)
+		chosen := p.choose(c, spread, nil)
 		if chosen == nil {
 			p.undo(placed, c)
 			return
@@ -226,10 +251,7 @@
 	spread.workers[l.worker.Key]++
 	spread.racks[l.worker.Rack]++
 	p.starts = append(p.starts, Start{
-		Run: jobs.RunID{
-			Task:   jobs.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.index, Index: int32(index)},
-			Number: number,
-		},
+		Run:    jobs.RunID{Task: c.task(index), Number: number},
 		Worker: l.worker.Key,
 	})
 }
@@ -255,9 +277,9 @@
 	return s
 }
 
-// choose returns the best worker with room for one more task of the candidate,
-// nil when there is none.
-func (p *planner) choose(c candidate, spread spread) *load {
+// choose returns the best worker with room for one more task of the candidate
+// and without any of the task's other runs, nil when there is none.
+func (p *planner) choose(c candidate, spread spread, others []jobs.Run) *load {
 	need := demand(c.group.Spec)
 	var best *load
 	var bestScore float64
@@ -265,6 +287,9 @@
 		if !p.fits(c, l, spread) || !need.Fits(l.free()) {
 			continue
 		}
+		if slices.ContainsFunc(others, func(run jobs.Run) bool { return run.Worker == l.worker.Key }) {
+			continue
+		}
 		if s := p.score(c.group.Spec, l, spread); best == nil || s > bestScore {
 			best, bestScore = l, s
 		}
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -311,6 +311,7 @@
 	now := w.agent.config.Clock()
 	report.Worker = w.worker
 	report.RunsListed = true
+	report.Lists = w.holds
 	for id, r := range w.runs {
 		status := &api.RunStatus{Run: id.Ref(), Pace: int32(r.pace)}
 		if r.status != nil {
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -102,6 +102,8 @@
 		l.learnHealth(end)
 	}
 	delete(l.began, run)
+	delete(l.stalled, run)
+	l.progress.Forget(run)
 	phase := "forgotten"
 	l.server.config.State.Read(func(view jobs.View) {
 		if job := view.Job(run.Task.Job); job != nil {
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -219,6 +219,8 @@
 	born     int64
 	stream   *fakeStream
 	sequence int64
+	lists    int64
+	listed   []*api.RunStatus // nil while the worker has listed nothing
 }
 
 func (r *rig) connect(name string) *fakeAgent {
@@ -248,6 +250,9 @@
 		Sequence: a.sequence, Agent: a.name, Ends: ends,
 		Worker: &api.Worker{Id: "w-" + a.name, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000},
 	}
+	if a.listed != nil {
+		report.Lists, report.Runs, report.RunsListed = a.lists, a.listed, true
+	}
 	select {
 	case a.stream.reports <- report:
 	case <-a.stream.ctx.Done():
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -32,7 +32,10 @@
 	learntSent int64                    // version of the pair costs that were
 	began      map[jobs.RunID]time.Time // of runs that were placed under this leadership
 
-	health *dispatch.Health
+	health   *dispatch.Health
+	progress *dispatch.Progress
+	stalled  map[jobs.RunID]bool // runs that stand still and are being stopped
+
 	advice map[jobs.GroupID]*advice
 	asking sync.Mutex // held for a question to the adviser; taken without mu
 
@@ -52,7 +55,7 @@
 		started:  map[string]bool{},
 
 		began:  map[jobs.RunID]time.Time{},
-		health: dispatch.NewHealth(),
+		health: dispatch.NewHealth(), progress: dispatch.NewProgress(), stalled: map[jobs.RunID]bool{},
 		advice: map[jobs.GroupID]*advice{},
 
 		joiners: joiners{list: map[uint64]joiner{}},
--- /dev/null
+++ b/jobcontrol/progress.go
@@ -0,0 +1,54 @@
+package jobcontrol
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
+)
+
+// watchProgress takes in how far the runs on a worker have come, and marks those
+// that stand still, which are then stopped and begun elsewhere. The lock is held.
+func (l *leadership) watchProgress(view *workerView, report *api.WorkerReport) {
+	if report.Lists == view.lists || report.UnansweredMs > 0 {
+		return // nothing new is known
+	}
+	view.lists = report.Lists
+	now := l.server.now()
+	l.server.config.State.Read(func(state jobs.View) {
+		for run, status := range view.runs {
+			_, group, _ := state.Run(run)
+			if group == nil || group.Spec.Gang {
+				continue // a gang waits for its members
+			}
+			l.progress.Look(run, status.Percent, status.Pace == dispatch.FullPace, now)
+			atWork := group.Spec.LongRunning && status.Percent >= dispatch.FullPace
+			if !atWork && !l.stalled[run] && l.progress.Stalled(run, l.expectedTime(state, run), now) {
+				l.noteStalled(view, run, status.Percent, now)
+			}
+		}
+	})
+}
+
+func (l *leadership) noteStalled(view *workerView, run jobs.RunID, percent int32, now time.Time) {
+	klog.InfoS("Run stands still, it is moved", "job", run.Task.Job, "run", run.String(), "worker", view.key, "percent", percent)
+	telemetry.JobRunsStalled.Add(1)
+	l.stalled[run] = true
+	for range dispatch.StallWeight {
+		l.health.Learn(view.key, true, now)
+	}
+}
+
+// expectedTime returns how long a task of a run's group usually takes, 0 for a
+// run that has ended.
+func (l *leadership) expectedTime(state jobs.View, run jobs.RunID) time.Duration {
+	job, group, _ := state.Run(run)
+	if group == nil {
+		return 0
+	}
+	return time.Duration(l.knowledge.Durations.Expect(job.QueueKey, group.Spec.EstimatedMs) * float64(time.Millisecond))
+}
--- a/jobcontrol/server_test.go
+++ b/jobcontrol/server_test.go
@@ -310,3 +310,38 @@
 		}
 	})
 }
+
+// list reports the worker's list anew, with a run at some percent.
+func (a *fakeAgent) list(run jobs.RunID, percent int32) {
+	a.lists++
+	a.listed = []*api.RunStatus{{Run: run.Ref(), Percent: percent, Pace: 100}}
+	a.report()
+}
+
+func TestARunThatStandsStillIsMovedToAnotherWorker(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		a.taken()
+		b := r.connect("b")
+		for range 6 {
+			a.list(testRun, 30)
+			b.report()
+			r.wait(500 * time.Millisecond)
+		}
+		if _, stops, _, _ := a.taken(); len(stops) == 0 || stops[0] != testRun {
+			t.Fatalf("stops %v", stops)
+		}
+		a.listed = nil
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_STOPPED)
+		r.wait(300 * time.Millisecond)
+		if starts, _, _, _ := a.taken(); len(starts) > 0 {
+			t.Errorf("it begins again where it stood still: %v", starts)
+		}
+		if starts, _, _, _ := b.taken(); len(starts) != 1 || starts[0].Number != 2 {
+			t.Errorf("starts elsewhere: %v", starts)
+		}
+	})
+}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -121,6 +121,7 @@
 	}
 	if report.RunsListed {
 		view.takeRuns(report.Runs)
+		l.watchProgress(view, report)
 		view.look = l.lookAt(view)
 		l.knowledge.Disturbance.Learn(view.key, view.look)
 	}
@@ -207,14 +208,14 @@
 }
 
 // queueStops orders the end of runs whose job has ended, whose task is done by
-// another run, or whose gang has lost a member. The lock is held.
+// another run, whose gang has lost a member, or that stand still. The lock is held.
 func (l *leadership) queueStops() {
 	now := l.server.now()
 	l.server.config.State.Read(func(view jobs.View) {
 		for _, session := range l.sessions {
 			view.RunsOn(session.key, func(run jobs.RunID) {
 				job, group, task := view.Run(run)
-				if job != nil && (job.Phase.Ended() || task.Done || group.Broken(run.Number)) {
+				if job != nil && (job.Phase.Ended() || task.Done || group.Broken(run.Number) || l.stalled[run]) {
 					session.queueStop(run, now)
 				}
 			})
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/telemetry"
 )
@@ -84,7 +85,7 @@
 				continue
 			}
 			for i := range group.Tasks {
-				if !group.Tasks[i].Done && len(group.Tasks[i].Runs) == 0 {
+				if dispatch.Waits(group, i) {
 					s.waitingTasks++
 				}
 			}
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -20,6 +20,7 @@
 	heard   time.Time
 	runs    map[jobs.RunID]*api.RunStatus // as last listed
 	silent  time.Duration                 // for which the worker has not answered its agent
+	lists   int64                         // of the worker that its agent has taken in
 	look    dispatch.Look                 // at its services and best-effort runs
 	suspect bool                          // its runs end badly more often than elsewhere
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -49,6 +49,7 @@
 	JobBatchSeconds = Metric{"paddle_jobs_commit_seconds", nil}
 	JobWaitSeconds  = Metric{"paddle_jobs_first_start_seconds", nil}
 	JobRunsEnded    = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
+	JobRunsStalled  = Metric{"paddle_jobs_runs_stalled_total", nil}
 	JobFleet        = Metric{"paddle_jobs_fleet", []string{"what"}}
 	JobAgentEnds    = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
 	JobAgentCalls   = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
@@ -59,7 +60,7 @@
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobFleet,
+		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobFleet,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
