jobcontrol: a job that can't be served is refused at once, with when to come back

Cause: every valid job was accepted; one that waits behind more work than is done before it is worthless, or whose tasks are larger than any worker, kept its caller waiting for nothing. Change: dispatch.Judge weighs the work that goes before a job against the rate at which work was done lately. A refusal goes into the log and holds until no entry can still hold an earlier sending of the job, also at the next leader; Retry-After is never shorter. A job that was taken once is never refused.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -83,13 +83,7 @@
 		if w.advised {
 			view.Queue(urgentQueue).Advice = &api.PlacementAdvice{ValidityMs: 1000}
 		}
-		starts = Plan(view, Input{
-			UnixMS: w.unixMS, Workers: w.workers,
-			Age:     func(job *jobs.Job) time.Duration { return w.now - w.submitted[job.ID] },
-			Behind:  func(run jobs.RunID) bool { return w.behind[run] },
-			Tickets: func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
-			PerCore: w.knowledge.Disturbance.PerCore, Durations: w.knowledge.Durations, Works: w.knowledge.Works,
-		})
+		starts = Plan(view, w.input())
 	})
 	for _, start := range starts {
 		w.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
@@ -97,6 +91,17 @@
 	return starts
 }
 
+// input returns what a plan rests on now.
+func (w *world) input() Input {
+	return Input{
+		UnixMS: w.unixMS, Workers: w.workers,
+		Age:     func(job *jobs.Job) time.Duration { return w.now - w.submitted[job.ID] },
+		Behind:  func(run jobs.RunID) bool { return w.behind[run] },
+		Tickets: func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
+		PerCore: w.knowledge.Disturbance.PerCore, Durations: w.knowledge.Durations, Works: w.knowledge.Works,
+	}
+}
+
 func (w *world) end(start Start, outcome api.RunOutcome) {
 	w.t.Helper()
 	w.apply(&api.JobChange{Body: &api.JobChange_End{End: &api.EndRun{
--- a/jobcontrol/call.go
+++ b/jobcontrol/call.go
@@ -114,16 +114,24 @@
 	if err := jobs.CheckSpec(call.Spec); err != nil {
 		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_INVALID, Reason: err.Error()}, nil
 	}
+	if verdict := l.judge(call, t); verdict.Refuse {
+		answer, err := l.refuse(ctx, call, t, verdict)
+		if answer != nil || err != nil {
+			return answer, err
+		}
+	}
 	received := l.server.now()
 	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Submit{
 		Submit: &api.SubmitJob{Key: &api.JobKey{Queue: t.queue, Job: t.job}, Spec: call.Spec},
 	}})
 	klog.InfoS("Job submitted", "job", t.job, "queue", t.queue, "version", t.version,
 		"attempt", call.Attempt, "commit_ms", l.millisSince(received), "error", err, "shape", jobs.Shape(call.Spec))
-	if fault.Is(err, fault.NotFound) {
+	switch {
+	case fault.Is(err, fault.NotFound):
 		return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_NO_QUEUE}, nil
-	}
-	if err != nil {
+	case fault.Is(err, fault.Overloaded):
+		return refusal("it was refused a moment ago", l.refusalTime(call, t)), nil
+	case err != nil:
 		return nil, err
 	}
 	return &api.JobAnswer{Kind: api.JobAnswerKind_JOB_ANSWER_KIND_ACCEPTED}, nil
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -34,6 +34,7 @@
 
 	health   *dispatch.Health
 	progress *dispatch.Progress
+	drain    dispatch.DrainRate
 	stalled  map[jobs.RunID]bool // runs that stand still and are being stopped
 
 	advice map[jobs.GroupID]*advice
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -89,6 +89,15 @@
 	})
 }
 
+// learnDrain takes in the work of a task that is done. The lock is held.
+func (l *leadership) learnDrain(queue string, task *api.TaskGroup, outcome api.RunOutcome) {
+	if outcome != api.RunOutcome_RUN_OUTCOME_DONE || task.LongRunning {
+		return
+	}
+	expected := l.knowledge.Durations.Expect(queue, task.EstimatedMs)
+	l.drain.Learn(float64(task.MilliCpu)/1000*expected/1000, l.server.now())
+}
+
 // learnHealth takes in whether the worker ended the run as it should. The lock is held.
 func (l *leadership) learnHealth(end *api.EndRun) {
 	switch end.Outcome {
--- a/jobcontrol/server_test.go
+++ b/jobcontrol/server_test.go
@@ -22,6 +22,7 @@
 	pendingCount = api.JobAnswerKind_JOB_ANSWER_KIND_PENDING
 	cancelled    = api.JobAnswerKind_JOB_ANSWER_KIND_CANCELLED
 	unconfigured = api.JobAnswerKind_JOB_ANSWER_KIND_UNCONFIGURED
+	refused      = api.JobAnswerKind_JOB_ANSWER_KIND_REFUSED
 	invalid      = api.JobAnswerKind_JOB_ANSWER_KIND_INVALID
 )
 
@@ -345,3 +346,44 @@
 		}
 	})
 }
+
+// tooLarge asks for more than the worker of a fakeAgent has.
+func tooLarge() *api.JobSpec {
+	return &api.JobSpec{Groups: []*api.TaskGroup{{Count: 1, MilliCpu: 5000}}}
+}
+
+// History: a caller sends a job, hears nothing, sends it again and is refused.
+// The first sending comes late, at another leader.
+func TestARefusalHoldsForSendingsThatAreStillOnTheirWay(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.wait(joinTime)
+		a.report()
+		answer := r.mustCall(submit, testPath, tooLarge(), refused)
+		if answer.RetryAfterMs < 3000 {
+			t.Errorf("the caller is told to come back after %d ms, when the refusal still holds", answer.RetryAfterMs)
+		}
+		r.replica.lead(2, false)
+		r.wait(100 * time.Millisecond)
+		r.replica.lead(3, true)
+		r.wait(100 * time.Millisecond)
+		r.mustCall(submit, testPath, oneTask(), refused)
+		r.wait(time.Duration(answer.RetryAfterMs) * time.Millisecond)
+		r.mustCall(submit, testPath, oneTask(), accepted)
+	})
+}
+
+// History: the answer to a submission that was taken is lost, and its resend
+// comes when it would be refused.
+func TestAJobThatWasTakenIsNeverRefused(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		r.mustCall(submit, testPath, tooLarge(), accepted) // no worker is known yet
+		a := r.connect("a")
+		r.wait(joinTime)
+		a.report()
+		r.mustCall(submit, testPath, tooLarge(), accepted)
+		r.mustCall(look, testPath, nil, stateAnswer)
+	})
+}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -142,12 +142,14 @@
 // acknowledged at once: it was recorded before, or is of a run that was lost.
 func (l *leadership) takeEnd(session *session, view *workerView, end *api.WorkerEnd) {
 	run := jobs.RunOf(end.Run)
-	known := false
+	var queue string
+	var task *api.TaskGroup // nil when the run is not known
 	l.server.config.State.Read(func(state jobs.View) {
-		_, _, task := state.Run(run)
-		known = task != nil
+		if job, group, _ := state.Run(run); job != nil {
+			queue, task = job.QueueKey, group.Spec
+		}
 	})
-	if !known {
+	if task == nil {
 		session.queueRecorded(run)
 		return
 	}
@@ -162,6 +164,7 @@
 	if !assumed {
 		return // its end is on the way to the disks
 	}
+	l.learnDrain(queue, task, end.Outcome)
 	l.add(endChange(run, view.key, end.Outcome, end.Checkpoint))
 	if end.Reason != "" {
 		klog.InfoS("Run's end reported", "job", run.Task.Job, "run", run.String(), "worker", view.key,
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -47,6 +47,9 @@
 		ZonesOut:      slices.Sorted(maps.Keys(s.zonesOut)),
 		Learnt:        s.learnt,
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.refusals)) {
+		record.Refusals = append(record.Refusals, &api.JobRefusal{Job: id, UntilUnixMs: s.refusals[id]})
+	}
 	for _, job := range s.jobs {
 		record.Jobs = append(record.Jobs, jobRecord(job))
 	}
@@ -105,6 +108,9 @@
 	for _, zone := range record.ZonesOut {
 		s.zonesOut[zone] = true
 	}
+	for _, refusal := range record.Refusals {
+		s.refusals[refusal.Job] = refusal.UntilUnixMs
+	}
 	for _, r := range record.Jobs {
 		s.loadJob(r)
 	}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -25,6 +25,7 @@
 	runs          map[string]map[RunID]struct{} // runs that have not ended, by worker
 	ended         []string                      // jobs that ended, in that order
 	learnt        *api.Learnt                   // by the leaders so far
+	refusals      map[string]int64              // until when a job that was refused stays so, by id
 }
 
 // NewState returns the empty state.
@@ -44,6 +45,7 @@
 	s.runs = map[string]map[RunID]struct{}{}
 	s.ended = nil
 	s.learnt = nil
+	s.refusals = map[string]int64{}
 }
 
 // Apply applies a committed api.JobBatch and returns an encoded api.JobBatchResult.
@@ -70,6 +72,7 @@
 		result.Results = append(result.Results, changeResult(s.change(change)))
 	}
 	s.forgetEnded(batch.RetainMs)
+	s.forgetRefusals()
 	return result
 }
 
@@ -107,6 +110,8 @@
 	case *api.JobChange_Learnt:
 		s.learnt = body.Learnt
 		return nil
+	case *api.JobChange_Refuse:
+		return s.refuse(body.Refuse)
 	}
 	return fault.New(fault.Internal, "change of an unknown type")
 }
@@ -152,12 +157,33 @@
 	if err := CheckSpec(c.Spec); err != nil {
 		return err
 	}
+	if s.refusals[id] > s.nowMS {
+		return fault.Newf(fault.Overloaded, "job %s was refused", id)
+	}
 	job := newJob(id, c.Key.Queue, queue, c.Spec, s.nowMS)
 	s.jobs[id] = job
 	s.active[id] = job
 	return nil
 }
 
+// refuse keeps a job from being taken for a while. Error: fault.Conflict when
+// it was taken before.
+func (s *State) refuse(c *api.JobRefusal) error {
+	if s.jobs[c.GetJob()] != nil {
+		return fault.Newf(fault.Conflict, "job %s was taken before", c.GetJob())
+	}
+	s.refusals[c.GetJob()] = max(s.refusals[c.GetJob()], c.GetUntilUnixMs())
+	return nil
+}
+
+func (s *State) forgetRefusals() {
+	for id, until := range s.refusals {
+		if until <= s.nowMS {
+			delete(s.refusals, id)
+		}
+	}
+}
+
 // cancel ends a job. The id of an unknown job is kept as cancelled, so that its
 // submission, if it still comes, runs nothing.
 func (s *State) cancel(c *api.JobKey) error {
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -385,3 +385,23 @@
 		}
 	}
 }
+
+func refusalChange(until int64) *api.JobChange {
+	return &api.JobChange{Body: &api.JobChange_Refuse{Refuse: &api.JobRefusal{Job: testJob, UntilUnixMs: until}}}
+}
+
+func TestARefusedJobIsNotTakenUntilTheRefusalIsOver(t *testing.T) {
+	f := newFixture(t)
+	f.mustApply(refusalChange(f.now + 5))
+	f.state = f.state.Clone()
+	task := &api.TaskGroup{Count: 1}
+	if err := f.apply(submitChange(testJob, task)); !fault.Is(err, fault.Overloaded) {
+		t.Errorf("a sending that was on its way: %v", err)
+	}
+	f.now += 5
+	f.submit(task)
+	if err := f.apply(refusalChange(f.now + 5)); !fault.Is(err, fault.Conflict) {
+		t.Errorf("a refusal of a job that was taken: %v", err)
+	}
+	f.submit(task) // a resend of the job that was taken
+}
