jobcontrol: maintenance waves

Change: a wave is an entry of the log. The leader closes as many VMs as may be down, moves long-running tasks off them one by one within their disruption budgets, lets the other runs end for half of the VM's share of the wave's duration, and orders the maintenance with its term as the fence. An order without an answer counts as down until it is answered.

--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -64,7 +64,7 @@
 	control, err := jobnode.StartControl(jobnode.Config{
 		Address: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
 		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), Retain: s.Retain, Security: security,
-		Adviser: adviser(s, security),
+		Adviser: adviser(s, security), Fleet: fleet(s, security),
 	}, client)
 	if err != nil {
 		return false, err
@@ -104,6 +104,13 @@
 	return platform.NewAdviser(s.Adviser, security.HTTPTransport())
 }
 
+func fleet(s *settings.JobControl, security *transport.Security) jobcontrol.Fleet {
+	if s.Fleet == "" {
+		return nil
+	}
+	return platform.NewMachines(s.Fleet, s.Name, security.HTTPTransport())
+}
+
 // emptyFolder removes what a data folder holds.
 func emptyFolder(folder string) error {
 	entries, err := os.ReadDir(folder)
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -102,7 +102,7 @@
 		l.learnHealth(end)
 	}
 	delete(l.began, run)
-	delete(l.stalled, run)
+	delete(l.moved, run)
 	l.progress.Forget(run)
 	phase := "forgotten"
 	l.server.config.State.Read(func(view jobs.View) {
--- a/jobcontrol/config.go
+++ b/jobcontrol/config.go
@@ -30,6 +30,7 @@
 	Retain  time.Duration // how long a job that ended is still known
 	Voters  int           // members that vote; twice the tolerated losses and one
 	Adviser Adviser       // nil when there is none
+	Fleet   Fleet         // nil when maintenance can't be ordered
 
 	Clock    func() time.Time // timing.Boot when nil; counts suspensions
 	UnixTime func() time.Time // time.Now when nil; the time of day
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -248,7 +248,7 @@
 	a.sequence++
 	report := &api.WorkerReport{
 		Sequence: a.sequence, Agent: a.name, Ends: ends,
-		Worker: &api.Worker{Id: "w-" + a.name, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000},
+		Worker: &api.Worker{Id: "w-" + a.name, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: "vm-" + a.name},
 	}
 	if a.listed != nil {
 		report.Lists, report.Runs, report.RunsListed = a.lists, a.listed, true
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -35,11 +35,13 @@
 	health   *dispatch.Health
 	progress *dispatch.Progress
 	drain    dispatch.DrainRate
-	stalled  map[jobs.RunID]bool // runs that stand still and are being stopped
+	moved    map[jobs.RunID]bool // runs that are stopped to begin elsewhere
 
 	advice map[jobs.GroupID]*advice
 	asking sync.Mutex // held for a question to the adviser; taken without mu
 
+	maintenance maintenance
+
 	joiners joiners
 }
 
@@ -56,9 +58,11 @@
 		started:  map[string]bool{},
 
 		began:  map[jobs.RunID]time.Time{},
-		health: dispatch.NewHealth(), progress: dispatch.NewProgress(), stalled: map[jobs.RunID]bool{},
+		health: dispatch.NewHealth(), progress: dispatch.NewProgress(), moved: map[jobs.RunID]bool{},
 		advice: map[jobs.GroupID]*advice{},
 
+		maintenance: newMaintenance(),
+
 		joiners: joiners{list: map[uint64]joiner{}},
 	}
 	l.assumed.Read(func(view jobs.View) { l.knowledge = dispatch.NewKnowledge(view.Learnt()) })
--- /dev/null
+++ b/jobcontrol/maintenance.go
@@ -0,0 +1,251 @@
+package jobcontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/timing"
+)
+
+// Fleet is the owner of the VMs.
+type Fleet interface {
+	// VMs returns the state of all VMs by name.
+	VMs(ctx context.Context) (map[string]dispatch.VMState, error)
+	// Maintain begins the maintenance of a VM; what runs on it ends at once. The
+	// fence must not be lower than that of an earlier order for the VM. Errors:
+	// fault.NotFound for a VM that is gone, fault.Conflict for one that can't be
+	// maintained now, fault.Stale for a fence that is too low, fault.Overloaded;
+	// any other may have taken effect.
+	Maintain(ctx context.Context, vm string, wave int64, fence uint64) error
+}
+
+// Times of the maintenance.
+const (
+	maintenanceInterval = 500 * time.Millisecond // between looks at the open waves
+	fleetTimeout        = 2 * time.Second        // of one call to the owner of the VMs
+)
+
+// maintenance is what a leadership knows of the VMs in open waves.
+type maintenance struct {
+	closed map[string]time.Time // VMs that get no new work, since when
+	asked  map[string]time.Time // VMs whose maintenance was asked for, since when the order is answered; zero while it is not
+	fenced map[string]bool      // VMs for which a later leader has given orders
+}
+
+func newMaintenance() maintenance {
+	return maintenance{closed: map[string]time.Time{}, asked: map[string]time.Time{}, fenced: map[string]bool{}}
+}
+
+// maintainVMs carries out the open waves until the leadership ends.
+func (l *leadership) maintainVMs() {
+	for timing.Sleep(l.ctx, maintenanceInterval) {
+		var open []*api.MaintenanceWave
+		l.server.config.State.Read(func(view jobs.View) { open = view.OpenWaves() })
+		if l.server.config.Fleet == nil || l.server.now().Sub(l.since) < joinTime || len(open) == 0 && !l.maintaining() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(l.ctx, fleetTimeout)
+		read := l.server.now()
+		states, err := l.server.config.Fleet.VMs(ctx)
+		cancel()
+		if err != nil {
+			klog.InfoS("VMs not listed", "error", err)
+			continue
+		}
+		l.noteBack(states, read)
+		for _, wave := range open {
+			l.carryOutWave(wave, states)
+		}
+	}
+}
+
+// maintaining reports whether a VM is closed, or down, for its maintenance.
+func (l *leadership) maintaining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.maintenance.closed) > 0
+}
+
+// noteBack opens the VMs that were up again, or gone, when the states were read.
+func (l *leadership) noteBack(states map[string]dispatch.VMState, read time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for vm, answered := range l.maintenance.asked {
+		state, listed := states[vm]
+		back := state == dispatch.VMUp && !answered.IsZero() && read.After(answered)
+		if back || !listed {
+			klog.InfoS("VM is back from its maintenance", "vm", vm, "listed", listed)
+			delete(l.maintenance.asked, vm)
+			delete(l.maintenance.closed, vm)
+		}
+	}
+}
+
+// carryOutWave takes the next steps of a wave.
+func (l *leadership) carryOutWave(wave *api.MaintenanceWave, states map[string]dispatch.VMState) {
+	l.mu.Lock()
+	vms := l.maintenanceVMs(wave, states)
+	plan := dispatch.PlanMaintenance(vms, int(wave.MaxConcurrent), time.Duration(wave.DurationMs)*time.Millisecond)
+	for _, vm := range plan.Close {
+		if _, known := l.maintenance.closed[vm]; !known {
+			klog.InfoS("VM closed for its maintenance", "wave", wave.Id, "vm", vm)
+			l.maintenance.closed[vm] = l.server.now()
+		}
+	}
+	l.moveGuarded(plan.Close)
+	l.mu.Unlock()
+	for _, vm := range vms {
+		if vm.Asked && !vm.Begun && vm.State == dispatch.VMUp {
+			plan.Begin = append(plan.Begin, vm.Name) // its order was not answered
+		}
+		if vm.State == dispatch.VMGone && !vm.Begun {
+			l.noteMaintained(wave.Id, vm.Name)
+		}
+	}
+	for _, vm := range plan.Begin {
+		l.maintain(wave.Id, vm)
+	}
+}
+
+// maintenanceVMs returns the VMs of a wave. The lock is held.
+func (l *leadership) maintenanceVMs(wave *api.MaintenanceWave, states map[string]dispatch.VMState) []dispatch.MaintenanceVM {
+	vms := make([]dispatch.MaintenanceVM, 0, len(wave.Vms))
+	for _, name := range wave.Vms {
+		state, listed := states[name]
+		if !listed {
+			state = dispatch.VMGone
+		}
+		_, asked := l.maintenance.asked[name]
+		vm := dispatch.MaintenanceVM{
+			Name: name, State: state, Asked: asked, Begun: slices.Contains(wave.Maintained, name) || l.maintenance.fenced[name],
+		}
+		if since, closed := l.maintenance.closed[name]; closed {
+			vm.Closed = l.server.now().Sub(since)
+		}
+		l.countRuns(&vm)
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// countRuns counts what runs on a VM. The lock is held.
+func (l *leadership) countRuns(vm *dispatch.MaintenanceVM) {
+	l.server.config.State.Read(func(view jobs.View) {
+		l.runsOnVM(view, vm.Name, func(run jobs.RunID, group *jobs.Group) {
+			if !group.Spec.LongRunning {
+				vm.Runs++
+			} else if group.Spec.DisruptionBudget > 0 {
+				vm.Guarded++
+			}
+		})
+	})
+}
+
+// runsOnVM calls f with each run on a VM. The lock is held.
+func (l *leadership) runsOnVM(state jobs.View, vm string, f func(jobs.RunID, *jobs.Group)) {
+	for _, view := range l.workers {
+		if view.worker.Machine != vm {
+			continue
+		}
+		state.RunsOn(view.key, func(run jobs.RunID) {
+			if _, group, _ := state.Run(run); group != nil {
+				f(run, group)
+			}
+		})
+	}
+}
+
+// moveGuarded stops long-running tasks on closed VMs, as far as the disruption
+// budgets allow; they begin again elsewhere. The lock is held.
+func (l *leadership) moveGuarded(closed []string) {
+	l.server.config.State.Read(func(view jobs.View) {
+		taken := map[jobs.GroupID]int{}
+		for _, vm := range closed {
+			l.runsOnVM(view, vm, func(run jobs.RunID, group *jobs.Group) {
+				budget := int(group.Spec.DisruptionBudget)
+				if !group.Spec.LongRunning || budget == 0 || l.moved[run] {
+					return
+				}
+				id := run.Task.GroupID()
+				away := l.away(group, run.Task) + taken[id]
+				if l.atWork(run) && !dispatch.MayMove(budget, away) {
+					return
+				}
+				klog.InfoS("Run moved from a VM before its maintenance", "job", run.Task.Job, "run", run.String(),
+					"vm", vm, "budget", budget, "away", away)
+				taken[id]++
+				l.moved[run] = true
+			})
+		}
+	})
+	l.signal()
+}
+
+// away returns how many tasks of a long-running group are not at work, without
+// the one that is named.
+func (l *leadership) away(group *jobs.Group, task jobs.TaskID) int {
+	away := 0
+	for i := range group.Tasks {
+		other := task
+		other.Index = int32(i)
+		working := slices.ContainsFunc(group.Tasks[i].Runs, func(run jobs.Run) bool {
+			id := jobs.RunID{Task: other, Number: run.Number}
+			return l.atWork(id) && !l.moved[id]
+		})
+		if other != task && !working {
+			away++
+		}
+	}
+	return away
+}
+
+// atWork reports whether a run of a long-running group was last listed at work.
+func (l *leadership) atWork(run jobs.RunID) bool {
+	for _, view := range l.workers {
+		if status := view.runs[run]; status != nil {
+			return status.Percent >= dispatch.FullPace && view.silent == 0
+		}
+	}
+	return false
+}
+
+// maintain orders the maintenance of a VM. The term is the fence.
+func (l *leadership) maintain(wave int64, vm string) {
+	l.mu.Lock()
+	l.maintenance.asked[vm] = time.Time{}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.ctx, fleetTimeout)
+	defer cancel()
+	err := l.server.config.Fleet.Maintain(ctx, vm, wave, l.term)
+	klog.InfoS("Maintenance ordered", "wave", wave, "vm", vm, "term", l.term, "error", err)
+	l.mu.Lock()
+	switch {
+	case err == nil:
+		l.maintenance.asked[vm] = l.server.now()
+	case fault.Is(err, fault.Stale):
+		l.maintenance.fenced[vm] = true
+		delete(l.maintenance.asked, vm)
+	case fault.Is(err, fault.NotFound), fault.Is(err, fault.Conflict), fault.Is(err, fault.Overloaded):
+		delete(l.maintenance.asked, vm) // nothing was done
+	}
+	l.mu.Unlock()
+	if err == nil || fault.Is(err, fault.NotFound) {
+		l.noteMaintained(wave, vm)
+	}
+}
+
+func (l *leadership) noteMaintained(wave int64, vm string) {
+	ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
+	defer cancel()
+	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Maintained{
+		Maintained: &api.MaintainedVM{Wave: wave, Vm: vm},
+	}})
+	klog.InfoS("VM of a wave counts as maintained", "wave", wave, "vm", vm, "error", err)
+}
--- /dev/null
+++ b/jobcontrol/maintenance_test.go
@@ -0,0 +1,165 @@
+package jobcontrol
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/jobs"
+)
+
+// fakeFleet maintains VMs for a second each.
+type fakeFleet struct {
+	mu       sync.Mutex
+	until    map[string]time.Time
+	begun    map[string]int
+	most     int // that were down at a time
+	unheard  int // answers that are lost from now on
+	tooEarly bool
+	guarded  func(vm string) bool // whether the VM has a task that must be moved first
+}
+
+const maintenanceTime = time.Second
+
+func (f *fakeFleet) VMs(context.Context) (map[string]dispatch.VMState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	states := map[string]dispatch.VMState{}
+	for _, vm := range []string{"vm-a", "vm-b", "vm-c"} {
+		states[vm] = dispatch.VMUp
+		if time.Now().Before(f.until[vm]) {
+			states[vm] = dispatch.VMMaintained
+		}
+	}
+	return states, nil
+}
+
+func (f *fakeFleet) Maintain(_ context.Context, vm string, _ int64, _ uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.begun[vm] == 0 {
+		f.begun[vm]++
+		f.tooEarly = f.tooEarly || f.guarded != nil && f.guarded(vm)
+		f.until[vm] = time.Now().Add(maintenanceTime)
+		down := 0
+		for _, until := range f.until {
+			if time.Now().Before(until) {
+				down++
+			}
+		}
+		f.most = max(f.most, down)
+	}
+	if f.unheard > 0 {
+		f.unheard--
+		return fault.New(fault.ConnectionLost, "no answer")
+	}
+	return nil
+}
+
+func (r *rig) withFleet() *fakeFleet {
+	fleet := &fakeFleet{until: map[string]time.Time{}, begun: map[string]int{}}
+	r.server.config.Fleet = fleet
+	return fleet
+}
+
+// beat keeps the agents' sessions alive for a while.
+func (r *rig) beat(d time.Duration, agents ...*fakeAgent) {
+	for end := time.Now().Add(d); time.Now().Before(end); r.wait(250 * time.Millisecond) {
+		for _, a := range agents {
+			a.obey()
+		}
+	}
+}
+
+// obey begins and ends runs as it is told, and reports them.
+func (a *fakeAgent) obey() {
+	starts, stops, _, _ := a.taken()
+	for _, run := range starts {
+		a.listed = append(a.listed, &api.RunStatus{Run: run.Ref(), Percent: 100, Pace: 100})
+	}
+	var ends []*api.WorkerEnd
+	for _, run := range stops {
+		for i, status := range a.listed {
+			if jobs.RunOf(status.Run) == run {
+				a.listed = append(a.listed[:i:i], a.listed[i+1:]...)
+				ends = append(ends, &api.WorkerEnd{Run: run.Ref(), Outcome: api.RunOutcome_RUN_OUTCOME_STOPPED})
+				break
+			}
+		}
+	}
+	a.lists++
+	a.report(ends...)
+}
+
+func TestAWaveIsCarriedOutWithinItsBounds(t *testing.T) {
+	for _, unheard := range []int{0, 2} {
+		t.Run(fmt.Sprintf("%d answers lost", unheard), func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				fleet := r.withFleet()
+				fleet.unheard = unheard
+				operators := Operators{Server: r.server}
+				wave := &api.MaintenanceWave{Id: 1, Vms: []string{"vm-a", "vm-b", "vm-gone"}, DurationMs: 20_000, MaxConcurrent: 1}
+				for range 2 { // the operator sends it again
+					if err := operators.BeginWave(context.Background(), wave); err != nil {
+						t.Fatal(err)
+					}
+				}
+				r.wait(20 * time.Second)
+				got, err := operators.Wave(context.Background(), 1)
+				if err != nil || !jobs.WaveCompleted(got) {
+					t.Fatalf("%v, %v", got, err)
+				}
+				if fleet.begun["vm-a"] != 1 || fleet.begun["vm-b"] != 1 || fleet.begun["vm-c"] != 0 || fleet.most != 1 {
+					t.Errorf("begun %v, %d down at a time", fleet.begun, fleet.most)
+				}
+			})
+		})
+	}
+}
+
+func TestGuardedTasksAreMovedOneByOneBeforeTheMaintenance(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		fleet := r.withFleet()
+		r.configure()
+		agents := []*fakeAgent{r.connect("a"), r.connect("b"), r.connect("c")}
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{
+			{Count: 4, MilliCpu: 1000, LongRunning: true, DisruptionBudget: 1},
+		}}, accepted)
+		r.beat(4*time.Second, agents...)
+		on := func(vm string) (n int) {
+			r.state.Read(func(view jobs.View) { view.RunsOn("w-"+vm[3:]+"@1", func(jobs.RunID) { n++ }) })
+			return n
+		}
+		fleet.guarded = func(vm string) bool { return on(vm) > 0 }
+		if on("vm-a")+on("vm-b")+on("vm-c") != 4 {
+			t.Fatal("not all tasks are at work")
+		}
+		err := Operators{Server: r.server}.BeginWave(context.Background(),
+			&api.MaintenanceWave{Id: 1, Vms: []string{"vm-a", "vm-b", "vm-c"}, DurationMs: 20_000, MaxConcurrent: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.beat(20*time.Second, agents...)
+		wave, err := Operators{Server: r.server}.Wave(context.Background(), 1)
+		if err != nil || !jobs.WaveCompleted(wave) || fleet.tooEarly || fleet.most != 1 {
+			t.Errorf("%v, %v; a VM went down with a task at work: %v; %d down at a time", wave, err, fleet.tooEarly, fleet.most)
+		}
+	})
+}
+
+func TestAWaveThatCannotBeCarriedOutIsRefused(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		err := Operators{Server: r.server}.BeginWave(context.Background(), &api.MaintenanceWave{Id: 1, Vms: []string{"vm-a"}})
+		if !fault.Is(err, fault.InvalidArgument) {
+			t.Errorf("%v", err)
+		}
+		if _, err := (Operators{Server: r.server}).Wave(context.Background(), 7); !fault.Is(err, fault.NotFound) {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- a/jobcontrol/operate.go
+++ b/jobcontrol/operate.go
@@ -29,6 +29,14 @@
 		change = &api.JobChange{Body: &api.JobChange_Configure{Configure: body.Configure}}
 	case *api.OperatorOrder_Zone:
 		change = &api.JobChange{Body: &api.JobChange_Zone{Zone: body.Zone}}
+	case *api.OperatorOrder_Wave:
+		if err := jobs.CheckWave(body.Wave); err != nil {
+			return nil, err
+		}
+		change = &api.JobChange{Body: &api.JobChange_Wave{Wave: body.Wave}}
+	case *api.OperatorOrder_ReadWave:
+		wave, err := s.Wave(ctx, body.ReadWave)
+		return &api.OperatorAnswer{Wave: wave}, err
 	default:
 		configuration, err := s.Configuration(ctx)
 		return &api.OperatorAnswer{Configuration: configuration}, err
@@ -57,3 +65,17 @@
 	}
 	return configuration, nil
 }
+
+// Wave returns a wave, confirmed by a quorum; any replica can. Errors:
+// fault.NotLeader, fault.NoQuorum; fault.NotFound.
+func (s *Server) Wave(ctx context.Context, id int64) (*api.MaintenanceWave, error) {
+	if _, err := s.config.Replica.ConfirmRead(ctx); err != nil {
+		return nil, err
+	}
+	var wave *api.MaintenanceWave
+	s.config.State.Read(func(view jobs.View) { wave = view.Wave(id) })
+	if wave == nil {
+		return nil, fault.Newf(fault.NotFound, "no wave %d", id)
+	}
+	return wave, nil
+}
--- a/jobcontrol/operators.go
+++ b/jobcontrol/operators.go
@@ -28,6 +28,16 @@
 	return o.order(ctx, &api.OperatorOrder{Body: &api.OperatorOrder_Zone{Zone: &api.ZoneOrder{Zone: zone, Out: out}}})
 }
 
+// BeginWave begins a maintenance wave, unless it has begun. Errors as Configure.
+func (o Operators) BeginWave(ctx context.Context, wave *api.MaintenanceWave) error {
+	return o.order(ctx, &api.OperatorOrder{Body: &api.OperatorOrder_Wave{Wave: wave}})
+}
+
+// Wave returns a wave, as Server.Wave.
+func (o Operators) Wave(ctx context.Context, id int64) (*api.MaintenanceWave, error) {
+	return o.Server.Wave(ctx, id)
+}
+
 // Configuration returns the configuration in force, as Server.Configuration.
 func (o Operators) Configuration(ctx context.Context) (*api.JobConfiguration, error) {
 	return o.Server.Configuration(ctx)
--- a/jobcontrol/progress.go
+++ b/jobcontrol/progress.go
@@ -27,7 +27,7 @@
 			}
 			l.progress.Look(run, status.Percent, status.Pace == dispatch.FullPace, now)
 			atWork := group.Spec.LongRunning && status.Percent >= dispatch.FullPace
-			if !atWork && !l.stalled[run] && l.progress.Stalled(run, l.expectedTime(state, run), now) {
+			if !atWork && !l.moved[run] && l.progress.Stalled(run, l.expectedTime(state, run), now) {
 				l.noteStalled(view, run, status.Percent, now)
 			}
 		}
@@ -37,7 +37,7 @@
 func (l *leadership) noteStalled(view *workerView, run jobs.RunID, percent int32, now time.Time) {
 	klog.InfoS("Run stands still, it is moved", "job", run.Task.Job, "run", run.String(), "worker", view.key, "percent", percent)
 	telemetry.JobRunsStalled.Add(1)
-	l.stalled[run] = true
+	l.moved[run] = true
 	for range dispatch.StallWeight {
 		l.health.Learn(view.key, true, now)
 	}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -211,14 +211,15 @@
 }
 
 // queueStops orders the end of runs whose job has ended, whose task is done by
-// another run, whose gang has lost a member, or that stand still. The lock is held.
+// another run, whose gang has lost a member, or that are to be moved. The lock is
+// held.
 func (l *leadership) queueStops() {
 	now := l.server.now()
 	l.server.config.State.Read(func(view jobs.View) {
 		for _, session := range l.sessions {
 			view.RunsOn(session.key, func(run jobs.RunID) {
 				job, group, task := view.Run(run)
-				if job != nil && (job.Phase.Ended() || task.Done || group.Broken(run.Number) || l.stalled[run]) {
+				if job != nil && (job.Phase.Ended() || task.Done || group.Broken(run.Number) || l.moved[run]) {
 					session.queueStop(run, now)
 				}
 			})
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -183,6 +183,9 @@
 		w := view.worker
 		open := l.sessions[view.agent] != nil && now.Before(view.granted.Add(-l.server.config.Lease/2)) &&
 			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.silent < silenceLimit && !suspects[view.key]
+		if _, closed := l.maintenance.closed[w.Machine]; closed {
+			open = false
+		}
 		view.noteSuspect(suspects[view.key])
 		workers = append(workers, dispatch.Worker{
 			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -38,6 +38,7 @@
 	Election   time.Duration
 	Security   *transport.Security
 	Adviser    jobcontrol.Adviser // nil for none
+	Fleet      jobcontrol.Fleet   // nil when there is none
 }
 
 // Control is a running control replica.
@@ -111,7 +112,7 @@
 	}
 	c.server = jobcontrol.New(jobcontrol.Config{
 		Replica: started, State: state, Lease: config.Lease, Retain: config.Retain, Voters: config.Voters,
-		Adviser: config.Adviser,
+		Adviser: config.Adviser, Fleet: config.Fleet,
 	})
 	c.grpc = grpc.NewServer(append(replica.ServerOptions(), config.Security.ServerOptions()...)...)
 	started.Register(c.grpc)
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -50,6 +50,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.refusals)) {
 		record.Refusals = append(record.Refusals, &api.JobRefusal{Job: id, UntilUnixMs: s.refusals[id]})
 	}
+	for _, id := range slices.Sorted(maps.Keys(s.waves)) {
+		record.Waves = append(record.Waves, s.waves[id])
+	}
 	for _, job := range s.jobs {
 		record.Jobs = append(record.Jobs, jobRecord(job))
 	}
@@ -111,6 +114,9 @@
 	for _, refusal := range record.Refusals {
 		s.refusals[refusal.Job] = refusal.UntilUnixMs
 	}
+	for _, wave := range record.Waves {
+		s.waves[wave.Id] = wave
+	}
 	for _, r := range record.Jobs {
 		s.loadJob(r)
 	}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -25,7 +25,8 @@
 	runs          map[string]map[RunID]struct{} // runs that have not ended, by worker
 	ended         []string                      // jobs that ended, in that order
 	learnt        *api.Learnt                   // by the leaders so far
-	refusals      map[string]int64              // until when a job that was refused stays so, by id
+	waves         map[int64]*api.MaintenanceWave
+	refusals      map[string]int64 // until when a job that was refused stays so, by id
 }
 
 // NewState returns the empty state.
@@ -46,6 +47,7 @@
 	s.ended = nil
 	s.learnt = nil
 	s.refusals = map[string]int64{}
+	s.waves = map[int64]*api.MaintenanceWave{}
 }
 
 // Apply applies a committed api.JobBatch and returns an encoded api.JobBatchResult.
@@ -112,6 +114,10 @@
 		return nil
 	case *api.JobChange_Refuse:
 		return s.refuse(body.Refuse)
+	case *api.JobChange_Wave:
+		return s.beginWave(body.Wave)
+	case *api.JobChange_Maintained:
+		return s.noteMaintained(body.Maintained)
 	}
 	return fault.New(fault.Internal, "change of an unknown type")
 }
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -44,6 +44,7 @@
 	LeaseLimit time.Duration
 	Retain     time.Duration // how long a job that ended is known
 	Adviser    string        // ip:port of the placement adviser, empty for none
+	Fleet      string        // ip:port of the owner of the VMs, empty for none
 	Grace      time.Duration
 }
 
@@ -112,6 +113,7 @@
 		LeaseLimit: r.duration("leases", "limit", time.Second, longestLease),
 		Retain:     r.duration("limits", "retain", time.Second, longestRetain),
 		Adviser:    r.address("adviser", "address", optional),
+		Fleet:      r.address("fleet", "address", optional),
 		Grace:      r.duration("limits", "grace", 0, longestGrace),
 	}
 	return finish(r, s)
--- a/settings/jobs_test.go
+++ b/settings/jobs_test.go
@@ -29,8 +29,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// The section of the adviser is rendered once, with its address.
-	data = []byte(strings.NewReplacer("{{#advisor}}\n", "", "{{/advisor}}\n", "", "{{.}}", "10.200.1.9:8169").Replace(string(data)))
+	// A section of an address is rendered once, with the address.
+	data = []byte(strings.NewReplacer("{{#advisor}}\n", "", "{{/advisor}}\n", "", "{{#cloud.address}}\n", "",
+		"{{/cloud.address}}\n", "", "{{.}}", "10.200.1.9:8169").Replace(string(data)))
 	return placeholder.ReplaceAllFunc(data, func(match []byte) []byte {
 		value, known := sampleValues[strings.Trim(string(match), "{}")]
 		if !known {
@@ -52,7 +53,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if control.Listen != "10.1.0.13:7720" || !control.FirstStart || control.Tolerated != 2 || control.Adviser != "10.200.1.9:8169" || control.Lease() != 4*time.Second {
+	if control.Listen != "10.1.0.13:7720" || !control.FirstStart || control.Tolerated != 2 || control.Adviser != "10.200.1.9:8169" ||
+		control.Fleet != "10.200.1.9:8169" || control.Lease() != 4*time.Second {
 		t.Errorf("%+v, lease %v", control, control.Lease())
 	}
 	agent, err := ParseJobAgent("agent.ini", fill(t, "agent.ini"))
