--- a/cmd/paddle-jobagent/main.go
+++ b/cmd/paddle-jobagent/main.go
@@ -43,7 +43,7 @@
 	defer agent.Stop()
 	mux := http.NewServeMux()
 	platform.RegisterWorkers(mux, agent)
-	servers := daemon.Servers{}
+	servers := daemon.Servers{Security: security}
 	servers.Add("worker", s.Listen, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	servers.AddMetrics(s.Metrics, agent.Ready)
 	if err := servers.Start(); err != nil {
--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -71,7 +71,7 @@
 	}
 	mux := http.NewServeMux()
 	platform.RegisterOperators(mux, control.Operators())
-	servers := daemon.Servers{}
+	servers := daemon.Servers{Security: security}
 	servers.Add("operators", s.Operators, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	servers.AddMetrics(s.Metrics, control.Ready, control.WriteMetrics)
 	if err := servers.Start(); err != nil {
--- a/cmd/paddle-jobentry/main.go
+++ b/cmd/paddle-jobentry/main.go
@@ -45,7 +45,7 @@
 	gateway := jobentry.New(client)
 	gateway.Start()
 	defer gateway.Stop()
-	servers := daemon.Servers{}
+	servers := daemon.Servers{Security: security}
 	servers.Add("callers", s.Callers, &http.Server{
 		Handler: platform.CallersHandler(gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	})
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -10,11 +9,13 @@
 
 	"amaranthpaddle/fault"
 	"amaranthpaddle/telemetry"
+	"amaranthpaddle/transport"
 )
 
 // Servers are the HTTP servers of one process.
 type Servers struct {
-	list []namedServer
+	Security *transport.Security
+	list     []namedServer
 }
 
 type namedServer struct {
@@ -39,7 +40,7 @@
 // one can't be opened.
 func (s *Servers) Start() error {
 	for i, named := range s.list {
-		listener, err := net.Listen("tcp", named.address)
+		listener, err := s.Security.ListenHTTP(named.address)
 		if err != nil {
 			for _, opened := range s.list[:i] {
 				opened.server.Close()
--- a/jobagent/hold.go
+++ b/jobagent/hold.go
@@ -10,6 +10,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/timing"
 )
 
 // runHolds renews the worker's lease and takes in its lists until the
@@ -27,9 +28,8 @@
 			return
 		}
 		w.noteUnanswered(err)
-		select {
-		case <-w.ctx.Done():
-		case <-time.After(pause):
+		if !timing.Sleep(w.ctx, pause) {
+			return
 		}
 		pause = min(2*pause, maxRetry)
 	}
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -12,6 +11,7 @@
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/telemetry"
+	"amaranthpaddle/timing"
 )
 
 // incarnation is what the agent knows of one incarnation of its worker. Its
@@ -242,9 +242,8 @@
 			return
 		}
 		klog.InfoS("Run's stop not confirmed", "job", id.Task.Job, "run", id.String(), "worker", w.key, "error", err)
-		select {
-		case <-w.ctx.Done():
-		case <-time.After(pause):
+		if !timing.Sleep(w.ctx, pause) {
+			return
 		}
 		pause = min(2*pause, maxRetry)
 	}
@@ -278,9 +277,9 @@
 		}
 		return
 	}
-	telemetry.JobAgentEnds.Add(1, outcomeName(outcome))
+	telemetry.JobAgentEnds.Add(1, jobs.OutcomeName(outcome))
 	klog.InfoS("Run's end seen", "job", id.Task.Job, "run", id.String(), "worker", w.key,
-		"outcome", outcomeName(outcome), "reason", reason)
+		"outcome", jobs.OutcomeName(outcome), "reason", reason)
 	w.ends[id] = &end{position: position, message: &api.WorkerEnd{
 		Run: id.Ref(), Outcome: outcome, Checkpoint: checkpoint, Reason: reason,
 	}}
@@ -297,11 +296,6 @@
 	telemetry.JobAgentSeconds.Observe(time.Since(sent), call)
 }
 
-// outcomeName is an outcome's name in logs and metrics.
-func outcomeName(outcome api.RunOutcome) string {
-	return strings.ToLower(strings.TrimPrefix(outcome.String(), "RUN_OUTCOME_"))
-}
-
 // fill adds what the leader should know of the worker, which is nothing before
 // the worker has listed its runs. The lock is held.
 func (w *incarnation) fill(report *api.WorkerReport, stream int64) {
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -113,20 +113,10 @@
 			}
 		}
 	})
-	telemetry.JobRunsEnded.Add(1, outcomeName(end.Outcome))
+	telemetry.JobRunsEnded.Add(1, jobs.OutcomeName(end.Outcome))
 	klog.InfoS("Run ended", "job", run.Task.Job, "run", run.String(), "worker", end.Worker,
-		"outcome", outcomeName(end.Outcome), "job_state", phase, "stale", err != nil)
+		"outcome", jobs.OutcomeName(end.Outcome), "job_state", phase, "stale", err != nil)
 	if session := l.sessionOf(end.Worker); session != nil {
 		session.queueRecorded(run)
 	}
 }
-
-var outcomeNames = map[api.RunOutcome]string{
-	api.RunOutcome_RUN_OUTCOME_DONE:    "done",
-	api.RunOutcome_RUN_OUTCOME_FAILED:  "failed",
-	api.RunOutcome_RUN_OUTCOME_STOPPED: "stopped",
-	api.RunOutcome_RUN_OUTCOME_LOST:    "lost",
-	api.RunOutcome_RUN_OUTCOME_REFUSED: "refused",
-}
-
-func outcomeName(outcome api.RunOutcome) string { return outcomeNames[outcome] }
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -168,7 +168,7 @@
 	l.add(endChange(run, view.key, end.Outcome, end.Checkpoint))
 	if end.Reason != "" {
 		klog.InfoS("Run's end reported", "job", run.Task.Job, "run", run.String(), "worker", view.key,
-			"outcome", outcomeName(end.Outcome), "reason", end.Reason)
+			"outcome", jobs.OutcomeName(end.Outcome), "reason", end.Reason)
 	}
 }
 
--- a/jobs/id.go
+++ b/jobs/id.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"amaranthpaddle/api"
 )
@@ -64,3 +65,8 @@
 
 // QueueKey names a queue by what its callers use: the host and the path prefix.
 func QueueKey(host, pathPrefix string) string { return host + " " + pathPrefix }
+
+// OutcomeName is an outcome's name in logs and metrics.
+func OutcomeName(outcome api.RunOutcome) string {
+	return strings.ToLower(strings.TrimPrefix(outcome.String(), "RUN_OUTCOME_"))
+}
