dispatch: a best-effort job does not starve behind others

Cause: the patience for jobs of which nothing runs counted other best-effort work as taken, and a task that would only slow down others was never placed. Change: after 10 s one task of such a job begins wherever it fits, as long as the tasks that count take less than half of the fleet. The test replays the backlog and failed before.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -211,6 +211,7 @@
 			return // the tasks of a group need the same room
 		}
 		p.start(c, i, c.group.NextRun(i), chosen, spread)
+		c.waited = 0 // something of the job runs now
 	}
 }
 
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -277,3 +277,27 @@
 		})
 	})
 }
+
+// Load pattern: a backlog of best-effort jobs after the callers have left. Seen
+// on retorno-gel (closing-power, seed 645917781074): a job of large tasks found no
+// place for 24 s, while services took less than half of the fleet.
+func TestABestEffortJobDoesNotStarveBehindOthers(t *testing.T) {
+	w := newWorld(t, 2)
+	filler := func(count int32) *api.TaskGroup {
+		return &api.TaskGroup{Count: count, MilliCpu: 5000, EstimatedMs: 1000, BestEffort: true, Image: "f"}
+	}
+	w.submit(batchQueue, filler(4))
+	w.plan()
+	waiting := w.submit(batchQueue, filler(3))
+	w.now = starvation - time.Second
+	if starts := w.plan(); len(starts) > 0 {
+		t.Fatalf("it begins where it only slows down others: %v", starts)
+	}
+	w.now = starvation + time.Second
+	if starts := w.plan(); len(starts) != 1 || starts[0].Run.Task.Job != waiting {
+		t.Errorf("starts %v, want one task of the job that waits", starts)
+	}
+	if starts := w.plan(); len(starts) > 0 {
+		t.Errorf("a second task begins: %v", starts)
+	}
+}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -93,6 +93,9 @@
 // processors that are unused, and beside services that can spare the headroom.
 func (p *planner) mayFill(c candidate, l *load) bool {
 	group := c.group.Spec
+	if c.waited > starvation && p.halfUncounted() {
+		return true
+	}
 	if l.bestEffort > 0 && unusedShare(l) < share(group.MilliCpu, l) {
 		return false // it would only slow down those that are there
 	}
@@ -109,8 +112,22 @@
 	// fillPatience is how long a job of which nothing runs waits for a place where
 	// it disturbs nobody, while half of the fleet is free.
 	fillPatience = 1500 * time.Millisecond
+	// starvation is how long a job of which nothing runs waits behind other
+	// best-effort work, while the tasks that count leave half of the fleet. Then
+	// one of its tasks begins, so that every job comes to its end.
+	starvation = 10 * time.Second
 )
 
+// halfUncounted reports whether tasks that count take less than half of all processors.
+func (p *planner) halfUncounted() bool {
+	var counted, capacity int64
+	for _, l := range p.loads {
+		counted += l.used.MilliCPU
+		capacity += l.worker.Capacity.MilliCPU
+	}
+	return 2*counted < capacity
+}
+
 // halfEmpty reports whether less than half of all processors is claimed.
 func (p *planner) halfEmpty() bool {
 	var claimed, capacity int64
