--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -62,7 +62,7 @@
 func runReplica(ctx context.Context, s *settings.JobControl, reloads <-chan *settings.JobControl,
 	security *transport.Security, client *controlclient.Client) (removed bool, err error) {
 	control, err := jobnode.StartControl(jobnode.Config{
-		Address: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
+		Address: s.Advertised, Listen: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
 		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), Retain: s.Retain, Security: security,
 		Adviser: adviser(s, security), Fleet: fleet(s, security),
 	}, client)
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -3,6 +3,7 @@
 package jobnode
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -28,6 +29,7 @@
 // Config holds the settings of one control replica.
 type Config struct {
 	Address    string   // ip:port at which agents, entries and replicas reach this one
+	Listen     string   // ip:port on which it listens, empty for Address
 	Seeds      []string // ip:port of replicas to ask; the first members of a new group
 	FirstStart bool     // the whole system starts for the first time
 	DataDir    string
@@ -77,7 +79,7 @@
 	if id == 0 {
 		id = joinerID()
 	}
-	listener, err := config.Security.Listen(config.Address)
+	listener, err := config.Security.Listen(cmp.Or(config.Listen, config.Address))
 	if err != nil {
 		return nil, err
 	}
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -39,6 +39,7 @@
 	DataFolder string
 	FirstStart bool   // the whole system starts for the first time
 	Listen     string // ip:port for agents, entries and the other replicas
+	Advertised string // ip:port at which they reach it, where a forwarder stands before it
 	Operators  string // ip:port for operators
 	Tolerated  int    // control VMs that may be lost at a time
 	LeaseLimit time.Duration
@@ -108,6 +109,7 @@
 		DataFolder: r.text("control", "data_folder", required),
 		FirstStart: r.boolean("control", "first_start"),
 		Listen:     r.address("listen", "control", required),
+		Advertised: r.address("control", "advertised", optional),
 		Operators:  r.address("listen", "operators", required),
 		Tolerated:  r.count("control", "tolerated_losses", 0, mostTolerated),
 		LeaseLimit: r.duration("leases", "limit", time.Second, longestLease),
@@ -116,6 +118,9 @@
 		Fleet:      r.address("fleet", "address", optional),
 		Grace:      r.duration("limits", "grace", 0, longestGrace),
 	}
+	if s.Advertised == "" {
+		s.Advertised = s.Listen
+	}
 	return finish(r, s)
 }
 
