jobagent: workers are asked whether they are well, and the answer is weighed

The agent asks at the configuration's path; a worker that says that it is ill comes after the others and is shut out after one bad end in place of three. One that says so and works is used.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -9,9 +9,14 @@
 // pattern that it answers: a worker that fails whatever it starts is free again
 // at once, and so draws ever more work. A job that fails everywhere, or a fault
 // of the whole fleet, speaks against no worker. It is not safe for concurrent use.
+//
+// What a worker says of itself is weighed only: one that says that it is ill is
+// shut out after fewer bad ends, and comes after the others until then. One that
+// says so and works is used; one that says that it is well and fails is not.
 type Health struct {
 	workers map[string]*endRate
 	fleet   endRate
+	ill     map[string]bool // that say that they are ill
 }
 
 // endRate is the share of bad ends, of which old ones count less.
@@ -24,12 +29,25 @@
 const (
 	healthMemory  = 4 * time.Second // after which an end counts a third; a worker is tried again after some of these
 	leastEnds     = 2.5             // weighed ends before a worker is judged
+	leastEndsIll  = 0.7             // of one that says that it is ill
+	illDistrust   = 0.2             // of such a worker before it is judged
 	suspiciousGap = 0.45            // share of bad ends above the fleet's, at which a worker gets nothing
 	mostSuspects  = 0.34            // share of the workers that may be shut out at a time
 )
 
 // NewHealth returns a Health that knows nothing.
-func NewHealth() *Health { return &Health{workers: map[string]*endRate{}} }
+func NewHealth() *Health {
+	return &Health{workers: map[string]*endRate{}, ill: map[string]bool{}}
+}
+
+// Note takes in what a worker says of itself.
+func (h *Health) Note(worker string, ill bool) {
+	if ill {
+		h.ill[worker] = true
+	} else {
+		delete(h.ill, worker)
+	}
+}
 
 // Learn takes in how a run ended on a worker.
 func (h *Health) Learn(worker string, bad bool, now time.Time) {
@@ -62,14 +80,17 @@
 // Distrust returns by how much more often than elsewhere runs end badly on a
 // worker, from 0 to 1.
 func (h *Health) Distrust(worker string, now time.Time) float64 {
-	rate := h.workers[worker]
+	rate, least, unjudged := h.workers[worker], leastEnds, 0.0
+	if h.ill[worker] {
+		least, unjudged = leastEndsIll, illDistrust
+	}
 	if rate == nil {
-		return 0
+		return unjudged
 	}
 	rate.age(now)
 	h.fleet.age(now)
-	if rate.all < leastEnds {
-		return 0
+	if rate.all < least {
+		return unjudged
 	}
 	elsewhere := 0.0
 	if all := h.fleet.all - rate.all; all > 0 {
@@ -94,4 +115,7 @@
 }
 
 // Forget drops a worker that is gone.
-func (h *Health) Forget(worker string) { delete(h.workers, worker) }
+func (h *Health) Forget(worker string) {
+	delete(h.workers, worker)
+	delete(h.ill, worker)
+}
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -54,3 +54,38 @@
 		t.Errorf("half of the fleet was shut out: %v", suspects)
 	}
 }
+
+// Load pattern: health answers are false, either way.
+func TestWhatAWorkerSaysOfItselfIsWeighedOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	workers := []string{"sound", "ill", "well", "silent"}
+	h := NewHealth()
+	h.Note("ill", true)
+	for range 10 {
+		for _, worker := range workers {
+			h.Learn(worker, false, now)
+		}
+	}
+	if d := h.Distrust("ill", now); d > 0 {
+		t.Errorf("distrust %.2f of a worker that says that it is ill and works", d)
+	}
+	now = now.Add(10 * healthMemory) // nothing is known any more
+	if d := h.Distrust("ill", now); d <= 0 || d >= suspiciousGap {
+		t.Errorf("distrust %.2f of a worker that says that it is ill and was not tried", d)
+	}
+	h.Learn("sound", false, now)
+	h.Learn("ill", true, now)
+	h.Learn("well", true, now)
+	if suspects := h.Suspects(now, workers); !suspects["ill"] || suspects["well"] {
+		t.Errorf("suspects %v after one bad end each", suspects)
+	}
+	for range 5 {
+		h.Learn("well", true, now)
+		h.Learn("sound", false, now)
+		h.Learn("silent", false, now)
+	}
+	h.Forget("ill")
+	if suspects := h.Suspects(now, workers); !suspects["well"] {
+		t.Errorf("suspects %v, want the one that says that it is well and fails", suspects)
+	}
+}
--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -41,6 +41,7 @@
 	term       uint64          // of the latest leader
 	leaseUntil time.Time       // until when runs may be begun and renewed
 	costs      *dispatch.Costs // as the leader learnt it
+	healthPath string          // at which the worker is asked whether it is well, empty for none
 }
 
 // Times of the agent's calls.
@@ -143,6 +144,7 @@
 	}
 	a.current, a.leaving = next, false
 	a.done.Go(next.runHolds)
+	a.done.Go(next.watchHealth)
 }
 
 // Deregister takes in that the worker ends.
--- a/jobagent/agent_test.go
+++ b/jobagent/agent_test.go
@@ -301,3 +301,28 @@
 		}
 	})
 }
+
+func TestTheWorkersWordOnItsHealthIsPassedOn(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.register(1, false)
+		r.wait(2 * healthInterval)
+		if r.worker.asked != "" {
+			t.Fatal("the worker was asked before its path is known")
+		}
+		r.agent.mu.Lock()
+		r.agent.healthPath = "/healthz"
+		r.agent.mu.Unlock()
+		for _, ill := range []bool{false, true, false} {
+			r.worker.set(func() {
+				r.worker.ill = nil
+				if ill {
+					r.worker.ill = fault.New(fault.BackendUnavailable, "ill")
+				}
+			})
+			r.wait(2 * healthInterval)
+			if got := r.report().Ill; got != ill || r.worker.asked != "/healthz" {
+				t.Errorf("reported ill %v, want %v; asked at %q", got, ill, r.worker.asked)
+			}
+		}
+	})
+}
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -147,6 +147,9 @@
 	}
 	l.answered = true
 	a.term = d.Term
+	if d.LeaseMs > 0 {
+		a.healthPath = d.HealthPath
+	}
 	l.noteAnswer(d)
 	for _, cost := range d.Costs {
 		a.costs.Set(dispatch.Known{
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -271,6 +271,7 @@
 		d.LeaseMs = l.grantLease(session).Milliseconds()
 		d.Members = members
 		d.Costs = l.costsFor(session)
+		d.HealthPath = l.healthPath(session.key)
 	}
 	d.Starts, session.starts = session.starts, nil
 	d.Stops, session.stops = session.stops, nil
@@ -287,6 +288,22 @@
 	return d
 }
 
+// healthPath returns where a worker is asked whether it is well. The lock is held.
+func (l *leadership) healthPath(key string) (path string) {
+	view := l.viewOf(key)
+	if view == nil {
+		return ""
+	}
+	l.server.config.State.Read(func(state jobs.View) {
+		for _, service := range state.Configuration().GetServices() {
+			if service.Name == view.worker.Service {
+				path = service.HealthPath
+			}
+		}
+	})
+	return path
+}
+
 // costsFor returns the pair costs, when the agent was not told of the latest
 // ones. The lock is held.
 func (l *leadership) costsFor(session *session) []*api.PairCost {
