--- /dev/null
+++ b/cmd/paddle-soak/callers.go
@@ -0,0 +1,263 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// taskOf returns how long a run of a task takes and whether it fails, which its
+// payload and its name fix.
+func taskOf(spec string, name taskName, run int64) (time.Duration, bool) {
+	hash := fnv.New64a()
+	fmt.Fprint(hash, spec, name, run)
+	random := rand.New(rand.NewPCG(hash.Sum64(), 1))
+	return time.Duration(100+random.IntN(900)) * time.Millisecond, random.IntN(20) == 0
+}
+
+const (
+	queueHost    = "soak.example"
+	queuePrefix  = "/jobs/"
+	maxAttempts  = 3
+	callDeadline = 3 * time.Second
+)
+
+// caller hands in jobs, one after the other, and looks at them.
+type caller struct {
+	random  *rand.Rand
+	entries []string // addresses
+	check   *checker
+	client  *http.Client // keeps its connections
+	open    []string     // jobs that were accepted and have not ended
+}
+
+func newCaller(seed uint64, entries []string, check *checker) *caller {
+	return &caller{
+		random: rand.New(rand.NewPCG(seed, 2)), entries: entries, check: check,
+		client: &http.Client{Timeout: callDeadline, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+	}
+}
+
+// run hands in jobs until stop is closed.
+func (c *caller) run(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(50+c.random.IntN(300)) * time.Millisecond):
+		}
+		if c.random.IntN(3) > 0 {
+			c.submit()
+		}
+		c.lookAtOpen(3)
+	}
+}
+
+// call makes a call at some entry; the status is 0 without an answer.
+func (c *caller) call(method, path string, body []byte) (int, []byte) {
+	entry := c.entries[c.random.IntN(len(c.entries))]
+	request, err := http.NewRequest(method, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	request.Host = queueHost
+	request.Header.Set("Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
+	answer, err := c.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, data
+}
+
+// submit hands in a job, again as long as it is not known whether it was taken.
+func (c *caller) submit() {
+	id := fmt.Sprintf("%016x", c.random.Uint64())
+	spec := fmt.Sprintf("work of %s", id)
+	groups, body := c.job(spec)
+	for range 4 {
+		c.check.sent(id, spec, groups)
+		status, _ := c.call("POST", queuePrefix+id, body)
+		c.check.answered(id, status)
+		if status/100 == 2 {
+			c.open = append(c.open, id)
+			break
+		}
+		if status == 429 || status == 503 {
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	if c.random.IntN(8) == 0 {
+		c.cancel(id)
+	}
+}
+
+func (c *caller) job(spec string) ([]groupView, []byte) {
+	var groups []groupView
+	var steps []map[string]any
+	for g := range 1 + c.random.IntN(2) {
+		group := groupView{count: 1 + c.random.IntN(4), milliCPU: int64(500 + 500*c.random.IntN(5))}
+		step := map[string]any{"count": group.count, "cpu": group.milliCPU, "mem_mb": 100, "estimated_ms": 500}
+		if g > 0 {
+			group.dependsOn = []int{0}
+			step["depends_on"] = []int{0}
+		}
+		groups, steps = append(groups, group), append(steps, step)
+	}
+	body, err := json.Marshal(map[string]any{"spec": spec, "steps": steps})
+	if err != nil {
+		panic(err) // maps of plain values can be encoded
+	}
+	return groups, body
+}
+
+func (c *caller) cancel(id string) {
+	c.check.cancelSent(id)
+	if status, _ := c.call("DELETE", queuePrefix+id, nil); status/100 == 2 {
+		c.check.cancelAcknowledged(id)
+	}
+}
+
+// lookAtOpen looks at some of the jobs that have not ended.
+func (c *caller) lookAtOpen(most int) {
+	for range min(most, len(c.open)) {
+		i := c.random.IntN(len(c.open))
+		if c.look(c.open[i]) {
+			c.open = slices.Delete(c.open, i, i+1)
+		}
+	}
+}
+
+// look asks for a job's state and reports whether it is final.
+func (c *caller) look(id string) bool {
+	asked := time.Now()
+	status, data := c.call("GET", queuePrefix+id, nil)
+	var answer struct {
+		State string `json:"state"`
+	}
+	switch {
+	case status == 410:
+		c.check.shown(id, "", true, asked)
+	case status == 200 && json.Unmarshal(data, &answer) == nil:
+		c.check.shown(id, answer.State, false, asked)
+		return answer.State == "completed" || answer.State == "failed" || answer.State == "cancelled"
+	}
+	return false
+}
+
+// operator changes the configuration and reads it back.
+type operator struct {
+	random  *rand.Rand
+	control []string // addresses
+	check   *checker
+	client  *http.Client
+	version int64
+}
+
+func newOperator(seed uint64, control []string, check *checker) *operator {
+	return &operator{
+		random: rand.New(rand.NewPCG(seed, 3)), control: control, check: check,
+		client: &http.Client{Timeout: 1500 * time.Millisecond},
+	}
+}
+
+func (o *operator) call(method, path string, body []byte) (int, []byte) {
+	address := o.control[o.random.IntN(len(o.control))]
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	answer, err := o.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, data
+}
+
+// configure sends the next version until it is acknowledged or stop is closed.
+func (o *operator) configure(stop chan struct{}) bool {
+	o.version += int64(1 + o.random.IntN(3))
+	body := fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"q","host":%q,"path_prefix":%q,"kind":"non_idempotent","timeout_ms":3000,`+
+		`"target_completion_ms":1000,"priority":0,"service":"svc","max_attempts":%d,"slack_factor":2}],`+
+		`"services":[{"name":"svc"}],"limits":{}}`, o.version, queueHost, queuePrefix, maxAttempts)
+	for {
+		if status, _ := o.call("POST", "/v1/Config.Replace", body); status == 200 {
+			o.check.configured(o.version)
+			return true
+		}
+		select {
+		case <-stop:
+			return false
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// configureWithin is configure for at most a time.
+func (o *operator) configureWithin(limit time.Duration) bool {
+	stop := make(chan struct{})
+	timer := time.AfterFunc(limit, func() { close(stop) })
+	defer timer.Stop()
+	return o.configure(stop)
+}
+
+func (o *operator) read() bool {
+	newest := o.check.acknowledged()
+	status, data := o.call("GET", "/v1/Config.Get", nil)
+	var answer struct {
+		Version int64 `json:"version"`
+	}
+	if status != 200 || json.Unmarshal(data, &answer) != nil {
+		return false
+	}
+	o.check.read(answer.Version, newest)
+	return true
+}
+
+// run changes and reads the configuration until stop is closed.
+func (o *operator) run(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(200+o.random.IntN(800)) * time.Millisecond):
+		}
+		if o.random.IntN(3) == 0 {
+			o.configure(stop)
+		}
+		o.read()
+	}
+}
+
+// setZone takes a zone out of service or in again, and reports when that was acknowledged.
+func (o *operator) setZone(zone string, out bool, stop chan struct{}) bool {
+	verb := "Finish"
+	if out {
+		verb = "Begin"
+	}
+	for {
+		if status, _ := o.call("POST", "/v1/Evacuations."+verb+"/"+zone, nil); status == 200 {
+			return true
+		}
+		select {
+		case <-stop:
+			return false
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/cmd/paddle-soak/checker.go
@@ -0,0 +1,358 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The promises that are checked.
+const (
+	promiseOnce      = "a task runs once at a time, and not again once its end was recorded"
+	promiseRoom      = "a worker is not given more than its capacity"
+	promiseOrder     = "a group starts after those that it depends on"
+	promiseAttempts  = "a task is not tried more often than its queue allows"
+	promiseAsked     = "only what callers handed in and did not cancel is started, as they described it"
+	promiseRefused   = "what was refused never runs"
+	promiseKept      = "what was accepted is known and comes to its end"
+	promiseTruthful  = "a state that is shown is true"
+	promiseNewest    = "a configuration that is read is not older than the newest acknowledged one"
+	promiseDraining  = "a worker that drains is not given work"
+	promiseZones     = "a zone that is out of service is not given work"
+	promiseProcesses = "no process ends by itself"
+)
+
+// jobView is what is known of one job from outside.
+type jobView struct {
+	spec      string
+	groups    []groupView
+	attempts  int // sendings
+	refused   int // of them
+	accepted  time.Time
+	cancelled time.Time // when the cancellation was acknowledged
+	cancelAsk bool
+	started   bool
+	state     string // latest that was shown
+	asked     time.Time
+}
+
+// groupView is one group of a job.
+type groupView struct {
+	count     int
+	milliCPU  int64
+	dependsOn []int
+}
+
+// taskName names a task as workers do.
+type taskName struct {
+	job   string
+	group int
+	index int
+}
+
+func (t taskName) String() string { return fmt.Sprintf("%s.0.%d.%d", t.job, t.group, t.index) }
+
+// taskView is what is known of one task.
+type taskView struct {
+	live         map[string]bool // incarnations of workers on which it runs
+	done         bool
+	doneAt       time.Time
+	doneRecorded bool
+	lastStart    time.Time
+	failures     int // recorded ones
+	failed       int // all
+}
+
+// checker collects what is seen from outside and finds broken promises.
+type checker struct {
+	mu         sync.Mutex
+	jobs       map[string]*jobView
+	tasks      map[taskName]*taskView
+	used       map[string]int64 // milli-cores by incarnation
+	attempts   int              // that the queue allows
+	newest     int64            // acknowledged configuration
+	violations []string
+	starts     int
+}
+
+func newChecker(attempts int) *checker {
+	return &checker{jobs: map[string]*jobView{}, tasks: map[taskName]*taskView{}, used: map[string]int64{}, attempts: attempts}
+}
+
+func (c *checker) broken(promise, format string, values ...any) {
+	c.violations = append(c.violations, fmt.Sprintf("%s: %s", promise, fmt.Sprintf(format, values...)))
+}
+
+func (c *checker) task(name taskName) *taskView {
+	t := c.tasks[name]
+	if t == nil {
+		t = &taskView{live: map[string]bool{}}
+		c.tasks[name] = t
+	}
+	return t
+}
+
+// sent takes in that a job is handed in, again for a resend.
+func (c *checker) sent(id, spec string, groups []groupView) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job := c.jobs[id]
+	if job == nil {
+		job = &jobView{spec: spec, groups: groups}
+		c.jobs[id] = job
+	}
+	job.attempts++
+}
+
+// answered takes in the status of an answer to a submission, 0 for none.
+func (c *checker) answered(id string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job := c.jobs[id]
+	switch {
+	case status/100 == 2 && job.accepted.IsZero():
+		job.accepted = time.Now()
+	case status == 429 || status == 503 || status == 404:
+		job.refused++
+	}
+}
+
+func (c *checker) cancelSent(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].cancelAsk = true
+}
+
+func (c *checker) cancelAcknowledged(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].cancelled = time.Now()
+}
+
+// shown takes in a state that was asked for at a time; gone means that the
+// answer was that there is no such job.
+func (c *checker) shown(id, state string, gone bool, asked time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	job := c.jobs[id]
+	if gone {
+		if !job.accepted.IsZero() && asked.Sub(job.accepted) > visibleAfter && !job.cancelAsk {
+			c.broken(promiseKept, "job %s is not known %v after it was accepted", id, asked.Sub(job.accepted))
+		}
+		return
+	}
+	job.state, job.asked = state, asked
+	switch state {
+	case "completed":
+		for g, group := range job.groups {
+			for i := range group.count {
+				if !c.task(taskName{id, g, i}).done {
+					c.broken(promiseTruthful, "job %s is shown as completed, task %d.%d is not done", id, g, i)
+					return
+				}
+			}
+		}
+	case "failed":
+		if !c.anyExhausted(id, job) {
+			c.broken(promiseTruthful, "job %s is shown as failed, no task has failed %d times", id, c.attempts)
+		}
+	case "cancelled":
+		if !job.cancelAsk {
+			c.broken(promiseTruthful, "job %s is shown as cancelled, nobody asked for it", id)
+		}
+	}
+}
+
+// visibleAfter the acknowledgement a job is known at each entry.
+const visibleAfter = 3 * time.Second
+
+func (c *checker) anyExhausted(id string, job *jobView) bool {
+	for g, group := range job.groups {
+		for i := range group.count {
+			if c.task(taskName{id, g, i}).failed >= c.attempts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// start is a task that a worker has begun.
+type start struct {
+	task     taskName
+	spec     string
+	worker   string // incarnation
+	capacity int64
+	late     bool // the worker has carried the order out late, or its agent was disturbed
+	draining bool // the worker's draining was acknowledged well before
+	zoneOut  bool // its zone was taken out of service well before
+}
+
+func (c *checker) started(s start) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.starts++
+	job, task := c.jobs[s.task.job], c.task(s.task)
+	if job == nil || s.task.group >= len(job.groups) || s.task.index >= job.groups[s.task.group].count || job.spec != s.spec {
+		c.broken(promiseAsked, "task %v on %s with payload %q was not handed in", s.task, s.worker, s.spec)
+		return
+	}
+	job.started = true
+	c.checkOnce(s, task)
+	c.checkJob(s, job, task)
+	c.used[s.worker] += job.groups[s.task.group].milliCPU
+	if c.used[s.worker] > s.capacity {
+		c.broken(promiseRoom, "task %v brings %s to %d of %d milli-cores", s.task, s.worker, c.used[s.worker], s.capacity)
+	}
+	task.live[s.worker] = true
+	task.lastStart = time.Now()
+	if s.draining && !s.late {
+		c.broken(promiseDraining, "task %v began on %s", s.task, s.worker)
+	}
+	if s.zoneOut && !s.late {
+		c.broken(promiseZones, "task %v began on %s", s.task, s.worker)
+	}
+}
+
+func (c *checker) checkOnce(s start, task *taskView) {
+	for other := range task.live {
+		c.broken(promiseOnce, "task %v runs on %s and begins on %s", s.task, other, s.worker)
+	}
+	if task.doneRecorded {
+		c.broken(promiseOnce, "task %v begins on %s after its end was recorded", s.task, s.worker)
+	}
+}
+
+func (c *checker) checkJob(s start, job *jobView, task *taskView) {
+	for _, earlier := range job.groups[s.task.group].dependsOn {
+		for i := range job.groups[earlier].count {
+			if !c.task(taskName{s.task.job, earlier, i}).done {
+				c.broken(promiseOrder, "task %v began before %d.%d was done", s.task, earlier, i)
+				return
+			}
+		}
+	}
+	if task.failures >= c.attempts {
+		c.broken(promiseAttempts, "task %v begins after %d failures", s.task, task.failures)
+	}
+	if !job.cancelled.IsZero() && time.Since(job.cancelled) > cancelBound && !s.late {
+		c.broken(promiseAsked, "task %v begins %v after its cancellation was acknowledged", s.task, time.Since(job.cancelled))
+	}
+}
+
+// cancelBound is how long after an acknowledged cancellation orders may still
+// be on their way.
+const cancelBound = 3 * time.Second
+
+// ended takes in the end of a run on a worker.
+func (c *checker) ended(name taskName, worker, how string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	task := c.task(name)
+	delete(task.live, worker)
+	if job := c.jobs[name.job]; job != nil && name.group < len(job.groups) {
+		c.used[worker] -= job.groups[name.group].milliCPU
+	}
+	switch how {
+	case "done":
+		task.done, task.doneAt = true, time.Now()
+	case "failed":
+		task.failed++
+	}
+}
+
+// recorded takes in that a worker was told that an end is recorded.
+func (c *checker) recorded(name taskName, how string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	task := c.task(name)
+	switch how {
+	case "done":
+		task.doneRecorded = true
+		if task.lastStart.After(at) {
+			c.broken(promiseOnce, "task %v began again before the end that was recorded", name)
+		}
+	case "failed":
+		task.failures++
+	}
+}
+
+// workerGone takes in that all that ran on an incarnation has ended.
+func (c *checker) workerGone(worker string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, task := range c.tasks {
+		delete(task.live, worker)
+	}
+	c.used[worker] = 0
+}
+
+func (c *checker) configured(version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.newest = max(c.newest, version)
+}
+
+func (c *checker) acknowledged() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newest
+}
+
+// read takes in a version that was read when another was the newest acknowledged one.
+func (c *checker) read(version, newest int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version < newest {
+		c.broken(promiseNewest, "version %d was read, %d was acknowledged before", version, newest)
+	}
+}
+
+func (c *checker) endedByItself(process string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.broken(promiseProcesses, "%s", process)
+}
+
+// unfinished returns the accepted jobs that were not seen in a final state.
+func (c *checker) unfinished() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var open []string
+	for id, job := range c.jobs {
+		if !job.accepted.IsZero() && !slices.Contains([]string{"completed", "failed", "cancelled"}, job.state) {
+			open = append(open, id)
+		}
+	}
+	slices.Sort(open)
+	return open
+}
+
+// finish checks what only shows at the end and returns all violations.
+func (c *checker) finish() []string {
+	for _, id := range c.unfinished() {
+		c.mu.Lock()
+		c.broken(promiseKept, "job %s did not come to its end, its state was %q", id, c.jobs[id].state)
+		c.mu.Unlock()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, job := range c.jobs {
+		if job.started && job.refused == job.attempts {
+			c.broken(promiseRefused, "job %s runs, and each of its %d sendings was refused", id, job.attempts)
+		}
+	}
+	return c.violations
+}
+
+func (c *checker) summary() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	states := map[string]int{}
+	for _, job := range c.jobs {
+		states[job.state]++
+	}
+	return strings.TrimSpace(fmt.Sprintf("%d jobs %v, %d starts, configuration %d", len(c.jobs), states, c.starts, c.newest))
+}
--- /dev/null
+++ b/cmd/paddle-soak/faults.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"syscall"
+	"time"
+)
+
+// kind is one kind of fault. It prepares a fault, by what the schedule's random
+// numbers choose, and returns it, or nil when it can't come now.
+type kind struct {
+	name    string
+	weight  int
+	prepare func(r *run, lasts time.Duration) (what string, inflict func())
+}
+
+var kinds = []kind{
+	{"kill", 4, (*run).kill},
+	{"stop", 4, (*run).stop},
+	{"pause", 4, (*run).pause},
+	{"kill all control processes", 1, (*run).killControl},
+	{"lose a disk", 2, (*run).wipe},
+	{"delay", 3, link(linkState{toward: true, back: true, delay: 150 * time.Millisecond})},
+	{"silence", 3, link(linkState{})},
+	{"one way", 3, link(linkState{toward: true})},
+	{"other way", 2, link(linkState{back: true})},
+	{"refuse", 2, link(linkState{toward: true, back: true, refuses: true})},
+	{"reset", 3, (*run).reset},
+	{"crash a worker", 3, (*run).crashWorker},
+	{"mute worker", 3, (*run).muteWorker},
+	{"late worker", 3, (*run).lateWorker},
+	{"drain a worker", 2, (*run).drainWorker},
+	{"zone out", 1, (*run).takeZoneOut},
+}
+
+// Lengths and pauses of faults, in ms.
+const (
+	shortestFault, longestFault = 100, 4000
+	shortestGap, longestGap     = 100, 1600
+)
+
+// wipeGap is the least time between lost disks: the group must have taken up
+// the replica that joined in place of the last one.
+const wipeGap = 15 * time.Second
+
+// disturb inflicts faults, in series and overlapping, for a time.
+func (r *run) disturb(d time.Duration) {
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(shortestGap+r.random.IntN(longestGap-shortestGap)) * time.Millisecond)
+		draw := r.random.IntN(total)
+		lasts := time.Duration(shortestFault+r.random.IntN(longestFault-shortestFault)) * time.Millisecond
+		for _, k := range kinds {
+			if draw -= k.weight; draw >= 0 {
+				continue
+			}
+			what, inflict := k.prepare(r, lasts)
+			if inflict != nil {
+				r.faults++
+				r.note("%s: %s for %v", k.name, what, lasts)
+				r.busy.Go(inflict)
+			}
+			break
+		}
+	}
+}
+
+func (r *run) note(format string, values ...any) {
+	file, err := os.OpenFile(r.folder+"/faults.log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "paddle-soak:", err)
+		return
+	}
+	defer file.Close()
+	fmt.Fprintf(file, "%s %s\n", time.Now().UTC().Format(time.RFC3339Nano), fmt.Sprintf(format, values...))
+}
+
+func (r *run) anyProcess() *process {
+	all := r.processes()
+	return all[r.random.IntN(len(all))]
+}
+
+// restart ends a process by a signal and starts it again after a while.
+func (r *run) restart(p *process, signal syscall.Signal, after time.Duration, between func()) func() {
+	return func() {
+		p.lives.Lock()
+		defer p.lives.Unlock()
+		p.noteFault()
+		p.end(signal, grace)
+		between()
+		time.Sleep(after)
+		if err := p.start(); err != nil {
+			r.note("%v", err)
+		}
+		p.noteFault()
+	}
+}
+
+func nothing() {}
+
+func (r *run) kill(lasts time.Duration) (string, func()) {
+	p := r.anyProcess()
+	return p.name, r.restart(p, syscall.SIGKILL, lasts/2, nothing)
+}
+
+func (r *run) stop(lasts time.Duration) (string, func()) {
+	p := r.anyProcess()
+	return p.name, r.restart(p, syscall.SIGTERM, lasts/4, nothing)
+}
+
+func (r *run) pause(lasts time.Duration) (string, func()) {
+	p := r.anyProcess()
+	return p.name, func() {
+		p.noteFault()
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(lasts)
+		p.signal(syscall.SIGCONT)
+		p.noteFault()
+	}
+}
+
+func (r *run) killControl(lasts time.Duration) (string, func()) {
+	return "all", func() {
+		for _, p := range r.control {
+			r.busy.Go(r.restart(p, syscall.SIGKILL, lasts/2, nothing))
+		}
+	}
+}
+
+// wipe ends a control process and empties its disk. One lost disk is tolerated
+// at a time.
+func (r *run) wipe(lasts time.Duration) (string, func()) {
+	i := r.random.IntN(controls)
+	if time.Since(r.wiped) < wipeGap {
+		return "", nil
+	}
+	r.wiped = time.Now()
+	p := r.control[i]
+	return p.name, r.restart(p, syscall.SIGKILL, lasts/4, func() {
+		if err := os.RemoveAll(r.dataFolder(i)); err != nil {
+			r.note("%v", err)
+		}
+		if err := os.MkdirAll(r.dataFolder(i), 0o755); err != nil {
+			r.note("%v", err)
+		}
+	})
+}
+
+func (r *run) anyLink() (string, *proxy) {
+	if i := r.random.IntN(controls + entries); i < controls {
+		return r.control[i].name, r.controlLinks[i]
+	} else {
+		return r.entries[i-controls].name, r.entryLinks[i-controls]
+	}
+}
+
+// link returns a fault of the link before a process.
+func link(state linkState) func(*run, time.Duration) (string, func()) {
+	return func(r *run, lasts time.Duration) (string, func()) {
+		name, l := r.anyLink()
+		return name, func() {
+			l.set(state)
+			time.Sleep(lasts)
+			l.set(healthyLink)
+		}
+	}
+}
+
+func (r *run) reset(time.Duration) (string, func()) {
+	name, l := r.anyLink()
+	return name, l.resetAll
+}
+
+func (r *run) anyWorker() *worker { return r.workers[r.random.IntN(len(r.workers))] }
+
+func (r *run) crashWorker(lasts time.Duration) (string, func()) {
+	w := r.anyWorker()
+	return w.id, func() { r.renew(w, lasts/2) }
+}
+
+// renew ends a worker's incarnation and starts the next one after a while.
+func (r *run) renew(w *worker, after time.Duration) {
+	w.lives.Lock()
+	defer w.lives.Unlock()
+	w.crash()
+	time.Sleep(after)
+	if err := w.rebirth(); err != nil {
+		r.note("%v", err)
+	}
+}
+
+func (r *run) muteWorker(lasts time.Duration) (string, func()) {
+	w := r.anyWorker()
+	return w.id, func() {
+		w.set(func() { w.mute = true })
+		time.Sleep(lasts)
+		w.set(func() { w.mute = false })
+	}
+}
+
+func (r *run) lateWorker(lasts time.Duration) (string, func()) {
+	w := r.anyWorker()
+	after := time.Duration(500+r.random.IntN(4000)) * time.Millisecond
+	return w.id, func() {
+		w.set(func() { w.late = after })
+		time.Sleep(lasts / 4)
+		w.set(func() { w.late = 0 })
+	}
+}
+
+// drainWorker empties a worker, which then ends and starts anew.
+func (r *run) drainWorker(lasts time.Duration) (string, func()) {
+	w := r.anyWorker()
+	return w.id, func() {
+		w.set(func() { w.drains = true })
+		time.Sleep(drainTime + lasts)
+		r.renew(w, lasts/4)
+	}
+}
+
+func (r *run) takeZoneOut(lasts time.Duration) (string, func()) {
+	zone := fmt.Sprintf("z%d", r.random.IntN(workers))
+	operator := newOperator(r.random.Uint64(), r.operators, r.check)
+	return zone, func() {
+		stop := make(chan struct{})
+		timer := time.AfterFunc(10*time.Second, func() { close(stop) })
+		defer timer.Stop()
+		if operator.setZone(zone, true, stop) {
+			r.mu.Lock()
+			r.zonesOut[zone] = time.Now()
+			r.mu.Unlock()
+			time.Sleep(2 * lasts)
+		}
+		r.mu.Lock()
+		delete(r.zonesOut, zone)
+		r.mu.Unlock()
+		operator.setZone(zone, false, make(chan struct{}))
+	}
+}
--- /dev/null
+++ b/cmd/paddle-soak/run.go
@@ -0,0 +1,247 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Sizes and times of a run.
+const (
+	controls   = 3
+	entries    = 2
+	workers    = 3
+	callers    = 3
+	grace      = 3 * time.Second  // between SIGTERM and SIGKILL
+	startLimit = 20 * time.Second // for the programs to serve at first
+	settleTime = 60 * time.Second // for all jobs to end once the faults are over
+)
+
+// run is one deployment with its callers, its operator and its faults.
+type run struct {
+	random   *rand.Rand
+	folder   string
+	programs string
+	check    *checker
+	faults   int
+	began    time.Time
+
+	control      []*process
+	controlLinks []*proxy
+	operators    []string // addresses of the control processes
+	entries      []*process
+	entryLinks   []*proxy
+	agents       []*process
+	agentAddress []string
+	workers      []*worker
+	callers      []*caller
+	operator     *operator
+
+	mu       sync.Mutex
+	zonesOut map[string]time.Time // since when their going out was acknowledged
+	wiped    time.Time            // when a control process last lost its disk
+	busy     sync.WaitGroup       // faults in progress
+}
+
+func newRun(seed uint64, folder, programs string) (*run, error) {
+	r := &run{
+		random: rand.New(rand.NewPCG(seed, 1)), folder: folder, programs: programs, check: newChecker(maxAttempts),
+		zonesOut: map[string]time.Time{},
+	}
+	if err := r.deploy(); err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for _, link := range r.entryLinks {
+		addresses = append(addresses, link.address)
+	}
+	for i := range callers {
+		r.callers = append(r.callers, newCaller(seed*100+uint64(i), addresses, r.check))
+	}
+	r.operator = newOperator(seed, r.operators, r.check)
+	return r, nil
+}
+
+// addresses returns some free loopback addresses.
+func addresses(n int) ([]string, error) {
+	var list []string
+	for range n {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, address)
+	}
+	return list, nil
+}
+
+// deploy writes the settings and prepares all processes and links.
+func (r *run) deploy() error {
+	listen, err := addresses(controls*2 + entries*2 + workers)
+	if err != nil {
+		return err
+	}
+	next := func() string {
+		address := listen[0]
+		listen = listen[1:]
+		return address
+	}
+	var inner, seeds []string
+	for range controls {
+		address := next()
+		link, err := newProxy(address)
+		if err != nil {
+			return err
+		}
+		inner, seeds = append(inner, address), append(seeds, link.address)
+		r.controlLinks = append(r.controlLinks, link)
+		r.operators = append(r.operators, next())
+	}
+	for i := range controls {
+		p, err := newProcess(fmt.Sprintf("control-%d", i), filepath.Join(r.programs, "paddle-jobcontrol"), r.folder,
+			r.controlSettings(i, seeds, inner[i], true))
+		if err != nil {
+			return err
+		}
+		r.control = append(r.control, p)
+	}
+	for i := range entries {
+		address := next()
+		link, err := newProxy(address)
+		if err != nil {
+			return err
+		}
+		p, err := newProcess(fmt.Sprintf("entry-%d", i), filepath.Join(r.programs, "paddle-jobentry"), r.folder,
+			common(fmt.Sprintf("entry-%d", i), i, seeds)+fmt.Sprintf("[listen]\ncallers = %s\nreadiness = %s\n", address, next()))
+		if err != nil {
+			return err
+		}
+		r.entries, r.entryLinks = append(r.entries, p), append(r.entryLinks, link)
+	}
+	for i := range workers {
+		if err := r.deployWorker(i, seeds, next()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func common(name string, zone int, seeds []string) string {
+	return fmt.Sprintf("[process]\nname = %s\nzone = z%d\nregion = r\n[tls]\ninsecure = true\n[limits]\nmemory = 128MiB\ngrace = 2s\n"+
+		"[control]\nseeds = %s\n", name, zone, strings.Join(seeds, ","))
+}
+
+func (r *run) controlSettings(i int, seeds []string, listen string, first bool) string {
+	return common(fmt.Sprintf("control-%d", i), i, seeds) + fmt.Sprintf("data_folder = %s\nfirst_start = %v\ntolerated_losses = 1\nadvertised = %s\n"+
+		"[listen]\ncontrol = %s\noperators = %s\n[leases]\nlimit = %s\n",
+		r.dataFolder(i), first, seeds[i], listen, r.operators[i], longestLease)
+}
+
+func (r *run) dataFolder(i int) string { return filepath.Join(r.folder, fmt.Sprintf("data-%d", i)) }
+
+func (r *run) deployWorker(i int, seeds []string, address string) error {
+	name := fmt.Sprintf("agent-%d", i)
+	p, err := newProcess(name, filepath.Join(r.programs, "paddle-jobagent"), r.folder,
+		common(name, i, seeds)+fmt.Sprintf("[listen]\nworker = %s\n[leases]\nlimit = %s\n", address, longestLease))
+	if err != nil {
+		return err
+	}
+	zone := fmt.Sprintf("z%d", i)
+	r.agents, r.agentAddress = append(r.agents, p), append(r.agentAddress, address)
+	r.workers = append(r.workers, &worker{
+		id: fmt.Sprintf("w-%d", i), zone: zone, agent: address, check: r.check,
+		order: p.calm, out: func() bool { return r.zoneOut(zone) },
+	})
+	return nil
+}
+
+// zoneOut reports whether orders for a zone should long have ended.
+func (r *run) zoneOut(zone string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	since, out := r.zonesOut[zone]
+	return out && time.Since(since) > calmAfter
+}
+
+func (r *run) processes() []*process {
+	return slices.Concat(r.control, r.entries, r.agents)
+}
+
+// play starts everything, disturbs it for a time, waits for all jobs to end,
+// and returns what promises were broken.
+func (r *run) play(disturbed time.Duration) []string {
+	for i := range controls {
+		if err := os.MkdirAll(r.dataFolder(i), 0o755); err != nil {
+			return []string{err.Error()}
+		}
+	}
+	for _, p := range r.processes() {
+		if err := p.start(); err != nil {
+			return []string{err.Error()}
+		}
+	}
+	for _, w := range r.workers {
+		if err := w.begin(); err != nil {
+			return []string{err.Error()}
+		}
+	}
+	r.began = time.Now()
+	if !r.operator.configureWithin(startLimit) {
+		return []string{"no configuration was taken at the start"}
+	}
+	for i, p := range r.control {
+		// Whatever starts from now on is no first start.
+		settings, err := os.ReadFile(p.settings)
+		if err != nil || p.configure(strings.Replace(string(settings), "first_start = true", "first_start = false", 1)) != nil {
+			return []string{fmt.Sprintf("settings of control %d can't be changed", i)}
+		}
+	}
+	stop := make(chan struct{})
+	var loops sync.WaitGroup
+	for _, c := range r.callers {
+		loops.Go(func() { c.run(stop) })
+	}
+	loops.Go(func() { r.operator.run(stop) })
+	r.disturb(disturbed)
+	r.busy.Wait()
+	close(stop)
+	loops.Wait()
+	r.settle()
+	return r.check.finish()
+}
+
+// settle waits for all accepted jobs to end, and reads the configuration back.
+func (r *run) settle() {
+	for limit := time.Now().Add(settleTime); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
+		for _, c := range r.callers {
+			c.lookAtOpen(len(c.open))
+		}
+		if len(r.check.unfinished()) == 0 && r.operator.read() {
+			break
+		}
+	}
+	for _, p := range r.processes() {
+		if !p.running() {
+			r.check.endedByItself(p.name)
+		}
+	}
+}
+
+func (r *run) close() {
+	for _, w := range r.workers {
+		w.crash()
+	}
+	for _, p := range r.processes() {
+		p.end(syscall.SIGKILL, grace)
+		p.log.Close()
+	}
+	for _, link := range slices.Concat(r.controlLinks, r.entryLinks) {
+		link.close()
+	}
+}
--- /dev/null
+++ b/cmd/paddle-soak/worker.go
@@ -0,0 +1,397 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Times of a stand-in worker.
+const (
+	workerCapacity = 8000 // milli-cores
+	stopTime       = 100 * time.Millisecond
+	beatInterval   = 400 * time.Millisecond
+	drainTime      = 2500 * time.Millisecond
+	longestHold    = 2 * time.Second
+	longestLease   = 6 * time.Second
+	slowClock      = 0.985 // of the time that passes
+)
+
+// worker stands in for a worker of the platform. It lives through several
+// incarnations under one id.
+type worker struct {
+	id    string
+	zone  string
+	agent string // address for registrations
+	check *checker
+	order func() bool // whether orders of its agent are timely now
+	out   func() bool // whether its zone was taken out of service well before
+
+	lives sync.Mutex // held from the end of an incarnation to the next one
+
+	mu          sync.Mutex
+	listener    net.Listener
+	server      *http.Server
+	born        int64
+	began       time.Time
+	sequence    int64
+	fence       uint64
+	runs        map[taskName]*workerRun
+	gone        map[taskName]int64 // highest run stopped or ended here
+	ends        []workerEnd
+	recorded    int64
+	leaseEnd    int64 // on its clock, 0 for none
+	mute        bool  // gives no answers
+	late        time.Duration
+	drains      bool
+	drainSince  time.Time // when the draining was acknowledged
+	ended       chan struct{}
+	changed     chan struct{} // closed at each end, and made anew
+	closedByRun bool
+}
+
+type workerRun struct {
+	number  int64
+	spec    string
+	began   time.Time
+	takes   time.Duration
+	fails   bool
+	stopped bool
+}
+
+type workerEnd struct {
+	position int64
+	task     taskName
+	run      int64
+	how      string
+	at       time.Time
+	lapsed   bool // the lease lapsed before the end was recorded; who gave it may run the task again
+}
+
+// incarnation names the present incarnation.
+func (w *worker) incarnation() string { return fmt.Sprintf("%s@%d", w.id, w.born) }
+
+// begin starts a new incarnation at a new address.
+func (w *worker) begin() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born, w.began, w.sequence, w.fence = time.Now().UnixMilli(), time.Now(), 0, 0
+	w.runs, w.gone, w.ends, w.recorded, w.leaseEnd = map[taskName]*workerRun{}, map[taskName]int64{}, nil, 0, 0
+	w.drains, w.drainSince = false, time.Time{}
+	w.ended, w.changed = make(chan struct{}), make(chan struct{})
+	w.listener = listener
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/run-start", w.handle(w.startRun))
+	mux.HandleFunc("POST /v1/run-stop", w.handle(w.stopRun))
+	mux.HandleFunc("POST /v1/hold", w.handle(w.hold))
+	mux.HandleFunc("POST /v1/pace", w.handle(func(*call) (int, any) { return 200, w.clock("") }))
+	w.server = &http.Server{Handler: mux}
+	go w.server.Serve(listener)
+	go w.beat(w.ended)
+	go w.work(w.ended)
+	return nil
+}
+
+// crash ends the incarnation; nothing of it is left.
+func (w *worker) crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closedByRun {
+		return
+	}
+	w.closedByRun = true
+	close(w.ended)
+	w.server.Close()
+	w.check.workerGone(w.incarnation())
+	w.runs = map[taskName]*workerRun{}
+}
+
+// rebirth starts the next incarnation after a crash.
+func (w *worker) rebirth() error {
+	w.mu.Lock()
+	w.closedByRun = false
+	w.mu.Unlock()
+	return w.begin()
+}
+
+func (w *worker) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// call is one decoded call.
+type call struct {
+	Task       string `json:"task"`
+	RunID      int64  `json:"run_id"`
+	Spec       string `json:"spec"`
+	DeadlineMS int64  `json:"deadline_ms"`
+	Fence      uint64 `json:"fencing_token"`
+	Cursor     int64  `json:"ack_cursor"`
+	WaitMS     int64  `json:"wait_ms"`
+
+	late  bool
+	ended chan struct{} // of the incarnation that took it
+}
+
+// handle decodes calls. A mute worker answers nothing; a late one carries the
+// call out some seconds later and answers nothing either.
+func (w *worker) handle(f func(*call) (int, any)) http.HandlerFunc {
+	return func(out http.ResponseWriter, r *http.Request) {
+		c := &call{}
+		err := json.NewDecoder(r.Body).Decode(c)
+		w.mu.Lock()
+		mute, late := w.mute, w.late
+		c.ended = w.ended
+		expected := r.Header.Get("Expect-Instance")
+		w.mu.Unlock()
+		switch {
+		case err != nil:
+			out.WriteHeader(400)
+			return
+		case expected != "" && expected != w.id:
+			out.WriteHeader(421)
+			return
+		case late > 0:
+			c.late = true
+			go func() {
+				time.Sleep(late)
+				f(c)
+			}()
+			fallthrough
+		case mute:
+			<-r.Context().Done()
+			return
+		}
+		status, body := f(c)
+		out.Header().Set("Content-Type", "application/json")
+		out.WriteHeader(status)
+		json.NewEncoder(out).Encode(body)
+	}
+}
+
+// clockMS is the worker's own clock. The lock is held.
+func (w *worker) clockMS() int64 {
+	return 100_000 + int64(slowClock*float64(time.Since(w.began).Milliseconds()))
+}
+
+func (w *worker) clock(reason string) map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	body := map[string]any{"clock_ms": w.clockMS(), "born": w.born}
+	if reason != "" {
+		body["reason"] = reason
+	}
+	return body
+}
+
+// current reports whether the call's incarnation still lives. The lock is held.
+func (w *worker) current(c *call) bool { return c.ended == w.ended && !w.closedByRun }
+
+func parseTaskName(name string) (t taskName) {
+	parts := strings.Split(name, ".")
+	if len(parts) == 4 {
+		t.job = parts[0]
+		t.group, _ = strconv.Atoi(parts[2]) // a name that is not one of ours is not known to the checker either
+		t.index, _ = strconv.Atoi(parts[3])
+	}
+	return t
+}
+
+func (w *worker) startRun(c *call) (int, any) {
+	reason := w.tryStart(c)
+	if reason != "" {
+		return 409, w.clock(reason)
+	}
+	return 200, w.clock("")
+}
+
+func (w *worker) tryStart(c *call) string {
+	timely, out := w.order(), w.out()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.current(c) {
+		return "late"
+	}
+	name := parseTaskName(c.Task)
+	if c.Fence < w.fence {
+		return "fence"
+	}
+	w.fence = c.Fence
+	if run := w.runs[name]; run != nil && run.number == c.RunID {
+		return ""
+	}
+	w.renew(c.DeadlineMS)
+	switch {
+	case c.RunID <= w.gone[name] || w.runs[name] != nil:
+		return "old"
+	case c.DeadlineMS <= w.clockMS():
+		return "late"
+	}
+	run := &workerRun{number: c.RunID, spec: c.Spec, began: time.Now()}
+	run.takes, run.fails = taskOf(c.Spec, name, c.RunID)
+	w.runs[name] = run
+	w.check.started(start{
+		task: name, spec: c.Spec, worker: w.incarnation(), capacity: workerCapacity, late: c.late || !timely,
+		draining: !w.drainSince.IsZero() && time.Since(w.drainSince) > drainTime, zoneOut: out,
+	})
+	return ""
+}
+
+// renew extends the lease. The lock is held.
+func (w *worker) renew(deadline int64) {
+	limit := w.clockMS() + longestLease.Milliseconds()
+	w.leaseEnd = max(w.leaseEnd, min(deadline, limit))
+}
+
+func (w *worker) stopRun(c *call) (int, any) {
+	w.mu.Lock()
+	name := parseTaskName(c.Task)
+	if !w.current(c) || c.Fence < w.fence {
+		w.mu.Unlock()
+		return 409, w.clock("fence")
+	}
+	w.fence = c.Fence
+	w.gone[name] = max(w.gone[name], c.RunID)
+	if run := w.runs[name]; run != nil && run.number <= c.RunID && !run.stopped {
+		run.stopped, run.takes, run.fails = true, time.Since(run.began)+stopTime, false
+	}
+	w.mu.Unlock()
+	return 200, w.clock("")
+}
+
+func (w *worker) hold(c *call) (int, any) {
+	w.mu.Lock()
+	if !w.current(c) || c.Fence < w.fence {
+		w.mu.Unlock()
+		return 409, w.clock("fence")
+	}
+	w.fence = c.Fence
+	w.renew(c.DeadlineMS)
+	w.record(c.Cursor)
+	changed, waiting := w.changed, w.recorded == int64(len(w.ends))
+	w.mu.Unlock()
+	if waiting && c.WaitMS > 0 {
+		select {
+		case <-changed:
+		case <-c.ended:
+		case <-time.After(min(time.Duration(c.WaitMS)*time.Millisecond, longestHold)):
+		}
+	}
+	return 200, w.lists()
+}
+
+// record forgets the ends up to a position. The lock is held.
+func (w *worker) record(cursor int64) {
+	for ; w.recorded < min(cursor, int64(len(w.ends))); w.recorded++ {
+		if end := w.ends[w.recorded]; !end.lapsed {
+			w.check.recorded(end.task, end.how, end.at)
+		}
+	}
+}
+
+func (w *worker) lists() map[string]any {
+	body := w.clock("")
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	running, finished := [][]any{}, [][]any{}
+	for name, run := range w.runs {
+		percent := min(100*time.Since(run.began).Milliseconds()/max(run.takes.Milliseconds(), 1), 99)
+		running = append(running, []any{name.String(), run.number, "", percent, 0})
+	}
+	for _, end := range w.ends[w.recorded:] {
+		finished = append(finished, []any{end.position, end.task.String(), end.run, end.how, ""})
+	}
+	body["running"], body["finished"] = running, finished
+	return body
+}
+
+// work ends the runs whose time has come, and all when the lease is over.
+func (w *worker) work(ended chan struct{}) {
+	for {
+		select {
+		case <-ended:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		w.mu.Lock()
+		lapsed := w.leaseEnd > 0 && w.clockMS() > w.leaseEnd
+		for i := w.recorded; lapsed && i < int64(len(w.ends)); i++ {
+			w.ends[i].lapsed = true
+		}
+		for name, run := range w.runs {
+			switch {
+			case lapsed:
+				w.end(name, run, "lapsed")
+			case time.Since(run.began) < run.takes:
+			case run.stopped:
+				w.end(name, run, "stopped")
+			case run.fails:
+				w.end(name, run, "failed")
+			default:
+				w.end(name, run, "done")
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+// end lists the end of a run. The lock is held.
+func (w *worker) end(name taskName, run *workerRun, how string) {
+	delete(w.runs, name)
+	w.gone[name] = max(w.gone[name], run.number)
+	w.ends = append(w.ends, workerEnd{position: int64(len(w.ends) + 1), task: name, run: run.number, how: how, at: time.Now()})
+	w.check.ended(name, w.incarnation(), how)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// beat registers the worker with its agent again and again.
+func (w *worker) beat(ended chan struct{}) {
+	client := &http.Client{Timeout: time.Second}
+	for {
+		w.mu.Lock()
+		w.sequence++
+		state, remaining := "ready", int64(0)
+		if w.drains {
+			state, remaining = "draining", drainTime.Milliseconds()
+		}
+		body, err := json.Marshal(map[string]any{
+			"service": "svc", "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "state": state,
+			"drain_remaining_ms": remaining, "capacity": map[string]any{"cpu": workerCapacity, "mem_mb": 64000},
+			"labels": []string{"a", "r-" + w.zone}, "sequence": w.sequence, "born": w.born, "machine": "m-" + w.id,
+		})
+		mute := w.mute
+		w.mu.Unlock()
+		if err == nil && !mute {
+			answer, err := client.Post("http://"+w.agent+"/v1/Instances.Heartbeat/"+w.id, "application/json", bytes.NewReader(body))
+			if err == nil {
+				answer.Body.Close()
+				w.noteAcknowledged(state)
+			}
+		}
+		select {
+		case <-ended:
+			return
+		case <-time.After(beatInterval):
+		}
+	}
+}
+
+func (w *worker) noteAcknowledged(state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if state == "draining" && w.drains && w.drainSince.IsZero() {
+		w.drainSince = time.Now()
+	}
+}
