jobcontrol: VMs of standby pools are lent to services whose tasks find no place

Change: dispatch.Lending moves as many standby VMs as would hold the tasks that have had no place for 1.5 s, and brings an idle one home after 15 s of slack. Where a VM belongs is kept in the log before the order, for later leaders. Seen: tests on stand-ins, with a change of leader; the owner of the VMs is not asked where no pool is a standby one.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -135,6 +135,26 @@
 	return work, waiting
 }
 
+// WaitingTasks returns the tasks without a place that are still worth something, by service.
+func WaitingTasks(view jobs.View, in Input) map[string][]Waiting {
+	waiting := map[string][]Waiting{}
+	for _, c := range candidates(view, in) {
+		if c.lateness == worthless {
+			continue
+		}
+		tasks := 0
+		for i := range c.group.Tasks {
+			if Waits(c.group, i) {
+				tasks++
+			}
+		}
+		if tasks > 0 {
+			waiting[c.queue.Service] = append(waiting[c.queue.Service], Waiting{c.group.Spec, tasks})
+		}
+	}
+	return waiting
+}
+
 // before reports whether a candidate goes before a new job of the queue.
 func (c *candidate) before(queue *api.JobQueue, density float64) bool {
 	if c.queue.Priority != queue.Priority {
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"amaranthpaddle/resource"
+)
 
 // VMState is what the owner of the VMs says of one.
 type VMState int
@@ -10,9 +14,18 @@
 	VMUp         VMState = iota
 	VMMaintained         // down for its maintenance
 	VMDown               // down for another reason
+	VMMoving             // to another pool
 	VMGone
 )
 
+// VM is what the owner of the VMs says of one.
+type VM struct {
+	State    VMState
+	Pool     string // service for whose workers it is
+	Capacity resource.Vector
+	Labels   []string
+}
+
 // MaintenanceVM is a VM of a wave, as a decision sees it.
 type MaintenanceVM struct {
 	Name    string
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -41,6 +41,8 @@
 	asking sync.Mutex // held for a question to the adviser; taken without mu
 
 	maintenance maintenance
+	lending     *dispatch.Lending
+	sentAway    map[string]time.Time // VMs of which a move was ordered, since when
 
 	joiners joiners
 }
@@ -62,6 +64,8 @@
 		advice: map[jobs.GroupID]*advice{},
 
 		maintenance: newMaintenance(),
+		lending:     dispatch.NewLending(),
+		sentAway:    map[string]time.Time{},
 
 		joiners: joiners{list: map[uint64]joiner{}},
 	}
--- a/jobcontrol/maintenance.go
+++ b/jobcontrol/maintenance.go
@@ -16,14 +16,17 @@
 
 // Fleet is the owner of the VMs.
 type Fleet interface {
-	// VMs returns the state of all VMs by name.
-	VMs(ctx context.Context) (map[string]dispatch.VMState, error)
+	// VMs returns all VMs by name.
+	VMs(ctx context.Context) (map[string]dispatch.VM, error)
 	// Maintain begins the maintenance of a VM; what runs on it ends at once. The
 	// fence must not be lower than that of an earlier order for the VM. Errors:
 	// fault.NotFound for a VM that is gone, fault.Conflict for one that can't be
 	// maintained now, fault.Stale for a fence that is too low, fault.Overloaded;
 	// any other may have taken effect.
 	Maintain(ctx context.Context, vm string, wave int64, fence uint64) error
+	// Move moves a VM to another pool; what runs on it ends at once. Fence and
+	// errors are as for Maintain; fault.NotFound also for a pool of other VMs.
+	Move(ctx context.Context, vm, pool string, fence uint64) error
 }
 
 // Times of the maintenance.
@@ -43,25 +46,33 @@
 	return maintenance{closed: map[string]time.Time{}, asked: map[string]time.Time{}, fenced: map[string]bool{}}
 }
 
-// maintainVMs carries out the open waves until the leadership ends.
-func (l *leadership) maintainVMs() {
+// manageVMs carries out the open waves, and lends the VMs of standby pools, until
+// the leadership ends. The owner of the VMs is asked only when there is a reason.
+func (l *leadership) manageVMs() {
 	for timing.Sleep(l.ctx, maintenanceInterval) {
+		if l.server.config.Fleet == nil || l.server.now().Sub(l.since) < joinTime {
+			continue
+		}
 		var open []*api.MaintenanceWave
 		l.server.config.State.Read(func(view jobs.View) { open = view.OpenWaves() })
-		if l.server.config.Fleet == nil || l.server.now().Sub(l.since) < joinTime || len(open) == 0 && !l.maintaining() {
+		lends := l.wantsLending()
+		if len(open) == 0 && !l.maintaining() && !lends {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(l.ctx, fleetTimeout)
 		read := l.server.now()
-		states, err := l.server.config.Fleet.VMs(ctx)
+		vms, err := l.server.config.Fleet.VMs(ctx)
 		cancel()
 		if err != nil {
 			klog.InfoS("VMs not listed", "error", err)
 			continue
 		}
-		l.noteBack(states, read)
+		l.noteBack(vms, read)
 		for _, wave := range open {
-			l.carryOutWave(wave, states)
+			l.carryOutWave(wave, vms)
+		}
+		if lends {
+			l.lendVMs(vms)
 		}
 	}
 }
@@ -73,13 +84,13 @@
 	return len(l.maintenance.closed) > 0
 }
 
-// noteBack opens the VMs that were up again, or gone, when the states were read.
-func (l *leadership) noteBack(states map[string]dispatch.VMState, read time.Time) {
+// noteBack opens the VMs that were up again, or gone, when they were listed.
+func (l *leadership) noteBack(vms map[string]dispatch.VM, read time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for vm, answered := range l.maintenance.asked {
-		state, listed := states[vm]
-		back := state == dispatch.VMUp && !answered.IsZero() && read.After(answered)
+		state, listed := vms[vm]
+		back := state.State == dispatch.VMUp && !answered.IsZero() && read.After(answered)
 		if back || !listed {
 			klog.InfoS("VM is back from its maintenance", "vm", vm, "listed", listed)
 			delete(l.maintenance.asked, vm)
@@ -89,9 +100,9 @@
 }
 
 // carryOutWave takes the next steps of a wave.
-func (l *leadership) carryOutWave(wave *api.MaintenanceWave, states map[string]dispatch.VMState) {
+func (l *leadership) carryOutWave(wave *api.MaintenanceWave, listed map[string]dispatch.VM) {
 	l.mu.Lock()
-	vms := l.maintenanceVMs(wave, states)
+	vms := l.maintenanceVMs(wave, listed)
 	plan := dispatch.PlanMaintenance(vms, int(wave.MaxConcurrent), time.Duration(wave.DurationMs)*time.Millisecond)
 	for _, vm := range plan.Close {
 		if _, known := l.maintenance.closed[vm]; !known {
@@ -115,12 +126,12 @@
 }
 
 // maintenanceVMs returns the VMs of a wave. The lock is held.
-func (l *leadership) maintenanceVMs(wave *api.MaintenanceWave, states map[string]dispatch.VMState) []dispatch.MaintenanceVM {
+func (l *leadership) maintenanceVMs(wave *api.MaintenanceWave, listed map[string]dispatch.VM) []dispatch.MaintenanceVM {
 	vms := make([]dispatch.MaintenanceVM, 0, len(wave.Vms))
 	for _, name := range wave.Vms {
-		state, listed := states[name]
-		if !listed {
-			state = dispatch.VMGone
+		state := dispatch.VMGone
+		if vm, known := listed[name]; known {
+			state = vm.State
 		}
 		_, asked := l.maintenance.asked[name]
 		vm := dispatch.MaintenanceVM{
--- a/jobcontrol/maintenance_test.go
+++ b/jobcontrol/maintenance_test.go
@@ -11,6 +11,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/resource"
 )
 
 // fakeFleet maintains VMs for a second each.
@@ -18,6 +19,8 @@
 	mu       sync.Mutex
 	until    map[string]time.Time
 	begun    map[string]int
+	pools    map[string]string // by VM, "s" for the others
+	moves    []string
 	most     int // that were down at a time
 	unheard  int // answers that are lost from now on
 	tooEarly bool
@@ -26,17 +29,29 @@
 
 const maintenanceTime = time.Second
 
-func (f *fakeFleet) VMs(context.Context) (map[string]dispatch.VMState, error) {
+func (f *fakeFleet) VMs(context.Context) (map[string]dispatch.VM, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	states := map[string]dispatch.VMState{}
-	for _, vm := range []string{"vm-a", "vm-b", "vm-c"} {
-		states[vm] = dispatch.VMUp
-		if time.Now().Before(f.until[vm]) {
-			states[vm] = dispatch.VMMaintained
+	vms := map[string]dispatch.VM{}
+	for _, name := range []string{"vm-a", "vm-b", "vm-c"} {
+		vm := dispatch.VM{Pool: "s", Capacity: resource.Vector{MilliCPU: 4000, MemoryMiB: 4000}}
+		if time.Now().Before(f.until[name]) {
+			vm.State = dispatch.VMMaintained
 		}
+		if pool := f.pools[name]; pool != "" {
+			vm.Pool = pool
+		}
+		vms[name] = vm
 	}
-	return states, nil
+	return vms, nil
+}
+
+func (f *fakeFleet) Move(_ context.Context, vm, pool string, _ uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pools[vm] = pool
+	f.moves = append(f.moves, vm+" to "+pool)
+	return nil
 }
 
 func (f *fakeFleet) Maintain(_ context.Context, vm string, _ int64, _ uint64) error {
@@ -62,7 +77,7 @@
 }
 
 func (r *rig) withFleet() *fakeFleet {
-	fleet := &fakeFleet{until: map[string]time.Time{}, begun: map[string]int{}}
+	fleet := &fakeFleet{until: map[string]time.Time{}, begun: map[string]int{}, pools: map[string]string{}}
 	r.server.config.Fleet = fleet
 	return fleet
 }
@@ -163,3 +178,34 @@
 		}
 	})
 }
+
+func TestAStandbyVMIsLentInAPeakAndGoesHomeAfterALeaderChange(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		fleet := r.withFleet()
+		fleet.pools["vm-c"] = "spare"
+		configuration := testConfiguration(1)
+		configuration.Services = append(configuration.Services, &api.JobService{Name: "spare", Standby: true})
+		if err := (Operators{Server: r.server}).Configure(context.Background(), configuration); err != nil {
+			t.Fatal(err)
+		}
+		a := r.connect("a")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 6, MilliCpu: 1000, EstimatedMs: 60_000}}}, accepted)
+		r.beat(8*time.Second, a)
+		if len(fleet.moves) != 1 || fleet.moves[0] != "vm-c to s" {
+			t.Fatalf("moves %v", fleet.moves)
+		}
+		c := r.connect("c")
+		r.beat(2*time.Second, a, c)
+		r.replica.lead(2, false)
+		r.wait(100 * time.Millisecond)
+		r.replica.lead(3, true)
+		r.wait(100 * time.Millisecond)
+		a.reconnect()
+		c.reconnect()
+		r.mustCall(cancel, testPath, nil, cancelled)
+		r.beat(25*time.Second, a, c)
+		if len(fleet.moves) != 2 || fleet.moves[1] != "vm-c to spare" {
+			t.Errorf("moves %v", fleet.moves)
+		}
+	})
+}
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -81,7 +81,7 @@
 	loops.Go(func() { lead.runRounds() })
 	loops.Go(func() { lead.completeBatches() })
 	loops.Go(func() { lead.logSummaries() })
-	loops.Go(func() { lead.maintainVMs() })
+	loops.Go(func() { lead.manageVMs() })
 	loops.Go(func() { s.maintainMembers(ctx, lead) })
 	for ctx.Err() == nil {
 		changed := s.config.Replica.StatusChanged()
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -53,6 +53,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.waves)) {
 		record.Waves = append(record.Waves, s.waves[id])
 	}
+	for _, vm := range slices.Sorted(maps.Keys(s.lent)) {
+		record.Lent = append(record.Lent, &api.LentVM{Vm: vm, Home: s.lent[vm]})
+	}
 	for _, job := range s.jobs {
 		record.Jobs = append(record.Jobs, jobRecord(job))
 	}
@@ -114,6 +117,9 @@
 	for _, refusal := range record.Refusals {
 		s.refusals[refusal.Job] = refusal.UntilUnixMs
 	}
+	for _, lent := range record.Lent {
+		s.noteLent(lent)
+	}
 	for _, wave := range record.Waves {
 		s.waves[wave.Id] = wave
 	}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -26,7 +26,8 @@
 	ended         []string                      // jobs that ended, in that order
 	learnt        *api.Learnt                   // by the leaders so far
 	waves         map[int64]*api.MaintenanceWave
-	refusals      map[string]int64 // until when a job that was refused stays so, by id
+	lent          map[string]string // standby pool of each VM that works for another one
+	refusals      map[string]int64  // until when a job that was refused stays so, by id
 }
 
 // NewState returns the empty state.
@@ -48,6 +49,7 @@
 	s.learnt = nil
 	s.refusals = map[string]int64{}
 	s.waves = map[int64]*api.MaintenanceWave{}
+	s.lent = map[string]string{}
 }
 
 // Apply applies a committed api.JobBatch and returns an encoded api.JobBatchResult.
@@ -118,6 +120,9 @@
 		return s.beginWave(body.Wave)
 	case *api.JobChange_Maintained:
 		return s.noteMaintained(body.Maintained)
+	case *api.JobChange_Lent:
+		s.noteLent(body.Lent)
+		return nil
 	}
 	return fault.New(fault.Internal, "change of an unknown type")
 }
--- a/jobs/wave.go
+++ b/jobs/wave.go
@@ -52,6 +52,18 @@
 	return nil
 }
 
+func (s *State) noteLent(lent *api.LentVM) {
+	if lent.Home == "" {
+		delete(s.lent, lent.Vm)
+	} else {
+		s.lent[lent.Vm] = lent.Home
+	}
+}
+
+// Home returns the standby pool of a VM that is lent to another one, empty for
+// any other VM.
+func (v View) Home(vm string) string { return v.state.lent[vm] }
+
 // WaveCompleted reports whether the maintenance of each VM has begun.
 func WaveCompleted(wave *api.MaintenanceWave) bool {
 	return !slices.ContainsFunc(wave.Vms, func(vm string) bool { return !slices.Contains(wave.Maintained, vm) })
