--- a/jobagent/agent_test.go
+++ b/jobagent/agent_test.go
@@ -207,9 +207,9 @@
 		if !r.agent.current.worker.Draining {
 			t.Error("an overtaken registration undid the draining")
 		}
-		r.worker.born = 9
+		r.worker.set(func() { r.worker.born = 9 })
 		r.register(1, false)
-		r.worker.born = 1
+		r.worker.set(func() { r.worker.born = 1 })
 		r.register(6, true)
 		if r.agent.current.worker.Born != 9 {
 			t.Error("an earlier incarnation replaced a later one")
