--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -27,7 +27,7 @@
 const (
 	waitDoubt      = 2.0 // by which an expected wait may be too long: durations are rough
 	largestRetry   = time.Minute
-	unplaceableTry = 30 * time.Second // for workers of another size to join
+	unplaceableTry = 10 * time.Second // for workers of another size to join, or to come back
 )
 
 // Admit decides whether a job is taken. Needed is the least time that it takes,
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -46,6 +46,7 @@
 			"service", worker.Service, "milli_cpu", worker.MilliCpu, "memory_mib", worker.MemoryMib)
 		if view != nil {
 			l.loseRuns(view.key, "the worker started anew")
+			l.forgetWorker(view.key)
 		}
 		view = &workerView{key: key, runs: map[jobs.RunID]*api.RunStatus{}}
 		l.workers[worker.Id] = view
@@ -82,12 +83,17 @@
 		if now.After(view.granted) && !now.Before(start) && l.sessions[view.agent] == nil {
 			klog.InfoS("Worker lost", "worker", view.key, "agent", view.agent, "unheard_ms", now.Sub(view.heard).Milliseconds())
 			delete(l.workers, id)
-			l.health.Forget(view.key)
-			l.knowledge.Disturbance.Forget(view.key)
+			l.forgetWorker(view.key)
 		}
 	}
 }
 
+// forgetWorker drops what was learnt of an incarnation that is over. The lock is held.
+func (l *leadership) forgetWorker(key string) {
+	l.health.Forget(key)
+	l.knowledge.Disturbance.Forget(key)
+}
+
 // viewOf returns what is known of a worker's incarnation, nil when it is not the
 // latest one. The lock is held.
 func (l *leadership) viewOf(key string) *workerView {
