--- a/dispatch/disturbance.go
+++ b/dispatch/disturbance.go
@@ -103,8 +103,8 @@
 	samples map[jobs.GroupID]sample // of the latest look
 	overAt  map[jobs.GroupID]time.Time
 
-	taught        Look // the latest one that was learnt from
-	taughtSamples map[jobs.GroupID]sample
+	observed        Look // the latest one that was learnt from
+	observedSamples map[jobs.GroupID]sample
 }
 
 // sample is what the replicas of one group on one worker show together.
@@ -116,13 +116,13 @@
 
 // Parameters of the learning.
 const (
-	shortestLook    = 350 * time.Millisecond // between lessons; the worker's figures speak of half a second
+	shortestLook    = 350 * time.Millisecond // between observations; the worker's figures speak of half a second
 	longestLook     = 900 * time.Millisecond // after it a service's load may have changed
 	recovery        = 2 * time.Second        // in which the queue of a service that was over its target drains
 	mostHeadroom    = 7.0                    // above it a tail is too short to tell differences
 	leastShown      = 0.3                    // headroom below which a queue hides how much is missing
 	changeMatters   = 0.02                   // headroom for each core
-	surprise        = 0.5                    // headroom by which a lesson must be off to be acted on at once
+	surprise        = 0.5                    // headroom by which an observation must be off to be acted on at once
 	refreshInterval = 500 * time.Millisecond // between solutions of a regression without surprises
 )
 
@@ -151,22 +151,22 @@
 		d.workers[worker] = w
 	}
 	w.latest, w.samples = look, w.sample(look)
-	before, earlier := w.taught, w.taughtSamples
+	before, earlier := w.observed, w.observedSamples
 	if look.At.Sub(before.At) < shortestLook {
 		return
 	}
-	w.taught, w.taughtSamples = w.latest, w.samples
+	w.observed, w.observedSamples = w.latest, w.samples
 	for group, now := range w.samples {
 		was := earlier[group]
 		if !was.settled || now.headroom >= mostHeadroom {
 			continue // while its queue drains, a service shows nothing of what is beside it
 		}
-		lesson, found := d.contrast(worker, group, look, now)
+		observation, found := d.contrast(worker, group, look, now)
 		if !found && look.At.Sub(before.At) <= longestLook {
-			lesson, found = change(before, look, was, now), true
+			observation, found = change(before, look, was, now), true
 		}
 		if found {
-			d.teach(now.image, look.At, lesson)
+			d.observe(now.image, look.At, observation)
 		}
 	}
 }
@@ -201,16 +201,16 @@
 	return samples
 }
 
-// lesson says by how much a service's headroom differs for a difference of the
+// observation says by how much a service's headroom differs for a difference of the
 // best-effort work beside it.
-type lesson struct {
+type observation struct {
 	headroom float64
 	cores    map[string]float64 // by image
 	weight   float64
 }
 
 // contrast compares the replicas of a group on a worker with those elsewhere.
-func (d *Disturbance) contrast(worker string, group jobs.GroupID, look Look, now sample) (lesson, bool) {
+func (d *Disturbance) contrast(worker string, group jobs.GroupID, look Look, now sample) (observation, bool) {
 	peers, headroom, cores := 0.0, 0.0, map[string]float64{}
 	for other, w := range d.workers {
 		peer := w.samples[group]
@@ -224,7 +224,7 @@
 		}
 	}
 	if peers == 0 {
-		return lesson{}, false
+		return observation{}, false
 	}
 	for image := range cores {
 		cores[image] /= -peers
@@ -232,11 +232,11 @@
 	for image, n := range look.Cores {
 		cores[image] += n
 	}
-	return lesson{headroom: now.headroom - headroom/peers, cores: cores, weight: peers / (peers + 1)}, true
+	return observation{headroom: now.headroom - headroom/peers, cores: cores, weight: peers / (peers + 1)}, true
 }
 
 // change compares a group on a worker with itself a look before.
-func change(before, look Look, was, now sample) lesson {
+func change(before, look Look, was, now sample) observation {
 	cores := map[string]float64{}
 	for image, n := range before.Cores {
 		cores[image] -= n
@@ -244,7 +244,7 @@
 	for image, n := range look.Cores {
 		cores[image] += n
 	}
-	return lesson{headroom: now.headroom - was.headroom, cores: cores, weight: 0.5}
+	return observation{headroom: now.headroom - was.headroom, cores: cores, weight: 0.5}
 }
 
 func (d *Disturbance) regressionOf(image string) *regression {
@@ -256,10 +256,10 @@
 	return r
 }
 
-// teach takes in a lesson, and solves for the costs when it is time.
-func (d *Disturbance) teach(image string, at time.Time, l lesson) {
+// observe takes in an observation, and solves for the costs when it is time.
+func (d *Disturbance) observe(image string, at time.Time, o observation) {
 	r := d.regressionOf(image)
-	off := r.add(at, l)
+	off := r.add(at, o)
 	if off < surprise && at.Sub(r.solvedAt) < refreshInterval {
 		return
 	}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -10,13 +10,13 @@
 // at once, and so draws ever more work. A job that fails everywhere, or a fault
 // of the whole fleet, speaks against no worker. It is not safe for concurrent use.
 //
-// What a worker says of itself is weighed only: one that says that it is ill is
+// What a worker says of itself is weighed only: one that says that it is unhealthy is
 // shut out after fewer bad ends, and comes after the others until then. One that
-// says so and works is used; one that says that it is well and fails is not.
+// says so and works is used; one that says that it is healthy and fails is not.
 type Health struct {
-	workers map[string]*endRate
-	fleet   endRate
-	ill     map[string]bool // that say that they are ill
+	workers   map[string]*endRate
+	fleet     endRate
+	unhealthy map[string]bool // that say that they are unhealthy
 }
 
 // endRate is the share of bad ends, of which old ones count less.
@@ -27,25 +27,25 @@
 
 // Parameters of the judgement.
 const (
-	healthMemory  = 4 * time.Second // after which an end counts a third; a worker is tried again after some of these
-	leastEnds     = 2.5             // weighed ends before a worker is judged
-	leastEndsIll  = 0.7             // of one that says that it is ill
-	illDistrust   = 0.2             // of such a worker before it is judged
-	suspiciousGap = 0.45            // share of bad ends above the fleet's, at which a worker gets nothing
-	mostSuspects  = 0.34            // share of the workers that may be shut out at a time
+	healthMemory       = 4 * time.Second // after which an end counts a third; a worker is tried again after some of these
+	leastEnds          = 2.5             // weighed ends before a worker is judged
+	leastEndsUnhealthy = 0.7             // of one that says that it is unhealthy
+	unhealthyDistrust  = 0.2             // of such a worker before it is judged
+	suspiciousGap      = 0.45            // share of bad ends above the fleet's, at which a worker gets nothing
+	mostSuspects       = 0.34            // share of the workers that may be shut out at a time
 )
 
 // NewHealth returns a Health that knows nothing.
 func NewHealth() *Health {
-	return &Health{workers: map[string]*endRate{}, ill: map[string]bool{}}
+	return &Health{workers: map[string]*endRate{}, unhealthy: map[string]bool{}}
 }
 
 // Note takes in what a worker says of itself.
-func (h *Health) Note(worker string, ill bool) {
-	if ill {
-		h.ill[worker] = true
+func (h *Health) Note(worker string, unhealthy bool) {
+	if unhealthy {
+		h.unhealthy[worker] = true
 	} else {
-		delete(h.ill, worker)
+		delete(h.unhealthy, worker)
 	}
 }
 
@@ -81,8 +81,8 @@
 // worker, from 0 to 1.
 func (h *Health) Distrust(worker string, now time.Time) float64 {
 	rate, least, unjudged := h.workers[worker], leastEnds, 0.0
-	if h.ill[worker] {
-		least, unjudged = leastEndsIll, illDistrust
+	if h.unhealthy[worker] {
+		least, unjudged = leastEndsUnhealthy, unhealthyDistrust
 	}
 	if rate == nil {
 		return unjudged
@@ -117,5 +117,5 @@
 // Forget drops a worker that is gone.
 func (h *Health) Forget(worker string) {
 	delete(h.workers, worker)
-	delete(h.ill, worker)
+	delete(h.unhealthy, worker)
 }
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -58,25 +58,25 @@
 // Load pattern: health answers are false, either way.
 func TestWhatAWorkerSaysOfItselfIsWeighedOnly(t *testing.T) {
 	now := time.Unix(1000, 0)
-	workers := []string{"sound", "ill", "well", "silent"}
+	workers := []string{"sound", "unhealthy", "well", "silent"}
 	h := NewHealth()
-	h.Note("ill", true)
+	h.Note("unhealthy", true)
 	for range 10 {
 		for _, worker := range workers {
 			h.Learn(worker, false, now)
 		}
 	}
-	if d := h.Distrust("ill", now); d > 0 {
-		t.Errorf("distrust %.2f of a worker that says that it is ill and works", d)
+	if d := h.Distrust("unhealthy", now); d > 0 {
+		t.Errorf("distrust %.2f of a worker that says that it is unhealthy and works", d)
 	}
 	now = now.Add(10 * healthMemory) // nothing is known any more
-	if d := h.Distrust("ill", now); d <= 0 || d >= suspiciousGap {
-		t.Errorf("distrust %.2f of a worker that says that it is ill and was not tried", d)
+	if d := h.Distrust("unhealthy", now); d <= 0 || d >= suspiciousGap {
+		t.Errorf("distrust %.2f of a worker that says that it is unhealthy and was not tried", d)
 	}
 	h.Learn("sound", false, now)
-	h.Learn("ill", true, now)
+	h.Learn("unhealthy", true, now)
 	h.Learn("well", true, now)
-	if suspects := h.Suspects(now, workers); !suspects["ill"] || suspects["well"] {
+	if suspects := h.Suspects(now, workers); !suspects["unhealthy"] || suspects["well"] {
 		t.Errorf("suspects %v after one bad end each", suspects)
 	}
 	for range 5 {
@@ -84,7 +84,7 @@
 		h.Learn("sound", false, now)
 		h.Learn("silent", false, now)
 	}
-	h.Forget("ill")
+	h.Forget("unhealthy")
 	if suspects := h.Suspects(now, workers); !suspects["well"] {
 		t.Errorf("suspects %v, want the one that says that it is well and fails", suspects)
 	}
--- a/dispatch/learn_test.go
+++ b/dispatch/learn_test.go
@@ -95,7 +95,7 @@
 
 // On the small sites costs were unlearnt as soon as they were met: a service
 // over its target recovers only after its queue has drained.
-func TestAServiceOverItsTargetTeachesNothing(t *testing.T) {
+func TestAServiceOverItsTargetIsNotLearntFrom(t *testing.T) {
 	d := NewDisturbance()
 	at := time.Unix(1000, 0)
 	show := func(headroom, cores float64) {
--- a/dispatch/lending.go
+++ b/dispatch/lending.go
@@ -11,20 +11,20 @@
 // service. The load pattern that it answers: a peak of some seconds to minutes
 // that the service's own VMs can't do. It is not safe for concurrent use.
 type Lending struct {
-	pressed map[string]time.Time // services whose tasks find no place, since when
-	slack   map[string]time.Time // services that could do with a VM less, since when
+	overloaded map[string]time.Time // services whose tasks find no place, since when
+	underused  map[string]time.Time // services that could do with a VM less, since when
 }
 
 // Parameters of the lending.
 const (
 	lendAfter   = 1500 * time.Millisecond // without a place; a move takes as long
-	returnAfter = 15 * time.Second        // of slack; a move costs the VM's work of some seconds
+	returnAfter = 15 * time.Second        // of little use; a move costs the VM's work of some seconds
 	returnUse   = 0.5                     // of the capacity that would be left
 )
 
 // NewLending returns a Lending that knows nothing.
 func NewLending() *Lending {
-	return &Lending{pressed: map[string]time.Time{}, slack: map[string]time.Time{}}
+	return &Lending{overloaded: map[string]time.Time{}, underused: map[string]time.Time{}}
 }
 
 // Waiting are tasks of one group without a place.
@@ -54,7 +54,7 @@
 type VMMove struct {
 	VM   string
 	Pool string
-	Home string // standby pool that it is lent from, empty when it goes home
+	Home string // standby pool that it is lent from, empty when it is returned
 }
 
 // Plan returns the moves to make now.
@@ -69,13 +69,13 @@
 		switch {
 		case load.Standby:
 		case len(load.Waiting) > 0:
-			delete(l.slack, load.Service)
-			if since(l.pressed, load.Service, now) >= lendAfter {
+			delete(l.underused, load.Service)
+			if since(l.overloaded, load.Service, now) >= lendAfter {
 				moves = append(moves, lend(load, vms, standby, taken)...)
 			}
 		default:
-			delete(l.pressed, load.Service)
-			moves = append(moves, l.bringHome(load, vms, now)...)
+			delete(l.overloaded, load.Service)
+			moves = append(moves, l.returnIdle(load, vms, now)...)
 		}
 	}
 	return moves
@@ -117,19 +117,19 @@
 	})
 }
 
-// bringHome returns one idle VM to its standby pool when the service has had
-// slack for long enough.
-func (l *Lending) bringHome(load PoolLoad, vms []PoolVM, now time.Time) []VMMove {
+// returnIdle returns one idle VM to its standby pool when the service has
+// been underused for long enough.
+func (l *Lending) returnIdle(load PoolLoad, vms []PoolVM, now time.Time) []VMMove {
 	i := slices.IndexFunc(vms, func(vm PoolVM) bool {
 		return vm.Pool == load.Service && vm.Home != "" && vm.Idle && vm.State == VMUp
 	})
 	if i < 0 || float64(load.Used) > returnUse*float64(load.Capacity-vms[i].Capacity.MilliCPU) {
-		delete(l.slack, load.Service)
+		delete(l.underused, load.Service)
 		return nil
 	}
-	if since(l.slack, load.Service, now) < returnAfter {
+	if since(l.underused, load.Service, now) < returnAfter {
 		return nil
 	}
-	delete(l.slack, load.Service)
+	delete(l.underused, load.Service)
 	return []VMMove{{VM: vms[i].Name, Pool: vms[i].Home}}
 }
--- a/dispatch/lending_test.go
+++ b/dispatch/lending_test.go
@@ -13,7 +13,7 @@
 }
 
 // Load pattern: a peak that the service's own VMs can't do, with standby VMs.
-func TestStandbyVMsAreLentInAPeakAndGoHomeAfterIt(t *testing.T) {
+func TestStandbyVMsAreLentInAPeakAndReturnedAfterIt(t *testing.T) {
 	now := time.Unix(1000, 0)
 	busy := PoolLoad{Service: "s", Used: 8000, Capacity: 8000, Waiting: []Waiting{{&api.TaskGroup{MilliCpu: 2000}, 6}}}
 	spare := PoolLoad{Service: "spare", Standby: true}
@@ -32,10 +32,10 @@
 	now = now.Add(time.Minute)
 	l.Plan([]PoolLoad{calm, spare}, vms, now)
 	if moves := l.Plan([]PoolLoad{calm, spare}, vms, now.Add(returnAfter-1)); len(moves) > 0 {
-		t.Errorf("moves %v before the slack has lasted", moves)
+		t.Errorf("moves %v before it was underused for long", moves)
 	}
 	if moves := l.Plan([]PoolLoad{calm, spare}, vms, now.Add(returnAfter)); len(moves) != 1 || moves[0] != (VMMove{"b", "spare", ""}) {
-		t.Errorf("moves %v, want the idle one home", moves)
+		t.Errorf("moves %v, want the idle one returned", moves)
 	}
 	calm.Used = 10_000
 	l.Plan([]PoolLoad{calm, spare}, vms, now.Add(time.Minute))
--- a/dispatch/regression.go
+++ b/dispatch/regression.go
@@ -6,7 +6,7 @@
 )
 
 // regression estimates the costs of the best-effort images for the services of
-// one image: ridge regression on lessons, of which old ones count less.
+// one image: ridge regression on observations, of which old ones count less.
 type regression struct {
 	index    map[string]int // of a best-effort image
 	images   []string
@@ -19,9 +19,9 @@
 
 // Parameters of the regression, in square cores where nothing else is said.
 const (
-	lessonMemory = 90 * time.Second // after which a lesson counts a third; costs may drift over a day
-	priorWeight  = 8.0              // of the prior cost: a lesson's variance of 0.12 over a cost's of 0.015
-	recallWeight = 40.0             // of a cost that an earlier leader learnt
+	observationMemory = 90 * time.Second // after which an observation counts a third; costs may drift over a day
+	priorWeight       = 8.0              // of the prior cost: an observation's variance of 0.12 over a cost's of 0.015
+	recallWeight      = 40.0             // of a cost that an earlier leader learnt
 )
 
 func newRegression() *regression { return &regression{index: map[string]int{}} }
@@ -51,13 +51,13 @@
 	r.cost[i] = cost
 }
 
-// add takes in a lesson and returns how far the latest solution was off.
-func (r *regression) add(at time.Time, l lesson) float64 {
+// add takes in an observation and returns how far the latest solution was off.
+func (r *regression) add(at time.Time, o observation) float64 {
 	r.age(at)
-	positions := make([]int, 0, len(l.cores))
-	values := make([]float64, 0, len(l.cores))
+	positions := make([]int, 0, len(o.cores))
+	values := make([]float64, 0, len(o.cores))
 	expected := 0.0
-	for image, cores := range l.cores {
+	for image, cores := range o.cores {
 		if cores == 0 {
 			continue
 		}
@@ -65,11 +65,11 @@
 		positions, values = append(positions, i), append(values, cores)
 		expected += r.cost[i] * cores
 	}
-	lost := -l.headroom
+	lost := -o.headroom
 	for a, i := range positions {
-		r.moment[i] += l.weight * lost * values[a]
+		r.moment[i] += o.weight * lost * values[a]
 		for b, j := range positions {
-			r.gram[i][j] += l.weight * values[a] * values[b]
+			r.gram[i][j] += o.weight * values[a] * values[b]
 		}
 	}
 	return math.Abs(lost - expected)
@@ -77,7 +77,7 @@
 
 func (r *regression) age(at time.Time) {
 	if !r.at.IsZero() && at.After(r.at) {
-		factor := math.Exp(-float64(at.Sub(r.at)) / float64(lessonMemory))
+		factor := math.Exp(-float64(at.Sub(r.at)) / float64(observationMemory))
 		for i := range r.gram {
 			r.moment[i] *= factor
 			for j := range r.gram[i] {
@@ -90,7 +90,7 @@
 	}
 }
 
-// solve returns the costs that explain the lessons best, none below 0.
+// solve returns the costs that explain the observations best, none below 0.
 func (r *regression) solve() map[string]float64 {
 	n := len(r.images)
 	rows := make([][]float64, n)
--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -41,7 +41,7 @@
 	term       uint64          // of the latest leader
 	leaseUntil time.Time       // until when runs may be begun and renewed
 	costs      *dispatch.Costs // as the leader learnt it
-	healthPath string          // at which the worker is asked whether it is well, empty for none
+	healthPath string          // at which the worker is asked whether it is healthy, empty for none
 }
 
 // Times of the agent's calls.
--- a/jobagent/agent_test.go
+++ b/jobagent/agent_test.go
@@ -312,16 +312,16 @@
 		r.agent.mu.Lock()
 		r.agent.healthPath = "/healthz"
 		r.agent.mu.Unlock()
-		for _, ill := range []bool{false, true, false} {
+		for _, unhealthy := range []bool{false, true, false} {
 			r.worker.set(func() {
-				r.worker.ill = nil
-				if ill {
-					r.worker.ill = fault.New(fault.BackendUnavailable, "ill")
+				r.worker.unhealthy = nil
+				if unhealthy {
+					r.worker.unhealthy = fault.New(fault.BackendUnavailable, "unhealthy")
 				}
 			})
 			r.wait(2 * healthInterval)
-			if got := r.report().Ill; got != ill || r.worker.asked != "/healthz" {
-				t.Errorf("reported ill %v, want %v; asked at %q", got, ill, r.worker.asked)
+			if got := r.report().Unhealthy; got != unhealthy || r.worker.asked != "/healthz" {
+				t.Errorf("reported unhealthy %v, want %v; asked at %q", got, unhealthy, r.worker.asked)
 			}
 		}
 	})
--- a/jobagent/harness_test.go
+++ b/jobagent/harness_test.go
@@ -29,7 +29,7 @@
 	calls    []string
 	paces    map[jobs.RunID]int
 
-	ill       error                // its word on its health
+	unhealthy error                // its word on its health
 	asked     string               // path at which it was asked for it
 	hang      bool                 // answers nothing
 	dropStart bool                 // carries starts out late and answers nothing
@@ -176,14 +176,14 @@
 	return nil
 }
 
-func (f *fakeWorker) Well(ctx context.Context, _ Target, path string) error {
+func (f *fakeWorker) CheckHealth(ctx context.Context, _ Target, path string) error {
 	if err := f.answer(ctx); err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked = path
-	return f.ill
+	return f.unhealthy
 }
 
 func (f *fakeWorker) set(change func()) {
--- a/jobagent/health.go
+++ b/jobagent/health.go
@@ -9,13 +9,13 @@
 	"amaranthpaddle/timing"
 )
 
-// Times of the questions whether the worker is well.
+// Times of the questions whether the worker is healthy.
 const (
 	healthInterval = 1500 * time.Millisecond // under the time that a sick worker needs to spoil much
 	healthTimeout  = 700 * time.Millisecond
 )
 
-// watchHealth asks the worker whether it is well, until the incarnation ends.
+// watchHealth asks the worker whether it is healthy, until the incarnation ends.
 // What it says is passed on; the leader weighs it against how its runs end.
 func (w *incarnation) watchHealth() {
 	for timing.Sleep(w.ctx, healthInterval) {
@@ -26,7 +26,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(w.ctx, healthTimeout)
-		err := w.agent.config.Worker.Well(ctx, target, path)
+		err := w.agent.config.Worker.CheckHealth(ctx, target, path)
 		cancel()
 		if w.ctx.Err() != nil {
 			return
@@ -38,9 +38,9 @@
 func (w *incarnation) noteHealth(err error) {
 	w.agent.mu.Lock()
 	defer w.agent.mu.Unlock()
-	if ill := err != nil; ill != w.ill {
-		klog.InfoS("Worker's own word on its health changed", "worker", w.key, "ill", ill, "error", err)
-		w.ill = ill
+	if unhealthy := err != nil; unhealthy != w.unhealthy {
+		klog.InfoS("Worker's own word on its health changed", "worker", w.key, "unhealthy", unhealthy, "error", err)
+		w.unhealthy = unhealthy
 		w.agent.signal()
 	}
 }
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -37,7 +37,7 @@
 	open     map[int64]struct{} // positions that are not recorded
 	recorded chan struct{}      // something was recorded
 
-	ill        bool      // the worker says that it is not well
+	unhealthy  bool      // as the worker says itself
 	unanswered time.Time // since when holds get no answer; the zero time while they do
 	renewedTo  time.Time // the latest lease that was sent to the worker
 	pacing     *dispatch.Pacing
@@ -306,7 +306,7 @@
 	now := w.agent.config.Clock()
 	report.Worker = w.worker
 	report.RunsListed = true
-	report.Lists, report.Ill = w.holds, w.ill
+	report.Lists, report.Unhealthy = w.holds, w.unhealthy
 	for id, r := range w.runs {
 		status := &api.RunStatus{Run: id.Ref(), Pace: int32(r.pace)}
 		if r.status != nil {
--- a/jobagent/worker.go
+++ b/jobagent/worker.go
@@ -57,8 +57,8 @@
 	Stop(ctx context.Context, target Target, run jobs.RunID, fence uint64) (clockMS int64, err error)
 	Hold(ctx context.Context, target Target, call HoldCall) (*HoldAnswer, error)
 	Pace(ctx context.Context, target Target, run jobs.RunID, percent int, fence uint64) error
-	// Well returns nil when the worker says at the path that it is well.
-	Well(ctx context.Context, target Target, path string) error
+	// CheckHealth returns nil when the worker says at the path that it is healthy.
+	CheckHealth(ctx context.Context, target Target, path string) error
 }
 
 // Registration is what a worker says of itself.
--- a/jobcontrol/maintenance_test.go
+++ b/jobcontrol/maintenance_test.go
@@ -179,7 +179,7 @@
 	})
 }
 
-func TestAStandbyVMIsLentInAPeakAndGoesHomeAfterALeaderChange(t *testing.T) {
+func TestAStandbyVMIsLentInAPeakAndReturnedAfterALeaderChange(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		fleet := r.withFleet()
 		fleet.pools["vm-c"] = "spare"
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -288,7 +288,7 @@
 	return d
 }
 
-// healthPath returns where a worker is asked whether it is well. The lock is held.
+// healthPath returns where a worker is asked whether it is healthy. The lock is held.
 func (l *leadership) healthPath(key string) (path string) {
 	view := l.viewOf(key)
 	if view == nil {
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -58,7 +58,7 @@
 	view.worker, view.agent, view.leaving = worker, agent, report.Leaving
 	view.heard = l.server.now()
 	view.silent = time.Duration(report.UnansweredMs) * time.Millisecond
-	l.health.Note(key, report.Ill)
+	l.health.Note(key, report.Unhealthy)
 	return view
 }
 
