--- a/cmd/paddle-soak/callers.go
+++ b/cmd/paddle-soak/callers.go
@@ -61,14 +61,18 @@
 
 // call makes a call at some entry; the status is 0 without an answer.
 func (c *caller) call(method, path string, body []byte) (int, []byte) {
-	entry := c.entries[c.random.IntN(len(c.entries))]
-	request, err := http.NewRequest(method, "http://"+entry+path, bytes.NewReader(body))
+	request, err := http.NewRequest(method, "http://"+c.entries[c.random.IntN(len(c.entries))]+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
 	request.Host = queueHost
 	request.Header.Set("Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
-	answer, err := c.client.Do(request)
+	return answerOf(c.client, request)
+}
+
+// answerOf returns the status and the body of an answer, 0 when it is not whole.
+func answerOf(client *http.Client, request *http.Request) (int, []byte) {
+	answer, err := client.Do(request)
 	if err != nil {
 		return 0, nil
 	}
@@ -172,21 +176,11 @@
 }
 
 func (o *operator) call(method, path string, body []byte) (int, []byte) {
-	address := o.control[o.random.IntN(len(o.control))]
-	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil
-	}
-	answer, err := o.client.Do(request)
+	request, err := http.NewRequest(method, "http://"+o.control[o.random.IntN(len(o.control))]+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
-	defer answer.Body.Close()
-	data, err := io.ReadAll(answer.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return answer.StatusCode, data
+	return answerOf(o.client, request)
 }
 
 // configure sends the next version until it is acknowledged or stop is closed.
