--- a/cmd/paddle-soak/process.go
+++ b/cmd/paddle-soak/process.go
@@ -121,9 +121,12 @@
 // calmAfter a fault the bounds in time hold again.
 const calmAfter = 6 * time.Second
 
-// freeAddress returns a loopback address that nothing listens on.
+// freeAddress returns a loopback address that nothing listens on. The IP is one
+// of this process alone: on 127.0.0.1 an outgoing connection may take the port
+// while nothing listens there.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	id := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+id>>14&63, id>>7&127, 1+id&127))
 	if err != nil {
 		return "", fault.Wrap(fault.Internal, err, "find a port")
 	}
