replica: one loop that follows a replica's leadership

Cause: jobcontrol repeated control's two loops, from the status to the end of a term, line by line. Change: replica.FollowLeadership and replica.WaitLeadershipEnd serve both servers. No behaviour changes.

--- a/control/server.go
+++ b/control/server.go
@@ -79,7 +79,7 @@
 	s.done.Add(2)
 	go func() {
 		defer s.done.Done()
-		s.followLeadership(ctx)
+		replica.FollowLeadership(ctx, s.config.Node, s.leadTerm)
 	}()
 	go func() {
 		defer s.done.Done()
@@ -117,22 +117,6 @@
 	}
 }
 
-// followLeadership runs the leader's work while this replica leads.
-func (s *Server) followLeadership(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := s.config.Node.StatusChanged()
-		status := s.config.Node.Status()
-		if status.LeaderReady {
-			s.leadTerm(ctx, status.Term)
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
-}
-
 // leadTerm returns when the leadership of the term has ended.
 func (s *Server) leadTerm(ctx context.Context, term uint64) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -146,16 +130,7 @@
 	var loops sync.WaitGroup
 	loops.Go(func() { s.confirms.Run(ctx, term) })
 	loops.Go(func() { s.leaderLoop(ctx) })
-	for ctx.Err() == nil {
-		changed := s.config.Node.StatusChanged()
-		if !replica.Leads(s.config.Node, term) {
-			break
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
+	replica.WaitLeadershipEnd(ctx, s.config.Node, term)
 	cancel()
 	loops.Wait()
 }
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -43,7 +43,7 @@
 func (s *Server) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
-	s.done.Go(func() { s.followLeadership(ctx) })
+	s.done.Go(func() { replica.FollowLeadership(ctx, s.config.Replica, s.leadTerm) })
 }
 
 // Stop ends the server's work and its sessions.
@@ -52,21 +52,6 @@
 	s.done.Wait()
 }
 
-func (s *Server) followLeadership(ctx context.Context) {
-	for ctx.Err() == nil {
-		changed := s.config.Replica.StatusChanged()
-		status := s.config.Replica.Status()
-		if status.LeaderReady {
-			s.leadTerm(ctx, status.Term)
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
-}
-
 // leadTerm returns when the leadership of the term has ended.
 func (s *Server) leadTerm(ctx context.Context, term uint64) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -83,16 +68,7 @@
 	loops.Go(func() { lead.logSummaries() })
 	loops.Go(func() { lead.manageVMs() })
 	loops.Go(func() { s.maintainMembers(ctx, lead) })
-	for ctx.Err() == nil {
-		changed := s.config.Replica.StatusChanged()
-		if !replica.Leads(s.config.Replica, term) {
-			break
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
+	replica.WaitLeadershipEnd(ctx, s.config.Replica, term)
 	cancel()
 	loops.Wait()
 	lead.failPending()
