dispatch: one decay, one expectation, one threshold of harm

Cause: the decay of old evidence stood three times, and the drain rate borrowed the health judgement's sum of ends; the expected duration of a group's task was written out in five places, its work and the count of its waiting tasks in two, the threshold for harmless pairs in four, and pair costs were decoded in two. Progress looked up each run twice. Change: decayClock, Durations.Of, TaskWork, WaitingIn, harmPerCore and KnownOf serve all of them.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -65,7 +65,7 @@
 // schedule or without an end are taken as long as their tasks fit: they don't
 // count by the time until they are done.
 func Judge(view jobs.View, in Input, s Submission, rate float64) Verdict {
-	expect := func(group *api.TaskGroup) float64 { return in.Durations.Expect(s.QueueKey, group.EstimatedMs) }
+	expect := in.Durations.Of(s.QueueKey)
 	b := Backlog{Fits: s.fits(in.Workers)}
 	if s.Spec.GetSchedule().GetTimes() == 0 && !anyLongRunning(s.Spec) {
 		work := Work(s.Spec, expect)
@@ -119,17 +119,14 @@
 		if job.Phase.Ended() || other.Service != queue.Service {
 			return
 		}
-		expect := func(group *api.TaskGroup) float64 { return in.Durations.Expect(job.QueueKey, group.EstimatedMs) }
+		expect := in.Durations.Of(job.QueueKey)
 		for _, c := range jobCandidates(view, in, job) {
 			if c.group.Spec.LongRunning || c.lateness == worthless || !c.before(queue, density) {
 				continue
 			}
-			for i := range c.group.Tasks {
-				if Waits(c.group, i) {
-					waiting++
-					work += taskWork(c.group.Spec, expect)
-				}
-			}
+			tasks := WaitingIn(c.group)
+			waiting += tasks
+			work += float64(tasks) * TaskWork(c.group.Spec, expect)
 		}
 	})
 	return work, waiting
@@ -142,13 +139,7 @@
 		if c.lateness == worthless {
 			continue
 		}
-		tasks := 0
-		for i := range c.group.Tasks {
-			if Waits(c.group, i) {
-				tasks++
-			}
-		}
-		if tasks > 0 {
+		if tasks := WaitingIn(c.group); tasks > 0 {
 			waiting[c.queue.Service] = append(waiting[c.queue.Service], Waiting{c.group.Spec, tasks})
 		}
 	}
@@ -167,19 +158,22 @@
 // safe for concurrent use.
 type DrainRate struct {
 	began time.Time
-	done  endRate // its sum counts core-seconds
+	done  float64 // core-seconds
+	clock decayClock
 }
 
-// drainWarmup is how long a rate is measured before it counts.
-const drainWarmup = 2 * healthMemory
+// Times of the measurement.
+const (
+	drainMemory = 4 * time.Second // after which work counts a third; a burst lasts longer
+	drainWarmup = 2 * drainMemory // before the rate counts
+)
 
 // Learn takes in the work of a task that is done.
 func (d *DrainRate) Learn(work float64, now time.Time) {
 	if d.began.IsZero() {
 		d.began = now
 	}
-	d.done.age(now)
-	d.done.all += work
+	d.done = d.done*d.clock.advance(now, drainMemory) + work
 }
 
 // PerSecond returns the rate, 0 while it is not known.
@@ -187,6 +181,6 @@
 	if d.began.IsZero() || now.Sub(d.began) < drainWarmup {
 		return 0
 	}
-	d.done.age(now)
-	return d.done.all / healthMemory.Seconds()
+	d.done *= d.clock.advance(now, drainMemory)
+	return d.done / drainMemory.Seconds()
 }
--- a/dispatch/durations.go
+++ b/dispatch/durations.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "math"
+import (
+	"math"
+
+	"amaranthpaddle/api"
+)
 
 // Durations learns how long tasks take, by queue, from what is declared and
 // what was seen. Declared durations are often far off, so for each queue it
@@ -65,3 +69,9 @@
 	trust := s.weight / (s.weight + priorTasks)
 	return math.Exp(trust*learnt + (1-trust)*x)
 }
+
+// Of returns the duration to expect of a task of a group, in milliseconds, for
+// jobs of one queue.
+func (d *Durations) Of(queue string) func(*api.TaskGroup) float64 {
+	return func(group *api.TaskGroup) float64 { return d.Expect(queue, group.EstimatedMs) }
+}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Health judges workers by how their runs end, against their peers. The load
 // pattern that it answers: a worker that fails whatever it starts is free again
@@ -22,7 +19,7 @@
 // endRate is the share of bad ends, of which old ones count less.
 type endRate struct {
 	bad, all float64
-	at       time.Time
+	clock    decayClock
 }
 
 // Parameters of the judgement.
@@ -53,7 +50,7 @@
 func (h *Health) Learn(worker string, bad bool, now time.Time) {
 	rate := h.workers[worker]
 	if rate == nil {
-		rate = &endRate{at: now}
+		rate = &endRate{}
 		h.workers[worker] = rate
 	}
 	rate.add(bad, now)
@@ -69,12 +66,9 @@
 }
 
 func (r *endRate) age(now time.Time) {
-	if !r.at.IsZero() && now.After(r.at) {
-		factor := math.Exp(-float64(now.Sub(r.at)) / float64(healthMemory))
-		r.bad *= factor
-		r.all *= factor
-	}
-	r.at = now
+	factor := r.clock.advance(now, healthMemory)
+	r.bad *= factor
+	r.all *= factor
 }
 
 // Distrust returns by how much more often than elsewhere runs end badly on a
--- a/dispatch/learnt.go
+++ b/dispatch/learnt.go
@@ -18,7 +18,7 @@
 func NewKnowledge(learnt *api.Learnt) Knowledge {
 	k := Knowledge{Disturbance: NewDisturbance(), Durations: NewDurations(), Works: NewWorks()}
 	for _, c := range learnt.GetCosts() {
-		k.Disturbance.Recall(Known{Pair{c.Service, c.Filler}, c.PerCore})
+		k.Disturbance.Recall(KnownOf(c))
 	}
 	for _, q := range learnt.GetQueues() {
 		k.Durations.queues[q.Queue] = &durationStats{
@@ -44,6 +44,9 @@
 	return learnt
 }
 
+// KnownOf returns what a message says of a pair.
+func KnownOf(c *api.PairCost) Known { return Known{Pair{c.Service, c.Filler}, c.PerCore} }
+
 // Message returns what was learnt of the pairs, in a fixed order.
 func (c *Costs) Message() []*api.PairCost {
 	var costs []*api.PairCost
--- a/dispatch/objective.go
+++ b/dispatch/objective.go
@@ -95,12 +95,13 @@
 func Work(spec *api.JobSpec, expect func(*api.TaskGroup) float64) float64 {
 	work := 0.0
 	for _, group := range spec.GetGroups() {
-		work += float64(group.Count) * taskWork(group, expect)
+		work += float64(group.Count) * TaskWork(group, expect)
 	}
 	return work
 }
 
-func taskWork(group *api.TaskGroup, expect func(*api.TaskGroup) float64) float64 {
+// TaskWork returns the core-seconds of one task of a group.
+func TaskWork(group *api.TaskGroup, expect func(*api.TaskGroup) float64) float64 {
 	return float64(group.MilliCpu) / 1000 * expect(group) / 1000
 }
 
@@ -113,7 +114,7 @@
 		}
 		for i := range group.Tasks {
 			if !group.Tasks[i].Done {
-				work += taskWork(group.Spec, expect)
+				work += TaskWork(group.Spec, expect)
 			}
 		}
 	}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -23,8 +23,9 @@
 // best-effort tasks disturb them by amounts that differ by pair of images.
 //
 // A run that disturbs no service beside it works at full pace. The others get
-// what headroom the services can spare, those that cost least first. Where that is not enough, they are
-// slowed down further, and in the end all are paused until the services recover.
+// what headroom the services can spare, those that cost least first. Where that
+// is not enough, they are slowed down further, and in the end all are paused
+// until the services recover.
 type Pacing struct {
 	caution float64 // share of the pace that is left to those that may disturb; 1 unless a service was over its target
 	over    int     // looks in a row at which a service was over its target
@@ -64,7 +65,7 @@
 	for _, i := range byCost(fillers, budgets, perCore) {
 		share := 1.0
 		for image, left := range budgets {
-			if taken := costOf(image, fillers[i], perCore); taken > 0 {
+			if taken := harmPerCore(perCore, Pair{image, fillers[i].Image}) * fillers[i].Full; taken > 0 {
 				share = min(share, max(left, 0)/taken)
 			}
 		}
@@ -73,7 +74,7 @@
 			continue
 		}
 		for image := range budgets {
-			budgets[image] -= share * costOf(image, fillers[i], perCore)
+			budgets[image] -= share * harmPerCore(perCore, Pair{image, fillers[i].Image}) * fillers[i].Full
 		}
 	}
 	return paces
@@ -89,9 +90,7 @@
 		}
 		spare := float64(service.Headroom) - spareHeadroom
 		for _, filler := range fillers {
-			if cost := perCore(Pair{service.Image, filler.Image}); cost > harmlessCore {
-				spare += cost * filler.Cores
-			}
+			spare += harmPerCore(perCore, Pair{service.Image, filler.Image}) * filler.Cores
 		}
 		spare *= p.caution
 		if known, met := budgets[service.Image]; !met || spare < known {
@@ -101,14 +100,13 @@
 	return budgets
 }
 
-// costOf returns the headroom that a filler at full pace costs services of an
-// image, 0 for a harmless one.
-func costOf(image string, filler Filler, perCore func(Pair) float64) float64 {
-	cost := perCore(Pair{image, filler.Image})
-	if cost <= harmlessCore {
-		return 0
+// harmPerCore returns the headroom that a core of the filler costs the service,
+// 0 for a harmless pair.
+func harmPerCore(perCore func(Pair) float64, pair Pair) float64 {
+	if cost := perCore(pair); cost > harmlessCore {
+		return cost
 	}
-	return cost * filler.Full
+	return 0
 }
 
 // byCost returns the indexes of the fillers, those first that cost the services
@@ -119,9 +117,7 @@
 	for i, filler := range fillers {
 		order[i] = i
 		for image := range budgets {
-			if cost := perCore(Pair{image, filler.Image}); cost > harmlessCore {
-				worst[i] = max(worst[i], cost)
-			}
+			worst[i] = max(worst[i], harmPerCore(perCore, Pair{image, filler.Image}))
 		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(worst[a], worst[b]) })
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -102,7 +102,7 @@
 
 func jobCandidates(view jobs.View, in Input, job *jobs.Job) []candidate {
 	queue := view.QueueOf(job)
-	expect := func(group *api.TaskGroup) float64 { return in.Durations.Expect(job.QueueKey, group.EstimatedMs) }
+	expect := in.Durations.Of(job.QueueKey)
 	objective := Objective(queue, job.Spec, expect)
 	worth := in.Works.Worth(job.QueueKey, Work(job.Spec, expect))
 	var all []candidate
@@ -159,11 +159,21 @@
 
 // startable reports whether a task needs a run, or a copy of the one that it has.
 func (c *candidate) startable(index int, in Input) bool {
-	return Waits(c.group, index) || c.copyable(index, in)
+	return waits(c.group, index) || c.copyable(index, in)
 }
 
-// Waits reports whether a task has no run and needs one.
-func Waits(group *jobs.Group, index int) bool {
+// WaitingIn returns how many tasks of a group have no run and need one.
+func WaitingIn(group *jobs.Group) (tasks int) {
+	for i := range group.Tasks {
+		if waits(group, i) {
+			tasks++
+		}
+	}
+	return tasks
+}
+
+// waits reports whether a task has no run and needs one.
+func waits(group *jobs.Group, index int) bool {
 	return !group.Tasks[index].Done && len(group.Tasks[index].Runs) == 0
 }
 
@@ -218,7 +228,7 @@
 // placeGang places all tasks of a gang or none.
 func (p *planner) placeGang(c candidate) {
 	for i := range c.group.Tasks {
-		if !Waits(c.group, i) {
+		if !waits(c.group, i) {
 			return // an earlier run of the gang has not ended everywhere
 		}
 	}
--- a/dispatch/regression.go
+++ b/dispatch/regression.go
@@ -13,7 +13,7 @@
 	gram     [][]float64 // sums of products of cores
 	moment   []float64   // sums of products of lost headroom and cores
 	cost     []float64   // latest solution
-	at       time.Time   // to which the sums are aged
+	clock    decayClock
 	solvedAt time.Time
 }
 
@@ -76,18 +76,13 @@
 }
 
 func (r *regression) age(at time.Time) {
-	if !r.at.IsZero() && at.After(r.at) {
-		factor := math.Exp(-float64(at.Sub(r.at)) / float64(observationMemory))
-		for i := range r.gram {
-			r.moment[i] *= factor
-			for j := range r.gram[i] {
-				r.gram[i][j] *= factor
-			}
+	factor := r.clock.advance(at, observationMemory)
+	for i := range r.gram {
+		r.moment[i] *= factor
+		for j := range r.gram[i] {
+			r.gram[i][j] *= factor
 		}
 	}
-	if at.After(r.at) {
-		r.at = at
-	}
 }
 
 // solve returns the costs that explain the observations best, none below 0.
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -66,7 +66,7 @@
 func (p *planner) incoming(group *api.TaskGroup, l *load) float64 {
 	cores := 0.0
 	for image, used := range l.fillers {
-		if p.in.PerCore(Pair{group.Image, image}) > harmlessCore {
+		if harmPerCore(p.in.PerCore, Pair{group.Image, image}) > 0 {
 			cores += used
 		}
 	}
@@ -145,8 +145,8 @@
 func (p *planner) disturbance(group *api.TaskGroup, l *load) float64 {
 	worst := 0.0
 	for _, service := range l.worker.Look.Services {
-		cost := p.in.PerCore(Pair{service.Image, group.Image})
-		if cost <= harmlessCore || service.Headroom <= 0 {
+		cost := harmPerCore(p.in.PerCore, Pair{service.Image, group.Image})
+		if cost == 0 || service.Headroom <= 0 {
 			continue
 		}
 		spare := float64(service.Headroom) - spareHeadroom
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -152,9 +152,7 @@
 	}
 	l.noteAnswer(d)
 	for _, cost := range d.Costs {
-		a.costs.Set(dispatch.Known{
-			Pair: dispatch.Pair{Service: cost.Service, Filler: cost.Filler}, PerCore: cost.PerCore,
-		})
+		a.costs.Set(dispatch.KnownOf(cost))
 	}
 	if w := a.current; w != nil && d.Worker == w.key {
 		w.obey(d)
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -55,9 +55,7 @@
 		return
 	}
 	queue := submit.GetKey().GetQueue()
-	l.knowledge.Works.Learn(queue, dispatch.Work(submit.Spec, func(group *api.TaskGroup) float64 {
-		return l.knowledge.Durations.Expect(queue, group.EstimatedMs)
-	}))
+	l.knowledge.Works.Learn(queue, dispatch.Work(submit.Spec, l.knowledge.Durations.Of(queue)))
 }
 
 // observeWait measures the time from a job's submission to its first start. The
@@ -94,8 +92,7 @@
 	if outcome != api.RunOutcome_RUN_OUTCOME_DONE || task.LongRunning {
 		return
 	}
-	expected := l.knowledge.Durations.Expect(queue, task.EstimatedMs)
-	l.drain.Learn(float64(task.MilliCpu)/1000*expected/1000, l.server.now())
+	l.drain.Learn(dispatch.TaskWork(task, l.knowledge.Durations.Of(queue)), l.server.now())
 }
 
 // learnHealth takes in whether the worker ended the run as it should. The lock is held.
--- a/jobcontrol/progress.go
+++ b/jobcontrol/progress.go
@@ -21,13 +21,13 @@
 	now := l.server.now()
 	l.server.config.State.Read(func(state jobs.View) {
 		for run, status := range view.runs {
-			_, group, _ := state.Run(run)
+			job, group, _ := state.Run(run)
 			if group == nil || group.Spec.Gang {
 				continue // a gang waits for its members
 			}
 			l.progress.Look(run, status.Percent, status.Pace == dispatch.FullPace, now)
 			atWork := group.Spec.LongRunning && status.Percent >= dispatch.FullPace
-			if !atWork && !l.moved[run] && l.progress.Stalled(run, l.expectedTime(state, run), now) {
+			if !atWork && !l.moved[run] && l.progress.Stalled(run, l.expectedTime(job, group), now) {
 				l.noteStalled(view, run, status.Percent, now)
 			}
 		}
@@ -43,12 +43,14 @@
 	}
 }
 
-// expectedTime returns how long a task of a run's group usually takes, 0 for a
-// run that has ended.
-func (l *leadership) expectedTime(state jobs.View, run jobs.RunID) time.Duration {
+// behind reports whether a copy of a run would likely be done before it. The
+// lock is held.
+func (l *leadership) behind(state jobs.View, run jobs.RunID, now time.Time) bool {
 	job, group, _ := state.Run(run)
-	if group == nil {
-		return 0
-	}
+	return group != nil && l.progress.Behind(run, l.expectedTime(job, group), now)
+}
+
+// expectedTime returns how long a task of a group usually takes.
+func (l *leadership) expectedTime(job *jobs.Job, group *jobs.Group) time.Duration {
 	return time.Duration(l.knowledge.Durations.Expect(job.QueueKey, group.Spec.EstimatedMs) * float64(time.Millisecond))
 }
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -164,7 +164,7 @@
 		PerCore: l.knowledge.Disturbance.PerCore, Durations: l.knowledge.Durations, Works: l.knowledge.Works,
 		Age:     func(job *jobs.Job) time.Duration { return l.age(job, now) },
 		Workers: l.dispatchWorkers(view, now),
-		Behind:  func(run jobs.RunID) bool { return l.progress.Behind(run, l.expectedTime(view, run), now) },
+		Behind:  func(run jobs.RunID) bool { return l.behind(view, run, now) },
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
 			return l.ticketsFor(view, queue, group)
 		},
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -84,11 +84,7 @@
 			if group.Done() || !occurrence.Ready(group) {
 				continue
 			}
-			for i := range group.Tasks {
-				if dispatch.Waits(group, i) {
-					s.waitingTasks++
-				}
-			}
+			s.waitingTasks += dispatch.WaitingIn(group)
 		}
 	}
 	if s.waitingTasks > before {
