jobcontrol: orders that nobody sends are gone; a failed note of a lent VM is logged

Cause: reads of the configuration and of waves were also orders to the leader, which nothing sends: any replica answers them itself. A move was given up without a line when its note could not be committed, and looked at one error twice. No other behaviour changes.

--- a/jobcontrol/lending.go
+++ b/jobcontrol/lending.go
@@ -83,10 +83,8 @@
 // move carries out one move. Where the VM belongs is kept first, so that a later
 // leader knows it whatever becomes of the order.
 func (l *leadership) move(move dispatch.VMMove) {
-	l.mu.Lock()
-	l.sentAway[move.VM] = l.server.now()
-	l.mu.Unlock()
-	if move.Home != "" && l.noteLent(move.VM, move.Home) != nil {
+	l.leaveAlone(move.VM, l.server.now())
+	if move.Home != "" && !l.noteLent(move.VM, move.Home) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, fleetTimeout)
@@ -98,23 +96,31 @@
 		l.mu.Lock()
 		l.maintenance.fenced[move.VM] = true
 		l.mu.Unlock()
-	case err == nil && move.Home == "", fault.Is(err, fault.NotFound):
-		if err := l.noteLent(move.VM, ""); err != nil {
-			klog.InfoS("VM still counts as lent", "vm", move.VM, "error", err)
-		}
-	}
-	if fault.Is(err, fault.NotFound) {
-		l.mu.Lock()
-		l.sentAway[move.VM] = l.server.now().Add(refusedMove)
-		l.mu.Unlock()
+	case fault.Is(err, fault.NotFound):
+		l.noteLent(move.VM, "")
+		l.leaveAlone(move.VM, l.server.now().Add(refusedMove))
+	case err == nil && move.Home == "":
+		l.noteLent(move.VM, "")
 	}
 }
 
+// leaveAlone keeps a VM where it is until moveSettles after a time.
+func (l *leadership) leaveAlone(vm string, from time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sentAway[vm] = from
+}
+
 // refusedMove is how long a VM that can't work for a pool is left alone.
 const refusedMove = time.Minute
 
-func (l *leadership) noteLent(vm, home string) error {
+// noteLent keeps in the log where a VM belongs, and reports whether it is there.
+func (l *leadership) noteLent(vm, home string) bool {
 	ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
 	defer cancel()
-	return l.commit(ctx, &api.JobChange{Body: &api.JobChange_Lent{Lent: &api.LentVM{Vm: vm, Home: home}}})
+	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Lent{Lent: &api.LentVM{Vm: vm, Home: home}}})
+	if err != nil {
+		klog.InfoS("VM's home not kept", "vm", vm, "home", home, "error", err)
+	}
+	return err == nil
 }
--- a/jobcontrol/operate.go
+++ b/jobcontrol/operate.go
@@ -34,12 +34,8 @@
 			return nil, err
 		}
 		change = &api.JobChange{Body: &api.JobChange_Wave{Wave: body.Wave}}
-	case *api.OperatorOrder_ReadWave:
-		wave, err := s.Wave(ctx, body.ReadWave)
-		return &api.OperatorAnswer{Wave: wave}, err
 	default:
-		configuration, err := s.Configuration(ctx)
-		return &api.OperatorAnswer{Configuration: configuration}, err
+		return nil, fault.New(fault.InvalidArgument, "an order of an unknown type")
 	}
 	lead, err := s.leading()
 	if err != nil {
