jobcontrol: agents are sent only the costs of pairs on their worker

Cause: each answer to a report carried the costs of all pairs of images once one of them had changed, and each new session all of them. With 240 agents, 14 service and 30 best-effort images that is 12 KB a directive, some 600 times a second; the links between regions (150 Mbit/s) filled, heartbeats came late, the leader changed every four seconds, and each new leader sent everything again.

Change: a directive carries the costs of the pairs on the agent's worker that changed by more than 0.02 since they were last sent on the session. The queue of changes keeps an index of its ends; a worker's view, session and the group of a run are looked up by key in place of walks.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -257,6 +258,9 @@
 	return observation{headroom: current.headroom - prev.headroom, cores: cores, weight: 0.5}
 }
 
+// CostChanged reports whether a cost per core has changed noticeably.
+func CostChanged(from, to float64) bool { return math.Abs(to-from) > minCostChange }
+
 func (d *Interference) regressionOf(image string) *regression {
 	r := d.regressions[image]
 	if r == nil {
@@ -278,7 +282,7 @@
 	r.solvedAt = at
 	for bestEffort, cost := range r.solve() {
 		pair := Pair{image, bestEffort}
-		if known, seen := d.perCore[pair]; !seen || cost-known > minCostChange || known-cost > minCostChange {
+		if known, seen := d.perCore[pair]; !seen || CostChanged(known, cost) {
 			d.version++
 		}
 		d.Set(PairCost{pair, cost})
--- a/dispatch/models.go
+++ b/dispatch/models.go
@@ -48,14 +48,17 @@
 // PairCostOf converts a message to the cost of a pair.
 func PairCostOf(c *api.PairCost) PairCost { return PairCost{Pair{c.Service, c.Filler}, c.PerCore} }
 
+// Message converts the cost of a pair to a message.
+func (c PairCost) Message() *api.PairCost {
+	return &api.PairCost{Service: c.Pair.Service, Filler: c.Pair.BestEffort, PerCore: c.PerCore}
+}
+
 // Message converts the learnt costs to messages, sorted by service and
 // best-effort image.
 func (c *Costs) Message() []*api.PairCost {
 	var costs []*api.PairCost
 	for _, known := range c.List() {
-		costs = append(costs, &api.PairCost{
-			Service: known.Pair.Service, Filler: known.Pair.BestEffort, PerCore: known.PerCore,
-		})
+		costs = append(costs, known.Message())
 	}
 	return costs
 }
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -80,11 +80,7 @@
 	all := make([]*load, len(workers))
 	for i := range workers {
 		l := &load{worker: &workers[i], bestEffortCores: map[string]float64{}, serviceRuns: map[string]int{}}
-		view.RunsOn(l.worker.Key, func(run jobs.RunID) {
-			if _, group, _ := view.Run(run); group != nil {
-				l.add(group.Spec)
-			}
-		})
+		view.RunsOn(l.worker.Key, func(_ jobs.RunID, group *jobs.Group) { l.add(group.Spec) })
 		all[i] = l
 	}
 	return all
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -21,7 +21,7 @@
 
 	mu          sync.Mutex
 	assumed     *jobs.State
-	pending     []*pendingChange
+	queue       changeQueue
 	workers     map[string]*workerView // latest incarnation by worker id
 	sessions    map[string]*session    // by agent
 	firstSeen   map[string]time.Time   // when each job that has not ended was first seen
--- a/jobcontrol/lending.go
+++ b/jobcontrol/lending.go
@@ -50,7 +50,7 @@
 				continue
 			}
 			load.Capacity += worker.worker.MilliCpu
-			view.RunsOn(worker.key, func(run jobs.RunID) {
+			view.RunsOn(worker.key, func(run jobs.RunID, _ *jobs.Group) {
 				if _, group, _ := view.Run(run); group != nil {
 					load.Used += group.Spec.MilliCpu
 				}
@@ -65,7 +65,7 @@
 func (l *leadership) poolVMs(view jobs.View, vms map[string]dispatch.VM) []dispatch.PoolVM {
 	busy := map[string]bool{}
 	for _, worker := range l.workers {
-		view.RunsOn(worker.key, func(jobs.RunID) { busy[worker.worker.Machine] = true })
+		view.RunsOn(worker.key, func(jobs.RunID, *jobs.Group) { busy[worker.worker.Machine] = true })
 	}
 	var list []dispatch.PoolVM
 	for _, name := range slices.Sorted(maps.Keys(vms)) {
--- a/jobcontrol/maintenance.go
+++ b/jobcontrol/maintenance.go
@@ -170,7 +170,7 @@
 		if view.worker.Machine != vm {
 			continue
 		}
-		state.RunsOn(view.key, func(run jobs.RunID) {
+		state.RunsOn(view.key, func(run jobs.RunID, _ *jobs.Group) {
 			if _, group, _ := state.Run(run); group != nil {
 				f(run, group)
 			}
--- a/jobcontrol/maintenance_test.go
+++ b/jobcontrol/maintenance_test.go
@@ -148,7 +148,7 @@
 		}}, accepted)
 		r.keepAlive(4*time.Second, agents...)
 		on := func(vm string) (n int) {
-			r.state.Read(func(view jobs.View) { view.RunsOn("w-"+vm[3:]+"@1", func(jobs.RunID) { n++ }) })
+			r.state.Read(func(view jobs.View) { view.RunsOn("w-"+vm[3:]+"@1", func(jobs.RunID, *jobs.Group) { n++ }) })
 			return n
 		}
 		fleet.guarded = func(vm string) bool { return on(vm) > 0 }
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -36,7 +36,7 @@
 
 // add queues a change for the next batch. The lock is held.
 func (l *leadership) add(change *api.JobChange) {
-	l.pending = append(l.pending, &pendingChange{change: change})
+	l.queue.add(&pendingChange{change: change})
 }
 
 // commit queues a change and waits for its result. Errors: those of the change;
@@ -49,7 +49,7 @@
 		l.mu.Unlock()
 		return fault.New(fault.NotLeader, "the leadership has ended")
 	}
-	l.pending = append(l.pending, p)
+	l.queue.add(p)
 	l.mu.Unlock()
 	l.signal()
 	select {
@@ -64,10 +64,9 @@
 func (l *leadership) failPending() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, p := range l.pending {
+	for _, p := range l.queue.take(l.queue.len()) {
 		p.finish(fault.New(fault.NotLeader, "the leadership ended before the change was proposed"))
 	}
-	l.pending = nil
 }
 
 func (p *pendingChange) finish(err error) {
@@ -120,9 +119,7 @@
 		NowUnixMs: l.server.config.UnixTime().UnixMilli(),
 		RetainMs:  l.server.config.Retain.Milliseconds(),
 	}}
-	count := min(len(l.pending), maxBatchChanges)
-	next.changes = append(next.changes, l.pending[:count]...)
-	l.pending = l.pending[count:]
+	next.changes = l.queue.take(maxBatchChanges)
 	for _, p := range next.changes {
 		next.message.Changes = append(next.message.Changes, p.change)
 	}
@@ -132,7 +129,7 @@
 		l.queueStops() // orders stops without effect again
 		return nil
 	}
-	if len(l.pending) > 0 {
+	if l.queue.len() > 0 {
 		l.signal()
 	}
 	return l.propose(next)
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
 )
@@ -21,15 +22,15 @@
 	cancel context.CancelFunc
 	notify chan struct{}
 
-	receivedSeq      int64     // sequence of the latest report
-	receivedAt       time.Time // when that report arrived
-	answeredSeq      int64     // sequence of the latest report that was answered
-	sendExpected     bool      // the next directive must list the runs that the leader counts on the worker
-	starts           []*api.RunOrder
-	stops            []*api.RunRef
-	stopSentAt       map[jobs.RunID]time.Time
-	recorded         []*api.RunRef
-	sentCostsVersion int64 // version of the pair costs that were last sent
+	receivedSeq  int64     // sequence of the latest report
+	receivedAt   time.Time // when that report arrived
+	answeredSeq  int64     // sequence of the latest report that was answered
+	sendExpected bool      // the next directive must list the runs that the leader counts on the worker
+	starts       []*api.RunOrder
+	stops        []*api.RunRef
+	stopSentAt   map[jobs.RunID]time.Time
+	recorded     []*api.RunRef
+	sentCosts    map[dispatch.Pair]float64 // pair costs as last sent
 }
 
 // stopResendDelay is the time after which a stop without a reported effect is
@@ -83,7 +84,7 @@
 	}
 	session := &session{
 		lead: l, agent: agent, cancel: cancel, notify: make(chan struct{}, 1),
-		stopSentAt: map[jobs.RunID]time.Time{},
+		stopSentAt: map[jobs.RunID]time.Time{}, sentCosts: map[dispatch.Pair]float64{},
 	}
 	l.sessions[agent] = session
 	klog.InfoS("Agent session started", "agent", agent, "term", l.term)
@@ -156,7 +157,7 @@
 		session.queueRecorded(run)
 		return
 	}
-	if l.queuedEnds(view.key)[run] {
+	if l.queue.hasEnd(run, view.key) {
 		return
 	}
 	var assumed bool
@@ -175,11 +176,15 @@
 	}
 }
 
+// sessionOfWorker returns the session of the agent of a worker's incarnation, nil
+// when it has none. The lock is held.
 func (l *leadership) sessionOfWorker(key string) *session {
-	for _, session := range l.sessions {
-		if session.key == key {
-			return session
-		}
+	view := l.viewOf(key)
+	if view == nil {
+		return nil
+	}
+	if session := l.sessions[view.agent]; session != nil && session.key == key {
+		return session
 	}
 	return nil
 }
@@ -220,7 +225,7 @@
 	now := l.server.now()
 	l.server.config.State.Read(func(view jobs.View) {
 		for _, session := range l.sessions {
-			view.RunsOn(session.key, func(run jobs.RunID) {
+			view.RunsOn(session.key, func(run jobs.RunID, _ *jobs.Group) {
 				job, group, task := view.Run(run)
 				if job != nil && (job.Phase.Ended() || task.Done || group.Broken(run.Number) || l.movingRuns[run]) {
 					session.queueStop(run, now)
@@ -274,12 +279,12 @@
 	if session.answeredSeq != session.receivedSeq {
 		d.LeaseMs = l.grantLease(session).Milliseconds()
 		d.Members = members
-		d.Costs = l.costsFor(session)
 		d.HealthPath = l.healthPath(session.key)
 	}
 	d.Starts, session.starts = session.starts, nil
 	d.Stops, session.stops = session.stops, nil
 	d.Recorded, session.recorded = session.recorded, nil
+	d.Costs = l.costsFor(session)
 	if session.sendExpected && session.key != "" {
 		session.sendExpected = false
 		d.ExpectedListed = true
@@ -309,15 +314,41 @@
 	return path
 }
 
-// costsFor returns the pair costs, nil when the latest ones were sent to the agent
-// before. The lock is held.
+// costsFor returns the costs of the pairs of images on the session's worker that
+// the agent does not have yet. All pairs of a large fleet, sent to each agent at
+// each change, would fill the links between regions. The lock is held.
 func (l *leadership) costsFor(session *session) []*api.PairCost {
-	version := l.knowledge.Interference.Version()
-	if session.sentCostsVersion == version && version > 0 {
-		return nil
+	var costs []*api.PairCost
+	services, bestEffort := l.imagesOn(session.key)
+	for service := range services {
+		for image := range bestEffort {
+			pair := dispatch.Pair{Service: service, BestEffort: image}
+			cost := l.knowledge.Interference.PerCore(pair)
+			if sent, known := session.sentCosts[pair]; known && !dispatch.CostChanged(sent, cost) {
+				continue
+			}
+			session.sentCosts[pair] = cost
+			costs = append(costs, dispatch.PairCost{Pair: pair, PerCore: cost}.Message())
+		}
 	}
-	session.sentCostsVersion = version
-	return l.knowledge.Interference.Message()
+	return costs
+}
+
+// imagesOn returns the images of the services and of the best-effort runs that are
+// committed on a worker's incarnation.
+func (l *leadership) imagesOn(key string) (services, bestEffort map[string]bool) {
+	services, bestEffort = map[string]bool{}, map[string]bool{}
+	l.server.config.State.Read(func(view jobs.View) {
+		view.RunsOn(key, func(_ jobs.RunID, group *jobs.Group) {
+			switch {
+			case group.Spec.TargetLatencyMs > 0:
+				services[group.Spec.Image] = true
+			case group.Spec.BestEffort:
+				bestEffort[group.Spec.Image] = true
+			}
+		})
+	})
+	return services, bestEffort
 }
 
 // grantLease returns the lease that answers the latest report, 0 without a recent
@@ -340,7 +371,7 @@
 func (l *leadership) expectedRuns(key string) []*api.RunRef {
 	var list []*api.RunRef
 	l.server.config.State.Read(func(view jobs.View) {
-		view.RunsOn(key, func(run jobs.RunID) { list = append(list, run.Ref()) })
+		view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) { list = append(list, run.Ref()) })
 	})
 	return list
 }
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -50,18 +50,14 @@
 	l.server.config.State.Read(func(state jobs.View) {
 		for _, view := range l.workers {
 			s.capacity += float64(view.worker.MilliCpu) / 1000
-			state.RunsOn(view.key, func(run jobs.RunID) { s.addRun(state, view, run) })
+			state.RunsOn(view.key, func(run jobs.RunID, group *jobs.Group) { s.addRun(view, run, group) })
 		}
 		state.ActiveJobs(func(job *jobs.Job) { s.addWaiting(job) })
 	})
 	return s
 }
 
-func (s *fleetSummary) addRun(state jobs.View, view *workerView, run jobs.RunID) {
-	_, group, _ := state.Run(run)
-	if group == nil {
-		return
-	}
+func (s *fleetSummary) addRun(view *workerView, run jobs.RunID, group *jobs.Group) {
 	s.running++
 	cores := float64(group.Spec.MilliCpu) / 1000
 	switch {
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -100,10 +100,8 @@
 // viewOf returns the view of a worker's incarnation, nil when it is not the latest
 // one. The lock is held.
 func (l *leadership) viewOf(key string) *workerView {
-	for _, view := range l.workers {
-		if view.key == key {
-			return view
-		}
+	if view := l.workers[jobs.WorkerID(key)]; view != nil && view.key == key {
+		return view
 	}
 	return nil
 }
@@ -117,10 +115,9 @@
 // loseRuns queues the ends, as lost, of all runs on a worker's incarnation that has
 // ended or whose lease has expired. The lock is held.
 func (l *leadership) loseRuns(key, reason string) {
-	queued := l.queuedEnds(key)
 	l.assumed.Read(func(view jobs.View) {
-		view.RunsOn(key, func(run jobs.RunID) {
-			if queued[run] {
+		view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) {
+			if l.queue.hasEnd(run, key) {
 				return
 			}
 			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason)
@@ -130,16 +127,6 @@
 	l.signal()
 }
 
-func (l *leadership) queuedEnds(key string) map[jobs.RunID]bool {
-	queued := map[jobs.RunID]bool{}
-	for _, p := range l.pending {
-		if end := p.change.GetEnd(); end != nil && end.Worker == key {
-			queued[jobs.RunIDOf(end.Run)] = true
-		}
-	}
-	return queued
-}
-
 // latestCheckpoint returns the checkpoint of a run in the worker's latest list.
 func (l *leadership) latestCheckpoint(key string, run jobs.RunID) string {
 	if view := l.viewOf(key); view != nil {
--- a/jobs/id.go
+++ b/jobs/id.go
@@ -63,6 +63,11 @@
 // WorkerKey returns the key of one incarnation of a worker.
 func WorkerKey(id string, born int64) string { return fmt.Sprintf("%s@%d", id, born) }
 
+// WorkerID returns the id of the worker in the key of one of its incarnations.
+func WorkerID(key string) string {
+	return key[:max(strings.LastIndexByte(key, '@'), 0)]
+}
+
 // QueueKey returns the key of a queue, made of the host and the path prefix
 // that its callers use.
 func QueueKey(host, pathPrefix string) string { return host + " " + pathPrefix }
--- a/jobs/machine_test.go
+++ b/jobs/machine_test.go
@@ -138,7 +138,7 @@
 	counted := map[RunID]string{}
 	m.state.Read(func(view View) {
 		view.Workers(func(worker string, runs int) {
-			view.RunsOn(worker, func(run RunID) { counted[run] = worker })
+			view.RunsOn(worker, func(run RunID, _ *Group) { counted[run] = worker })
 		})
 	})
 	if len(counted) != len(m.running) {
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -156,11 +156,11 @@
 }
 
 func (s *State) loadTask(job *Job, id TaskID, record *api.TaskRecord) {
-	_, task := job.Task(id)
+	group, task := job.Task(id)
 	task.LastRun, task.Failures, task.Checkpoint = record.LastRun, record.Failures, record.Checkpoint
 	for _, run := range record.Runs {
 		task.Runs = append(task.Runs, Run{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket})
-		s.addRun(RunID{Task: id, Number: run.Number}, run.Worker, job)
+		s.addRun(RunID{Task: id, Number: run.Number}, run.Worker, job, group)
 	}
 	if record.Done {
 		job.markDone(id)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -21,10 +21,10 @@
 	queues        map[string]*api.JobQueue // of the configuration, by key
 	zonesOut      map[string]bool
 	jobs          map[string]*Job
-	active        map[string]*Job               // jobs that have not ended or have active runs, by id
-	runs          map[string]map[RunID]struct{} // active runs, by worker key
-	ended         []string                      // ids of ended jobs, in the order of their ends
-	learnt        *api.Learnt                   // by the leaders so far
+	active        map[string]*Job             // jobs that have not ended or have active runs, by id
+	runs          map[string]map[RunID]*Group // groups of the active runs, by worker key and run
+	ended         []string                    // ids of ended jobs, in the order of their ends
+	learnt        *api.Learnt                 // by the leaders so far
 	waves         map[int64]*api.MaintenanceWave
 	lent          map[string]string // standby pool of each lent VM
 	refusals      map[string]int64  // end of the refusal of each refused job, in Unix milliseconds, by id
@@ -44,7 +44,7 @@
 	s.zonesOut = map[string]bool{}
 	s.jobs = map[string]*Job{}
 	s.active = map[string]*Job{}
-	s.runs = map[string]map[RunID]struct{}{}
+	s.runs = map[string]map[RunID]*Group{}
 	s.ended = nil
 	s.learnt = nil
 	s.refusals = map[string]int64{}
@@ -272,18 +272,18 @@
 	}
 	task.LastRun = run.Number
 	task.Runs = append(task.Runs, Run{Number: run.Number, Worker: c.Worker, Ticket: c.Ticket})
-	s.addRun(run, c.Worker, job)
+	s.addRun(run, c.Worker, job, group)
 	if job.Phase == PhaseQueued {
 		job.Phase = PhaseRunning
 	}
 	return nil
 }
 
-func (s *State) addRun(run RunID, worker string, job *Job) {
+func (s *State) addRun(run RunID, worker string, job *Job, group *Group) {
 	if s.runs[worker] == nil {
-		s.runs[worker] = map[RunID]struct{}{}
+		s.runs[worker] = map[RunID]*Group{}
 	}
-	s.runs[worker][run] = struct{}{}
+	s.runs[worker][run] = group
 	job.active++
 }
 
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -196,7 +196,7 @@
 	}
 	f.mustApply(endChange(runID(0, 1, 1), "w1", done, ""))
 	f.wantPhase(PhaseCompleted)
-	f.state.Read(func(view View) { view.RunsOn("w1", func(run RunID) { t.Errorf("%v is still active", run) }) })
+	f.state.Read(func(view View) { view.RunsOn("w1", func(run RunID, _ *Group) { t.Errorf("%v is still active", run) }) })
 }
 
 func TestGangIsBrokenOnceAMemberHasEnded(t *testing.T) {
@@ -248,7 +248,7 @@
 	f.mustApply(startChange(runID(0, 0, 1), "w1"))
 	f.mustApply(cancelChange(testJob))
 	counted := 0
-	f.state.Read(func(view View) { view.RunsOn("w1", func(RunID) { counted++ }) })
+	f.state.Read(func(view View) { view.RunsOn("w1", func(RunID, *Group) { counted++ }) })
 	if counted != 1 {
 		t.Fatalf("%d active runs, want 1", counted)
 	}
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -62,10 +62,11 @@
 	}
 }
 
-// RunsOn calls f with each active run on an incarnation of a worker.
-func (v View) RunsOn(worker string, f func(RunID)) {
-	for run := range v.state.runs[worker] {
-		f(run)
+// RunsOn calls f with each active run on an incarnation of a worker, and the
+// group of its task.
+func (v View) RunsOn(worker string, f func(RunID, *Group)) {
+	for run, group := range v.state.runs[worker] {
+		f(run, group)
 	}
 }
 
