dispatch: a plan over a backlog compares a demand that fits nowhere once

Cause, by reading and by the new benchmark: each candidate of a backlog was compared with each worker in each round; whether the fleet is less than half used was summed over all workers for each worker; the racks of a group's runs and the reversal of a gang's starts walked all workers.

Change: sums are kept as loads change; loads are found by key; a demand that no worker could take is remembered by its class for the rest of the plan. A property test compares it with the full comparison. interference no longer depends on the order of a map.

--- /dev/null
+++ b/dispatch/fleetload.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"strings"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/resource"
+)
+
+// fleetLoad holds the loads of all workers and their sums. Only its add method
+// changes a load, so that the sums stay current.
+type fleetLoad struct {
+	workers  []*load          // in the order of the input
+	byKey    map[string]*load // by worker key
+	counted  int64            // milli-cores that counted tasks take
+	claimed  int64            // milli-cores that counted and best-effort tasks claim together
+	capacity int64            // milli-cores
+}
+
+// newFleetLoad returns the load of the workers by the runs in the view.
+func newFleetLoad(view jobs.View, workers []Worker) *fleetLoad {
+	f := &fleetLoad{workers: make([]*load, len(workers)), byKey: make(map[string]*load, len(workers))}
+	for i := range workers {
+		l := &load{worker: &workers[i], bestEffortCores: map[string]float64{}, serviceRuns: map[string]int{}}
+		f.workers[i], f.byKey[l.worker.Key] = l, l
+		f.capacity += l.worker.Capacity.MilliCPU
+		view.RunsOn(l.worker.Key, func(_ jobs.RunID, group *jobs.Group) { f.add(l, group.Spec, 1) })
+	}
+	return f
+}
+
+// add adds runs of a group to a worker. A negative number removes runs.
+func (f *fleetLoad) add(l *load, group *api.TaskGroup, runs int64) {
+	l.addRuns(group, runs)
+	f.claimed += runs * group.MilliCpu
+	if !group.BestEffort {
+		f.counted += runs * group.MilliCpu
+	}
+}
+
+// countedBelowHalf reports whether counted tasks take less than half of the CPU
+// of all workers.
+func (f *fleetLoad) countedBelowHalf() bool { return 2*f.counted < f.capacity }
+
+// claimedBelowHalf reports whether counted and best-effort tasks together claim
+// less than half of the CPU of all workers.
+func (f *fleetLoad) claimedBelowHalf() bool { return 2*f.claimed < f.capacity }
+
+// unfitDemands remembers, for one plan, demands that no worker can take. Loads
+// only grow in the course of a plan, so a task of the same class that demands no
+// less fits on no worker either. It answers a backlog of many jobs on a full
+// fleet, in which each job would be compared with each worker.
+type unfitDemands map[placementClass][]resource.Vector
+
+// placementClass is what besides its demand decides on which workers a task may
+// start.
+type placementClass struct {
+	service, regions, label string
+	bestEffort              bool
+	image                   string // of best-effort tasks, which interfere by image
+	unlimited               bool   // interference does not count
+	starving                bool   // nothing but memory counts
+}
+
+// classOf returns the class of a candidate's tasks and what they demand.
+func (p *planner) classOf(c candidate) (placementClass, resource.Vector) {
+	group := c.group.Spec
+	class := placementClass{service: c.queue.Service, regions: strings.Join(c.queue.Regions, ","), label: group.RequiredLabel}
+	if group.BestEffort {
+		class.bestEffort, class.image = true, group.Image
+		class.unlimited, class.starving = p.ignoresInterference(c), p.starves(c)
+	}
+	return class, resource.Vector{MilliCPU: group.MilliCpu, MemoryMiB: group.MemoryMib, Accelerators: group.Accelerators}
+}
+
+// covers reports whether a task of the candidate certainly fits nowhere.
+func (u unfitDemands) covers(class placementClass, need resource.Vector) bool {
+	for _, failed := range u[class] {
+		if failed.Fits(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// note records that a task of the candidate fits on no worker. A group with
+// conditions of its own tells nothing of others.
+func (u unfitDemands) note(c candidate, class placementClass, need resource.Vector) {
+	if u != nil && c.queue.Advice == nil && c.group.Spec.MaxPerWorker == 0 {
+		u[class] = append(u[class], need)
+	}
+}
--- /dev/null
+++ b/dispatch/fleetload_test.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// Guards against demands that are remembered as unfit although they would fit: a
+// plan must be the same as one that compares each task with each worker. Guards
+// as well against sums that stop following the loads.
+func TestPlanWithRememberedDemandsEqualsFullComparison(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newFixture(t, rapid.IntRange(1, 4).Draw(rt, "workers"))
+		for range rapid.IntRange(1, 12).Draw(rt, "jobs") {
+			w.submit(rapid.SampledFrom([]string{urgentQueue, batchQueue}).Draw(rt, "queue"), drawGroup(rt))
+			w.now += time.Duration(rapid.IntRange(0, 4000).Draw(rt, "pause")) * time.Millisecond
+			w.state.Read(func(view jobs.View) {
+				remembered, compared := plan(view, w.input(), unfitDemands{}), plan(view, w.input(), nil)
+				if !slices.Equal(remembered, compared) {
+					rt.Fatalf("starts %v, want %v", remembered, compared)
+				}
+				checkSums(rt, view, w.workers, compared)
+			})
+			for _, start := range w.plan() {
+				if rapid.Bool().Draw(rt, "ends") {
+					w.end(start, api.RunOutcome_RUN_OUTCOME_LOST)
+				}
+			}
+		}
+	})
+}
+
+func checkSums(t *rapid.T, view jobs.View, workers []Worker, starts []Start) {
+	f := newFleetLoad(view, workers)
+	for _, start := range starts {
+		group, _ := view.Job(start.Run.Task.Job).Task(start.Run.Task)
+		f.add(f.byKey[start.Worker], group.Spec, 1)
+	}
+	var counted, claimed int64
+	for _, l := range f.workers {
+		counted += l.used.MilliCPU
+		claimed += l.used.MilliCPU + l.bestEffortMilliCPU
+	}
+	if f.counted != counted || f.claimed != claimed {
+		t.Fatalf("sums %d and %d, want %d and %d", f.counted, f.claimed, counted, claimed)
+	}
+}
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -12,7 +12,7 @@
 
 // fixture is a job state with workers and a clock that tests move.
 type fixture struct {
-	t          *testing.T
+	t          testing.TB
 	state      *jobs.State
 	workers    []Worker
 	submitted  map[string]time.Duration
@@ -30,7 +30,7 @@
 	batchQueue  = "h /batch/"
 )
 
-func newFixture(t *testing.T, workers int) *fixture {
+func newFixture(t testing.TB, workers int) *fixture {
 	w := &fixture{t: t, state: jobs.NewState(), submitted: map[string]time.Duration{}, learned: NewKnowledge(nil)}
 	w.apply(&api.JobChange{Body: &api.JobChange_Configure{Configure: &api.JobConfiguration{
 		Version:  1,
@@ -77,7 +77,15 @@
 // plan returns the starts of a plan and applies them to the state.
 func (w *fixture) plan() []Start {
 	w.t.Helper()
-	var starts []Start
+	starts := w.planOnly()
+	for _, start := range starts {
+		w.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
+	}
+	return starts
+}
+
+// planOnly returns the starts of a plan without applying them.
+func (w *fixture) planOnly() (starts []Start) {
 	w.state.Read(func(view jobs.View) {
 		view.Queue(urgentQueue).Advice = nil
 		if w.advised {
@@ -85,9 +93,6 @@
 		}
 		starts = Plan(view, w.input())
 	})
-	for _, start := range starts {
-		w.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
-	}
 	return starts
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -34,7 +34,11 @@
 // Plan returns the runs to start now, the most urgent first. Each start assumes
 // that those before it are carried out.
 func Plan(view jobs.View, in Input) []Start {
-	p := planner{view: view, in: in, loads: loads(view, in.Workers)}
+	return plan(view, in, unfitDemands{})
+}
+
+func plan(view jobs.View, in Input, unfit unfitDemands) []Start {
+	p := planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit}
 	for _, c := range candidates(view, in) {
 		p.place(c)
 	}
@@ -199,7 +203,8 @@
 type planner struct {
 	view   jobs.View
 	in     Input
-	loads  []*load
+	fleet  *fleetLoad
+	unfit  unfitDemands
 	starts []Start
 }
 
@@ -211,6 +216,9 @@
 		}
 		c.tickets = tickets
 	}
+	if class, need := p.classOf(c); p.unfit.covers(class, need) {
+		return
+	}
 	if c.group.Spec.Gang {
 		p.placeGang(c)
 		return
@@ -220,8 +228,13 @@
 		if !c.startable(i, p.in) {
 			continue
 		}
-		chosen := p.choose(c, spread, c.group.Tasks[i].Runs)
+		others := c.group.Tasks[i].Runs
+		chosen := p.choose(c, spread, others)
 		if chosen == nil {
+			if len(others) == 0 {
+				class, need := p.classOf(c)
+				p.unfit.note(c, class, need)
+			}
 			return // all tasks of a group have the same demand
 		}
 		p.start(c, i, c.group.NextRun(i), chosen, spread)
@@ -252,17 +265,13 @@
 // undo reverts the starts from the given index on.
 func (p *planner) undo(from int, c candidate) {
 	for _, start := range p.starts[from:] {
-		for _, l := range p.loads {
-			if l.worker.Key == start.Worker {
-				l.remove(c.group.Spec)
-			}
-		}
+		p.fleet.add(p.fleet.byKey[start.Worker], c.group.Spec, -1)
 	}
 	p.starts = p.starts[:from]
 }
 
 func (p *planner) start(c candidate, index int, number int32, l *load, spread spread) {
-	l.add(c.group.Spec)
+	p.fleet.add(l, c.group.Spec, 1)
 	spread.workers[l.worker.Key]++
 	spread.racks[l.worker.Rack]++
 	p.starts = append(p.starts, Start{
@@ -282,10 +291,8 @@
 	for i := range c.group.Tasks {
 		for _, run := range c.group.Tasks[i].Runs {
 			s.workers[run.Worker]++
-			for _, l := range p.loads {
-				if l.worker.Key == run.Worker {
-					s.racks[l.worker.Rack]++
-				}
+			if l := p.fleet.byKey[run.Worker]; l != nil {
+				s.racks[l.worker.Rack]++
 			}
 		}
 	}
@@ -299,7 +306,7 @@
 	need := demand(c.group.Spec)
 	var best *load
 	var bestScore float64
-	for _, l := range p.loads {
+	for _, l := range p.fleet.workers {
 		if !p.eligible(c, l, spread) || !need.Fits(l.free()) {
 			continue
 		}
--- /dev/null
+++ b/dispatch/plan_bench_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+)
+
+// benchmarkSizes are numbers of workers: today's fleets and the size to build for.
+var benchmarkSizes = []int{11, 60, 240, 1000}
+
+// fullFleet returns a fleet whose CPU and memory are taken, with a backlog of one
+// job for every four workers. Each job has 40 best-effort tasks.
+func fullFleet(t testing.TB, workers int) *fixture {
+	w := newFixture(t, workers)
+	w.submit(urgentQueue, &api.TaskGroup{Count: int32(workers), MilliCpu: 6000, MemoryMib: 1000, LongRunning: true, TargetLatencyMs: 100, Image: "serving"})
+	w.submit(batchQueue, &api.TaskGroup{Count: int32(5 * workers), MilliCpu: 2000, MemoryMib: 10_000, EstimatedMs: 1000, BestEffort: true, Image: "batch"})
+	w.submit(batchQueue, &api.TaskGroup{Count: int32(2 * workers), MilliCpu: 2000, MemoryMib: 22_000, EstimatedMs: 1000})
+	w.plan()
+	for i := range workers / 4 {
+		w.submit(batchQueue, &api.TaskGroup{
+			Count: 40, MilliCpu: 3500, MemoryMib: 6400, EstimatedMs: 1000 + int64(i), BestEffort: true, Image: fmt.Sprintf("image%d", i%30),
+		})
+	}
+	return w
+}
+
+// BenchmarkPlanBacklog measures a plan over a backlog while nothing becomes free.
+func BenchmarkPlanBacklog(b *testing.B) {
+	for _, workers := range benchmarkSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchmarkPlan(b, fullFleet(b, workers)) })
+	}
+}
+
+// BenchmarkPlanStarvingBacklog measures the same once the jobs have waited for
+// longer than starvationTimeout.
+func BenchmarkPlanStarvingBacklog(b *testing.B) {
+	for _, workers := range benchmarkSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			w := fullFleet(b, workers)
+			w.now = starvationTimeout + time.Second
+			benchmarkPlan(b, w)
+		})
+	}
+}
+
+func benchmarkPlan(b *testing.B, w *fixture) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if n := len(w.planOnly()); n > 0 {
+			b.Fatalf("%d starts on a full fleet", n)
+		}
+	}
+}
+
+// BenchmarkAdmitBacklog measures the admission of a job behind a backlog.
+func BenchmarkAdmitBacklog(b *testing.B) {
+	for _, workers := range benchmarkSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			w := fullFleet(b, workers)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.admit(batchQueue, 100, &api.TaskGroup{Count: 40, MilliCpu: 3500, MemoryMib: 6400, EstimatedMs: 1000})
+			}
+		})
+	}
+}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -258,7 +258,7 @@
 
 func (w *fixture) checkLimits(t *rapid.T) {
 	w.state.Read(func(view jobs.View) {
-		for _, l := range loads(view, w.workers) {
+		for _, l := range newFleetLoad(view, w.workers).workers {
 			if !l.used.Fits(l.worker.Capacity) {
 				t.Fatalf("worker %s has %+v in use of %+v", l.worker.Key, l.used, l.worker.Capacity)
 			}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -97,19 +97,31 @@
 // spare the headroom.
 func (p *planner) allowsBestEffort(c candidate, l *load) bool {
 	group := c.group.Spec
-	if c.waited > starvationTimeout && p.countedBelowHalf() {
+	if p.starves(c) {
 		return true
 	}
 	if l.bestEffortMilliCPU > 0 && unusedShare(l) < share(group.MilliCpu, l) {
 		return false // it would only slow down the best-effort runs on the worker
 	}
 	limit := maxInterference
-	if c.waited > interferenceWait && p.claimedBelowHalf() {
+	if p.ignoresInterference(c) {
 		limit = math.Inf(1) // it is throttled until the services can spare the headroom
 	}
 	return p.interference(group, l) < limit
 }
 
+// starves reports whether a task of the candidate may start beside any other
+// best-effort work and any service.
+func (p *planner) starves(c candidate) bool {
+	return c.waited > starvationTimeout && p.fleet.countedBelowHalf()
+}
+
+// ignoresInterference reports whether a task of the candidate may start beside
+// services that cannot spare the headroom.
+func (p *planner) ignoresInterference(c candidate) bool {
+	return c.waited > interferenceWait && p.fleet.claimedBelowHalf()
+}
+
 // Limits for the placement of best-effort tasks.
 const (
 	maxInterference = 0.5 // of a service's spare headroom; the load of the service may double until its next sample
@@ -123,28 +135,6 @@
 	starvationTimeout = 10 * time.Second
 )
 
-// countedBelowHalf reports whether counted tasks take less than half of the CPU
-// of all workers.
-func (p *planner) countedBelowHalf() bool {
-	var counted, capacity int64
-	for _, l := range p.loads {
-		counted += l.used.MilliCPU
-		capacity += l.worker.Capacity.MilliCPU
-	}
-	return 2*counted < capacity
-}
-
-// claimedBelowHalf reports whether counted and best-effort tasks together claim
-// less than half of the CPU of all workers.
-func (p *planner) claimedBelowHalf() bool {
-	var claimed, capacity int64
-	for _, l := range p.loads {
-		claimed += l.used.MilliCPU + l.bestEffortMilliCPU
-		capacity += l.worker.Capacity.MilliCPU
-	}
-	return 2*claimed < capacity
-}
-
 // interference returns the share of the spare headroom of the most affected
 // service on a worker that would be used up with one more task of a best-effort
 // group. At 1 and above, best-effort runs would have to be throttled. It is 0
@@ -164,9 +154,6 @@
 		for image, cores := range l.bestEffortCores {
 			taken += p.in.PerCore(Pair{service.Image, image}) * cores
 		}
-		if spare <= 0 {
-			return taken / minSpareHeadroom
-		}
 		worst = max(worst, taken/max(spare, minSpareHeadroom))
 	}
 	return worst
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"amaranthpaddle/api"
-	"amaranthpaddle/jobs"
 	"amaranthpaddle/resource"
 )
 
@@ -52,10 +51,6 @@
 
 func (l *load) free() resource.Vector { return l.worker.Capacity.Sub(l.used) }
 
-func (l *load) add(group *api.TaskGroup) { l.addRuns(group, 1) }
-
-func (l *load) remove(group *api.TaskGroup) { l.addRuns(group, -1) }
-
 // addRuns adds the demand of runs of a group. A negative number removes it.
 func (l *load) addRuns(group *api.TaskGroup, runs int64) {
 	need := demand(group)
@@ -75,17 +70,6 @@
 	}
 }
 
-// loads returns the load of each worker, in the order of workers.
-func loads(view jobs.View, workers []Worker) []*load {
-	all := make([]*load, len(workers))
-	for i := range workers {
-		l := &load{worker: &workers[i], bestEffortCores: map[string]float64{}, serviceRuns: map[string]int{}}
-		view.RunsOn(l.worker.Key, func(_ jobs.RunID, group *jobs.Group) { l.add(group.Spec) })
-		all[i] = l
-	}
-	return all
-}
-
 // allows reports whether tasks of the queue and the group may run on the
 // worker, given its service, labels and region.
 func (w *Worker) allows(queue *api.JobQueue, group *api.TaskGroup) bool {
