--- a/telemetry/writer.go
+++ b/telemetry/writer.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -10,7 +11,8 @@
 // Bounds of the lines that wait to be written.
 const (
 	maxBufferedBytes = 256 << 10             // some thousand lines
-	writeInterval    = 25 * time.Millisecond // in which lines gather for one write
+	writeInterval    = 25 * time.Millisecond // in which lines gather for a write
+	maxWriteBytes    = 4096                  // of one write to a pipe, which is atomic up to this size
 )
 
 // Writer passes log lines on without blocking the caller: it gathers them, and
@@ -70,14 +72,33 @@
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, "{\"level\":\"WARN\",\"msg\":\"Log lines dropped\",\"lines\":%d}\n", dropped)
 	}
-	// A broken output can't be reported anywhere.
-	_, _ = w.out.Write(lines)
+	for len(lines) > 0 {
+		n := writeSize(lines)
+		// A broken output can't be reported anywhere.
+		_, _ = w.out.Write(lines[:n])
+		lines = lines[n:]
+	}
 	w.mu.Lock()
 	w.writing = false
 	w.idle.Broadcast()
 	w.mu.Unlock()
 }
 
+// writeSize returns how many bytes to write next: whole lines that fit into
+// maxWriteBytes, and a single line that is longer.
+func writeSize(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // Flush waits until the lines so far are written, but not longer than the time.
 func (w *Writer) Flush(limit time.Duration) {
 	done := make(chan struct{})
--- a/telemetry/writer_test.go
+++ b/telemetry/writer_test.go
@@ -42,3 +42,41 @@
 		time.Sleep(2 * writeInterval) // for the writer's goroutine to end
 	})
 }
+
+// writeRecorder records the size of each write.
+type writeRecorder struct{ writes [][]byte }
+
+func (r *writeRecorder) Write(data []byte) (int, error) {
+	r.writes = append(r.writes, bytes.Clone(data))
+	return len(data), nil
+}
+
+// Failure: several hundred lines went into one write. A reader of the pipe gets
+// more than 4,096 bytes in pieces, between which other processes' lines may stand:
+// of a busy leader's lines, two thirds were cut.
+func TestAWriteHoldsWholeLinesWithinTheAtomicSizeOfAPipe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &writeRecorder{}
+		w := NewWriter(out)
+		for i := range 100 {
+			w.Write([]byte(strings.Repeat("x", 10*i) + "\n"))
+		}
+		w.Write([]byte(strings.Repeat("y", 2*maxWriteBytes) + "\n"))
+		w.Flush(time.Second)
+		total := 0
+		for i, write := range out.writes {
+			total += len(write)
+			if !bytes.HasSuffix(write, []byte("\n")) {
+				t.Errorf("write %d ends within a line", i)
+			}
+			if len(write) > maxWriteBytes && bytes.Count(write, []byte("\n")) > 1 {
+				t.Errorf("write %d has %d bytes", i, len(write))
+			}
+		}
+		if want := 100*99/2*10 + 100 + 2*maxWriteBytes + 1; total != want {
+			t.Errorf("%d bytes written, want %d", total, want)
+		}
+		close(w.wake)
+		time.Sleep(2 * writeInterval)
+	})
+}
