dispatch: a throttled run goes on from its checkpoint where there is room

Change: a best-effort run that has been below half its pace for a second is stopped and started elsewhere, if it is done earlier by that and no waiting task can use the room. Relocate decides, after each plan, at most every 400 ms.

--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -19,6 +19,8 @@
 	percent        int32
 	unchangedSince time.Time // first listing at this percent and at full pace
 	listings       int       // further ones at this percent and at full pace
+	pace           int32     // of the latest listing, in percent
+	throttledSince time.Time // first of the latest listings at a pace below relocationPace, zero at a higher one
 }
 
 // Parameters of the detection of stalled runs and stragglers.
@@ -37,13 +39,20 @@
 // Record records the progress of a run from a new listing of its worker.
 // Listings at less than full pace count as progress, so that throttled runs are
 // not taken for stalled.
-func (p *Progress) Record(run jobs.RunID, percent int32, fullPace bool, now time.Time) {
+func (p *Progress) Record(run jobs.RunID, percent, pace int32, now time.Time) {
 	r := p.runs[run]
 	if r == nil {
 		r = &runProgress{began: now, percent: percent, unchangedSince: now}
 		p.runs[run] = r
 	}
-	if percent != r.percent || !fullPace {
+	r.pace = pace
+	switch {
+	case !Throttled(pace):
+		r.throttledSince = time.Time{}
+	case r.throttledSince.IsZero():
+		r.throttledSince = now
+	}
+	if percent != r.percent || pace < FullPace {
 		r.percent, r.unchangedSince, r.listings = percent, now, 0
 		return
 	}
@@ -73,5 +82,18 @@
 	return left > float64(expected+copyLatency)
 }
 
+// Throttled returns the state of a run that is below relocationPace. expected is
+// the usual duration of the task.
+func (p *Progress) Throttled(run jobs.RunID, expected time.Duration, now time.Time) (ThrottledRun, bool) {
+	r := p.runs[run]
+	if r == nil || r.throttledSince.IsZero() {
+		return ThrottledRun{}, false
+	}
+	return ThrottledRun{
+		Run: run, Since: now.Sub(r.throttledSince), Pace: max(r.pace, 0),
+		Remaining: expected * time.Duration(FullPace-min(r.percent, FullPace)) / FullPace, Expected: expected,
+	}, true
+}
+
 // Forget drops a run that has ended.
 func (p *Progress) Forget(run jobs.RunID) { delete(p.runs, run) }
--- a/dispatch/progress_test.go
+++ b/dispatch/progress_test.go
@@ -15,7 +15,11 @@
 func recordListings(p *Progress, now time.Time, fullPace bool, percents ...int32) time.Time {
 	for _, percent := range percents {
 		now = now.Add(500 * time.Millisecond)
-		p.Record(testRun, percent, fullPace, now)
+		pace := int32(FullPace)
+		if !fullPace {
+			pace = 10
+		}
+		p.Record(testRun, percent, pace, now)
 	}
 	return now
 }
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -32,10 +32,11 @@
 	savedCostsVersion int64                    // version of the pair costs saved then
 	startedAt         map[jobs.RunID]time.Time // when runs placed by this leadership started
 
-	health     *dispatch.Health
-	progress   *dispatch.Progress
-	drain      dispatch.DrainRate
-	movingRuns map[jobs.RunID]bool // runs being stopped so that they start again on another worker
+	health      *dispatch.Health
+	progress    *dispatch.Progress
+	drain       dispatch.DrainRate
+	movingRuns  map[jobs.RunID]bool // runs being stopped so that they start again on another worker
+	relocatedAt time.Time           // when throttled runs were last looked for
 
 	advice    map[jobs.GroupID]*advice
 	adviserMu sync.Mutex // held during a request to the adviser; locked before mu
--- a/jobcontrol/progress.go
+++ b/jobcontrol/progress.go
@@ -25,7 +25,7 @@
 			if group == nil || group.Spec.Gang {
 				continue // a gang waits for its members
 			}
-			l.progress.Record(run, status.Percent, status.Pace == dispatch.FullPace, now)
+			l.progress.Record(run, status.Percent, status.Pace, now)
 			serving := group.Spec.LongRunning && status.Percent >= dispatch.FullPace
 			if !serving && !l.movingRuns[run] && l.progress.Stalled(run, l.expectedDuration(job, group), now) {
 				l.handleStalled(view, run, status.Percent, now)
@@ -43,6 +43,52 @@
 	}
 }
 
+// relocateThrottled marks best-effort runs that are slowed down for the sake of
+// services, and would be done earlier on another worker. They are then stopped and
+// started there. The lock is held.
+func (l *leadership) relocateThrottled() {
+	now := l.server.now()
+	if now.Sub(l.relocatedAt) < relocationInterval {
+		return
+	}
+	l.relocatedAt = now
+	l.assumed.Read(func(state jobs.View) {
+		throttled := l.throttledRuns(state, now)
+		if len(throttled) == 0 {
+			return
+		}
+		for _, run := range dispatch.Relocate(state, l.planInput(state), throttled) {
+			klog.InfoS("Run throttled, moving it to another worker", "job", run.Task.Job, "run", run.String())
+			telemetry.JobRunsRelocated.Add(1)
+			l.movingRuns[run] = true
+		}
+	})
+}
+
+// relocationInterval is the time between checks for throttled runs; agents report
+// them no more often.
+const relocationInterval = 400 * time.Millisecond
+
+// throttledRuns returns the best-effort runs at a low pace that are not being moved
+// yet. The lock is held.
+func (l *leadership) throttledRuns(state jobs.View, now time.Time) (throttled []dispatch.ThrottledRun) {
+	for _, view := range l.workers {
+		for run, status := range view.runs {
+			if !dispatch.Throttled(status.Pace) || l.movingRuns[run] {
+				continue
+			}
+			job, group, _ := state.Run(run)
+			if group == nil || !group.Spec.BestEffort {
+				continue
+			}
+			if r, slow := l.progress.Throttled(run, l.expectedDuration(job, group), now); slow {
+				throttled = append(throttled, r)
+			}
+		}
+	}
+	return throttled
+}
+
 // behind reports whether a copy of a run, started now, would likely be done before
 // it. The lock is held.
 func (l *leadership) behind(state jobs.View, run jobs.RunID, now time.Time) bool {
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -125,6 +125,7 @@
 	}
 	l.assumed.ApplyBatch(next.message)
 	l.planStarts(next)
+	l.relocateThrottled()
 	if len(next.changes) == 0 {
 		l.queueStops() // orders stops without effect again
 		return nil
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -43,24 +43,25 @@
 
 // Metrics of submitted jobs. Those of the fleet are written by the leader only.
 var (
-	JobEntryCalls   = Metric{"paddle_jobentry_calls_total", []string{"call", "answer"}}
-	JobEntrySeconds = Metric{"paddle_jobentry_call_seconds", []string{"call"}}
-	JobCalls        = Metric{"paddle_jobs_calls_total", []string{"call", "answer"}}
-	JobBatchSeconds = Metric{"paddle_jobs_commit_seconds", nil}
-	JobWaitSeconds  = Metric{"paddle_jobs_first_start_seconds", nil}
-	JobRunsEnded    = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
-	JobRunsStalled  = Metric{"paddle_jobs_runs_stalled_total", nil}
-	JobFleet        = Metric{"paddle_jobs_fleet", []string{"what"}}
-	JobAgentEnds    = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
-	JobAgentCalls   = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
-	JobAgentSeconds = Metric{"paddle_jobagent_worker_call_seconds", []string{"call"}}
+	JobEntryCalls    = Metric{"paddle_jobentry_calls_total", []string{"call", "answer"}}
+	JobEntrySeconds  = Metric{"paddle_jobentry_call_seconds", []string{"call"}}
+	JobCalls         = Metric{"paddle_jobs_calls_total", []string{"call", "answer"}}
+	JobBatchSeconds  = Metric{"paddle_jobs_commit_seconds", nil}
+	JobWaitSeconds   = Metric{"paddle_jobs_first_start_seconds", nil}
+	JobRunsEnded     = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
+	JobRunsStalled   = Metric{"paddle_jobs_runs_stalled_total", nil}
+	JobRunsRelocated = Metric{"paddle_jobs_runs_relocated_total", nil}
+	JobFleet         = Metric{"paddle_jobs_fleet", []string{"what"}}
+	JobAgentEnds     = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
+	JobAgentCalls    = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
+	JobAgentSeconds  = Metric{"paddle_jobagent_worker_call_seconds", []string{"call"}}
 )
 
 // Metrics lists every metric of this package.
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobFleet,
+		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobFleet,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
