jobcontrol: the fleet's summary tells what keeps tasks waiting

Explain counts, over all pairs of a waiting group and a worker, whether the worker is closed, lacks memory, lacks CPU, or has services that can spare no headroom.

--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -100,7 +100,7 @@
 	if p.starves(c) {
 		return true
 	}
-	if l.bestEffortMilliCPU > 0 && unusedShare(l) < share(group.MilliCpu, l) {
+	if !hasUnusedCPU(c, l) {
 		return false // it would only slow down the best-effort runs on the worker
 	}
 	limit := maxInterference
@@ -110,6 +110,12 @@
 	return p.interference(group, l) < limit
 }
 
+// hasUnusedCPU reports whether a worker has unused CPU for one more best-effort
+// task, or no best-effort task yet.
+func hasUnusedCPU(c candidate, l *load) bool {
+	return l.bestEffortMilliCPU == 0 || unusedShare(l) >= share(c.group.Spec.MilliCpu, l)
+}
+
 // starves reports whether a task of the candidate may start beside any other
 // best-effort work and any service.
 func (p *planner) starves(c candidate) bool {
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -43,7 +43,17 @@
 	klog.InfoS("Fleet", "term", l.term, "workers", len(l.workers), "sessions", len(l.sessions),
 		"capacity_cores", int(s.capacity), "counted_cores", int(s.counted), "service_cores", int(s.services),
 		"best_effort_cores", int(s.bestEffort), "best_effort_used", int(s.bestEffortUsed),
-		"runs", s.running, "waiting_tasks", s.waitingTasks, "waiting_jobs", s.waitingJobs)
+		"runs", s.running, "waiting_tasks", s.waitingTasks, "waiting_jobs", s.waitingJobs, "obstacles", l.obstacles(s.waitingJobs))
+}
+
+// obstacles counts what keeps waiting tasks from the workers, if any wait. The lock
+// is held.
+func (l *leadership) obstacles(waitingJobs int) (obstacles map[dispatch.Obstacle]int) {
+	if waitingJobs == 0 {
+		return nil
+	}
+	l.assumed.Read(func(view jobs.View) { obstacles = dispatch.Explain(view, l.planInput(view)) })
+	return obstacles
 }
 
 func (l *leadership) summary() (s fleetSummary) {
