dispatch: a best-effort job that starves starts where CPU is unused

Services declare more than half, so a job whose image disturbs every service waited without end. Its agent throttles it as far as the services need. The test failed before.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -45,7 +45,7 @@
 		return ObstacleClosed
 	case need.MemoryMiB > free.MemoryMiB || need.Accelerators > free.Accelerators:
 		return ObstacleMemory
-	case need.MilliCPU > free.MilliCPU || group.BestEffort && !p.starves(c) && !hasUnusedCPU(c, l):
+	case need.MilliCPU > free.MilliCPU || group.BestEffort && !hasUnusedCPU(c, l) && !p.allowsBestEffort(c, l):
 		return ObstacleCPU
 	case group.BestEffort && !p.allowsBestEffort(c, l):
 		return ObstacleInterference
--- a/dispatch/fleetload.go
+++ b/dispatch/fleetload.go
@@ -60,7 +60,7 @@
 	bestEffort              bool
 	image                   string // of best-effort tasks, which interfere by image
 	unlimited               bool   // interference does not count
-	starving                bool   // nothing but memory counts
+	starving                bool   // it may start whatever it interferes with
 }
 
 // classOf returns the class of a candidate's tasks and what they demand.
@@ -69,7 +69,7 @@
 	class := placementClass{service: c.queue.Service, regions: strings.Join(c.queue.Regions, ","), label: group.RequiredLabel}
 	if group.BestEffort {
 		class.bestEffort, class.image = true, group.Image
-		class.unlimited, class.starving = p.ignoresInterference(c), p.starves(c)
+		class.unlimited, class.starving = p.ignoresInterference(c), starves(c)
 	}
 	return class, resource.Vector{MilliCPU: group.MilliCpu, MemoryMiB: group.MemoryMib, Accelerators: group.Accelerators}
 }
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -305,3 +305,26 @@
 		t.Errorf("a second task started: %v", starts)
 	}
 }
+
+// Load pattern: a backlog of best-effort jobs that disturb the services on all
+// workers in service. Seen on ballinure-sched (trouble-3, seed 392675968131, in 3 of
+// 31 plays): a job had nothing running for 50 s, while most of the CPU of the fleet
+// was unused.
+func TestBestEffortJobDoesNotStarveBesideServices(t *testing.T) {
+	w := newFixture(t, 1)
+	w.serve(0, "s", 1.5)
+	w.learned.Interference.Set(PairCost{Pair{"s", "f"}, 0.5})
+	w.jobs++
+	waiting := w.submit(batchQueue, &api.TaskGroup{Count: 3, MilliCpu: 2000, EstimatedMs: 1000, BestEffort: true, Image: "f"})
+	w.now = starvationTimeout - time.Second
+	if starts := w.plan(); len(starts) > 0 {
+		t.Fatalf("started beside a service that it disturbs: %v", starts)
+	}
+	w.now = starvationTimeout + time.Second
+	if starts := w.plan(); len(starts) != 1 || starts[0].Run.Task.Job != waiting {
+		t.Errorf("starts %v, want one task of the waiting job", starts)
+	}
+	if starts := w.plan(); len(starts) > 0 {
+		t.Errorf("a second task started: %v", starts)
+	}
+}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -97,10 +97,11 @@
 // spare the headroom.
 func (p *planner) allowsBestEffort(c candidate, l *load) bool {
 	group := c.group.Spec
-	if p.starves(c) {
-		return true
+	unused := hasUnusedCPU(c, l)
+	if starves(c) && (unused || p.fleet.countedBelowHalf()) {
+		return true // its agent throttles it as far as the services need
 	}
-	if !hasUnusedCPU(c, l) {
+	if !unused {
 		return false // it would only slow down the best-effort runs on the worker
 	}
 	limit := maxInterference
@@ -116,11 +117,9 @@
 	return l.bestEffortMilliCPU == 0 || unusedShare(l) >= share(c.group.Spec.MilliCpu, l)
 }
 
-// starves reports whether a task of the candidate may start beside any other
-// best-effort work and any service.
-func (p *planner) starves(c candidate) bool {
-	return c.waited > starvationTimeout && p.fleet.countedBelowHalf()
-}
+// starves reports whether no task of the candidate's job has found a worker for
+// too long.
+func starves(c candidate) bool { return c.waited > starvationTimeout }
 
 // ignoresInterference reports whether a task of the candidate may start beside
 // services that cannot spare the headroom.
@@ -135,9 +134,10 @@
 	// where it stays within maxInterference, while less than half of the fleet is
 	// claimed.
 	interferenceWait = 1500 * time.Millisecond
-	// starvationTimeout is how long a job without active runs waits behind other
-	// best-effort work, while counted tasks use less than half of the fleet. Then
-	// one of its tasks is started, so that every job completes eventually.
+	// starvationTimeout is how long a job without active runs waits for a worker.
+	// Then one of its tasks is started where CPU is unused, whatever it interferes
+	// with, or anywhere while counted tasks use less than half of the fleet. So
+	// every job completes eventually.
 	starvationTimeout = 10 * time.Second
 )
 
