jobs, transport: one malformed message no longer takes the control group down

Two ways, each shown by a test that failed first. The limit on a job's tasks was checked on a product that overflows: four groups of 2^31-1 tasks, 2^31-1 times, were accepted, and every replica that applied the entry would have run out of memory, at each start again. A panic in a gRPC handler or in an agent's report ended the process; it now ends that call or session alone. Handlers release their locks by defer, and an agent reports its worker's whole state on its next session; rounds and the log's application are not covered, there a panic ends the process.

--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -11,6 +11,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/transport"
 )
 
 // session is the leader's end of one agent's stream. Its fields are guarded by
@@ -60,7 +61,9 @@
 	defer cancel()
 	session := lead.openSession(report.Agent, cancel)
 	defer lead.closeSession(session)
-	lead.handleReport(session, report)
+	if err := lead.tryReport(session, report); err != nil {
+		return err
+	}
 	go func() {
 		defer cancel()
 		for {
@@ -69,12 +72,26 @@
 				klog.V(1).InfoS("Session stream ended", "agent", session.agent, "error", err)
 				return
 			}
-			lead.handleReport(session, report)
+			if lead.tryReport(session, report) != nil {
+				return
+			}
 		}
 	}()
 	return lead.sendDirectives(ctx, session, stream)
 }
 
+// tryReport handles a report. A panic ends the session alone: the agent opens another
+// one and reports its worker's whole state again.
+func (l *leadership) tryReport(session *session, report *api.WorkerReport) (err error) {
+	defer func() {
+		if panicked := recover(); panicked != nil {
+			err = transport.LogPanic("report of "+session.agent, panicked)
+		}
+	}()
+	l.handleReport(session, report)
+	return nil
+}
+
 // openSession adds a session and cancels an earlier one of the same agent.
 func (l *leadership) openSession(agent string, cancel context.CancelFunc) *session {
 	l.mu.Lock()
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -117,7 +117,7 @@
 		Replica: started, State: state, Lease: config.Lease, Retain: config.Retain, Voters: config.Voters,
 		Adviser: config.Adviser, Fleet: config.Fleet,
 	})
-	c.grpc = grpc.NewServer(append(replica.ServerOptions(), config.Security.ServerOptions()...)...)
+	c.grpc = grpc.NewServer(slices.Concat(replica.ServerOptions(), config.Security.ServerOptions(), transport.RecoverPanics())...)
 	started.Register(c.grpc)
 	c.server.Register(c.grpc)
 	c.server.Start()
--- a/jobs/check.go
+++ b/jobs/check.go
@@ -29,7 +29,8 @@
 		}
 		tasks += int64(group.Count)
 	}
-	if tasks*times > maxTasks {
+	// Each factor is bounded by itself, as the product of two large ones overflows.
+	if tasks > maxTasks || times > maxTasks || tasks*times > maxTasks {
 		return fault.Newf(fault.InvalidArgument, "a job has at most %d tasks", maxTasks)
 	}
 	return nil
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -377,7 +378,11 @@
 		"depends on itself":           group(func(g *api.TaskGroup) { g.DependsOn = []int32{0} }),
 		"depends on a negative index": group(func(g *api.TaskGroup) { g.DependsOn = []int32{-1} }),
 		"too many tasks":              group(func(g *api.TaskGroup) { g.Count = maxTasks + 1 }),
-		"payload is too long":         {Payload: string(make([]byte, MaxPayloadSize+1)), Groups: []*api.TaskGroup{{Count: 1}}},
+		"product of counts overflows": {
+			Groups:   []*api.TaskGroup{{Count: math.MaxInt32}, {Count: math.MaxInt32}, {Count: math.MaxInt32}, {Count: math.MaxInt32}},
+			Schedule: &api.JobSchedule{Times: math.MaxInt32},
+		},
+		"payload is too long": {Payload: string(make([]byte, MaxPayloadSize+1)), Groups: []*api.TaskGroup{{Count: 1}}},
 	}
 	for name, spec := range cases {
 		if err := CheckSpec(spec); !fault.Is(err, fault.InvalidArgument) {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -297,3 +297,54 @@
 		}
 	}
 }
+
+// panicking answers health checks by a panic, but for the service "sound".
+type panicking struct {
+	healthpb.UnimplementedHealthServer
+}
+
+func (panicking) Check(_ context.Context, request *healthpb.HealthCheckRequest) (*healthpb.HealthCheckResponse, error) {
+	if request.Service != "sound" {
+		panic("malformed")
+	}
+	return &healthpb.HealthCheckResponse{}, nil
+}
+
+func (panicking) Watch(*healthpb.HealthCheckRequest, healthpb.Health_WatchServer) error {
+	panic("malformed")
+}
+
+// Failure: a panic in one handler, such as by a malformed message, ended the whole
+// process.
+func TestAPanicEndsOneCallAlone(t *testing.T) {
+	s := &Security{}
+	listener, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer(append(s.ServerOptions(), RecoverPanics()...)...)
+	healthpb.RegisterHealthServer(server, panicking{})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	conn, err := s.Dial(listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	client := healthpb.NewHealthClient(conn)
+	if _, err := client.Check(ctx, &healthpb.HealthCheckRequest{}); !fault.Is(fault.FromStatus(err), fault.Internal) {
+		t.Errorf("a unary call: %v", err)
+	}
+	stream, err := client.Watch(ctx, &healthpb.HealthCheckRequest{})
+	if err == nil {
+		_, err = stream.Recv()
+	}
+	if !fault.Is(fault.FromStatus(err), fault.Internal) {
+		t.Errorf("a stream: %v", err)
+	}
+	if _, err := client.Check(ctx, &healthpb.HealthCheckRequest{Service: "sound"}); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+}
