jobcontrol: a later incarnation ends its predecessor's runs under any leader

The leader began at 37.7 s and all eleven workers had registered anew by 38.0 s, but the 95 runs of their earlier lives, all services among them, were only declared lost at 42.0 s: an incarnation that no view of this leader preceded was not compared with the committed runs.

--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -47,9 +47,9 @@
 		klog.InfoS("Worker joined", "worker", key, "agent", agent, "zone", worker.Zone, "rack", worker.Rack,
 			"service", worker.Service, "milli_cpu", worker.MilliCpu, "memory_mib", worker.MemoryMib)
 		if view != nil {
-			l.loseRuns(view.key, "the worker started anew")
 			l.forgetWorker(view.key)
 		}
+		l.loseEarlierRuns(worker)
 		view = &workerView{key: key, runs: map[jobs.RunID]*api.RunStatus{}}
 		l.workers[worker.Id] = view
 	}
@@ -64,6 +64,23 @@
 	return view
 }
 
+// loseEarlierRuns queues the ends, as lost, of all runs on earlier incarnations of a
+// worker, also those that an earlier leader knew: a worker starts without runs. The
+// lock is held.
+func (l *leadership) loseEarlierRuns(worker *api.Worker) {
+	var earlier []string
+	l.assumed.Read(func(view jobs.View) {
+		view.Workers(func(key string, _ int) {
+			if id, born := jobs.ParseWorkerKey(key); id == worker.Id && born < worker.Born {
+				earlier = append(earlier, key)
+			}
+		})
+	})
+	for _, key := range earlier {
+		l.loseRuns(key, "the worker started anew")
+	}
+}
+
 // dropLostWorkers queues the ends of runs on workers whose leases have certainly
 // expired, and drops those workers that have no session either. The lock is held.
 func (l *leadership) dropLostWorkers() {
@@ -100,7 +117,8 @@
 // viewOf returns the view of a worker's incarnation, nil when it is not the latest
 // one. The lock is held.
 func (l *leadership) viewOf(key string) *workerView {
-	if view := l.workers[jobs.WorkerID(key)]; view != nil && view.key == key {
+	id, _ := jobs.ParseWorkerKey(key)
+	if view := l.workers[id]; view != nil && view.key == key {
 		return view
 	}
 	return nil
--- a/jobs/id.go
+++ b/jobs/id.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"amaranthpaddle/api"
@@ -63,9 +64,18 @@
 // WorkerKey returns the key of one incarnation of a worker.
 func WorkerKey(id string, born int64) string { return fmt.Sprintf("%s@%d", id, born) }
 
-// WorkerID returns the id of the worker in the key of one of its incarnations.
-func WorkerID(key string) string {
-	return key[:max(strings.LastIndexByte(key, '@'), 0)]
+// ParseWorkerKey returns the id and the start of a worker from the key of one of its
+// incarnations. Both are zero for a malformed key.
+func ParseWorkerKey(key string) (id string, born int64) {
+	at := strings.LastIndexByte(key, '@')
+	if at < 0 {
+		return "", 0
+	}
+	born, err := strconv.ParseInt(key[at+1:], 10, 64)
+	if err != nil {
+		return "", 0
+	}
+	return key[:at], born
 }
 
 // QueueKey returns the key of a queue, made of the host and the path prefix
