jobcontrol: the log tells on which VM a run is, so its next worker ends it

A start now carries the worker's VM, and a worker that registers on a VM ends the runs of earlier workers there at once: a VM has one worker at a time, and it starts without runs.

The test failed before for a worker under another id.

--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -217,6 +217,7 @@
 	r        *rig
 	name     string
 	born     int64
+	worker   string // id
 	stream   *fakeStream
 	sequence int64
 	lists    int64
@@ -225,7 +226,7 @@
 
 func (r *rig) connect(name string) *fakeAgent {
 	r.t.Helper()
-	a := &fakeAgent{r: r, name: name, born: 1}
+	a := &fakeAgent{r: r, name: name, born: 1, worker: "w-" + name}
 	a.reconnect()
 	return a
 }
@@ -248,7 +249,7 @@
 	a.sequence++
 	report := &api.WorkerReport{
 		Sequence: a.sequence, Agent: a.name, Ends: ends,
-		Worker: &api.Worker{Id: "w-" + a.name, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: "vm-" + a.name},
+		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: "vm-" + a.name},
 	}
 	if a.listed != nil {
 		report.Lists, report.Runs, report.RunsListed = a.lists, a.listed, true
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -150,7 +150,9 @@
 	starting := &api.JobBatch{NowUnixMs: next.message.NowUnixMs}
 	for _, start := range starts {
 		change := &api.JobChange{Body: &api.JobChange_Start{
-			Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker, Ticket: l.ticketOf(start)},
+			Start: &api.StartRun{
+				Run: start.Run.Ref(), Worker: start.Worker, Ticket: l.ticketOf(start), Vm: l.vmOf(start.Worker),
+			},
 		}}
 		starting.Changes = append(starting.Changes, change)
 		next.changes = append(next.changes, &pendingChange{change: change})
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -65,13 +65,15 @@
 }
 
 // loseEarlierRuns queues the ends, as lost, of all runs on earlier incarnations of a
-// worker, also those that an earlier leader knew: a worker starts without runs. The
-// lock is held.
+// worker and on earlier workers of its VM, also those that an earlier leader knew: a
+// VM has one worker at a time, which starts without runs. The lock is held.
 func (l *leadership) loseEarlierRuns(worker *api.Worker) {
 	var earlier []string
 	l.assumed.Read(func(view jobs.View) {
 		view.Workers(func(key string, _ int) {
-			if id, born := jobs.ParseWorkerKey(key); id == worker.Id && born < worker.Born {
+			id, born := jobs.ParseWorkerKey(key)
+			sameVM := worker.Machine != "" && view.VMOf(key) == worker.Machine
+			if (id == worker.Id || sameVM) && born < worker.Born {
 				earlier = append(earlier, key)
 			}
 		})
@@ -124,6 +126,15 @@
 	return nil
 }
 
+// vmOf returns the VM of a worker's incarnation, empty when it is not known. The lock
+// is held.
+func (l *leadership) vmOf(key string) string {
+	if view := l.viewOf(key); view != nil {
+		return view.worker.Machine
+	}
+	return ""
+}
+
 // mayHoldLease reports whether the agent of a worker's incarnation may hold a lease.
 func (l *leadership) mayHoldLease(key string, now time.Time) bool {
 	view := l.viewOf(key)
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -84,6 +84,7 @@
 	Number int32
 	Worker string // key of the worker's incarnation
 	Ticket string // from the queue's adviser, empty if there is none
+	VM     string // of the worker, empty if it is not known
 }
 
 // newJob returns a job whose tasks all wait to start.
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -99,7 +99,7 @@
 			Done: task.Done, LastRun: task.LastRun, Failures: task.Failures, Checkpoint: task.Checkpoint,
 		}
 		for _, run := range task.Runs {
-			r.Runs = append(r.Runs, &api.RunRecord{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket})
+			r.Runs = append(r.Runs, &api.RunRecord{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, Vm: run.VM})
 		}
 		record.Tasks = append(record.Tasks, r)
 	}
@@ -159,8 +159,8 @@
 	group, task := job.Task(id)
 	task.LastRun, task.Failures, task.Checkpoint = record.LastRun, record.Failures, record.Checkpoint
 	for _, run := range record.Runs {
-		task.Runs = append(task.Runs, Run{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket})
-		s.addRun(RunID{Task: id, Number: run.Number}, run.Worker, job, group)
+		task.Runs = append(task.Runs, Run{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, VM: run.Vm})
+		s.addRun(RunID{Task: id, Number: run.Number}, run.Worker, run.Vm, job, group)
 	}
 	if record.Done {
 		job.markDone(id)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -22,6 +22,7 @@
 	zonesOut      map[string]bool
 	jobs          map[string]*Job
 	active        map[string]*Job             // jobs that have not ended or have active runs, by id
+	workerVMs     map[string]string           // VMs of the workers with active runs, by worker key, as far as known
 	runs          map[string]map[RunID]*Group // groups of the active runs, by worker key and run
 	ended         []string                    // ids of ended jobs, in the order of their ends
 	learnt        *api.Learnt                 // by the leaders so far
@@ -45,6 +46,7 @@
 	s.jobs = map[string]*Job{}
 	s.active = map[string]*Job{}
 	s.runs = map[string]map[RunID]*Group{}
+	s.workerVMs = map[string]string{}
 	s.ended = nil
 	s.learnt = nil
 	s.refusals = map[string]int64{}
@@ -271,15 +273,18 @@
 		return fault.Newf(fault.Stale, "task %v waits for other groups", run.Task)
 	}
 	task.LastRun = run.Number
-	task.Runs = append(task.Runs, Run{Number: run.Number, Worker: c.Worker, Ticket: c.Ticket})
-	s.addRun(run, c.Worker, job, group)
+	task.Runs = append(task.Runs, Run{Number: run.Number, Worker: c.Worker, Ticket: c.Ticket, VM: c.Vm})
+	s.addRun(run, c.Worker, c.Vm, job, group)
 	if job.Phase == PhaseQueued {
 		job.Phase = PhaseRunning
 	}
 	return nil
 }
 
-func (s *State) addRun(run RunID, worker string, job *Job, group *Group) {
+func (s *State) addRun(run RunID, worker, vm string, job *Job, group *Group) {
+	if vm != "" {
+		s.workerVMs[worker] = vm
+	}
 	if s.runs[worker] == nil {
 		s.runs[worker] = map[RunID]*Group{}
 	}
@@ -293,6 +298,7 @@
 	delete(s.runs[worker], run)
 	if len(s.runs[worker]) == 0 {
 		delete(s.runs, worker)
+		delete(s.workerVMs, worker)
 	}
 	job.active--
 }
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -77,6 +77,10 @@
 	}
 }
 
+// VMOf returns the VM of an incarnation of a worker that has active runs, empty if
+// it is not known.
+func (v View) VMOf(worker string) string { return v.state.workerVMs[worker] }
+
 // Pending returns the number of jobs of a queue without any started task.
 func (v View) Pending(queueKey string) int64 {
 	var pending int64
