dispatch: the costs of pairs without samples are predicted from images of their kind

Change: kindModel compares services, and best-effort images, by the costs that are known of both, and predicts the others; the regressions take the prediction as their prior.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -34,18 +35,23 @@
 // Costs holds the headroom that a service loses per core of best-effort work on
 // the same worker, by pair of images. It is not safe for concurrent use.
 type Costs struct {
-	perCore map[Pair]float64
+	perCore   map[Pair]float64
+	predicted map[Pair]float64 // of pairs that are not in perCore
 }
 
 // NewCosts returns Costs in which every pair has the prior cost.
 func NewCosts() *Costs { return &Costs{perCore: map[Pair]float64{}} }
 
 // PerCore returns the headroom that the service loses per core of the
-// best-effort image. For a pair without observations it returns the prior cost.
+// best-effort image. For a pair without observations it returns the predicted or
+// the prior cost.
 func (c *Costs) PerCore(pair Pair) float64 {
 	if cost, known := c.perCore[pair]; known {
 		return cost
 	}
+	if cost, known := c.predicted[pair]; known {
+		return cost
+	}
 	return priorCost
 }
 
@@ -101,6 +107,7 @@
 	regressions map[string]*regression    // by image of the service
 	workers     map[string]*workerSamples // by worker key
 	version     int64                     // increases with each noticeable cost change
+	predictedAt time.Time                 // when costs were last predicted
 }
 
 // workerSamples holds the recent samples of one worker.
@@ -131,6 +138,7 @@
 	minCostChange     = 0.02                   // headroom per core; smaller changes do not increase the version
 	maxResidual       = 0.5                    // headroom; an observation with a larger residual triggers a solution at once
 	solveInterval     = 500 * time.Millisecond // between solutions of a regression otherwise
+	predictInterval   = 500 * time.Millisecond // between predictions of the costs that few samples show
 )
 
 // NewInterference returns an Interference without observations.
@@ -287,4 +295,36 @@
 		}
 		d.Set(PairCost{pair, cost})
 	}
+	if at.Sub(d.predictedAt) >= predictInterval {
+		d.predictedAt = at
+		d.predictCosts()
+	}
+}
+
+// predictCosts predicts the costs of all pairs of known images. The regressions take
+// the predictions as prior costs, and pairs without samples as their costs.
+func (d *Interference) predictCosts() {
+	m := kindModel{services: slices.Sorted(maps.Keys(d.regressions))}
+	images := map[string]bool{}
+	for _, r := range d.regressions {
+		for _, image := range r.images {
+			images[image] = true
+		}
+	}
+	m.bestEffort = slices.Sorted(maps.Keys(images))
+	for _, service := range m.services {
+		row := make([]evidence, len(m.bestEffort))
+		for b, image := range m.bestEffort {
+			row[b] = d.regressions[service].evidence(image)
+		}
+		m.known = append(m.known, row)
+	}
+	d.predicted = map[Pair]float64{}
+	for s, row := range m.predict() {
+		r := d.regressions[m.services[s]]
+		for b, cost := range row {
+			d.predicted[Pair{m.services[s], m.bestEffort[b]}] = cost
+			r.prior[m.bestEffort[b]] = cost
+		}
+	}
 }
--- a/dispatch/regression.go
+++ b/dispatch/regression.go
@@ -11,9 +11,10 @@
 type regression struct {
 	index    map[string]int // into images, by best-effort image
 	images   []string
-	gram     [][]float64 // sums of products of cores
-	moment   []float64   // sums of products of lost headroom and cores
-	cost     []float64   // latest solution, by index
+	gram     [][]float64        // sums of products of cores
+	moment   []float64          // sums of products of lost headroom and cores
+	cost     []float64          // latest solution, by index
+	prior    map[string]float64 // predicted costs, by best-effort image; priorCost for others
 	clock    decayClock
 	solvedAt time.Time
 }
@@ -25,7 +26,26 @@
 	restoredWeight          = 40.0             // of a cost that an earlier leader learnt
 )
 
-func newRegression() *regression { return &regression{index: map[string]int{}} }
+func newRegression() *regression {
+	return &regression{index: map[string]int{}, prior: map[string]float64{}}
+}
+
+// priorOf returns the cost of an image as far as no observations tell.
+func (r *regression) priorOf(image string) float64 {
+	if cost, predicted := r.prior[image]; predicted {
+		return cost
+	}
+	return priorCost
+}
+
+// evidence returns what the observations tell of the cost of an image.
+func (r *regression) evidence(image string) evidence {
+	i, known := r.index[image]
+	if !known {
+		return evidence{}
+	}
+	return evidence{cost: max(r.cost[i], 0), confidence: r.gram[i][i] / (r.gram[i][i] + priorWeight)}
+}
 
 // imageIndex returns the index of an image and adds the image if it is new.
 func (r *regression) imageIndex(image string) int {
@@ -40,7 +60,7 @@
 	}
 	r.gram = append(r.gram, make([]float64, i+1))
 	r.moment = append(r.moment, 0)
-	r.cost = append(r.cost, priorCost)
+	r.cost = append(r.cost, r.priorOf(image))
 	return i
 }
 
@@ -93,7 +113,7 @@
 	n := len(r.images)
 	rows := make([][]float64, n)
 	for i := range rows {
-		rows[i] = append(append(make([]float64, 0, n+1), r.gram[i]...), r.moment[i]+priorWeight*priorCost)
+		rows[i] = append(append(make([]float64, 0, n+1), r.gram[i]...), r.moment[i]+priorWeight*r.priorOf(r.images[i]))
 		rows[i][i] += priorWeight
 	}
 	r.cost = solveSymmetric(rows)
