dispatch: best-effort work keeps away from services that no sample shows yet

A worker without a sample counted as free of services, so work that was known to interfere was placed beside them: at 40 s it claimed 189 cores and got 60.

Change: a service without a sample counts with a headroom of 2. The test failed before.

--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -328,3 +328,28 @@
 		t.Errorf("a second task started: %v", starts)
 	}
 }
+
+// Load pattern: all work starts again at the same time, after a loss of power. Seen on
+// nilefeather-loft, scale-2: services and best-effort work that was known to interfere
+// were placed together, as no sample showed the services yet; for six seconds the
+// best-effort work got a third of the CPU that it claimed.
+func TestBestEffortWorkKeepsAwayFromServicesThatStartWithIt(t *testing.T) {
+	w := newFixture(t, 2)
+	w.learned.Interference.Set(PairCost{Pair{"s", "f"}, 0.25})
+	service := w.submit(urgentQueue, &api.TaskGroup{Count: 1, MilliCpu: 4000, LongRunning: true, Image: "s", TargetLatencyMs: 150})
+	filler := w.submit(batchQueue, &api.TaskGroup{Count: 4, MilliCpu: 4000, EstimatedMs: 1000, BestEffort: true, Image: "f"})
+	harmless := w.submit(batchQueue, &api.TaskGroup{Count: 1, MilliCpu: 4000, EstimatedMs: 1000, BestEffort: true, Image: "g"})
+	w.learned.Interference.Set(PairCost{Pair{"s", "g"}, 0})
+	starts := w.plan()
+	for worker := range startsByWorker(starts, service) {
+		if n := startsByWorker(starts, filler)[worker]; n > 0 {
+			t.Errorf("%d tasks started beside a service that they interfere with", n)
+		}
+	}
+	if n := total(startsByWorker(starts, filler)); n == 0 {
+		t.Errorf("no task started on the other worker")
+	}
+	if n := total(startsByWorker(starts, harmless)); n != 1 {
+		t.Errorf("the harmless task did not start")
+	}
+}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -144,7 +144,8 @@
 // interference returns the share of the spare headroom of the most affected
 // service on a worker that would be used up with one more task of a best-effort
 // group. At 1 and above, best-effort runs would have to be throttled. It is 0
-// if the group interferes with no service on the worker.
+// if the group interferes with no service on the worker. A service without a sample
+// counts with unsampledHeadroom.
 func (p *planner) interference(group *api.TaskGroup, l *load) float64 {
 	worst := 0.0
 	for _, service := range l.worker.Sample.Services {
@@ -156,15 +157,40 @@
 		for image, cores := range l.worker.Sample.Cores {
 			spare += p.in.PerCore(Pair{service.Image, image}) * cores
 		}
-		taken := cost * float64(group.MilliCpu) / 1000
-		for image, cores := range l.bestEffortCores {
-			taken += p.in.PerCore(Pair{service.Image, image}) * cores
+		worst = max(worst, p.headroomTaken(service.Image, cost, group, l)/max(spare, minSpareHeadroom))
+	}
+	for image := range l.serviceRuns {
+		if cost := significantCost(p.in.PerCore, Pair{image, group.Image}); cost > 0 && !l.worker.Sample.shows(image) {
+			worst = max(worst, p.headroomTaken(image, cost, group, l)/(unsampledHeadroom-reservedHeadroom))
 		}
-		worst = max(worst, taken/max(spare, minSpareHeadroom))
 	}
 	return worst
 }
 
+// headroomTaken returns the headroom that best-effort work takes from a service on a
+// worker with one more task of a group, which costs the service cost per core.
+func (p *planner) headroomTaken(service string, cost float64, group *api.TaskGroup, l *load) float64 {
+	taken := cost * float64(group.MilliCpu) / 1000
+	for image, cores := range l.bestEffortCores {
+		taken += p.in.PerCore(Pair{service, image}) * cores
+	}
+	return taken
+}
+
+// shows reports whether a service of the image is in the sample.
+func (s *Sample) shows(image string) bool {
+	for _, service := range s.Services {
+		if service.Image == image && service.Headroom > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// unsampledHeadroom is the headroom of a service that no sample shows yet, near the
+// middle of what services have over their load.
+const unsampledHeadroom = 2.0
+
 // minSpareHeadroom is the lower bound for the spare headroom that interference
 // is divided by.
 const minSpareHeadroom = 0.05
