jobagent: a restarted agent learns which of the runs it finds are services

It protected no service and paced no best-effort run that its earlier process had started, and a run that this one had throttled stayed so.

Change: the first directive of a session describes the runs that matter to pacing. The test failed before.

--- a/jobagent/agent_test.go
+++ b/jobagent/agent_test.go
@@ -303,6 +303,50 @@
 	})
 }
 
+// Failure: an agent that was restarted did not know which of the runs that it found
+// were services and which best-effort, and so paced none. Seen on nilefeather-loft
+// (scale-2, seed 12): an agent was stopped and started at 15 s to 25 s; at 31.5 s a
+// service had been over its target for 4 s beside best-effort work at full pace (HARM).
+func TestRestartedAgentPacesRunsThatItFound(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		service, heavy := testRun(1), jobs.RunID{Task: jobs.TaskID{Job: "k"}, Number: 1}
+		orders := []*api.RunOrder{
+			{Run: service.Ref(), TargetLatencyMs: 150, Image: "s", MilliCpu: 6000},
+			{Run: heavy.Ref(), BestEffort: true, Image: "heavy", MilliCpu: 3000},
+		}
+		r.register(1, false)
+		r.grantLease(20 * time.Second)
+		r.wait(100 * time.Millisecond)
+		r.sendDirective(&api.WorkerDirective{Starts: orders})
+		r.wait(100 * time.Millisecond)
+		r.restartAgent()
+		r.register(2, false)
+		r.grantLease(20 * time.Second)
+		r.agent.costs.Set(pairCost("s", "heavy", 0.5))
+		r.worker.set(func() { r.worker.usage[service], r.worker.usage[heavy] = 200, 3000 })
+		r.wait(100 * time.Millisecond)
+		r.sendDirective(&api.WorkerDirective{
+			ExpectedListed: true, Expected: []*api.RunRef{service.Ref(), heavy.Ref()}, Described: orders,
+		})
+		r.wait(3 * time.Second)
+		if pace, paced := r.worker.paces[heavy]; !paced || pace > 0 {
+			t.Errorf("paced: %v, to %d %%; want a pause beside a service over its target", paced, pace)
+		}
+		r.worker.set(func() { r.worker.usage[service] = 20 })
+		r.restartAgent()
+		r.register(3, false)
+		r.grantLease(20 * time.Second)
+		r.wait(100 * time.Millisecond)
+		r.sendDirective(&api.WorkerDirective{
+			ExpectedListed: true, Expected: []*api.RunRef{service.Ref(), heavy.Ref()}, Described: orders,
+		})
+		r.wait(3 * time.Second)
+		if pace := r.worker.paces[heavy]; pace != 100 {
+			t.Errorf("a pause by an earlier process holds, at %d %%, beside an idle service", pace)
+		}
+	})
+}
+
 func TestHealthCheckResultIsReported(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.register(1, false)
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -364,6 +364,24 @@
 	return cursor
 }
 
+// describeRuns adds what the leader knows of runs that an earlier process of this
+// agent started: without it neither their services are protected nor their
+// best-effort runs paced. Agent.mu must be held.
+func (w *incarnation) describeRuns(orders []*api.RunOrder) {
+	for _, order := range orders {
+		if r := w.runs[jobs.RunIDOf(order.Run)]; r != nil && r.order == nil {
+			r.order = order
+			if order.BestEffort {
+				r.pace = unknownPace // the earlier process may have throttled it
+			}
+		}
+	}
+}
+
+// unknownPace is the pace of a run of which no call has set it. It differs from all
+// others, so that the next adjustment sends one.
+const unknownPace = -1
+
 // reconcileWithLeader compares the runs that the leader expects on this worker
 // with those that the agent knows: it fences unknown ones and stops unexpected
 // ones. Agent.mu must be held.
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -298,7 +298,7 @@
 		w.agent.mu.Lock()
 		defer w.agent.mu.Unlock()
 		if r := w.runs[id]; r != nil {
-			r.pace = -1 // forces the next adjustment to send the pace again
+			r.pace = unknownPace
 		}
 	}
 }
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -193,6 +193,7 @@
 	}
 	if d.ExpectedListed {
 		w.reconcileWithLeader(d.Expected)
+		w.describeRuns(d.Described)
 	}
 	for _, ref := range d.Stops {
 		id := jobs.RunIDOf(ref)
--- a/jobcontrol/costs_test.go
+++ b/jobcontrol/costs_test.go
@@ -72,3 +72,28 @@
 		}
 	})
 }
+
+func TestNewSessionDescribesTheRunsOnItsWorker(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{
+			{Count: 1, MilliCpu: 1000, LongRunning: true, TargetLatencyMs: 100, Image: "serving"},
+			{Count: 1, MilliCpu: 1000, EstimatedMs: 1000, BestEffort: true, Image: "batch"},
+			{Count: 1, MilliCpu: 1000, EstimatedMs: 1000},
+		}}, accepted)
+		r.wait(time.Second)
+		a.drainDirectives()
+		a.reconnect()
+		r.wait(time.Second)
+		described := map[string]*api.RunOrder{}
+		for len(a.stream.directives) > 0 {
+			for _, order := range (<-a.stream.directives).Described {
+				described[order.Image] = order
+			}
+		}
+		if len(described) != 2 || described["serving"].GetTargetLatencyMs() != 100 || !described["batch"].GetBestEffort() {
+			t.Errorf("described runs %v", described)
+		}
+	})
+}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -220,11 +220,9 @@
 		if job == nil || job.Phase.Ended() {
 			return
 		}
-		s.starts = append(s.starts, &api.RunOrder{
-			Run: start.Run, Payload: job.Spec.Payload, Checkpoint: task.Checkpoint, Ticket: start.Ticket,
-			BestEffort:      group.Spec.BestEffort,
-			TargetLatencyMs: group.Spec.TargetLatencyMs, Image: group.Spec.Image, MilliCpu: group.Spec.MilliCpu,
-		})
+		order := describeRun(run, group)
+		order.Payload, order.Checkpoint, order.Ticket = job.Spec.Payload, task.Checkpoint, start.Ticket
+		s.starts = append(s.starts, order)
 	})
 	s.signal()
 }
@@ -305,7 +303,7 @@
 	if session.sendExpected && session.key != "" {
 		session.sendExpected = false
 		d.ExpectedListed = true
-		d.Expected = l.expectedRuns(session.key)
+		d.Expected, d.Described = l.expectedRuns(session.key)
 	}
 	if session.answeredSeq == session.receivedSeq && len(d.Starts)+len(d.Stops)+len(d.Recorded) == 0 && !d.ExpectedListed {
 		return nil
@@ -384,11 +382,24 @@
 	return granted
 }
 
-// expectedRuns returns all committed runs on a worker's incarnation.
-func (l *leadership) expectedRuns(key string) []*api.RunRef {
-	var list []*api.RunRef
+// describeRun returns what an agent needs to know of a run besides how to start it.
+func describeRun(run jobs.RunID, group *jobs.Group) *api.RunOrder {
+	return &api.RunOrder{
+		Run: run.Ref(), BestEffort: group.Spec.BestEffort,
+		TargetLatencyMs: group.Spec.TargetLatencyMs, Image: group.Spec.Image, MilliCpu: group.Spec.MilliCpu,
+	}
+}
+
+// expectedRuns returns all committed runs on a worker's incarnation, and descriptions
+// of those that matter to the pace of best-effort runs.
+func (l *leadership) expectedRuns(key string) (list []*api.RunRef, described []*api.RunOrder) {
 	l.server.config.State.Read(func(view jobs.View) {
-		view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) { list = append(list, run.Ref()) })
+		view.RunsOn(key, func(run jobs.RunID, group *jobs.Group) {
+			list = append(list, run.Ref())
+			if group.Spec.BestEffort || group.Spec.TargetLatencyMs > 0 {
+				described = append(described, describeRun(run, group))
+			}
+		})
 	})
-	return list
+	return list, described
 }
