jobcontrol: costs count as sent only with a directive that is sent

Found in reading the diff: a session that was woken with nothing to send marked changed costs as sent and dropped them. The test failed before.

--- a/jobcontrol/costs_test.go
+++ b/jobcontrol/costs_test.go
@@ -26,6 +26,21 @@
 	}
 }
 
+// wakeSessions signals all sessions of the leader.
+func (r *rig) wakeSessions() {
+	r.t.Helper()
+	lead, err := r.server.currentLeadership()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	lead.mu.Lock()
+	for _, session := range lead.sessions {
+		session.signal()
+	}
+	lead.mu.Unlock()
+	r.wait(10 * time.Millisecond)
+}
+
 // Failure: on 240 VMs, each answer to a report carried the costs of all pairs of
 // images whenever one of them had changed. Together they filled the links between
 // regions, so that heartbeats came late and leadership changed every four seconds.
@@ -61,6 +76,7 @@
 			t.Errorf("unchanged costs were sent again: %v", costs)
 		}
 		learnt("serving", "batch", 0.3)
+		r.wakeSessions() // with nothing else to send
 		a.report()
 		if costs := a.costsReceived(); costs[pair] != 0.3 {
 			t.Errorf("costs %v after a change", costs)
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -299,7 +299,6 @@
 	d.Starts, session.starts = session.starts, nil
 	d.Stops, session.stops = session.stops, nil
 	d.Recorded, session.recorded = session.recorded, nil
-	d.Costs = l.costsFor(session)
 	if session.sendExpected && session.key != "" {
 		session.sendExpected = false
 		d.ExpectedListed = true
@@ -309,6 +308,7 @@
 		return nil
 	}
 	session.answeredSeq = session.receivedSeq
+	d.Costs = l.costsFor(session) // counted as sent, so only of a directive that is
 	return d
 }
 
