jobagent, jobcontrol: the crash of a worker is reported with the runs that may have caused it

The logs named all runs that were lost with a worker, 16 to 38 for a crash, and nothing told a worker that a task had crashed from one whose VM failed. The agent, which outlives its worker, now reports which runs the worker had been ordered to start and had not listed yet; the leader logs and counts the crash and records the evidence with the end of each run. Nothing acts on it yet.

--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -145,6 +145,11 @@
 	if a.current != nil {
 		a.current.cancel()
 		next.fenceUnresolved(a.current)
+		next.crashes = a.current.crashes
+		if crash := a.current.crash(); crash != nil {
+			next.crashes = append(next.crashes, crash)
+		}
+		next.crashes = next.crashes[max(0, len(next.crashes)-maxCrashes):]
 	}
 	a.current, a.leaving = next, false
 	a.wg.Go(next.pollLoop)
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -42,6 +42,9 @@
 	sentLeaseUntil  time.Time // latest end of a lease that was sent to the worker, on the agent's clock
 	pacer           *dispatch.Pacer
 	pacedAt         time.Time
+
+	crashes        []*api.WorkerCrash // of earlier incarnations, the latest last
+	crashesSession int64              // leader session on which they were last sent
 }
 
 // runPhase is the phase of a run as the agent knows it.
@@ -59,9 +62,11 @@
 	order           *api.RunOrder // nil for a run that this process did not start
 	status          *api.RunStatus
 	pace            int
-	stopping        bool  // a stop has been requested
-	stopConfirmedAt int64 // last poll that may have been sent before the stop was confirmed: later responses are conclusive; 0 before
-	listedOnce      bool  // the worker has listed the run at least once
+	stopping        bool      // a stop has been requested
+	stopConfirmedAt int64     // last poll that may have been sent before the stop was confirmed: later responses are conclusive; 0 before
+	ordered         bool      // this incarnation was ordered to start it
+	listedOnce      bool      // the worker has listed the run at least once
+	listedAt        time.Time // when it first did
 }
 
 // end is the end of a run that the leader has not recorded yet.
@@ -130,7 +135,7 @@
 	if w.runs[id] != nil || w.ends[id] != nil {
 		return // a repeated order
 	}
-	r := &run{phase: runStarting, order: order, pace: dispatch.FullPace}
+	r := &run{phase: runStarting, order: order, ordered: true, pace: dispatch.FullPace}
 	w.runs[id] = r
 	w.agent.wg.Go(func() { w.startRun(id, r) })
 }
@@ -290,8 +295,12 @@
 	telemetry.JobAgentEnds.Add(1, jobs.OutcomeName(outcome))
 	klog.InfoS("Run ended", "job", id.Task.Job, "run", id.String(), "worker", w.key,
 		"outcome", jobs.OutcomeName(outcome), "reason", reason)
+	evidence := api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
+	if position > 0 {
+		evidence = api.CrashEvidence_CRASH_EVIDENCE_SURVIVED
+	}
 	w.ends[id] = &end{position: position, message: &api.WorkerEnd{
-		Run: id.Ref(), Outcome: outcome, Checkpoint: checkpoint, Reason: reason,
+		Run: id.Ref(), Outcome: outcome, Checkpoint: checkpoint, Reason: reason, CrashEvidence: evidence,
 	}}
 	w.agent.requestReport()
 }
@@ -316,8 +325,11 @@
 	report.Worker = w.worker
 	report.RunsListed = true
 	report.Lists, report.Unhealthy = w.polls, w.unhealthy
+	if w.crashesSession != sessionID {
+		w.crashesSession, report.Crashes = sessionID, w.crashes
+	}
 	for id, r := range w.runs {
-		status := &api.RunStatus{Run: id.Ref(), Pace: int32(r.pace)}
+		status := &api.RunStatus{Run: id.Ref(), Pace: int32(r.pace), Starting: r.starting()}
 		if r.status != nil {
 			status.Checkpoint, status.Percent, status.Usage = r.status.Checkpoint, r.status.Percent, r.status.Usage
 		}
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -174,7 +174,10 @@
 		if r.phase == runStarting {
 			r.phase = runRunning
 		}
-		r.status, r.listedOnce = status, true
+		if !r.listedOnce {
+			r.listedOnce, r.listedAt = true, w.agent.config.Clock()
+		}
+		r.status = status
 	}
 	for id, r := range w.runs {
 		switch {
@@ -213,7 +216,9 @@
 		if r.status != nil {
 			checkpoint = r.status.Checkpoint
 		}
+		evidence := r.silenceEvidence()
 		w.finish(id, api.RunOutcome_RUN_OUTCOME_LOST, checkpoint, "the worker does not answer and its lease is over", 0)
+		w.ends[id].message.CrashEvidence = evidence
 	}
 }
 
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -131,6 +131,7 @@
 	if report.Worker == nil {
 		return
 	}
+	l.recordCrashes(report.Crashes)
 	view := l.updateWorker(session.agent, report)
 	if view == nil {
 		return
@@ -186,7 +187,7 @@
 		return // its end is proposed already
 	}
 	l.learnDrainRate(queue, task, end.Outcome)
-	l.add(endChange(run, view.key, end.Outcome, end.Checkpoint))
+	l.add(endChange(run, view.key, end.Outcome, end.Checkpoint, end.CrashEvidence))
 	if end.Reason != "" && end.Outcome != api.RunOutcome_RUN_OUTCOME_DONE {
 		klog.InfoS("Run end reported", "job", run.Task.Job, "run", run.String(), "worker", view.key,
 			"outcome", jobs.OutcomeName(end.Outcome), "reason", end.Reason)
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -149,8 +149,10 @@
 			if l.queue.hasEnd(run, key) {
 				return
 			}
-			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason)
-			l.add(endChange(run, key, api.RunOutcome_RUN_OUTCOME_LOST, l.latestCheckpoint(key, run)))
+			evidence := l.crashEvidence(key, run)
+			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason,
+				"crash_evidence", jobs.EvidenceName(evidence))
+			l.add(endChange(run, key, api.RunOutcome_RUN_OUTCOME_LOST, l.latestCheckpoint(key, run), evidence))
 		})
 	})
 	l.signal()
@@ -164,9 +166,9 @@
 	return ""
 }
 
-func endChange(run jobs.RunID, worker string, outcome api.RunOutcome, checkpoint string) *api.JobChange {
+func endChange(run jobs.RunID, worker string, outcome api.RunOutcome, checkpoint string, evidence api.CrashEvidence) *api.JobChange {
 	return &api.JobChange{Body: &api.JobChange_End{End: &api.EndRun{
-		Run: run.Ref(), Worker: worker, Outcome: outcome, Checkpoint: checkpoint,
+		Run: run.Ref(), Worker: worker, Outcome: outcome, Checkpoint: checkpoint, CrashEvidence: evidence,
 	}}}
 }
 
--- a/jobs/id.go
+++ b/jobs/id.go
@@ -82,6 +82,11 @@
 // that its callers use.
 func QueueKey(host, pathPrefix string) string { return host + " " + pathPrefix }
 
+// EvidenceName returns the name of crash evidence in logs and metrics.
+func EvidenceName(evidence api.CrashEvidence) string {
+	return strings.ToLower(strings.TrimPrefix(evidence.String(), "CRASH_EVIDENCE_"))
+}
+
 // OutcomeName returns the name of an outcome in logs and metrics.
 func OutcomeName(outcome api.RunOutcome) string {
 	return strings.ToLower(strings.TrimPrefix(outcome.String(), "RUN_OUTCOME_"))
