--- /dev/null
+++ b/jobcontrol/crashes_test.go
@@ -0,0 +1,113 @@
+package jobcontrol
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// crash replaces the agent's worker by a later incarnation. suspects are the runs that
+// the former one was starting.
+func (a *fakeAgent) crash(suspects ...jobs.RunID) {
+	evidence := api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
+	switch len(suspects) {
+	case 0:
+		evidence = api.CrashEvidence_CRASH_EVIDENCE_RECENT
+	case 1:
+		evidence = api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT
+	}
+	crash := &api.WorkerCrash{Worker: jobs.WorkerKey(a.worker, a.born), Evidence: evidence}
+	for _, run := range suspects {
+		crash.Suspects = append(crash.Suspects, run.Ref())
+	}
+	a.crashes = append(a.crashes, crash)
+	a.born++
+	a.listed = []*api.RunStatus{}
+	a.report()
+}
+
+// listRuns makes the worker list the runs as surviving their start.
+func (a *fakeAgent) listRuns(runs ...jobs.RunID) {
+	a.lists++
+	if a.listed == nil {
+		a.listed = []*api.RunStatus{}
+	}
+	for _, run := range runs {
+		a.listed = append(a.listed, &api.RunStatus{Run: run.Ref(), Percent: 100, Pace: 100})
+	}
+}
+
+const crashingJob = "00000000000000cc"
+
+// crashWorkers lets each worker that starts the crashing task crash with all that it
+// starts beside it, for a number of rounds, and returns how often the task was
+// started. beforeCrash is called when all other starts have been listed.
+func (r *rig) crashWorkers(agents []*fakeAgent, rounds int, beforeCrash func()) (starts int) {
+	for range rounds {
+		crashing := map[*fakeAgent][]jobs.RunID{}
+		for _, a := range agents {
+			ordered, _, _, _ := a.drainDirectives()
+			if slices.ContainsFunc(ordered, func(run jobs.RunID) bool { return run.Task.Job == crashingJob }) {
+				crashing[a] = ordered
+				continue
+			}
+			a.listRuns(ordered...)
+			a.report()
+		}
+		for a, ordered := range crashing {
+			starts++
+			beforeCrash()
+			a.crash(ordered...)
+		}
+		r.wait(200 * time.Millisecond)
+	}
+	return starts
+}
+
+func (r *rig) testCrashingTask(beforeCrash func([]*fakeAgent)) {
+	r.t.Helper()
+	r.configure()
+	var agents []*fakeAgent
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		agents = append(agents, r.connect(name))
+	}
+	r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 10, MilliCpu: 400, LongRunning: true}}}, accepted)
+	r.mustCall(submit, "/q/"+crashingJob, oneTask(), accepted)
+	starts := r.crashWorkers(agents, 20, func() { beforeCrash(agents) })
+	if starts > 5 {
+		r.t.Errorf("the task that crashes each worker was started %d times, want at most 2 times after 3 crashes", starts)
+	}
+	if answer := r.mustCall(look, "/q/"+crashingJob, nil, stateAnswer); answer.State != "failed" {
+		r.t.Errorf("its job is %s, want failed", answer.State)
+	}
+	if answer := r.mustCall(look, testPath, nil, stateAnswer); answer.State != "running" {
+		r.t.Errorf("the job of the tasks beside it is %s, want running", answer.State)
+	}
+}
+
+// Load pattern: one task crashes each worker that starts it. Seen on the day deadly: it
+// took down one worker after the other until the end of the day, with all that ran
+// there.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	inBubble(t, func(r *rig) { r.testCrashingTask(func([]*fakeAgent) {}) })
+}
+
+// The same while the leader changes at each crash: what counts is committed.
+func TestTaskThatCrashesItsWorkersIsGivenUpAcrossLeaders(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		term := uint64(1)
+		r.testCrashingTask(func(agents []*fakeAgent) {
+			r.replica.lead(term, false)
+			r.wait(100 * time.Millisecond)
+			term++
+			r.replica.lead(term, true)
+			r.wait(100 * time.Millisecond)
+			for _, a := range agents {
+				a.reconnect()
+			}
+		})
+	})
+}
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -222,6 +222,7 @@
 	sequence int64
 	lists    int64
 	listed   []*api.RunStatus // nil while the worker has listed nothing
+	crashes  []*api.WorkerCrash
 }
 
 func (r *rig) connect(name string) *fakeAgent {
@@ -248,7 +249,7 @@
 func (a *fakeAgent) report(ends ...*api.WorkerEnd) {
 	a.sequence++
 	report := &api.WorkerReport{
-		Sequence: a.sequence, Agent: a.name, Ends: ends,
+		Sequence: a.sequence, Agent: a.name, Ends: ends, Crashes: a.crashes,
 		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: "vm-" + a.name},
 	}
 	if a.listed != nil {
