jobs, dispatch, jobcontrol, jobagent: a task that crashes its workers is given up

Cause: only ends 'failed' counted as attempts. A run that is lost with its worker blamed nobody and was started again without limit, on the next worker.

Why not a count of crashes by task: the runs started beside the crashing one are lost and started again together with it.

Change: the end of each run that is lost with its worker carries evidence: none, survived, recent, suspect, sole suspect. A suspect is on probation: it starts on a worker that is starting nothing else and where least runs, nothing else starts there until the worker has survived it, on half of the workers at a time, and it gets no copy. A second crash then names the cause, and the job fails. A run counts as started only when a list shows it 200 ms later: a list had caught a crashing run within its 10 ms. While workers crash that were starting nothing, a sole suspect counts as one of several.

--- a/dispatch/fleetload.go
+++ b/dispatch/fleetload.go
@@ -16,6 +16,8 @@
 	counted  int64            // milli-cores that counted tasks take
 	claimed  int64            // milli-cores that counted and best-effort tasks claim together
 	capacity int64            // milli-cores
+
+	probations int // workers with a task on probation that is starting
 }
 
 // newFleetLoad returns the load of the workers by the runs in the view.
@@ -25,7 +27,10 @@
 		l := &load{worker: &workers[i], bestEffortCores: map[string]float64{}, serviceRuns: map[string]int{}}
 		f.workers[i], f.byKey[l.worker.Key] = l, l
 		f.capacity += l.worker.Capacity.MilliCPU
-		view.RunsOn(l.worker.Key, func(_ jobs.RunID, group *jobs.Group) { f.add(l, group.Spec, 1) })
+		view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
+			f.add(l, group.Spec, 1)
+			f.countStarting(l, run, group)
+		})
 	}
 	return f
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -74,6 +74,8 @@
 // come after those that can still meet it, and jobs with a high value per
 // remaining core-second go first. The remaining work of a job shrinks as it
 // progresses, so jobs in progress tend to be finished before others are begun.
+// Jobs with a task on probation go before others of their kind: such a task needs a
+// worker that is starting nothing else.
 func candidates(view jobs.View, in Input) []candidate {
 	var all []candidate
 	view.ActiveJobs(func(job *jobs.Job) {
@@ -85,6 +87,7 @@
 		return cmp.Or(
 			cmp.Compare(a.rank(), b.rank()),
 			cmp.Compare(a.lateness, b.lateness),
+			-cmp.Compare(min(a.job.Suspects(), 1), min(b.job.Suspects(), 1)),
 			-cmp.Compare(a.density, b.density),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
@@ -189,7 +192,7 @@
 // a copy would likely overtake.
 func (c *candidate) needsCopy(index int, in Input) bool {
 	task := &c.group.Tasks[index]
-	if !c.group.Spec.Speculative || c.group.Spec.Gang || task.Done || len(task.Runs) != 1 || in.Behind == nil {
+	if !c.group.Spec.Speculative || c.group.Spec.Gang || task.Done || task.OnProbation() || len(task.Runs) != 1 || in.Behind == nil {
 		return false
 	}
 	return in.Behind(jobs.RunID{Task: c.taskID(index), Number: task.Runs[0].Number})
@@ -228,8 +231,11 @@
 		if !c.startable(i, p.in) {
 			continue
 		}
-		others := c.group.Tasks[i].Runs
-		chosen := p.choose(c, spread, others)
+		others, probation := c.group.Tasks[i].Runs, onProbation(c.group, i)
+		chosen := p.choose(c, spread, others, probation)
+		if chosen == nil && probation {
+			continue // the group's other tasks may still find a worker
+		}
 		if chosen == nil {
 			if len(others) == 0 {
 				class, need := p.classOf(c)
@@ -253,7 +259,7 @@
 	spread := p.spreadOf(c)
 	placed := len(p.starts)
 	for i := range c.group.Tasks {
-		chosen := p.choose(c, spread, nil)
+		chosen := p.choose(c, spread, nil, false)
 		if chosen == nil {
 			p.undo(placed, c)
 			return
@@ -265,13 +271,16 @@
 // undo reverts the starts from the given index on.
 func (p *planner) undo(from int, c candidate) {
 	for _, start := range p.starts[from:] {
-		p.fleet.add(p.fleet.byKey[start.Worker], c.group.Spec, -1)
+		l := p.fleet.byKey[start.Worker]
+		p.fleet.add(l, c.group.Spec, -1)
+		l.starting--
 	}
 	p.starts = p.starts[:from]
 }
 
 func (p *planner) start(c candidate, index int, number int32, l *load, spread spread) {
 	p.fleet.add(l, c.group.Spec, 1)
+	p.fleet.addStarting(l, onProbation(c.group, index))
 	spread.workers[l.worker.Key]++
 	spread.racks[l.worker.Rack]++
 	p.starts = append(p.starts, Start{
@@ -302,7 +311,7 @@
 // choose returns the best worker with capacity for one more task of the
 // candidate and without any of the other runs of that task, or nil if there is
 // none.
-func (p *planner) choose(c candidate, spread spread, others []jobs.Run) *load {
+func (p *planner) choose(c candidate, spread spread, others []jobs.Run, probation bool) *load {
 	need := demand(c.group.Spec)
 	var best *load
 	var bestScore float64
@@ -310,10 +319,13 @@
 		if !p.eligible(c, l, spread) || !need.Fits(l.free()) {
 			continue
 		}
+		if probation && !p.fleet.allowsProbation(l) {
+			continue
+		}
 		if slices.ContainsFunc(others, func(run jobs.Run) bool { return run.Worker == l.worker.Key }) {
 			continue
 		}
-		if s := p.score(c.group.Spec, l, spread); best == nil || s > bestScore {
+		if s := p.score(c.group.Spec, l, spread, probation); best == nil || s > bestScore {
 			best, bestScore = l, s
 		}
 	}
@@ -324,7 +336,7 @@
 // apart from its capacity.
 func (p *planner) eligible(c candidate, l *load, spread spread) bool {
 	group := c.group.Spec
-	if !l.worker.Open || !l.worker.allows(c.queue, group) {
+	if !l.worker.Open || l.probation || !l.worker.allows(c.queue, group) {
 		return false
 	}
 	if c.queue.Advice != nil && c.tickets[l.worker.Key] == "" {
--- /dev/null
+++ b/dispatch/probation.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import "amaranthpaddle/jobs"
+
+// maxProbationShare is the share of the workers on which tasks on probation may be
+// starting at a time. Each of them may crash.
+const maxProbationShare = 0.5
+
+// addStarting counts a run that a worker is starting. The lock-step with load.starting
+// lets tasks on probation start alone on their worker.
+func (f *fleetLoad) addStarting(l *load, probation bool) {
+	l.starting++
+	if probation && !l.probation {
+		l.probation = true
+		f.probations++
+	}
+}
+
+// countStarting counts the run if its worker is still starting it.
+func (f *fleetLoad) countStarting(l *load, run jobs.RunID, group *jobs.Group) {
+	if l.worker.Starting != nil && l.worker.Starting(run) {
+		f.addStarting(l, onProbation(group, int(run.Task.Index)))
+	}
+}
+
+// onProbation reports whether a task has to start apart from others. The tasks of a
+// gang start together.
+func onProbation(group *jobs.Group, index int) bool {
+	return !group.Spec.Gang && group.Tasks[index].OnProbation()
+}
+
+// allowsProbation reports whether a task on probation may start on a worker: if the
+// worker crashes, no other run was starting there.
+func (f *fleetLoad) allowsProbation(l *load) bool {
+	return l.starting == 0 && f.probations < max(1, int(maxProbationShare*float64(len(f.workers))))
+}
+
+// exposure returns what a crash of the worker would cost, from 0 for an idle worker.
+func exposure(l *load) float64 {
+	exposed := share(l.used.MilliCPU+l.bestEffortMilliCPU, l)
+	if len(l.serviceRuns) > 0 {
+		exposed++
+	}
+	return exposed
+}
--- a/dispatch/relocate.go
+++ b/dispatch/relocate.go
@@ -60,7 +60,7 @@
 	if c.queue.Advice != nil {
 		return false // each move would need another ticket
 	}
-	chosen := p.choose(c, p.spreadOf(c), task.Runs)
+	chosen := p.choose(c, p.spreadOf(c), task.Runs, false)
 	if chosen == nil {
 		return false
 	}
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -28,8 +28,9 @@
 // Best-effort tasks interfere with services on the same worker. Services are
 // therefore packed onto few workers, counted tasks, which interfere with no
 // service, fill those workers, and best-effort tasks go where they do not
-// interfere and most CPU is unused.
-func (p *planner) score(group *api.TaskGroup, l *load, spread spread) float64 {
+// interfere and most CPU is unused. Tasks on probation, which may crash the worker,
+// go where least runs.
+func (p *planner) score(group *api.TaskGroup, l *load, spread spread, probation bool) float64 {
 	s := -weightHealth * l.worker.HealthPenalty
 	if group.DataRack != "" && group.DataRack != l.worker.Rack {
 		s -= weightOtherRack
@@ -40,6 +41,9 @@
 	if group.LongRunning {
 		s -= weightSpread * float64(spread.workers[l.worker.Key])
 	}
+	if probation {
+		return s - exposure(l)
+	}
 	if group.BestEffort {
 		return s + unusedShare(l) - weightInterference*p.interference(group, l)
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 	"amaranthpaddle/resource"
 )
 
@@ -20,6 +21,9 @@
 	Open          bool    // its agent holds a lease, and it is neither draining nor out of service
 	Sample        Sample  // of its services and best-effort runs
 	HealthPenalty float64 // 0 for a worker without excess failures, 1 for one on which all runs fail
+	// Starting reports whether the worker has not yet survived the start of a run. It
+	// is nil while no task is on probation.
+	Starting func(jobs.RunID) bool
 }
 
 // Capacity returns the resources of a worker.
@@ -47,6 +51,8 @@
 	serviceRuns        map[string]int     // runs with a latency target, by image
 	serviceMilliCPU    int64              // declared by runs with a latency target
 	runs               int
+	starting           int  // runs whose start the worker has not survived yet
+	probation          bool // one of them is of a task on probation
 }
 
 func (l *load) free() resource.Vector { return l.worker.Capacity.Sub(l.used) }
--- a/jobagent/crash.go
+++ b/jobagent/crash.go
@@ -12,7 +12,7 @@
 // maxCrashes is the number of earlier incarnations whose crashes are reported.
 const maxCrashes = 4
 
-// recentRunAge is the time after its first listing for which a run may still have
+// recentRunAge is the time for which a run that survived its start may still have
 // crashed its worker.
 const recentRunAge = 2 * time.Second
 
@@ -28,7 +28,7 @@
 	switch len(crash.Suspects) {
 	case 0:
 		crash.Evidence = api.CrashEvidence_CRASH_EVIDENCE_RECENT
-		crash.Suspects = w.suspects(func(r *run) bool { return w.lastAnswer().Sub(r.listedAt) < recentRunAge })
+		crash.Suspects = w.suspects(func(r *run) bool { return !r.survivedAt.IsZero() && w.lastAnswer().Sub(r.survivedAt) < recentRunAge })
 	case 1:
 		crash.Evidence = api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT
 	}
@@ -61,9 +61,26 @@
 	return w.unansweredSince
 }
 
-// starting reports whether the incarnation was ordered to start the run and has not
-// listed it yet.
-func (r *run) starting() bool { return r.ordered && !r.listedOnce }
+// minStartTime is the time after which a run that is listed did not crash its worker by
+// its start. A list may catch a run just before the crash.
+const minStartTime = 200 * time.Millisecond
+
+// starting reports whether the incarnation was ordered to start the run, and no list
+// has shown yet that it survived that.
+func (r *run) starting() bool { return r.ordered && r.survivedAt.IsZero() }
+
+// noteListed records that a list shows the run. It reports whether this is the first
+// one to show that the worker survived its start.
+func (r *run) noteListed(now time.Time) bool {
+	if r.startedAt.IsZero() {
+		r.startedAt = now
+	}
+	if !r.survivedAt.IsZero() || now.Sub(r.startedAt) < minStartTime {
+		return false
+	}
+	r.survivedAt = now
+	return true
+}
 
 // silenceEvidence returns what the end of a run on a worker that has fallen silent
 // says of it. Silence does not prove a crash.
--- /dev/null
+++ b/jobagent/crash_test.go
@@ -0,0 +1,122 @@
+package jobagent
+
+import (
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+const (
+	recent  = api.CrashEvidence_CRASH_EVIDENCE_RECENT
+	suspect = api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
+	sole    = api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT
+)
+
+// crashWorker replaces the worker by a later incarnation, which registers after the
+// pause.
+func (r *rig) crashWorker(pause time.Duration) {
+	r.worker.set(func() { r.worker.hang = true })
+	r.wait(pause)
+	r.worker.set(func() {
+		r.worker.hang, r.worker.born, r.worker.startedAt = false, r.worker.born+1, time.Now()
+		r.worker.running, r.worker.ends = map[jobs.RunID]string{}, nil
+	})
+	r.register(1, false)
+	r.wait(100 * time.Millisecond)
+}
+
+func (r *rig) wantCrash(evidence api.CrashEvidence, suspects ...jobs.RunID) {
+	r.t.Helper()
+	report := r.buildReport()
+	if len(report.Crashes) != 1 {
+		r.t.Fatalf("%d crashes in the report, want 1", len(report.Crashes))
+	}
+	crash := report.Crashes[0]
+	if crash.Evidence != evidence || len(crash.Suspects) != len(suspects) {
+		r.t.Fatalf("crash %v, want %v against %v", crash, evidence, suspects)
+	}
+	for i, run := range suspects {
+		if jobs.RunIDOf(crash.Suspects[i]) != run {
+			r.t.Errorf("suspect %v, want %v", crash.Suspects[i], run)
+		}
+	}
+}
+
+func (r *rig) runBeside(run jobs.RunID) {
+	r.register(1, false)
+	r.grantLease(30 * time.Second)
+	r.wait(100 * time.Millisecond)
+	r.start(run)
+	r.wait(5 * time.Second)
+	r.buildReport()
+}
+
+func TestCrashIsReportedWithTheRunsBeingStarted(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.runBeside(testRun(1))
+		r.start(testRun(2))
+		r.wait(10 * time.Millisecond)
+		r.crashWorker(time.Second)
+		r.wantCrash(sole, testRun(2))
+		if crashes := r.buildReport().Crashes; len(crashes) > 0 {
+			t.Errorf("sent again on the same session: %v", crashes)
+		}
+		r.sessionID++
+		r.wantCrash(sole, testRun(2))
+	})
+}
+
+// Guards against a crashing run that a list catches just before the crash, and that
+// then counts as having survived its start (seen on the day deadly).
+func TestRunListedJustBeforeACrashIsASuspect(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.runBeside(testRun(1))
+		r.start(testRun(2))
+		r.wait(5 * time.Millisecond)
+		r.worker.end(testRun(1), done) // makes the worker answer with a list at once
+		r.wait(5 * time.Millisecond)
+		if report := r.buildReport(); !report.Runs[0].Starting {
+			t.Fatalf("run %v counts as started after 10 ms", report.Runs[0])
+		}
+		r.crashWorker(time.Second)
+		r.wantCrash(sole, testRun(2))
+	})
+}
+
+func TestCrashWithoutStartsBlamesTheLatestRuns(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.runBeside(testRun(1))
+		r.start(testRun(2))
+		r.wait(1500 * time.Millisecond)
+		r.crashWorker(time.Second)
+		r.wantCrash(recent, testRun(2))
+	})
+}
+
+func TestAnnouncedEndIsNoCrash(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.runBeside(testRun(1))
+		r.register(2, true)
+		r.crashWorker(time.Second)
+		if crashes := r.buildReport().Crashes; len(crashes) > 0 {
+			t.Errorf("a worker that had announced its end crashed: %v", crashes)
+		}
+	})
+}
+
+// A run of a task on probation keeps other starts from its worker, so it must be known
+// soon that it survived.
+func TestStartOnProbationIsConfirmedSoon(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.runBeside(testRun(1))
+		r.sendDirective(&api.WorkerDirective{Starts: []*api.RunOrder{{Run: testRun(2).Ref(), Probation: true}}})
+		r.wait(maxPollWait + 300*time.Millisecond)
+		for _, status := range r.buildReport().Runs {
+			if status.Starting {
+				t.Errorf("%v is still being started", status)
+			}
+		}
+	})
+}
--- a/jobagent/harness_test.go
+++ b/jobagent/harness_test.go
@@ -144,6 +144,9 @@
 			return nil, fault.New(fault.ConnectionLost, "no answer")
 		}
 	}
+	if err := f.blockIfHung(ctx); err != nil {
+		return nil, err
+	}
 	return f.list(), nil
 }
 
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -66,7 +66,8 @@
 	stopConfirmedAt int64     // last poll that may have been sent before the stop was confirmed: later responses are conclusive; 0 before
 	ordered         bool      // this incarnation was ordered to start it
 	listedOnce      bool      // the worker has listed the run at least once
-	listedAt        time.Time // when it first did
+	startedAt       time.Time // when the worker accepted or first listed it
+	survivedAt      time.Time // when a list showed that the worker had survived its start
 }
 
 // end is the end of a run that the leader has not recorded yet.
@@ -212,6 +213,9 @@
 		if r.phase == runStarting {
 			r.phase = runRunning
 		}
+		if r.startedAt.IsZero() {
+			r.startedAt = w.agent.config.Clock()
+		}
 		if r.order.GetBestEffort() {
 			w.paceNewRun()
 		}
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -88,6 +88,9 @@
 		if r.stopConfirmedAt > 0 && !r.listedOnce {
 			return 0 // the next response tells whether the run exists
 		}
+		if r.starting() && r.order.Probation {
+			return minStartTime / 2
+		}
 	}
 	if w.colocated() {
 		return colocatedPollWait
@@ -174,10 +177,10 @@
 		if r.phase == runStarting {
 			r.phase = runRunning
 		}
-		if !r.listedOnce {
-			r.listedOnce, r.listedAt = true, w.agent.config.Clock()
+		r.status, r.listedOnce = status, true
+		if r.noteListed(w.agent.config.Clock()) && r.order.GetProbation() {
+			w.agent.requestReport() // other runs wait for this one
 		}
-		r.status = status
 	}
 	for id, r := range w.runs {
 		switch {
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -107,15 +107,20 @@
 	delete(l.startedAt, run)
 	delete(l.movingRuns, run)
 	l.progress.Forget(run)
-	phase := "forgotten"
+	phase, givenUp := "forgotten", false
 	l.server.config.State.Read(func(view jobs.View) {
 		if job := view.Job(run.Task.Job); job != nil {
 			phase = job.Phase.String()
+			givenUp = job.CrashedBy != nil && jobs.RunIDOf(job.CrashedBy) == run
 			if job.Phase.Ended() {
 				l.forgetJob(job.ID)
 			}
 		}
 	})
+	if err == nil && givenUp {
+		telemetry.JobsGivenUp.Add(1)
+		klog.InfoS("Job given up, a task crashes its workers", "job", run.Task.Job, "run", run.String(), "worker", end.Worker)
+	}
 	telemetry.JobRunsEnded.Add(1, jobs.OutcomeName(end.Outcome))
 	klog.InfoS("Run ended", "job", run.Task.Job, "run", run.String(), "worker", end.Worker,
 		"outcome", jobs.OutcomeName(end.Outcome), "job_state", phase, "stale", err != nil)
--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -58,10 +58,18 @@
 		return api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
 	case crash.suspects[run]:
 		return l.weaken(crash)
-	case crash.evidence == api.CrashEvidence_CRASH_EVIDENCE_RECENT:
-		return api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
+	case crash.evidence != api.CrashEvidence_CRASH_EVIDENCE_RECENT && l.survivedStart(key, run):
+		return api.CrashEvidence_CRASH_EVIDENCE_SURVIVED
 	}
-	return api.CrashEvidence_CRASH_EVIDENCE_SURVIVED
+	return api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
+}
+
+// survivedStart reports whether a list of the worker has shown that it survived the
+// start of the run. An order to start it may not have reached the agent. The lock is
+// held.
+func (l *leadership) survivedStart(key string, run jobs.RunID) bool {
+	view := l.viewOf(key)
+	return view != nil && !view.starting(run)
 }
 
 // weaken returns the evidence of a crash. A sole suspect is one of several while other
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -223,6 +223,7 @@
 		}
 		order := describeRun(run, group)
 		order.Payload, order.Checkpoint, order.Ticket = job.Spec.Payload, task.Checkpoint, start.Ticket
+		order.Probation = task.OnProbation()
 		s.starts = append(s.starts, order)
 	})
 	s.signal()
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -25,6 +25,12 @@
 	suspect    bool                          // its runs fail more often than those on other workers
 }
 
+// starting reports whether the worker may not have survived the start of a run yet.
+func (v *workerView) starting(run jobs.RunID) bool {
+	status := v.runs[run]
+	return status == nil || status.Starting
+}
+
 // setSuspect records whether a worker is suspect, and logs a change.
 func (v *workerView) setSuspect(suspect bool) {
 	if v.suspect != suspect {
@@ -218,10 +224,14 @@
 			open = false
 		}
 		view.setSuspect(suspects[view.key])
+		var starting func(jobs.RunID) bool
+		if state.Suspects() > 0 {
+			starting = view.starting
+		}
 		workers = append(workers, dispatch.Worker{
 			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
 			Capacity: dispatch.Capacity(w), Open: open, Sample: view.sample,
-			HealthPenalty: l.health.Penalty(view.key, now),
+			HealthPenalty: l.health.Penalty(view.key, now), Starting: starting,
 		})
 	}
 	return workers
--- a/jobs/doc.go
+++ b/jobs/doc.go
@@ -14,4 +14,5 @@
 //     further runs
 //   - a group starts only after all groups that it depends on are done
 //   - a task that has failed as often as its queue allows fails its job
+//   - a task that crashes its workers fails its job
 package jobs
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -48,9 +48,11 @@
 	SubmittedMS int64 // Unix milliseconds, by the clock of the leader
 	EndedMS     int64
 	Occurrences []*Occurrence
+	CrashedBy   *api.RunRef // the run for which the job failed because it crashes its workers, nil otherwise
 
 	unfinished int // occurrences with groups that are not done
 	active     int // active runs
+	suspects   int // tasks on probation
 }
 
 // Occurrence is one execution of a job's groups.
@@ -77,6 +79,8 @@
 	Failures   int32  // number of failed runs
 	Checkpoint string // latest checkpoint, empty if there is none
 	Runs       []Run  // active runs
+
+	suspicion int32 // weight of the evidence that the task crashes its workers
 }
 
 // Run is an active run of a task: one that has started and not ended.
@@ -192,6 +196,9 @@
 // ActiveRuns returns the number of active runs.
 func (j *Job) ActiveRuns() int { return j.active }
 
+// Suspects returns the number of the job's tasks on probation.
+func (j *Job) Suspects() int { return j.suspects }
+
 // markDone marks a task as done. It reports whether the task was not done
 // before.
 func (j *Job) markDone(id TaskID) bool {
--- a/jobs/machine_test.go
+++ b/jobs/machine_test.go
@@ -16,7 +16,7 @@
 func TestRandomChangesKeepInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &machine{state: NewState(), running: map[RunID]string{}, done: map[TaskID]bool{}, last: map[TaskID]int32{},
-			failures: map[TaskID]int{}, cancelled: map[string]bool{}}
+			failures: map[TaskID]int{}, soleCrashes: map[TaskID]int{}, survived: map[TaskID]bool{}, cancelled: map[string]bool{}}
 		m.apply(t, &api.JobChange{Body: &api.JobChange_Configure{Configure: testConfiguration(1)}})
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": func(t *rapid.T) { m.apply(t, submitChange(drawJob(t), machineGroups()...)) },
@@ -30,13 +30,15 @@
 }
 
 type machine struct {
-	state     *State
-	running   map[RunID]string
-	done      map[TaskID]bool
-	last      map[TaskID]int32
-	failures  map[TaskID]int
-	cancelled map[string]bool
-	now       int64
+	state       *State
+	running     map[RunID]string
+	done        map[TaskID]bool
+	last        map[TaskID]int32
+	failures    map[TaskID]int
+	soleCrashes map[TaskID]int
+	survived    map[TaskID]bool // a run has survived its start
+	cancelled   map[string]bool
+	now         int64
 }
 
 func machineGroups() []*api.TaskGroup {
@@ -93,6 +95,8 @@
 		t.Fatalf("%v started before the group it depends on was done", run)
 	case run.Task.Group < 2 && m.failures[run.Task] >= 2:
 		t.Fatalf("%v started after its last attempt failed", run)
+	case m.soleCrashes[run.Task] >= 2 && !m.survived[run.Task]:
+		t.Fatalf("%v started after two crashes with no other suspect", run)
 	}
 	m.running[run] = worker
 	m.last[run.Task] = run.Number
@@ -101,7 +105,13 @@
 func (m *machine) end(t *rapid.T) {
 	run, worker := drawRun(t), drawWorker(t)
 	outcome := rapid.SampledFrom([]api.RunOutcome{done, failed, stopped, lost}).Draw(t, "outcome")
-	accepted := m.apply(t, endChange(run, worker, outcome, ""))
+	evidence := unknown
+	if outcome == lost {
+		evidence = rapid.SampledFrom([]api.CrashEvidence{unknown, survived, recent, suspect, sole}).Draw(t, "evidence")
+	}
+	change := endChange(run, worker, outcome, "")
+	change.GetEnd().CrashEvidence = evidence
+	accepted := m.apply(t, change)
 	if held, running := m.running[run]; accepted != (running && held == worker) {
 		t.Fatalf("end of %v on %s accepted: %v, active on %q", run, worker, accepted, held)
 	}
@@ -109,6 +119,10 @@
 		return
 	}
 	delete(m.running, run)
+	m.survived[run.Task] = m.survived[run.Task] || evidence == survived
+	if evidence == sole {
+		m.soleCrashes[run.Task]++
+	}
 	switch {
 	case outcome == failed:
 		m.failures[run.Task]++
@@ -135,8 +149,22 @@
 }
 
 func (m *machine) check(t *rapid.T) {
-	counted := map[RunID]string{}
+	counted, suspects := map[RunID]string{}, 0
 	m.state.Read(func(view View) {
+		view.ActiveJobs(func(job *Job) {
+			for _, occurrence := range job.Occurrences {
+				for _, group := range occurrence.Groups {
+					for i := range group.Tasks {
+						if group.Tasks[i].OnProbation() {
+							suspects++
+						}
+					}
+				}
+			}
+		})
+		if view.Suspects() != suspects {
+			t.Fatalf("%d suspects, want %d", view.Suspects(), suspects)
+		}
 		view.Workers(func(worker string, runs int) {
 			view.RunsOn(worker, func(run RunID, _ *Group) { counted[run] = worker })
 		})
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -80,6 +80,7 @@
 		State:           int32(job.Phase),
 		SubmittedUnixMs: job.SubmittedMS,
 		EndedUnixMs:     job.EndedMS,
+		CrashedBy:       job.CrashedBy,
 	}
 	for _, occurrence := range job.Occurrences {
 		groups := &api.OccurrenceRecord{}
@@ -97,6 +98,7 @@
 		task := &group.Tasks[i]
 		r := &api.TaskRecord{
 			Done: task.Done, LastRun: task.LastRun, Failures: task.Failures, Checkpoint: task.Checkpoint,
+			Suspicion: task.suspicion,
 		}
 		for _, run := range task.Runs {
 			r.Runs = append(r.Runs, &api.RunRecord{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, Vm: run.VM})
@@ -134,6 +136,7 @@
 	job := &Job{
 		ID: record.Id, QueueKey: record.QueueKey, Queue: record.Queue, Spec: record.Spec,
 		Phase: Phase(record.State), SubmittedMS: record.SubmittedUnixMs, EndedMS: record.EndedUnixMs,
+		CrashedBy: record.CrashedBy,
 	}
 	for k, groups := range record.Occurrences {
 		occurrence := newOccurrence(job.Spec)
@@ -158,6 +161,8 @@
 func (s *State) loadTask(job *Job, id TaskID, record *api.TaskRecord) {
 	group, task := job.Task(id)
 	task.LastRun, task.Failures, task.Checkpoint = record.LastRun, record.Failures, record.Checkpoint
+	task.suspicion = record.Suspicion
+	s.countSuspect(job, task, false)
 	for _, run := range record.Runs {
 		task.Runs = append(task.Runs, Run{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, VM: run.Vm})
 		s.addRun(RunID{Task: id, Number: run.Number}, run.Worker, run.Vm, job, group)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -28,6 +28,7 @@
 	learnt        *api.Learnt                 // by the leaders so far
 	waves         map[int64]*api.MaintenanceWave
 	lent          map[string]string // standby pool of each lent VM
+	suspects      int               // tasks on probation, of jobs that have not been released
 	refusals      map[string]int64  // end of the refusal of each refused job, in Unix milliseconds, by id
 }
 
@@ -48,6 +49,7 @@
 	s.runs = map[string]map[RunID]*Group{}
 	s.workerVMs = map[string]string{}
 	s.ended = nil
+	s.suspects = 0
 	s.learnt = nil
 	s.refusals = map[string]int64{}
 	s.waves = map[int64]*api.MaintenanceWave{}
@@ -232,6 +234,8 @@
 		return
 	}
 	delete(s.active, job.ID)
+	s.suspects -= job.suspects
+	job.suspects = 0
 	job.Occurrences = nil
 	if job.Spec != nil {
 		job.Spec = &api.JobSpec{Schedule: job.Spec.Schedule}
@@ -340,6 +344,9 @@
 	case api.RunOutcome_RUN_OUTCOME_FAILED:
 		s.applyFailure(job, group, task)
 	}
+	if !job.Phase.Ended() {
+		s.applyEvidence(job, run, c.CrashEvidence)
+	}
 }
 
 // applyDone marks the task as done. A long-running task is not marked, so that
--- /dev/null
+++ b/jobs/suspicion_test.go
@@ -0,0 +1,112 @@
+package jobs
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"amaranthpaddle/api"
+)
+
+const (
+	unknown  = api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
+	survived = api.CrashEvidence_CRASH_EVIDENCE_SURVIVED
+	recent   = api.CrashEvidence_CRASH_EVIDENCE_RECENT
+	suspect  = api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
+	sole     = api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT
+)
+
+func crashChange(run RunID, worker string, evidence api.CrashEvidence) *api.JobChange {
+	change := endChange(run, worker, lost, "")
+	change.GetEnd().CrashEvidence = evidence
+	return change
+}
+
+// crash starts the first task of the first group, and ends its run with the evidence.
+// It returns false once the task can no longer start.
+func (f *fixture) crash(number int32, evidence api.CrashEvidence) bool {
+	f.t.Helper()
+	if f.apply(startChange(runID(0, 0, number), "w")) != nil {
+		return false
+	}
+	f.mustApply(crashChange(runID(0, 0, number), "w", evidence))
+	return true
+}
+
+func TestTaskThatCrashesItsWorkersFailsItsJob(t *testing.T) {
+	cases := []struct {
+		name     string
+		evidence []api.CrashEvidence
+		want     Phase
+	}{
+		{"one crash, alone", []api.CrashEvidence{sole}, PhaseRunning},
+		{"two, alone", []api.CrashEvidence{sole, sole}, PhaseFailed},
+		{"with others, then alone", []api.CrashEvidence{suspect, sole}, PhaseFailed},
+		{"two with others", []api.CrashEvidence{suspect, suspect}, PhaseRunning},
+		{"three with others", []api.CrashEvidence{suspect, suspect, suspect}, PhaseFailed},
+		{"three soon after its start", []api.CrashEvidence{recent, recent, recent}, PhaseRunning},
+		{"four soon after its start", []api.CrashEvidence{recent, recent, recent, recent}, PhaseFailed},
+		{"acquitted between", []api.CrashEvidence{suspect, survived, sole}, PhaseRunning},
+		{"lost without evidence between", []api.CrashEvidence{suspect, unknown, sole}, PhaseFailed},
+		{"lost without evidence", []api.CrashEvidence{unknown, unknown, unknown, unknown, unknown, unknown}, PhaseRunning},
+	}
+	for _, c := range cases {
+		for _, longRunning := range []bool{false, true} {
+			f := newFixture(t)
+			f.submit(&api.TaskGroup{Count: 2, LongRunning: longRunning})
+			for i, evidence := range c.evidence {
+				f.crash(int32(i+1), evidence)
+			}
+			if got := f.phase(); got != c.want {
+				t.Errorf("%s, long-running %v: job is %v, want %v", c.name, longRunning, got, c.want)
+			}
+		}
+	}
+}
+
+// Guards against evidence that is lost with the state of one leader.
+func TestSuspicionSurvivesSnapshot(t *testing.T) {
+	f := newFixture(t)
+	f.submit(&api.TaskGroup{Count: 1})
+	f.crash(1, suspect)
+	f.state = f.state.Clone()
+	f.state.Read(func(v View) {
+		if v.Suspects() != 1 || v.Job(testJob).Suspects() != 1 {
+			t.Errorf("%d suspects, %d of the job, want 1", v.Suspects(), v.Job(testJob).Suspects())
+		}
+	})
+	f.crash(2, sole)
+	if got := f.phase(); got != PhaseFailed {
+		t.Errorf("job is %v, want failed", got)
+	}
+	f.state = f.state.Clone()
+	f.state.Read(func(v View) {
+		if by := v.Job(testJob).CrashedBy; by == nil || RunIDOf(by) != runID(0, 0, 2) {
+			t.Errorf("the job was given up for run %v", by)
+		}
+		if v.Suspects() != 0 {
+			t.Errorf("%d suspects remain", v.Suspects())
+		}
+	})
+}
+
+// Whatever the evidence of each crash, the users' bound holds: at most two starts after
+// three crashes, even if one crash left no evidence.
+func TestTaskThatCrashesIsStartedAtMostFiveTimes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFixture(t)
+		f.submit(&api.TaskGroup{Count: 1})
+		evidence := rapid.SliceOfN(rapid.SampledFrom([]api.CrashEvidence{recent, suspect, sole}), 6, 6).Draw(rt, "evidence")
+		evidence = slices.Insert(evidence, rapid.IntRange(0, 6).Draw(rt, "unknown at"), unknown)
+		starts := 0
+		for i, e := range evidence {
+			if f.crash(int32(i+1), e) {
+				starts++
+			}
+		}
+		if starts > 5 {
+			rt.Fatalf("%d starts with evidence %v", starts, evidence)
+		}
+	})
+}
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -92,6 +92,9 @@
 	return pending
 }
 
+// Suspects returns the number of tasks on probation.
+func (v View) Suspects() int { return v.state.suspects }
+
 // Run returns the job, group and task of an active run, nil if the run is not
 // active.
 func (v View) Run(run RunID) (*Job, *Group, *Task) {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -51,6 +51,7 @@
 	JobRunsEnded     = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
 	JobRunsStalled   = Metric{"paddle_jobs_runs_stalled_total", nil}
 	JobRunsRelocated = Metric{"paddle_jobs_runs_relocated_total", nil}
+	JobsGivenUp      = Metric{"paddle_jobs_given_up_total", nil}
 	JobWorkerCrashes = Metric{"paddle_jobs_worker_crashes_total", []string{"evidence"}}
 	JobFleet         = Metric{"paddle_jobs_fleet", []string{"what"}}
 	JobAgentEnds     = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
@@ -62,7 +63,7 @@
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobWorkerCrashes, JobFleet,
+		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobWorkerCrashes, JobsGivenUp, JobFleet,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
