jobs, jobagent, jobcontrol: a task is given up only once two workers have crashed under it

Both tasks do crash their workers, but their first start had reached a worker that was down already; silence until the end of a lease would have counted the same way.

Cause: the end of a run and the crash of its worker were one record, so any loss while starting weighed as a crash.

Change: a crash is a change of its own in the log, made when the agent has seen a later incarnation, idempotent by run, and valid after the run has ended: a worker that returns after its lease still counts. Silence puts a task on probation and no more. A run is a suspect only if the order may have been sent. A batch that is not committed has its crashes proposed again.

--- a/jobagent/crash.go
+++ b/jobagent/crash.go
@@ -45,12 +45,7 @@
 			suspects = append(suspects, id.Ref())
 		}
 	}
-	for _, e := range w.ends {
-		if e.message.CrashEvidence == api.CrashEvidence_CRASH_EVIDENCE_SUSPECT {
-			suspects = append(suspects, e.message.Run)
-		}
-	}
-	return suspects
+	return append(suspects, w.silentStarts...)
 }
 
 // lastAnswer returns when the worker is last known to have run. Agent.mu must be held.
@@ -65,9 +60,9 @@
 // its start. A list may catch a run just before the crash.
 const minStartTime = 200 * time.Millisecond
 
-// starting reports whether the incarnation was ordered to start the run, and no list
-// has shown yet that it survived that.
-func (r *run) starting() bool { return r.ordered && r.survivedAt.IsZero() }
+// starting reports whether the incarnation may have begun the run, and no list has
+// shown yet that it survived that.
+func (r *run) starting() bool { return r.sent && r.survivedAt.IsZero() }
 
 // noteListed records that a list shows the run. It reports whether this is the first
 // one to show that the worker survived its start.
@@ -81,12 +76,3 @@
 	r.survivedAt = now
 	return true
 }
-
-// silenceEvidence returns what the end of a run on a worker that has fallen silent
-// says of it. Silence does not prove a crash.
-func (r *run) silenceEvidence() api.CrashEvidence {
-	if r.starting() {
-		return api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
-	}
-	return api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
-}
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -43,6 +43,7 @@
 	pacer           *dispatch.Pacer
 	pacedAt         time.Time
 
+	silentStarts   []*api.RunRef      // runs that were given up with the silent worker while it was starting them
 	crashes        []*api.WorkerCrash // of earlier incarnations, the latest last
 	crashesSession int64              // leader session on which they were last sent
 }
@@ -64,7 +65,7 @@
 	pace            int
 	stopping        bool      // a stop has been requested
 	stopConfirmedAt int64     // last poll that may have been sent before the stop was confirmed: later responses are conclusive; 0 before
-	ordered         bool      // this incarnation was ordered to start it
+	sent            bool      // this incarnation may have received the order to start it
 	listedOnce      bool      // the worker has listed the run at least once
 	startedAt       time.Time // when the worker accepted or first listed it
 	survivedAt      time.Time // when a list showed that the worker had survived its start
@@ -136,7 +137,7 @@
 	if w.runs[id] != nil || w.ends[id] != nil {
 		return // a repeated order
 	}
-	r := &run{phase: runStarting, order: order, ordered: true, pace: dispatch.FullPace}
+	r := &run{phase: runStarting, order: order, pace: dispatch.FullPace}
 	w.runs[id] = r
 	w.agent.wg.Go(func() { w.startRun(id, r) })
 }
@@ -169,6 +170,7 @@
 		a.mu.Unlock()
 		return
 	}
+	r.sent = true
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, startTimeout)
 	defer cancel()
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -219,9 +219,11 @@
 		if r.status != nil {
 			checkpoint = r.status.Checkpoint
 		}
-		evidence := r.silenceEvidence()
 		w.finish(id, api.RunOutcome_RUN_OUTCOME_LOST, checkpoint, "the worker does not answer and its lease is over", 0)
-		w.ends[id].message.CrashEvidence = evidence
+		if r.starting() {
+			w.ends[id].message.CrashEvidence = api.CrashEvidence_CRASH_EVIDENCE_SILENT
+			w.silentStarts = append(w.silentStarts, id.Ref())
+		}
 	}
 }
 
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -31,6 +31,7 @@
 			b.fail(err)
 			l.mu.Lock()
 			l.resetAssumed()
+			l.requeueCrashes(b)
 			l.mu.Unlock()
 			continue
 		}
@@ -66,6 +67,8 @@
 		l.handleCommittedStart(body.Start, err)
 	case *api.JobChange_End:
 		l.handleCommittedEnd(body.End, err)
+	case *api.JobChange_Crash:
+		l.handleCommittedCrash(body.Crash, err)
 	case *api.JobChange_Configure:
 		klog.InfoS("Configuration committed", "version", body.Configure.Version,
 			"in_force", l.configurationVersion(), "error", err)
@@ -107,20 +110,15 @@
 	delete(l.startedAt, run)
 	delete(l.movingRuns, run)
 	l.progress.Forget(run)
-	phase, givenUp := "forgotten", false
+	phase := "forgotten"
 	l.server.config.State.Read(func(view jobs.View) {
 		if job := view.Job(run.Task.Job); job != nil {
 			phase = job.Phase.String()
-			givenUp = job.CrashedBy != nil && jobs.RunIDOf(job.CrashedBy) == run
 			if job.Phase.Ended() {
 				l.forgetJob(job.ID)
 			}
 		}
 	})
-	if err == nil && givenUp {
-		telemetry.JobsGivenUp.Add(1)
-		klog.InfoS("Job given up, a task crashes its workers", "job", run.Task.Job, "run", run.String(), "worker", end.Worker)
-	}
 	telemetry.JobRunsEnded.Add(1, jobs.OutcomeName(end.Outcome))
 	klog.InfoS("Run ended", "job", run.Task.Job, "run", run.String(), "worker", end.Worker,
 		"outcome", jobs.OutcomeName(end.Outcome), "job_state", phase, "stale", err != nil)
--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -10,11 +10,10 @@
 	"amaranthpaddle/telemetry"
 )
 
-// workerCrash is what an agent knows of the end of a worker's incarnation.
+// workerCrash is the reported crash of a worker's incarnation.
 type workerCrash struct {
 	reportedAt time.Time
-	evidence   api.CrashEvidence // against each of the suspects
-	suspects   map[jobs.RunID]bool
+	evidence   api.CrashEvidence // against each of the suspects, as reported
 }
 
 // Times for which crashes are remembered.
@@ -27,7 +26,8 @@
 	unexplainedCrashEffect = 10 * time.Second
 )
 
-// recordCrashes stores the crashes in a report. The lock is held.
+// recordCrashes queues what the crashes in a report say of the runs. A crash that was
+// reported before is ignored. The lock is held.
 func (l *leadership) recordCrashes(crashes []*api.WorkerCrash) {
 	now := l.server.now()
 	for key, crash := range l.crashes {
@@ -36,29 +36,65 @@
 		}
 	}
 	for _, c := range crashes {
-		if l.crashes[c.Worker] != nil {
-			continue // sent again on a new session
+		if _, known := l.crashes[c.Worker]; known {
+			continue
 		}
-		crash := &workerCrash{reportedAt: now, evidence: c.Evidence, suspects: map[jobs.RunID]bool{}}
-		for _, ref := range c.Suspects {
-			crash.suspects[jobs.RunIDOf(ref)] = true
-		}
-		l.crashes[c.Worker] = crash
+		evidence := l.weaken(c.Evidence)
+		l.crashes[c.Worker] = workerCrash{reportedAt: now, evidence: c.Evidence}
 		telemetry.JobWorkerCrashes.Add(1, jobs.EvidenceName(c.Evidence))
-		klog.InfoS("Worker crashed", "worker", c.Worker, "suspects", len(c.Suspects), "evidence", jobs.EvidenceName(c.Evidence))
+		klog.InfoS("Worker crashed", "worker", c.Worker, "suspects", len(c.Suspects), "evidence", jobs.EvidenceName(evidence))
+		for _, run := range c.Suspects {
+			l.add(&api.JobChange{Body: &api.JobChange_Crash{Crash: &api.RunCrash{Run: run, Evidence: evidence}}})
+		}
 	}
 }
 
-// crashEvidence returns what is known of whether a run crashed its worker. The lock is
-// held.
-func (l *leadership) crashEvidence(key string, run jobs.RunID) api.CrashEvidence {
-	crash := l.crashes[key]
-	switch {
-	case crash == nil:
-		return api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
-	case crash.suspects[run]:
-		return l.weaken(crash)
-	case crash.evidence != api.CrashEvidence_CRASH_EVIDENCE_RECENT && l.survivedStart(key, run):
+// weaken returns the weight of evidence against a run: a sole suspect is one of several
+// while other workers crash that are starting nothing. The lock is held.
+func (l *leadership) weaken(evidence api.CrashEvidence) api.CrashEvidence {
+	if evidence != api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT {
+		return evidence
+	}
+	for _, other := range l.crashes {
+		if other.evidence == api.CrashEvidence_CRASH_EVIDENCE_RECENT &&
+			l.server.now().Sub(other.reportedAt) < unexplainedCrashEffect {
+			return api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
+		}
+	}
+	return evidence
+}
+
+// requeueCrashes queues the crashes of a batch again that may not be committed. The
+// lock is held.
+func (l *leadership) requeueCrashes(b *batch) {
+	for _, p := range b.changes {
+		if p.change.GetCrash() != nil {
+			l.add(p.change)
+		}
+	}
+}
+
+// handleCommittedCrash logs a job that was given up for the run. The lock is held.
+func (l *leadership) handleCommittedCrash(crash *api.RunCrash, err error) {
+	run := jobs.RunIDOf(crash.Run)
+	var givenUp bool
+	l.server.config.State.Read(func(view jobs.View) {
+		job := view.Job(run.Task.Job)
+		givenUp = err == nil && job != nil && job.CrashedBy != nil && jobs.RunIDOf(job.CrashedBy) == run
+	})
+	if givenUp {
+		l.forgetJob(run.Task.Job)
+		telemetry.JobsGivenUp.Add(1)
+		klog.InfoS("Job given up, a task crashes its workers", "job", run.Task.Job, "run", run.String(),
+			"evidence", jobs.EvidenceName(crash.Evidence))
+	}
+}
+
+// lossEvidence returns whether a run that was lost with its worker had survived its
+// start. The lock is held.
+func (l *leadership) lossEvidence(key string, run jobs.RunID) api.CrashEvidence {
+	crash, known := l.crashes[key]
+	if known && crash.evidence != api.CrashEvidence_CRASH_EVIDENCE_RECENT && l.survivedStart(key, run) {
 		return api.CrashEvidence_CRASH_EVIDENCE_SURVIVED
 	}
 	return api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
@@ -71,18 +107,3 @@
 	view := l.viewOf(key)
 	return view != nil && !view.starting(run)
 }
-
-// weaken returns the evidence of a crash. A sole suspect is one of several while other
-// workers crash without a suspect. The lock is held.
-func (l *leadership) weaken(crash *workerCrash) api.CrashEvidence {
-	if crash.evidence != api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT {
-		return crash.evidence
-	}
-	for _, other := range l.crashes {
-		if other.evidence == api.CrashEvidence_CRASH_EVIDENCE_RECENT &&
-			l.server.now().Sub(other.reportedAt) < unexplainedCrashEffect {
-			return api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
-		}
-	}
-	return crash.evidence
-}
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -22,11 +22,11 @@
 	mu          sync.Mutex
 	assumed     *jobs.State
 	queue       changeQueue
-	workers     map[string]*workerView  // latest incarnation by worker id
-	sessions    map[string]*session     // by agent
-	crashes     map[string]*workerCrash // by worker key
-	firstSeen   map[string]time.Time    // when each job that has not ended was first seen
-	startedJobs map[string]bool         // jobs that have not ended and have had a task start
+	workers     map[string]*workerView // latest incarnation by worker id
+	sessions    map[string]*session    // by agent
+	crashes     map[string]workerCrash // by worker key
+	firstSeen   map[string]time.Time   // when each job that has not ended was first seen
+	startedJobs map[string]bool        // jobs that have not ended and have had a task start
 
 	knowledge         dispatch.Knowledge
 	knowledgeSavedAt  time.Time                // when knowledge was last added to the log
@@ -58,7 +58,7 @@
 		assumed:     server.config.State.Clone(),
 		workers:     map[string]*workerView{},
 		sessions:    map[string]*session{},
-		crashes:     map[string]*workerCrash{},
+		crashes:     map[string]workerCrash{},
 		firstSeen:   map[string]time.Time{},
 		startedJobs: map[string]bool{},
 
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -188,6 +188,7 @@
 		klog.ErrorS(err, "Batch not proposed", "changes", len(next.changes))
 		next.fail(err)
 		l.resetAssumed()
+		l.requeueCrashes(next)
 		return nil
 	}
 	next.proposed = l.server.now()
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -155,7 +155,7 @@
 			if l.queue.hasEnd(run, key) {
 				return
 			}
-			evidence := l.crashEvidence(key, run)
+			evidence := l.lossEvidence(key, run)
 			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason,
 				"crash_evidence", jobs.EvidenceName(evidence))
 			l.add(endChange(run, key, api.RunOutcome_RUN_OUTCOME_LOST, l.latestCheckpoint(key, run), evidence))
@@ -219,7 +219,8 @@
 	for _, view := range l.workers {
 		w := view.worker
 		open := l.sessions[view.agent] != nil && now.Before(view.leaseUntil.Add(-l.server.config.Lease/2)) &&
-			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.unanswered < maxUnanswered && !suspects[view.key]
+			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.unanswered < maxUnanswered &&
+			!suspects[view.key]
 		if _, closed := l.maintenance.closed[w.Machine]; closed {
 			open = false
 		}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -80,7 +80,8 @@
 	Checkpoint string // latest checkpoint, empty if there is none
 	Runs       []Run  // active runs
 
-	suspicion int32 // weight of the evidence that the task crashes its workers
+	suspicion   int32   // weight of the evidence that the task crashes its workers
+	crashedRuns []int32 // runs whose workers crashed, since the latest run that a worker survived
 }
 
 // Run is an active run of a task: one that has started and not ended.
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -127,6 +127,8 @@
 	case *api.JobChange_Lent:
 		s.recordLent(body.Lent)
 		return nil
+	case *api.JobChange_Crash:
+		return s.crash(body.Crash)
 	}
 	return fault.New(fault.Internal, "change of an unknown type")
 }
@@ -345,7 +347,7 @@
 		s.applyFailure(job, group, task)
 	}
 	if !job.Phase.Ended() {
-		s.applyEvidence(job, run, c.CrashEvidence)
+		s.applyEvidence(job, task, c.CrashEvidence)
 	}
 }
 
--- a/jobs/suspicion.go
+++ b/jobs/suspicion.go
@@ -1,6 +1,11 @@
 package jobs
 
-import "amaranthpaddle/api"
+import (
+	"slices"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+)
 
 // Weights of the evidence that a task crashes its workers. A crash blames all runs that
 // the worker was starting, so one crash is never enough; two are if the second left no
@@ -12,41 +17,71 @@
 
 	probationSuspicion = suspectWeight                     // from which a task starts apart from others
 	maxSuspicion       = suspectWeight + soleSuspectWeight // at which a task is given up
+	minCrashes         = 2                                 // before a task is given up
 )
 
 // OnProbation reports whether the task may have crashed a worker. It is started apart
 // from others, so that another crash tells which task is the cause.
 func (t *Task) OnProbation() bool { return t.suspicion >= probationSuspicion }
 
-// applyEvidence updates the suspicion of a task with the end of a run, and fails the
-// job of a task that crashes its workers.
-func (s *State) applyEvidence(job *Job, run RunID, evidence api.CrashEvidence) {
+// crash records that the worker of a run has crashed, and fails the job of a task that
+// crashes its workers. It returns fault.Stale for a crash that is recorded already, or
+// is of a job that has ended.
+func (s *State) crash(c *api.RunCrash) error {
+	run := RunIDOf(c.Run)
+	job := s.jobs[run.Task.Job]
+	if job == nil || job.Phase.Ended() {
+		return fault.Newf(fault.Stale, "job %s does not run", run.Task.Job)
+	}
 	_, task := job.Task(run.Task)
-	was := task.OnProbation()
+	if task == nil {
+		return fault.Newf(fault.NotFound, "no task %v", run.Task)
+	}
+	if task.Done || run.Number < 1 || run.Number > task.LastRun || slices.Contains(task.crashedRuns, run.Number) {
+		return fault.Newf(fault.Stale, "run %v has not started, or its crash is recorded", run)
+	}
+	task.crashedRuns = append(task.crashedRuns, run.Number)
+	s.setSuspicion(job, task, task.suspicion+weightOf(c.Evidence))
+	if task.suspicion >= maxSuspicion && len(task.crashedRuns) >= minCrashes {
+		job.CrashedBy = run.Ref()
+		s.finish(job, PhaseFailed)
+	}
+	return nil
+}
+
+func weightOf(evidence api.CrashEvidence) int32 {
 	switch evidence {
-	case api.CrashEvidence_CRASH_EVIDENCE_SURVIVED:
-		task.suspicion = 0
 	case api.CrashEvidence_CRASH_EVIDENCE_RECENT:
-		task.suspicion += recentWeight
+		return recentWeight
 	case api.CrashEvidence_CRASH_EVIDENCE_SUSPECT:
-		task.suspicion += suspectWeight
+		return suspectWeight
 	case api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT:
-		task.suspicion += soleSuspectWeight
+		return soleSuspectWeight
 	}
-	s.countSuspect(job, task, was)
-	if task.suspicion >= maxSuspicion {
-		job.CrashedBy = run.Ref()
-		s.finish(job, PhaseFailed)
+	return 0
+}
+
+// applyEvidence updates the suspicion of a task with the end of a run whose worker is
+// not known to have crashed.
+func (s *State) applyEvidence(job *Job, task *Task, evidence api.CrashEvidence) {
+	switch evidence {
+	case api.CrashEvidence_CRASH_EVIDENCE_SURVIVED:
+		task.crashedRuns = nil
+		s.setSuspicion(job, task, 0)
+	case api.CrashEvidence_CRASH_EVIDENCE_SILENT:
+		s.setSuspicion(job, task, max(task.suspicion, probationSuspicion))
 	}
 }
 
-// countSuspect updates the number of tasks on probation after a change of the task.
-func (s *State) countSuspect(job *Job, task *Task, was bool) {
-	switch is := task.OnProbation(); {
-	case is && !was:
+// setSuspicion sets the suspicion of a task and counts the tasks on probation.
+func (s *State) setSuspicion(job *Job, task *Task, suspicion int32) {
+	before := task.OnProbation()
+	task.suspicion = suspicion
+	switch after := task.OnProbation(); {
+	case after && !before:
 		job.suspects++
 		s.suspects++
-	case was && !is:
+	case before && !after:
 		job.suspects--
 		s.suspects--
 	}
