jobcontrol: a worker that comes back under another id counts once

What callers saw: best-effort work and jobs that starve were placed as on a fleet with most of its capacity free.

Cause: the leader's table is keyed by worker id, a worker has a new id in each life, and an entry was dropped only when its agent had no session; the agent's session goes on. Any rule that sums over workers saw the dead ones: shares of capacity, of suspects, admission, summaries.

Change: a worker that registers replaces the earlier ones of its VM, and an entry whose agent reports on another worker is dropped with its lease. The test failed before, with three workers in place of one.

--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -217,6 +217,7 @@
 	r        *rig
 	name     string
 	born     int64
+	machine  string
 	worker   string // id
 	stream   *fakeStream
 	sequence int64
@@ -227,7 +228,7 @@
 
 func (r *rig) connect(name string) *fakeAgent {
 	r.t.Helper()
-	a := &fakeAgent{r: r, name: name, born: 1, worker: "w-" + name}
+	a := &fakeAgent{r: r, name: name, born: 1, worker: "w-" + name, machine: "vm-" + name}
 	a.reconnect()
 	return a
 }
@@ -250,7 +251,7 @@
 	a.sequence++
 	report := &api.WorkerReport{
 		Sequence: a.sequence, Agent: a.name, Ends: ends, Crashes: a.crashes,
-		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: "vm-" + a.name},
+		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: a.machine},
 	}
 	if a.listed != nil {
 		report.Lists, report.Runs, report.RunsListed = a.lists, a.listed, true
--- a/jobcontrol/recovery_test.go
+++ b/jobcontrol/recovery_test.go
@@ -44,3 +44,34 @@
 		r.t.Errorf("starts %v on the worker that ran on", starts)
 	}
 }
+
+// Guards against workers that count for as long as their agent has a session: a fleet of
+// eleven workers that crashed 21 times was taken for 32 (seen on the day deadly), and so
+// for a fleet with most of its capacity free.
+func TestWorkerThatComesBackUnderAnotherIDCountsOnce(t *testing.T) {
+	for name, machine := range map[string]string{"VM known": "vm-a", "VM unknown": ""} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				a := r.connect("a")
+				a.machine = machine
+				for _, id := range []string{"w-2", "w-3"} {
+					a.worker, a.born = id, a.born+1
+					a.report()
+				}
+				for range 6 {
+					r.wait(time.Second)
+					a.report()
+				}
+				lead, err := r.server.currentLeadership()
+				if err != nil {
+					t.Fatal(err)
+				}
+				lead.mu.Lock()
+				defer lead.mu.Unlock()
+				if len(lead.workers) != 1 || lead.workers["w-3"] == nil {
+					t.Errorf("%d workers, want w-3 alone", len(lead.workers))
+				}
+			})
+		})
+	}
+}
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -56,6 +56,7 @@
 			l.forgetWorker(view.key)
 		}
 		l.loseEarlierRuns(worker)
+		l.dropPredecessors(worker)
 		view = &workerView{key: key, runs: map[jobs.RunID]*api.RunStatus{}}
 		l.workers[worker.Id] = view
 	}
@@ -89,6 +90,23 @@
 	}
 }
 
+// dropPredecessors drops the earlier workers of a worker's VM. The lock is held.
+func (l *leadership) dropPredecessors(worker *api.Worker) {
+	for id, view := range l.workers {
+		if id != worker.Id && worker.Machine != "" && view.worker.Machine == worker.Machine && view.worker.Born < worker.Born {
+			delete(l.workers, id)
+			l.forgetWorker(view.key)
+		}
+	}
+}
+
+// hasSession reports whether a worker's agent has a session that reports on this
+// worker. The lock is held.
+func (l *leadership) hasSession(view *workerView) bool {
+	session := l.sessions[view.agent]
+	return session != nil && session.key == view.key
+}
+
 // dropLostWorkers queues the ends of runs on workers whose leases have certainly
 // expired, and drops those workers that have no session either. The lock is held.
 func (l *leadership) dropLostWorkers() {
@@ -107,7 +125,7 @@
 		l.loseRuns(key, "the lease is over")
 	}
 	for id, view := range l.workers {
-		if now.After(view.leaseUntil) && !now.Before(start) && l.sessions[view.agent] == nil {
+		if now.After(view.leaseUntil) && !now.Before(start) && !l.hasSession(view) {
 			klog.InfoS("Worker lost", "worker", view.key, "agent", view.agent, "unheard_ms", now.Sub(view.heard).Milliseconds())
 			delete(l.workers, id)
 			l.forgetWorker(view.key)
