jobcontrol, jobagent: no starts at a worker that refuses connections

Cause: since a refused start ends at once, the worker stayed open for the 700 ms that a silent one gets.

Change: an agent whose poll is refused, or cannot connect, says so with its next report, and the leader closes the worker until a poll is answered.

The new tests fail without the rule they guard.

--- a/jobagent/crash_test.go
+++ b/jobagent/crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
 )
 
@@ -120,3 +121,19 @@
 		}
 	})
 }
+
+func TestRefusedPollMakesTheWorkerUnreachable(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.runBeside(testRun(1))
+		r.worker.set(func() { r.worker.pollErr = fault.New(fault.BackendUnavailable, "refused") })
+		r.wait(maxPollWait)
+		if !r.buildReport().Unreachable {
+			t.Error("a worker that refuses polls counts as reachable")
+		}
+		r.worker.set(func() { r.worker.pollErr = nil })
+		r.wait(time.Second)
+		if r.buildReport().Unreachable {
+			t.Error("a worker that answers again counts as unreachable")
+		}
+	})
+}
--- a/jobagent/harness_test.go
+++ b/jobagent/harness_test.go
@@ -30,6 +30,7 @@
 	paces     map[jobs.RunID]int
 
 	healthErr     error                // result of CheckHealth
+	pollErr       error                // result of Poll
 	checkedPath   string               // path of the last CheckHealth
 	hang          bool                 // leaves all calls except Pace unanswered
 	delayStarts   bool                 // keeps starts in delayedStarts and leaves them unanswered
@@ -132,6 +133,10 @@
 		return nil, err
 	}
 	f.mu.Lock()
+	if err := f.pollErr; err != nil {
+		f.mu.Unlock()
+		return nil, err
+	}
 	f.deadline = max(f.deadline, request.DeadlineMS)
 	f.acked = max(f.acked, request.Cursor)
 	changed, waiting := f.endAdded, f.unacked() == 0
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -38,6 +38,7 @@
 	recorded     chan struct{}      // signaled when the leader has recorded an end
 
 	unhealthy       bool      // result of the worker's health check
+	unreachable     bool      // the latest poll was refused, or could not connect
 	unansweredSince time.Time // since when polls have gone unanswered; zero while they are answered
 	sentLeaseUntil  time.Time // latest end of a lease that was sent to the worker, on the agent's clock
 	pacer           *dispatch.Pacer
@@ -348,6 +349,7 @@
 		e.sessionID, e.sentAt = sessionID, now
 		report.Ends = append(report.Ends, e.message)
 	}
+	report.Unreachable = w.unreachable
 	if !w.unansweredSince.IsZero() {
 		report.UnansweredMs = now.Sub(w.unansweredSince).Milliseconds()
 	}
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -138,6 +138,7 @@
 		klog.InfoS("Worker is answering again", "worker", w.key, "silent_ms", w.agent.config.Clock().Sub(w.unansweredSince).Milliseconds())
 		w.unansweredSince = time.Time{}
 	}
+	w.unreachable = false
 	w.polls++
 	if w.polls == 1 {
 		w.agent.requestReport()
@@ -203,6 +204,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.config.Clock()
+	if unreachable := fault.Is(err, fault.BackendUnavailable); unreachable != w.unreachable {
+		w.unreachable = unreachable
+		a.requestReport()
+	}
 	if w.unansweredSince.IsZero() {
 		w.unansweredSince = now
 		klog.InfoS("Worker stopped answering", "worker", w.key, "runs", len(w.runs), "error", err)
--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -23,7 +23,7 @@
 	crashRetention = 30 * time.Second
 	// unexplainedCrashEffect is the time after the crash of a worker that was
 	// starting no run in which other workers may crash for the same reason.
-	unexplainedCrashEffect = 10 * time.Second
+	unexplainedCrashEffect = 2 * time.Second
 )
 
 // recordCrashes queues what the crashes in a report say of the runs. A crash that was
@@ -61,9 +61,22 @@
 			return api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
 		}
 	}
+	for _, view := range l.workers {
+		if view.unreachable && !l.startsAny(view) {
+			return api.CrashEvidence_CRASH_EVIDENCE_SUSPECT
+		}
+	}
 	return evidence
 }
 
+// startsAny reports whether a worker is starting a run. The lock is held.
+func (l *leadership) startsAny(view *workerView) (starts bool) {
+	l.assumed.Read(func(state jobs.View) {
+		state.RunsOn(view.key, func(run jobs.RunID, _ *jobs.Group) { starts = starts || view.starting(run) })
+	})
+	return starts
+}
+
 // requeueCrashes queues the crashes of a batch again that may not be committed. The
 // lock is held.
 func (l *leadership) requeueCrashes(b *batch) {
--- a/jobcontrol/crashes_test.go
+++ b/jobcontrol/crashes_test.go
@@ -111,3 +111,65 @@
 		})
 	})
 }
+
+// A worker that refuses connections gets no runs until its agent reaches it again: each
+// would come back at once, and go there again.
+func TestUnreachableWorkerGetsNoStarts(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		a.unreachable = true
+		a.report()
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		if starts, _, _, _ := a.drainDirectives(); len(starts) > 0 {
+			t.Fatalf("starts %v on a worker that cannot be reached", starts)
+		}
+		a.unreachable = false
+		a.report()
+		r.wait(100 * time.Millisecond)
+		if starts, _, _, _ := a.drainDirectives(); len(starts) != 1 {
+			t.Errorf("starts %v once it can be reached", starts)
+		}
+	})
+}
+
+// Guards against a task that is given up because workers crash that were starting it by
+// chance, among others that were starting nothing.
+func TestCrashAmongUnexplainedOnesDoesNotSettleTheCause(t *testing.T) {
+	for _, order := range []string{"before", "after"} {
+		t.Run(order, func(t *testing.T) { inBubble(t, func(r *rig) { r.testUnexplainedCrash(order == "before") }) })
+	}
+}
+
+func (r *rig) testUnexplainedCrash(before bool) {
+	r.configure()
+	agents := []*fakeAgent{r.connect("a"), r.connect("b")}
+	idle := r.connect("c")
+	r.mustCall(submit, testPath, oneTask(), accepted)
+	for range 2 {
+		if before {
+			idle.crash()
+			idle.stream.cancel() // it gets no runs
+		} else {
+			idle.unreachable = true
+			idle.report()
+		}
+		r.wait(200 * time.Millisecond)
+		for _, a := range agents {
+			if starts, _, _, _ := a.drainDirectives(); len(starts) > 0 {
+				a.crash(starts...)
+				break
+			}
+		}
+		if before {
+			idle.reconnect()
+		} else {
+			idle.unreachable = false
+			idle.crash()
+		}
+	}
+	if answer := r.mustCall(look, testPath, nil, stateAnswer); answer.State != "running" {
+		r.t.Errorf("the job is %s, want running", answer.State)
+	}
+}
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -224,6 +224,8 @@
 	lists    int64
 	listed   []*api.RunStatus // nil while the worker has listed nothing
 	crashes  []*api.WorkerCrash
+
+	unreachable bool
 }
 
 func (r *rig) connect(name string) *fakeAgent {
@@ -250,7 +252,7 @@
 func (a *fakeAgent) report(ends ...*api.WorkerEnd) {
 	a.sequence++
 	report := &api.WorkerReport{
-		Sequence: a.sequence, Agent: a.name, Ends: ends, Crashes: a.crashes,
+		Sequence: a.sequence, Agent: a.name, Ends: ends, Crashes: a.crashes, Unreachable: a.unreachable,
 		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: a.machine},
 	}
 	if a.listed != nil {
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -12,17 +12,18 @@
 
 // workerView is the leader's soft state of a worker's latest incarnation.
 type workerView struct {
-	worker     *api.Worker
-	key        string
-	agent      string
-	leaving    bool
-	leaseUntil time.Time                     // when the lease of its agent has certainly expired, margin included
-	heard      time.Time                     // when its agent last reported
-	runs       map[jobs.RunID]*api.RunStatus // from the worker's latest list
-	unanswered time.Duration                 // how long the worker has not answered its agent
-	lists      int64                         // number of the worker's lists that its agent has received
-	sample     dispatch.Sample               // of its services and best-effort runs
-	suspect    bool                          // its runs fail more often than those on other workers
+	worker      *api.Worker
+	key         string
+	agent       string
+	leaving     bool
+	leaseUntil  time.Time                     // when the lease of its agent has certainly expired, margin included
+	heard       time.Time                     // when its agent last reported
+	runs        map[jobs.RunID]*api.RunStatus // from the worker's latest list
+	unreachable bool                          // it refuses connections or polls of its agent
+	unanswered  time.Duration                 // how long the worker has not answered its agent
+	lists       int64                         // number of the worker's lists that its agent has received
+	sample      dispatch.Sample               // of its services and best-effort runs
+	suspect     bool                          // its runs fail more often than those on other workers
 }
 
 // starting reports whether the worker may not have survived the start of a run yet.
@@ -66,6 +67,7 @@
 	}
 	view.worker, view.agent, view.leaving = worker, agent, report.Leaving
 	view.heard = l.server.now()
+	view.unreachable = report.Unreachable
 	view.unanswered = time.Duration(report.UnansweredMs) * time.Millisecond
 	l.health.SetSelfReport(key, report.Unhealthy)
 	return view
@@ -237,7 +239,7 @@
 	for _, view := range l.workers {
 		w := view.worker
 		open := l.sessions[view.agent] != nil && now.Before(view.leaseUntil.Add(-l.server.config.Lease/2)) &&
-			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && view.unanswered < maxUnanswered &&
+			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && !view.unreachable && view.unanswered < maxUnanswered &&
 			!suspects[view.key]
 		if _, closed := l.maintenance.closed[w.Machine]; closed {
 			open = false
