jobs: a job of which every start was refused is queued again

Cause: a job counted as begun from the commit of its first start, also when workers that were down refused each. The job is queued again when the last of its starts was refused and none may have begun.

--- a/jobs/job.go
+++ b/jobs/job.go
@@ -50,9 +50,10 @@
 	Occurrences []*Occurrence
 	CrashedBy   *api.RunRef // the run for which the job failed because it crashes its workers, nil otherwise
 
-	unfinished int // occurrences with groups that are not done
-	active     int // active runs
-	suspects   int // tasks on probation
+	unfinished int  // occurrences with groups that are not done
+	active     int  // active runs
+	begun      bool // a run has ended that may have begun
+	suspects   int  // tasks on probation
 }
 
 // Occurrence is one execution of a job's groups.
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -81,6 +81,7 @@
 		SubmittedUnixMs: job.SubmittedMS,
 		EndedUnixMs:     job.EndedMS,
 		CrashedBy:       job.CrashedBy,
+		Begun:           job.begun,
 	}
 	for _, occurrence := range job.Occurrences {
 		groups := &api.OccurrenceRecord{}
@@ -136,7 +137,7 @@
 	job := &Job{
 		ID: record.Id, QueueKey: record.QueueKey, Queue: record.Queue, Spec: record.Spec,
 		Phase: Phase(record.State), SubmittedMS: record.SubmittedUnixMs, EndedMS: record.EndedUnixMs,
-		CrashedBy: record.CrashedBy,
+		CrashedBy: record.CrashedBy, begun: record.Begun,
 	}
 	for k, groups := range record.Occurrences {
 		occurrence := newOccurrence(job.Spec)
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -328,6 +328,10 @@
 		return fault.Newf(fault.Stale, "run %v has ended", run)
 	}
 	s.removeRun(run, task, position, job)
+	job.begun = job.begun || c.Outcome != api.RunOutcome_RUN_OUTCOME_REFUSED
+	if job.Phase == PhaseRunning && !job.begun && job.active == 0 {
+		job.Phase = PhaseQueued
+	}
 	if !job.Phase.Ended() {
 		s.applyOutcome(job, run, c)
 	}
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -365,6 +365,28 @@
 	}
 }
 
+// Guards against jobs that are not counted as pending although each of their starts was
+// refused, as by workers that are down (MIXED on nilefeather-loft, day crashing-tasks).
+func TestRefusedStartsLeaveTheJobQueued(t *testing.T) {
+	f := newFixture(t)
+	f.submit(&api.TaskGroup{Count: 2})
+	refused := api.RunOutcome_RUN_OUTCOME_REFUSED
+	f.mustApply(startChange(runID(0, 0, 1), "w1"))
+	f.mustApply(startChange(runID(0, 1, 1), "w1"))
+	f.mustApply(endChange(runID(0, 0, 1), "w1", refused, ""))
+	f.wantPhase(PhaseRunning)
+	f.mustApply(endChange(runID(0, 1, 1), "w1", refused, ""))
+	f.wantPhase(PhaseQueued)
+	f.state = f.state.Clone()
+	f.mustApply(startChange(runID(0, 0, 2), "w1"))
+	f.wantPhase(PhaseRunning)
+	f.mustApply(endChange(runID(0, 0, 2), "w1", failed, ""))
+	f.state = f.state.Clone()
+	f.mustApply(startChange(runID(0, 0, 3), "w1"))
+	f.mustApply(endChange(runID(0, 0, 3), "w1", refused, ""))
+	f.wantPhase(PhaseRunning)
+}
+
 func TestInvalidSpecsAreRejected(t *testing.T) {
 	group := func(change func(*api.TaskGroup)) *api.JobSpec {
 		g := &api.TaskGroup{Count: 1}
