--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -226,11 +226,12 @@
 	crashes  []*api.WorkerCrash
 
 	unreachable bool
+	milliCPU    int64
 }
 
 func (r *rig) connect(name string) *fakeAgent {
 	r.t.Helper()
-	a := &fakeAgent{r: r, name: name, born: 1, worker: "w-" + name, machine: "vm-" + name}
+	a := &fakeAgent{r: r, name: name, born: 1, worker: "w-" + name, machine: "vm-" + name, milliCPU: 4000}
 	a.reconnect()
 	return a
 }
@@ -253,7 +254,7 @@
 	a.sequence++
 	report := &api.WorkerReport{
 		Sequence: a.sequence, Agent: a.name, Ends: ends, Crashes: a.crashes, Unreachable: a.unreachable,
-		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: 4000, MemoryMib: 4000, Machine: a.machine},
+		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: a.milliCPU, MemoryMib: 4000, Machine: a.machine},
 	}
 	if a.listed != nil {
 		report.Lists, report.Runs, report.RunsListed = a.lists, a.listed, true
