dispatch, jobcontrol: a panic while a job is planned skips that job alone

A panic in the planner ended the leader, and the next leader plans the same job first thing. The job gets no starts, its panic is logged once with the stack, other jobs are planned.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -100,10 +100,11 @@
 func (w *fixture) input() Input {
 	return Input{
 		UnixMS: w.unixMS, Workers: w.workers,
-		Age:     func(job *jobs.Job) time.Duration { return w.now - w.submitted[job.ID] },
-		Behind:  func(run jobs.RunID) bool { return w.stragglers[run] },
-		Tickets: func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
-		PerCore: w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
+		Age:      func(job *jobs.Job) time.Duration { return w.now - w.submitted[job.ID] },
+		Behind:   func(run jobs.RunID) bool { return w.stragglers[run] },
+		Tickets:  func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
+		Panicked: func(job string, cause any) { w.t.Errorf("job %s: %v", job, cause) },
+		PerCore:  w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -23,6 +23,9 @@
 	// Tickets returns the tickets of a group by worker key, for a queue with an
 	// adviser. It returns false while the adviser has not answered.
 	Tickets func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool)
+	// Panicked is told of a panic while a job was planned. The job gets no starts in
+	// this plan; others are not affected.
+	Panicked func(job string, cause any)
 }
 
 // Start is a decision to start a run.
@@ -40,11 +43,24 @@
 func plan(view jobs.View, in Input, unfit unfitDemands) []Start {
 	p := planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit}
 	for _, c := range candidates(view, in) {
-		p.place(c)
+		p.tryPlace(c)
 	}
 	return p.starts
 }
 
+// tryPlace places a candidate. After a panic none of its tasks is started; the load
+// that was counted for them stays.
+func (p *planner) tryPlace(c candidate) {
+	placed := len(p.starts)
+	defer func() {
+		if cause := recover(); cause != nil {
+			p.starts = p.starts[:placed]
+			p.in.Panicked(c.job.ID, cause)
+		}
+	}()
+	p.place(c)
+}
+
 // candidate is a group with tasks that are ready to start.
 type candidate struct {
 	job        *jobs.Job
@@ -80,7 +96,7 @@
 	var all []candidate
 	view.ActiveJobs(func(job *jobs.Job) {
 		if !job.Phase.Ended() {
-			all = append(all, jobCandidates(view, in, job)...)
+			all = append(all, tryCandidates(view, in, job)...)
 		}
 	})
 	slices.SortFunc(all, func(a, b candidate) int {
@@ -109,6 +125,17 @@
 // expiredRank is larger than any priority.
 const expiredRank = 1 << 20
 
+// tryCandidates returns the groups of a job with tasks to start, none after a panic.
+func tryCandidates(view jobs.View, in Input, job *jobs.Job) (all []candidate) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			all = nil
+			in.Panicked(job.ID, cause)
+		}
+	}()
+	return jobCandidates(view, in, job)
+}
+
 func jobCandidates(view jobs.View, in Input, job *jobs.Job) []candidate {
 	queue := view.QueueOf(job)
 	estimate := in.Durations.ForQueue(job.QueueKey)
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -353,3 +353,51 @@
 		t.Errorf("the harmless task did not start")
 	}
 }
+
+// Guards against a job that takes down one leader after the other: a panic while it is
+// planned would end each of them, and the next one plans it first thing.
+func TestPanicWhilePlanningAJobSkipsThatJobAlone(t *testing.T) {
+	for name, spoil := range map[string]func(in *Input, job string){
+		"ordering": func(in *Input, job string) {
+			age := in.Age
+			in.Age = func(j *jobs.Job) time.Duration {
+				if j.ID == job {
+					panic("age")
+				}
+				return age(j)
+			}
+		},
+		"placing": func(in *Input, job string) {
+			perCore := in.PerCore
+			in.PerCore = func(pair Pair) float64 {
+				if pair.BestEffort == "broken" {
+					panic("cost")
+				}
+				return perCore(pair)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newFixture(t, 1)
+			w.submit(urgentQueue, &api.TaskGroup{Count: 1, MilliCpu: 100, Image: "serving", TargetLatencyMs: 10, LongRunning: true})
+			w.plan()
+			broken := w.submit(urgentQueue, &api.TaskGroup{Count: 2, MilliCpu: 100, BestEffort: true, Image: "broken"})
+			sound := w.submit(batchQueue, &api.TaskGroup{Count: 2, MilliCpu: 100})
+			in := w.input()
+			spoil(&in, broken)
+			var reported []string
+			in.Panicked = func(job string, _ any) { reported = append(reported, job) }
+			var starts []Start
+			w.state.Read(func(view jobs.View) { starts = Plan(view, in) })
+			if n := total(startsByWorker(starts, sound)); n != 2 {
+				t.Errorf("%d starts of the sound job, want 2", n)
+			}
+			if n := total(startsByWorker(starts, broken)); n != 0 {
+				t.Errorf("%d starts of the job that cannot be planned", n)
+			}
+			if len(reported) != 1 || reported[0] != broken {
+				t.Errorf("reported %v, want %s", reported, broken)
+			}
+		})
+	}
+}
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -26,6 +26,7 @@
 	sessions    map[string]*session    // by agent
 	crashes     map[string]workerCrash // by worker key
 	firstSeen   map[string]time.Time   // when each job that has not ended was first seen
+	unplannable map[string]bool        // jobs that have not ended and whose planning has panicked
 	startedJobs map[string]bool        // jobs that have not ended and have had a task start
 
 	knowledge         dispatch.Knowledge
@@ -61,6 +62,7 @@
 		crashes:     map[string]workerCrash{},
 		firstSeen:   map[string]time.Time{},
 		startedJobs: map[string]bool{},
+		unplannable: map[string]bool{},
 
 		startedAt: map[jobs.RunID]time.Time{},
 		health:    dispatch.NewHealth(), progress: dispatch.NewProgress(), movingRuns: map[jobs.RunID]bool{},
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -49,6 +49,7 @@
 func (l *leadership) forgetJob(job string) {
 	delete(l.firstSeen, job)
 	delete(l.startedJobs, job)
+	delete(l.unplannable, job)
 }
 
 // learnWork updates the mean work of a queue's jobs with a submitted job. The lock
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -11,6 +11,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/transport"
 )
 
 // pendingChange is a change that is queued for a batch or proposed in one.
@@ -166,15 +167,24 @@
 	return dispatch.Input{
 		UnixMS:  l.server.config.UnixTime().UnixMilli(),
 		PerCore: l.knowledge.Interference.PerCore, Durations: l.knowledge.Durations, QueueWork: l.knowledge.QueueWork,
-		Age:     func(job *jobs.Job) time.Duration { return l.jobAge(job, now) },
-		Workers: l.dispatchWorkers(view, now),
-		Behind:  func(run jobs.RunID) bool { return l.behind(view, run, now) },
+		Age:      func(job *jobs.Job) time.Duration { return l.jobAge(job, now) },
+		Workers:  l.dispatchWorkers(view, now),
+		Panicked: l.handlePlanPanic,
+		Behind:   func(run jobs.RunID) bool { return l.behind(view, run, now) },
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
 			return l.ticketsFor(view, queue, group)
 		},
 	}
 }
 
+// handlePlanPanic logs the first panic while a job was planned. The lock is held.
+func (l *leadership) handlePlanPanic(job string, cause any) {
+	if !l.unplannable[job] {
+		l.unplannable[job] = true
+		_ = transport.LogPanic("plan of job "+job, cause)
+	}
+}
+
 // propose appends the batch to the log. When that fails, it fails the batch's
 // changes, resets the assumed state and returns nil. The lock is held.
 func (l *leadership) propose(next *batch) *batch {
