paddle-soak: tasks that crash their workers, and workers that shrink

The soak's workers crashed by the schedule's hand, never by what they were given, and their room stood still. One job of thirty now has a task that crashes each worker that starts it, and a fault shrinks a worker; the checker knows both rules of the users, and planted violations of them are found.

--- a/cmd/paddle-soak/callers.go
+++ b/cmd/paddle-soak/callers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -21,6 +22,14 @@
 	return time.Duration(100+random.IntN(900)) * time.Millisecond, random.IntN(20) == 0
 }
 
+// crashingPayload begins the payload of a job whose first task crashes each worker that
+// starts it.
+const crashingPayload = "crash"
+
+func crashes(spec string, name taskName) bool {
+	return strings.HasPrefix(spec, crashingPayload) && name.group == 0 && name.index == 0
+}
+
 const (
 	queueHost    = "soak.example"
 	queuePrefix  = "/jobs/"
@@ -88,6 +97,9 @@
 func (c *caller) submit() {
 	id := fmt.Sprintf("%016x", c.random.Uint64())
 	spec := fmt.Sprintf("work of %s", id)
+	if c.random.IntN(30) == 0 {
+		spec = fmt.Sprintf("%s %s", crashingPayload, id)
+	}
 	groups, body := c.job(spec)
 	for range 4 {
 		c.check.sent(id, spec, groups)
--- a/cmd/paddle-soak/checker.go
+++ b/cmd/paddle-soak/checker.go
@@ -21,6 +21,7 @@
 	promiseNewest    = "a configuration that is read is not older than the newest acknowledged one"
 	promiseDraining  = "a worker that drains is not given work"
 	promiseZones     = "a zone that is out of service is not given work"
+	promiseCrashes   = "a task that crashes its workers is started at most twice more after three crashes"
 	promiseProcesses = "no process ends by itself"
 )
 
@@ -63,6 +64,8 @@
 	lastStart    time.Time
 	failures     int // recorded ones
 	failed       int // all
+	crashes      int // workers that crashed under it
+	afterCrashes int // timely starts after three of them
 }
 
 // checker collects what is seen from outside and finds broken promises.
@@ -156,7 +159,7 @@
 		}
 	case "failed":
 		if !c.anyExhausted(id, job) {
-			c.broken(promiseTruthful, "job %s is shown as failed, no task has failed %d times", id, c.attempts)
+			c.broken(promiseTruthful, "job %s is shown as failed, no task has failed %d times or crashed two workers", id, c.attempts)
 		}
 	case "cancelled":
 		if !job.cancelAsk {
@@ -171,7 +174,7 @@
 func (c *checker) anyExhausted(id string, job *jobView) bool {
 	for g, group := range job.groups {
 		for i := range group.count {
-			if c.task(taskName{id, g, i}).failed >= c.attempts {
+			if task := c.task(taskName{id, g, i}); task.failed >= c.attempts || task.crashes >= 2 {
 				return true
 			}
 		}
@@ -237,6 +240,12 @@
 	if task.failures >= c.attempts {
 		c.broken(promiseAttempts, "task %v begins after %d failures", s.task, task.failures)
 	}
+	if task.crashes >= 3 && crashes(s.spec, s.task) && !s.late {
+		task.afterCrashes++
+	}
+	if task.afterCrashes >= 3 {
+		c.broken(promiseCrashes, "task %v begins after %d crashes, %d times after three", s.task, task.crashes, task.afterCrashes)
+	}
 	if !job.cancelled.IsZero() && time.Since(job.cancelled) > cancelBound && !s.late {
 		c.broken(promiseAsked, "task %v begins %v after its cancellation was acknowledged", s.task, time.Since(job.cancelled))
 	}
@@ -279,11 +288,15 @@
 	}
 }
 
-// workerGone takes in that all that ran on an incarnation has ended.
-func (c *checker) workerGone(worker string) {
+// workerGone takes in that all that ran on an incarnation has ended, by a crash unless
+// the worker had announced its end.
+func (c *checker) workerGone(worker string, crashed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, task := range c.tasks {
+		if crashed && task.live[worker] {
+			task.crashes++
+		}
 		delete(task.live, worker)
 	}
 	c.used[worker] = 0
--- a/cmd/paddle-soak/checker_test.go
+++ b/cmd/paddle-soak/checker_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -98,6 +99,21 @@
 		{promiseZones, func(c *checker) {
 			c.started(start{task: task(0, 0), spec: testSpec, worker: "w1", capacity: 8000, zoneOut: true})
 		}},
+		{promiseCrashes, func(c *checker) {
+			c.jobs[testID].spec = crashingPayload
+			for i := range 6 {
+				worker := fmt.Sprint("w", i)
+				c.started(start{task: task(0, 0), spec: crashingPayload, worker: worker, capacity: 8000})
+				c.workerGone(worker, true)
+			}
+		}},
+		{promiseTruthful, func(c *checker) {
+			begin(c, task(0, 0), "w1")
+			c.workerGone("w1", true)
+			begin(c, task(0, 0), "w2")
+			c.workerGone("w2", false)
+			c.shown(testID, "failed", false, time.Now())
+		}},
 		{promiseProcesses, func(c *checker) { c.endedByItself("agent-0") }},
 	}
 	for _, c := range cases {
--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -30,6 +30,7 @@
 	{"crash a worker", 3, (*run).crashWorker},
 	{"mute worker", 3, (*run).muteWorker},
 	{"late worker", 3, (*run).lateWorker},
+	{"shrink a worker", 2, (*run).shrinkWorker},
 	{"drain a worker", 2, (*run).drainWorker},
 	{"zone out", 1, (*run).takeZoneOut},
 }
@@ -179,17 +180,16 @@
 
 func (r *run) crashWorker(lasts time.Duration) (string, func()) {
 	w := r.anyWorker()
-	return w.id, func() { r.renew(w, lasts/2) }
+	return w.id, func() { w.restart(lasts / 2) }
 }
 
-// renew ends a worker's incarnation and starts the next one after a while.
-func (r *run) renew(w *worker, after time.Duration) {
-	w.lives.Lock()
-	defer w.lives.Unlock()
-	w.crash()
-	time.Sleep(after)
-	if err := w.rebirth(); err != nil {
-		r.note("%v", err)
+// shrinkWorker takes most of a worker's capacity, for long enough that it counts.
+func (r *run) shrinkWorker(lasts time.Duration) (string, func()) {
+	w := r.anyWorker()
+	return w.id, func() {
+		w.set(func() { w.shrunkSince = time.Now() })
+		time.Sleep(shrinkGrace + lasts)
+		w.set(func() { w.shrunkSince = time.Time{} })
 	}
 }
 
@@ -218,7 +218,7 @@
 	return w.id, func() {
 		w.set(func() { w.drains = true })
 		time.Sleep(drainTime + lasts)
-		r.renew(w, lasts/4)
+		w.restart(lasts / 4)
 	}
 }
 
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -155,7 +155,7 @@
 	zone := fmt.Sprintf("z%d", i)
 	r.agents, r.agentAddress = append(r.agents, p), append(r.agentAddress, address)
 	r.workers = append(r.workers, &worker{
-		id: fmt.Sprintf("w-%d", i), zone: zone, agent: address, check: r.check,
+		id: fmt.Sprintf("w-%d", i), zone: zone, agent: address, check: r.check, note: r.note,
 		order: p.calm, out: func() bool { return r.zoneOut(zone) },
 	})
 	return nil
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -15,6 +15,9 @@
 // Times of a stand-in worker.
 const (
 	workerCapacity = 8000 // milli-cores
+	shrunkCapacity = 3000
+	shrinkGrace    = 4500 * time.Millisecond // until starts that exceed a capacity that has shrunk count
+	crashDelay     = 10 * time.Millisecond   // after the start of a task that crashes its worker
 	stopTime       = 100 * time.Millisecond
 	beatInterval   = 400 * time.Millisecond
 	drainTime      = 2500 * time.Millisecond
@@ -30,6 +33,7 @@
 	zone  string
 	agent string // address for registrations
 	check *checker
+	note  func(format string, values ...any)
 	order func() bool // whether orders of its agent are timely now
 	out   func() bool // whether its zone was taken out of service well before
 
@@ -49,6 +53,7 @@
 	leaseEnd    int64 // on its clock, 0 for none
 	mute        bool  // gives no answers
 	late        time.Duration
+	shrunkSince time.Time // since when it has shrunkCapacity, zero at full capacity
 	drains      bool
 	drainSince  time.Time // when the draining was acknowledged
 	ended       chan struct{}
@@ -112,10 +117,21 @@
 	w.closedByRun = true
 	close(w.ended)
 	w.server.Close()
-	w.check.workerGone(w.incarnation())
+	w.check.workerGone(w.incarnation(), !w.drains)
 	w.runs = map[taskName]*workerRun{}
 }
 
+// restart ends the incarnation and starts the next one after a while.
+func (w *worker) restart(after time.Duration) {
+	w.lives.Lock()
+	defer w.lives.Unlock()
+	w.crash()
+	time.Sleep(after)
+	if err := w.rebirth(); err != nil {
+		w.note("%v", err)
+	}
+}
+
 // rebirth starts the next incarnation after a crash.
 func (w *worker) rebirth() error {
 	w.mu.Lock()
@@ -242,12 +258,31 @@
 	run.takes, run.fails = taskOf(c.Spec, name, c.RunID)
 	w.runs[name] = run
 	w.check.started(start{
-		task: name, spec: c.Spec, worker: w.incarnation(), capacity: workerCapacity, late: c.late || !timely,
+		task: name, spec: c.Spec, worker: w.incarnation(), capacity: w.enforcedCapacity(), late: c.late || !timely,
 		draining: !w.drainSince.IsZero() && time.Since(w.drainSince) > drainTime, zoneOut: out,
 	})
+	if crashes(c.Spec, name) {
+		time.AfterFunc(crashDelay, func() { w.restart(run.takes) })
+	}
 	return ""
 }
 
+// capacity is what the worker reports of its room. The lock is held.
+func (w *worker) capacity() int64 {
+	if w.shrunkSince.IsZero() {
+		return workerCapacity
+	}
+	return shrunkCapacity
+}
+
+// enforcedCapacity is the room that starts must keep to. The lock is held.
+func (w *worker) enforcedCapacity() int64 {
+	if time.Since(w.shrunkSince) < shrinkGrace {
+		return workerCapacity
+	}
+	return w.capacity()
+}
+
 // renew extends the lease. The lock is held.
 func (w *worker) renew(deadline int64) {
 	limit := w.clockMS() + longestLease.Milliseconds()
@@ -368,7 +403,7 @@
 		}
 		body, err := json.Marshal(map[string]any{
 			"service": "svc", "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "state": state,
-			"drain_remaining_ms": remaining, "capacity": map[string]any{"cpu": workerCapacity, "mem_mb": 64000},
+			"drain_remaining_ms": remaining, "capacity": map[string]any{"cpu": w.capacity(), "mem_mb": 64000},
 			"labels": []string{"a", "r-" + w.zone}, "sequence": w.sequence, "born": w.born, "machine": "m-" + w.id,
 		})
 		mute := w.mute
