jobagent: answers to later calls show that a worker survived a start

Change: any answered call that was sent 100 ms after a start shows that the worker survived it, and the agent makes one for a run on probation.

--- a/jobagent/crash.go
+++ b/jobagent/crash.go
@@ -1,12 +1,15 @@
 package jobagent
 
 import (
+	"context"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/timing"
 )
 
 // maxCrashes is the number of earlier incarnations whose crashes are reported.
@@ -56,23 +59,44 @@
 	return w.unansweredSince
 }
 
-// minStartTime is the time after which a run that is listed did not crash its worker by
-// its start. A list may catch a run just before the crash.
-const minStartTime = 200 * time.Millisecond
+// minStartTime is the time after which a worker that runs on has survived the start of a
+// run. A list may catch a run just before the crash.
+const minStartTime = 100 * time.Millisecond
 
-// starting reports whether the incarnation may have begun the run, and no list has
+// starting reports whether the incarnation may have begun the run, and nothing has
 // shown yet that it survived that.
 func (r *run) starting() bool { return r.sent && r.survivedAt.IsZero() }
 
-// noteListed records that a list shows the run. It reports whether this is the first
-// one to show that the worker survived its start.
-func (r *run) noteListed(now time.Time) bool {
-	if r.startedAt.IsZero() {
-		r.startedAt = now
+// noteAlive records that the worker ran at a time: when a call was sent that it has
+// answered, or when a list arrived. Agent.mu must be held.
+func (w *incarnation) noteAlive(at time.Time) {
+	for _, r := range w.runs {
+		if r.starting() && !r.startedAt.IsZero() && at.Sub(r.startedAt) >= minStartTime {
+			r.survivedAt = at
+			if r.order.GetProbation() {
+				w.agent.requestReport() // other runs wait for this one
+			}
+		}
+	}
+}
+
+// confirmStart makes a call to the worker once it must have survived the start of a run
+// on probation, so that this is known before the next list. The pace of a best-effort
+// run is left to setPaces.
+func (w *incarnation) confirmStart(id jobs.RunID, r *run) {
+	if r.order.BestEffort || !timing.Sleep(w.ctx, minStartTime) || !w.acquire() {
+		return
 	}
-	if !r.survivedAt.IsZero() || now.Sub(r.startedAt) < minStartTime {
-		return false
+	defer w.release()
+	w.agent.mu.Lock()
+	target, fence, at := w.target(), w.agent.term, w.agent.config.Clock()
+	w.agent.mu.Unlock()
+	ctx, cancel := context.WithTimeout(w.ctx, startTimeout)
+	defer cancel()
+	if err := w.agent.config.Worker.Pace(ctx, target, id, dispatch.FullPace, fence); err != nil {
+		return // the next list tells
 	}
-	r.survivedAt = now
-	return true
+	w.agent.mu.Lock()
+	defer w.agent.mu.Unlock()
+	w.noteAlive(at)
 }
--- a/jobagent/crash_test.go
+++ b/jobagent/crash_test.go
@@ -113,7 +113,7 @@
 	inBubble(t, func(r *rig) {
 		r.runBeside(testRun(1))
 		r.sendDirective(&api.WorkerDirective{Starts: []*api.RunOrder{{Run: testRun(2).Ref(), Probation: true}}})
-		r.wait(maxPollWait + 300*time.Millisecond)
+		r.wait(minStartTime + 10*time.Millisecond)
 		for _, status := range r.buildReport().Runs {
 			if status.Starting {
 				t.Errorf("%v is still being started", status)
@@ -137,3 +137,17 @@
 		}
 	})
 }
+
+// Load pattern: starts come one after the other on a worker that then crashes. Those that
+// it had survived are no suspects, although no list has shown them yet.
+func TestLaterAnswersAcquitEarlierStarts(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.runBeside(testRun(1))
+		r.start(testRun(2))
+		r.wait(minStartTime + 10*time.Millisecond)
+		r.start(testRun(3))
+		r.wait(10 * time.Millisecond)
+		r.crashWorker(time.Second)
+		r.wantCrash(sole, testRun(3))
+	})
+}
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -172,6 +172,7 @@
 		return
 	}
 	r.sent = true
+	at := a.config.Clock()
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, startTimeout)
 	defer cancel()
@@ -181,6 +182,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w.updateClock(clockMS)
+	if err == nil {
+		w.noteAlive(at)
+	}
 	w.handleStartResult(id, r, err)
 }
 
@@ -219,6 +223,9 @@
 		if r.startedAt.IsZero() {
 			r.startedAt = w.agent.config.Clock()
 		}
+		if r.order.Probation {
+			w.agent.wg.Go(func() { w.confirmStart(id, r) })
+		}
 		if r.order.GetBestEffort() {
 			w.paceNewRun()
 		}
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -89,7 +89,7 @@
 			return 0 // the next response tells whether the run exists
 		}
 		if r.starting() && r.order.Probation {
-			return minStartTime / 2
+			return minStartTime
 		}
 	}
 	if w.colocated() {
@@ -152,6 +152,7 @@
 		w.unrecorded[listed.Position] = struct{}{}
 		w.finish(listed.Run, listed.Outcome, listed.Checkpoint, listed.Reason, listed.Position)
 	}
+	w.noteAlive(w.agent.config.Clock())
 	w.reconcileWithWorker(response.Running)
 	w.adjustPaces()
 	if w.colocated() {
@@ -179,8 +180,8 @@
 			r.phase = runRunning
 		}
 		r.status, r.listedOnce = status, true
-		if r.noteListed(w.agent.config.Clock()) && r.order.GetProbation() {
-			w.agent.requestReport() // other runs wait for this one
+		if r.startedAt.IsZero() {
+			r.startedAt = w.agent.config.Clock()
 		}
 	}
 	for id, r := range w.runs {
