jobs: a crash that is reported again does not count against a cleared task

Found in review, not seen: an agent reports the crashes of its worker's former lives on each session with a leader, and the record of which were counted was dropped when a later run survived. After that each change of leader counted the same crash again, up to giving up a task that had crashed nothing lately. The log now keeps the latest run that a worker survived; a crash under it or an earlier one is rejected. The test failed before. Also names the count of tasks on probation for what it counts: "suspect" is the word for workers.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -23,8 +23,8 @@
 	// Tickets returns the tickets of a group by worker key, for a queue with an
 	// adviser. It returns false while the adviser has not answered.
 	Tickets func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool)
-	// Panicked is told of a panic while a job was planned. The job gets no starts in
-	// this plan; others are not affected.
+	// Panicked is told of a panic while a job was planned, and must be set. The job gets
+	// no starts in this plan; others are not affected.
 	Panicked func(job string, cause any)
 }
 
@@ -103,7 +103,7 @@
 		return cmp.Or(
 			cmp.Compare(a.rank(), b.rank()),
 			cmp.Compare(a.lateness, b.lateness),
-			-cmp.Compare(min(a.job.Suspects(), 1), min(b.job.Suspects(), 1)),
+			-cmp.Compare(min(a.job.TasksOnProbation(), 1), min(b.job.TasksOnProbation(), 1)),
 			-cmp.Compare(a.density, b.density),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.occurrence, b.occurrence),
--- a/dispatch/probation.go
+++ b/dispatch/probation.go
@@ -6,8 +6,7 @@
 // starting at a time. Each of them may crash.
 const maxProbationShare = 0.5
 
-// addStarting counts a run that a worker is starting. The lock-step with load.starting
-// lets tasks on probation start alone on their worker.
+// addStarting counts a run that a worker is starting.
 func (f *fleetLoad) addStarting(l *load, probation bool) {
 	l.starting++
 	if probation && !l.probation {
--- a/jobagent/doc.go
+++ b/jobagent/doc.go
@@ -12,6 +12,7 @@
 //     take place.
 //   - The end of a run is acknowledged to the worker only after the leader has
 //     recorded it.
+//   - A crash of the worker is reported with the runs that it was starting.
 //   - While the worker does not answer, its lease is not extended, which bounds
 //     the time until its runs have certainly ended.
 //
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -69,7 +69,7 @@
 	sent            bool      // this incarnation may have received the order to start it
 	listedOnce      bool      // the worker has listed the run at least once
 	startedAt       time.Time // when the worker accepted or first listed it
-	survivedAt      time.Time // when a list showed that the worker had survived its start
+	survivedAt      time.Time // when an answer of the worker showed that it had survived the start
 }
 
 // end is the end of a run that the leader has not recorded yet.
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -246,7 +246,7 @@
 		}
 		view.setSuspect(suspects[view.key])
 		var starting func(jobs.RunID) bool
-		if state.Suspects() > 0 {
+		if state.TasksOnProbation() > 0 {
 			starting = view.starting
 		}
 		workers = append(workers, dispatch.Worker{
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -50,10 +50,10 @@
 	Occurrences []*Occurrence
 	CrashedBy   *api.RunRef // the run for which the job failed because it crashes its workers, nil otherwise
 
-	unfinished int  // occurrences with groups that are not done
-	active     int  // active runs
-	begun      bool // a run has ended that may have begun
-	suspects   int  // tasks on probation
+	unfinished  int  // occurrences with groups that are not done
+	active      int  // active runs
+	begun       bool // a run has ended that may have begun
+	onProbation int  // tasks on probation
 }
 
 // Occurrence is one execution of a job's groups.
@@ -82,7 +82,8 @@
 	Runs       []Run  // active runs
 
 	suspicion   int32   // weight of the evidence that the task crashes its workers
-	crashedRuns []int32 // runs whose workers crashed, since the latest run that a worker survived
+	survivedRun int32   // latest run whose start a worker is known to have survived, 0 for none
+	crashedRuns []int32 // later runs whose workers crashed
 }
 
 // Run is an active run of a task: one that has started and not ended.
@@ -198,8 +199,8 @@
 // ActiveRuns returns the number of active runs.
 func (j *Job) ActiveRuns() int { return j.active }
 
-// Suspects returns the number of the job's tasks on probation.
-func (j *Job) Suspects() int { return j.suspects }
+// TasksOnProbation returns the number of the job's tasks on probation.
+func (j *Job) TasksOnProbation() int { return j.onProbation }
 
 // markDone marks a task as done. It reports whether the task was not done
 // before.
--- a/jobs/machine_test.go
+++ b/jobs/machine_test.go
@@ -176,8 +176,8 @@
 				}
 			}
 		})
-		if view.Suspects() != suspects {
-			t.Fatalf("%d suspects, want %d", view.Suspects(), suspects)
+		if view.TasksOnProbation() != suspects {
+			t.Fatalf("%d suspects, want %d", view.TasksOnProbation(), suspects)
 		}
 		view.Workers(func(worker string, runs int) {
 			view.RunsOn(worker, func(run RunID, _ *Group) { counted[run] = worker })
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -99,7 +99,7 @@
 		task := &group.Tasks[i]
 		r := &api.TaskRecord{
 			Done: task.Done, LastRun: task.LastRun, Failures: task.Failures, Checkpoint: task.Checkpoint,
-			Suspicion: task.suspicion, CrashedRuns: slices.Clone(task.crashedRuns),
+			Suspicion: task.suspicion, CrashedRuns: slices.Clone(task.crashedRuns), SurvivedRun: task.survivedRun,
 		}
 		for _, run := range task.Runs {
 			r.Runs = append(r.Runs, &api.RunRecord{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, Vm: run.VM})
@@ -162,7 +162,7 @@
 func (s *State) loadTask(job *Job, id TaskID, record *api.TaskRecord) {
 	group, task := job.Task(id)
 	task.LastRun, task.Failures, task.Checkpoint = record.LastRun, record.Failures, record.Checkpoint
-	task.crashedRuns = record.CrashedRuns
+	task.crashedRuns, task.survivedRun = record.CrashedRuns, record.SurvivedRun
 	s.setSuspicion(job, task, record.Suspicion)
 	for _, run := range record.Runs {
 		task.Runs = append(task.Runs, Run{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, VM: run.Vm})
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -28,7 +28,7 @@
 	learnt        *api.Learnt                 // by the leaders so far
 	waves         map[int64]*api.MaintenanceWave
 	lent          map[string]string // standby pool of each lent VM
-	suspects      int               // tasks on probation, of jobs that have not been released
+	onProbation   int               // tasks on probation, of jobs that have not been released
 	refusals      map[string]int64  // end of the refusal of each refused job, in Unix milliseconds, by id
 }
 
@@ -49,7 +49,7 @@
 	s.runs = map[string]map[RunID]*Group{}
 	s.workerVMs = map[string]string{}
 	s.ended = nil
-	s.suspects = 0
+	s.onProbation = 0
 	s.learnt = nil
 	s.refusals = map[string]int64{}
 	s.waves = map[int64]*api.MaintenanceWave{}
@@ -236,8 +236,8 @@
 		return
 	}
 	delete(s.active, job.ID)
-	s.suspects -= job.suspects
-	job.suspects = 0
+	s.onProbation -= job.onProbation
+	job.onProbation = 0
 	job.Occurrences = nil
 	if job.Spec != nil {
 		job.Spec = &api.JobSpec{Schedule: job.Spec.Schedule}
@@ -351,7 +351,7 @@
 		s.applyFailure(job, group, task)
 	}
 	if !job.Phase.Ended() {
-		s.applyEvidence(job, task, c.CrashEvidence)
+		s.applyEvidence(job, run, c.CrashEvidence)
 	}
 }
 
--- a/jobs/suspicion.go
+++ b/jobs/suspicion.go
@@ -25,8 +25,8 @@
 func (t *Task) OnProbation() bool { return t.suspicion >= probationSuspicion }
 
 // crash records that the worker of a run has crashed, and fails the job of a task that
-// crashes its workers. It returns fault.Stale for a crash that is recorded already, or
-// is of a job that has ended.
+// crashes its workers. It returns fault.Stale if the job has ended, the crash is
+// recorded already, or a worker has survived this or a later run.
 func (s *State) crash(c *api.RunCrash) error {
 	run := RunIDOf(c.Run)
 	job := s.jobs[run.Task.Job]
@@ -37,8 +37,8 @@
 	if task == nil {
 		return fault.Newf(fault.NotFound, "no task %v", run.Task)
 	}
-	if task.Done || run.Number < 1 || run.Number > task.LastRun || slices.Contains(task.crashedRuns, run.Number) {
-		return fault.Newf(fault.Stale, "run %v has not started, or its crash is recorded", run)
+	if task.Done || run.Number <= task.survivedRun || run.Number > task.LastRun || slices.Contains(task.crashedRuns, run.Number) {
+		return fault.Newf(fault.Stale, "the crash under run %v is recorded, or says nothing of the task", run)
 	}
 	task.crashedRuns = append(task.crashedRuns, run.Number)
 	s.setSuspicion(job, task, task.suspicion+weightOf(c.Evidence))
@@ -63,10 +63,11 @@
 
 // applyEvidence updates the suspicion of a task with the end of a run whose worker is
 // not known to have crashed.
-func (s *State) applyEvidence(job *Job, task *Task, evidence api.CrashEvidence) {
+func (s *State) applyEvidence(job *Job, run RunID, evidence api.CrashEvidence) {
+	_, task := job.Task(run.Task)
 	switch evidence {
 	case api.CrashEvidence_CRASH_EVIDENCE_SURVIVED:
-		task.crashedRuns = nil
+		task.survivedRun, task.crashedRuns = max(task.survivedRun, run.Number), nil
 		s.setSuspicion(job, task, 0)
 	case api.CrashEvidence_CRASH_EVIDENCE_SILENT:
 		s.setSuspicion(job, task, max(task.suspicion, probationSuspicion))
@@ -79,10 +80,10 @@
 	task.suspicion = suspicion
 	switch after := task.OnProbation(); {
 	case after && !before:
-		job.suspects++
-		s.suspects++
+		job.onProbation++
+		s.onProbation++
 	case before && !after:
-		job.suspects--
-		s.suspects--
+		job.onProbation--
+		s.onProbation--
 	}
 }
--- a/jobs/suspicion_test.go
+++ b/jobs/suspicion_test.go
@@ -85,8 +85,8 @@
 	f.lose(1, suspect)
 	f.state = f.state.Clone()
 	f.state.Read(func(v View) {
-		if v.Suspects() != 1 || v.Job(testJob).Suspects() != 1 {
-			t.Errorf("%d suspects, %d of the job, want 1", v.Suspects(), v.Job(testJob).Suspects())
+		if v.TasksOnProbation() != 1 || v.Job(testJob).TasksOnProbation() != 1 {
+			t.Errorf("%d suspects, %d of the job, want 1", v.TasksOnProbation(), v.Job(testJob).TasksOnProbation())
 		}
 	})
 	f.lose(2, sole)
@@ -98,8 +98,8 @@
 		if by := v.Job(testJob).CrashedBy; by == nil || RunIDOf(by) != runID(0, 0, 2) {
 			t.Errorf("the job was given up for run %v", by)
 		}
-		if v.Suspects() != 0 {
-			t.Errorf("%d suspects remain", v.Suspects())
+		if v.TasksOnProbation() != 0 {
+			t.Errorf("%d suspects remain", v.TasksOnProbation())
 		}
 	})
 }
@@ -142,3 +142,23 @@
 	f.mustApply(crashChange(runID(0, 0, 2), suspect))
 	f.wantPhase(PhaseFailed)
 }
+
+// Guards against a crash that is reported again, on an agent's next session, after the
+// task has been cleared.
+func TestCrashBeforeASurvivedRunDoesNotCount(t *testing.T) {
+	f := newFixture(t)
+	f.submit(&api.TaskGroup{Count: 1})
+	f.lose(1, suspect)
+	f.lose(2, suspect)
+	f.lose(3, survived)
+	f.state = f.state.Clone()
+	for number := int32(1); number <= 3; number++ {
+		if err := f.apply(crashChange(runID(0, 0, number), sole)); err == nil {
+			t.Errorf("the crash under run %d was counted after run 3 had survived", number)
+		}
+	}
+	f.lose(4, sole)
+	f.wantPhase(PhaseRunning)
+	f.lose(5, sole)
+	f.wantPhase(PhaseFailed)
+}
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -92,8 +92,8 @@
 	return pending
 }
 
-// Suspects returns the number of tasks on probation.
-func (v View) Suspects() int { return v.state.suspects }
+// TasksOnProbation returns the number of tasks on probation.
+func (v View) TasksOnProbation() int { return v.state.onProbation }
 
 // Run returns the job, group and task of an active run, nil if the run is not
 // active.
