paddle-soak: a crash of a worker that is about to drain is a crash

Trace: run 2 started on w-2 at 19.461 s, 54 ms after the fault "drain a worker" had set the worker draining and before any beat said so; the task crashed it at 19.472 s. The checker took the end of a draining worker for its planned end.

--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -180,7 +180,7 @@
 
 func (r *run) crashWorker(lasts time.Duration) (string, func()) {
 	w := r.anyWorker()
-	return w.id, func() { w.restart(lasts / 2) }
+	return w.id, func() { w.restart(lasts/2, false) }
 }
 
 // shrinkWorker takes most of a worker's capacity, for long enough that it counts.
@@ -218,7 +218,7 @@
 	return w.id, func() {
 		w.set(func() { w.drains = true })
 		time.Sleep(drainTime + lasts)
-		w.restart(lasts / 4)
+		w.restart(lasts/4, true)
 	}
 }
 
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -237,7 +237,7 @@
 
 func (r *run) close() {
 	for _, w := range r.workers {
-		w.crash()
+		w.crash(false)
 	}
 	for _, p := range r.processes() {
 		p.end(syscall.SIGKILL, grace)
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -107,8 +107,9 @@
 	return nil
 }
 
-// crash ends the incarnation; nothing of it is left.
-func (w *worker) crash() {
+// crash ends the incarnation; nothing of it is left. planned tells that the worker had
+// announced its end.
+func (w *worker) crash(planned bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closedByRun {
@@ -117,15 +118,15 @@
 	w.closedByRun = true
 	close(w.ended)
 	w.server.Close()
-	w.check.workerGone(w.incarnation(), !w.drains)
+	w.check.workerGone(w.incarnation(), !planned)
 	w.runs = map[taskName]*workerRun{}
 }
 
 // restart ends the incarnation and starts the next one after a while.
-func (w *worker) restart(after time.Duration) {
+func (w *worker) restart(after time.Duration, planned bool) {
 	w.lives.Lock()
 	defer w.lives.Unlock()
-	w.crash()
+	w.crash(planned)
 	time.Sleep(after)
 	if err := w.rebirth(); err != nil {
 		w.note("%v", err)
@@ -262,7 +263,7 @@
 		draining: !w.drainSince.IsZero() && time.Since(w.drainSince) > drainTime, zoneOut: out,
 	})
 	if crashes(c.Spec, name) {
-		time.AfterFunc(crashDelay, func() { w.restart(run.takes) })
+		time.AfterFunc(crashDelay, func() { w.restart(run.takes, false) })
 	}
 	return ""
 }
