--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -12,6 +12,7 @@
 
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/daemon"
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobnode"
@@ -64,7 +65,7 @@
 	control, err := jobnode.StartControl(jobnode.Config{
 		Address: s.Advertised, Listen: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
 		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), Retain: s.Retain, Security: security,
-		Adviser: adviser(s, security), Fleet: fleet(s, security),
+		Adviser: adviser(s, security), Fleet: fleet(s, security), Policy: policy(s.Scheduling),
 	}, client)
 	if err != nil {
 		return false, err
@@ -111,6 +112,13 @@
 	return platform.NewMachines(s.Fleet, s.Name, security.HTTPTransport())
 }
 
+func policy(s settings.Scheduling) dispatch.Policy {
+	return dispatch.Policy{
+		Reservations: s.Reservations, Preemption: s.Preemption, ForecastAdmission: s.Admission == settings.AdmissionForecast,
+		FairShares: s.FairShares, RemotePenalty: s.RemotePenalty,
+	}
+}
+
 // emptyFolder removes what a data folder holds.
 func emptyFolder(folder string) error {
 	entries, err := os.ReadDir(folder)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,6 +20,10 @@
 	// Behind reports whether a run is a straggler: a copy, started now, would
 	// likely complete before it. It is nil if nothing is known of runs.
 	Behind func(run jobs.RunID) bool
+	// Run returns the status of an active run, false if nothing is known of it. It may
+	// be nil.
+	Run    func(run jobs.RunID) (RunStatus, bool)
+	Policy Policy
 	// Tickets returns the tickets of a group by worker key, for a queue with an
 	// adviser. It returns false while the adviser has not answered.
 	Tickets func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool)
--- /dev/null
+++ b/dispatch/policy.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"time"
+
+	"amaranthpaddle/jobs"
+)
+
+// Policy holds the scheduling features that a deployment has switched on. The zero
+// value switches all of them off.
+type Policy struct {
+	Reservations      int     // largest number of reservations per service at a time
+	Preemption        bool    // runs of little value give way to waiting tasks
+	ForecastAdmission bool    // admission by a forecast of the room, in place of the backlog's drain rate
+	FairShares        bool    // callers that compete for too little room share it
+	RemotePenalty     float64 // factor on the duration of a task away from its data or peers, 0 if unknown
+}
+
+// RunStatus is what the leader knows of an active run.
+type RunStatus struct {
+	Age      time.Duration // since its start was committed
+	Percent  int32         // of its work that is done, by the latest listing
+	Pace     int32         // in percent of full pace
+	Stopping bool          // a stop has been ordered
+}
+
+// runStatus returns the status of a run, false if nothing is known of it.
+func (in Input) runStatus(run jobs.RunID) (RunStatus, bool) {
+	if in.Run == nil {
+		return RunStatus{}, false
+	}
+	return in.Run(run)
+}
--- a/jobcontrol/config.go
+++ b/jobcontrol/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/replica"
 	"amaranthpaddle/timing"
@@ -31,7 +32,8 @@
 	Retain  time.Duration // how long an ended job is retained
 	Voters  int           // number of voting members: 2f+1 to tolerate f losses
 	Adviser Adviser       // nil without a placement adviser
-	Fleet   Fleet         // nil when maintenance and moves of VMs cannot be ordered
+	Policy  dispatch.Policy
+	Fleet   Fleet // nil when maintenance and moves of VMs cannot be ordered
 
 	Clock    func() time.Time // timing.Boot when nil; advances while the VM is suspended
 	UnixTime func() time.Time // time of day; time.Now when nil
--- a/jobcontrol/progress.go
+++ b/jobcontrol/progress.go
@@ -100,3 +100,25 @@
 func (l *leadership) expectedDuration(job *jobs.Job, group *jobs.Group) time.Duration {
 	return time.Duration(l.knowledge.Durations.Estimate(job.QueueKey, group.Spec.EstimatedMs) * float64(time.Millisecond))
 }
+
+// runStatus returns what is known of an active run, false before its start is
+// committed and for a run that an earlier leader started and no listing shows. The
+// lock is held.
+func (l *leadership) runStatus(state jobs.View, run jobs.RunID, now time.Time) (dispatch.RunStatus, bool) {
+	status := dispatch.RunStatus{Pace: dispatch.FullPace, Stopping: l.movingRuns[run]}
+	startedAt, known := l.startedAt[run]
+	if known {
+		status.Age = now.Sub(startedAt)
+	}
+	_, _, task := state.Run(run)
+	if task == nil {
+		return status, known
+	}
+	for _, active := range task.Runs {
+		if view := l.viewOf(active.Worker); active.Number == run.Number && view != nil && view.runs[run] != nil {
+			status.Percent, status.Pace = view.runs[run].Percent, view.runs[run].Pace
+			return status, true
+		}
+	}
+	return status, known
+}
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -171,6 +171,8 @@
 		Workers:  l.dispatchWorkers(view, now),
 		Panicked: l.handlePlanPanic,
 		Behind:   func(run jobs.RunID) bool { return l.behind(view, run, now) },
+		Run:      func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
+		Policy:   l.server.config.Policy,
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
 			return l.ticketsFor(view, queue, group)
 		},
--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -29,17 +29,27 @@
 
 // Gateway forwards calls to the leader. It must be started at most once.
 type Gateway struct {
-	client *controlclient.Client
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	client  *controlclient.Client
+	options Options
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 
 	mu         sync.Mutex
 	lastAnswer time.Time // when the leader last answered
 	draining   bool
 }
 
+// Options switches features of a Gateway on.
+type Options struct {
+	// RefuseWithoutLeader answers calls at once while no leader is to be expected in
+	// time, in place of trying until the caller's deadline.
+	RefuseWithoutLeader bool
+}
+
 // New returns a gateway that calls the control group through client.
-func New(client *controlclient.Client) *Gateway { return &Gateway{client: client} }
+func New(client *controlclient.Client, options Options) *Gateway {
+	return &Gateway{client: client, options: options}
+}
 
 // Start begins probing the leader whenever no call has reached it lately.
 func (g *Gateway) Start() {
--- a/jobentry/gateway_test.go
+++ b/jobentry/gateway_test.go
@@ -52,7 +52,7 @@
 	t.Cleanup(server.Stop)
 	client := controlclient.New(&transport.Security{}, []string{listener.Addr().String()})
 	t.Cleanup(client.Close)
-	return New(client), leader
+	return New(client, Options{}), leader
 }
 
 func TestRefusalAfterUnknownOutcomeIsNotPassedOn(t *testing.T) {
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -18,6 +18,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/disk"
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobs"
@@ -41,6 +42,7 @@
 	Security   *transport.Security
 	Adviser    jobcontrol.Adviser // nil without a placement adviser
 	Fleet      jobcontrol.Fleet   // nil when maintenance and moves of VMs cannot be ordered
+	Policy     dispatch.Policy
 }
 
 // Control is a running control replica.
@@ -115,7 +117,7 @@
 	}
 	c.server = jobcontrol.New(jobcontrol.Config{
 		Replica: started, State: state, Lease: config.Lease, Retain: config.Retain, Voters: config.Voters,
-		Adviser: config.Adviser, Fleet: config.Fleet,
+		Adviser: config.Adviser, Fleet: config.Fleet, Policy: config.Policy,
 	})
 	c.grpc = grpc.NewServer(slices.Concat(replica.ServerOptions(), config.Security.ServerOptions(), transport.RecoverPanics())...)
 	started.Register(c.grpc)
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -31,6 +31,9 @@
 	Callers   string        // ip:port for callers
 	Readiness string        // ip:port for the balancer's looks
 	Grace     time.Duration // between the order to stop and the end of the process
+	// RefuseWithoutLeader answers calls at once while no leader is to be expected in
+	// time, in place of trying until the caller's deadline.
+	RefuseWithoutLeader bool
 }
 
 // JobControl holds the settings of paddle-jobcontrol.
@@ -47,8 +50,24 @@
 	Adviser    string        // ip:port of the placement adviser, empty for none
 	Fleet      string        // ip:port of the owner of the VMs, empty for none
 	Grace      time.Duration
+	Scheduling Scheduling
 }
 
+// Scheduling holds the scheduling features that are switched on.
+type Scheduling struct {
+	Reservations  int     // largest number of reservations per service at a time, 0 for none
+	Preemption    bool    // runs of little value give way to waiting tasks
+	Admission     string  // AdmissionBacklog or AdmissionForecast, empty for the former
+	FairShares    bool    // callers that compete for too little room share it
+	RemotePenalty float64 // factor on the duration of a task away from its data or peers, 0 if unknown
+}
+
+// Values of Scheduling.Admission.
+const (
+	AdmissionBacklog  = "backlog"  // by the work ahead and the recent drain rate
+	AdmissionForecast = "forecast" // by a forecast of the room that each job needs
+)
+
 // leasePart of the longest lease that a worker grants is used; a lease is
 // shortened by the age of what it rests on, and workers' clocks may be slow.
 const (
@@ -87,6 +106,9 @@
 	longestLease  = 10 * time.Minute
 	longestRetain = 30 * 24 * time.Hour
 	mostTolerated = 4
+
+	maxReservations  = 1000
+	maxRemotePenalty = 100
 )
 
 // ParseJobEntry reads the settings of paddle-jobentry from data; name stands in faults.
@@ -97,6 +119,8 @@
 		Callers:    r.address("listen", "callers", required),
 		Readiness:  r.address("listen", "readiness", required),
 		Grace:      r.duration("limits", "grace", 0, longestGrace),
+
+		RefuseWithoutLeader: r.boolean("calls", "refuse_without_leader"),
 	}
 	return finish(r, s)
 }
@@ -117,6 +141,7 @@
 		Adviser:    r.address("adviser", "address", optional),
 		Fleet:      r.address("fleet", "address", optional),
 		Grace:      r.duration("limits", "grace", 0, longestGrace),
+		Scheduling: r.scheduling(),
 	}
 	if s.Advertised == "" {
 		s.Advertised = s.Listen
@@ -136,6 +161,16 @@
 	return finish(r, s)
 }
 
+func (r *reader) scheduling() Scheduling {
+	return Scheduling{
+		Reservations:  r.count("scheduling", "reservations", 0, maxReservations),
+		Preemption:    r.boolean("scheduling", "preemption"),
+		Admission:     r.choice("scheduling", "admission", AdmissionBacklog, AdmissionForecast),
+		FairShares:    r.boolean("scheduling", "fair_shares"),
+		RemotePenalty: r.factor("scheduling", "remote_penalty", 1, maxRemotePenalty),
+	}
+}
+
 func (r *reader) jobProcess() JobProcess {
 	return JobProcess{
 		Process:     r.process(),
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -344,6 +344,27 @@
 	})
 }
 
+// factor reads an optional ratio, 0 if it is missing.
+func (r *reader) factor(section, key string, low, high float64) float64 {
+	return parsed(r, section, key, optional, func(text string) (float64, error) {
+		f, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(f >= low && f <= high) {
+			return 0, fmt.Errorf("is not a number from %g to %g", low, high)
+		}
+		return f, nil
+	})
+}
+
+// choice reads an optional value that is one of the given words.
+func (r *reader) choice(section, key string, words ...string) string {
+	return parsed(r, section, key, optional, func(text string) (string, error) {
+		if !slices.Contains(words, text) {
+			return "", fmt.Errorf("is none of %s", strings.Join(words, ", "))
+		}
+		return text, nil
+	})
+}
+
 func (r *reader) duration(section, key string, low, high time.Duration) time.Duration {
 	return parsed(r, section, key, optional, func(text string) (time.Duration, error) {
 		d, err := time.ParseDuration(text)
