jobentry: answer calls at once while no leader is to be expected in time

Cause: without a leader the gateway tried until each caller's deadline and answered 504, because a refused connection counted as an unknown outcome.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// Addresses returns the addresses (ip:port) of the replicas, and the leader's
+// where it is known and not among them.
+func (c *Client) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addresses := slices.Clone(c.addresses)
+	if c.leader != "" && !slices.Contains(addresses, c.leader) {
+		addresses = append(addresses, c.leader)
+	}
+	return addresses
+}
+
 // AddAddresses adds addresses (ip:port) of replicas that may be asked.
 func (c *Client) AddAddresses(addresses []string) {
 	c.mu.Lock()
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -6,6 +6,7 @@
 	stderrors "errors"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
@@ -134,8 +135,9 @@
 
 // Error is an error with a Kind.
 type Error struct {
-	Kind  Kind
-	cause error
+	Kind       Kind
+	cause      error
+	retryAfter time.Duration
 }
 
 // Error returns the message of the cause, after the kind's name. The name is
@@ -170,6 +172,25 @@
 	return &Error{Kind: k, cause: errors.WithMessage(err, message)}
 }
 
+// WithRetryAfter returns err with the time after which the call may be tried
+// again. It returns nil for a nil err. The time is not sent over gRPC.
+func WithRetryAfter(err error, after time.Duration) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Kind: KindOf(err), cause: err, retryAfter: after}
+}
+
+// RetryAfter returns the time after which a call that failed with err may be
+// tried again, from the outermost Error in its chain; 0 if it is not known.
+func RetryAfter(err error) time.Duration {
+	var e *Error
+	if stderrors.As(err, &e) {
+		return e.retryAfter
+	}
+	return 0
+}
+
 // KindOf returns the Kind of err: the outermost Error in its chain, or Internal.
 func KindOf(err error) Kind {
 	var e *Error
--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -37,6 +38,9 @@
 	mu         sync.Mutex
 	lastAnswer time.Time // when the leader last answered
 	draining   bool
+	outage     outage
+
+	surveys chan struct{} // holds a requested survey
 }
 
 // Options switches features of a Gateway on.
@@ -48,7 +52,7 @@
 
 // New returns a gateway that calls the control group through client.
 func New(client *controlclient.Client, options Options) *Gateway {
-	return &Gateway{client: client, options: options}
+	return &Gateway{client: client, options: options, outage: newOutage(), surveys: make(chan struct{}, 1)}
 }
 
 // Start begins probing the leader whenever no call has reached it lately.
@@ -93,26 +97,62 @@
 }
 
 func (g *Gateway) probe(ctx context.Context) {
-	for timing.Sleep(ctx, timing.Jitter(probeInterval, 0.2)) {
+	timeout := longSurvey
+	for {
+		surveyed, open := g.awaitProbe(ctx)
+		if !open {
+			return
+		}
 		g.mu.Lock()
 		fresh := timing.Boot().Sub(g.lastAnswer) < probeInterval
+		active := g.outage.active()
 		g.mu.Unlock()
-		if fresh {
-			continue
-		}
-		probe, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, err := g.Call(probe, &api.JobCall{Kind: api.JobCallKind_JOB_CALL_KIND_LOOK})
-		cancel()
-		if err != nil && ctx.Err() == nil {
-			klog.InfoS("Leader does not answer", "error", err)
+		switch {
+		case active || surveyed:
+			timeout = shortSurvey + longSurvey - timeout // alternately
+			g.survey(ctx, timeout)
+		case !fresh:
+			g.probeLeader(ctx)
 		}
 	}
 }
 
+// awaitProbe waits until the next probe is due. It returns whether a survey was
+// requested, and whether ctx is still open.
+func (g *Gateway) awaitProbe(ctx context.Context) (surveyed, open bool) {
+	g.mu.Lock()
+	interval, surveys := probeInterval, g.surveys
+	if g.outage.active() {
+		interval, surveys = surveyInterval, nil // requests don't add to the periodic surveys
+	}
+	g.mu.Unlock()
+	timer := time.NewTimer(timing.Jitter(interval, 0.2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-surveys:
+		surveyed = true
+	case <-ctx.Done():
+	}
+	return surveyed, ctx.Err() == nil
+}
+
+func (g *Gateway) probeLeader(ctx context.Context) {
+	probe, cancel := context.WithTimeout(ctx, probeTimeout-answerReserve)
+	defer cancel()
+	call := &api.JobCall{Kind: api.JobCallKind_JOB_CALL_KIND_LOOK, RemainingMs: probeTimeout.Milliseconds()}
+	_, err := g.forward(probe, call, new(atomic.Bool))
+	if err != nil && ctx.Err() == nil {
+		g.recordFailure(err)
+		klog.InfoS("Leader does not answer", "error", err)
+	}
+}
+
 // Call forwards one call to the leader and retries it as controlclient.Client.Do
-// does, until ctx ends. Errors: fault.NoQuorum when the call had no effect and never
-// will; fault.CommitUnknown when a submission or a cancellation may have taken
-// effect or may still do so.
+// does, until ctx ends or, with Options.RefuseWithoutLeader, until no leader is to
+// be expected before that. Errors: fault.NoQuorum, with the time after which to
+// retry, when the call had no effect and never will; fault.CommitUnknown when a
+// submission or a cancellation may have taken effect or may still do so.
 func (g *Gateway) Call(ctx context.Context, call *api.JobCall) (*api.JobAnswer, error) {
 	received := time.Now()
 	if deadline, given := ctx.Deadline(); given {
@@ -121,22 +161,12 @@
 		defer cancel()
 		call.RemainingMs = time.Until(deadline).Milliseconds()
 	}
-	var answer *api.JobAnswer
-	uncertain := false
-	err := g.client.Do(ctx, func(ctx context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
-		call.Attempt++
-		var err error
-		answer, err = api.NewJobsClient(connection).Call(ctx, call, options...)
-		if err != nil && fault.KindOf(fault.FromStatus(err)).Answer().Outcome != fault.OutcomeNotRun {
-			uncertain = true
-		}
-		return err
-	})
+	var uncertain atomic.Bool
+	answer, err := g.forwardInTime(ctx, call, &uncertain)
 	if err == nil {
-		g.recordAnswer()
-		err = checkRefusal(answer, uncertain)
+		err = checkRefusal(answer, uncertain.Load())
 	} else {
-		err = finalError(err, uncertain)
+		err = g.finalError(err, uncertain.Load(), call.Kind)
 	}
 	logCall(call, answer, err, time.Since(received))
 	if err != nil {
@@ -145,10 +175,67 @@
 	return answer, nil
 }
 
+// forwardInTime forwards a call as forward does while a leader is to be expected
+// in time. It returns withoutLeader otherwise.
+func (g *Gateway) forwardInTime(ctx context.Context, call *api.JobCall, uncertain *atomic.Bool) (*api.JobAnswer, error) {
+	if !g.options.RefuseWithoutLeader {
+		return g.forward(ctx, call, uncertain)
+	}
+	if reason := g.decide(ctx, call.Kind); reason != nil {
+		return nil, reason
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go g.watch(ctx, call.Kind, uncertain, cancel)
+	answer, err := g.forward(ctx, call, uncertain)
+	if reason, ended := context.Cause(ctx).(*withoutLeader); ended && err != nil {
+		return nil, reason
+	}
+	return answer, err
+}
+
+// forward sends a call until it is answered or ctx ends. It sets uncertain when an
+// attempt without an answer may have been accepted.
+func (g *Gateway) forward(ctx context.Context, call *api.JobCall, uncertain *atomic.Bool) (answer *api.JobAnswer, err error) {
+	err = g.client.Do(ctx, func(try context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
+		call.Attempt++
+		var err error
+		sent := true
+		if g.options.RefuseWithoutLeader {
+			answer, sent, err = attempt(try, connection, call, options)
+		} else {
+			answer, err = api.NewJobsClient(connection).Call(try, call, options...)
+		}
+		if err == nil {
+			return nil
+		}
+		failure := fault.FromStatus(err)
+		if sent && fault.KindOf(failure).Answer().Outcome != fault.OutcomeNotRun {
+			uncertain.Store(true)
+		}
+		if ctx.Err() == nil {
+			g.recordFailure(failure)
+		}
+		return err
+	})
+	if err == nil {
+		g.recordAnswer()
+	}
+	return answer, err
+}
+
+// recordAnswer records that the leader answered.
 func (g *Gateway) recordAnswer() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastAnswer = timing.Boot()
+	g.endOutageLocked()
+}
+
+func (g *Gateway) endOutageLocked() {
+	if lasted := g.outage.answered(timing.Boot()); lasted >= minOutage {
+		klog.InfoS("Leader answers again", "after_ms", lasted.Milliseconds())
+	}
 }
 
 // checkRefusal returns fault.CommitUnknown for a refusal after an attempt with an
@@ -160,11 +247,21 @@
 	return fault.New(fault.CommitUnknown, "an earlier attempt may still be taken")
 }
 
-func finalError(err error, uncertain bool) error {
+// finalError returns the error of a call that was not answered.
+func (g *Gateway) finalError(err error, uncertain bool, kind api.JobCallKind) error {
 	if uncertain {
 		return fault.Wrap(fault.CommitUnknown, err, "no answer from the leader")
 	}
-	return fault.Wrap(fault.NoQuorum, err, "no leader")
+	retryAfter := minRetryAfter
+	if reason, ended := err.(*withoutLeader); ended {
+		retryAfter = reason.retryAfter
+		telemetry.JobEntryRefusals.Add(1, callName(kind))
+	} else if g.options.RefuseWithoutLeader {
+		g.mu.Lock()
+		retryAfter = g.outage.retryAfter(timing.Boot())
+		g.mu.Unlock()
+	}
+	return fault.WithRetryAfter(fault.Wrap(fault.NoQuorum, err, "no leader"), retryAfter)
 }
 
 // logCall writes a log line and metrics for a caller's call.
--- /dev/null
+++ b/jobentry/survey.go
@@ -0,0 +1,191 @@
+package jobentry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/fault"
+	"amaranthpaddle/timing"
+)
+
+// Intervals and timeouts while the leader does not answer.
+const (
+	surveyInterval  = 200 * time.Millisecond // from the end of one survey to the next
+	shortSurvey     = 500 * time.Millisecond // timeouts of surveys, alternately: a short one notices a
+	longSurvey      = probeTimeout           // restarted replica sooner, a long one a slow leader
+	slowCall        = 300 * time.Millisecond // after which an unanswered call asks for a survey; above a commit between regions
+	recheckInterval = 100 * time.Millisecond // between decisions on a waiting call
+)
+
+// withoutLeader ends a call that would not be answered in time. It carries the
+// time after which the caller should return.
+type withoutLeader struct{ retryAfter time.Duration }
+
+func (*withoutLeader) Error() string { return "no leader is expected in time" }
+
+// decide returns the reason to end a call now, nil for none. A call without a
+// deadline never ends early.
+func (g *Gateway) decide(ctx context.Context, kind api.JobCallKind) *withoutLeader {
+	deadline, given := ctx.Deadline()
+	if !given {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := timing.Boot()
+	if !g.outage.hopeless(now, kind, time.Until(deadline)) {
+		return nil
+	}
+	return &withoutLeader{g.outage.retryAfter(now)}
+}
+
+// watch ends a waiting call by cancel as soon as no leader is to be expected in
+// time, and asks for a survey when the call is slow. It ends with ctx.
+// A submission that may have been accepted is worth as much as a query: what became
+// of it can be learnt until the deadline.
+func (g *Gateway) watch(ctx context.Context, kind api.JobCallKind, uncertain *atomic.Bool, cancel context.CancelCauseFunc) {
+	slow := time.Now().Add(slowCall)
+	requested := false
+	for timing.Sleep(ctx, recheckInterval) {
+		if uncertain.Load() {
+			kind = api.JobCallKind_JOB_CALL_KIND_LOOK
+		}
+		if reason := g.decide(ctx, kind); reason != nil {
+			cancel(reason)
+			return
+		}
+		if !requested && time.Now().After(slow) {
+			requested = true
+			g.requestSurvey()
+		}
+	}
+}
+
+func (g *Gateway) requestSurvey() {
+	select {
+	case g.surveys <- struct{}{}:
+	default: // one is already requested
+	}
+}
+
+// recordFailure records the error of an attempt, if it means that no leader was found.
+func (g *Gateway) recordFailure(err error) {
+	if !g.options.RefuseWithoutLeader || !(replicaAnswered(err) || replicaSilent(err)) {
+		return
+	}
+	g.mu.Lock()
+	began := g.outage.failed(timing.Boot())
+	g.mu.Unlock()
+	if began {
+		g.requestSurvey()
+	}
+}
+
+// replicaAnswered reports whether err is the answer of a replica that does not lead.
+func replicaAnswered(err error) bool {
+	kind := fault.KindOf(err)
+	return kind == fault.NotLeader || kind == fault.NoQuorum || kind == fault.CommitUnknown
+}
+
+// replicaSilent reports whether err means that no answer came from a replica.
+func replicaSilent(err error) bool {
+	kind := fault.KindOf(err)
+	return kind == fault.ConnectionLost || kind == fault.DeadlineUnknown
+}
+
+type surveyResult struct {
+	address string
+	err     error
+}
+
+// survey asks all replicas at once for the leader. It ends with the leader's
+// answer, or after half of the timeout when a quorum answered and none led: the
+// next survey then sees an election's result sooner.
+func (g *Gateway) survey(parent context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(parent, timeout)
+	defer cancel()
+	half, cancelHalf := context.WithTimeout(ctx, timeout/2)
+	defer cancelHalf()
+	addresses := g.client.Addresses()
+	results := make(chan surveyResult, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- surveyResult{address, g.ask(ctx, address)} }()
+	}
+	reachable, enough := 0, (<-chan struct{})(nil)
+	for pending := len(addresses); pending > 0; pending-- {
+		var r surveyResult
+		select {
+		case r = <-results:
+		case <-enough:
+			g.recordSurvey(parent, reachable, len(addresses))
+			return
+		}
+		switch {
+		case replicaAnswered(r.err):
+			reachable++
+		case replicaSilent(r.err):
+			g.client.Note(r.address, nil, r.err)
+		case !fault.Is(r.err, fault.Canceled):
+			g.recordLeader(r)
+			return
+		}
+		if 2*reachable >= len(addresses) {
+			enough = half.Done()
+		}
+	}
+	g.recordSurvey(parent, reachable, len(addresses))
+}
+
+// recordLeader records the answer of the leader to a survey, which may be an error
+// of its own: then it takes calls, but does not count for Ready.
+func (g *Gateway) recordLeader(r surveyResult) {
+	if r.err == nil {
+		g.client.Note(r.address, nil, nil)
+		g.recordAnswer()
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endOutageLocked()
+}
+
+// recordSurvey records a survey in which none led, unless it ended with the gateway.
+func (g *Gateway) recordSurvey(ctx context.Context, reachable, replicas int) {
+	if ctx.Err() != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.outage.surveyed(timing.Boot(), reachable, replicas)
+	klog.V(1).InfoS("No control replica leads", "reachable", reachable, "replicas", replicas)
+}
+
+// ask sends one query to a replica. Errors: those of fault.FromStatus.
+func (g *Gateway) ask(ctx context.Context, address string) error {
+	connection, err := g.client.Connection(address)
+	if err != nil {
+		return fault.Wrap(fault.ConnectionLost, err, "connection")
+	}
+	_, err = api.NewJobsClient(connection).Call(ctx, &api.JobCall{Kind: api.JobCallKind_JOB_CALL_KIND_LOOK})
+	return fault.FromStatus(err)
+}
+
+// attempt is one attempt of a call at a replica. sent is whether the call may have
+// left this process: a stream was opened for it on an established connection.
+func attempt(ctx context.Context, connection *grpc.ClientConn, call *api.JobCall, options []grpc.CallOption) (answer *api.JobAnswer, sent bool, err error) {
+	var replica peer.Peer
+	answer, err = api.NewJobsClient(connection).Call(ctx, call, append(options, grpc.Peer(&replica))...)
+	if ctx.Err() == nil && status.Code(err) == codes.Canceled && len(status.Convert(err).Details()) == 0 {
+		// Another call or a survey found the connection silent and closed it.
+		err = status.Error(codes.Unavailable, "the connection was closed")
+	}
+	return answer, replica.Addr != nil, err
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -44,6 +44,7 @@
 // Metrics of submitted jobs. Those of the fleet are written by the leader only.
 var (
 	JobEntryCalls    = Metric{"paddle_jobentry_calls_total", []string{"call", "answer"}}
+	JobEntryRefusals = Metric{"paddle_jobentry_calls_without_leader_total", []string{"call"}}
 	JobEntrySeconds  = Metric{"paddle_jobentry_call_seconds", []string{"call"}}
 	JobCalls         = Metric{"paddle_jobs_calls_total", []string{"call", "answer"}}
 	JobBatchSeconds  = Metric{"paddle_jobs_commit_seconds", nil}
@@ -63,7 +64,7 @@
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobWorkerCrashes, JobsGivenUp, JobFleet,
+		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobWorkerCrashes, JobsGivenUp, JobFleet,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
