--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -181,7 +181,7 @@
 	if !g.options.RefuseWithoutLeader {
 		return g.forward(ctx, call, uncertain)
 	}
-	if reason := g.decide(ctx, call.Kind); reason != nil {
+	if reason := g.decide(ctx, call.Kind, false); reason != nil {
 		return nil, reason
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/jobentry/gateway_test.go
+++ b/jobentry/gateway_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/controlclient"
@@ -24,8 +26,9 @@
 }
 
 type step struct {
-	kind api.JobAnswerKind
-	err  error
+	kind   api.JobAnswerKind
+	err    error
+	status error // without a fault.Kind, as of a lost connection
 }
 
 func (f *fakeLeader) Call(context.Context, *api.JobCall) (*api.JobAnswer, error) {
@@ -33,6 +36,9 @@
 	defer f.mu.Unlock()
 	s := f.steps[min(f.calls, len(f.steps)-1)]
 	f.calls++
+	if s.status != nil {
+		return nil, s.status
+	}
 	if s.err != nil {
 		return nil, fault.ToStatus(s.err)
 	}
@@ -106,3 +112,94 @@
 		t.Errorf("while draining: %v", err)
 	}
 }
+
+// serveRaw serves connections by handle and returns a gateway that refuses calls
+// without a leader.
+func serveRaw(t *testing.T, handle func(net.Listener)) *Gateway {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	handle(listener)
+	client := controlclient.New(&transport.Security{}, []string{listener.Addr().String()})
+	t.Cleanup(client.Close)
+	return New(client, Options{RefuseWithoutLeader: true})
+}
+
+// hanging accepts calls and never answers: the answers' direction is cut.
+type hanging struct{ api.UnimplementedJobsServer }
+
+func (hanging) Call(ctx context.Context, _ *api.JobCall) (*api.JobAnswer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a 503 for a submission that a replica may have accepted, and
+// against a 504 for one that no replica can have received.
+func TestNotRunIsSaidOnlyOfCallsThatWereNeverReceived(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		handle func(net.Listener)
+		off    bool
+		want   fault.Kind
+	}{
+		{"connection refused", func(l net.Listener) { l.Close() }, false, fault.NoQuorum},
+		{"connection refused, feature off", func(l net.Listener) { l.Close() }, true, fault.CommitUnknown},
+		{"connection without an answer", func(net.Listener) {}, false, fault.NoQuorum},
+		{"lost after sending", func(l net.Listener) {
+			server := grpc.NewServer()
+			api.RegisterJobsServer(server, hanging{})
+			go server.Serve(l)
+			t.Cleanup(server.Stop)
+		}, false, fault.CommitUnknown},
+	} {
+		gateway := serveRaw(t, c.handle)
+		gateway.options.RefuseWithoutLeader = !c.off
+		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		answer, err := gateway.Call(ctx, &api.JobCall{Kind: submit})
+		cancel()
+		if !fault.Is(err, c.want) {
+			t.Errorf("%s: %v, %v; want kind %v", c.name, answer, err, c.want)
+		}
+		if told := fault.RetryAfter(err) > 0; told != (c.want == fault.NoQuorum) {
+			t.Errorf("%s: retry after %v", c.name, fault.RetryAfter(err))
+		}
+	}
+}
+
+// Guards against entries that keep trying for each caller while no replica can be
+// reached, and against entries that go on refusing when the leader is back.
+func TestCallsAreRefusedWithoutAttemptUntilTheLeaderIsBack(t *testing.T) {
+	plain, leader := serve(t, step{status: status.Error(codes.Unavailable, "off")})
+	gateway := New(plain.client, Options{RefuseWithoutLeader: true})
+	gateway.Start()
+	defer gateway.Stop()
+	until := func(what string, reached func(*api.JobCall, error) bool) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			call := &api.JobCall{Kind: submit}
+			_, err := gateway.Call(ctx, call)
+			cancel()
+			if reached(call, err) {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: last error %v", what, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	until("no call was refused without an attempt", func(call *api.JobCall, err error) bool {
+		return call.Attempt == 0 && fault.Is(err, fault.NoQuorum) && fault.RetryAfter(err) >= time.Second
+	})
+	leader.mu.Lock()
+	leader.steps = []step{{kind: api.JobAnswerKind_JOB_ANSWER_KIND_ACCEPTED}}
+	leader.mu.Unlock()
+	until("no call was served", func(_ *api.JobCall, err error) bool { return err == nil })
+	if err := gateway.Ready(); err != nil {
+		t.Errorf("after an answer: %v", err)
+	}
+}
--- a/jobentry/outage.go
+++ b/jobentry/outage.go
@@ -99,16 +99,21 @@
 }
 
 // hopeless reports whether a call of the kind with this time left until its
-// deadline should end now. A submission that waited for over two thirds of its
-// time starts a job that has lost most of its value; a query or a cancellation
-// is as useful at its deadline. A call with less time left than the shortest
-// Retry-After goes on: its caller could not return before that deadline.
-func (o *outage) hopeless(now time.Time, kind api.JobCallKind, left time.Duration) bool {
-	useful := left
+// deadline should end now. waiting is whether it has been tried already.
+//
+// A submission that waited for over two thirds of its time starts a job that has
+// lost most of its value. A query or a cancellation is as useful at its deadline,
+// so one that waits goes on while a quorum can be reached and may elect a leader
+// at any time. A call with less time left than the shortest Retry-After goes on:
+// its caller could not return before that deadline.
+func (o *outage) hopeless(now time.Time, kind api.JobCallKind, left time.Duration, waiting bool) bool {
+	if left < minRetryAfter {
+		return false
+	}
 	if kind == api.JobCallKind_JOB_CALL_KIND_SUBMIT {
-		useful = left * 2 / 3
+		return o.remaining(now) > left*2/3
 	}
-	return left >= minRetryAfter && o.remaining(now) > useful
+	return o.remaining(now) > left && (!waiting || o.withoutQuorum(now))
 }
 
 // retryAfter returns the whole seconds after which a caller that is told so now
--- a/jobentry/survey.go
+++ b/jobentry/survey.go
@@ -32,8 +32,8 @@
 func (*withoutLeader) Error() string { return "no leader is expected in time" }
 
 // decide returns the reason to end a call now, nil for none. A call without a
-// deadline never ends early.
-func (g *Gateway) decide(ctx context.Context, kind api.JobCallKind) *withoutLeader {
+// deadline never ends early. waiting is whether the call has been tried already.
+func (g *Gateway) decide(ctx context.Context, kind api.JobCallKind, waiting bool) *withoutLeader {
 	deadline, given := ctx.Deadline()
 	if !given {
 		return nil
@@ -41,7 +41,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := timing.Boot()
-	if !g.outage.hopeless(now, kind, time.Until(deadline)) {
+	if !g.outage.hopeless(now, kind, time.Until(deadline), waiting) {
 		return nil
 	}
 	return &withoutLeader{g.outage.retryAfter(now)}
@@ -58,7 +58,7 @@
 		if uncertain.Load() {
 			kind = api.JobCallKind_JOB_CALL_KIND_LOOK
 		}
-		if reason := g.decide(ctx, kind); reason != nil {
+		if reason := g.decide(ctx, kind, true); reason != nil {
 			cancel(reason)
 			return
 		}
