jobentry: no further attempt in the last 60 ms before a call's deadline

Cause: an attempt that the deadline cuts off has an unknown outcome, so a call that every replica had rejected was answered 504 now and then. Change: with refuse_without_leader such an attempt is not made.

--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -197,7 +197,11 @@
 // forward sends a call until it is answered or ctx ends. It sets uncertain when an
 // attempt without an answer may have been accepted.
 func (g *Gateway) forward(ctx context.Context, call *api.JobCall, uncertain *atomic.Bool) (answer *api.JobAnswer, err error) {
+	var failure error // of the last attempt
 	err = g.client.Do(ctx, func(try context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
+		if failure != nil && g.options.RefuseWithoutLeader && lacksTime(ctx) {
+			return fault.ToStatus(fault.Wrap(fault.NoQuorum, failure, "too little time is left for another attempt"))
+		}
 		call.Attempt++
 		var err error
 		sent := true
@@ -209,7 +213,7 @@
 		if err == nil {
 			return nil
 		}
-		failure := fault.FromStatus(err)
+		failure = fault.FromStatus(err)
 		if sent && fault.KindOf(failure).Answer().Outcome != fault.OutcomeNotRun {
 			uncertain.Store(true)
 		}
--- a/jobentry/gateway_test.go
+++ b/jobentry/gateway_test.go
@@ -169,6 +169,21 @@
 	}
 }
 
+// Guards against a 504 that only comes from a further attempt just before the
+// deadline, which cuts it off: the second attempt would have 20 ms.
+func TestNoFurtherAttemptIsCutOffByTheDeadline(t *testing.T) {
+	plain, leader := serve(t, step{err: fault.New(fault.NotLeader, "another one leads")})
+	gateway := New(plain.client, Options{RefuseWithoutLeader: true})
+	ctx, cancel := context.WithTimeout(context.Background(), answerReserve+70*time.Millisecond)
+	defer cancel()
+	_, err := gateway.Call(ctx, &api.JobCall{Kind: submit})
+	leader.mu.Lock()
+	defer leader.mu.Unlock()
+	if err == nil || leader.calls > 1 {
+		t.Errorf("%d attempts, %v; want one", leader.calls, err)
+	}
+}
+
 // Guards against entries that keep trying for each caller while no replica can be
 // reached, and against entries that go on refusing when the leader is back.
 func TestCallsAreRefusedWithoutAttemptUntilTheLeaderIsBack(t *testing.T) {
--- a/jobentry/survey.go
+++ b/jobentry/survey.go
@@ -23,6 +23,7 @@
 	longSurvey      = probeTimeout           // restarted replica sooner, a long one a slow leader
 	slowCall        = 300 * time.Millisecond // after which an unanswered call asks for a survey; above a commit between regions
 	recheckInterval = 100 * time.Millisecond // between decisions on a waiting call
+	minAttempt      = 60 * time.Millisecond  // left for a further attempt; two round trips between regions
 )
 
 // withoutLeader ends a call that would not be answered in time. It carries the
@@ -178,6 +179,13 @@
 	return fault.FromStatus(err)
 }
 
+// lacksTime reports whether a further attempt would probably be cut off by the
+// deadline of ctx. Its outcome would then be unknown without need.
+func lacksTime(ctx context.Context) bool {
+	deadline, given := ctx.Deadline()
+	return given && time.Until(deadline) < minAttempt
+}
+
 // attempt is one attempt of a call at a replica. sent is whether the call may have
 // left this process: a stream was opened for it on an established connection.
 func attempt(ctx context.Context, connection *grpc.ClientConn, call *api.JobCall, options []grpc.CallOption) (answer *api.JobAnswer, sent bool, err error) {
