--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -199,7 +199,7 @@
 func (g *Gateway) forward(ctx context.Context, call *api.JobCall, uncertain *atomic.Bool) (answer *api.JobAnswer, err error) {
 	var failure error // of the last attempt
 	err = g.client.Do(ctx, func(try context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
-		if failure != nil && g.options.RefuseWithoutLeader && lacksTime(ctx) {
+		if failure != nil && lacksTime(ctx) {
 			return fault.ToStatus(fault.Wrap(fault.NoQuorum, failure, "too little time is left for another attempt"))
 		}
 		call.Attempt++
