dispatch, jobcontrol: preemption of runs of little value, first version

Cause: nothing gives way to waiting tasks; runs of jobs without value hold CPU and memory. Change: dispatch.Preempt chooses runs to stop, jobcontrol stops them.

--- /dev/null
+++ b/dispatch/preemptvalue.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"amaranthpaddle/jobs"
+)
+
+// lateValue is the share of its value that a late job has, from the users' account:
+// about a seventh.
+const lateValue = 0.15
+
+// valueFactor returns the share of its value that a job has.
+func valueFactor(l lateness) float64 {
+	switch l {
+	case inTime:
+		return 1
+	case late:
+		return lateValue
+	}
+	return 0
+}
+
+// worth describes the runs of a group as possible victims.
+type worth struct {
+	job       *jobs.Job
+	group     *jobs.Group
+	priority  int32
+	age       time.Duration
+	needed    time.Duration // remaining critical path, without the progress of runs
+	objective time.Duration
+	expected  time.Duration // duration of a task at full pace
+	value     float64       // of the job in time
+	work      float64       // remaining core-seconds
+	requeued  lateness      // of the job among the candidates, if the run ended now
+	ended     bool          // the job has ended; its runs are being stopped
+	protected bool          // no run of the group may be preempted
+}
+
+// worthOf returns the worth of the group of a run.
+func (p *preemptor) worthOf(run jobs.RunID, group *jobs.Group) *worth {
+	if known := p.worth[group]; known != nil {
+		return known
+	}
+	job := p.view.Job(run.Task.Job)
+	w := &worth{job: job, group: group, ended: job.Phase.Ended()}
+	p.worth[group] = w
+	queue := p.view.QueueOf(job)
+	w.protected = w.ended || group.Spec.LongRunning || group.Spec.Gang || queue.Advice != nil || p.state.Recently(job.ID)
+	if w.protected {
+		return w
+	}
+	estimate, occurrence := p.in.Durations.ForQueue(job.QueueKey), job.Occurrences[run.Task.Occurrence]
+	w.priority = queue.Priority
+	w.age = ageOf(p.in, job, run.Task.Occurrence)
+	w.needed = remainingCriticalPath(occurrence, estimate)
+	w.objective = Objective(queue, job.Spec, estimate)
+	w.expected = milliseconds(estimate(group.Spec))
+	w.value = p.in.QueueWork.Value(job.QueueKey, Work(job.Spec, estimate))
+	w.work = remainingWork(occurrence, estimate)
+	w.requeued = latenessOf(w.age, w.needed, w.objective)
+	return w
+}
+
+// ageOf returns the time since the submission of a job or, if it is scheduled, since
+// its occurrence was due.
+func ageOf(in Input, job *jobs.Job, occurrence int32) time.Duration {
+	if due, scheduled := job.DueMS(occurrence); scheduled {
+		return time.Duration(in.UnixMS-due) * time.Millisecond
+	}
+	return in.Age(job)
+}
+
+// mayComeAfter reports whether a task of the group, if it were requeued, comes after
+// the candidate, which is in time, in the order of candidates. Only best-effort runs
+// give way to best-effort tasks.
+func (w *worth) mayComeAfter(c candidate) bool {
+	if c.group.Spec.BestEffort && !w.group.Spec.BestEffort || w.job == c.job {
+		return false
+	}
+	return w.requeued == expired || w.priority > c.queue.Priority || w.priority == c.queue.Priority && w.requeued == late
+}
+
+// victim is a run that may be preempted.
+type victim struct {
+	*worth
+	run       jobs.RunID
+	assessed  bool
+	spared    bool     // the run is protected or chosen already
+	lateness  lateness // of the job, if the run goes on
+	loss      float64  // of value, if the run is preempted
+	discarded float64  // core-seconds
+}
+
+// reasonFor returns why the run may be preempted for the candidate, empty if it may
+// not.
+func (v *victim) reasonFor(c candidate) PreemptionReason {
+	switch {
+	case v.spared || !v.mayComeAfter(c):
+		return ""
+	case v.lateness == expired:
+		return PreemptedExpired
+	case v.lateness == late:
+		return PreemptedLate
+	case v.priority > c.queue.Priority:
+		return PreemptedLessUrgent
+	}
+	return ""
+}
+
+// assessed returns the runs on a worker that are not protected, the first victims
+// first.
+func (p *preemptor) assessed(l *load) []*victim {
+	runs := p.runs[l]
+	if len(runs) == 0 || runs[0].assessed {
+		return runs
+	}
+	for _, v := range runs {
+		p.assess(v)
+	}
+	slices.SortFunc(runs, func(a, b *victim) int {
+		return cmp.Or(
+			-cmp.Compare(a.lateness, b.lateness),
+			cmp.Compare(a.loss, b.loss),
+			cmp.Compare(a.discarded, b.discarded),
+			cmp.Compare(a.run.Task.Job, b.run.Task.Job),
+			cmp.Compare(a.run.Task.Group, b.run.Task.Group),
+			cmp.Compare(a.run.Task.Index, b.run.Task.Index),
+		)
+	})
+	return runs
+}
+
+// assess determines what the preemption of a run costs. The loss of value is that of
+// the work to be done again and of the delay by stop and restore, and what the job
+// loses if the delay makes it late or expired.
+func (p *preemptor) assess(v *victim) {
+	v.assessed = true
+	task := &v.group.Tasks[v.run.Task.Index]
+	status, known := p.in.runStatus(v.run)
+	ticket := slices.ContainsFunc(task.Runs, func(r jobs.Run) bool { return r.Number == v.run.Number && r.Ticket != "" })
+	left := v.expected * time.Duration(FullPace-min(status.Percent, FullPace)) / time.Duration(max(status.Pace, 1))
+	lastCopy := v.group.Spec.Speculative && len(task.Runs) == 1 && status.Percent >= nearlyDonePercent
+	if !known || status.Stopping || ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime {
+		v.spared = true
+		return
+	}
+	cores := float64(v.group.Spec.MilliCpu) / 1000
+	worked := max(v.expected*time.Duration(status.Percent)/FullPace, status.Age*time.Duration(status.Pace)/FullPace)
+	needed := v.needed - min(worked, v.expected, v.needed)
+	v.lateness = latenessOf(v.age, needed, v.objective)
+	lost := relocationCost
+	if !v.group.Spec.Checkpointing {
+		v.discarded = cores * worked.Seconds()
+		lost += worked
+	}
+	factor := valueFactor(v.lateness)
+	delayed := valueFactor(latenessOf(v.age+lost, needed, v.objective))
+	v.loss = v.value * (factor*cores*lost.Seconds()/v.work + max(factor-delayed, 0))
+}
+
+// gain returns the value that a task of the candidate brings.
+func (p *preemptor) gain(c candidate) float64 {
+	estimate := p.in.Durations.ForQueue(c.job.QueueKey)
+	if !c.group.Spec.LongRunning {
+		return c.density * TaskWork(c.group.Spec, estimate)
+	}
+	tasks := int32(0)
+	for _, group := range c.job.Spec.GetGroups() {
+		tasks += group.Count
+	}
+	return p.in.QueueWork.Value(c.job.QueueKey, Work(c.job.Spec, estimate)) / float64(max(tasks, 1))
+}
+
+// inTimeAfterStop reports whether the candidate can still be in time when a stop has
+// made room for it.
+func (p *preemptor) inTimeAfterStop(c candidate) bool {
+	if c.lateness != inTime || c.group.Spec.LongRunning {
+		return c.lateness == inTime
+	}
+	estimate := p.in.Durations.ForQueue(c.job.QueueKey)
+	needed := remainingCriticalPath(c.job.Occurrences[c.occurrence], estimate)
+	age := ageOf(p.in, c.job, c.occurrence) + preemptionStopTime
+	return latenessOf(age, needed, Objective(c.queue, c.job.Spec, estimate)) == inTime
+}
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -39,6 +39,7 @@
 	drain       dispatch.DrainRate
 	movingRuns  map[jobs.RunID]bool // runs being stopped so that they start again on another worker
 	relocatedAt time.Time           // when throttled runs were last looked for
+	preemption  preemption
 
 	advice    map[jobs.GroupID]*advice
 	adviserMu sync.Mutex // held during a request to the adviser; locked before mu
@@ -66,7 +67,8 @@
 
 		startedAt: map[jobs.RunID]time.Time{},
 		health:    dispatch.NewHealth(), progress: dispatch.NewProgress(), movingRuns: map[jobs.RunID]bool{},
-		advice: map[jobs.GroupID]*advice{},
+		preemption: newPreemption(),
+		advice:     map[jobs.GroupID]*advice{},
 
 		maintenance:  newMaintenance(),
 		lending:      dispatch.NewLending(),
--- /dev/null
+++ b/jobcontrol/preemption.go
@@ -0,0 +1,93 @@
+package jobcontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
+)
+
+// preemption is what a leader remembers of the runs that it preempted.
+type preemption struct {
+	checkedAt time.Time            // when victims were last looked for
+	jobs      map[string]time.Time // when runs of a job were last preempted, within dispatch.PreemptionPause
+	clearing  map[string]clearing  // by worker key
+}
+
+// clearing is a set of runs on one worker that give way to the same task.
+type clearing struct {
+	since time.Time
+	runs  []jobs.RunID
+}
+
+func newPreemption() preemption {
+	return preemption{jobs: map[string]time.Time{}, clearing: map[string]clearing{}}
+}
+
+const (
+	// preemptionInterval is the time between searches for victims. It is below the
+	// time that the most urgent jobs can wait and still be in time.
+	preemptionInterval = 200 * time.Millisecond
+	// maxClearingTime is how long a worker stays closed to starts while several runs
+	// there give way to one task. A stop that takes longer is likely lost.
+	maxClearingTime = time.Second
+)
+
+// preemptRuns marks runs that give way to waiting tasks of more value. They are then
+// stopped, and their tasks wait again. The lock is held.
+func (l *leadership) preemptRuns() {
+	now := l.server.now()
+	if !l.server.config.Policy.Preemption || now.Sub(l.preemption.checkedAt) < preemptionInterval {
+		return
+	}
+	l.preemption.checkedAt = now
+	maps.DeleteFunc(l.preemption.jobs, func(_ string, at time.Time) bool { return now.Sub(at) >= dispatch.PreemptionPause })
+	var preempted []dispatch.Preemption
+	l.assumed.Read(func(view jobs.View) {
+		preempted = dispatch.Preempt(view, l.planInput(view), dispatch.PreemptionState{
+			Leading: now.Sub(l.since), Stopping: l.movingRuns,
+			Recently: func(job string) bool { return !l.preemption.jobs[job].IsZero() },
+		})
+	})
+	for _, p := range preempted {
+		l.recordPreemption(p, now)
+	}
+}
+
+func (l *leadership) recordPreemption(p dispatch.Preemption, now time.Time) {
+	klog.InfoS("Run preempted", "job", p.Run.Task.Job, "run", p.Run.String(), "worker", p.Worker, "reason", p.Reason,
+		"for_job", p.For.Job, "for_group", p.For.Group, "discarded_core_seconds", p.Discarded)
+	telemetry.JobRunsPreempted.Add(1, string(p.Reason))
+	telemetry.JobWorkDiscarded.AddFloat(p.Discarded)
+	l.movingRuns[p.Run] = true
+	l.preemption.jobs[p.Run.Task.Job] = now
+	if p.Set > 1 {
+		c := l.preemption.clearing[p.Worker]
+		l.preemption.clearing[p.Worker] = clearing{since: now, runs: append(c.runs, p.Run)}
+	}
+}
+
+// holdClearingWorkers closes the workers in the input of a plan on which several runs
+// give way to one task, until all of them have ended. Their ends may be committed in
+// different batches, and less urgent tasks would take the room of the first one. The
+// lock is held.
+func (l *leadership) holdClearingWorkers(view jobs.View, in dispatch.Input) dispatch.Input {
+	now := l.server.now()
+	maps.DeleteFunc(l.preemption.clearing, func(_ string, c clearing) bool {
+		return now.Sub(c.since) >= maxClearingTime || !slices.ContainsFunc(c.runs, func(run jobs.RunID) bool {
+			job, _, _ := view.Run(run)
+			return job != nil
+		})
+	})
+	for i := range in.Workers {
+		if _, held := l.preemption.clearing[in.Workers[i].Key]; held {
+			in.Workers[i].Open = false
+		}
+	}
+	return in
+}
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -127,6 +127,7 @@
 	l.assumed.ApplyBatch(next.message)
 	l.planStarts(next)
 	l.relocateThrottled()
+	l.preemptRuns()
 	if len(next.changes) == 0 {
 		l.queueStops() // orders stops without effect again
 		return nil
@@ -143,7 +144,7 @@
 	var starts []dispatch.Start
 	l.assumed.Read(func(view jobs.View) {
 		l.forgetAdvice(view)
-		starts = dispatch.Plan(view, l.planInput(view))
+		starts = dispatch.Plan(view, l.holdClearingWorkers(view, l.planInput(view)))
 	})
 	if len(starts) == 0 {
 		return
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -51,6 +51,8 @@
 	JobRunsEnded     = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
 	JobRunsStalled   = Metric{"paddle_jobs_runs_stalled_total", nil}
 	JobRunsRelocated = Metric{"paddle_jobs_runs_relocated_total", nil}
+	JobRunsPreempted = Metric{"paddle_jobs_runs_preempted_total", []string{"reason"}}
+	JobWorkDiscarded = Metric{"paddle_jobs_discarded_core_seconds_total", nil}
 	JobsGivenUp      = Metric{"paddle_jobs_given_up_total", nil}
 	JobWorkerCrashes = Metric{"paddle_jobs_worker_crashes_total", []string{"evidence"}}
 	JobFleet         = Metric{"paddle_jobs_fleet", []string{"what"}}
@@ -63,7 +65,8 @@
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobWorkerCrashes, JobsGivenUp, JobFleet,
+		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated,
+		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobFleet,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
@@ -87,6 +90,12 @@
 	metrics.GetOrCreateCounter(m.with(values)).Add(n)
 }
 
+// AddFloat adds n, which must not be negative, to a counter of fractions. values are
+// those of the metric's labels.
+func (m Metric) AddFloat(n float64, values ...string) {
+	metrics.GetOrCreateFloatCounter(m.with(values)).Add(n)
+}
+
 // Observe adds a duration to the histogram.
 func (m Metric) Observe(d time.Duration, values ...string) {
 	metrics.GetOrCreateHistogram(m.with(values)).Update(d.Seconds())
