--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -219,11 +219,11 @@
 	for _, v := range best.victims {
 		p.fleet.add(best.worker, v.group.Spec, -1)
 		p.ending[v.run.Task.Job]++
-		v.spared = true // it is chosen once
 		p.chosen = append(p.chosen, Preemption{
 			Run: v.run, Worker: best.worker.worker.Key, Reason: v.reasonFor(c), Discarded: v.discarded, Set: len(best.victims),
 			For: jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex},
 		})
+		v.spared = true // it is chosen once
 	}
 	p.coming = append(p.coming, best.worker)
 	return best.worker
--- /dev/null
+++ b/dispatch/preempt_test.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// preemptionRig plays a leader that preempts.
+type preemptionRig struct {
+	*fixture
+	starts      map[jobs.RunID]Start
+	startedAt   map[jobs.RunID]time.Duration
+	pace        int32 // of all runs, in percent
+	stopping    map[jobs.RunID]bool
+	preemptedAt map[string]time.Duration
+	policy      Policy
+}
+
+func newPreemptionRig(t testing.TB, workers int) *preemptionRig {
+	return &preemptionRig{
+		fixture: newFixture(t, workers), starts: map[jobs.RunID]Start{}, startedAt: map[jobs.RunID]time.Duration{}, pace: 10,
+		stopping: map[jobs.RunID]bool{}, preemptedAt: map[string]time.Duration{}, policy: Policy{Preemption: true},
+	}
+}
+
+// place plans and notes the starts.
+func (r *preemptionRig) place() []Start {
+	starts := r.plan()
+	for _, start := range starts {
+		r.starts[start.Run], r.startedAt[start.Run] = start, r.now
+	}
+	return starts
+}
+
+func (r *preemptionRig) input() Input {
+	in := r.fixture.input()
+	in.Policy = r.policy
+	in.Run = func(run jobs.RunID) (RunStatus, bool) {
+		at, known := r.startedAt[run]
+		return RunStatus{Age: r.now - at, Pace: r.pace, Stopping: r.stopping[run]}, known
+	}
+	return in
+}
+
+func (r *preemptionRig) preempt() (preempted []Preemption) {
+	r.state.Read(func(view jobs.View) {
+		preempted = Preempt(view, r.input(), PreemptionState{
+			Leading: time.Minute, Stopping: r.stopping,
+			Recently: func(job string) bool {
+				at, known := r.preemptedAt[job]
+				return known && r.now-at < PreemptionPause
+			},
+		})
+	})
+	for _, p := range preempted {
+		r.stopping[p.Run], r.preemptedAt[p.Run.Task.Job] = true, r.now
+	}
+	return preempted
+}
+
+// endStopped ends the runs that are being stopped.
+func (r *preemptionRig) endStopped() {
+	for run := range r.stopping {
+		r.end(r.starts[run], api.RunOutcome_RUN_OUTCOME_STOPPED)
+	}
+	clear(r.stopping)
+}
+
+func bestEffort(count int32, milliCPU, memory int64) *api.TaskGroup {
+	return &api.TaskGroup{Count: count, MilliCpu: milliCPU, MemoryMib: memory, EstimatedMs: 2000, BestEffort: true, Checkpointing: true, Image: "f"}
+}
+
+func counted(count int32, milliCPU, memory int64) *api.TaskGroup {
+	return &api.TaskGroup{Count: count, MilliCpu: milliCPU, MemoryMib: memory, EstimatedMs: 2000}
+}
+
+// The objective of one group of 2 s is 5 s in the batch queue, and 3.4 s in the urgent one.
+const (
+	lateAt    = 6 * time.Second
+	expiredAt = 16 * time.Second
+)
+
+// Each case guards against the failure that its name denies. A job holds the workers
+// for a while, then another one is submitted. The runs that give way end, and the next
+// plan must start the waiting tasks in their room: a victim that comes back ahead of
+// them would be stopped again and again.
+func TestRunsOfLittleValueGiveWay(t *testing.T) {
+	changed := func(group *api.TaskGroup, change func(*api.TaskGroup)) *api.TaskGroup {
+		change(group)
+		return group
+	}
+	for name, c := range map[string]struct {
+		holds  *api.TaskGroup
+		held   string // queue
+		age    time.Duration
+		waits  *api.TaskGroup
+		queue  string
+		spoil  func(*preemptionRig)
+		reason PreemptionReason // empty if nothing gives way
+		stops  int
+	}{
+		"expired best-effort runs hold the unused CPU": {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, nil, PreemptedExpired, 1},
+		"late best-effort runs hold memory":            {bestEffort(2, 8000, 90_000), batchQueue, lateAt, counted(1, 1000, 20_000), urgentQueue, nil, PreemptedLate, 1},
+		"several runs give way to one":                 {bestEffort(4, 4000, 45_000), batchQueue, lateAt, counted(1, 1000, 60_000), urgentQueue, nil, PreemptedLate, 2},
+		"runs of a less urgent queue": {changed(bestEffort(2, 8000, 90_000), func(g *api.TaskGroup) { g.EstimatedMs = 20_000 }),
+			batchQueue, time.Second, counted(1, 1000, 20_000), urgentQueue, nil, PreemptedLessUrgent, 1},
+		"expired counted runs of an urgent queue": {counted(2, 8000, 0), urgentQueue, expiredAt, counted(2, 8000, 0), batchQueue, nil, PreemptedExpired, 1},
+
+		"a larger loss than the gain": {changed(bestEffort(2, 8000, 90_000), func(g *api.TaskGroup) { g.EstimatedMs, g.Checkpointing = 20_000, false }),
+			batchQueue, 5 * time.Second, counted(40, 100, 20_000), urgentQueue, func(r *preemptionRig) { r.pace = 90 }, "", 0},
+		"runs of the same queue in time":   {bestEffort(2, 8000, 0), batchQueue, time.Second, bestEffort(1, 8000, 0), batchQueue, nil, "", 0},
+		"late runs of a more urgent queue": {counted(2, 8000, 0), urgentQueue, lateAt, counted(1, 8000, 0), batchQueue, nil, "", 0},
+		"best-effort runs, for CPU that they do not count": {counted(2, 8000, 0), urgentQueue, 0, counted(1, 8000, 0), urgentQueue,
+			func(r *preemptionRig) { r.submit(batchQueue, bestEffort(2, 1000, 0)); r.place(); r.now += expiredAt }, "", 0},
+		"the last run of an old job": {bestEffort(1, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue,
+			func(r *preemptionRig) { r.workers[1].Open = false }, "", 0},
+		"a gang":        {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.Gang = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
+		"long-running":  {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.LongRunning = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
+		"with a ticket": {counted(2, 8000, 0), urgentQueue, expiredAt, counted(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.advised = true; r.planOnly() }, "", 0},
+		"unknown runs":  {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { clear(r.startedAt) }, "", 0},
+		"switched off":  {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.policy = Policy{} }, "", 0},
+		"for a stop that comes too late": {bestEffort(2, 8000, 90_000), batchQueue, expiredAt, counted(1, 1000, 20_000), urgentQueue,
+			func(r *preemptionRig) { r.now += 1200 * time.Millisecond }, "", 0},
+		"to a waiting task that another one precedes": {bestEffort(2, 8000, 90_000), batchQueue, lateAt, counted(1, 1000, 30_000), batchQueue,
+			func(r *preemptionRig) { r.jobs++; r.submitted[r.submit(urgentQueue, counted(1, 1000, 20_000))] = 0 }, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newPreemptionRig(t, 2)
+			r.submit(c.held, c.holds)
+			if len(r.place()) == 0 {
+				t.Fatal("nothing holds the workers")
+			}
+			r.now += c.age
+			waiting := r.submit(c.queue, c.waits)
+			if c.spoil != nil {
+				c.spoil(r)
+			}
+			r.place()
+			preempted := r.preempt()
+			if len(preempted) != c.stops {
+				t.Fatalf("%+v give way, want %d", preempted, c.stops)
+			}
+			for _, p := range preempted {
+				if p.Reason != c.reason || p.For.Job != waiting || p.Set != c.stops {
+					t.Errorf("%+v, want the reason %s", p, c.reason)
+				}
+			}
+			if c.stops == 0 {
+				return
+			}
+			r.endStopped()
+			if next := r.place(); startsByWorker(next, waiting)[preempted[0].Worker] != 1 || next[0].Run.Task.Job != waiting {
+				t.Errorf("the next plan starts %v, want the waiting task on %s first", next, preempted[0].Worker)
+			}
+		})
+	}
+}
+
+// Guards against rounds that stop ever more runs for the same waiting task while a stop
+// is under way, a round that stops too many, a job that is hit again and again, and a
+// new leader that preempts before it knows what an earlier one did.
+func TestPreemptionIsBounded(t *testing.T) {
+	r := newPreemptionRig(t, 30)
+	for range 15 {
+		r.submit(batchQueue, bestEffort(2, 8000, 0))
+	}
+	r.place()
+	r.now += expiredAt
+	r.submit(batchQueue, bestEffort(3, 8000, 0))
+	r.place()
+	if n := len(r.preempt()); n != 3 {
+		t.Fatalf("%d runs give way to 3 tasks", n)
+	}
+	for range 3 {
+		r.now += 50 * time.Millisecond
+		if again := r.preempt(); len(again) > 0 {
+			t.Fatalf("%v give way while the room for all waiting tasks is coming", again)
+		}
+	}
+	r.submit(batchQueue, bestEffort(20, 8000, 0))
+	if n := len(r.preempt()); n != maxPreemptions {
+		t.Errorf("%d runs give way in a round, want %d", n, maxPreemptions)
+	}
+	r.state.Read(func(view jobs.View) {
+		state := PreemptionState{Leading: PreemptionPause - 1, Recently: func(string) bool { return false }}
+		if early := Preempt(view, r.input(), state); len(early) > 0 {
+			t.Errorf("a new leader preempts %v", early)
+		}
+	})
+}
+
+func TestJobIsSparedAfterPreemption(t *testing.T) {
+	r := newPreemptionRig(t, 8)
+	r.submit(batchQueue, bestEffort(8, 8000, 0))
+	r.place()
+	r.now += expiredAt
+	for _, c := range []struct {
+		after time.Duration
+		stops int
+	}{{0, 1}, {time.Second, 0}, {PreemptionPause - 2*time.Second, 0}, {time.Second, 2}} {
+		r.now += c.after
+		r.submit(batchQueue, bestEffort(1, 8000, 0)) // can wait for 3 s less preemptionStopTime
+		r.place()
+		if n := len(r.preempt()); n != c.stops {
+			t.Errorf("%d runs give way after %v, want %d", n, c.after, c.stops)
+		}
+		r.endStopped()
+		r.place()
+	}
+}
+
+// Guards against preempted runs that must not be touched, and against stops that don't
+// make the room that they are for.
+func TestPreemptionSparesProtectedRunsAndMakesRoom(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newPreemptionRig(t, rapid.IntRange(1, 5).Draw(rt, "workers"))
+		for range 2 {
+			for i := range rapid.IntRange(1, 6).Draw(rt, "jobs") {
+				label := fmt.Sprint("job", i)
+				group := bestEffort(rapid.Int32Range(1, 5).Draw(rt, label), rapid.Int64Range(500, 9000).Draw(rt, label), rapid.Int64Range(0, 60_000).Draw(rt, label))
+				group.BestEffort, group.Checkpointing = rapid.Bool().Draw(rt, label), rapid.Bool().Draw(rt, label)
+				kind := rapid.IntRange(0, 5).Draw(rt, label)
+				group.Gang, group.LongRunning, group.Speculative = kind == 0, kind == 1, kind == 2
+				r.submit(rapid.SampledFrom([]string{urgentQueue, batchQueue}).Draw(rt, label), group)
+			}
+			r.place()
+			r.now += time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "age")) * time.Millisecond
+		}
+		with, without := r.planOnly(), []Start(nil)
+		r.state.Read(func(view jobs.View) { without = Plan(view, r.input()) })
+		if !slices.Equal(with, without) {
+			rt.Fatalf("starts %v, without preemption %v", with, without)
+		}
+		r.pace = rapid.Int32Range(1, 100).Draw(rt, "pace")
+		r.place()
+		preempted := r.preempt()
+		for _, p := range preempted {
+			r.state.Read(func(view jobs.View) {
+				if _, group, _ := view.Run(p.Run); group == nil || group.Spec.Gang || group.Spec.LongRunning {
+					rt.Fatalf("%+v is protected", p)
+				}
+			})
+		}
+		r.endStopped()
+		r.state.Read(func(view jobs.View) { checkRoom(rt, newFleetLoad(view, r.workers), view, preempted) })
+	})
+}
+
+// checkRoom checks that the tasks fit for which runs gave way.
+func checkRoom(t *rapid.T, fleet *fleetLoad, view jobs.View, preempted []Preemption) {
+	shares := map[*load]map[jobs.GroupID]float64{}
+	for _, p := range preempted {
+		l := fleet.byKey[p.Worker]
+		if shares[l] == nil {
+			shares[l] = map[jobs.GroupID]float64{}
+		}
+		shares[l][p.For] += 1 / float64(p.Set)
+	}
+	for l, groups := range shares {
+		for id, tasks := range groups {
+			fleet.add(l, view.Job(id.Job).Occurrences[id.Occurrence].Groups[id.Group].Spec, int64(tasks+0.5))
+		}
+		if free := l.free(); free.MilliCPU < 0 || free.MemoryMiB < 0 {
+			t.Fatalf("%v is lacking on %s after %+v", free, l.worker.Key, preempted)
+		}
+	}
+}
+
+// BenchmarkPreemptBacklog measures a search for victims over a backlog on a full fleet:
+// nothing may give way, or the runs of expired jobs.
+func BenchmarkPreemptBacklog(b *testing.B) {
+	for _, workers := range benchmarkSizes {
+		for name, age := range map[string]time.Duration{"none": 0, "expired": expiredAt} {
+			b.Run(fmt.Sprintf("workers=%d/%s", workers, name), func(b *testing.B) {
+				r := newPreemptionRig(b, 0)
+				r.fixture = fullFleet(b, workers)
+				r.state.Read(func(view jobs.View) {
+					view.Workers(func(key string, _ int) {
+						view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) { r.startedAt[run] = 0 })
+					})
+					r.now = age
+					for job := range r.submitted {
+						if view.Job(job).ActiveRuns() == 0 {
+							r.submitted[job] = age
+						}
+					}
+					state := PreemptionState{Leading: time.Minute, Recently: func(string) bool { return false }}
+					b.ReportAllocs()
+					for b.Loop() {
+						Preempt(view, r.input(), state)
+					}
+				})
+			})
+		}
+	}
+}
--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -67,8 +67,12 @@
 	l.movingRuns[p.Run] = true
 	l.preemption.jobs[p.Run.Task.Job] = now
 	if p.Set > 1 {
-		c := l.preemption.clearing[p.Worker]
-		l.preemption.clearing[p.Worker] = clearing{since: now, runs: append(c.runs, p.Run)}
+		c, known := l.preemption.clearing[p.Worker]
+		if !known {
+			c.since = now
+		}
+		c.runs = append(c.runs, p.Run)
+		l.preemption.clearing[p.Worker] = c
 	}
 }
 
