dispatch: preemption weighs groups before loads, and compares a bounded number of workers

Cause: a call at 240 workers took 1.8 ms without victims and 4.6 ms with 8 (busy machine, load 22). Change: groups that may give way are found first; without any the call ends. A search stops after a bounded number of workers with victims.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -44,6 +44,7 @@
 	PreemptionPause    = 5 * time.Second
 	maxPreemptions     = 8                      // runs per call
 	maxFailedSearches  = 6                      // per call, each of them over all workers
+	maxCompared        = 24                     // workers with victims, per search
 	maxWaitersAhead    = 8                      // distinct demands that are compared with the room of preempted runs
 	preemptionStopTime = 300 * time.Millisecond // until the room is free: order to the agent, checkpoint, commit of the end
 	nearlyDonePercent  = 75                     // from which the last copy of a speculative task is spared
@@ -65,7 +66,11 @@
 	if !slices.ContainsFunc(waiting, func(c candidate) bool { return c.lateness == inTime }) {
 		return nil
 	}
-	p := newPreemptor(view, in, state)
+	groups := groupsToStop(view, in, state, waiting)
+	if len(groups) == 0 {
+		return nil
+	}
+	p := newPreemptor(view, in, state, groups)
 	for _, c := range waiting {
 		if len(p.chosen) >= maxPreemptions || p.failedSearches >= maxFailedSearches {
 			break
@@ -84,6 +89,7 @@
 	runs      map[*load][]*victim
 	ending    map[string]int // runs that are stopping or chosen, by job
 	coming    []*load        // workers with room that stops free
+	isComing  map[*load]bool // the same as a set
 	ahead     []waiter       // candidates so far that found no room
 	chosen    []Preemption
 	noRoom    unfitDemands // in the room that is coming
@@ -98,31 +104,45 @@
 	spread spread
 }
 
-func newPreemptor(view jobs.View, in Input, state PreemptionState) *preemptor {
+func newPreemptor(view jobs.View, in Input, state PreemptionState, groups []*worth) *preemptor {
 	p := &preemptor{
 		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}, state: state,
-		worth: map[*jobs.Group]*worth{}, runs: map[*load][]*victim{}, ending: map[string]int{},
+		runs: map[*load][]*victim{}, ending: map[string]int{}, isComing: map[*load]bool{},
 		noRoom: unfitDemands{}, noVictims: unfitDemands{},
 	}
-	for _, l := range p.fleet.workers {
-		before := l.runs
-		view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
-			w := p.worthOf(run, group)
-			switch {
-			case state.Stopping[run] || w.ended || group.Tasks[run.Task.Index].Done || group.Broken(run.Number):
-				p.fleet.add(l, group.Spec, -1)
-				p.ending[run.Task.Job]++
-			case !w.protected:
-				p.runs[l] = append(p.runs[l], &victim{run: run, worth: w})
+	for _, w := range groups {
+		for i := range w.group.Tasks {
+			for _, run := range w.group.Tasks[i].Runs {
+				p.addRun(w, int32(i), run)
 			}
-		})
-		if l.runs < before {
-			p.coming = append(p.coming, l)
 		}
 	}
 	return p
 }
 
+// addRun counts the room of a run that is being stopped as free, and notes another
+// one as a possible victim.
+func (p *preemptor) addRun(w *worth, index int32, run jobs.Run) {
+	id := jobs.RunID{Task: jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: index}, Number: run.Number}
+	l := p.fleet.byKey[run.Worker]
+	switch {
+	case l == nil:
+	case w.ended || p.state.Stopping[id] || w.group.Tasks[index].Done || w.group.Broken(run.Number):
+		p.fleet.add(l, w.group.Spec, -1)
+		p.ending[w.job.ID]++
+		p.noteComing(l)
+	case w.givesWay:
+		p.runs[l] = append(p.runs[l], &victim{worth: w, run: id, ticket: run.Ticket != ""})
+	}
+}
+
+func (p *preemptor) noteComing(l *load) {
+	if !p.isComing[l] {
+		p.isComing[l] = true
+		p.coming = append(p.coming, l)
+	}
+}
+
 // tryMakeRoom makes room for the tasks of a candidate. After a panic no run is
 // stopped for it.
 func (p *preemptor) tryMakeRoom(c candidate) {
@@ -205,11 +225,18 @@
 	if p.failedSearches >= maxFailedSearches || !p.inTimeAfterStop(c) || p.noVictims.covers(class, need) {
 		return nil
 	}
-	best := victimSet{loss: p.gain(c)}
+	best, compared := victimSet{loss: p.gain(c)}, 0
 	for _, l := range p.fleet.workers {
-		if found, ok := p.victimsOn(l, c, spread, best.loss); ok && (best.worker == nil || found.compare(best) < 0) {
+		found, ok := p.victimsOn(l, c, spread, best.loss)
+		if !ok {
+			continue
+		}
+		if best.worker == nil || found.compare(best) < 0 {
 			best = found
 		}
+		if compared++; compared == maxCompared {
+			break
+		}
 	}
 	if best.worker == nil {
 		p.failedSearches++
@@ -225,7 +252,7 @@
 		})
 		v.spared = true // it is chosen once
 	}
-	p.coming = append(p.coming, best.worker)
+	p.noteComing(best.worker)
 	return best.worker
 }
 
--- a/dispatch/preemptvalue.go
+++ b/dispatch/preemptvalue.go
@@ -25,43 +25,64 @@
 
 // worth describes the runs of a group as possible victims.
 type worth struct {
-	job       *jobs.Job
-	group     *jobs.Group
-	priority  int32
-	age       time.Duration
-	needed    time.Duration // remaining critical path, without the progress of runs
-	objective time.Duration
-	expected  time.Duration // duration of a task at full pace
-	value     float64       // of the job in time
-	work      float64       // remaining core-seconds
-	requeued  lateness      // of the job among the candidates, if the run ended now
-	ended     bool          // the job has ended; its runs are being stopped
-	protected bool          // no run of the group may be preempted
+	job        *jobs.Job
+	group      *jobs.Group
+	occurrence int32
+	groupIndex int32
+	priority   int32
+	age        time.Duration
+	needed     time.Duration // remaining critical path, without the progress of runs
+	objective  time.Duration
+	expected   time.Duration // duration of a task at full pace
+	value      float64       // of the job in time
+	work       float64       // remaining core-seconds
+	requeued   lateness      // of the job among the candidates, if the run ended now
+	ended      bool          // the job has ended; its runs are being stopped
+	givesWay   bool          // to some candidate
 }
 
-// worthOf returns the worth of the group of a run.
-func (p *preemptor) worthOf(run jobs.RunID, group *jobs.Group) *worth {
-	if known := p.worth[group]; known != nil {
-		return known
-	}
-	job := p.view.Job(run.Task.Job)
-	w := &worth{job: job, group: group, ended: job.Phase.Ended()}
-	p.worth[group] = w
-	queue := p.view.QueueOf(job)
-	w.protected = w.ended || group.Spec.LongRunning || group.Spec.Gang || queue.Advice != nil || p.state.Recently(job.ID)
-	if w.protected {
-		return w
+// groupsToStop returns the groups with active runs, if runs of some of them may give
+// way to a candidate that is in time, and nil otherwise.
+func groupsToStop(view jobs.View, in Input, state PreemptionState, waiting []candidate) (groups []*worth) {
+	found := false
+	view.ActiveJobs(func(job *jobs.Job) {
+		if job.ActiveRuns() == 0 {
+			return
+		}
+		protected := job.Phase.Ended() || view.QueueOf(job).Advice != nil || state.Recently(job.ID)
+		for k, occurrence := range job.Occurrences {
+			for g, group := range occurrence.Groups {
+				if !slices.ContainsFunc(group.Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 }) {
+					continue
+				}
+				w := &worth{job: job, group: group, occurrence: int32(k), groupIndex: int32(g), ended: job.Phase.Ended()}
+				groups = append(groups, w)
+				if protected || group.Spec.LongRunning || group.Spec.Gang {
+					continue
+				}
+				w.evaluate(view, in, occurrence)
+				w.givesWay = slices.ContainsFunc(waiting, func(c candidate) bool { return c.lateness == inTime && w.mayComeAfter(c) })
+				found = found || w.givesWay
+			}
+		}
+	})
+	if !found {
+		return nil
 	}
-	estimate, occurrence := p.in.Durations.ForQueue(job.QueueKey), job.Occurrences[run.Task.Occurrence]
+	return groups
+}
+
+// evaluate determines the lateness and the value of the job.
+func (w *worth) evaluate(view jobs.View, in Input, occurrence *jobs.Occurrence) {
+	queue, estimate := view.QueueOf(w.job), in.Durations.ForQueue(w.job.QueueKey)
 	w.priority = queue.Priority
-	w.age = ageOf(p.in, job, run.Task.Occurrence)
+	w.age = ageOf(in, w.job, w.occurrence)
 	w.needed = remainingCriticalPath(occurrence, estimate)
-	w.objective = Objective(queue, job.Spec, estimate)
-	w.expected = milliseconds(estimate(group.Spec))
-	w.value = p.in.QueueWork.Value(job.QueueKey, Work(job.Spec, estimate))
+	w.objective = Objective(queue, w.job.Spec, estimate)
+	w.expected = milliseconds(estimate(w.group.Spec))
+	w.value = in.QueueWork.Value(w.job.QueueKey, Work(w.job.Spec, estimate))
 	w.work = remainingWork(occurrence, estimate)
 	w.requeued = latenessOf(w.age, w.needed, w.objective)
-	return w
 }
 
 // ageOf returns the time since the submission of a job or, if it is scheduled, since
@@ -88,6 +109,7 @@
 	*worth
 	run       jobs.RunID
 	assessed  bool
+	ticket    bool     // from the queue's adviser
 	spared    bool     // the run is protected or chosen already
 	lateness  lateness // of the job, if the run goes on
 	loss      float64  // of value, if the run is preempted
@@ -140,10 +162,9 @@
 	v.assessed = true
 	task := &v.group.Tasks[v.run.Task.Index]
 	status, known := p.in.runStatus(v.run)
-	ticket := slices.ContainsFunc(task.Runs, func(r jobs.Run) bool { return r.Number == v.run.Number && r.Ticket != "" })
 	left := v.expected * time.Duration(FullPace-min(status.Percent, FullPace)) / time.Duration(max(status.Pace, 1))
 	lastCopy := v.group.Spec.Speculative && len(task.Runs) == 1 && status.Percent >= nearlyDonePercent
-	if !known || status.Stopping || ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime {
+	if !known || status.Stopping || v.ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime {
 		v.spared = true
 		return
 	}
