jobcontrol: test of preemption from the stop to the start in its room; search bounded

Cause: ends of several runs that give way to one task may be committed apart, and the victim's own task would take the room of the first.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -44,7 +44,7 @@
 	PreemptionPause    = 5 * time.Second
 	maxPreemptions     = 8                      // runs per call
 	maxFailedSearches  = 6                      // per call, each of them over all workers
-	maxCompared        = 24                     // workers with victims, per search
+	maxCompared        = 12                     // workers with victims, per search
 	maxWaitersAhead    = 8                      // distinct demands that are compared with the room of preempted runs
 	preemptionStopTime = 300 * time.Millisecond // until the room is free: order to the agent, checkpoint, commit of the end
 	nearlyDonePercent  = 75                     // from which the last copy of a speculative task is spared
--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -32,7 +32,7 @@
 const (
 	// preemptionInterval is the time between searches for victims. It is below the
 	// time that the most urgent jobs can wait and still be in time.
-	preemptionInterval = 200 * time.Millisecond
+	preemptionInterval = 100 * time.Millisecond
 	// maxClearingTime is how long a worker stays closed to starts while several runs
 	// there give way to one task. A stop that takes longer is likely lost.
 	maxClearingTime = time.Second
--- /dev/null
+++ b/jobcontrol/preemption_test.go
@@ -0,0 +1,68 @@
+package jobcontrol
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// Two runs of an expired job give way to one task. Guards against runs that are marked
+// but never stopped, and against a room that is taken when only the first of them has
+// ended: the victim's own task would come back there. With the setting off nothing stops.
+func TestExpiredRunsAreStoppedForAWaitingTask(t *testing.T) {
+	for _, enabled := range []bool{true, false} {
+		t.Run(fmt.Sprint(enabled), func(t *testing.T) { inBubble(t, func(r *rig) { r.testPreemption(enabled) }) })
+	}
+}
+
+func (r *rig) testPreemption(enabled bool) {
+	r.server.Stop()
+	r.server = New(Config{Replica: r.replica, State: r.state, Lease: testLease, Clock: time.Now, UnixTime: time.Now})
+	r.server.config.Policy.Preemption = enabled
+	r.server.Start()
+	defer r.server.Stop()
+	r.wait(100 * time.Millisecond)
+	configuration := testConfiguration(1)
+	configuration.Queues[0].SlackFactor = 2
+	if err := (Operators{Server: r.server}).Configure(r.t.Context(), configuration); err != nil {
+		r.t.Fatal(err)
+	}
+	a := r.connect("a")
+	submitted := func(job string, tasks int32, milliCPU int64) {
+		spec := &api.JobSpec{Groups: []*api.TaskGroup{{Count: tasks, MilliCpu: milliCPU, EstimatedMs: 1000}}}
+		r.mustCall(submit, "/q/"+job, spec, accepted)
+		for range 4 { // 400 ms, with an agent that keeps its lease
+			a.report()
+			r.wait(50 * time.Millisecond)
+		}
+	}
+	submitted("00000000000000b1", 3, 1300)
+	for range 80 { // 8 s; the job expires after 7.2 s
+		a.report()
+		r.wait(50 * time.Millisecond)
+	}
+	a.drainDirectives()
+	const waiting = "00000000000000b2"
+	submitted(waiting, 1, 2000)
+	_, stops, _, _ := a.drainDirectives()
+	if !enabled {
+		if len(stops) > 0 {
+			r.t.Errorf("stops %v with the setting off", stops)
+		}
+		return
+	}
+	if len(stops) != 2 {
+		r.t.Fatalf("stops %v, want two of the three runs", stops)
+	}
+	for i, stopped := range stops {
+		a.report(&api.WorkerEnd{Run: stopped.Ref(), Outcome: api.RunOutcome_RUN_OUTCOME_STOPPED})
+		r.wait(50 * time.Millisecond)
+		starts, _, _, _ := a.drainDirectives()
+		if i == 0 && len(starts) > 0 || i == 1 && (len(starts) == 0 || starts[0].Task != jobs.TaskID{Job: waiting}) {
+			r.t.Fatalf("starts %v after %d of 2 ends", starts, i+1)
+		}
+	}
+}
