--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -33,7 +33,7 @@
 // state of the jobs.
 type PreemptionState struct {
 	Leading  time.Duration         // since the leadership started
-	Stopping map[jobs.RunID]bool   // runs with RunStatus.Stopping
+	Stopping map[jobs.RunID]bool   // runs with RunStatus.Stopping whose room is soon free
 	Recently func(job string) bool // runs of the job were preempted within PreemptionPause
 }
 
@@ -85,7 +85,6 @@
 type preemptor struct {
 	planner
 	state     PreemptionState
-	worth     map[*jobs.Group]*worth
 	runs      map[*load][]*victim
 	ending    map[string]int // runs that are stopping or chosen, by job
 	coming    []*load        // workers with room that stops free
--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -14,9 +14,10 @@
 
 // preemption is what a leader remembers of the runs that it preempted.
 type preemption struct {
-	checkedAt time.Time            // when victims were last looked for
-	jobs      map[string]time.Time // when runs of a job were last preempted, within dispatch.PreemptionPause
-	clearing  map[string]clearing  // by worker key
+	checkedAt time.Time                // when victims were last looked for
+	jobs      map[string]time.Time     // when runs of a job were last preempted, within dispatch.PreemptionPause
+	clearing  map[string]clearing      // by worker key
+	stoppedAt map[jobs.RunID]time.Time // when stops of preempted runs were ordered, until they end
 }
 
 // clearing is a set of runs on one worker that give way to the same task.
@@ -26,7 +27,7 @@
 }
 
 func newPreemption() preemption {
-	return preemption{jobs: map[string]time.Time{}, clearing: map[string]clearing{}}
+	return preemption{jobs: map[string]time.Time{}, clearing: map[string]clearing{}, stoppedAt: map[jobs.RunID]time.Time{}}
 }
 
 const (
@@ -50,7 +51,7 @@
 	var preempted []dispatch.Preemption
 	l.assumed.Read(func(view jobs.View) {
 		preempted = dispatch.Preempt(view, l.planInput(view), dispatch.PreemptionState{
-			Leading: now.Sub(l.since), Stopping: l.movingRuns,
+			Leading: now.Sub(l.since), Stopping: l.stopsUnderWay(now),
 			Recently: func(job string) bool { return !l.preemption.jobs[job].IsZero() },
 		})
 	})
@@ -59,12 +60,29 @@
 	}
 }
 
+// stopsUnderWay returns the runs that are being stopped and whose room is soon free.
+// A preempted run that has not ended within maxClearingTime is left out, so that the
+// task that waits for its room finds other room. The lock is held.
+func (l *leadership) stopsUnderWay(now time.Time) map[jobs.RunID]bool {
+	stopping := maps.Clone(l.movingRuns)
+	for run, at := range l.preemption.stoppedAt {
+		switch {
+		case !l.movingRuns[run]:
+			delete(l.preemption.stoppedAt, run)
+		case now.Sub(at) >= maxClearingTime:
+			delete(stopping, run)
+		}
+	}
+	return stopping
+}
+
 func (l *leadership) recordPreemption(p dispatch.Preemption, now time.Time) {
 	klog.InfoS("Run preempted", "job", p.Run.Task.Job, "run", p.Run.String(), "worker", p.Worker, "reason", p.Reason,
 		"for_job", p.For.Job, "for_group", p.For.Group, "discarded_core_seconds", p.Discarded)
 	telemetry.JobRunsPreempted.Add(1, string(p.Reason))
 	telemetry.JobWorkDiscarded.AddFloat(p.Discarded)
 	l.movingRuns[p.Run] = true
+	l.preemption.stoppedAt[p.Run] = now
 	l.preemption.jobs[p.Run.Task.Job] = now
 	if p.Set > 1 {
 		c, known := l.preemption.clearing[p.Worker]
--- a/jobcontrol/preemption_test.go
+++ b/jobcontrol/preemption_test.go
@@ -66,3 +66,17 @@
 		}
 	}
 }
+
+// Guards against a waiting task that waits for the room of a run whose stop was lost.
+func TestStopThatTakesTooLongIsNoLongerCountedAsRoom(t *testing.T) {
+	slow, moved, ended := jobs.RunID{Number: 1}, jobs.RunID{Number: 2}, jobs.RunID{Number: 3}
+	now := time.Now()
+	l := &leadership{movingRuns: map[jobs.RunID]bool{slow: true, moved: true}, preemption: newPreemption()}
+	l.preemption.stoppedAt[slow], l.preemption.stoppedAt[ended] = now, now
+	if stops := l.stopsUnderWay(now.Add(maxClearingTime - 1)); !stops[slow] || !stops[moved] || len(l.preemption.stoppedAt) != 1 {
+		t.Errorf("stops under way %v, remembered %v", stops, l.preemption.stoppedAt)
+	}
+	if stops := l.stopsUnderWay(now.Add(maxClearingTime)); stops[slow] || !stops[moved] || !l.movingRuns[slow] {
+		t.Errorf("stops under way %v after %v, still ordered %v", stops, maxClearingTime, l.movingRuns)
+	}
+}
