dispatch: a panic while a victim is weighed stops nothing and ends no leader

Cause: the groups that may give way are evaluated outside the guard of the candidates; a panic would have ended one leader after the other. Change: each job is evaluated under its own guard; its runs give way to none after a panic. Result: the case of a job that panics fails without the guard.

--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -10,6 +10,7 @@
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/resource"
 )
 
 // preemptionRig plays a leader that preempts.
@@ -21,12 +22,15 @@
 	stopping    map[jobs.RunID]bool
 	preemptedAt map[string]time.Duration
 	policy      Policy
+	leading     time.Duration
+	everyRunAt  bool // every run has started at 0
+	broken      bool // the first job panics
 }
 
 func newPreemptionRig(t testing.TB, workers int) *preemptionRig {
 	return &preemptionRig{
 		fixture: newFixture(t, workers), starts: map[jobs.RunID]Start{}, startedAt: map[jobs.RunID]time.Duration{}, pace: 10,
-		stopping: map[jobs.RunID]bool{}, preemptedAt: map[string]time.Duration{}, policy: Policy{Preemption: true},
+		stopping: map[jobs.RunID]bool{}, preemptedAt: map[string]time.Duration{}, policy: Policy{Preemption: true}, leading: time.Minute,
 	}
 }
 
@@ -42,23 +46,35 @@
 func (r *preemptionRig) input() Input {
 	in := r.fixture.input()
 	in.Policy = r.policy
+	if r.broken {
+		in.Panicked = func(string, any) {}
+		in.Age = func(job *jobs.Job) time.Duration {
+			if job.ID == "job1" {
+				panic("age")
+			}
+			return r.now - r.submitted[job.ID]
+		}
+	}
 	in.Run = func(run jobs.RunID) (RunStatus, bool) {
 		at, known := r.startedAt[run]
-		return RunStatus{Age: r.now - at, Pace: r.pace, Stopping: r.stopping[run]}, known
+		return RunStatus{Age: r.now - at, Pace: r.pace, Stopping: r.stopping[run]}, known || r.everyRunAt
 	}
 	return in
 }
 
-func (r *preemptionRig) preempt() (preempted []Preemption) {
+// victims returns what a leader of a minute would stop.
+func (r *preemptionRig) victims() (preempted []Preemption) {
 	r.state.Read(func(view jobs.View) {
-		preempted = Preempt(view, r.input(), PreemptionState{
-			Leading: time.Minute, Stopping: r.stopping,
-			Recently: func(job string) bool {
-				at, known := r.preemptedAt[job]
-				return known && r.now-at < PreemptionPause
-			},
-		})
+		preempted = Preempt(view, r.input(), PreemptionState{Leading: r.leading, Stopping: r.stopping, Recently: func(job string) bool {
+			at, known := r.preemptedAt[job]
+			return known && r.now-at < PreemptionPause
+		}})
 	})
+	return preempted
+}
+
+func (r *preemptionRig) preempt() []Preemption {
+	preempted := r.victims()
 	for _, p := range preempted {
 		r.stopping[p.Run], r.preemptedAt[p.Run.Task.Job] = true, r.now
 	}
@@ -121,11 +137,12 @@
 			func(r *preemptionRig) { r.submit(batchQueue, bestEffort(2, 1000, 0)); r.place(); r.now += expiredAt }, "", 0},
 		"the last run of an old job": {bestEffort(1, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue,
 			func(r *preemptionRig) { r.workers[1].Open = false }, "", 0},
-		"a gang":        {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.Gang = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
-		"long-running":  {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.LongRunning = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
-		"with a ticket": {counted(2, 8000, 0), urgentQueue, expiredAt, counted(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.advised = true; r.planOnly() }, "", 0},
-		"unknown runs":  {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { clear(r.startedAt) }, "", 0},
-		"switched off":  {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.policy = Policy{} }, "", 0},
+		"a gang":                    {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.Gang = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
+		"long-running":              {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.LongRunning = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
+		"with a ticket":             {counted(2, 8000, 0), urgentQueue, expiredAt, counted(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.advised = true; r.planOnly() }, "", 0},
+		"unknown runs":              {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { clear(r.startedAt) }, "", 0},
+		"runs of a job that panics": {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.broken = true }, "", 0},
+		"switched off":              {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.policy = Policy{} }, "", 0},
 		"for a stop that comes too late": {bestEffort(2, 8000, 90_000), batchQueue, expiredAt, counted(1, 1000, 20_000), urgentQueue,
 			func(r *preemptionRig) { r.now += 1200 * time.Millisecond }, "", 0},
 		"to a waiting task that another one precedes": {bestEffort(2, 8000, 90_000), batchQueue, lateAt, counted(1, 1000, 30_000), batchQueue,
@@ -188,12 +205,11 @@
 	if n := len(r.preempt()); n != maxPreemptions {
 		t.Errorf("%d runs give way in a round, want %d", n, maxPreemptions)
 	}
-	r.state.Read(func(view jobs.View) {
-		state := PreemptionState{Leading: PreemptionPause - 1, Recently: func(string) bool { return false }}
-		if early := Preempt(view, r.input(), state); len(early) > 0 {
-			t.Errorf("a new leader preempts %v", early)
-		}
-	})
+	r.leading = PreemptionPause - 1
+	clear(r.preemptedAt)
+	if early := r.preempt(); len(early) > 0 {
+		t.Errorf("a new leader preempts %v", early)
+	}
 }
 
 func TestJobIsSparedAfterPreemption(t *testing.T) {
@@ -240,39 +256,30 @@
 		}
 		r.pace = rapid.Int32Range(1, 100).Draw(rt, "pace")
 		r.place()
+		room := map[string]resource.Vector{} // that the waiting tasks need, by worker
 		preempted := r.preempt()
-		for _, p := range preempted {
-			r.state.Read(func(view jobs.View) {
+		r.state.Read(func(view jobs.View) {
+			for _, p := range preempted {
 				if _, group, _ := view.Run(p.Run); group == nil || group.Spec.Gang || group.Spec.LongRunning {
 					rt.Fatalf("%+v is protected", p)
 				}
-			})
-		}
+				need := demand(view.Job(p.For.Job).Occurrences[p.For.Occurrence].Groups[p.For.Group].Spec)
+				need.MilliCPU, need.MemoryMiB = need.MilliCPU/int64(p.Set), need.MemoryMiB/int64(p.Set)
+				room[p.Worker] = room[p.Worker].Add(need)
+			}
+		})
 		r.endStopped()
-		r.state.Read(func(view jobs.View) { checkRoom(rt, newFleetLoad(view, r.workers), view, preempted) })
+		r.state.Read(func(view jobs.View) {
+			fleet := newFleetLoad(view, r.workers)
+			for worker, need := range room {
+				if l := fleet.byKey[worker]; !need.Fits(l.free()) {
+					rt.Fatalf("%v is free on %s, want %v, after %+v", l.free(), worker, need, preempted)
+				}
+			}
+		})
 	})
 }
 
-// checkRoom checks that the tasks fit for which runs gave way.
-func checkRoom(t *rapid.T, fleet *fleetLoad, view jobs.View, preempted []Preemption) {
-	shares := map[*load]map[jobs.GroupID]float64{}
-	for _, p := range preempted {
-		l := fleet.byKey[p.Worker]
-		if shares[l] == nil {
-			shares[l] = map[jobs.GroupID]float64{}
-		}
-		shares[l][p.For] += 1 / float64(p.Set)
-	}
-	for l, groups := range shares {
-		for id, tasks := range groups {
-			fleet.add(l, view.Job(id.Job).Occurrences[id.Occurrence].Groups[id.Group].Spec, int64(tasks+0.5))
-		}
-		if free := l.free(); free.MilliCPU < 0 || free.MemoryMiB < 0 {
-			t.Fatalf("%v is lacking on %s after %+v", free, l.worker.Key, preempted)
-		}
-	}
-}
-
 // BenchmarkPreemptBacklog measures a search for victims over a backlog on a full fleet:
 // nothing may give way, or the runs of expired jobs.
 func BenchmarkPreemptBacklog(b *testing.B) {
@@ -280,23 +287,19 @@
 		for name, age := range map[string]time.Duration{"none": 0, "expired": expiredAt} {
 			b.Run(fmt.Sprintf("workers=%d/%s", workers, name), func(b *testing.B) {
 				r := newPreemptionRig(b, 0)
-				r.fixture = fullFleet(b, workers)
+				r.fixture, r.everyRunAt = fullFleet(b, workers), true
+				r.now = age
 				r.state.Read(func(view jobs.View) {
-					view.Workers(func(key string, _ int) {
-						view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) { r.startedAt[run] = 0 })
-					})
-					r.now = age
 					for job := range r.submitted {
 						if view.Job(job).ActiveRuns() == 0 {
 							r.submitted[job] = age
 						}
 					}
-					state := PreemptionState{Leading: time.Minute, Recently: func(string) bool { return false }}
-					b.ReportAllocs()
-					for b.Loop() {
-						Preempt(view, r.input(), state)
-					}
 				})
+				b.ReportAllocs()
+				for b.Loop() {
+					r.victims()
+				}
 			})
 		}
 	}
--- a/dispatch/preemptvalue.go
+++ b/dispatch/preemptvalue.go
@@ -42,36 +42,55 @@
 }
 
 // groupsToStop returns the groups with active runs, if runs of some of them may give
-// way to a candidate that is in time, and nil otherwise.
+// way to a candidate that is in time, and nil otherwise. The runs of a job give way to
+// none after a panic.
 func groupsToStop(view jobs.View, in Input, state PreemptionState, waiting []candidate) (groups []*worth) {
-	found := false
 	view.ActiveJobs(func(job *jobs.Job) {
-		if job.ActiveRuns() == 0 {
-			return
-		}
-		protected := job.Phase.Ended() || view.QueueOf(job).Advice != nil || state.Recently(job.ID)
-		for k, occurrence := range job.Occurrences {
-			for g, group := range occurrence.Groups {
-				if !slices.ContainsFunc(group.Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 }) {
-					continue
-				}
-				w := &worth{job: job, group: group, occurrence: int32(k), groupIndex: int32(g), ended: job.Phase.Ended()}
-				groups = append(groups, w)
-				if protected || group.Spec.LongRunning || group.Spec.Gang {
-					continue
-				}
-				w.evaluate(view, in, occurrence)
-				w.givesWay = slices.ContainsFunc(waiting, func(c candidate) bool { return c.lateness == inTime && w.mayComeAfter(c) })
-				found = found || w.givesWay
-			}
+		if job.ActiveRuns() > 0 {
+			own := activeGroups(job)
+			tryEvaluate(view, in, state, own, waiting)
+			groups = append(groups, own...)
 		}
 	})
-	if !found {
+	if !slices.ContainsFunc(groups, func(w *worth) bool { return w.givesWay }) {
 		return nil
 	}
 	return groups
 }
 
+// activeGroups returns the groups of a job with active runs.
+func activeGroups(job *jobs.Job) (groups []*worth) {
+	for k, occurrence := range job.Occurrences {
+		for g, group := range occurrence.Groups {
+			if slices.ContainsFunc(group.Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 }) {
+				groups = append(groups, &worth{
+					job: job, group: group, occurrence: int32(k), groupIndex: int32(g), ended: job.Phase.Ended(),
+				})
+			}
+		}
+	}
+	return groups
+}
+
+// tryEvaluate determines which groups of a job may give way, none after a panic.
+func tryEvaluate(view jobs.View, in Input, state PreemptionState, groups []*worth, waiting []candidate) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			for _, w := range groups {
+				w.givesWay = false
+			}
+			in.Panicked(groups[0].job.ID, cause)
+		}
+	}()
+	for _, w := range groups {
+		if w.ended || w.group.Spec.LongRunning || w.group.Spec.Gang || view.QueueOf(w.job).Advice != nil || state.Recently(w.job.ID) {
+			continue
+		}
+		w.evaluate(view, in, w.job.Occurrences[w.occurrence])
+		w.givesWay = slices.ContainsFunc(waiting, func(c candidate) bool { return c.lateness == inTime && w.mayComeAfter(c) })
+	}
+}
+
 // evaluate determines the lateness and the value of the job.
 func (w *worth) evaluate(view jobs.View, in Input, occurrence *jobs.Occurrence) {
 	queue, estimate := view.QueueOf(w.job), in.Durations.ForQueue(w.job.QueueKey)
--- a/jobcontrol/preemption_test.go
+++ b/jobcontrol/preemption_test.go
@@ -31,31 +31,21 @@
 		r.t.Fatal(err)
 	}
 	a := r.connect("a")
-	submitted := func(job string, tasks int32, milliCPU int64) {
+	submitted := func(job string, tasks int32, milliCPU int64, reports int) (stops []jobs.RunID) {
 		spec := &api.JobSpec{Groups: []*api.TaskGroup{{Count: tasks, MilliCpu: milliCPU, EstimatedMs: 1000}}}
 		r.mustCall(submit, "/q/"+job, spec, accepted)
-		for range 4 { // 400 ms, with an agent that keeps its lease
+		for range reports { // every 100 ms, which keeps the lease
 			a.report()
 			r.wait(50 * time.Millisecond)
 		}
+		_, stops, _, _ = a.drainDirectives()
+		return stops
 	}
-	submitted("00000000000000b1", 3, 1300)
-	for range 80 { // 8 s; the job expires after 7.2 s
-		a.report()
-		r.wait(50 * time.Millisecond)
-	}
-	a.drainDirectives()
+	submitted("00000000000000b1", 3, 1300, 84) // the job expires after 7.2 s
 	const waiting = "00000000000000b2"
-	submitted(waiting, 1, 2000)
-	_, stops, _, _ := a.drainDirectives()
-	if !enabled {
-		if len(stops) > 0 {
-			r.t.Errorf("stops %v with the setting off", stops)
-		}
-		return
-	}
-	if len(stops) != 2 {
-		r.t.Fatalf("stops %v, want two of the three runs", stops)
+	stops := submitted(waiting, 1, 2000, 4)
+	if want := map[bool]int{true: 2}[enabled]; len(stops) != want {
+		r.t.Fatalf("stops %v, want %d of the three runs", stops, want)
 	}
 	for i, stopped := range stops {
 		a.report(&api.WorkerEnd{Run: stopped.Ref(), Outcome: api.RunOutcome_RUN_OUTCOME_STOPPED})
