--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -23,8 +24,9 @@
 	preemptedAt map[string]time.Duration
 	policy      Policy
 	leading     time.Duration
-	everyRunAt  bool // every run has started at 0
-	broken      bool // the first job panics
+	everyRunAt  bool  // every run has started at 0
+	percent     int32 // of their work that all runs have done
+	broken      bool  // the first job panics
 }
 
 func newPreemptionRig(t testing.TB, workers int) *preemptionRig {
@@ -57,7 +59,7 @@
 	}
 	in.Run = func(run jobs.RunID) (RunStatus, bool) {
 		at, known := r.startedAt[run]
-		return RunStatus{Age: r.now - at, Pace: r.pace, Stopping: r.stopping[run]}, known || r.everyRunAt
+		return RunStatus{Age: r.now - at, Pace: r.pace, Percent: r.percent, Stopping: r.stopping[run]}, known || r.everyRunAt
 	}
 	return in
 }
@@ -137,10 +139,22 @@
 			func(r *preemptionRig) { r.submit(batchQueue, bestEffort(2, 1000, 0)); r.place(); r.now += expiredAt }, "", 0},
 		"the last run of an old job": {bestEffort(1, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue,
 			func(r *preemptionRig) { r.workers[1].Open = false }, "", 0},
-		"a gang":                    {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.Gang = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
-		"long-running":              {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.LongRunning = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
-		"with a ticket":             {counted(2, 8000, 0), urgentQueue, expiredAt, counted(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.advised = true; r.planOnly() }, "", 0},
-		"unknown runs":              {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { clear(r.startedAt) }, "", 0},
+		"a gang":        {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.Gang = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
+		"long-running":  {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.LongRunning = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
+		"with a ticket": {counted(2, 8000, 0), urgentQueue, expiredAt, counted(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.advised = true; r.planOnly() }, "", 0},
+		"unknown runs":  {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { clear(r.startedAt) }, "", 0},
+		"runs that end as soon as a stop would": {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue,
+			func(r *preemptionRig) { r.percent, r.pace = 90, 100 }, "", 0},
+		"the last copy that is nearly done": {changed(bestEffort(2, 8000, 0), func(g *api.TaskGroup) { g.Speculative = true }), batchQueue, expiredAt,
+			bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.percent = nearlyDonePercent }, "", 0},
+		"tasks on probation": {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) {
+			for _, start := range maps.Clone(r.starts) {
+				r.crash(start)
+				start.Run.Number++
+				r.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
+				r.startedAt[start.Run] = 0
+			}
+		}, "", 0},
 		"runs of a job that panics": {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.broken = true }, "", 0},
 		"switched off":              {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.policy = Policy{} }, "", 0},
 		"for a stop that comes too late": {bestEffort(2, 8000, 90_000), batchQueue, expiredAt, counted(1, 1000, 20_000), urgentQueue,
