dispatch: victims are collected on the workers that a search visits

Cause: a call built the victims of all workers, and one alloc per run; at 240 workers a call cost more than two plans.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -85,11 +85,12 @@
 type preemptor struct {
 	planner
 	state     PreemptionState
-	runs      map[*load][]*victim
-	ending    map[string]int // runs that are stopping or chosen, by job
-	coming    []*load        // workers with room that stops free
-	isComing  map[*load]bool // the same as a set
-	ahead     []waiter       // candidates so far that found no room
+	groups    map[*jobs.Group]*worth // whose runs may give way to some candidate
+	runs      map[*load][]*victim    // of these groups, filled on first use
+	ending    map[string]int         // runs that are stopping or chosen, by job
+	coming    []*load                // workers with room that stops free
+	isComing  map[*load]bool         // the same as a set
+	ahead     []waiter               // candidates so far that found no room
 	chosen    []Preemption
 	noRoom    unfitDemands // in the room that is coming
 	noVictims unfitDemands // for which no victims were found
@@ -106,33 +107,45 @@
 func newPreemptor(view jobs.View, in Input, state PreemptionState, groups []*worth) *preemptor {
 	p := &preemptor{
 		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}, state: state,
-		runs: map[*load][]*victim{}, ending: map[string]int{}, isComing: map[*load]bool{},
+		groups: map[*jobs.Group]*worth{}, runs: map[*load][]*victim{}, ending: map[string]int{}, isComing: map[*load]bool{},
 		noRoom: unfitDemands{}, noVictims: unfitDemands{},
 	}
 	for _, w := range groups {
+		if w.givesWay {
+			p.groups[w.group] = w
+		}
 		for i := range w.group.Tasks {
 			for _, run := range w.group.Tasks[i].Runs {
-				p.addRun(w, int32(i), run)
+				id := jobs.RunID{Task: jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: int32(i)}, Number: run.Number}
+				if l := p.fleet.byKey[run.Worker]; l != nil && p.isEnding(w, id) {
+					p.fleet.add(l, w.group.Spec, -1)
+					p.ending[w.job.ID]++
+					p.noteComing(l)
+				}
 			}
 		}
 	}
 	return p
 }
 
-// addRun counts the room of a run that is being stopped as free, and notes another
-// one as a possible victim.
-func (p *preemptor) addRun(w *worth, index int32, run jobs.Run) {
-	id := jobs.RunID{Task: jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: index}, Number: run.Number}
-	l := p.fleet.byKey[run.Worker]
-	switch {
-	case l == nil:
-	case w.ended || p.state.Stopping[id] || w.group.Tasks[index].Done || w.group.Broken(run.Number):
-		p.fleet.add(l, w.group.Spec, -1)
-		p.ending[w.job.ID]++
-		p.noteComing(l)
-	case w.givesWay:
-		p.runs[l] = append(p.runs[l], &victim{worth: w, run: id, ticket: run.Ticket != ""})
+// isEnding reports whether a run is being stopped.
+func (p *preemptor) isEnding(w *worth, run jobs.RunID) bool {
+	return w.ended || p.state.Stopping[run] || w.group.Tasks[run.Task.Index].Done || w.group.Broken(run.Number)
+}
+
+// runsOn returns the runs on a worker that may give way to some candidate.
+func (p *preemptor) runsOn(l *load) []*victim {
+	if runs, known := p.runs[l]; known {
+		return runs
 	}
+	runs := make([]*victim, 0, l.runs)
+	p.view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
+		if w := p.groups[group]; w != nil && !p.isEnding(w, run) {
+			runs = append(runs, &victim{worth: w, run: run})
+		}
+	})
+	p.runs[l] = runs
+	return runs
 }
 
 func (p *preemptor) noteComing(l *load) {
@@ -321,7 +334,7 @@
 		return false
 	}
 	room := l.free()
-	for _, v := range p.runs[l] {
+	for _, v := range p.runsOn(l) {
 		if !v.spared && v.mayComeAfter(c) {
 			room = room.Add(demand(v.group.Spec))
 		}
--- a/dispatch/preemptvalue.go
+++ b/dispatch/preemptvalue.go
@@ -128,7 +128,6 @@
 	*worth
 	run       jobs.RunID
 	assessed  bool
-	ticket    bool     // from the queue's adviser
 	spared    bool     // the run is protected or chosen already
 	lateness  lateness // of the job, if the run goes on
 	loss      float64  // of value, if the run is preempted
@@ -154,7 +153,7 @@
 // assessed returns the runs on a worker that are not protected, the first victims
 // first.
 func (p *preemptor) assessed(l *load) []*victim {
-	runs := p.runs[l]
+	runs := p.runsOn(l)
 	if len(runs) == 0 || runs[0].assessed {
 		return runs
 	}
@@ -181,9 +180,10 @@
 	v.assessed = true
 	task := &v.group.Tasks[v.run.Task.Index]
 	status, known := p.in.runStatus(v.run)
+	ticket := slices.ContainsFunc(task.Runs, func(r jobs.Run) bool { return r.Number == v.run.Number && r.Ticket != "" })
 	left := v.expected * time.Duration(FullPace-min(status.Percent, FullPace)) / time.Duration(max(status.Pace, 1))
 	lastCopy := v.group.Spec.Speculative && len(task.Runs) == 1 && status.Percent >= nearlyDonePercent
-	if !known || status.Stopping || v.ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime {
+	if !known || status.Stopping || ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime {
 		v.spared = true
 		return
 	}
