dispatch: tasks wait for the rack of their data while that is faster

Tasks started on another rack as soon as theirs was full, and took remote_penalty times as long there, also when room on their rack was about to be free. With remote_penalty set, a task waits if the ninth decile of the forecast for its rack, behind the tasks that wait already, is below the extra time of the remote run and below the slack of its job.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -76,6 +76,7 @@
 	waited     time.Duration     // time since submission, or since the occurrence was due, if no run of the job is active; 0 otherwise
 	tickets    map[string]string // from the queue's adviser, by worker key
 	density    float64           // value of the job per remaining core-second
+	slack      time.Duration     // for which the job may wait and still be in time, 0 for long-running groups
 }
 
 // lateness classifies a job by the value that it can still have.
@@ -169,7 +170,8 @@
 				c.waited = age
 			}
 			if !group.Spec.LongRunning {
-				c.lateness = latenessOf(age, remainingCriticalPath(occurrence, estimate), objective)
+				needed := remainingCriticalPath(occurrence, estimate)
+				c.lateness, c.slack = latenessOf(age, needed, objective), objective-age-needed
 			}
 			all = append(all, c)
 		}
@@ -240,6 +242,8 @@
 	fleet  *fleetLoad
 	unfit  unfitDemands
 	starts []Start
+	// locality is nil until a task could start away from its data.
+	locality *locality
 }
 
 func (p *planner) place(c candidate) {
@@ -274,6 +278,9 @@
 			}
 			return // all tasks of a group have the same demand
 		}
+		if len(others) == 0 && !probation && p.waitsForRack(c, chosen, spread) {
+			continue
+		}
 		p.start(c, i, c.group.NextRun(i), chosen, spread)
 		c.waited = 0 // a run of the job is active now
 	}
