jobcontrol: durations are learned as if near the data

A task that ran away from its data took remote_penalty times as long, and its duration was learned as that of the queue: after some seconds of remote runs each estimate, objective and wait was too long. With remote_penalty set the observed duration is divided by it; without it nothing changes. Tests of dispatch, jobcontrol and docs pass.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -72,12 +72,3 @@
 	y.waiting++
 	return true
 }
-
-// remoteFactor returns how many times as long a task of a group takes on a worker
-// because its data is on another rack, 1 where that is not known.
-func (in Input) remoteFactor(dataRack, workerRack string) float64 {
-	if dataRack == "" || dataRack == workerRack {
-		return 1
-	}
-	return max(in.Policy.RemotePenalty, 1)
-}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
 )
 
@@ -16,6 +17,15 @@
 	RemotePenalty     float64 // factor on the duration of a task away from its data or peers, 0 if unknown
 }
 
+// RemoteFactor returns how many times as long a task takes on a worker because its
+// data is on another rack, 1 if that is not known.
+func (p Policy) RemoteFactor(group *api.TaskGroup, workerRack string) float64 {
+	if group.GetDataRack() == "" || group.GetDataRack() == workerRack {
+		return 1
+	}
+	return max(p.RemotePenalty, 1)
+}
+
 // RunStatus is what the leader knows of an active run.
 type RunStatus struct {
 	Age      time.Duration // since its start was committed
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -86,11 +86,22 @@
 			return
 		}
 		if group, task := job.Task(run.Task); group != nil && task.LastRun == 1 {
-			l.knowledge.Durations.Learn(job.QueueKey, group.Spec.EstimatedMs, l.server.now().Sub(startedAt).Milliseconds())
+			nearData := float64(l.server.now().Sub(startedAt)) / l.remoteFactor(group.Spec, end.Worker)
+			l.knowledge.Durations.Learn(job.QueueKey, group.Spec.EstimatedMs, time.Duration(nearData).Milliseconds())
 		}
 	})
 }
 
+// remoteFactor returns how many times as long a task takes on a worker as near its
+// data. The lock is held.
+func (l *leadership) remoteFactor(group *api.TaskGroup, worker string) float64 {
+	view := l.viewOf(worker)
+	if view == nil {
+		return 1
+	}
+	return l.server.config.Policy.RemoteFactor(group, view.worker.Rack)
+}
+
 // learnDrainRate updates the drain rate with the work of a task that is done. The
 // lock is held.
 func (l *leadership) learnDrainRate(queue string, task *api.TaskGroup, outcome api.RunOutcome) {
