deploy, settings: preemption and the remote penalty of the platform's bounds

The remote penalty is left out where a deployment states none. A test refuses mistyped switches of the section scheduling.

--- a/settings/jobs_test.go
+++ b/settings/jobs_test.go
@@ -17,7 +17,7 @@
 	"node_name": "frontend-cork-a-1", "zone": "cork-a", "region": "munster", "ip": "10.1.0.13", "bootstrap": "true",
 	"seeds": "10.1.0.13:8166,10.2.0.30:8166", "internal_port_range.0": "7720", "internal_port_range.1": "7735",
 	"data_dir": "/data/control", "fault_tolerance.machines": "2", "bounds.hold_max_ms": "6000", "bounds.grace_s": "6",
-	"bounds.status_s": "120", "limits.memory_mb": "284", "listen_addrs.frontend": "10.1.0.13:8161",
+	"bounds.status_s": "120", "bounds.remote_penalty": "1.5", "limits.memory_mb": "284", "listen_addrs.frontend": "10.1.0.13:8161",
 	"listen_addrs.readiness": "10.1.0.13:8167", "listen_addrs.control_plane": "10.1.0.13:8166",
 }
 
@@ -31,7 +31,7 @@
 	}
 	// A section of an address is rendered once, with the address.
 	data = []byte(strings.NewReplacer("{{#advisor}}\n", "", "{{/advisor}}\n", "", "{{#cloud.address}}\n", "",
-		"{{/cloud.address}}\n", "", "{{.}}", "10.200.1.9:8169").Replace(string(data)))
+		"{{/cloud.address}}\n", "", "{{#bounds.remote_penalty}}\n", "", "{{/bounds.remote_penalty}}\n", "", "{{.}}", "10.200.1.9:8169").Replace(string(data)))
 	return placeholder.ReplaceAllFunc(data, func(match []byte) []byte {
 		value, known := sampleValues[strings.Trim(string(match), "{}")]
 		if !known {
@@ -54,7 +54,8 @@
 		t.Fatal(err)
 	}
 	if control.Listen != "10.1.0.13:7720" || !control.FirstStart || control.Tolerated != 2 || control.Adviser != "10.200.1.9:8169" ||
-		control.Fleet != "10.200.1.9:8169" || control.Lease() != 4*time.Second {
+		control.Fleet != "10.200.1.9:8169" || control.Lease() != 4*time.Second ||
+		!control.Scheduling.Preemption || control.Scheduling.RemotePenalty != 1.5 || !entry.RefuseWithoutLeader {
 		t.Errorf("%+v, lease %v", control, control.Lease())
 	}
 	agent, err := ParseJobAgent("agent.ini", fill(t, "agent.ini"))
@@ -66,6 +67,20 @@
 	}
 }
 
+// Guards against a switch that is mistyped and then silently off, and against a factor
+// that would make remote work look faster.
+func TestWrongSchedulingSettingsAreRefused(t *testing.T) {
+	for key, value := range map[string]string{
+		"reservations": "-1", "preemption": "on", "admission": "forcast", "fair_shares": "1", "remote_penalty": "0.5",
+	} {
+		data := string(fill(t, "control.ini"))
+		data = data[:strings.Index(data, "[scheduling]")] + "[scheduling]\n" + key + " = " + value + "\n"
+		if _, err := ParseJobControl("control.ini", []byte(data)); !fault.Is(err, fault.InvalidArgument) || !strings.Contains(err.Error(), key) {
+			t.Errorf("%s = %s: %v", key, value, err)
+		}
+	}
+}
+
 func TestTheLeaseStaysBelowWhatWorkersGrant(t *testing.T) {
 	for limit, want := range map[time.Duration]time.Duration{
 		0: 4 * time.Second, 2 * time.Second: 1600 * time.Millisecond, 10 * time.Second: 4 * time.Second,
