dispatch: forecasts from learnt distributions of run times

Forecasts used the estimate of a queue and a fixed factor of 2.5 for the ninth decile, whatever a run's percent and pace.

RunTimes learns a decaying histogram of the logarithm of duration over estimate, by image or else by queue. Remaining conditions it on the age, or on the rate of progress where percents show one. roomAt orders ends by median and by ninth decile separately, and excludes workers that are closed to starts.

Nothing feeds RunTimes yet; an unlearnt forecast has the median of the estimate and the ninth decile at 2.5 times of it, as before.

--- a/dispatch/durations.go
+++ b/dispatch/durations.go
@@ -12,7 +12,8 @@
 // durations do not correlate, the estimate is the queue's typical duration. It
 // is not safe for concurrent use.
 type Durations struct {
-	queues map[string]*durationStats
+	RunTimes *RunTimes // distributions around the estimates, for forecasts
+	queues   map[string]*durationStats
 }
 
 // durationStats holds exponentially weighted moments of the logarithms of
@@ -31,7 +32,11 @@
 )
 
 // NewDurations returns Durations without observations.
-func NewDurations() *Durations { return &Durations{queues: map[string]*durationStats{}} }
+func NewDurations() *Durations {
+	d := &Durations{queues: map[string]*durationStats{}}
+	d.RunTimes = newRunTimes(d)
+	return d
+}
 
 // Learn updates the regression of a queue with a task that completed without
 // interruption.
@@ -44,7 +49,12 @@
 		s = &durationStats{}
 		d.queues[queue] = s
 	}
-	x, y := logMS(declaredMS), logMS(observedMS)
+	s.learn(logMS(declaredMS), logMS(observedMS))
+}
+
+// learn updates the moments with the logarithms of a declared and an observed
+// duration.
+func (s *durationStats) learn(x, y float64) {
 	s.weight = min(s.weight+1, maxDurationWeight)
 	rate := 1 / s.weight
 	dx, dy := x-s.meanX, y-s.meanY
@@ -58,18 +68,27 @@
 
 // Estimate returns the estimated duration of a task, in milliseconds.
 func (d *Durations) Estimate(queue string, declaredMS int64) float64 {
-	x := logMS(declaredMS)
-	s := d.queues[queue]
-	if s == nil {
-		return math.Exp(x)
+	return math.Exp(d.logEstimate(queue, logMS(declaredMS)))
+}
+
+// logEstimate returns the logarithm of the estimate for that of a declared duration.
+func (d *Durations) logEstimate(queue string, x float64) float64 {
+	if s := d.queues[queue]; s != nil {
+		return s.estimate(x, x)
 	}
+	return x
+}
+
+// estimate returns the estimate for x. prior takes the place of what is learnt as
+// long as there are few observations.
+func (s *durationStats) estimate(x, prior float64) float64 {
 	slope := 0.0
 	if s.varX > 0 {
 		slope = min(max(s.covXY/s.varX, 0), 1)
 	}
 	learnt := s.meanY + slope*(x-s.meanX)
 	confidence := s.weight / (s.weight + priorTasks)
-	return math.Exp(confidence*learnt + (1-confidence)*x)
+	return confidence*learnt + (1-confidence)*prior
 }
 
 // ForQueue returns a function that estimates the duration of a task of a group,
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -15,30 +15,46 @@
 	Latest time.Duration // not exceeded in nine of ten cases
 }
 
-// latestFactor is the ratio of the ninth decile of a task's duration to its median.
-const latestFactor = 2.5
+// stopBand is the time from the order to stop a run to the commit of its end. An
+// agent's call to stop a run times out after 800 ms.
+var stopBand = Band{Likely: 200 * time.Millisecond, Latest: time.Second}
 
 // runEnd returns the time until an active run ends. It returns false for a
-// long-running task, which ends only when its job is cancelled.
+// long-running task, which ends only when it is stopped.
 func runEnd(view jobs.View, in Input, run jobs.RunID) (Band, bool) {
-	job, group, _ := view.Run(run)
-	if group == nil || group.Spec.LongRunning {
+	job, group, task := view.Run(run)
+	if group == nil {
 		return Band{}, false
 	}
-	expected := milliseconds(in.Durations.Estimate(job.QueueKey, group.Spec.EstimatedMs))
-	status, _ := in.runStatus(run)
-	return Band{
-		Likely: max(expected-status.Age, 0),
-		Latest: max(time.Duration(latestFactor*float64(expected))-status.Age, 0),
-	}, true
+	status, known := in.runStatus(run)
+	if !known {
+		status.Pace = FullPace
+	}
+	stopping := status.Stopping || task.Done || job.Phase.Ended() || group.Broken(run.Number)
+	if group.Spec.LongRunning {
+		return stopBand, stopping
+	}
+	end := in.Durations.RunTimes.Remaining(job.QueueKey, group.Spec, status, resumed(task, run))
+	if stopping {
+		end = Band{Likely: min(end.Likely, stopBand.Likely), Latest: min(end.Latest, stopBand.Latest)}
+	}
+	return end, true
 }
 
+// resumed reports whether a run began from a checkpoint.
+func resumed(task *jobs.Task, run jobs.RunID) bool { return run.Number > 1 && task.Checkpoint != "" }
+
 // forecast predicts when workers have room, from the ends of the runs on them. It
 // describes one view and is used within one plan.
 type forecast struct {
 	view jobs.View
 	in   Input
-	ends map[string][]roomEnd // by worker key, in order of Latest; filled on first use
+	ends map[string]workerEnds // by worker key, filled on first use
+}
+
+// workerEnds are the foreseeable ends of the runs on a worker.
+type workerEnds struct {
+	byLikely, byLatest []roomEnd // the earliest first
 }
 
 // roomEnd is the room that the end of a run sets free.
@@ -48,11 +64,11 @@
 }
 
 func newForecast(view jobs.View, in Input) *forecast {
-	return &forecast{view: view, in: in, ends: map[string][]roomEnd{}}
+	return &forecast{view: view, in: in, ends: map[string]workerEnds{}}
 }
 
-// endsOn returns the foreseeable ends of the runs on a worker, the earliest first.
-func (f *forecast) endsOn(worker string) []roomEnd {
+// endsOn returns the foreseeable ends of the runs on a worker.
+func (f *forecast) endsOn(worker string) workerEnds {
 	if ends, known := f.ends[worker]; known {
 		return ends
 	}
@@ -62,22 +78,41 @@
 			ends = append(ends, roomEnd{end, demand(group.Spec)})
 		}
 	})
-	slices.SortFunc(ends, func(a, b roomEnd) int { return cmp.Compare(a.end.Latest, b.end.Latest) })
-	f.ends[worker] = ends
-	return ends
+	sorted := workerEnds{byLikely: ends, byLatest: slices.Clone(ends)}
+	slices.SortFunc(sorted.byLikely, func(a, b roomEnd) int { return cmp.Compare(a.end.Likely, b.end.Likely) })
+	slices.SortFunc(sorted.byLatest, func(a, b roomEnd) int { return cmp.Compare(a.end.Latest, b.end.Latest) })
+	f.ends[worker] = sorted
+	return sorted
 }
 
 // roomAt returns when a worker has room for a demand, by the ends of the runs on
-// it. It returns false if their ends do not free enough.
+// it. It returns false if their ends do not free enough, and for a worker that is
+// draining or out of service. On a worker whose capacity has shrunk, the runs beyond
+// the capacity have to end first.
 func (f *forecast) roomAt(l *load, need resource.Vector) (Band, bool) {
+	if !l.worker.Open || !need.Fits(l.worker.Capacity) {
+		return Band{}, false
+	}
 	free := l.free()
-	var at Band
-	for _, next := range f.endsOn(l.worker.Key) {
-		if need.Fits(free) {
-			return at, true
+	if need.Fits(free) {
+		return Band{}, true
+	}
+	ends := f.endsOn(l.worker.Key)
+	latest, enough := fitsAfter(ends.byLatest, free, need)
+	if !enough {
+		return Band{}, false
+	}
+	likely, _ := fitsAfter(ends.byLikely, free, need)
+	return Band{Likely: ends.byLikely[likely].end.Likely, Latest: ends.byLatest[latest].end.Latest}, true
+}
+
+// fitsAfter returns the index of the end after which a demand fits, false if there
+// is none.
+func fitsAfter(ends []roomEnd, free, need resource.Vector) (int, bool) {
+	for i := range ends {
+		if free = free.Add(ends[i].room); need.Fits(free) {
+			return i, true
 		}
-		free = free.Add(next.room)
-		at = Band{Likely: max(at.Likely, next.end.Likely), Latest: max(at.Latest, next.end.Latest)}
 	}
-	return at, need.Fits(free)
+	return 0, false
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -16,12 +16,22 @@
 	RemotePenalty     float64 // factor on the duration of a task away from its data or peers, 0 if unknown
 }
 
+// Any reports whether any feature is switched on.
+func (p Policy) Any() bool { return p != Policy{} }
+
 // RunStatus is what the leader knows of an active run.
 type RunStatus struct {
 	Age      time.Duration // since its start was committed
 	Percent  int32         // of its work that is done, by the latest listing
-	Pace     int32         // in percent of full pace
+	Pace     int32         // in percent of full pace, 0 while it is paused
 	Stopping bool          // a stop has been ordered
+
+	Lost      time.Duration // of Age, to a pace below full pace
+	ListedAgo time.Duration // since the listing that Percent is from
+	// BasePercent and BaseAge are an earlier progress and the age at it, less what was
+	// lost until then. They are zero for a run that began at 0 percent.
+	BasePercent int32
+	BaseAge     time.Duration
 }
 
 // runStatus returns the status of a run, false if nothing is known of it.
--- /dev/null
+++ b/dispatch/runtimes.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"amaranthpaddle/api"
+)
+
+// RunTimes learns the durations of runs at full pace as distributions: by image
+// where a group has one, shared by all queues that run it, and by queue otherwise.
+// A distribution is relative to an estimate from the declared duration, as far as
+// that is informative. RunTimes is not safe for concurrent use.
+type RunTimes struct {
+	durations *Durations // estimates by queue, while little is learnt
+	learnt    map[runTimeKey]*runTime
+	ends      int64 // learnt so far
+}
+
+// runTimeKey names an image, or a queue for groups without an image.
+type runTimeKey struct{ image, queue string }
+
+// runTime is what is learnt of one key.
+type runTime struct {
+	estimates durationStats
+	ratios    distribution // of observed durations to estimates
+	lastEnd   int64        // number of the latest end
+}
+
+const (
+	// maxRunTimeKeys bounds the memory, at 600 bytes a key. The key that was learnt
+	// longest ago gives way to a new one.
+	maxRunTimeKeys = 64
+	// startLatency is the usual part of a run's age before it makes progress: the
+	// commit on its way to the agent, and the call that starts the run.
+	startLatency = 300 * time.Millisecond
+	// minRateSpan is the shortest time of work from which a rate of progress is derived.
+	minRateSpan = 100 * time.Millisecond
+	// minIntervalShare is the share of observations between two bounds below which
+	// their distribution there is not known.
+	minIntervalShare = 0.001
+	// maxRemaining keeps forecasts in the range of time.Duration.
+	maxRemaining = 1000 * time.Hour
+)
+
+func newRunTimes(durations *Durations) *RunTimes {
+	return &RunTimes{durations: durations, learnt: map[runTimeKey]*runTime{}}
+}
+
+func keyOf(queue string, group *api.TaskGroup) runTimeKey {
+	if group.Image != "" {
+		return runTimeKey{image: group.Image}
+	}
+	return runTimeKey{queue: queue}
+}
+
+// Learn adds the duration of a run that did all work of its task: its age when its
+// end was committed, less the time lost to a lower pace.
+func (t *RunTimes) Learn(queue string, group *api.TaskGroup, took time.Duration) {
+	if group.EstimatedMs <= 0 || took <= 0 || group.LongRunning {
+		return
+	}
+	key := keyOf(queue, group)
+	known := t.learnt[key]
+	if known == nil {
+		if len(t.learnt) >= maxRunTimeKeys {
+			t.dropOldest()
+		}
+		known = &runTime{ratios: priorDistribution}
+		t.learnt[key] = known
+	}
+	t.ends++
+	known.lastEnd = t.ends
+	x, y := logMS(group.EstimatedMs), math.Log(max(toMS(took), 1))
+	known.ratios.learn(y - known.estimates.estimate(x, t.durations.logEstimate(queue, x)))
+	known.estimates.learn(x, y)
+}
+
+func (t *RunTimes) dropOldest() {
+	var oldest runTimeKey
+	first := int64(math.MaxInt64)
+	for key, known := range t.learnt {
+		if known.lastEnd < first {
+			oldest, first = key, known.lastEnd
+		}
+	}
+	delete(t.learnt, oldest)
+}
+
+// of returns the distribution for a group, and the logarithm of the estimate in
+// milliseconds that it is relative to.
+func (t *RunTimes) of(queue string, group *api.TaskGroup) (scale float64, ratios *distribution) {
+	x := logMS(group.EstimatedMs)
+	scale = t.durations.logEstimate(queue, x)
+	known := t.learnt[keyOf(queue, group)]
+	if known == nil {
+		return scale, &priorDistribution
+	}
+	return known.estimates.estimate(x, scale), &known.ratios
+}
+
+// Remaining forecasts the time until a run ends, at its present pace. resumed tells
+// that it began from a checkpoint.
+func (t *RunTimes) Remaining(queue string, group *api.TaskGroup, status RunStatus, resumed bool) Band {
+	scale, ratios := t.of(queue, group)
+	pace := float64(min(max(status.Pace, minPercent), FullPace)) / FullPace
+	p := status.progress(resumed)
+	low, high := p.bounds()
+	likely, latest := quantiles(scale, ratios, low, high)
+	remaining := func(total float64) time.Duration {
+		return min(milliseconds(max(total*p.left-p.since, 0)/pace), maxRemaining)
+	}
+	return Band{Likely: remaining(likely), Latest: remaining(latest)}
+}
+
+// observedProgress is what a status tells of the work of a run, with times at full
+// pace in milliseconds.
+type observedProgress struct {
+	left    float64 // share of the work
+	since   float64 // that is worked on since left was known
+	least   float64 // duration of the whole run, from its age
+	span    float64 // of work, in which the run gained these percent; 0 if no rate is known
+	gained  float64
+	latency float64 // largest part of the span before the progress began
+}
+
+func (s RunStatus) progress(resumed bool) observedProgress {
+	worked := toMS(max(s.Age-s.Lost, 0))
+	if s.Percent <= 0 {
+		return observedProgress{left: 1, since: worked, least: worked}
+	}
+	since := toMS(s.ListedAgo) * float64(min(max(s.Pace, 0), FullPace)) / FullPace
+	p := observedProgress{
+		left: float64(FullPace-min(s.Percent, FullPace)) / FullPace, since: since,
+		span: worked - since - toMS(s.BaseAge), gained: float64(s.Percent - s.BasePercent),
+	}
+	fromStart := s.BasePercent == 0 && s.BaseAge == 0
+	if p.span < toMS(minRateSpan) || p.gained <= 0 || fromStart && resumed {
+		p.span = 0
+	}
+	if fromStart {
+		p.latency = toMS(startLatency)
+	}
+	return p
+}
+
+// bounds returns the shortest and the longest duration of the whole run at full
+// pace that its progress allows, in milliseconds. Percents are rounded, so each may be off by one.
+func (p observedProgress) bounds() (low, high float64) {
+	if p.span == 0 {
+		return p.least, math.Inf(1)
+	}
+	high = math.Inf(1)
+	if p.gained > 1 {
+		high = FullPace * p.span / (p.gained - 1)
+	}
+	return max(FullPace*(p.span-p.latency)/(p.gained+1), 0), high
+}
+
+// quantiles returns the median and the ninth decile, in milliseconds, of durations
+// between two bounds. Where hardly any were seen, as on a worker that is slow, they
+// are taken to be spread evenly.
+func quantiles(scale float64, ratios *distribution, low, high float64) (median, decile float64) {
+	beyondLow, beyondHigh := 1.0, 0.0
+	if low > 0 {
+		beyondLow = ratios.shareBeyond(math.Log(low) - scale)
+	}
+	if !math.IsInf(high, 1) {
+		beyondHigh = ratios.shareBeyond(math.Log(high) - scale)
+		if beyondLow-beyondHigh < minIntervalShare {
+			low = max(low, high/2)
+			return (low + high) / 2, low + 0.9*(high-low)
+		}
+	}
+	within := beyondLow - beyondHigh
+	at := func(quantile float64) float64 {
+		return min(max(math.Exp(scale+ratios.exceededBy(beyondLow-quantile*within)), low), high)
+	}
+	return at(0.5), at(0.9)
+}
+
+// Parameters of the distinction between long tasks and stragglers.
+const (
+	minLearntTasks = 60   // before long tasks are known
+	minLongShare   = 0.01 // of a key's tasks that take about as long; a third of the share of long tasks that was seen
+	longTolerance  = 0.35 // of the logarithm, to either side
+)
+
+// InherentlyLong reports whether a run progresses at the usual rate of a long task
+// of its kind, so that a copy of it would take as long. A run on a slow worker is at
+// a rate that no task usually has.
+func (t *RunTimes) InherentlyLong(queue string, group *api.TaskGroup, status RunStatus, resumed bool) bool {
+	scale, ratios := t.of(queue, group)
+	p := status.progress(resumed)
+	if p.span == 0 || ratios.weight < minLearntTasks {
+		return false
+	}
+	ratio := math.Log(FullPace*p.span/p.gained) - scale
+	return ratios.shareBeyond(ratio-longTolerance)-ratios.shareBeyond(ratio+longTolerance) >= minLongShare
+}
+
+func toMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
