dispatch, jobcontrol: cheaper forecasts of room; the last ends of jobs are learnt

The queue and the group are now kept with the forecast of the run. (Durations misses these ends as before.)

The forecast looks up what the runs of a group share once per plan, and needs no distribution between close bounds.

--- a/dispatch/accuracy.go
+++ b/dispatch/accuracy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
 )
 
@@ -29,6 +30,7 @@
 // runForecasts are the forecasts for one run.
 type runForecasts struct {
 	queue string
+	group *api.TaskGroup
 	made  [forecastMoments]time.Time // zero for none
 	band  [forecastMoments]Band
 }
@@ -62,11 +64,21 @@
 	return r != nil && !r.made[moment].IsZero()
 }
 
-// Add records a forecast that was made now.
-func (f *Forecasts) Add(run jobs.RunID, queue string, moment ForecastMoment, band Band, now time.Time) {
+// TaskOf returns the queue and the group of an active run with a forecast. They are
+// still known when the end of the run is the end of its job.
+func (f *Forecasts) TaskOf(run jobs.RunID) (queue string, group *api.TaskGroup, known bool) {
 	r := f.runs[run]
 	if r == nil {
-		r = &runForecasts{queue: queue}
+		return "", nil, false
+	}
+	return r.queue, r.group, true
+}
+
+// Add records a forecast for a run of a group that was made now.
+func (f *Forecasts) Add(run jobs.RunID, queue string, group *api.TaskGroup, moment ForecastMoment, band Band, now time.Time) {
+	r := f.runs[run]
+	if r == nil {
+		r = &runForecasts{queue: queue, group: group}
 		f.runs[run] = r
 	}
 	r.made[moment], r.band[moment] = now, band
--- a/dispatch/distribution.go
+++ b/dispatch/distribution.go
@@ -66,11 +66,18 @@
 	return d.beyond[i] + (position-float64(i))*(d.beyond[i+1]-d.beyond[i])
 }
 
-// exceededBy returns the value that a share of the observations exceeds. It is the
-// inverse of shareBeyond.
+// edgeRatio is the ratio at each bucket's lower edge.
+var edgeRatio = func() (ratios [distributionBuckets + 1]float64) {
+	for i := range ratios {
+		ratios[i] = math.Exp(bucketEdge(i))
+	}
+	return ratios
+}()
+
+// exceededBy returns the ratio that a share of the observations exceeds.
 func (d *distribution) exceededBy(share float64) float64 {
 	if last := d.beyond[distributionBuckets]; share <= last {
-		return bucketEdge(distributionBuckets) + math.Log(last/max(share, math.SmallestNonzeroFloat64))/tailExponent
+		return edgeRatio[distributionBuckets] * math.Pow(last/max(share, math.SmallestNonzeroFloat64), 1/tailExponent)
 	}
 	low, high := 0, distributionBuckets // beyond[low] >= share > beyond[high]
 	for high-low > 1 {
@@ -80,5 +87,6 @@
 			high = middle
 		}
 	}
-	return bucketEdge(low) + bucketWidth*(d.beyond[low]-share)/(d.beyond[low]-d.beyond[high])
+	part := (d.beyond[low] - share) / (d.beyond[low] - d.beyond[high])
+	return edgeRatio[low] + part*(edgeRatio[high]-edgeRatio[low])
 }
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -26,6 +26,10 @@
 	if group == nil {
 		return Band{}, false
 	}
+	return endOf(in, run, job, group, task, in.Durations.RunTimes.of(job.QueueKey, group.Spec))
+}
+
+func endOf(in Input, run jobs.RunID, job *jobs.Job, group *jobs.Group, task *jobs.Task, times expectedTimes) (Band, bool) {
 	status, known := in.runStatus(run)
 	if !known {
 		status.Pace = FullPace
@@ -34,7 +38,7 @@
 	if group.Spec.LongRunning {
 		return stopBand, stopping
 	}
-	end := in.Durations.RunTimes.Remaining(job.QueueKey, group.Spec, status, Resumed(task, run))
+	end := times.remaining(status, Resumed(task, run))
 	if stopping {
 		end = Band{Likely: min(end.Likely, stopBand.Likely), Latest: min(end.Latest, stopBand.Latest)}
 	}
@@ -47,9 +51,16 @@
 // forecast predicts when workers have room, from the ends of the runs on them. It
 // describes one view and is used within one plan.
 type forecast struct {
-	view jobs.View
-	in   Input
-	ends map[string]workerEnds // by worker key, filled on first use
+	view   jobs.View
+	in     Input
+	ends   map[string]workerEnds // by worker key, filled on first use
+	groups map[*jobs.Group]groupTimes
+}
+
+// groupTimes is what the forecasts for all runs of a group share.
+type groupTimes struct {
+	job   *jobs.Job
+	times expectedTimes
 }
 
 // workerEnds are the foreseeable ends of the runs on a worker.
@@ -64,25 +75,41 @@
 }
 
 func newForecast(view jobs.View, in Input) *forecast {
-	return &forecast{view: view, in: in, ends: map[string]workerEnds{}}
+	return &forecast{view: view, in: in, ends: map[string]workerEnds{}, groups: map[*jobs.Group]groupTimes{}}
+}
+
+// runEnd is as the function runEnd, for a run of a group that is looked up already.
+func (f *forecast) runEnd(run jobs.RunID, group *jobs.Group) (Band, bool) {
+	shared, known := f.groups[group]
+	if !known {
+		shared.job = f.view.Job(run.Task.Job)
+		if shared.job == nil {
+			return Band{}, false
+		}
+		shared.times = f.in.Durations.RunTimes.of(shared.job.QueueKey, group.Spec)
+		f.groups[group] = shared
+	}
+	return endOf(f.in, run, shared.job, group, &group.Tasks[run.Task.Index], shared.times)
 }
 
 // endsOn returns the foreseeable ends of the runs on a worker.
-func (f *forecast) endsOn(worker string) workerEnds {
-	if ends, known := f.ends[worker]; known {
+func (f *forecast) endsOn(l *load) workerEnds {
+	if ends, known := f.ends[l.worker.Key]; known {
 		return ends
 	}
-	var ends []roomEnd
-	f.view.RunsOn(worker, func(run jobs.RunID, group *jobs.Group) {
-		if end, foreseeable := runEnd(f.view, f.in, run); foreseeable {
-			ends = append(ends, roomEnd{end, demand(group.Spec)})
+	both := make([]roomEnd, 0, 2*l.runs)
+	f.view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
+		if end, foreseeable := f.runEnd(run, group); foreseeable {
+			both = append(both, roomEnd{end, demand(group.Spec)})
 		}
 	})
-	sorted := workerEnds{byLikely: ends, byLatest: slices.Clone(ends)}
-	slices.SortFunc(sorted.byLikely, func(a, b roomEnd) int { return cmp.Compare(a.end.Likely, b.end.Likely) })
-	slices.SortFunc(sorted.byLatest, func(a, b roomEnd) int { return cmp.Compare(a.end.Latest, b.end.Latest) })
-	f.ends[worker] = sorted
-	return sorted
+	n := len(both)
+	slices.SortFunc(both, func(a, b roomEnd) int { return cmp.Compare(a.end.Likely, b.end.Likely) })
+	both = append(both, both...)
+	slices.SortFunc(both[n:], func(a, b roomEnd) int { return cmp.Compare(a.end.Latest, b.end.Latest) })
+	ends := workerEnds{byLikely: both[:n], byLatest: both[n:]}
+	f.ends[l.worker.Key] = ends
+	return ends
 }
 
 // roomAt returns when a worker has room for a demand, by the ends of the runs on
@@ -97,7 +124,7 @@
 	if need.Fits(free) {
 		return Band{}, true
 	}
-	ends := f.endsOn(l.worker.Key)
+	ends := f.endsOn(l)
 	latest, enough := fitsAfter(ends.byLatest, free, need)
 	if !enough {
 		return Band{}, false
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -40,6 +40,9 @@
 	// minIntervalShare is the share of observations between two bounds below which
 	// their distribution there is not known.
 	minIntervalShare = 0.001
+	// narrowInterval is the ratio of two bounds up to which the distribution between them
+	// does not matter: it moves a quantile by a tenth at most.
+	narrowInterval = 1.2
 	// maxRemaining keeps forecasts in the range of time.Duration.
 	maxRemaining = 1000 * time.Hour
 )
@@ -88,26 +91,35 @@
 	delete(t.learnt, oldest)
 }
 
-// of returns the distribution for a group, and the logarithm of the estimate in
-// milliseconds that it is relative to.
-func (t *RunTimes) of(queue string, group *api.TaskGroup) (scale float64, ratios *distribution) {
+// expectedTimes is the distribution of the run times of a group.
+type expectedTimes struct {
+	ratios      *distribution
+	estimate    float64 // milliseconds, that ratios are relative to
+	logEstimate float64
+}
+
+// of returns the distribution for a group.
+func (t *RunTimes) of(queue string, group *api.TaskGroup) expectedTimes {
 	x := logMS(group.EstimatedMs)
-	scale = t.durations.logEstimate(queue, x)
-	known := t.learnt[keyOf(queue, group)]
-	if known == nil {
-		return scale, &priorDistribution
+	e := expectedTimes{ratios: &priorDistribution, logEstimate: t.durations.logEstimate(queue, x)}
+	if known := t.learnt[keyOf(queue, group)]; known != nil {
+		e.ratios, e.logEstimate = &known.ratios, known.estimates.estimate(x, e.logEstimate)
 	}
-	return known.estimates.estimate(x, scale), &known.ratios
+	e.estimate = math.Exp(e.logEstimate)
+	return e
 }
 
 // Remaining forecasts the time until a run ends, at its present pace. resumed tells
 // that it began from a checkpoint.
 func (t *RunTimes) Remaining(queue string, group *api.TaskGroup, status RunStatus, resumed bool) Band {
-	scale, ratios := t.of(queue, group)
+	return t.of(queue, group).remaining(status, resumed)
+}
+
+func (e expectedTimes) remaining(status RunStatus, resumed bool) Band {
 	pace := float64(min(max(status.Pace, minPercent), FullPace)) / FullPace
 	p := status.progress(resumed)
 	low, high := p.bounds()
-	likely, latest := quantiles(scale, ratios, low, high)
+	likely, latest := e.quantiles(low, high)
 	if p.span > 0 {
 		latest = max(latest, p.total()) // short runs that started at once progress at this rate
 	}
@@ -174,27 +186,38 @@
 func (p observedProgress) total() float64 { return FullPace * p.span / p.gained }
 
 // quantiles returns the median and the ninth decile, in milliseconds, of durations
-// between two bounds. Where hardly any were seen, as on a worker that is slow, they
-// are taken to be spread evenly.
-func quantiles(scale float64, ratios *distribution, low, high float64) (median, decile float64) {
+// between two bounds. Between close bounds, and where hardly any were seen, as on a
+// worker that is slow, they are taken to be spread evenly.
+func (e expectedTimes) quantiles(low, high float64) (median, decile float64) {
+	if high <= narrowInterval*low {
+		return evenQuantiles(low, high)
+	}
 	beyondLow, beyondHigh := 1.0, 0.0
 	if low > 0 {
-		beyondLow = ratios.shareBeyond(math.Log(low) - scale)
+		beyondLow = e.shareBeyond(low)
 	}
 	if !math.IsInf(high, 1) {
-		beyondHigh = ratios.shareBeyond(math.Log(high) - scale)
+		beyondHigh = e.shareBeyond(high)
 		if beyondLow-beyondHigh < minIntervalShare {
-			low = max(low, high/2)
-			return (low + high) / 2, low + 0.9*(high-low)
+			return evenQuantiles(max(low, high/2), high)
 		}
 	}
 	within := beyondLow - beyondHigh
 	at := func(quantile float64) float64 {
-		return min(max(math.Exp(scale+ratios.exceededBy(beyondLow-quantile*within)), low), high)
+		return min(max(e.estimate*e.ratios.exceededBy(beyondLow-quantile*within), low), high)
 	}
 	return at(0.5), at(0.9)
 }
 
+func evenQuantiles(low, high float64) (median, decile float64) {
+	return (low + high) / 2, low + 0.9*(high-low)
+}
+
+// shareBeyond returns the share of run times above a number of milliseconds.
+func (e expectedTimes) shareBeyond(ms float64) float64 {
+	return e.ratios.shareBeyond(math.Log(ms) - e.logEstimate)
+}
+
 // Parameters of the distinction between long tasks and stragglers.
 const (
 	minLearntTasks = 60   // before long tasks are known
@@ -206,13 +229,13 @@
 // of its kind, so that a copy of it would take as long. A run on a slow worker is at
 // a rate that no task usually has.
 func (t *RunTimes) InherentlyLong(queue string, group *api.TaskGroup, status RunStatus, resumed bool) bool {
-	scale, ratios := t.of(queue, group)
+	e := t.of(queue, group)
 	p := status.progress(resumed)
-	if p.span == 0 || ratios.weight < minLearntTasks {
+	if p.span == 0 || e.ratios.weight < minLearntTasks {
 		return false
 	}
-	ratio := math.Log(p.total()) - scale
-	return ratios.shareBeyond(ratio-longTolerance)-ratios.shareBeyond(ratio+longTolerance) >= minLongShare
+	ratio := math.Log(p.total()) - e.logEstimate
+	return e.ratios.shareBeyond(ratio-longTolerance)-e.ratios.shareBeyond(ratio+longTolerance) >= minLongShare
 }
 
 func toMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/jobcontrol/forecasts.go
+++ b/jobcontrol/forecasts.go
@@ -39,7 +39,7 @@
 		Run:       func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
 	}
 	if band, foreseeable := dispatch.RunEnd(view, in, run); foreseeable {
-		l.forecasts.Add(run, job.QueueKey, moment, band, now)
+		l.forecasts.Add(run, job.QueueKey, group.Spec, moment, band, now)
 	}
 }
 
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -104,13 +104,11 @@
 	if !listed && l.slowed(end.Worker, run) {
 		return
 	}
-	l.assumed.Read(func(view jobs.View) {
-		if job := view.Job(run.Task.Job); job != nil {
-			if group, _ := job.Task(run.Task); group != nil {
-				l.knowledge.Durations.RunTimes.Learn(job.QueueKey, group.Spec, now.Sub(startedAt)-lost)
-			}
-		}
-	})
+	// A job that has ended has no groups any more. Without the ends of jobs, of which the
+	// longest tasks are a large part, run times would come out short.
+	if queue, group, known := l.forecasts.TaskOf(run); known {
+		l.knowledge.Durations.RunTimes.Learn(queue, group, now.Sub(startedAt)-lost)
+	}
 }
 
 // learnDrainRate updates the drain rate with the work of a task that is done. The
