--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -130,7 +131,40 @@
 		return Band{}, false
 	}
 	likely, _ := fitsAfter(ends.byLikely, free, need)
-	return Band{Likely: ends.byLikely[likely].end.Likely, Latest: ends.byLatest[latest].end.Latest}, true
+	return Band{
+		Likely: ends.byLikely[likely].end.Likely,
+		Latest: ends.byLatest[latest].end.Latest + delayOfAll(ends.byLatest, latest),
+	}, true
+}
+
+// The number of ends of n that come after their ninth deciles is about Poisson. With
+// these means, nine of ten times none comes late, and no more than the spare ends.
+const (
+	lateIfNone    = 0.105
+	lateIfSpare   = 0.55  // for each spare end
+	lateByDecile  = 0.1   // share of the ends
+	lnDecileDecay = 1.609 // logarithm of 5
+)
+
+// delayOfAll returns how much later several ends, up to the index last, are all
+// there in nine of ten cases than the last of them is by itself. Other ends that are
+// likely by then are spare. From Likely to Latest the share of runs that have not
+// ended falls by a factor of 5, and on like that. Stops are bounded and have no delay.
+func delayOfAll(ends []roomEnd, last int) time.Duration {
+	end, spare := ends[last].end, 0
+	if end.Latest == stopBand.Latest {
+		return 0
+	}
+	for i := last + 1; i < len(ends); i++ {
+		if ends[i].end.Likely <= end.Latest {
+			spare++
+		}
+	}
+	tolerated := (lateIfNone + lateIfSpare*float64(spare)) / float64(last+1+spare)
+	if tolerated >= lateByDecile {
+		return 0
+	}
+	return time.Duration(float64(end.Latest-end.Likely) * math.Log(lateByDecile/tolerated) / lnDecileDecay)
 }
 
 // fitsAfter returns the index of the end after which a demand fits, false if there
--- a/dispatch/runtimes_test.go
+++ b/dispatch/runtimes_test.go
@@ -30,12 +30,16 @@
 		error:   rapid.Float64Range(0.2, 0.9).Draw(t, "error"),
 		latency: rapid.Float64Range(0, toMS(startLatency)).Draw(t, "latency"), durations: NewDurations(),
 	}
+	k.learn()
+	return k
+}
+
+func (k *taskKind) learn() {
 	for range 2000 {
 		group, took := k.draw()
 		k.durations.Learn("q", group.EstimatedMs, took.Milliseconds())
 		k.durations.RunTimes.Learn("q", group, took)
 	}
-	return k
 }
 
 func (k *taskKind) draw() (*api.TaskGroup, time.Duration) {
@@ -222,6 +226,42 @@
 	}
 }
 
+// Failure: room that needs the ends of all of ten runs was there by Latest in 80 of
+// 100 cases only, as each single end may come late. The tolerance is 0.06 as above.
+func TestRoomThatNeedsAllEndsHoldsInNineOfTenCases(t *testing.T) {
+	k := &taskKind{random: rand.New(rand.NewPCG(0, 1)), typical: 2000, spread: 0.4, error: 0.5, latency: 50, durations: NewDurations()}
+	k.learn()
+	held, cases := 0, 600
+	for range cases {
+		w := newFixture(t, 1)
+		w.learned.Durations = k.durations
+		var groups []*api.TaskGroup
+		var statuses []RunStatus
+		var last time.Duration
+		for len(groups) < 10 {
+			group, took := k.draw()
+			if worked := k.random.Float64() * k.typical; worked < toMS(took) {
+				status, left := k.statusAt(toMS(took), worked, 100)
+				group.Count, group.MilliCpu = 1, 1000
+				groups, statuses, last = append(groups, group), append(statuses, status), max(last, left)
+			}
+		}
+		w.submit(urgentQueue, groups...)
+		w.plan()
+		in := w.input()
+		in.Run = func(run jobs.RunID) (RunStatus, bool) { return statuses[run.Task.Group], true }
+		w.state.Read(func(view jobs.View) {
+			at, known := newForecast(view, in).roomAt(newFleetLoad(view, w.workers).workers[0], resource.Vector{MilliCPU: 10_000})
+			if known && last <= at.Latest {
+				held++
+			}
+		})
+	}
+	if share := float64(held) / float64(cases); share < 0.84 {
+		t.Errorf("%.3f held", share)
+	}
+}
+
 func BenchmarkLearnRunTime(b *testing.B) {
 	d, group := NewDurations(), &api.TaskGroup{EstimatedMs: 1000, Image: "i"}
 	b.ReportAllocs()
