--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -86,20 +86,40 @@
 			return
 		}
 		if group, task := job.Task(run.Task); group != nil && task.LastRun == 1 {
-			nearData := float64(l.server.now().Sub(startedAt)) / l.remoteFactor(group.Spec, end.Worker)
-			l.knowledge.Durations.Learn(job.QueueKey, group.Spec.EstimatedMs, time.Duration(nearData).Milliseconds())
+			took := l.nearData(l.server.now().Sub(startedAt), group.Spec, end.Worker)
+			l.knowledge.Durations.Learn(job.QueueKey, group.Spec.EstimatedMs, took.Milliseconds())
 		}
 	})
 }
 
-// remoteFactor returns how many times as long a task takes on a worker as near its
-// data. The lock is held.
-func (l *leadership) remoteFactor(group *api.TaskGroup, worker string) float64 {
+// nearData returns how long a run on a worker would have taken near its data. The lock
+// is held.
+func (l *leadership) nearData(took time.Duration, group *api.TaskGroup, worker string) time.Duration {
 	view := l.viewOf(worker)
 	if view == nil {
-		return 1
+		return took
+	}
+	return time.Duration(float64(took) / l.server.config.Policy.RemoteFactor(group, view.worker.Rack))
+}
+
+// learnRunTime updates the distribution of run times with a run that did all work of
+// its task. Runs after the first may have begun from a checkpoint, or be copies, of
+// which only the fast ones end. The lock is held.
+func (l *leadership) learnRunTime(run jobs.RunID, end *api.EndRun) {
+	startedAt, known := l.startedAt[run]
+	if !known || run.Number != 1 || end.Outcome != api.RunOutcome_RUN_OUTCOME_DONE {
+		return
+	}
+	now := l.server.now()
+	lost, listed := l.progress.Lost(run, now)
+	if !listed && l.slowed(end.Worker, run) {
+		return
+	}
+	// A job that has ended has no groups any more. Without the ends of jobs, of which the
+	// longest tasks are a large part, run times would come out short.
+	if queue, group, known := l.forecasts.TaskOf(run); known {
+		l.knowledge.Durations.RunTimes.Learn(queue, group, l.nearData(now.Sub(startedAt)-lost, group, end.Worker))
 	}
-	return l.server.config.Policy.RemoteFactor(group, view.worker.Rack)
 }
 
 // learnDrainRate updates the drain rate with the work of a task that is done. The
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -54,6 +54,8 @@
 	JobRunsRelocated = Metric{"paddle_jobs_runs_relocated_total", nil}
 	JobRunsPreempted = Metric{"paddle_jobs_runs_preempted_total", []string{"reason"}}
 	JobWorkDiscarded = Metric{"paddle_jobs_discarded_core_seconds_total", nil}
+	JobForecastEnds  = Metric{"paddle_jobs_forecast_ends_total", []string{"queue", "made", "result"}}
+	JobForecastError = Metric{"paddle_jobs_forecast_error_seconds", []string{"queue", "made"}}
 	JobsGivenUp      = Metric{"paddle_jobs_given_up_total", nil}
 	JobWorkerCrashes = Metric{"paddle_jobs_worker_crashes_total", []string{"evidence"}}
 	JobFleet         = Metric{"paddle_jobs_fleet", []string{"what"}}
@@ -68,6 +70,7 @@
 		TaskStarts, AgentTasks, AgentRevision,
 		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated,
 		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobFleet,
+		JobForecastEnds, JobForecastError,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
