standin, integration: record a worker's pauses and the lease of each event

The failure of TestWorkIsDoneOnceAndNeverInTwoPlaces (a run works after its successor has begun) couldn't be traced: neither the pause of the worker nor the lease under which it wrote was known.

Each event of a stand-in worker carries the end of the lease under which it was written and the limits of the worker's latest pause, which shows as a gap of 500 ms or more between two readings of its clock. The test prints both, and also fails when an event of a leased run is written after its lease, which doesn't depend on when the successor starts.

--- a/integration/history_test.go
+++ b/integration/history_test.go
@@ -249,7 +249,8 @@
 }
 
 // checkOnePlaceAtATime: once a batch task has started or worked in a
-// generation, no earlier generation works, and a generation starts once.
+// generation, no earlier generation works, and a generation starts once. Nothing
+// is done after the end of the lease under which it is done.
 func checkOnePlaceAtATime(t *testing.T, events []standin.Event) {
 	t.Helper()
 	highest := map[string]standin.Event{}
@@ -257,10 +258,15 @@
 		if event.Service || event.Kind == standin.EventStop {
 			continue
 		}
+		if event.At >= event.LeaseEnd {
+			t.Errorf("task %s: generation %d %ss on %s after its lease\n  %s",
+				event.Task, event.Generation, event.Kind, event.VM, describeLease(event))
+		}
 		last, known := highest[event.Task]
 		if known && event.Generation < last.Generation {
-			t.Errorf("task %s: generation %d %ss on %s after generation %d on %s",
-				event.Task, event.Generation, event.Kind, event.VM, last.Generation, last.VM)
+			t.Errorf("task %s: generation %d %ss on %s after generation %d on %s\n  %s\n  %s",
+				event.Task, event.Generation, event.Kind, event.VM, last.Generation, last.VM,
+				describeLease(event), describeLease(last))
 		}
 		if known && event.Generation == last.Generation && event.VM != last.VM {
 			t.Errorf("task %s: generation %d on %s and on %s", event.Task, event.Generation, event.VM, last.VM)
@@ -271,6 +277,18 @@
 	}
 }
 
+// describeLease tells when an event was written, the end of its lease, and when
+// its worker was last paused and resumed.
+func describeLease(event standin.Event) string {
+	clock := func(at int64) string { return time.Unix(0, at).UTC().Format("15:04:05.000000") }
+	text := fmt.Sprintf("generation %d on %s: %s at %s, lease until %s",
+		event.Generation, event.VM, event.Kind, clock(event.At), clock(event.LeaseEnd))
+	if event.PausedAt != 0 {
+		text += fmt.Sprintf(", worker paused at %s, resumed at %s", clock(event.PausedAt), clock(event.ResumedAt))
+	}
+	return text
+}
+
 // checkFinishedOnce: every task finished, and again only when the worker that
 // finished it was killed, or its agent frozen past the lease, before the finish
 // was reported.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -26,6 +26,9 @@
 	serviceStartTime  = 30 * time.Millisecond
 	usageKeptSamples  = 4096
 	contentionPenalty = 0.5 // loss of speed when batch work fills a whole VM
+	// minPause is the gap between two readings of the clock from which the process
+	// counts as paused. It is 25 ticks, more than a busy machine delays one.
+	minPause = 500 * time.Millisecond
 )
 
 // WorkerOptions configures a stand-in worker.
@@ -53,6 +56,11 @@
 	Service    bool            `json:"service,omitempty"`
 	Grant      resource.Vector `json:"grant"`
 	Progress   float64         `json:"progress"`
+	// LeaseEnd is the end of the lease under which the event was written, 0 for a service.
+	LeaseEnd int64 `json:"lease_end,omitempty"`
+	// PausedAt and ResumedAt are the limits of the worker's latest pause, 0 for none.
+	PausedAt  int64 `json:"paused_at,omitempty"`
+	ResumedAt int64 `json:"resumed_at,omitempty"`
 }
 
 // EventKind says what happened.
@@ -82,6 +90,9 @@
 	highest map[string]uint64          // highest generation seen of each task
 	firsts  map[string]resource.Vector // first grant of a task of each job
 	leaseMS int64
+	read    time.Time // latest reading of the clock
+	paused  time.Time // limits of the latest pause, zero for none
+	resumed time.Time
 	usage   []worker.Usage
 	sampled int64 // end of the last usage interval
 }
@@ -164,7 +175,20 @@
 }
 
 // clockMS is the worker's monotonic clock.
-func (w *Worker) clockMS() int64 { return time.Since(w.started).Milliseconds() }
+func (w *Worker) clockMS() int64 { return w.sinceStart(w.now()) }
+
+func (w *Worker) sinceStart(at time.Time) int64 { return at.Sub(w.started).Milliseconds() }
+
+// now reads the clock and records a pause of the process, which shows as a gap
+// since the previous reading. The caller holds mu.
+func (w *Worker) now() time.Time {
+	now := time.Now()
+	if !w.read.IsZero() && now.Sub(w.read) >= minPause {
+		w.paused, w.resumed = w.read, now
+	}
+	w.read = now
+	return now
+}
 
 func (w *Worker) advance(elapsed time.Duration) {
 	w.mu.Lock()
@@ -253,11 +277,20 @@
 	if w.options.Events == nil {
 		return
 	}
-	line, err := json.Marshal(Event{
-		At: time.Now().UnixNano(), VM: w.options.VM, Zone: w.options.Zone,
+	at := w.now()
+	event := Event{
+		At: at.UnixNano(), VM: w.options.VM, Zone: w.options.Zone,
 		Task: r.status.Task, Generation: r.status.Generation, Kind: kind,
 		Service: r.request.Service != "", Grant: r.request.Grant, Progress: r.status.Progress,
-	})
+	}
+	if !event.Service {
+		lease := time.Duration(w.leaseMS) * time.Millisecond
+		event.LeaseEnd = at.Add(lease - at.Sub(w.started)).UnixNano()
+	}
+	if !w.paused.IsZero() {
+		event.PausedAt, event.ResumedAt = w.paused.UnixNano(), w.resumed.UnixNano()
+	}
+	line, err := json.Marshal(event)
 	if err == nil {
 		_, _ = w.options.Events.Write(append(line, '\n'))
 	}
