standin: check the lease for each event, by the reading that the event carries

Cause (KNOWN-RED, TestWorkIsDoneOnceAndNeverInTwoPlaces: generation 3 works on vm-b0 after generation 4 on vm-b1): the stand-in worker read its clock once per tick, compared it with the lease of all runs, and wrote the events later. A SIGSTOP in between let the remaining runs of that tick work or finish once more when the process went on, after the successor had begun.

Ruled out: a renewal by a time from before a pause (the worker's lease ends at an earlier reading of its own clock plus the term), and a lease that ends later than the leader assumes (the leader counts from its answer plus the margin).

Change: start, work, checkpoint and finish each check the lease by their own reading. A start ends runs without a lease before it extends the lease, also in LightWorker. The contract in worker/worker.go states the rule. Leader and agent are unchanged.

--- a/standin/light.go
+++ b/standin/light.go
@@ -58,6 +58,7 @@
 func (l *LightWorker) Start(_ context.Context, task string, request worker.StartRequest) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.settle() // runs whose lease has passed must end before the start extends it
 	expired := request.Service == "" && l.clockMS() >= request.LeaseMS
 	if request.Epoch != l.epoch || request.Generation <= l.highest[task] || expired {
 		return fault.New(fault.Stale, "old generation, epoch or lease")
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -110,6 +110,9 @@
 	speedTicks int
 }
 
+// errLeaseExpired is the error of a run that ended with its lease.
+const errLeaseExpired = "lease expired"
+
 // StartWorker starts a stand-in worker on a free loopback port.
 func StartWorker(options WorkerOptions) (*Worker, error) {
 	listener := options.Listener
@@ -197,7 +200,7 @@
 	speed := w.speed()
 	for _, r := range w.tasks {
 		if !r.status.Phase.Final() {
-			w.advanceRun(r, now, elapsed, speed)
+			w.advanceRun(r, elapsed, speed)
 		}
 	}
 	if now-w.sampled >= usageInterval.Milliseconds() {
@@ -217,12 +220,20 @@
 	return 1 - contentionPenalty*min(load, 1)
 }
 
-func (w *Worker) advanceRun(r *run, now int64, elapsed time.Duration, speed float64) {
-	leased := r.request.Service == ""
+// expired reports whether a leased run has no lease at the given reading of the
+// clock. The reading must be made for the one effect that depends on the answer:
+// the process may be paused between any two effects, and another worker may have
+// the task when it goes on.
+func (w *Worker) expired(r *run, at time.Time) bool {
+	return r.request.Service == "" && w.sinceStart(at) >= w.leaseMS
+}
+
+func (w *Worker) advanceRun(r *run, elapsed time.Duration, speed float64) {
+	at := w.now()
 	switch {
-	case leased && now >= w.leaseMS:
-		w.end(r, worker.PhaseStopped, "lease expired")
-	case r.stopping && now >= r.stopAtMS:
+	case w.expired(r, at):
+		w.end(r, worker.PhaseStopped, errLeaseExpired)
+	case r.stopping && w.sinceStart(at) >= r.stopAtMS:
 		w.end(r, worker.PhaseStopped, "")
 	case r.status.Phase == worker.PhaseRunning:
 		w.progress(r, elapsed, speed)
@@ -240,7 +251,12 @@
 		w.end(r, worker.PhaseFailed, "exit status 1")
 		return
 	}
-	w.note(r, EventWork)
+	at := w.now()
+	if w.expired(r, at) {
+		w.end(r, worker.PhaseStopped, errLeaseExpired)
+		return
+	}
+	w.note(r, EventWork, at)
 	work := float64(max(r.request.WorkMS, 1))
 	r.status.Progress += elapsed.Seconds() * 1000 * speed * r.fraction / work
 	if r.status.Progress >= 1 {
@@ -250,34 +266,40 @@
 }
 
 // end makes a run final. A run that was asked to checkpoint keeps its progress.
+// A run without a lease can only be stopped, and makes no checkpoint.
 func (w *Worker) end(r *run, phase worker.Phase, message string) {
 	if r.status.Phase.Final() {
 		return
 	}
-	if phase == worker.PhaseStopped && r.stopping && r.status.Phase == worker.PhaseCheckpointing {
+	at := w.now()
+	expired := w.expired(r, at)
+	if expired {
+		phase, message = worker.PhaseStopped, errLeaseExpired
+	}
+	if !expired && phase == worker.PhaseStopped && r.stopping && r.status.Phase == worker.PhaseCheckpointing {
 		r.status.Checkpoint = checkpointID(r.status.Task, r.status.Generation, r.status.Progress)
 	}
 	r.status.Phase = phase
 	r.status.Error = message
 	if phase == worker.PhaseFinished {
-		w.note(r, EventFinish)
+		w.note(r, EventFinish, at)
 	} else {
-		w.note(r, EventStop)
+		w.note(r, EventStop, at)
 	}
 	if r.backend != nil {
 		go r.backend.Stop(context.Background())
 	}
 	if w.options.Ledger != nil {
-		w.options.Ledger.End(r.record, time.Now(), r.status.Progress, phase == worker.PhaseFinished)
+		w.options.Ledger.End(r.record, at, r.status.Progress, phase == worker.PhaseFinished)
 	}
 }
 
-// note writes an event about the run.
-func (w *Worker) note(r *run, kind EventKind) {
+// note writes an event about the run, which happens at the given reading of the
+// clock.
+func (w *Worker) note(r *run, kind EventKind, at time.Time) {
 	if w.options.Events == nil {
 		return
 	}
-	at := w.now()
 	event := Event{
 		At: at.UnixNano(), VM: w.options.VM, Zone: w.options.Zone,
 		Task: r.status.Task, Generation: r.status.Generation, Kind: kind,
--- a/standin/worker_http.go
+++ b/standin/worker_http.go
@@ -56,22 +56,25 @@
 	if request.Epoch != w.epoch {
 		return false
 	}
-	if request.Service == "" && w.clockMS() >= request.LeaseMS {
-		return false
-	}
+	// Runs whose lease has passed must end before the start extends it.
+	w.expire()
 	if present != nil {
 		w.end(present, worker.PhaseStopped, "superseded")
 	}
+	at := w.now()
+	if request.Service == "" && w.sinceStart(at) >= request.LeaseMS {
+		return false
+	}
 	w.highest[task] = request.Generation
 	if _, known := w.firsts[request.Job]; !known {
 		w.firsts[request.Job] = request.Grant
 	}
 	w.leaseMS = max(w.leaseMS, request.LeaseMS)
-	w.tasks[task] = w.newRun(task, request)
+	w.tasks[task] = w.newRun(task, request, at)
 	return true
 }
 
-func (w *Worker) newRun(task string, request worker.StartRequest) *run {
+func (w *Worker) newRun(task string, request worker.StartRequest, at time.Time) *run {
 	progress := checkpointProgress(request.Checkpoint)
 	r := &run{request: request, fraction: 1}
 	r.status = worker.TaskStatus{
@@ -81,12 +84,12 @@
 	r.record = &Run{
 		Task: task, Generation: request.Generation,
 		VM: w.options.VM, Zone: w.options.Zone,
-		Service: request.Service != "", Start: time.Now(), From: progress,
+		Service: request.Service != "", Start: at, From: progress,
 	}
 	if w.options.Ledger != nil {
 		r.record = w.options.Ledger.Begin(*r.record)
 	}
-	w.note(r, EventStart)
+	w.note(r, EventStart, at)
 	if request.Service != "" {
 		w.startBackend(r)
 	}
@@ -207,10 +210,9 @@
 }
 
 func (w *Worker) expire() {
-	now := w.clockMS()
 	for _, r := range w.tasks {
-		if r.request.Service == "" && now >= w.leaseMS {
-			w.end(r, worker.PhaseStopped, "lease expired")
+		if w.expired(r, w.now()) {
+			w.end(r, worker.PhaseStopped, errLeaseExpired)
 		}
 	}
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -19,6 +19,13 @@
 // only shorten the lease, never lengthen it. Each worker process has its own
 // epoch, so that a clock reading of one process is never applied to another.
 //
+// A worker compares its clock with the lease immediately before each effect of a
+// leased run (a start, a step of work that others can see, a checkpoint, a
+// finish), by a reading made for that effect: the process may be paused between
+// two effects, and the task may run elsewhere when it goes on. The clock must
+// count such pauses, and those of the whole VM. An effect that is paused on its
+// way after the check can only be refused by its receiver, by the generation.
+//
 // The backend servers that a worker runs register with the agent by posting an
 // Announcement.
 package worker
