jobcontrol: a burst on workers that shrink starts nothing beyond their capacity

Covered before: one worker that shrinks, also under a new leader (capacity_test.go), and a task that crashes its workers while the leader changes (crashes_test.go). Not covered: all workers at 0.55 for 14 s during a burst of 1.4 times, with services that have a disruption budget.

With the old capacity counted as free the test fails.

--- a/jobcontrol/capacity_test.go
+++ b/jobcontrol/capacity_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 // Load pattern: a worker's capacity shrinks below what it holds while jobs wait, and
@@ -53,3 +54,64 @@
 		wantStarts("after it has grown", 1)
 	})
 }
+
+// Load pattern: a burst of 1.4 times what the workers complete, during which all of them
+// shrink to 0.55 of their capacity for 14 s. Guards against starts beyond the new
+// capacity, and against services that are stopped beyond their disruption budget.
+func TestNoStartBeyondShrunkenWorkersInABurst(t *testing.T) {
+	const step, full, task = 500 * time.Millisecond, 4000, 1000
+	inBubble(t, func(r *rig) {
+		r.configure()
+		agents := []*fakeAgent{r.connect("a"), r.connect("b"), r.connect("c")}
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{
+			{Count: 3, MilliCpu: task, LongRunning: true, DisruptionBudget: 1, MaxPerWorker: 1},
+		}}, accepted)
+		holds := map[*fakeAgent]map[jobs.RunID]time.Time{}
+		started, stopped, shrunkStarts := 0, 0, 0
+		for began := time.Now(); time.Since(began) < 24*time.Second; {
+			since := time.Since(began)
+			shrunk := since >= 5*time.Second && since < 19*time.Second
+			// Nine tasks of one second fit beside the services at full capacity.
+			path := fmt.Sprintf("/q/%016x", int64(since)+1)
+			_, _ = r.call(submit, path, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 6 + int32(since/step)%2, MilliCpu: task, EstimatedMs: 1000}}})
+			for _, a := range agents {
+				if a.milliCPU = full; shrunk {
+					a.milliCPU = full * 55 / 100
+				}
+				a.report()
+				starts, stops, _, _ := a.drainDirectives()
+				if holds[a] == nil {
+					holds[a] = map[jobs.RunID]time.Time{}
+				}
+				for _, run := range starts {
+					if _, repeated := holds[a][run]; !repeated {
+						holds[a][run] = time.Now()
+						started++
+						if shrunk && since > 5*time.Second+step {
+							shrunkStarts++
+							if used := int64(len(holds[a]) * task); used > a.milliCPU {
+								t.Errorf("%v: start %v on %s, which holds %d of %d", since, run, a.name, used, a.milliCPU)
+							}
+						}
+					}
+				}
+				for _, run := range stops {
+					if run.Task.Job == testJob {
+						stopped++
+					}
+				}
+				for run, at := range holds[a] {
+					if run.Task.Job != testJob && time.Since(at) >= time.Second {
+						a.end(run, api.RunOutcome_RUN_OUTCOME_DONE)
+						delete(holds[a], run)
+					}
+				}
+			}
+			r.wait(step - (time.Since(began) - since))
+		}
+		if stopped > 1 || shrunkStarts == 0 {
+			t.Errorf("%d stops of services with a budget of 1; %d starts, %d of them on shrunken workers", stopped, started, shrunkStarts)
+		}
+		t.Logf("%d starts, %d of them on shrunken workers", started, shrunkStarts)
+	})
+}
