--- a/standin/worker.go
+++ b/standin/worker.go
@@ -26,6 +26,9 @@
 	serviceStartTime  = 30 * time.Millisecond
 	usageKeptSamples  = 4096
 	contentionPenalty = 0.5 // loss of speed when batch work fills a whole VM
+	// minPause is the gap between two readings of the clock from which the process
+	// counts as paused. It is 25 ticks, more than a busy machine delays one.
+	minPause = 500 * time.Millisecond
 )
 
 // WorkerOptions configures a stand-in worker.
@@ -53,6 +56,11 @@
 	Service    bool            `json:"service,omitempty"`
 	Grant      resource.Vector `json:"grant"`
 	Progress   float64         `json:"progress"`
+	// LeaseEnd is the end of the lease under which the event was written, 0 for a service.
+	LeaseEnd int64 `json:"lease_end,omitempty"`
+	// PausedAt and ResumedAt are the limits of the worker's latest pause, 0 for none.
+	PausedAt  int64 `json:"paused_at,omitempty"`
+	ResumedAt int64 `json:"resumed_at,omitempty"`
 }
 
 // EventKind says what happened.
@@ -82,6 +90,9 @@
 	highest map[string]uint64          // highest generation seen of each task
 	firsts  map[string]resource.Vector // first grant of a task of each job
 	leaseMS int64
+	read    time.Time // latest reading of the clock
+	paused  time.Time // limits of the latest pause, zero for none
+	resumed time.Time
 	usage   []worker.Usage
 	sampled int64 // end of the last usage interval
 }
@@ -99,6 +110,9 @@
 	speedTicks int
 }
 
+// errLeaseExpired is the error of a run that ended with its lease.
+const errLeaseExpired = "lease expired"
+
 // StartWorker starts a stand-in worker on a free loopback port.
 func StartWorker(options WorkerOptions) (*Worker, error) {
 	listener := options.Listener
@@ -164,7 +178,20 @@
 }
 
 // clockMS is the worker's monotonic clock.
-func (w *Worker) clockMS() int64 { return time.Since(w.started).Milliseconds() }
+func (w *Worker) clockMS() int64 { return w.sinceStart(w.now()) }
+
+func (w *Worker) sinceStart(at time.Time) int64 { return at.Sub(w.started).Milliseconds() }
+
+// now reads the clock and records a pause of the process, which shows as a gap
+// since the previous reading. The caller holds mu.
+func (w *Worker) now() time.Time {
+	now := time.Now()
+	if !w.read.IsZero() && now.Sub(w.read) >= minPause {
+		w.paused, w.resumed = w.read, now
+	}
+	w.read = now
+	return now
+}
 
 func (w *Worker) advance(elapsed time.Duration) {
 	w.mu.Lock()
@@ -173,7 +200,7 @@
 	speed := w.speed()
 	for _, r := range w.tasks {
 		if !r.status.Phase.Final() {
-			w.advanceRun(r, now, elapsed, speed)
+			w.advanceRun(r, elapsed, speed)
 		}
 	}
 	if now-w.sampled >= usageInterval.Milliseconds() {
@@ -193,12 +220,20 @@
 	return 1 - contentionPenalty*min(load, 1)
 }
 
-func (w *Worker) advanceRun(r *run, now int64, elapsed time.Duration, speed float64) {
-	leased := r.request.Service == ""
+// expired reports whether a leased run has no lease at the given reading of the
+// clock. The reading must be made for the one effect that depends on the answer:
+// the process may be paused between any two effects, and another worker may have
+// the task when it goes on.
+func (w *Worker) expired(r *run, at time.Time) bool {
+	return r.request.Service == "" && w.sinceStart(at) >= w.leaseMS
+}
+
+func (w *Worker) advanceRun(r *run, elapsed time.Duration, speed float64) {
+	at := w.now()
 	switch {
-	case leased && now >= w.leaseMS:
-		w.end(r, worker.PhaseStopped, "lease expired")
-	case r.stopping && now >= r.stopAtMS:
+	case w.expired(r, at):
+		w.end(r, worker.PhaseStopped, errLeaseExpired)
+	case r.stopping && w.sinceStart(at) >= r.stopAtMS:
 		w.end(r, worker.PhaseStopped, "")
 	case r.status.Phase == worker.PhaseRunning:
 		w.progress(r, elapsed, speed)
@@ -216,7 +251,12 @@
 		w.end(r, worker.PhaseFailed, "exit status 1")
 		return
 	}
-	w.note(r, EventWork)
+	at := w.now()
+	if w.expired(r, at) {
+		w.end(r, worker.PhaseStopped, errLeaseExpired)
+		return
+	}
+	w.note(r, EventWork, at)
 	work := float64(max(r.request.WorkMS, 1))
 	r.status.Progress += elapsed.Seconds() * 1000 * speed * r.fraction / work
 	if r.status.Progress >= 1 {
@@ -226,38 +266,53 @@
 }
 
 // end makes a run final. A run that was asked to checkpoint keeps its progress.
+// A run without a lease can only be stopped, and makes no checkpoint.
 func (w *Worker) end(r *run, phase worker.Phase, message string) {
 	if r.status.Phase.Final() {
 		return
 	}
-	if phase == worker.PhaseStopped && r.stopping && r.status.Phase == worker.PhaseCheckpointing {
+	at := w.now()
+	expired := w.expired(r, at)
+	if expired {
+		phase, message = worker.PhaseStopped, errLeaseExpired
+	}
+	if !expired && phase == worker.PhaseStopped && r.stopping && r.status.Phase == worker.PhaseCheckpointing {
 		r.status.Checkpoint = checkpointID(r.status.Task, r.status.Generation, r.status.Progress)
 	}
 	r.status.Phase = phase
 	r.status.Error = message
 	if phase == worker.PhaseFinished {
-		w.note(r, EventFinish)
+		w.note(r, EventFinish, at)
 	} else {
-		w.note(r, EventStop)
+		w.note(r, EventStop, at)
 	}
 	if r.backend != nil {
 		go r.backend.Stop(context.Background())
 	}
 	if w.options.Ledger != nil {
-		w.options.Ledger.End(r.record, time.Now(), r.status.Progress, phase == worker.PhaseFinished)
+		w.options.Ledger.End(r.record, at, r.status.Progress, phase == worker.PhaseFinished)
 	}
 }
 
-// note writes an event about the run.
-func (w *Worker) note(r *run, kind EventKind) {
+// note writes an event about the run, which happens at the given reading of the
+// clock.
+func (w *Worker) note(r *run, kind EventKind, at time.Time) {
 	if w.options.Events == nil {
 		return
 	}
-	line, err := json.Marshal(Event{
-		At: time.Now().UnixNano(), VM: w.options.VM, Zone: w.options.Zone,
+	event := Event{
+		At: at.UnixNano(), VM: w.options.VM, Zone: w.options.Zone,
 		Task: r.status.Task, Generation: r.status.Generation, Kind: kind,
 		Service: r.request.Service != "", Grant: r.request.Grant, Progress: r.status.Progress,
-	})
+	}
+	if !event.Service {
+		lease := time.Duration(w.leaseMS) * time.Millisecond
+		event.LeaseEnd = at.Add(lease - at.Sub(w.started)).UnixNano()
+	}
+	if !w.paused.IsZero() {
+		event.PausedAt, event.ResumedAt = w.paused.UnixNano(), w.resumed.UnixNano()
+	}
+	line, err := json.Marshal(event)
 	if err == nil {
 		_, _ = w.options.Events.Write(append(line, '\n'))
 	}
