dispatch: reservations with backfill

Cause: tasks with a large demand wait while small ones take each gap. Change: a counted group or gang that fits nowhere reserves the worker on which it fits earliest by roomAt. A later candidate starts there only if it certainly ends before, or leaves enough room. MakeSchedule returns the starts with the reservations to hold; Plan is as before.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -13,14 +13,17 @@
 	ObstacleMemory       Obstacle = "memory"       // or accelerators
 	ObstacleCPU          Obstacle = "cpu"          // not enough is left beside what runs there
 	ObstacleInterference Obstacle = "interference" // services there cannot spare the headroom
+	ObstacleReserved     Obstacle = "reserved"     // the room is held for tasks of another group
 )
 
 // Explain counts the obstacles that keep waiting tasks from the workers, over all
 // pairs of a waiting group and a worker.
 func Explain(view jobs.View, in Input) map[Obstacle]int {
-	p := planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}
+	p := newPlanner(view, in, nil)
+	all := candidates(view, in)
+	p.hold(all)
 	obstacles := map[Obstacle]int{}
-	for _, c := range candidates(view, in) {
+	for _, c := range all {
 		if c.queue.Advice != nil || CountWaiting(c.group) == 0 {
 			continue
 		}
@@ -49,6 +52,8 @@
 		return ObstacleCPU
 	case group.BestEffort && !p.allowsBestEffort(c, l):
 		return ObstacleInterference
+	case p.heldBack(c, l):
+		return ObstacleReserved
 	}
 	return ""
 }
--- a/dispatch/fleetload.go
+++ b/dispatch/fleetload.go
@@ -54,7 +54,8 @@
 
 // unfitDemands remembers, for one plan, demands that no worker can take. Loads
 // only grow in the course of a plan, so a task of the same class that demands no
-// less fits on no worker either. It answers a backlog of many jobs on a full
+// less fits on no worker either. A demand that only reservations keep off a worker is
+// not among them, as others may start there: see refusal. It answers a backlog of many jobs on a full
 // fleet, in which each job would be compared with each worker.
 type unfitDemands map[placementClass][]resource.Vector
 
@@ -96,3 +97,14 @@
 		u[class] = append(u[class], need)
 	}
 }
+
+// noteUnfit records that a task of the candidate fits nowhere, or only into reserved
+// room.
+func (p *planner) noteUnfit(c candidate, heldBack bool) {
+	class, need := p.classOf(c)
+	if !heldBack {
+		p.unfit.note(c, class, need)
+	} else if p.unfit != nil {
+		p.reserver.noteRefused(c, class, need, p.refusalTime(c))
+	}
+}
--- a/dispatch/fleetload_test.go
+++ b/dispatch/fleetload_test.go
@@ -21,7 +21,7 @@
 			w.submit(rapid.SampledFrom([]string{urgentQueue, batchQueue}).Draw(rt, "queue"), drawGroup(rt))
 			w.now += time.Duration(rapid.IntRange(0, 4000).Draw(rt, "pause")) * time.Millisecond
 			w.state.Read(func(view jobs.View) {
-				remembered, compared := plan(view, w.input(), unfitDemands{}), plan(view, w.input(), nil)
+				remembered, compared := plan(view, w.input(), unfitDemands{}).Starts, plan(view, w.input(), nil).Starts
 				if !slices.Equal(remembered, compared) {
 					rt.Fatalf("starts %v, want %v", remembered, compared)
 				}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -24,6 +24,8 @@
 	// be nil.
 	Run    func(run jobs.RunID) (RunStatus, bool)
 	Policy Policy
+	// Reserved holds the reservations of the last plan, with the times that remain.
+	Reserved []Reservation
 	// Tickets returns the tickets of a group by worker key, for a queue with an
 	// adviser. It returns false while the adviser has not answered.
 	Tickets func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool)
@@ -40,16 +42,19 @@
 
 // Plan returns the runs to start now, the most urgent first. Each start assumes
 // that those before it are carried out.
-func Plan(view jobs.View, in Input) []Start {
-	return plan(view, in, unfitDemands{})
-}
+func Plan(view jobs.View, in Input) []Start { return MakeSchedule(view, in).Starts }
+
+// MakeSchedule returns the starts of Plan with the reservations to hold.
+func MakeSchedule(view jobs.View, in Input) Schedule { return plan(view, in, unfitDemands{}) }
 
-func plan(view jobs.View, in Input, unfit unfitDemands) []Start {
-	p := planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit}
-	for _, c := range candidates(view, in) {
+func plan(view jobs.View, in Input, unfit unfitDemands) Schedule {
+	p := newPlanner(view, in, unfit)
+	all := candidates(view, in)
+	p.hold(all)
+	for _, c := range p.ownersFirst(all) {
 		p.tryPlace(c)
 	}
-	return p.starts
+	return p.schedule()
 }
 
 // tryPlace places a candidate. After a panic none of its tasks is started; the load
@@ -76,6 +81,7 @@
 	waited     time.Duration     // time since submission, or since the occurrence was due, if no run of the job is active; 0 otherwise
 	tickets    map[string]string // from the queue's adviser, by worker key
 	density    float64           // value of the job per remaining core-second
+	reserved   int               // for an entry that places only tasks with a reservation, their number
 }
 
 // lateness classifies a job by the value that it can still have.
@@ -235,68 +241,94 @@
 
 // planner places candidates in sequence.
 type planner struct {
-	view   jobs.View
-	in     Input
-	fleet  *fleetLoad
-	unfit  unfitDemands
-	starts []Start
+	view     jobs.View
+	in       Input
+	fleet    *fleetLoad
+	unfit    unfitDemands
+	reserver *reserver // nil without reservations
+	starts   []Start
+}
+
+func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
+	return &planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit, reserver: newReserver(view, in, unfit != nil)}
 }
 
 func (p *planner) place(c candidate) {
 	if c.queue.Advice != nil {
-		tickets, known := p.in.Tickets(c.queue, jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex})
+		tickets, known := p.in.Tickets(c.queue, c.groupID())
 		if !known {
 			return
 		}
 		c.tickets = tickets
 	}
-	if class, need := p.classOf(c); p.unfit.covers(class, need) {
+	first := p.firstTask(c)
+	if class, need := p.classOf(c); p.unfit.covers(class, need) || p.refuses(c, class, need) {
+		p.reserve(c, first)
 		return
 	}
 	if c.group.Spec.Gang {
-		p.placeGang(c)
+		p.placeGang(c, first)
 		return
 	}
+	p.placeTasks(c, first)
+}
+
+// placeTasks places the tasks of a candidate from an index on, until one fits nowhere.
+func (p *planner) placeTasks(c candidate, first int) {
 	spread := p.spreadOf(c)
-	for i := range c.group.Tasks {
-		if !c.startable(i, p.in) {
+	placed := 0
+	if c.reserved > 0 {
+		defer func() { p.reserver.spreads[c.groupID()] = spread }()
+	}
+	for i := first; i < len(c.group.Tasks); i++ {
+		others, probation := c.group.Tasks[i].Runs, onProbation(c.group, i)
+		if !c.startable(i, p.in) || c.reserved > 0 && (len(others) > 0 || probation) {
 			continue
 		}
-		others, probation := c.group.Tasks[i].Runs, onProbation(c.group, i)
-		chosen := p.choose(c, spread, others, probation)
+		chosen, heldBack := p.choose(c, spread, others, probation)
 		if chosen == nil && probation {
 			continue // the group's other tasks may still find a worker
 		}
 		if chosen == nil {
 			if len(others) == 0 {
-				class, need := p.classOf(c)
-				p.unfit.note(c, class, need)
+				p.noteUnfit(c, heldBack)
+				p.reserve(c, i)
 			}
 			return // all tasks of a group have the same demand
 		}
 		p.start(c, i, c.group.NextRun(i), chosen, spread)
 		c.waited = 0 // a run of the job is active now
+		if p.reserver != nil {
+			p.settle(c, chosen, countWaitingFrom(c.group, i+1))
+		}
+		if placed++; placed == c.reserved {
+			return
+		}
 	}
 }
 
 // placeGang places all tasks of a gang or none.
-func (p *planner) placeGang(c candidate) {
+func (p *planner) placeGang(c candidate, first int) {
 	for i := range c.group.Tasks {
-		if !needsRun(c.group, i) {
-			return // an earlier run of the gang has not ended on all workers
+		if i < first || !needsRun(c.group, i) {
+			return // it starts in this plan, or an earlier run of it has not ended on all workers
 		}
 	}
 	number := c.group.NextRun(0)
 	spread := p.spreadOf(c)
 	placed := len(p.starts)
 	for i := range c.group.Tasks {
-		chosen := p.choose(c, spread, nil, false)
+		chosen, _ := p.choose(c, spread, nil, false)
 		if chosen == nil {
 			p.undo(placed, c)
+			p.reserve(c, 0)
 			return
 		}
 		p.start(c, i, number, chosen, spread)
 	}
+	for _, h := range p.reserver.of(c.groupID()) {
+		p.release(h)
+	}
 }
 
 // undo reverts the starts from the given index on.
@@ -304,12 +336,17 @@
 	for _, start := range p.starts[from:] {
 		l := p.fleet.byKey[start.Worker]
 		p.fleet.add(l, c.group.Spec, -1)
+		p.countBackfill(c, l, -1)
 		l.starting--
 	}
 	p.starts = p.starts[:from]
+	if p.reserver != nil {
+		delete(p.reserver.begun, c.groupID())
+	}
 }
 
 func (p *planner) start(c candidate, index int, number int32, l *load, spread spread) {
+	p.countBackfill(c, l, 1)
 	p.fleet.add(l, c.group.Spec, 1)
 	p.fleet.addStarting(l, onProbation(c.group, index))
 	spread.workers[l.worker.Key]++
@@ -318,15 +355,24 @@
 		Run:    jobs.RunID{Task: c.taskID(index), Number: number},
 		Worker: l.worker.Key,
 	})
+	if p.reserver != nil && c.reserved > 0 {
+		p.reserver.begun[c.groupID()] = index + 1
+	}
 }
 
-// spread counts the runs of one group by worker and by rack.
+// spread counts the runs of one group by worker and by rack, those included that were
+// started for its reservations.
 type spread struct {
 	workers map[string]int
 	racks   map[string]int
 }
 
 func (p *planner) spreadOf(c candidate) spread {
+	if p.reserver != nil {
+		if s, begun := p.reserver.spreads[c.groupID()]; begun {
+			return s
+		}
+	}
 	s := spread{workers: map[string]int{}, racks: map[string]int{}}
 	for i := range c.group.Tasks {
 		for _, run := range c.group.Tasks[i].Runs {
@@ -341,10 +387,9 @@
 
 // choose returns the best worker with capacity for one more task of the
 // candidate and without any of the other runs of that task, or nil if there is
-// none.
-func (p *planner) choose(c candidate, spread spread, others []jobs.Run, probation bool) *load {
+// none. heldBack reports whether a reservation keeps the task off a worker.
+func (p *planner) choose(c candidate, spread spread, others []jobs.Run, probation bool) (best *load, heldBack bool) {
 	need := demand(c.group.Spec)
-	var best *load
 	var bestScore float64
 	for _, l := range p.fleet.workers {
 		if !p.eligible(c, l, spread) || !need.Fits(l.free()) {
@@ -356,11 +401,15 @@
 		if slices.ContainsFunc(others, func(run jobs.Run) bool { return run.Worker == l.worker.Key }) {
 			continue
 		}
+		if p.heldBack(c, l) {
+			heldBack = true
+			continue
+		}
 		if s := p.score(c.group.Spec, l, spread, probation); best == nil || s > bestScore {
 			best, bestScore = l, s
 		}
 	}
-	return best
+	return best, heldBack
 }
 
 // eligible reports whether a task of the candidate may start on the worker,
--- a/dispatch/relocate.go
+++ b/dispatch/relocate.go
@@ -35,7 +35,10 @@
 // have room: the job waits for its slowest task. A run is moved only if it is
 // done earlier by that, and to room that no waiting task can use.
 func Relocate(view jobs.View, in Input, throttled []ThrottledRun) []jobs.RunID {
-	p := planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}
+	p := newPlanner(view, in, nil)
+	if len(in.Reserved) > 0 {
+		p.hold(candidates(view, in))
+	}
 	slices.SortFunc(throttled, func(a, b ThrottledRun) int {
 		return cmp.Or(-cmp.Compare(a.gain(true), b.gain(true)), cmp.Compare(a.Run.String(), b.Run.String()))
 	})
@@ -60,7 +63,7 @@
 	if c.queue.Advice != nil {
 		return false // each move would need another ticket
 	}
-	chosen := p.choose(c, p.spreadOf(c), task.Runs, false)
+	chosen, _ := p.choose(c, p.spreadOf(c), task.Runs, false)
 	if chosen == nil {
 		return false
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -51,8 +51,9 @@
 	serviceRuns        map[string]int     // runs with a latency target, by image
 	serviceMilliCPU    int64              // declared by runs with a latency target
 	runs               int
-	starting           int  // runs whose start the worker has not survived yet
-	probation          bool // one of them is of a task on probation
+	starting           int   // runs whose start the worker has not survived yet
+	probation          bool  // one of them is of a task on probation
+	hold               *hold // a reservation, nil for none
 }
 
 func (l *load) free() resource.Vector { return l.worker.Capacity.Sub(l.used) }
