--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -22,6 +22,8 @@
 	jobs       int
 	advised    bool // the urgent queue has an adviser
 	stragglers map[jobs.RunID]bool
+	policy     Policy
+	reserved   []Reservation
 	tickets    map[string]string // from that adviser, by worker; nil while it has not answered
 }
 
@@ -96,6 +98,12 @@
 	return starts
 }
 
+// schedule returns the schedule of a plan without applying it.
+func (w *fixture) schedule() (s Schedule) {
+	w.state.Read(func(view jobs.View) { s = MakeSchedule(view, w.input()) })
+	return s
+}
+
 // input returns the input to a plan at the current time.
 func (w *fixture) input() Input {
 	return Input{
@@ -104,7 +112,8 @@
 		Behind:   func(run jobs.RunID) bool { return w.stragglers[run] },
 		Tickets:  func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
 		Panicked: func(job string, cause any) { w.t.Errorf("job %s: %v", job, cause) },
-		PerCore:  w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
+		Policy:   w.policy, Reserved: w.reserved,
+		PerCore: w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
 	}
 }
 
--- a/dispatch/plan_bench_test.go
+++ b/dispatch/plan_bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 // benchmarkSizes are numbers of workers: today's fleets and the size to build for.
@@ -34,6 +35,47 @@
 	}
 }
 
+// BenchmarkPlanBacklogReserving measures the same with wide tasks and with small ones that
+// fit only into reserved room: without reservations, while they are held, and while each
+// plan makes them anew.
+func BenchmarkPlanBacklogReserving(b *testing.B) {
+	for _, reservations := range []string{"off", "held", "made"} {
+		b.Run("workers=240/"+reservations, func(b *testing.B) {
+			w := fullFleet(b, 240)
+			for i := range 10 {
+				w.submit(batchQueue, &api.TaskGroup{Count: 4, MilliCpu: 3500, MemoryMib: 90_000, EstimatedMs: 1000})
+				w.submit(batchQueue, &api.TaskGroup{Count: 40, MilliCpu: 1500, MemoryMib: 10_000, EstimatedMs: 3000 + int64(i)})
+			}
+			if reservations != "off" {
+				w.policy.Reservations = 8
+			}
+			if reservations == "held" {
+				w.reserved = w.schedule().Reservations
+				for _, r := range w.reserved {
+					w.endOne(r.Worker, 22_000)
+				}
+			}
+			if n := len(w.schedule().Reservations); n != w.policy.Reservations {
+				b.Fatalf("%d reservations", n)
+			}
+			benchmarkPlan(b, w)
+		})
+	}
+}
+
+// endOne ends a run with a demand of memory on a worker.
+func (w *fixture) endOne(worker string, memory int64) {
+	var ended jobs.RunID
+	w.state.Read(func(view jobs.View) {
+		view.RunsOn(worker, func(run jobs.RunID, group *jobs.Group) {
+			if group.Spec.MemoryMib == memory {
+				ended = run
+			}
+		})
+	})
+	w.end(Start{ended, worker}, api.RunOutcome_RUN_OUTCOME_DONE)
+}
+
 // BenchmarkPlanStarvingBacklog measures the same once the jobs have waited for
 // longer than starvationTimeout.
 func BenchmarkPlanStarvingBacklog(b *testing.B) {
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -19,6 +19,15 @@
 	Misses int           // how many reservations of the group were missed before this one
 }
 
+// ReservationKey identifies a reservation: a worker has one of a group at most.
+type ReservationKey struct {
+	Group  jobs.GroupID
+	Worker string
+}
+
+// Key returns the reservation's key.
+func (r Reservation) Key() ReservationKey { return ReservationKey{r.Group, r.Worker} }
+
 // Schedule is the result of a plan.
 type Schedule struct {
 	Starts       []Start
@@ -36,6 +45,9 @@
 	minReservationTime = 500 * time.Millisecond
 	// maxMissDoublings bounds the doubling of a reservation's time with each miss.
 	maxMissDoublings = 6
+	// maxForecasts is how many workers are compared for a reservation, those first that
+	// lack least. It covers the fleets of today and bounds the time of a plan on larger ones.
+	maxForecasts = 64
 	// freshLatestFactor is the ratio of the ninth decile of the duration of a task that
 	// has not started to its median.
 	freshLatestFactor = 2.5
@@ -177,7 +189,7 @@
 // mayReserve reports whether a worker may hold room for a candidate.
 func (p *planner) mayReserve(c candidate, l *load, spread spread, need resource.Vector) bool {
 	shrinking := !(resource.Vector{}).Fits(l.free())
-	return !shrinking && need.Fits(l.worker.Capacity) && p.eligible(c, l, spread)
+	return !shrinking && need.Fits(l.worker.Capacity.Sub(l.lasting)) && p.eligible(c, l, spread)
 }
 
 // release drops a reservation, for a gang all of its reservations. The room may be
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -70,11 +70,7 @@
 // foreseenRooms returns the workers that will have room for a demand of the candidate,
 // the earliest first and those that missed their forecast last.
 func (p *planner) foreseenRooms(c candidate, need resource.Vector) (rooms []foreseenRoom) {
-	spread := p.spreadOf(c)
-	for _, l := range p.fleet.workers {
-		if l.hold != nil && l.hold.owner.rank() <= c.rank() || !p.mayReserve(c, l, spread, need) {
-			continue
-		}
+	for _, l := range p.suitable(c, need) {
 		if at, foreseen := p.reserver.forecast.roomAt(l, need); foreseen {
 			missed := slices.ContainsFunc(p.reserver.missed, func(m Reservation) bool {
 				return m.Group == c.groupID() && m.Worker == l.worker.Key
@@ -90,6 +86,35 @@
 	return rooms
 }
 
+// suitable returns the maxForecasts workers that may hold room for a candidate and lack
+// least of it.
+func (p *planner) suitable(c candidate, need resource.Vector) []*load {
+	spread := p.spreadOf(c)
+	var suitable []*load
+	lacking := make(map[*load]float64, len(p.fleet.workers))
+	for _, l := range p.fleet.workers {
+		if (l.hold == nil || l.hold.owner.rank() > c.rank()) && p.mayReserve(c, l, spread, need) {
+			suitable = append(suitable, l)
+			lacking[l] = missingShare(l, need)
+		}
+	}
+	if len(suitable) > maxForecasts {
+		slices.SortStableFunc(suitable, func(a, b *load) int { return cmp.Compare(lacking[a], lacking[b]) })
+		suitable = suitable[:maxForecasts]
+	}
+	return suitable
+}
+
+// missingShare returns how much of a demand a worker lacks, as a share of its capacity
+// in the resource that it lacks most.
+func missingShare(l *load, need resource.Vector) float64 {
+	lack, capacity := need.Sub(l.free()), l.worker.Capacity
+	return max(0,
+		float64(lack.MilliCPU)/float64(max(capacity.MilliCPU, 1)),
+		float64(lack.MemoryMiB)/float64(max(capacity.MemoryMiB, 1)),
+		float64(lack.Accelerators)/float64(max(capacity.Accelerators, 1)))
+}
+
 // reserveRooms reserves the rooms for a number of waiting tasks. Reservations of less
 // urgent groups on the same workers, and above the limit of the service, are dropped.
 func (p *planner) reserveRooms(c candidate, rooms []foreseenRoom, waiting, tasks int) {
--- a/dispatch/reserve_test.go
+++ b/dispatch/reserve_test.go
@@ -67,23 +67,23 @@
 type replay struct {
 	*fixture
 	replayed
-	reservations int
-	random       *rand.Rand
-	held         []Reservation
-	running      map[Start]time.Duration // since when
-	ends         map[Start]time.Duration
-	waits        map[int64][]time.Duration // of tasks, by CPU and memory of the size class
-	missed       int
-	backfilled   int
+	random     *rand.Rand
+	running    map[Start]time.Duration // since when
+	ends       map[Start]time.Duration
+	waits      map[int64][]time.Duration // of tasks, by CPU and memory of the size class
+	missed     int
+	backfilled int
 }
 
 const replayStep = 20 * time.Millisecond
 
 func newReplay(t testing.TB, load replayed, workers, reservations int) *replay {
-	return &replay{
-		fixture: newFixture(t, workers), replayed: load, reservations: reservations, random: rand.New(rand.NewPCG(3, 4)),
+	r := &replay{
+		fixture: newFixture(t, workers), replayed: load, random: rand.New(rand.NewPCG(3, 4)),
 		running: map[Start]time.Duration{}, ends: map[Start]time.Duration{}, waits: map[int64][]time.Duration{},
 	}
+	r.policy.Reservations = reservations
+	return r
 }
 
 // play submits the load for a time, with a wide task every 3 s.
@@ -113,15 +113,8 @@
 	r.waits[size] = append(r.waits[size], r.now-r.submitted[job.ID])
 }
 
-// schedule plans once, with the reservations held.
-func (r *replay) schedule() (s Schedule) {
-	r.state.Read(func(view jobs.View) { s = MakeSchedule(view, r.input()) })
-	return s
-}
-
 func (r *replay) input() Input {
 	in := r.fixture.input()
-	in.Policy.Reservations, in.Reserved = r.reservations, r.held
 	ages := map[jobs.RunID]time.Duration{}
 	for start, since := range r.running {
 		ages[start.Run] = r.now - since
@@ -135,8 +128,9 @@
 
 // step plans, carries the plan out and lets a replayStep pass.
 func (r *replay) step() {
-	s := r.schedule()
-	r.held, r.missed, r.backfilled = s.Reservations, r.missed+len(s.Missed), r.backfilled+s.Backfilled
+	var s Schedule
+	r.state.Read(func(view jobs.View) { s = MakeSchedule(view, r.input()) })
+	r.reserved, r.missed, r.backfilled = s.Reservations, r.missed+len(s.Missed), r.backfilled+s.Backfilled
 	for _, start := range s.Starts {
 		r.state.Read(func(view jobs.View) { r.wait(view.Job(start.Run.Task.Job)) })
 		r.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
@@ -146,8 +140,8 @@
 		}
 	}
 	r.now += replayStep
-	for i := range r.held {
-		r.held[i].Due -= replayStep
+	for i := range r.reserved {
+		r.reserved[i].Due -= replayStep
 	}
 	for start, end := range r.ends {
 		if end <= r.now {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -46,6 +46,7 @@
 type load struct {
 	worker             *Worker
 	used               resource.Vector
+	lasting            resource.Vector    // demands of the long-running ones, which do not end by themselves
 	bestEffortMilliCPU int64              // that best-effort runs would use at full pace
 	bestEffortCores    map[string]float64 // the same in cores, by image
 	serviceRuns        map[string]int     // runs with a latency target, by image
@@ -65,6 +66,9 @@
 	l.used.MemoryMiB += runs * need.MemoryMiB
 	l.used.Accelerators += runs * need.Accelerators
 	l.runs += int(runs)
+	if group.LongRunning {
+		l.lasting = l.lasting.Add(times(need, int(runs)))
+	}
 	if group.BestEffort {
 		l.bestEffortMilliCPU += runs * group.MilliCpu
 		l.bestEffortCores[group.Image] += float64(runs*group.MilliCpu) / 1000
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -40,6 +40,8 @@
 	movingRuns  map[jobs.RunID]bool // runs being stopped so that they start again on another worker
 	relocatedAt time.Time           // when throttled runs were last looked for
 
+	reservations reservations
+
 	advice    map[jobs.GroupID]*advice
 	adviserMu sync.Mutex // held during a request to the adviser; locked before mu
 
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -140,11 +140,13 @@
 // planStarts adds the starts planned on the assumed state to the batch, and applies
 // them to the assumed state. The lock is held.
 func (l *leadership) planStarts(next *batch) {
-	var starts []dispatch.Start
+	var schedule dispatch.Schedule
 	l.assumed.Read(func(view jobs.View) {
 		l.forgetAdvice(view)
-		starts = dispatch.Plan(view, l.planInput(view))
+		schedule = dispatch.MakeSchedule(view, l.planInput(view))
 	})
+	l.reservations.update(schedule, l.server.now())
+	starts := schedule.Starts
 	if len(starts) == 0 {
 		return
 	}
@@ -173,6 +175,7 @@
 		Behind:   func(run jobs.RunID) bool { return l.behind(view, run, now) },
 		Run:      func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
 		Policy:   l.server.config.Policy,
+		Reserved: l.reservations.at(now),
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
 			return l.ticketsFor(view, queue, group)
 		},
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -116,6 +116,7 @@
 		{"capacity_cores", f.capacity}, {"counted_cores", f.counted}, {"service_cores", f.services},
 		{"best_effort_cores", f.bestEffort}, {"best_effort_cores_used", f.bestEffortUsed},
 		{"runs", float64(f.running)}, {"waiting_tasks", float64(f.waitingTasks)}, {"waiting_jobs", float64(f.waitingJobs)},
+		{"reservations", float64(len(lead.reservations.held))},
 	} {
 		telemetry.JobFleet.Write(w, gauge.value, gauge.what)
 	}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -51,19 +51,22 @@
 	JobRunsEnded     = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
 	JobRunsStalled   = Metric{"paddle_jobs_runs_stalled_total", nil}
 	JobRunsRelocated = Metric{"paddle_jobs_runs_relocated_total", nil}
-	JobsGivenUp      = Metric{"paddle_jobs_given_up_total", nil}
-	JobWorkerCrashes = Metric{"paddle_jobs_worker_crashes_total", []string{"evidence"}}
-	JobFleet         = Metric{"paddle_jobs_fleet", []string{"what"}}
-	JobAgentEnds     = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
-	JobAgentCalls    = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
-	JobAgentSeconds  = Metric{"paddle_jobagent_worker_call_seconds", []string{"call"}}
+	// JobReservations counts reservations that were made or missed their forecast.
+	JobReservations    = Metric{"paddle_jobs_reservations_total", []string{"event"}}
+	JobTasksBackfilled = Metric{"paddle_jobs_tasks_backfilled_total", nil}
+	JobsGivenUp        = Metric{"paddle_jobs_given_up_total", nil}
+	JobWorkerCrashes   = Metric{"paddle_jobs_worker_crashes_total", []string{"evidence"}}
+	JobFleet           = Metric{"paddle_jobs_fleet", []string{"what"}}
+	JobAgentEnds       = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
+	JobAgentCalls      = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
+	JobAgentSeconds    = Metric{"paddle_jobagent_worker_call_seconds", []string{"call"}}
 )
 
 // Metrics lists every metric of this package.
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobWorkerCrashes, JobsGivenUp, JobFleet,
+		JobEntryCalls, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobWorkerCrashes, JobsGivenUp, JobFleet, JobReservations, JobTasksBackfilled,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
