--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -24,7 +24,8 @@
 	stragglers map[jobs.RunID]bool
 	policy     Policy
 	reserved   []Reservation
-	tickets    map[string]string // from that adviser, by worker; nil while it has not answered
+	since      map[jobs.RunID]time.Duration // when runs of a replay started
+	tickets    map[string]string            // from that adviser, by worker; nil while it has not answered
 }
 
 const (
@@ -113,6 +114,10 @@
 		Tickets:  func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
 		Panicked: func(job string, cause any) { w.t.Errorf("job %s: %v", job, cause) },
 		Policy:   w.policy, Reserved: w.reserved,
+		Run: func(run jobs.RunID) (RunStatus, bool) {
+			since, known := w.since[run]
+			return RunStatus{Age: w.now - since, Pace: FullPace}, known
+		},
 		PerCore: w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
 	}
 }
