--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -75,6 +75,16 @@
 	room resource.Vector
 }
 
+// compareRoom orders ends at the same time, so that a forecast does not depend on the
+// order in which the runs are listed.
+func (e roomEnd) compareRoom(other roomEnd) int {
+	return cmp.Or(
+		cmp.Compare(e.room.MilliCPU, other.room.MilliCPU),
+		cmp.Compare(e.room.MemoryMiB, other.room.MemoryMiB),
+		cmp.Compare(e.room.Accelerators, other.room.Accelerators),
+	)
+}
+
 func newForecast(view jobs.View, in Input) *forecast {
 	return &forecast{view: view, in: in, ends: map[string]workerEnds{}, groups: map[*jobs.Group]groupTimes{}}
 }
@@ -105,9 +115,13 @@
 		}
 	})
 	n := len(both)
-	slices.SortFunc(both, func(a, b roomEnd) int { return cmp.Compare(a.end.Likely, b.end.Likely) })
+	slices.SortFunc(both, func(a, b roomEnd) int {
+		return cmp.Or(cmp.Compare(a.end.Likely, b.end.Likely), cmp.Compare(a.end.Latest, b.end.Latest), a.compareRoom(b))
+	})
 	both = append(both, both...)
-	slices.SortFunc(both[n:], func(a, b roomEnd) int { return cmp.Compare(a.end.Latest, b.end.Latest) })
+	slices.SortFunc(both[n:], func(a, b roomEnd) int {
+		return cmp.Or(cmp.Compare(a.end.Latest, b.end.Latest), cmp.Compare(a.end.Likely, b.end.Likely), a.compareRoom(b))
+	})
 	ends := workerEnds{byLikely: both[:n], byLatest: both[n:]}
 	f.ends[l.worker.Key] = ends
 	return ends
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -22,7 +22,10 @@
 	jobs       int
 	advised    bool // the urgent queue has an adviser
 	stragglers map[jobs.RunID]bool
-	tickets    map[string]string // from that adviser, by worker; nil while it has not answered
+	policy     Policy
+	reserved   []Reservation
+	since      map[jobs.RunID]time.Duration // when runs of a replay started
+	tickets    map[string]string            // from that adviser, by worker; nil while it has not answered
 }
 
 const (
@@ -96,6 +99,12 @@
 	return starts
 }
 
+// schedule returns the schedule of a plan without applying it.
+func (w *fixture) schedule() (s Schedule) {
+	w.state.Read(func(view jobs.View) { s = MakeSchedule(view, w.input()) })
+	return s
+}
+
 // input returns the input to a plan at the current time.
 func (w *fixture) input() Input {
 	return Input{
@@ -104,7 +113,12 @@
 		Behind:   func(run jobs.RunID) bool { return w.stragglers[run] },
 		Tickets:  func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
 		Panicked: func(job string, cause any) { w.t.Errorf("job %s: %v", job, cause) },
-		PerCore:  w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
+		Policy:   w.policy, Reserved: w.reserved,
+		Run: func(run jobs.RunID) (RunStatus, bool) {
+			since, known := w.since[run]
+			return RunStatus{Age: w.now - since, Pace: FullPace}, known
+		},
+		PerCore: w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
 	}
 }
 
--- a/dispatch/plan_bench_test.go
+++ b/dispatch/plan_bench_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/resource"
 )
 
 // benchmarkSizes are numbers of workers: today's fleets and the size to build for.
@@ -34,6 +35,34 @@
 	}
 }
 
+// BenchmarkPlanBacklogReserving measures the same with wide tasks and with small ones that
+// fit only into reserved room: without reservations, while they are held, and while each
+// plan makes them anew.
+func BenchmarkPlanBacklogReserving(b *testing.B) {
+	for _, reservations := range []string{"off", "held", "made"} {
+		b.Run("workers=240/"+reservations, func(b *testing.B) {
+			w := fullFleet(b, 240)
+			for i := range 10 {
+				w.submit(batchQueue, &api.TaskGroup{Count: 4, MilliCpu: 3500, MemoryMib: 99_000, EstimatedMs: 1000})
+				w.submit(batchQueue, &api.TaskGroup{Count: 40, MilliCpu: 1500, MemoryMib: 10_000, EstimatedMs: 3000 + int64(i)})
+			}
+			if reservations != "off" {
+				w.policy.Reservations = 8
+			}
+			if reservations == "held" {
+				w.reserved = w.schedule().Reservations
+				for i := range w.reserved { // the room that gathers on the first workers
+					w.workers[i].Capacity = w.workers[i].Capacity.Add(resource.Vector{MilliCPU: 2000, MemoryMiB: 9000})
+				}
+			}
+			if n := len(w.schedule().Reservations); n != w.policy.Reservations {
+				b.Fatalf("%d reservations", n)
+			}
+			benchmarkPlan(b, w)
+		})
+	}
+}
+
 // BenchmarkPlanStarvingBacklog measures the same once the jobs have waited for
 // longer than starvationTimeout.
 func BenchmarkPlanStarvingBacklog(b *testing.B) {
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -42,6 +42,8 @@
 	relocatedAt time.Time           // when throttled runs were last looked for
 	preemption  preemption
 
+	reservations reservations
+
 	advice    map[jobs.GroupID]*advice
 	adviserMu sync.Mutex // held during a request to the adviser; locked before mu
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -62,6 +62,9 @@
 	JobAgentEnds     = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
 	JobAgentCalls    = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
 	JobAgentSeconds  = Metric{"paddle_jobagent_worker_call_seconds", []string{"call"}}
+	// JobReservations counts reservations that were made or missed their forecast.
+	JobReservations    = Metric{"paddle_jobs_reservations_total", []string{"event"}}
+	JobTasksBackfilled = Metric{"paddle_jobs_tasks_backfilled_total", nil}
 )
 
 // Metrics lists every metric of this package.
@@ -70,7 +73,7 @@
 		TaskStarts, AgentTasks, AgentRevision,
 		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated,
 		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobFleet,
-		JobForecastEnds, JobForecastError,
+		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
