--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -20,14 +20,15 @@
 // agent's call to stop a run times out after 800 ms.
 var stopBand = Band{Likely: 200 * time.Millisecond, Latest: time.Second}
 
-// runEnd returns the time until an active run ends. It returns false for a
-// long-running task, which ends only when it is stopped.
-func runEnd(view jobs.View, in Input, run jobs.RunID) (Band, bool) {
+// RunEnd returns the time until an active run on a worker of the given rack ends. It
+// returns false for a long-running task, which ends only when it is stopped.
+func RunEnd(view jobs.View, in Input, run jobs.RunID, rack string) (Band, bool) {
 	job, group, task := view.Run(run)
 	if group == nil {
 		return Band{}, false
 	}
-	return endOf(in, run, job, group, task, in.Durations.RunTimes.of(job.QueueKey, group.Spec))
+	times := in.Durations.RunTimes.of(job.QueueKey, group.Spec)
+	return endOf(in, run, job, group, task, times.scaled(in.Policy.RemoteFactor(group.Spec, rack)))
 }
 
 func endOf(in Input, run jobs.RunID, job *jobs.Job, group *jobs.Group, task *jobs.Task, times expectedTimes) (Band, bool) {
@@ -89,8 +90,8 @@
 	return &forecast{view: view, in: in, ends: map[string]workerEnds{}, groups: map[*jobs.Group]groupTimes{}}
 }
 
-// runEnd is as the function runEnd, for a run of a group that is looked up already.
-func (f *forecast) runEnd(run jobs.RunID, group *jobs.Group) (Band, bool) {
+// runEnd is as RunEnd, for a run of a group that is looked up already.
+func (f *forecast) runEnd(run jobs.RunID, group *jobs.Group, rack string) (Band, bool) {
 	shared, known := f.groups[group]
 	if !known {
 		shared.job = f.view.Job(run.Task.Job)
@@ -100,7 +101,8 @@
 		shared.times = f.in.Durations.RunTimes.of(shared.job.QueueKey, group.Spec)
 		f.groups[group] = shared
 	}
-	return endOf(f.in, run, shared.job, group, &group.Tasks[run.Task.Index], shared.times)
+	return endOf(f.in, run, shared.job, group, &group.Tasks[run.Task.Index],
+		shared.times.scaled(f.in.Policy.RemoteFactor(group.Spec, rack)))
 }
 
 // endsOn returns the foreseeable ends of the runs on a worker.
@@ -110,7 +112,7 @@
 	}
 	both := make([]roomEnd, 0, 2*l.runs)
 	f.view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
-		if end, foreseeable := f.runEnd(run, group); foreseeable {
+		if end, foreseeable := f.runEnd(run, group, l.worker.Rack); foreseeable {
 			both = append(both, roomEnd{end, demand(group.Spec)})
 		}
 	})
@@ -191,6 +193,3 @@
 	}
 	return 0, false
 }
-
-// RunEnd returns the time until an active run ends; see runEnd.
-func RunEnd(view jobs.View, in Input, run jobs.RunID) (Band, bool) { return runEnd(view, in, run) }
--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -18,7 +18,7 @@
 	forecast *forecast
 	racks    map[string][]*load         // workers by rack
 	promised map[string]resource.Vector // room that waiting tasks are going to take, by worker key
-	waiting  int                        // tasks that wait for their rack in this plan
+	held     []jobs.GroupID             // groups with tasks that wait for their rack
 }
 
 func newLocality(view jobs.View, in Input, fleet *fleetLoad) *locality {
@@ -31,28 +31,39 @@
 
 // waitsForRack reports whether a task of the candidate, for which chosen is the best
 // worker with room, waits for a worker on the rack of its data instead. It waits if
-// room is expected there in less time than a run away from the data takes longer, and
-// the job can still be in time then. It never waits for a run that it may share its
-// worker with only by chance, such as best-effort work.
+// room is expected there in less time than a run away from the data takes longer, as
+// long as the job can be in time after the wait. It waits for no longer than the remote
+// run takes, however often the forecast fails.
 func (p *planner) waitsForRack(c candidate, chosen *load, spread spread) bool {
 	group := c.group.Spec
-	penalty := p.in.Policy.RemotePenalty
-	if penalty <= 1 || group.DataRack == "" || group.DataRack == chosen.worker.Rack || group.LongRunning || group.BestEffort {
+	remote := p.in.Policy.RemoteFactor(group, chosen.worker.Rack)
+	if remote <= 1 || group.LongRunning || group.BestEffort {
 		return false
 	}
 	if p.locality == nil {
 		p.locality = newLocality(p.view, p.in, p.fleet)
 	}
 	near := milliseconds(p.in.Durations.Estimate(c.job.QueueKey, group.EstimatedMs))
-	longest := min(time.Duration((penalty-1)*float64(near)), c.slack)
-	if longest <= 0 {
-		return false
+	extra := time.Duration((remote - 1) * float64(near))
+	spare := c.slack
+	if spare >= extra {
+		spare -= extra // a remote run would be in time, and must still be so after the wait
+	}
+	longest := min(extra, spare, near+extra-p.locality.heldFor(c))
+	return longest > 0 && p.locality.promise(p, c, spread, longest)
+}
+
+// heldFor returns for how long tasks of the candidate have waited for their rack.
+func (y *locality) heldFor(c candidate) time.Duration {
+	if y.forecast.in.HeldForRack == nil {
+		return 0
 	}
-	return p.locality.promise(p, c, spread, longest)
+	return y.forecast.in.HeldForRack(c.groupID())
 }
 
 // promise counts a task against the worker of its rack that has room for it first, if
-// that is within the given time. It reports whether there is such a worker.
+// that is within the given time. It returns false if there is no such worker, or one
+// has room now: then a worker elsewhere was preferred for its health.
 func (y *locality) promise(p *planner, c candidate, spread spread, within time.Duration) bool {
 	need := demand(c.group.Spec)
 	var first *load
@@ -60,6 +71,9 @@
 		if !p.eligible(c, l, spread) {
 			continue
 		}
+		if need.Fits(l.free()) && !p.heldBack(c, l) {
+			return false
+		}
 		at, foreseeable := y.forecast.roomAt(l, need.Add(y.promised[l.worker.Key]))
 		if foreseeable && at.Latest <= within {
 			first, within = l, at.Latest
@@ -69,6 +83,8 @@
 		return false
 	}
 	y.promised[first.worker.Key] = y.promised[first.worker.Key].Add(need)
-	y.waiting++
+	if id := c.groupID(); len(y.held) == 0 || y.held[len(y.held)-1] != id {
+		y.held = append(y.held, id)
+	}
 	return true
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,6 +20,9 @@
 	// Behind reports whether a run is a straggler: a copy, started now, would
 	// likely complete before it. It is nil if nothing is known of runs.
 	Behind func(run jobs.RunID) bool
+	// HeldForRack returns for how long tasks of a group have waited for the rack of
+	// their data although another worker had room. It may be nil.
+	HeldForRack func(group jobs.GroupID) time.Duration
 	// Run returns the status of an active run, false if nothing is known of it. It may
 	// be nil.
 	Run    func(run jobs.RunID) (RunStatus, bool)
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -31,9 +31,10 @@
 // Schedule is the result of a plan.
 type Schedule struct {
 	Starts       []Start
-	Reservations []Reservation // to hold until the next plan
-	Missed       []Reservation // dropped because their forecast was wrong
-	Backfilled   int           // starts beside a reservation of another group
+	Reservations []Reservation  // to hold until the next plan
+	Missed       []Reservation  // dropped because their forecast was wrong
+	Backfilled   int            // starts beside a reservation of another group
+	HeldForRack  []jobs.GroupID // groups with tasks that wait for the rack of their data
 }
 
 const (
@@ -288,6 +289,9 @@
 // schedule returns the result of the plan.
 func (p *planner) schedule() Schedule {
 	s := Schedule{Starts: p.starts}
+	if p.locality != nil {
+		s.HeldForRack = p.locality.held
+	}
 	if r := p.reserver; r != nil {
 		s.Missed, s.Backfilled = r.missed, r.backfills
 		for _, h := range r.holds {
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -109,6 +109,13 @@
 	return e
 }
 
+// scaled returns the distribution for runs that take factor times as long.
+func (e expectedTimes) scaled(factor float64) expectedTimes {
+	e.estimate *= factor
+	e.logEstimate += math.Log(factor)
+	return e
+}
+
 // Remaining forecasts the time until a run ends, at its present pace. resumed tells
 // that it began from a checkpoint.
 func (t *RunTimes) Remaining(queue string, group *api.TaskGroup, status RunStatus, resumed bool) Band {
--- a/jobcontrol/forecasts.go
+++ b/jobcontrol/forecasts.go
@@ -30,15 +30,15 @@
 // addForecast records the forecast of a run's end, except for a long-running task.
 // The lock is held.
 func (l *leadership) addForecast(view jobs.View, run jobs.RunID, moment dispatch.ForecastMoment, now time.Time) {
-	job, group, _ := view.Run(run)
+	job, group, task := view.Run(run)
 	if group == nil || group.Spec.LongRunning {
 		return
 	}
 	in := dispatch.Input{
-		Durations: l.knowledge.Durations,
-		Run:       func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
+		Durations: l.knowledge.Durations, Policy: l.server.config.Policy,
+		Run: func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
 	}
-	if band, foreseeable := dispatch.RunEnd(view, in, run); foreseeable {
+	if band, foreseeable := dispatch.RunEnd(view, in, run, l.rackOf(task, run)); foreseeable {
 		l.forecasts.Add(run, job.QueueKey, group.Spec, moment, band, now)
 	}
 }
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -36,6 +36,7 @@
 
 	health      *dispatch.Health
 	progress    *dispatch.Progress
+	rackWaits   rackWaits
 	forecasts   *dispatch.Forecasts
 	drain       dispatch.DrainRate
 	movingRuns  map[jobs.RunID]bool // runs being stopped so that they start again on another worker
@@ -71,6 +72,7 @@
 		startedAt: map[jobs.RunID]time.Time{},
 		health:    dispatch.NewHealth(), progress: dispatch.NewProgress(), movingRuns: map[jobs.RunID]bool{},
 		preemption: newPreemption(),
+		rackWaits:  rackWaits{},
 		forecasts:  dispatch.NewForecasts(),
 		advice:     map[jobs.GroupID]*advice{},
 
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -50,6 +50,7 @@
 	delete(l.firstSeen, job)
 	delete(l.startedJobs, job)
 	delete(l.unplannable, job)
+	l.rackWaits.forget(job)
 }
 
 // learnWork updates the mean work of a queue's jobs with a submitted job. The lock
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -147,6 +147,7 @@
 		schedule = dispatch.MakeSchedule(view, l.holdClearingWorkers(view, l.planInput(view)))
 	})
 	l.reservations.update(schedule, l.server.now())
+	l.rackWaits.update(schedule.HeldForRack, l.server.now())
 	starts := schedule.Starts
 	if len(starts) == 0 {
 		return
@@ -170,13 +171,14 @@
 	return dispatch.Input{
 		UnixMS:  l.server.config.UnixTime().UnixMilli(),
 		PerCore: l.knowledge.Interference.PerCore, Durations: l.knowledge.Durations, QueueWork: l.knowledge.QueueWork,
-		Age:      func(job *jobs.Job) time.Duration { return l.jobAge(job, now) },
-		Workers:  l.dispatchWorkers(view, now),
-		Panicked: l.handlePlanPanic,
-		Behind:   func(run jobs.RunID) bool { return l.behind(view, run, now) },
-		Run:      func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
-		Policy:   l.server.config.Policy,
-		Reserved: l.reservations.at(now),
+		Age:         func(job *jobs.Job) time.Duration { return l.jobAge(job, now) },
+		Workers:     l.dispatchWorkers(view, now),
+		Panicked:    l.handlePlanPanic,
+		Behind:      func(run jobs.RunID) bool { return l.behind(view, run, now) },
+		Run:         func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
+		Policy:      l.server.config.Policy,
+		HeldForRack: func(group jobs.GroupID) time.Duration { return l.rackWaits.waited(group, now) },
+		Reserved:    l.reservations.at(now),
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
 			return l.ticketsFor(view, queue, group)
 		},
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -56,6 +56,7 @@
 	JobWorkDiscarded = Metric{"paddle_jobs_discarded_core_seconds_total", nil}
 	JobForecastEnds  = Metric{"paddle_jobs_forecast_ends_total", []string{"queue", "made", "result"}}
 	JobForecastError = Metric{"paddle_jobs_forecast_error_seconds", []string{"queue", "made"}}
+	JobRackWaits     = Metric{"paddle_jobs_rack_waits_total", nil}
 	JobsGivenUp      = Metric{"paddle_jobs_given_up_total", nil}
 	JobWorkerCrashes = Metric{"paddle_jobs_worker_crashes_total", []string{"evidence"}}
 	JobFleet         = Metric{"paddle_jobs_fleet", []string{"what"}}
@@ -72,7 +73,7 @@
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
 		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated,
-		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobFleet,
+		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobFleet,
 		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
