dispatch: the benchmark of reservations adds room on the reserved workers

The forecast compares all workers now, so the reservations are no longer on the first ones; the benchmark's case of held reservations failed.

--- a/dispatch/plan_bench_test.go
+++ b/dispatch/plan_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -51,7 +52,8 @@
 			}
 			if reservations == "held" {
 				w.reserved = w.schedule().Reservations
-				for i := range w.reserved { // the room that gathers on the first workers
+				for _, r := range w.reserved { // the room that gathers on the reserved workers
+					i := slices.IndexFunc(w.workers, func(worker Worker) bool { return worker.Key == r.Worker })
 					w.workers[i].Capacity = w.workers[i].Capacity.Add(resource.Vector{MilliCPU: 2000, MemoryMiB: 9000})
 				}
 			}
