jobcontrol: admission by forecast; accepted jobs that came too late are counted

Cause: refused callers were all told the time for which the refusal is in force, so callers refused together returned together. Nothing told whether accepted jobs lost their value.

Change: with admission = forecast, the leader decides by AdmitForecast and books a time of return for each refused caller, not before the refusal is out of force. Both are soft state of the leader; the refusal is in the log as before.

--- a/jobcontrol/admission.go
+++ b/jobcontrol/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -10,28 +11,100 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
 )
 
 // refusalMargin is added to the time for which an earlier attempt of a refused
 // submission may still be in transit. It allows for clock steps.
 const refusalMargin = 2 * time.Second
 
+// admissionState is the soft state of admission. A new leader begins without it.
+type admissionState struct {
+	arrivals *dispatch.Arrivals
+	returns  *dispatch.Returns
+	accepted map[string]acceptedJob // by id, until it has ended or has no value left
+}
+
+// acceptedJob is a job whose value depends on its completion.
+type acceptedJob struct {
+	queue    string
+	deadline time.Duration // from its submission, after which it has no value
+	since    time.Time
+}
+
+func newAdmissionState() admissionState {
+	return admissionState{
+		arrivals: dispatch.NewArrivals(), returns: dispatch.NewReturns(), accepted: map[string]acceptedJob{},
+	}
+}
+
 // admit decides whether a submission is accepted. It never refuses a job that was
 // accepted before, nor any job in the first agentReconnectTime of a leadership.
 func (l *leadership) admit(call *api.JobCall, t target) (verdict dispatch.Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := l.server.now()
 	l.assumed.Read(func(view jobs.View) {
 		queue := view.Queue(t.queue)
-		if queue == nil || view.Job(t.job) != nil || l.server.now().Sub(l.since) < agentReconnectTime {
+		if queue == nil || view.Job(t.job) != nil {
 			return
 		}
 		submission := dispatch.Submission{QueueKey: t.queue, Queue: queue, Spec: call.Spec}
-		verdict = dispatch.Admit(view, l.planInput(view), submission, l.drain.PerSecond(l.server.now()))
+		if now.Sub(l.since) >= agentReconnectTime {
+			verdict = l.verdict(view, submission, now)
+		}
+		if !verdict.Refuse {
+			l.noteAccepted(t.job, submission, now)
+		}
 	})
+	if verdict.Refuse && l.server.config.Policy.ForecastAdmission {
+		earliest := max(verdict.RetryAfter, l.refusalDuration(call, t))
+		verdict.RetryAfter = l.admission.returns.Book(t.queue, earliest, verdict.Occupied, rand.Float64(), now)
+	}
 	return verdict
 }
 
+// verdict decides on a submission by the rule that is configured. The lock is held.
+func (l *leadership) verdict(view jobs.View, s dispatch.Submission, now time.Time) dispatch.Verdict {
+	if l.server.config.Policy.ForecastAdmission {
+		return dispatch.AdmitForecast(view, l.planInput(view), s, l.admission.arrivals, now)
+	}
+	return dispatch.Admit(view, l.planInput(view), s, l.drain.PerSecond(now))
+}
+
+// noteAccepted records a job that is being accepted. The lock is held.
+func (l *leadership) noteAccepted(job string, s dispatch.Submission, now time.Time) {
+	deadline, depends := s.Deadline(l.knowledge.Durations)
+	if _, known := l.admission.accepted[job]; known || !depends {
+		return
+	}
+	l.admission.accepted[job] = acceptedJob{queue: s.QueueKey, deadline: deadline, since: now}
+	l.admission.arrivals.Learn(s.QueueKey, s.Spec, l.knowledge.Durations.ForQueue(s.QueueKey), now)
+}
+
+// countTooLate counts the accepted jobs that have lost all value, once each, and forgets
+// those that have ended. The lock is held.
+func (l *leadership) countTooLate() {
+	now := l.server.now()
+	l.server.config.State.Read(func(view jobs.View) {
+		for id, a := range l.admission.accepted {
+			job := view.Job(id)
+			late := now.Sub(a.since) > a.deadline
+			if job != nil && job.Phase.Ended() {
+				late = job.Phase != jobs.PhaseCancelled && time.Duration(job.EndedMS-job.SubmittedMS)*time.Millisecond > a.deadline
+			} else if !late {
+				continue
+			}
+			delete(l.admission.accepted, id)
+			if job != nil && late {
+				telemetry.JobsTooLate.Add(1, a.queue)
+				klog.InfoS("Accepted job came too late", "job", id, "queue", a.queue, "job_state", job.Phase.String(),
+					"deadline_ms", a.deadline.Milliseconds())
+			}
+		}
+	})
+}
+
 // agentReconnectTime is how long agents may take to connect to a new leader.
 const agentReconnectTime = 3 * time.Second
 
@@ -52,6 +125,7 @@
 	case err != nil:
 		return nil, err
 	}
+	telemetry.JobsRefused.Add(1, verdict.RefusalLabel())
 	return refusalAnswer(verdict.Reason, max(verdict.RetryAfter, duration)), nil
 }
 
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -51,6 +51,8 @@
 	lending      *dispatch.Lending
 	cooldownFrom map[string]time.Time // VMs that are not moved until moveCooldown after this time
 
+	admission admissionState
+
 	joiners joiners
 }
 
@@ -78,6 +80,8 @@
 		lending:      dispatch.NewLending(),
 		cooldownFrom: map[string]time.Time{},
 
+		admission: newAdmissionState(),
+
 		joiners: joiners{byID: map[uint64]joiner{}},
 	}
 	l.assumed.Read(func(view jobs.View) { l.knowledge = dispatch.NewKnowledge(view.Learnt()) })
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -39,6 +39,7 @@
 func (l *leadership) logSummary() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.countTooLate()
 	s := l.summary()
 	klog.InfoS("Fleet", "term", l.term, "workers", len(l.workers), "sessions", len(l.sessions),
 		"capacity_cores", int(s.capacity), "counted_cores", int(s.counted), "service_cores", int(s.services),
