--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -104,6 +104,7 @@
 	waiting int // tasks of the jobs ahead that are ready and have no run
 	workers []workerRoom
 	pools   map[poolKey]*pool
+	racks   map[string]string // by worker key
 }
 
 // volume is the work of a group's tasks that hold their demand for a time.
@@ -130,8 +131,12 @@
 func newAdmission(view jobs.View, in Input, s Submission) *admission {
 	estimate := in.Durations.ForQueue(s.QueueKey)
 	work := Work(s.Spec, estimate)
+	racks := make(map[string]string, len(in.Workers))
+	for i := range in.Workers {
+		racks[in.Workers[i].Key] = in.Workers[i].Rack
+	}
 	return &admission{
-		view: view, in: in, s: s, estimate: estimate, pools: map[poolKey]*pool{},
+		view: view, in: in, s: s, estimate: estimate, pools: map[poolKey]*pool{}, racks: racks,
 		objective: Objective(s.Queue, s.Spec, estimate),
 		density:   in.QueueWork.Value(s.QueueKey, work) / max(work, minRemainingWork),
 	}
@@ -226,7 +231,7 @@
 				continue
 			}
 			id.Index = int32(i)
-			if end, known := runEnd(a.view, a.in, jobs.RunID{Task: id, Number: run.Number}); known {
+			if end, known := RunEnd(a.view, a.in, jobs.RunID{Task: id, Number: run.Number}, a.racks[run.Worker]); known {
 				sampled, seconds = sampled+1, seconds+end.Likely.Seconds()
 			}
 		}
