dispatch, jobcontrol, paddlectl: job where explains the next plan for one job

Cause: an operator could see by the Fleet line that tasks wait, but not where the tasks of one job would go, what keeps them, and whether a job that is not sent would be admitted.

Change: dispatch.ExplainJob makes one plan and retraces its starts up to each group of the job; it counts the obstacles of the tasks that are left and finds the first room by the forecast. jobcontrol answers from the assumed state, for a job that is not sent from a copy with the job submitted, without the effects of a round's input (adviser, first sight of a job, unplannable jobs). Control replicas serve POST /v1/jobs/where beside the metrics; paddlectl job where asks.

--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -16,13 +16,16 @@
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobnode"
+	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/platform"
 	"amaranthpaddle/settings"
+	"amaranthpaddle/telemetry"
 	"amaranthpaddle/transport"
 )
 
 const (
 	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second // of a request to the listener of metrics
 	// stopPart of the grace is for the hand-over of the leadership, the rest for
 	// the orders in progress.
 	stopPart = 0.5
@@ -74,7 +77,11 @@
 	platform.RegisterOperators(mux, control.Operators())
 	servers := daemon.Servers{Security: security}
 	servers.Add("operators", s.Operators, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
-	servers.AddMetrics(s.Metrics, control.Ready, control.WriteMetrics)
+	if s.Metrics != "" {
+		metrics := telemetry.Mux(control.Ready, control.WriteMetrics)
+		metrics.HandleFunc("POST "+operatorapi.PathJobWhere, control.ServeWhere)
+		servers.Add("metrics", s.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout})
+	}
 	if err := servers.Start(); err != nil {
 		control.Kill()
 		return false, err
--- a/cmd/paddlectl/commandline.go
+++ b/cmd/paddlectl/commandline.go
@@ -29,6 +29,7 @@
   paddlectl --address 10.0.0.1:7070 --token-file token plan submit monday.csv
   paddlectl --address 10.0.0.1:7070 --token-file token zone out Cork
   paddlectl --address 10.0.0.1:7070 --token-file token --output json report burn
+  paddlectl --address 10.0.0.1:9465 job where 00000000000000aa
 
 PADDLE_ADDRESS (several separated by commas) and PADDLE_TOKEN_FILE stand in for
 --address and --token-file.
@@ -51,6 +52,8 @@
 	file       string
 	name       string
 	job        string
+	host       string
+	path       string
 	zone       string
 	remove     uint64
 	add        uint64
@@ -141,9 +144,15 @@
 	drain.AddPositionalValue(&o.name, "vm", 1, true, "id of the VM")
 	undrain := l.add(l.parser, "undrain", "lets a VM take work again", "undrain vm-07", undrainVM)
 	undrain.AddPositionalValue(&o.name, "vm", 1, true, "id of the VM")
-	job := l.add(l.parser, "job", "cancels a batch job", "job cancel reconcile-cork", nil)
+	job := l.add(l.parser, "job", "cancels a batch job, or tells where a submitted job would run", "job cancel reconcile-cork", nil)
 	cancel := l.add(job, "cancel", "cancels a batch job and stops its tasks", "job cancel reconcile-cork", jobCancel)
 	cancel.AddPositionalValue(&o.name, "job", 1, true, "name of the job")
+	where := l.add(job, "where", "tells where a submitted job's waiting tasks would go now, and why; --address is a metrics listener of paddle-jobcontrol",
+		"job where --file job.json --host jobs.example --path /batch/", jobWhere)
+	where.AddPositionalValue(&o.name, "job", 1, false, "id of the job, unless --file is given")
+	where.String(&o.file, "", "file", "JSON file with the specification of a job that is not sent")
+	where.String(&o.host, "", "host", "that this job would be submitted to")
+	where.String(&o.path, "", "path", "that this job would be submitted to")
 }
 
 func (l *commandLine) addReportCommands() {
--- a/dispatch/plan_bench_test.go
+++ b/dispatch/plan_bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 	"amaranthpaddle/resource"
 )
 
@@ -99,3 +100,30 @@
 		})
 	}
 }
+
+// BenchmarkExplainJob measures the explanation of the last job of a backlog.
+func BenchmarkExplainJob(b *testing.B) {
+	for _, workers := range benchmarkSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			w := fullFleet(b, workers)
+			last := fmt.Sprintf("job%d", w.jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.state.Read(func(view jobs.View) { ExplainJob(view, w.input(), last) })
+			}
+		})
+	}
+}
+
+// BenchmarkCloneState measures the copy of the state that the explanation of a job that
+// is not sent works on.
+func BenchmarkCloneState(b *testing.B) {
+	for _, workers := range benchmarkSizes {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			w := fullFleet(b, workers)
+			for b.Loop() {
+				w.state.Clone()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatch/where.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// Obstacles that only an explanation of one job counts.
+const (
+	ObstacleAdvice Obstacle = "advice" // no ticket of the queue's adviser
+	// ObstacleHeld is for workers that have room and that the plan doesn't use: the room
+	// is kept for other work or too little for a whole gang, the task waits for the rack
+	// of its data, or it is on probation.
+	ObstacleHeld Obstacle = "held"
+)
+
+// Limits of an explanation.
+const (
+	maxExplainedGroups  = 32
+	maxExplainedWorkers = 32 // in each group
+)
+
+// Explanation tells what the next plan does with the waiting tasks of one job, and why.
+type Explanation struct {
+	Job           string             `json:"job,omitempty"` // empty for a job that is not sent
+	Queue         string             `json:"queue"`
+	Service       string             `json:"service"`
+	Phase         string             `json:"phase"`
+	Priority      int32              `json:"priority"` // 0 is the most urgent
+	Groups        []GroupExplanation `json:"groups"`   // that are not done
+	GroupsOmitted int                `json:"groups_omitted"`
+	Admission     *Admission         `json:"admission,omitempty"` // of a job that is not sent
+}
+
+// Admission is the verdict on a job that is not sent.
+type Admission struct {
+	Refused      bool   `json:"refused"`
+	Reason       string `json:"reason,omitempty"`
+	WaitMS       int64  `json:"wait_ms"`
+	RetryAfterMS int64  `json:"retry_after_ms"`
+}
+
+// Values of GroupExplanation.State.
+const (
+	GroupReady     = "ready"     // in the order of the plan
+	GroupRunning   = "running"   // no task waits
+	GroupBlocked   = "blocked"   // an earlier group is not done
+	GroupScheduled = "scheduled" // its occurrence is not due
+)
+
+// GroupExplanation tells what the next plan does with one group of a job.
+type GroupExplanation struct {
+	Occurrence int32  `json:"occurrence"`
+	Group      int32  `json:"group"`
+	State      string `json:"state"`
+	Tasks      int    `json:"tasks"`
+	Waiting    int    `json:"waiting"` // tasks that are not done and have no run
+
+	// The place of a ready group in the order.
+	Lateness     string  `json:"lateness,omitempty"`
+	Density      float64 `json:"density"`       // value of the job per remaining core-second
+	GroupsBefore int     `json:"groups_before"` // of the service, with tasks to start
+
+	Starts         int            `json:"starts"`  // copies of stragglers included
+	Workers        []WorkerStarts `json:"workers"` // that the starts are on, the one with most first
+	WorkersOmitted int            `json:"workers_omitted"`
+
+	Left      int              `json:"left"`                // tasks that still wait after the plan
+	Obstacles map[Obstacle]int `json:"obstacles,omitempty"` // workers by what keeps these tasks from them
+	Room      *RoomForecast    `json:"room,omitempty"`      // nil if no room can be foreseen
+}
+
+// WorkerStarts is the number of starts of a group on a worker.
+type WorkerStarts struct {
+	Worker string `json:"worker"`
+	Rack   string `json:"rack"`
+	Zone   string `json:"zone"`
+	Starts int    `json:"starts"`
+}
+
+// RoomForecast is the time until the first worker has room for one more task, by the
+// ends of the runs on it; see Band.
+type RoomForecast struct {
+	Worker   string `json:"worker"`
+	LikelyMS int64  `json:"likely_ms"`
+	LatestMS int64  `json:"latest_ms"`
+}
+
+// String returns the name of a lateness in answers.
+func (l lateness) String() string {
+	switch l {
+	case inTime:
+		return "in-time"
+	case late:
+		return "late"
+	}
+	return "expired"
+}
+
+// ExplainJob explains what Plan does with a job for the same view and input. It returns
+// false for an unknown job. It makes one plan, and compares the tasks of at most
+// maxExplainedGroups groups with each worker once.
+func ExplainJob(view jobs.View, in Input, id string) (Explanation, bool) {
+	job := view.Job(id)
+	if job == nil || job.Spec == nil {
+		return Explanation{}, false
+	}
+	queue := view.QueueOf(job)
+	e := Explanation{
+		Job: id, Queue: job.QueueKey, Service: queue.GetService(), Phase: job.Phase.String(), Priority: queue.GetPriority(),
+		Groups: []GroupExplanation{},
+	}
+	if job.Phase.Ended() {
+		return e, true
+	}
+	x := newExplainer(view, in, job, Plan(view, in))
+	for k, occurrence := range job.Occurrences {
+		for g, group := range occurrence.Groups {
+			if group.Done() {
+				continue
+			}
+			if len(e.Groups) == maxExplainedGroups {
+				e.GroupsOmitted++
+				continue
+			}
+			e.Groups = append(e.Groups, x.describe(int32(k), int32(g), occurrence, group))
+		}
+	}
+	x.explainReady(e.Groups)
+	return e, true
+}
+
+// explainer retraces a plan up to the groups of one job.
+type explainer struct {
+	planner
+	job       *jobs.Job
+	order     []candidate
+	positions map[jobs.GroupID]int // in the order
+	starts    []Start              // that are not retraced yet, by position
+	forecast  *forecast
+}
+
+func newExplainer(view jobs.View, in Input, job *jobs.Job, starts []Start) *explainer {
+	x := &explainer{
+		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}, job: job,
+		order: candidates(view, in), positions: map[jobs.GroupID]int{}, starts: slices.Clone(starts),
+		forecast: newForecast(view, in),
+	}
+	for i, c := range x.order {
+		x.positions[jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex}] = i
+	}
+	slices.SortStableFunc(x.starts, func(a, b Start) int { return cmp.Compare(x.positionOf(a), x.positionOf(b)) })
+	return x
+}
+
+func (x *explainer) positionOf(start Start) int { return x.positions[start.Run.Task.GroupID()] }
+
+func (x *explainer) describe(occurrenceIndex, index int32, occurrence *jobs.Occurrence, group *jobs.Group) GroupExplanation {
+	e := GroupExplanation{
+		Occurrence: occurrenceIndex, Group: index, Tasks: len(group.Tasks), Waiting: CountWaiting(group),
+		State: GroupRunning, Workers: []WorkerStarts{},
+	}
+	due, scheduled := x.job.DueMS(occurrenceIndex)
+	_, ordered := x.positions[jobs.GroupID{Job: x.job.ID, Occurrence: occurrenceIndex, Group: index}]
+	switch {
+	case ordered:
+		e.State = GroupReady
+	case scheduled && x.in.UnixMS < due:
+		e.State = GroupScheduled
+	case !occurrence.Ready(group):
+		e.State = GroupBlocked
+	}
+	return e
+}
+
+// explainReady fills in the ready groups, in the order of the plan.
+func (x *explainer) explainReady(groups []GroupExplanation) {
+	byPosition := map[int]*GroupExplanation{}
+	for i := range groups {
+		if groups[i].State == GroupReady {
+			byPosition[x.positions[jobs.GroupID{Job: x.job.ID, Occurrence: groups[i].Occurrence, Group: groups[i].Group}]] = &groups[i]
+		}
+	}
+	before := 0
+	for i, c := range x.order {
+		if e := byPosition[i]; e != nil {
+			e.Lateness, e.Density, e.GroupsBefore = c.lateness.String(), c.density, before
+			x.explain(c, i, e)
+		}
+		if c.queue.GetService() == x.view.QueueOf(x.job).GetService() {
+			before++
+		}
+	}
+}
+
+// explain retraces the starts up to a candidate's turn, and tells those of the
+// candidate from the others.
+func (x *explainer) explain(c candidate, position int, e *GroupExplanation) {
+	spread, onWorker := x.spreadOf(c), map[string]int{}
+	e.Left = e.Waiting
+	for len(x.starts) > 0 && x.positionOf(x.starts[0]) <= position {
+		start := x.starts[0]
+		x.starts = x.starts[1:]
+		l, group := x.fleet.byKey[start.Worker], x.groupOf(start)
+		x.fleet.add(l, group.Spec, 1)
+		x.fleet.addStarting(l, onProbation(group, int(start.Run.Task.Index)))
+		x.expectEnd(l, start, group)
+		if x.positionOf(start) != position {
+			continue
+		}
+		c.waited = 0 // as in the plan
+		onWorker[start.Worker]++
+		spread.workers[start.Worker]++
+		e.Starts++
+		if needsRun(group, int(start.Run.Task.Index)) {
+			e.Left--
+		}
+	}
+	e.setWorkers(onWorker, x.fleet)
+	if e.Left > 0 {
+		x.explainLeft(c, spread, e)
+	}
+}
+
+// expectEnd adds the end of a run that the plan starts to the forecast.
+func (x *explainer) expectEnd(l *load, start Start, group *jobs.Group) {
+	if group.Spec.LongRunning {
+		return
+	}
+	queue := x.view.Job(start.Run.Task.Job).QueueKey
+	resumed := Resumed(&group.Tasks[start.Run.Task.Index], start.Run)
+	end := x.in.Durations.RunTimes.of(queue, group.Spec).remaining(RunStatus{Pace: FullPace}, resumed)
+	ends, added := x.forecast.endsOn(l), roomEnd{end, demand(group.Spec)}
+	byLikely, _ := slices.BinarySearchFunc(ends.byLikely, added, func(a, b roomEnd) int { return cmp.Compare(a.end.Likely, b.end.Likely) })
+	byLatest, _ := slices.BinarySearchFunc(ends.byLatest, added, func(a, b roomEnd) int { return cmp.Compare(a.end.Latest, b.end.Latest) })
+	x.forecast.ends[l.worker.Key] = workerEnds{
+		byLikely: slices.Insert(slices.Clip(ends.byLikely), byLikely, added), // it shares an array with byLatest
+		byLatest: slices.Insert(ends.byLatest, byLatest, added),
+	}
+}
+
+func (x *explainer) groupOf(start Start) *jobs.Group {
+	group, _ := x.view.Job(start.Run.Task.Job).Task(start.Run.Task)
+	return group
+}
+
+func (e *GroupExplanation) setWorkers(onWorker map[string]int, fleet *fleetLoad) {
+	for key, starts := range onWorker {
+		w := fleet.byKey[key].worker
+		e.Workers = append(e.Workers, WorkerStarts{Worker: key, Rack: w.Rack, Zone: w.Zone, Starts: starts})
+	}
+	slices.SortFunc(e.Workers, func(a, b WorkerStarts) int {
+		return cmp.Or(-cmp.Compare(a.Starts, b.Starts), cmp.Compare(a.Worker, b.Worker))
+	})
+	e.WorkersOmitted = max(len(e.Workers)-maxExplainedWorkers, 0)
+	e.Workers = e.Workers[:len(e.Workers)-e.WorkersOmitted]
+}
+
+// explainLeft counts what keeps the tasks that are left from the workers, and finds
+// the worker that likely has room first.
+func (x *explainer) explainLeft(c candidate, spread spread, e *GroupExplanation) {
+	if c.queue.Advice != nil {
+		c.tickets, _ = x.in.Tickets(c.queue, jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex})
+	}
+	e.Obstacles = map[Obstacle]int{}
+	for _, l := range x.fleet.workers {
+		obstacle := cmp.Or(x.obstacle(c, l, spread), ObstacleHeld)
+		if c.queue.Advice != nil && c.tickets[l.worker.Key] == "" && obstacle != ObstacleClosed {
+			obstacle = ObstacleAdvice
+		}
+		e.Obstacles[obstacle]++
+		if waitsForEnds(obstacle, c.group.Spec) {
+			e.noteRoom(x.forecast, l, c.group.Spec)
+		}
+	}
+}
+
+// waitsForEnds reports whether a worker has room as soon as runs on it have ended. A
+// best-effort task also depends on the CPU that is unused, of which there is no forecast.
+func waitsForEnds(obstacle Obstacle, group *api.TaskGroup) bool {
+	return obstacle == ObstacleMemory || obstacle == ObstacleCPU && !group.BestEffort
+}
+
+func (e *GroupExplanation) noteRoom(f *forecast, l *load, group *api.TaskGroup) {
+	at, foreseeable := f.roomAt(l, demand(group))
+	if !foreseeable {
+		return
+	}
+	room := RoomForecast{Worker: l.worker.Key, LikelyMS: at.Likely.Milliseconds(), LatestMS: at.Latest.Milliseconds()}
+	if e.Room == nil || cmp.Or(cmp.Compare(room.LikelyMS, e.Room.LikelyMS), cmp.Compare(room.Worker, e.Room.Worker)) < 0 {
+		e.Room = &room
+	}
+}
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -22,6 +22,7 @@
 	confirmer *replica.Confirmer
 	stop      context.CancelFunc
 	done      sync.WaitGroup
+	where     whereLimiter
 
 	mu   sync.Mutex
 	lead *leadership // nil while this replica is not the leader
--- a/operatorapi/operatorapi.go
+++ b/operatorapi/operatorapi.go
@@ -11,9 +11,11 @@
 //	GET  /v1/burn                                        answer: burn.Report
 //	GET  /v1/control/members                             answer: Members
 //	POST /v1/control/replace      body: ReplaceRequest   answer: ChangeResult
+//	POST /v1/jobs/where           body: WhereRequest     answer: dispatch.Explanation
 //
-// Every POST carries HeaderChangeID. A change sent again under the same id
-// takes effect once and gets the first answer again.
+// Every POST but the last carries HeaderChangeID. A change sent again under the same id
+// takes effect once and gets the first answer again. The last one changes nothing; control
+// replicas of submitted jobs answer it on their listener of metrics.
 package operatorapi
 
 import (
@@ -38,11 +40,25 @@
 	PathBurn           = "/v1/burn"
 	PathControlMembers = "/v1/control/members"
 	PathControlReplace = "/v1/control/replace"
+	PathJobWhere       = "/v1/jobs/where"
 )
 
 // MaxBodyBytes limits the body of a request and of an answer.
 const MaxBodyBytes = 16 << 20
 
+// WhereRequest asks where the waiting tasks of a submitted job would go now. It holds
+// either the id of the job or, for one that is not sent, its specification with the host
+// and path that it would be submitted to.
+type WhereRequest struct {
+	Job  string          `json:"job,omitempty"`
+	Host string          `json:"host,omitempty"`
+	Path string          `json:"path,omitempty"`
+	Spec json.RawMessage `json:"spec,omitempty"` // proto JSON form of api.JobSpec
+}
+
+// MaxWhereBytes limits the body of a WhereRequest.
+const MaxWhereBytes = 1 << 20
+
 // Error is the body of every answer with a status of 400 or above.
 type Error struct {
 	Kind    string `json:"kind"` // name of a fault.Kind
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -68,11 +68,17 @@
 	return c.call(ctx, &call{method: http.MethodPost, path: path, changeID: changeID, body: body}, answer)
 }
 
+// Query reads path with a JSON body into answer, a pointer, by a POST that changes nothing.
+// It tries every replica until ctx ends.
+func (c *Client) Query(ctx context.Context, path string, body []byte, answer any) error {
+	return c.call(ctx, &call{method: http.MethodPost, path: path, body: body}, answer)
+}
+
 // call is one logical call, made by one or more attempts.
 type call struct {
 	method   string
 	path     string
-	changeID string
+	changeID string // empty for a read
 	body     []byte
 }
 
@@ -158,7 +164,9 @@
 	}
 	if call.method == http.MethodPost {
 		request.Header.Set("Content-Type", "application/json")
-		request.Header.Set(operatorapi.HeaderChangeID, call.changeID)
+		if call.changeID != "" {
+			request.Header.Set(operatorapi.HeaderChangeID, call.changeID)
+		}
 		request.GetBody = nil // resends are this package's own
 	}
 	if c.token != "" {
@@ -235,7 +243,7 @@
 // giveUp returns the error of a call whose time is over.
 func (p *progress) giveUp(call *call) error {
 	switch {
-	case call.method == http.MethodPost && p.uncertain != nil:
+	case call.changeID != "" && p.uncertain != nil:
 		return fault.Wrap(fault.CommitUnknown, p.uncertain, "no control replica confirmed the change in time")
 	case p.last != nil:
 		return fault.Wrap(fault.DeadlineNotRun, p.last, "no control replica answered in time")
