--- a/cmd/paddlectl/where.go
+++ b/cmd/paddlectl/where.go
@@ -65,11 +65,14 @@
 	}
 	t.line("%s, %s, queue %s, service %s, priority %d", name, e.Phase, e.Queue, e.Service, e.Priority)
 	if a := e.Admission; a != nil {
-		verdict := "accepted"
+		verdict, reason := "accepted", ""
 		if a.Refused {
-			verdict = fmt.Sprintf("refused (%s), retry after %v", a.Reason, milliseconds(a.RetryAfterMS))
+			verdict = fmt.Sprintf("refused, retry after %v", milliseconds(a.RetryAfterMS))
 		}
-		t.line("admission: %s, expected wait %v", verdict, milliseconds(a.WaitMS))
+		if a.Reason != "" {
+			reason = ": " + a.Reason
+		}
+		t.line("admission: %s, expected wait %v%s", verdict, milliseconds(a.WaitMS), reason)
 	}
 	t.heading("GROUP", "STATE", "TASKS", "WAITING", "BEFORE", "LATENESS", "VALUE/CORE S", "STARTS", "LEFT", "ROOM IN", "LATEST", "WORKER", "OBSTACLES")
 	for i := range e.Groups {
--- a/jobcontrol/where.go
+++ b/jobcontrol/where.go
@@ -119,7 +119,7 @@
 }
 
 // verdictOn returns the queue of a job that is not sent and the verdict of admission on
-// it. As for a submission, there is none while agents connect to a new leader. The lock
+// it. As a submission, it is not refused while agents connect to a new leader. The lock
 // is held.
 func (l *leadership) verdictOn(query WhereQuery) (key string, admission *dispatch.Admission, err error) {
 	l.assumed.Read(func(view jobs.View) {
@@ -128,7 +128,7 @@
 			err = fault.Newf(fault.NotFound, "no queue for path %s of host %s", query.Path, query.Host)
 			return
 		}
-		verdict := dispatch.Verdict{}
+		verdict := dispatch.Verdict{Reason: "no job is refused while agents connect to a new leader"}
 		if l.server.now().Sub(l.since) >= agentReconnectTime {
 			submission := dispatch.Submission{QueueKey: key, Queue: view.Queue(key), Spec: query.Spec}
 			verdict = dispatch.Admit(view, l.passiveInput(view, nil), submission, l.drain.PerSecond(l.server.now()))
--- a/jobcontrol/where_test.go
+++ b/jobcontrol/where_test.go
@@ -62,6 +62,10 @@
 		if group := got.Groups[0]; group.Starts != 2 || len(group.Workers) != 1 || group.Left != 1 || group.Room == nil {
 			t.Errorf("%+v", group)
 		}
+		tooLarge := &api.JobSpec{Groups: []*api.TaskGroup{{Count: 1, MilliCpu: 4001}}}
+		if got, err := r.where(WhereQuery{Host: "h", Path: "/q/", Spec: tooLarge}); err != nil || !got.Admission.Refused {
+			t.Errorf("a task larger than each worker: %+v, %v", got, err)
+		}
 		a.drainDirectives()
 		b.drainDirectives()
 		r.mustCall(submit, "/q/00000000000000bb", spec, accepted)
