dispatch, paddlectl: job where tells of reservations

Cause: plans hold reservations now. Groups with one have two turns in a plan, and their room counted as free for others in an explanation.

Change: the explanation follows MakeSchedule and its order, counts the workers whose room is reserved, and lists the reservations of the job.

--- a/cmd/paddlectl/where.go
+++ b/cmd/paddlectl/where.go
@@ -89,6 +89,19 @@
 	}
 	omitted(t, e.GroupsOmitted, "groups")
 	startsTable(t, e)
+	reservationsTable(t, e)
+}
+
+func reservationsTable(t *table, e *dispatch.Explanation) {
+	if !slices.ContainsFunc(e.Groups, func(g dispatch.GroupExplanation) bool { return len(g.Reservations) > 0 }) {
+		return
+	}
+	t.heading("GROUP", "RESERVED ON", "TASKS", "ROOM IN", "LATEST")
+	for i := range e.Groups {
+		for _, r := range e.Groups[i].Reservations {
+			t.row(groupName(&e.Groups[i]), r.Worker, r.Tasks, milliseconds(r.LikelyMS), milliseconds(r.LatestMS))
+		}
+	}
 }
 
 func startsTable(t *table, e *dispatch.Explanation) {
--- a/dispatch/where.go
+++ b/dispatch/where.go
@@ -13,7 +13,7 @@
 const (
 	ObstacleAdvice Obstacle = "advice" // no ticket of the queue's adviser
 	// ObstacleHeld is for workers that have room and that the plan doesn't use: the room
-	// is kept for other work or too little for a whole gang, the task waits for the rack
+	// is kept for other work by a reservation of this plan, or too little for a whole gang, the task waits for the rack
 	// of its data, or it is on probation.
 	ObstacleHeld Obstacle = "held"
 )
@@ -72,6 +72,8 @@
 	Left      int              `json:"left"`                // tasks that still wait after the plan
 	Obstacles map[Obstacle]int `json:"obstacles,omitempty"` // workers by what keeps these tasks from them
 	Room      *RoomForecast    `json:"room,omitempty"`      // nil if no room can be foreseen
+
+	Reservations []RoomForecast `json:"reservations,omitempty"` // that the plan holds for the group
 }
 
 // WorkerStarts is the number of starts of a group on a worker.
@@ -82,10 +84,11 @@
 	Starts int    `json:"starts"`
 }
 
-// RoomForecast is the time until the first worker has room for one more task, by the
-// ends of the runs on it; see Band.
+// RoomForecast is the time until a worker has room for a number of tasks, by the ends of
+// the runs on it; see Band.
 type RoomForecast struct {
 	Worker   string `json:"worker"`
+	Tasks    int    `json:"tasks"`
 	LikelyMS int64  `json:"likely_ms"`
 	LatestMS int64  `json:"latest_ms"`
 }
@@ -117,7 +120,7 @@
 	if job.Phase.Ended() {
 		return e, true
 	}
-	x := newExplainer(view, in, job, Plan(view, in))
+	x := newExplainer(view, in, job)
 	for k, occurrence := range job.Occurrences {
 		for g, group := range occurrence.Groups {
 			if group.Done() {
@@ -136,38 +139,65 @@
 
 // explainer retraces a plan up to the groups of one job.
 type explainer struct {
-	planner
-	job       *jobs.Job
-	order     []candidate
-	positions map[jobs.GroupID]int // in the order
-	starts    []Start              // that are not retraced yet, by position
-	forecast  *forecast
-	times     map[*jobs.Group]expectedTimes
-	planned   map[string][]roomEnd // by worker key: ends of retraced starts that the forecast doesn't have yet
+	*planner
+	job      *jobs.Job
+	schedule Schedule
+	order    []candidate // a group with reservations has two turns in it
+	turns    map[jobs.GroupID]turns
+	rest     []turnStart // starts that are not retraced yet
+	forecast *forecast
+	times    map[*jobs.Group]expectedTimes
+	planned  map[string][]roomEnd // by worker key: ends of retraced starts that the forecast doesn't have yet
+}
+
+// turns are the places of a group in the order.
+type turns struct {
+	first, last int
+	reserved    int // tasks that are placed at the first turn, if there are two
+}
+
+// turnStart is a start with the turn that it was made at.
+type turnStart struct {
+	Start
+	turn int
 }
 
-func newExplainer(view jobs.View, in Input, job *jobs.Job, starts []Start) *explainer {
+func newExplainer(view jobs.View, in Input, job *jobs.Job) *explainer {
 	x := &explainer{
-		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}, job: job,
-		order: candidates(view, in), positions: map[jobs.GroupID]int{}, starts: slices.Clone(starts),
+		planner: newPlanner(view, in, nil), job: job, schedule: MakeSchedule(view, in), turns: map[jobs.GroupID]turns{},
 		forecast: newForecast(view, in), times: map[*jobs.Group]expectedTimes{}, planned: map[string][]roomEnd{},
 	}
+	all := candidates(view, in)
+	x.hold(all)
+	x.order = x.ownersFirst(all)
 	for i, c := range x.order {
-		x.positions[jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex}] = i
+		if t, again := x.turns[c.groupID()]; again {
+			x.turns[c.groupID()] = turns{first: t.first, last: i, reserved: x.order[t.first].reserved}
+		} else {
+			x.turns[c.groupID()] = turns{first: i, last: i}
+		}
+	}
+	seen := map[jobs.GroupID]int{}
+	for _, start := range x.schedule.Starts {
+		group := start.Run.Task.GroupID()
+		t := x.turns[group]
+		turn := t.last
+		if seen[group]++; seen[group] <= t.reserved {
+			turn = t.first
+		}
+		x.rest = append(x.rest, turnStart{start, turn})
 	}
-	slices.SortStableFunc(x.starts, func(a, b Start) int { return cmp.Compare(x.positionOf(a), x.positionOf(b)) })
+	slices.SortStableFunc(x.rest, func(a, b turnStart) int { return cmp.Compare(a.turn, b.turn) })
 	return x
 }
 
-func (x *explainer) positionOf(start Start) int { return x.positions[start.Run.Task.GroupID()] }
-
 func (x *explainer) describe(occurrenceIndex, index int32, occurrence *jobs.Occurrence, group *jobs.Group) GroupExplanation {
 	e := GroupExplanation{
 		Occurrence: occurrenceIndex, Group: index, Tasks: len(group.Tasks), Waiting: CountWaiting(group),
 		State: GroupRunning, Workers: []WorkerStarts{},
 	}
 	due, scheduled := x.job.DueMS(occurrenceIndex)
-	_, ordered := x.positions[jobs.GroupID{Job: x.job.ID, Occurrence: occurrenceIndex, Group: index}]
+	_, ordered := x.turns[jobs.GroupID{Job: x.job.ID, Occurrence: occurrenceIndex, Group: index}]
 	switch {
 	case ordered:
 		e.State = GroupReady
@@ -181,48 +211,61 @@
 
 // explainReady fills in the ready groups, in the order of the plan.
 func (x *explainer) explainReady(groups []GroupExplanation) {
-	byPosition := map[int]*GroupExplanation{}
+	byTurn := map[int]*GroupExplanation{}
 	for i := range groups {
 		if groups[i].State == GroupReady {
-			byPosition[x.positions[jobs.GroupID{Job: x.job.ID, Occurrence: groups[i].Occurrence, Group: groups[i].Group}]] = &groups[i]
+			byTurn[x.turns[jobs.GroupID{Job: x.job.ID, Occurrence: groups[i].Occurrence, Group: groups[i].Group}].last] = &groups[i]
 		}
 	}
-	before := 0
+	service, before := x.view.QueueOf(x.job).GetService(), 0
 	for i, c := range x.order {
-		if e := byPosition[i]; e != nil {
+		if e := byTurn[i]; e != nil {
 			e.Lateness, e.Density, e.GroupsBefore = c.lateness.String(), c.density, before
-			x.explain(c, i, e)
+			x.retrace(i)
+			x.explain(c, e)
 		}
-		if c.queue.GetService() == x.view.QueueOf(x.job).GetService() {
+		if c.queue.GetService() == service && x.turns[c.groupID()].last == i {
 			before++
 		}
 	}
 }
 
-// explain retraces the starts up to a candidate's turn, and tells those of the
-// candidate from the others.
-func (x *explainer) explain(c candidate, position int, e *GroupExplanation) {
-	spread, onWorker := x.spreadOf(c), map[string]int{}
-	e.Left = e.Waiting
-	for len(x.starts) > 0 && x.positionOf(x.starts[0]) <= position {
-		start := x.starts[0]
-		x.starts = x.starts[1:]
+// retrace adds the starts up to a turn to the load.
+func (x *explainer) retrace(turn int) {
+	for len(x.rest) > 0 && x.rest[0].turn <= turn {
+		start := x.rest[0].Start
+		x.rest = x.rest[1:]
 		l, group := x.fleet.byKey[start.Worker], x.groupOf(start)
 		x.fleet.add(l, group.Spec, 1)
 		x.fleet.addStarting(l, onProbation(group, int(start.Run.Task.Index)))
 		x.expectEnd(l, start, group)
-		if x.positionOf(start) != position {
+	}
+}
+
+// explain fills in what the plan does with a candidate, whose starts are retraced.
+func (x *explainer) explain(c candidate, e *GroupExplanation) {
+	spread, onWorker := x.spreadOf(c), map[string]int{}
+	e.Left = e.Waiting
+	for _, start := range x.schedule.Starts {
+		if start.Run.Task.GroupID() != c.groupID() {
 			continue
 		}
 		c.waited = 0 // as in the plan
 		onWorker[start.Worker]++
 		spread.workers[start.Worker]++
 		e.Starts++
-		if needsRun(group, int(start.Run.Task.Index)) {
+		if needsRun(c.group, int(start.Run.Task.Index)) {
 			e.Left--
 		}
 	}
 	e.setWorkers(onWorker, x.fleet)
+	for _, r := range x.schedule.Reservations {
+		if r.Group == c.groupID() {
+			e.Reservations = append(e.Reservations, RoomForecast{
+				Worker: r.Worker, Tasks: r.Tasks, LikelyMS: r.At.Likely.Milliseconds(), LatestMS: r.At.Latest.Milliseconds(),
+			})
+		}
+	}
 	if e.Left > 0 {
 		x.explainLeft(c, spread, e)
 	}
@@ -277,7 +320,7 @@
 // the worker that likely has room first.
 func (x *explainer) explainLeft(c candidate, spread spread, e *GroupExplanation) {
 	if c.queue.Advice != nil {
-		c.tickets, _ = x.in.Tickets(c.queue, jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex})
+		c.tickets, _ = x.in.Tickets(c.queue, c.groupID())
 	}
 	e.Obstacles = map[Obstacle]int{}
 	for _, l := range x.fleet.workers {
@@ -303,7 +346,7 @@
 	if !foreseeable {
 		return
 	}
-	room := RoomForecast{Worker: l.worker.Key, LikelyMS: at.Likely.Milliseconds(), LatestMS: at.Latest.Milliseconds()}
+	room := RoomForecast{Worker: l.worker.Key, Tasks: 1, LikelyMS: at.Likely.Milliseconds(), LatestMS: at.Latest.Milliseconds()}
 	if e.Room == nil || cmp.Or(cmp.Compare(room.LikelyMS, e.Room.LikelyMS), cmp.Compare(room.Worker, e.Room.Worker)) < 0 {
 		e.Room = &room
 	}
--- a/dispatch/where_test.go
+++ b/dispatch/where_test.go
@@ -41,3 +41,35 @@
 		t.Errorf("the dependent group is %s", got.Groups[1].State)
 	}
 }
+
+// With reservations, the groups that hold one have two turns. An explanation with the
+// turns of a plan without them names the wrong starts, or calls held room free.
+func TestExplainJobTellsOfReservations(t *testing.T) {
+	w := newFixture(t, 2)
+	w.policy.Reservations = 1
+	w.submit(batchQueue, &api.TaskGroup{Count: 20, MilliCpu: 1000, EstimatedMs: 1000})
+	full := w.plan()
+	wide := w.submit(batchQueue, &api.TaskGroup{Count: 3, MilliCpu: 9000, EstimatedMs: 1000})
+	w.reserved = w.schedule().Reservations
+	for _, start := range full {
+		if start.Run.Task.Index%5 == 0 {
+			w.end(start, api.RunOutcome_RUN_OUTCOME_DONE)
+		}
+	}
+	small := w.submit(batchQueue, &api.TaskGroup{Count: 9, MilliCpu: 1000, EstimatedMs: 5000})
+	schedule := w.schedule()
+	var ofWide, ofSmall Explanation
+	w.state.Read(func(view jobs.View) {
+		ofWide, _ = ExplainJob(view, w.input(), wide)
+		ofSmall, _ = ExplainJob(view, w.input(), small)
+	})
+	held := schedule.Reservations
+	if got := ofWide.Groups[0].Reservations; len(held) != 1 || len(got) != 1 || got[0].Worker != held[0].Worker ||
+		got[0].LatestMS != held[0].At.Latest.Milliseconds() {
+		t.Errorf("explained %+v, the plan holds %+v", got, held)
+	}
+	group := ofSmall.Groups[0]
+	if group.Starts != total(startsByWorker(schedule.Starts, small)) || group.Obstacles[ObstacleReserved] != 1 || group.Obstacles[ObstacleCPU] != 1 {
+		t.Errorf("%+v", group)
+	}
+}
