--- a/jobcontrol/admission.go
+++ b/jobcontrol/admission.go
@@ -51,7 +51,7 @@
 		}
 		submission := dispatch.Submission{QueueKey: t.queue, Queue: queue, Spec: call.Spec}
 		if now.Sub(l.since) >= agentReconnectTime {
-			verdict = l.verdict(view, submission, now)
+			verdict = l.verdict(view, l.planInput(view), submission, now)
 		}
 		if !verdict.Refuse {
 			l.noteAccepted(t.job, submission, now)
@@ -65,11 +65,11 @@
 }
 
 // verdict decides on a submission by the rule that is configured. The lock is held.
-func (l *leadership) verdict(view jobs.View, s dispatch.Submission, now time.Time) dispatch.Verdict {
+func (l *leadership) verdict(view jobs.View, in dispatch.Input, s dispatch.Submission, now time.Time) dispatch.Verdict {
 	if l.server.config.Policy.ForecastAdmission {
-		return dispatch.AdmitForecast(view, l.planInput(view), s, l.admission.arrivals, now)
+		return dispatch.AdmitForecast(view, in, s, l.admission.arrivals, now)
 	}
-	return dispatch.Admit(view, l.planInput(view), s, l.drain.PerSecond(now))
+	return dispatch.Admit(view, in, s, l.drain.PerSecond(now))
 }
 
 // noteAccepted records a job that is being accepted. The lock is held.
--- a/jobcontrol/where.go
+++ b/jobcontrol/where.go
@@ -143,9 +143,9 @@
 			return
 		}
 		verdict := dispatch.Verdict{Reason: "no job is refused while agents connect to a new leader"}
-		if l.server.now().Sub(l.since) >= agentReconnectTime {
+		if now := l.server.now(); now.Sub(l.since) >= agentReconnectTime {
 			submission := dispatch.Submission{QueueKey: key, Queue: view.Queue(key), Spec: query.Spec}
-			verdict = dispatch.Admit(view, l.passiveInput(view, nil), submission, l.drain.PerSecond(l.server.now()))
+			verdict = l.verdict(view, l.passiveInput(view, nil), submission, now)
 		}
 		admission = &dispatch.Admission{
 			Refused: verdict.Refuse, Reason: verdict.Reason,
