--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -12,7 +12,7 @@
 // before the room is needed, or if it leaves enough room.
 func (p *planner) heldBack(c candidate, l *load) bool {
 	h := l.hold
-	if h == nil || c.rank() < h.owner.rank() || h.Group == c.groupID() || p.passes(c, h) {
+	if h == nil || c.rank() < h.owner.rank() || h.Group == c.groupID() || p.passes(c, h) || h.yieldsTo(c) {
 		return false
 	}
 	room := h.need.Add(demand(c.group.Spec)).Sub(h.passing)
@@ -20,6 +20,13 @@
 	return !foreseen || at.Latest > h.At.Latest
 }
 
+// yieldsTo reports whether a reservation of a long-running task gives way to a task that
+// can still be in time. The service loses the share of its time that it waits for, the
+// job most of its value; a short task's room is also free again soon.
+func (h *hold) yieldsTo(c candidate) bool {
+	return h.owner.group.Spec.LongRunning && !c.group.Spec.LongRunning && c.lateness == inTime && c.rank() == h.owner.rank()
+}
+
 // passes reports whether a task of the candidate, started now, certainly ends before
 // the room is needed.
 func (p *planner) passes(c candidate, h *hold) bool {
