dispatch, jobcontrol: a job that is preempted again and again completes

Cause: keepsJobAlive kept some run of an old job, not a particular one. Urgent tasks that come on two workers in turn stopped both of its runs alternately.

Change: a job older than starvationTimeout keeps the run that has done the largest share of its task, and each of its tasks is preempted at most once. The leader remembers preempted tasks until their job ends.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -35,6 +35,8 @@
 	Leading  time.Duration         // since the leadership started
 	Stopping map[jobs.RunID]bool   // runs with RunStatus.Stopping whose room is soon free
 	Recently func(job string) bool // runs of the job were preempted within PreemptionPause
+	// Before reports whether an earlier run of a task was preempted, however long ago.
+	Before func(task jobs.TaskID) bool
 }
 
 // Parameters of preemption.
@@ -85,12 +87,12 @@
 type preemptor struct {
 	planner
 	state     PreemptionState
-	groups    map[*jobs.Group]*worth // whose runs may give way to some candidate
-	runs      map[*load][]*victim    // of these groups, filled on first use
-	ending    map[string]int         // runs that are stopping or chosen, by job
-	coming    []*load                // workers with room that stops free
-	isComing  map[*load]bool         // the same as a set
-	ahead     []waiter               // candidates so far that found no room
+	groups    map[*jobs.Group]*worth   // whose runs may give way to some candidate
+	runs      map[*load][]*victim      // of these groups, filled on first use
+	furthest  map[*jobs.Job]jobs.RunID // the run of a job that has done most of its work, filled on first use
+	coming    []*load                  // workers with room that stops free
+	isComing  map[*load]bool           // the same as a set
+	ahead     []waiter                 // candidates so far that found no room
 	chosen    []Preemption
 	noRoom    unfitDemands // in the room that is coming
 	noVictims unfitDemands // for which no victims were found
@@ -107,23 +109,19 @@
 func newPreemptor(view jobs.View, in Input, state PreemptionState, groups []*worth) *preemptor {
 	p := &preemptor{
 		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}, state: state,
-		groups: map[*jobs.Group]*worth{}, runs: map[*load][]*victim{}, ending: map[string]int{}, isComing: map[*load]bool{},
+		groups: map[*jobs.Group]*worth{}, runs: map[*load][]*victim{}, furthest: map[*jobs.Job]jobs.RunID{}, isComing: map[*load]bool{},
 		noRoom: unfitDemands{}, noVictims: unfitDemands{},
 	}
 	for _, w := range groups {
 		if w.givesWay {
 			p.groups[w.group] = w
 		}
-		for i := range w.group.Tasks {
-			for _, run := range w.group.Tasks[i].Runs {
-				id := jobs.RunID{Task: jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: int32(i)}, Number: run.Number}
-				if l := p.fleet.byKey[run.Worker]; l != nil && p.isEnding(w, id) {
-					p.fleet.add(l, w.group.Spec, -1)
-					p.ending[w.job.ID]++
-					p.noteComing(l)
-				}
+		w.eachRun(func(run jobs.RunID, worker string) {
+			if l := p.fleet.byKey[worker]; l != nil && p.isEnding(w, run) {
+				p.fleet.add(l, w.group.Spec, -1)
+				p.noteComing(l)
 			}
-		}
+		})
 	}
 	return p
 }
@@ -257,7 +255,6 @@
 	}
 	for _, v := range best.victims {
 		p.fleet.add(best.worker, v.group.Spec, -1)
-		p.ending[v.run.Task.Job]++
 		p.chosen = append(p.chosen, Preemption{
 			Run: v.run, Worker: best.worker.worker.Key, Reason: v.reasonFor(c), Discarded: v.discarded, Set: len(best.victims),
 			For: jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex},
@@ -297,7 +294,7 @@
 		if p.fits(c, l, spread) {
 			break
 		}
-		if v.reasonFor(c) == "" || !contributes(v, c, l) || p.keepsJobAlive(v, set.victims) {
+		if v.reasonFor(c) == "" || !contributes(v, c, l) {
 			continue
 		}
 		p.fleet.add(l, v.group.Spec, -1)
@@ -350,15 +347,34 @@
 	return !freed.IsZero() || c.group.Spec.BestEffort && v.group.Spec.MilliCpu > 0
 }
 
-// keepsJobAlive reports whether a run is the last one of a job that has existed for
-// longer than starvationTimeout, given the victims so far. Such a job keeps a run, so
-// that it completes eventually.
-func (p *preemptor) keepsJobAlive(v *victim, victims []*victim) bool {
-	left := v.job.ActiveRuns() - p.ending[v.job.ID]
-	for _, other := range victims {
-		if other.job == v.job {
-			left--
+// mustComplete reports whether a run is spared so that its job completes, however often
+// more urgent tasks come. Once a job is older than starvationTimeout, it keeps its run that is furthest
+// on, and each of its tasks is preempted at most once. To keep just any one run is not
+// enough: if the runs are stopped in turn, none of them gets to its end.
+func (p *preemptor) mustComplete(v *victim) bool {
+	return v.age > starvationTimeout && (p.state.Before(v.run.Task) || p.furthestRun(v.job) == v.run)
+}
+
+// furthestRun returns the run of a job that has done the largest share of its task,
+// apart from runs that are being stopped and long-running ones.
+func (p *preemptor) furthestRun(job *jobs.Job) (furthest jobs.RunID) {
+	if run, known := p.furthest[job]; known {
+		return run
+	}
+	estimate, most := p.in.Durations.ForQueue(job.QueueKey), -1.0
+	for _, w := range activeGroups(job) {
+		if w.group.Spec.LongRunning {
+			continue
 		}
+		expected := milliseconds(estimate(w.group.Spec))
+		w.eachRun(func(run jobs.RunID, _ string) {
+			status, known := p.in.runStatus(run)
+			share := float64(workDone(status, expected)) / float64(max(expected, 1))
+			if known && !status.Stopping && !p.isEnding(w, run) && share > most {
+				furthest, most = run, share
+			}
+		})
 	}
-	return v.age > starvationTimeout && left <= 1
+	p.furthest[job] = furthest
+	return furthest
 }
--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -22,6 +22,7 @@
 	pace        int32 // of all runs, in percent
 	stopping    map[jobs.RunID]bool
 	preemptedAt map[string]time.Duration
+	before      map[jobs.TaskID]bool // tasks that were preempted
 	policy      Policy
 	leading     time.Duration
 	everyRunAt  bool  // every run has started at 0
@@ -32,7 +33,7 @@
 func newPreemptionRig(t testing.TB, workers int) *preemptionRig {
 	return &preemptionRig{
 		fixture: newFixture(t, workers), starts: map[jobs.RunID]Start{}, startedAt: map[jobs.RunID]time.Duration{}, pace: 10,
-		stopping: map[jobs.RunID]bool{}, preemptedAt: map[string]time.Duration{}, policy: Policy{Preemption: true}, leading: time.Minute,
+		stopping: map[jobs.RunID]bool{}, preemptedAt: map[string]time.Duration{}, before: map[jobs.TaskID]bool{}, policy: Policy{Preemption: true}, leading: time.Minute,
 	}
 }
 
@@ -70,7 +71,7 @@
 		preempted = Preempt(view, r.input(), PreemptionState{Leading: r.leading, Stopping: r.stopping, Recently: func(job string) bool {
 			at, known := r.preemptedAt[job]
 			return known && r.now-at < PreemptionPause
-		}})
+		}, Before: func(task jobs.TaskID) bool { return r.before[task] }})
 	})
 	return preempted
 }
@@ -78,11 +79,30 @@
 func (r *preemptionRig) preempt() []Preemption {
 	preempted := r.victims()
 	for _, p := range preempted {
-		r.stopping[p.Run], r.preemptedAt[p.Run.Task.Job] = true, r.now
+		r.stopping[p.Run], r.preemptedAt[p.Run.Task.Job], r.before[p.Run.Task] = true, r.now, true
 	}
 	return preempted
 }
 
+// endDone ends the runs that have worked for their declared time.
+func (r *preemptionRig) endDone() {
+	for run, start := range r.starts {
+		var group *jobs.Group
+		r.state.Read(func(view jobs.View) { _, group, _ = view.Run(run) })
+		if group != nil && r.now-r.startedAt[run] >= time.Duration(group.Spec.EstimatedMs)*time.Millisecond {
+			r.end(start, api.RunOutcome_RUN_OUTCOME_DONE)
+		}
+		if group == nil {
+			delete(r.starts, run)
+		}
+	}
+}
+
+func (r *preemptionRig) ended(job string) (ended bool) {
+	r.state.Read(func(view jobs.View) { ended = view.Job(job).Phase.Ended() })
+	return ended
+}
+
 // endStopped ends the runs that are being stopped.
 func (r *preemptionRig) endStopped() {
 	for run := range r.stopping {
@@ -139,6 +159,10 @@
 			func(r *preemptionRig) { r.submit(batchQueue, bestEffort(2, 1000, 0)); r.place(); r.now += expiredAt }, "", 0},
 		"the last run of an old job": {bestEffort(1, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue,
 			func(r *preemptionRig) { r.workers[1].Open = false }, "", 0},
+		"tasks of an old job that were preempted before": {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue,
+			func(r *preemptionRig) {
+				r.before[jobs.TaskID{Job: "job1"}], r.before[jobs.TaskID{Job: "job1", Index: 1}] = true, true
+			}, "", 0},
 		"a gang":        {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.Gang = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
 		"long-running":  {changed(counted(2, 8000, 0), func(g *api.TaskGroup) { g.LongRunning = true }), batchQueue, expiredAt, counted(1, 8000, 0), urgentQueue, nil, "", 0},
 		"with a ticket": {counted(2, 8000, 0), urgentQueue, expiredAt, counted(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.advised = true; r.planOnly() }, "", 0},
@@ -226,6 +250,34 @@
 	}
 }
 
+// Guards against an old job whose runs are stopped in turn, as urgent tasks come on one
+// worker and then on the other, so that none of them gets to its end.
+func TestJobCompletesThoughItIsPreemptedAgainAndAgain(t *testing.T) {
+	r := newPreemptionRig(t, 2)
+	r.pace = FullPace
+	r.workers[0].Labels, r.workers[1].Labels = []string{"l0"}, []string{"l1"}
+	group := counted(2, 8000, 0)
+	group.EstimatedMs = 20_000
+	old := r.submit(batchQueue, group)
+	r.now = 200 * time.Second // it has expired
+	begin, stops, urgent := r.now, 0, 0
+	for ; !r.ended(old) && r.now-begin < 300*time.Second; r.now += 100 * time.Millisecond {
+		if at := r.now - begin; at%(6*time.Second) == 3*time.Second {
+			group := counted(1, 8000, 0)
+			group.RequiredLabel = fmt.Sprintf("l%d", urgent%2)
+			r.submit(urgentQueue, group)
+			urgent++
+		}
+		r.endStopped()
+		r.endDone()
+		r.place()
+		stops += len(r.preempt())
+	}
+	if r.now-begin >= 300*time.Second || stops == 0 {
+		t.Errorf("the job is not done after %v; %d preemptions", r.now-begin, stops)
+	}
+}
+
 func TestJobIsSparedAfterPreemption(t *testing.T) {
 	r := newPreemptionRig(t, 8)
 	r.submit(batchQueue, bestEffort(8, 8000, 0))
--- a/dispatch/preemptvalue.go
+++ b/dispatch/preemptvalue.go
@@ -72,6 +72,16 @@
 	return groups
 }
 
+// eachRun calls f with each active run of the group and the key of its worker.
+func (w *worth) eachRun(f func(run jobs.RunID, worker string)) {
+	for i := range w.group.Tasks {
+		for _, run := range w.group.Tasks[i].Runs {
+			task := jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: int32(i)}
+			f(jobs.RunID{Task: task, Number: run.Number}, run.Worker)
+		}
+	}
+}
+
 // tryEvaluate determines which groups of a job may give way, none after a panic.
 func tryEvaluate(view jobs.View, in Input, state PreemptionState, groups []*worth, waiting []candidate) {
 	defer func() {
@@ -183,12 +193,12 @@
 	ticket := slices.ContainsFunc(task.Runs, func(r jobs.Run) bool { return r.Number == v.run.Number && r.Ticket != "" })
 	left := v.expected * time.Duration(FullPace-min(status.Percent, FullPace)) / time.Duration(max(status.Pace, 1))
 	lastCopy := v.group.Spec.Speculative && len(task.Runs) == 1 && status.Percent >= nearlyDonePercent
-	if !known || status.Stopping || ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime {
+	if !known || status.Stopping || ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime || p.mustComplete(v) {
 		v.spared = true
 		return
 	}
 	cores := float64(v.group.Spec.MilliCpu) / 1000
-	worked := max(v.expected*time.Duration(status.Percent)/FullPace, status.Age*time.Duration(status.Pace)/FullPace)
+	worked := workDone(status, v.expected)
 	needed := v.needed - min(worked, v.expected, v.needed)
 	v.lateness = latenessOf(v.age, needed, v.objective)
 	lost := relocationCost
@@ -201,6 +211,12 @@
 	v.loss = v.value * (factor*cores*lost.Seconds()/v.work + max(factor-delayed, 0))
 }
 
+// workDone returns the time at full pace that a run has worked, of a task that takes
+// the expected time.
+func workDone(status RunStatus, expected time.Duration) time.Duration {
+	return max(expected*time.Duration(status.Percent)/FullPace, status.Age*time.Duration(status.Pace)/FullPace)
+}
+
 // gain returns the value that a task of the candidate brings.
 func (p *preemptor) gain(c candidate) float64 {
 	estimate := p.in.Durations.ForQueue(c.job.QueueKey)
--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -16,6 +16,7 @@
 type preemption struct {
 	checkedAt time.Time                // when victims were last looked for
 	jobs      map[string]time.Time     // when runs of a job were last preempted, within dispatch.PreemptionPause
+	tasks     map[jobs.TaskID]bool     // tasks that were preempted, while their job has not ended
 	clearing  map[string]clearing      // by worker key
 	stoppedAt map[jobs.RunID]time.Time // when stops of preempted runs were ordered, until they end
 }
@@ -27,7 +28,7 @@
 }
 
 func newPreemption() preemption {
-	return preemption{jobs: map[string]time.Time{}, clearing: map[string]clearing{}, stoppedAt: map[jobs.RunID]time.Time{}}
+	return preemption{jobs: map[string]time.Time{}, tasks: map[jobs.TaskID]bool{}, clearing: map[string]clearing{}, stoppedAt: map[jobs.RunID]time.Time{}}
 }
 
 const (
@@ -50,9 +51,11 @@
 	maps.DeleteFunc(l.preemption.jobs, func(_ string, at time.Time) bool { return now.Sub(at) >= dispatch.PreemptionPause })
 	var preempted []dispatch.Preemption
 	l.assumed.Read(func(view jobs.View) {
+		l.preemption.forgetEnded(view)
 		preempted = dispatch.Preempt(view, l.planInput(view), dispatch.PreemptionState{
 			Leading: now.Sub(l.since), Stopping: l.stopsUnderWay(now),
 			Recently: func(job string) bool { return !l.preemption.jobs[job].IsZero() },
+			Before:   func(task jobs.TaskID) bool { return l.preemption.tasks[task] },
 		})
 	})
 	for _, p := range preempted {
@@ -60,6 +63,14 @@
 	}
 }
 
+// forgetEnded drops the tasks of jobs that have ended.
+func (p *preemption) forgetEnded(view jobs.View) {
+	maps.DeleteFunc(p.tasks, func(task jobs.TaskID, _ bool) bool {
+		job := view.Job(task.Job)
+		return job == nil || job.Phase.Ended()
+	})
+}
+
 // stopsUnderWay returns the runs that are being stopped and whose room is soon free.
 // A preempted run that has not ended within maxClearingTime is left out, so that the
 // task that waits for its room finds other room. The lock is held.
@@ -83,7 +94,7 @@
 	telemetry.JobWorkDiscarded.AddFloat(p.Discarded)
 	l.movingRuns[p.Run] = true
 	l.preemption.stoppedAt[p.Run] = now
-	l.preemption.jobs[p.Run.Task.Job] = now
+	l.preemption.jobs[p.Run.Task.Job], l.preemption.tasks[p.Run.Task] = now, true
 	if p.Set > 1 {
 		c, known := l.preemption.clearing[p.Worker]
 		if !known {
--- a/jobcontrol/preemption_test.go
+++ b/jobcontrol/preemption_test.go
@@ -47,6 +47,12 @@
 	if want := map[bool]int{true: 2}[enabled]; len(stops) != want {
 		r.t.Fatalf("stops %v, want %d of the three runs", stops, want)
 	}
+	r.withLeadership(func(l *leadership) {
+		if remembered := len(l.preemption.tasks); remembered != len(stops) {
+			r.t.Errorf("%d preempted tasks are remembered, want %d", remembered, len(stops))
+		}
+		l.preemption.tasks[jobs.TaskID{Job: "ended"}] = true
+	})
 	for i, stopped := range stops {
 		a.report(&api.WorkerEnd{Run: stopped.Ref(), Outcome: api.RunOutcome_RUN_OUTCOME_STOPPED})
 		r.wait(50 * time.Millisecond)
@@ -55,6 +61,13 @@
 			r.t.Fatalf("starts %v after %d of 2 ends", starts, i+1)
 		}
 	}
+	r.withLeadership(func(l *leadership) {
+		l.preemption.checkedAt = time.Time{}
+		l.preemptRuns()
+		if enabled && len(l.preemption.tasks) != len(stops) {
+			r.t.Errorf("tasks %v are remembered, want only those of jobs that have not ended", l.preemption.tasks)
+		}
+	})
 }
 
 // Guards against a waiting task that waits for the room of a run whose stop was lost.
