dispatch: failed searches hide no victims; no preemption for a chosen wait

Cause: the class of a failed search lacked the place of the data, the gain and the candidate's own job. A waiter bound to a rack kept room elsewhere from others although it was given no victims there. A task that waits by the plan's choice for its rack counted as one without room. A panic left the loads of the search reduced, so that later candidates saw room that is not there.

Change: failed searches have a class of their own, with demand and gain; waiters bound to a rack count on that rack only; with remote_penalty above 1, no runs give way to a task with a data rack while any eligible worker has room; changes of loads are undone after a panic. The rig plans with the policy that it tests, and the property test compares with a plan by the zero Policy.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -1,12 +1,11 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
-	"amaranthpaddle/resource"
 )
 
 // Preemption is a decision to stop a run, so that a waiting task has room.
@@ -95,11 +94,31 @@
 	ahead     []waiter                 // candidates so far that found no room
 	chosen    []Preemption
 	noRoom    unfitDemands // in the room that is coming
-	noVictims unfitDemands // for which no victims were found
+	noVictims map[searchClass][]failedSearch
+	changes   []loadChange // of loads for the present candidate
 
 	failedSearches int
 }
 
+// loadChange is a change of a worker's load, to be undone after a panic.
+type loadChange struct {
+	load  *load
+	group *api.TaskGroup
+	runs  int64
+}
+
+func (p *preemptor) addLoad(l *load, group *api.TaskGroup, runs int64) {
+	p.fleet.add(l, group, runs)
+	p.changes = append(p.changes, loadChange{l, group, runs})
+}
+
+// undoChanges restores the loads as they were before the present candidate.
+func (p *preemptor) undoChanges() {
+	for _, c := range p.changes {
+		p.fleet.add(c.load, c.group, -c.runs)
+	}
+}
+
 // waiter is a candidate that found no room and takes it first once there is some.
 type waiter struct {
 	candidate
@@ -108,9 +127,9 @@
 
 func newPreemptor(view jobs.View, in Input, state PreemptionState, groups []*worth) *preemptor {
 	p := &preemptor{
-		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}, state: state,
+		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfitDemands{}}, state: state,
 		groups: map[*jobs.Group]*worth{}, runs: map[*load][]*victim{}, furthest: map[*jobs.Job]jobs.RunID{}, isComing: map[*load]bool{},
-		noRoom: unfitDemands{}, noVictims: unfitDemands{},
+		noRoom: unfitDemands{}, noVictims: map[searchClass][]failedSearch{},
 	}
 	for _, w := range groups {
 		if w.givesWay {
@@ -157,9 +176,11 @@
 // stopped for it.
 func (p *preemptor) tryMakeRoom(c candidate) {
 	chosen := len(p.chosen)
+	p.changes = p.changes[:0]
 	defer func() {
 		if cause := recover(); cause != nil {
 			p.chosen = p.chosen[:chosen]
+			p.undoChanges()
 			p.in.Panicked(c.job.ID, cause)
 		}
 	}()
@@ -178,6 +199,9 @@
 		c.tickets = tickets
 	}
 	spread := p.spreadOf(c)
+	if p.waitsByChoice(c, spread) {
+		return
+	}
 	for i := range c.group.Tasks {
 		if !needsRun(c.group, i) || c.group.Tasks[i].OnProbation() {
 			continue
@@ -190,13 +214,30 @@
 			p.noteAhead(c, spread)
 			return // all tasks of a group have the same demand
 		}
-		p.fleet.add(l, c.group.Spec, 1)
+		p.addLoad(l, c.group.Spec, 1)
 		spread.workers[l.worker.Key]++
 		spread.racks[l.worker.Rack]++
 		c.waited = 0
 	}
 }
 
+// waitsByChoice reports whether a candidate waits for the rack of its data although it
+// has room elsewhere, now or when stops have ended: the plan expects room on its rack soon.
+func (p *preemptor) waitsByChoice(c candidate, spread spread) bool {
+	if p.in.Policy.RemotePenalty <= 1 || c.group.Spec.DataRack == "" {
+		return false
+	}
+	class, need := p.classOf(c)
+	if p.unfit.covers(class, need) {
+		return false
+	}
+	if slices.ContainsFunc(p.fleet.workers, func(l *load) bool { return p.fits(c, l, spread) }) {
+		return true
+	}
+	p.unfit.note(c, class, need)
+	return false
+}
+
 // roomComing returns a worker on which stops free enough for a task of the
 // candidate, or nil.
 func (p *preemptor) roomComing(c candidate, spread spread) *load {
@@ -217,164 +258,23 @@
 	return demand(c.group.Spec).Fits(l.free()) && p.eligible(c, l, spread)
 }
 
+// takesRoom reports whether a waiter takes a task's room on a worker. One that waits for the rack of
+// its data does not count elsewhere: it is spared no victims there itself, and others
+// would wait for its sake in vain.
+func (p *preemptor) takesRoom(w waiter, l *load) bool {
+	rack := w.group.Spec.DataRack
+	return (rack == "" || rack == l.worker.Rack) && p.fits(w.candidate, l, w.spread)
+}
+
 // noteAhead remembers a candidate without room.
 func (p *preemptor) noteAhead(c candidate, spread spread) {
 	need := demand(c.group.Spec)
-	same := func(w waiter) bool {
-		return w.queue == c.queue && w.group.Spec.BestEffort == c.group.Spec.BestEffort && demand(w.group.Spec).Fits(need)
+	same := func(w waiter) bool { // as w takes all room that c takes
+		rack := w.group.Spec.DataRack
+		return w.queue == c.queue && w.group.Spec.BestEffort == c.group.Spec.BestEffort &&
+			(rack == "" || rack == c.group.Spec.DataRack) && demand(w.group.Spec).Fits(need)
 	}
 	if len(p.ahead) < maxWaitersAhead && !slices.ContainsFunc(p.ahead, same) {
 		p.ahead = append(p.ahead, waiter{c, spread})
 	}
 }
-
-// preemptFor chooses the victims for a task of the candidate and returns their
-// worker, or nil.
-func (p *preemptor) preemptFor(c candidate, spread spread) *load {
-	class, need := p.classOf(c)
-	if p.failedSearches >= maxFailedSearches || !p.inTimeAfterStop(c) || p.noVictims.covers(class, need) {
-		return nil
-	}
-	best, compared := victimSet{loss: p.gain(c)}, 0
-	for _, l := range p.fleet.workers {
-		found, ok := p.victimsOn(l, c, spread, best.loss)
-		if !ok {
-			continue
-		}
-		if best.worker == nil || found.compare(best) < 0 {
-			best = found
-		}
-		if compared++; compared == maxCompared {
-			break
-		}
-	}
-	if best.worker == nil {
-		p.failedSearches++
-		p.noVictims.note(c, class, need)
-		return nil
-	}
-	for _, v := range best.victims {
-		p.fleet.add(best.worker, v.group.Spec, -1)
-		p.chosen = append(p.chosen, Preemption{
-			Run: v.run, Worker: best.worker.worker.Key, Reason: v.reasonFor(c), Discarded: v.discarded, Set: len(best.victims),
-			For: jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex},
-		})
-		v.spared = true // it is chosen once
-	}
-	p.noteComing(best.worker)
-	return best.worker
-}
-
-// victimSet is a set of runs on one worker whose ends make room for a task.
-type victimSet struct {
-	worker    *load
-	victims   []*victim
-	loss      float64 // of value
-	discarded float64 // core-seconds
-}
-
-func (s victimSet) compare(other victimSet) int {
-	return cmp.Or(
-		cmp.Compare(s.loss, other.loss),
-		cmp.Compare(len(s.victims), len(other.victims)),
-		cmp.Compare(s.discarded, other.discarded),
-	)
-}
-
-// victimsOn returns a set of runs on a worker whose ends make room for a task of the
-// candidate, at a loss of less than limit, or of limit if that is 0. None of them can
-// be left out. It returns false if there is none, or if another waiting task would
-// take the room.
-func (p *preemptor) victimsOn(l *load, c candidate, spread spread, limit float64) (set victimSet, found bool) {
-	if !p.worthwhileOn(l, c, spread) {
-		return set, false
-	}
-	set.worker = l
-	for _, v := range p.assessed(l) {
-		if p.fits(c, l, spread) {
-			break
-		}
-		if v.reasonFor(c) == "" || !contributes(v, c, l) {
-			continue
-		}
-		p.fleet.add(l, v.group.Spec, -1)
-		set.victims = append(set.victims, v)
-	}
-	found = p.fits(c, l, spread)
-	for i := len(set.victims) - 1; found && i >= 0; i-- {
-		v := set.victims[i]
-		p.fleet.add(l, v.group.Spec, 1)
-		if p.fits(c, l, spread) {
-			set.victims = slices.Delete(set.victims, i, i+1)
-		} else {
-			p.fleet.add(l, v.group.Spec, -1)
-		}
-	}
-	found = found && len(p.chosen)+len(set.victims) <= maxPreemptions &&
-		!slices.ContainsFunc(p.ahead, func(w waiter) bool { return p.fits(w.candidate, l, w.spread) })
-	for _, v := range set.victims {
-		p.fleet.add(l, v.group.Spec, 1)
-		set.loss += v.loss
-		set.discarded += v.discarded
-	}
-	return set, found && (set.loss < limit || set.loss == 0)
-}
-
-// worthwhileOn reports whether a task of the candidate may run on a worker, at the
-// place of its data or peers, and could have room there if all runs that may give
-// way did.
-func (p *preemptor) worthwhileOn(l *load, c candidate, spread spread) bool {
-	group := c.group.Spec
-	if !l.worker.Open || !l.worker.allows(c.queue, group) ||
-		group.DataRack != "" && group.DataRack != l.worker.Rack ||
-		group.RackLocal && len(spread.racks) > 0 && spread.racks[l.worker.Rack] == 0 {
-		return false
-	}
-	room := l.free()
-	for _, v := range p.runsOn(l) {
-		if !v.spared && v.mayComeAfter(c) {
-			room = room.Add(demand(v.group.Spec))
-		}
-	}
-	return demand(group).Fits(room)
-}
-
-// contributes reports whether the end of a run frees some of what a task of the
-// candidate lacks on the worker.
-func contributes(v *victim, c candidate, l *load) bool {
-	need, free, room := demand(c.group.Spec), l.free(), demand(v.group.Spec)
-	freed := room.Min(need.Sub(free)).Max(resource.Vector{})
-	return !freed.IsZero() || c.group.Spec.BestEffort && v.group.Spec.MilliCpu > 0
-}
-
-// mustComplete reports whether a run is spared so that its job completes, however often
-// more urgent tasks come. Once a job is older than starvationTimeout, it keeps its run that is furthest
-// on, and each of its tasks is preempted at most once. To keep just any one run is not
-// enough: if the runs are stopped in turn, none of them gets to its end.
-func (p *preemptor) mustComplete(v *victim) bool {
-	return v.age > starvationTimeout && (p.state.Before(v.run.Task) || p.furthestRun(v.job) == v.run)
-}
-
-// furthestRun returns the run of a job that has done the largest share of its task,
-// apart from runs that are being stopped and long-running ones.
-func (p *preemptor) furthestRun(job *jobs.Job) (furthest jobs.RunID) {
-	if run, known := p.furthest[job]; known {
-		return run
-	}
-	estimate, most := p.in.Durations.ForQueue(job.QueueKey), -1.0
-	for _, w := range activeGroups(job) {
-		if w.group.Spec.LongRunning {
-			continue
-		}
-		expected := milliseconds(estimate(w.group.Spec))
-		w.eachRun(func(run jobs.RunID, _ string) {
-			status, known := p.in.runStatus(run)
-			share := float64(workDone(status, expected)) / float64(max(expected, 1))
-			if known && !status.Stopping && !p.isEnding(w, run) && share > most {
-				furthest, most = run, share
-			}
-		})
-	}
-	p.furthest[job] = furthest
-	return furthest
-}
--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -25,9 +25,10 @@
 	before      map[jobs.TaskID]bool // tasks that were preempted
 	policy      Policy
 	leading     time.Duration
-	everyRunAt  bool  // every run has started at 0
-	percent     int32 // of their work that all runs have done
-	broken      bool  // the first job panics
+	everyRunAt  bool               // every run has started at 0
+	percent     int32              // of their work that all runs have done
+	broken      bool               // the first job panics
+	perCore     func(Pair) float64 // nil for what is learnt
 }
 
 func newPreemptionRig(t testing.TB, workers int) *preemptionRig {
@@ -37,10 +38,17 @@
 	}
 }
 
-// place plans and notes the starts.
-func (r *preemptionRig) place() []Start {
-	starts := r.plan()
+// place plans with the rig's policy, and applies and notes the starts.
+func (r *preemptionRig) place() (starts []Start) {
+	r.state.Read(func(view jobs.View) {
+		view.Queue(urgentQueue).Advice = nil
+		if r.advised {
+			view.Queue(urgentQueue).Advice = &api.PlacementAdvice{ValidityMs: 1000}
+		}
+		starts = Plan(view, r.input())
+	})
 	for _, start := range starts {
+		r.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
 		r.starts[start.Run], r.startedAt[start.Run] = start, r.now
 	}
 	return starts
@@ -49,6 +57,9 @@
 func (r *preemptionRig) input() Input {
 	in := r.fixture.input()
 	in.Policy = r.policy
+	if r.perCore != nil {
+		in.PerCore, in.Panicked = r.perCore, func(string, any) {}
+	}
 	if r.broken {
 		in.Panicked = func(string, any) {}
 		in.Age = func(job *jobs.Job) time.Duration {
@@ -183,6 +194,15 @@
 		"switched off":              {bestEffort(2, 8000, 0), batchQueue, expiredAt, bestEffort(1, 8000, 0), batchQueue, func(r *preemptionRig) { r.policy = Policy{} }, "", 0},
 		"for a stop that comes too late": {bestEffort(2, 8000, 90_000), batchQueue, expiredAt, counted(1, 1000, 20_000), urgentQueue,
 			func(r *preemptionRig) { r.now += 1200 * time.Millisecond }, "", 0},
+		"for a task that waits for its rack beside room elsewhere": {counted(1, 8000, 0), batchQueue, lateAt,
+			changed(counted(1, 8000, 0), func(g *api.TaskGroup) { g.DataRack = "r0" }), urgentQueue, func(r *preemptionRig) {
+				r.policy.RemotePenalty, r.pace, r.percent = 3, FullPace, 84
+				for i := range r.workers {
+					if r.starts[jobs.RunID{Task: jobs.TaskID{Job: "job1"}, Number: 1}].Worker != r.workers[i].Key {
+						r.workers[i].Rack = "r1"
+					}
+				}
+			}, "", 0},
 		"to a waiting task that another one precedes": {bestEffort(2, 8000, 90_000), batchQueue, lateAt, counted(1, 1000, 30_000), batchQueue,
 			func(r *preemptionRig) { r.jobs++; r.submitted[r.submit(urgentQueue, counted(1, 1000, 20_000))] = 0 }, "", 0},
 	} {
@@ -218,6 +238,38 @@
 	}
 }
 
+// Each case is a task that finds no victims, and a less urgent one that does. Guards
+// against a failed search that hides victims from tasks that it says nothing of, and
+// against room that counts as there after a search that panicked.
+func TestFailedSearchHidesNoVictimsFromOtherTasks(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, second *api.TaskGroup
+		spoil         func(*preemptionRig)
+	}{
+		"bound to another rack": {&api.TaskGroup{Count: 1, MilliCpu: 7000, EstimatedMs: 2000, DataRack: "r0"}, counted(1, 8000, 0), func(*preemptionRig) {}},
+		"a panic": {bestEffort(1, 100, 20_000), counted(1, 500, 20_000), func(r *preemptionRig) {
+			r.perCore = func(Pair) float64 { panic("cost") }
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newPreemptionRig(t, 4)
+			r.workers[0].Labels, r.workers[1].Labels = []string{"held"}, []string{"held"}
+			r.submit(urgentQueue, &api.TaskGroup{Count: 4, MilliCpu: 500, LongRunning: true, TargetLatencyMs: 10, MaxPerWorker: 1, Image: "s"})
+			r.submit(urgentQueue, &api.TaskGroup{Count: 2, MilliCpu: 9000, MemoryMib: 90_000, LongRunning: true, RequiredLabel: "held"})
+			r.submit(batchQueue, bestEffort(2, 100, 90_000), counted(2, 8000, 0))
+			r.place()
+			r.now += expiredAt
+			r.submit(urgentQueue, c.first)
+			second := r.submit(urgentQueue, c.second)
+			c.spoil(r)
+			preempted := r.preempt()
+			if len(preempted) == 0 || preempted[0].For.Job != second {
+				t.Errorf("%v give way, want runs for %s", preempted, second)
+			}
+		})
+	}
+}
+
 // Guards against rounds that stop ever more runs for the same waiting task while a stop
 // is under way, a round that stops too many, a job that is hit again and again, and a
 // new leader that preempts before it knows what an earlier one did.
@@ -315,8 +367,8 @@
 			r.place()
 			r.now += time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "age")) * time.Millisecond
 		}
-		with, without := r.planOnly(), []Start(nil)
-		r.state.Read(func(view jobs.View) { without = Plan(view, r.input()) })
+		with, without := []Start(nil), r.planOnly() // the latter by the zero Policy
+		r.state.Read(func(view jobs.View) { with = Plan(view, r.input()) })
 		if !slices.Equal(with, without) {
 			rt.Fatalf("starts %v, without preemption %v", with, without)
 		}
