dispatch, jobcontrol: the room of every stop counts for 1 s; sets clear a worker apart

Cause: only stops of preempted runs were limited in time; the room of runs that were moved, or whose job has ended or task is done, counted as coming for as long as their stop was lost. A second set on a worker joined the entry of the first, so that the first task waited for both, and the worker was closed to all tasks for up to 1 s.

Change: the leader notes since when each run is being stopped and passes those of less than maxStopTime (1 s); dispatch counts no others. Each set has an entry of its own, the first that has ended opens the worker, and none holds it for more than 0.4 s. The worker stays closed to more urgent tasks meanwhile: a rule for these needs a change of the plan.

--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -32,7 +32,7 @@
 // state of the jobs.
 type PreemptionState struct {
 	Leading  time.Duration         // since the leadership started
-	Stopping map[jobs.RunID]bool   // runs with RunStatus.Stopping whose room is soon free
+	Stopping map[jobs.RunID]bool   // runs that are being stopped for whatever reason, and whose room is soon free
 	Recently func(job string) bool // runs of the job were preempted within PreemptionPause
 	// Before reports whether an earlier run of a task was preempted, however long ago.
 	Before func(task jobs.TaskID) bool
@@ -136,7 +136,7 @@
 			p.groups[w.group] = w
 		}
 		w.eachRun(func(run jobs.RunID, worker string) {
-			if l := p.fleet.byKey[worker]; l != nil && p.isEnding(w, run) {
+			if l := p.fleet.byKey[worker]; l != nil && p.state.Stopping[run] {
 				p.fleet.add(l, w.group.Spec, -1)
 				p.noteComing(l)
 			}
@@ -145,9 +145,26 @@
 	return p
 }
 
-// isEnding reports whether a run is being stopped.
-func (p *preemptor) isEnding(w *worth, run jobs.RunID) bool {
-	return w.ended || p.state.Stopping[run] || w.group.Tasks[run.Task.Index].Done || w.group.Broken(run.Number)
+// EachStopped calls f with each active run that is stopped because its job has ended,
+// its task is done or its gang is broken.
+func EachStopped(view jobs.View, f func(run jobs.RunID)) {
+	view.ActiveJobs(func(job *jobs.Job) {
+		if job.ActiveRuns() == 0 {
+			return
+		}
+		for _, w := range activeGroups(job) {
+			w.eachRun(func(run jobs.RunID, _ string) {
+				if w.mustStop(run) {
+					f(run)
+				}
+			})
+		}
+	})
+}
+
+// isStopped reports whether a run is being stopped.
+func (p *preemptor) isStopped(w *worth, run jobs.RunID) bool {
+	return p.state.Stopping[run] || w.mustStop(run)
 }
 
 // runsOn returns the runs on a worker that may give way to some candidate.
@@ -157,7 +174,7 @@
 	}
 	runs := make([]*victim, 0, l.runs)
 	p.view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
-		if w := p.groups[group]; w != nil && !p.isEnding(w, run) {
+		if w := p.groups[group]; w != nil && !p.isStopped(w, run) {
 			runs = append(runs, &victim{worth: w, run: run})
 		}
 	})
--- a/dispatch/preemptvalue.go
+++ b/dispatch/preemptvalue.go
@@ -82,6 +82,11 @@
 	}
 }
 
+// mustStop reports whether a run is of no use any more.
+func (w *worth) mustStop(run jobs.RunID) bool {
+	return w.ended || w.group.Tasks[run.Task.Index].Done || w.group.Broken(run.Number)
+}
+
 // tryEvaluate determines which groups of a job may give way, none after a panic.
 func tryEvaluate(view jobs.View, in Input, state PreemptionState, groups []*worth, waiting []candidate) {
 	defer func() {
--- a/dispatch/victims.go
+++ b/dispatch/victims.go
@@ -195,7 +195,7 @@
 		w.eachRun(func(run jobs.RunID, _ string) {
 			status, known := p.in.runStatus(run)
 			share := float64(workDone(status, expected)) / float64(max(expected, 1))
-			if known && !status.Stopping && !p.isEnding(w, run) && share > most {
+			if known && !status.Stopping && !p.isStopped(w, run) && share > most {
 				furthest, most = run, share
 			}
 		})
--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -14,21 +14,22 @@
 
 // preemption is what a leader remembers of the runs that it preempted.
 type preemption struct {
-	checkedAt time.Time                // when victims were last looked for
-	jobs      map[string]time.Time     // when runs of a job were last preempted, within dispatch.PreemptionPause
-	tasks     map[jobs.TaskID]bool     // tasks that were preempted, while their job has not ended
-	clearing  map[string]clearing      // by worker key
-	stoppedAt map[jobs.RunID]time.Time // when stops of preempted runs were ordered, until they end
+	checkedAt time.Time            // when victims were last looked for
+	jobs      map[string]time.Time // when runs of a job were last preempted, within dispatch.PreemptionPause
+	tasks     map[jobs.TaskID]bool // tasks that were preempted, while their job has not ended
+	clearing  []clearing
+	stoppedAt map[jobs.RunID]time.Time // since when runs are being stopped, for whatever reason, until they end
 }
 
 // clearing is a set of runs on one worker that give way to the same task.
 type clearing struct {
-	since time.Time
-	runs  []jobs.RunID
+	worker string // key of the incarnation
+	since  time.Time
+	runs   []jobs.RunID
 }
 
 func newPreemption() preemption {
-	return preemption{jobs: map[string]time.Time{}, tasks: map[jobs.TaskID]bool{}, clearing: map[string]clearing{}, stoppedAt: map[jobs.RunID]time.Time{}}
+	return preemption{jobs: map[string]time.Time{}, tasks: map[jobs.TaskID]bool{}, stoppedAt: map[jobs.RunID]time.Time{}}
 }
 
 const (
@@ -36,8 +37,13 @@
 	// time that the most urgent jobs can wait and still be in time.
 	preemptionInterval = 100 * time.Millisecond
 	// maxClearingTime is how long a worker stays closed to starts while several runs
-	// there give way to one task. A stop that takes longer is likely lost.
-	maxClearingTime = time.Second
+	// there give way to one task. Stops usually take less; longer, more urgent tasks
+	// that fit beside the remaining runs would be delayed for a stop that may be lost.
+	maxClearingTime = 400 * time.Millisecond
+	// maxStopTime is how long the room of a run that is being stopped counts as soon
+	// free. An agent's call to stop a run times out after 800 ms, so a stop that takes
+	// longer is likely lost.
+	maxStopTime = time.Second
 )
 
 // preemptRuns marks runs that give way to waiting tasks of more value. They are then
@@ -53,7 +59,7 @@
 	l.assumed.Read(func(view jobs.View) {
 		l.preemption.forgetEnded(view)
 		preempted = dispatch.Preempt(view, l.planInput(view), dispatch.PreemptionState{
-			Leading: now.Sub(l.since), Stopping: l.stopsUnderWay(now),
+			Leading: now.Sub(l.since), Stopping: l.stopsUnderWay(view, now),
 			Recently: func(job string) bool { return !l.preemption.jobs[job].IsZero() },
 			Before:   func(task jobs.TaskID) bool { return l.preemption.tasks[task] },
 		})
@@ -61,6 +67,11 @@
 	for _, p := range preempted {
 		l.recordPreemption(p, now)
 	}
+	for rest := preempted; len(rest) > 0; {
+		set := rest[:rest[0].Set]
+		l.preemption.clear(set, now)
+		rest = rest[len(set):]
+	}
 }
 
 // forgetEnded drops the tasks of jobs that have ended.
@@ -72,18 +83,26 @@
 }
 
 // stopsUnderWay returns the runs that are being stopped and whose room is soon free.
-// A preempted run that has not ended within maxClearingTime is left out, so that the
-// task that waits for its room finds other room. The lock is held.
-func (l *leadership) stopsUnderWay(now time.Time) map[jobs.RunID]bool {
-	stopping := maps.Clone(l.movingRuns)
-	for run, at := range l.preemption.stoppedAt {
-		switch {
-		case !l.movingRuns[run]:
-			delete(l.preemption.stoppedAt, run)
-		case now.Sub(at) >= maxClearingTime:
-			delete(stopping, run)
+// A run that has not ended within maxStopTime is left out, so that the task that waits
+// for its room finds other room. The lock is held.
+func (l *leadership) stopsUnderWay(view jobs.View, now time.Time) map[jobs.RunID]bool {
+	stopping := map[jobs.RunID]bool{}
+	note := func(run jobs.RunID) {
+		at, known := l.preemption.stoppedAt[run]
+		if !known {
+			at = now
+			l.preemption.stoppedAt[run] = at
 		}
+		stopping[run] = now.Sub(at) < maxStopTime
 	}
+	for run := range l.movingRuns {
+		note(run)
+	}
+	dispatch.EachStopped(view, note)
+	maps.DeleteFunc(l.preemption.stoppedAt, func(run jobs.RunID, _ time.Time) bool {
+		_, stopped := stopping[run]
+		return !stopped
+	})
 	return stopping
 }
 
@@ -95,30 +114,39 @@
 	l.movingRuns[p.Run] = true
 	l.preemption.stoppedAt[p.Run] = now
 	l.preemption.jobs[p.Run.Task.Job], l.preemption.tasks[p.Run.Task] = now, true
-	if p.Set > 1 {
-		c, known := l.preemption.clearing[p.Worker]
-		if !known {
-			c.since = now
-		}
-		c.runs = append(c.runs, p.Run)
-		l.preemption.clearing[p.Worker] = c
+}
+
+// clear remembers a set of runs that give way to one task.
+func (p *preemption) clear(set []dispatch.Preemption, now time.Time) {
+	if len(set) == 1 {
+		return // its end alone makes the room
+	}
+	c := clearing{worker: set[0].Worker, since: now}
+	for _, s := range set {
+		c.runs = append(c.runs, s.Run)
 	}
+	p.clearing = append(p.clearing, c)
 }
 
 // holdClearingWorkers closes the workers in the input of a plan on which several runs
 // give way to one task, until all of them have ended. Their ends may be committed in
-// different batches, and less urgent tasks would take the room of the first one. The
-// lock is held.
+// different batches, and less urgent tasks would take the room of the first one. Of
+// several sets on a worker the first that has ended opens it, so that its task does
+// not wait for the others. The lock is held.
 func (l *leadership) holdClearingWorkers(view jobs.View, in dispatch.Input) dispatch.Input {
 	now := l.server.now()
-	maps.DeleteFunc(l.preemption.clearing, func(_ string, c clearing) bool {
-		return now.Sub(c.since) >= maxClearingTime || !slices.ContainsFunc(c.runs, func(run jobs.RunID) bool {
+	open := map[string]bool{} // workers on which a set has ended
+	for _, c := range l.preemption.clearing {
+		if now.Sub(c.since) >= maxClearingTime || !slices.ContainsFunc(c.runs, func(run jobs.RunID) bool {
 			job, _, _ := view.Run(run)
 			return job != nil
-		})
-	})
-	for i := range in.Workers {
-		if _, held := l.preemption.clearing[in.Workers[i].Key]; held {
+		}) {
+			open[c.worker] = true
+		}
+	}
+	l.preemption.clearing = slices.DeleteFunc(l.preemption.clearing, func(c clearing) bool { return open[c.worker] })
+	for _, c := range l.preemption.clearing {
+		if i := slices.IndexFunc(in.Workers, func(w dispatch.Worker) bool { return w.Key == c.worker }); i >= 0 {
 			in.Workers[i].Open = false
 		}
 	}
