dispatch: property test of preemption with reservations and remote_penalty

Change: a load of 60 rounds on one to five workers, with runs that take six times their declared time. No worker is overcommitted, no protected run is stopped, and the most urgent waiting task, if it is in time, counted and not bound to a rack, never waits beside a worker on which unprotected runs without value hold its room, unless runs are being stopped or a reservation holds room that it fits in.

--- a/dispatch/preempt_test.go
+++ b/dispatch/preempt_test.go
@@ -25,6 +25,7 @@
 	before      map[jobs.TaskID]bool // tasks that were preempted
 	policy      Policy
 	leading     time.Duration
+	slowdown    int64              // of runs, as a multiple of their declared time
 	everyRunAt  bool               // every run has started at 0
 	percent     int32              // of their work that all runs have done
 	lost        bool               // the stops of runs that are of no use are lost
@@ -35,7 +36,7 @@
 func newPreemptionRig(t testing.TB, workers int) *preemptionRig {
 	return &preemptionRig{
 		fixture: newFixture(t, workers), starts: map[jobs.RunID]Start{}, startedAt: map[jobs.RunID]time.Duration{}, pace: 10,
-		stopping: map[jobs.RunID]bool{}, preemptedAt: map[string]time.Duration{}, before: map[jobs.TaskID]bool{}, policy: Policy{Preemption: true}, leading: time.Minute,
+		stopping: map[jobs.RunID]bool{}, preemptedAt: map[string]time.Duration{}, before: map[jobs.TaskID]bool{}, policy: Policy{Preemption: true}, leading: time.Minute, slowdown: 1,
 	}
 }
 
@@ -46,7 +47,8 @@
 		if r.advised {
 			view.Queue(urgentQueue).Advice = &api.PlacementAdvice{ValidityMs: 1000}
 		}
-		starts = Plan(view, r.input())
+		schedule := MakeSchedule(view, r.input())
+		starts, r.reserved = schedule.Starts, schedule.Reservations
 	})
 	for _, start := range starts {
 		r.apply(&api.JobChange{Body: &api.JobChange_Start{Start: &api.StartRun{Run: start.Run.Ref(), Worker: start.Worker}}})
@@ -100,16 +102,18 @@
 	return preempted
 }
 
-// endDone ends the runs that have worked for their declared time.
+// endDone ends the runs that have worked for their actual time.
 func (r *preemptionRig) endDone() {
 	for run, start := range r.starts {
 		var group *jobs.Group
 		r.state.Read(func(view jobs.View) { _, group, _ = view.Run(run) })
-		if group != nil && r.now-r.startedAt[run] >= time.Duration(group.Spec.EstimatedMs)*time.Millisecond {
+		if group != nil && r.now-r.startedAt[run] >= time.Duration(r.slowdown*group.Spec.EstimatedMs)*time.Millisecond {
 			r.end(start, api.RunOutcome_RUN_OUTCOME_DONE)
+			group = nil
 		}
 		if group == nil {
 			delete(r.starts, run)
+			delete(r.stopping, run)
 		}
 	}
 }
@@ -420,6 +424,112 @@
 	})
 }
 
+// pass moves the clock and lets the reservations age.
+func (r *preemptionRig) pass(d time.Duration) {
+	r.now += d
+	for i := range r.reserved {
+		h := &r.reserved[i]
+		h.At.Likely, h.At.Latest, h.Due = max(h.At.Likely-d, 0), max(h.At.Latest-d, 0), h.Due-d
+	}
+}
+
+// Plays a load with all features on that meet in a plan. Guards against room that is
+// given away twice, against protected runs that are stopped, and against a task in
+// time that waits beside runs without value.
+func TestPreemptionTogetherWithReservationsAndRemotePenalty(t *testing.T) {
+	stops, held := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newPreemptionRig(t, rapid.IntRange(1, 5).Draw(rt, "workers"))
+		r.policy.Reservations, r.policy.RemotePenalty, r.pace, r.slowdown = 2, 3, FullPace, 6
+		for step := range 60 {
+			for range rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(rt, "jobs") {
+				group := counted(rapid.Int32Range(1, 4).Draw(rt, "count"), rapid.Int64Range(1500, 10_000).Draw(rt, "cpu"), rapid.Int64Range(15_000, 90_000).Draw(rt, "memory"))
+				group.EstimatedMs = rapid.Int64Range(500, 2000).Draw(rt, "estimate")
+				group.DataRack = rapid.SampledFrom([]string{"", "", "r0", "r1"}).Draw(rt, "rack")
+				kind := rapid.IntRange(0, 9).Draw(rt, "kind")
+				group.Gang, group.LongRunning, group.BestEffort = kind == 0, kind == 1 && step < 5, kind == 2
+				r.submit(rapid.SampledFrom([]string{urgentQueue, batchQueue}).Draw(rt, "queue"), group)
+			}
+			r.endDone()
+			if step%4 == 0 {
+				r.endStopped()
+			}
+			r.place()
+			held += len(r.reserved)
+			before := maps.Clone(r.before)
+			recent := maps.Clone(r.preemptedAt)
+			preempted := r.preempt()
+			stops += len(preempted)
+			r.state.Read(func(view jobs.View) { r.checkPreempted(rt, view, preempted, before, recent) })
+			r.pass(300 * time.Millisecond)
+		}
+	})
+	if stops == 0 || held == 0 {
+		t.Errorf("%d stops, %d reservations: the load tests nothing", stops, held)
+	}
+}
+
+// checkPreempted checks that no worker is overcommitted, that the preempted runs are
+// not protected, and that the first waiting task finds no room in that of its own and of runs without
+// value, unless runs are being stopped.
+func (r *preemptionRig) checkPreempted(
+	t *rapid.T, view jobs.View, preempted []Preemption, before map[jobs.TaskID]bool, recent map[string]time.Duration,
+) {
+	fleet := newFleetLoad(view, r.workers)
+	for _, l := range fleet.workers {
+		if !l.used.Fits(l.worker.Capacity) {
+			t.Fatalf("%v is used on %s", l.used, l.worker.Key)
+		}
+	}
+	justChosen := map[jobs.RunID]bool{}
+	for _, p := range preempted {
+		justChosen[p.Run] = true
+	}
+	spared := func(run jobs.RunID) bool {
+		job, group, _ := view.Run(run)
+		at, known := recent[run.Task.Job]
+		old := r.now-r.submitted[job.ID] > starvationTimeout
+		furthest := true // the runs of a job, which has one group, progress at the same rate
+		for i := range group.Tasks {
+			for _, other := range group.Tasks[i].Runs {
+				id := jobs.RunID{Task: run.Task, Number: other.Number}
+				id.Task.Index = int32(i)
+				furthest = furthest && (r.stopping[id] && !justChosen[id] || r.startedAt[run] <= r.startedAt[id])
+			}
+		}
+		return group.Spec.Gang || group.Spec.LongRunning || known && r.now-at < PreemptionPause || old && before[run.Task] || old && furthest && (!justChosen[run] || job.ActiveRuns() == 1)
+	}
+	for _, p := range preempted {
+		if spared(p.Run) {
+			t.Fatalf("%+v is protected", p)
+		}
+	}
+	all := candidates(view, r.input())
+	if len(r.stopping) > 0 || len(all) == 0 || all[0].lateness != inTime || all[0].slack < preemptionStopTime {
+		return
+	}
+	c := all[0]
+	if group := c.group.Spec; group.Gang || group.BestEffort || group.LongRunning || group.DataRack != "" {
+		return
+	}
+	if slices.ContainsFunc(fleet.workers, func(l *load) bool { return demand(c.group.Spec).Fits(l.free()) }) {
+		return // a reservation holds the room
+	}
+	for _, l := range fleet.workers {
+		free := l.free()
+		view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
+			job, _, _ := view.Run(run)
+			objective := Objective(view.QueueOf(job), job.Spec, r.learned.Durations.ForQueue(job.QueueKey))
+			if !spared(run) && !r.stopping[run] && r.now-r.submitted[job.ID] > expiryFactor*objective {
+				free = free.Add(demand(group.Spec))
+			}
+		})
+		if demand(c.group.Spec).Fits(free) {
+			t.Fatalf("%v waits beside %s with %v free without the runs that have no value", c.groupID(), l.worker.Key, free)
+		}
+	}
+}
+
 // BenchmarkPreemptBacklog measures a search for victims over a backlog on a full fleet:
 // nothing may give way, or the runs of expired jobs.
 func BenchmarkPreemptBacklog(b *testing.B) {
