--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -42,15 +42,30 @@
 const (
 	// PreemptionPause is the time for which a job is spared after runs of it were
 	// preempted, and a new leader preempts nothing: it does not know what an earlier one did.
-	PreemptionPause    = 5 * time.Second
-	maxPreemptions     = 8                      // runs per call
-	maxFailedSearches  = 6                      // per call, each of them over all workers
-	maxCompared        = 12                     // workers with victims, per search
-	maxWaitersAhead    = 8                      // distinct demands that are compared with the room of preempted runs
-	preemptionStopTime = 300 * time.Millisecond // until the room is free: order to the agent, checkpoint, commit of the end
-	nearlyDonePercent  = 75                     // from which the last copy of a speculative task is spared
+	PreemptionPause = 5 * time.Second
+
+	// maxPreemptions bounds the runs of a call, so that later calls see the effect of
+	// earlier ones before much work is stopped.
+	maxPreemptions = 8
+	// maxFailedSearches bounds the time of a call under a backlog, as each failed search
+	// compares all workers.
+	maxFailedSearches = 6
+	// maxCompared bounds the workers with victims whose sets are compared in a search, as
+	// all runs on each of them are assessed.
+	maxCompared = 12
+	// maxWaitersAhead bounds the distinct demands that are compared with the room of each
+	// set of victims. A demand that another one of its queue covers needs no entry.
+	maxWaitersAhead = 8
+	// nearlyDonePercent is from which the last copy of a speculative task is spared: another
+	// run of it would begin anew while this one needs a quarter of its time.
+	nearlyDonePercent = 75
 )
 
+// preemptionStopTime is the time from the order to stop a run until the waiting task
+// starts: the usual time of a stop, and a round to plan and commit the start. stopBand
+// alone describes when the room is free, for forecasts.
+var preemptionStopTime = stopBand.Likely + 100*time.Millisecond
+
 // Preempt returns the runs to stop, so that waiting tasks that can still be in time
 // find room. The view contains the starts that were just planned.
 //
@@ -275,9 +290,9 @@
 	return demand(c.group.Spec).Fits(l.free()) && p.eligible(c, l, spread)
 }
 
-// takesRoom reports whether a waiter takes a task's room on a worker. One that waits for the rack of
-// its data does not count elsewhere: it is spared no victims there itself, and others
-// would wait for its sake in vain.
+// takesRoom reports whether a waiter takes the room on a worker before later candidates
+// do. One that waits for the rack of its data does not count elsewhere: no runs there
+// give way to it, and later candidates would wait for its sake in vain.
 func (p *preemptor) takesRoom(w waiter, l *load) bool {
 	rack := w.group.Spec.DataRack
 	return (rack == "" || rack == l.worker.Rack) && p.fits(w.candidate, l, w.spread)
--- a/dispatch/preemptvalue.go
+++ b/dispatch/preemptvalue.go
@@ -8,8 +8,8 @@
 	"amaranthpaddle/jobs"
 )
 
-// lateValue is the share of its value that a late job has, from the users' account:
-// about a seventh.
+// lateValue is the share of its value that a late job has, as the users state it: 0.15
+// of the value.
 const lateValue = 0.15
 
 // valueFactor returns the share of its value that a job has.
@@ -23,22 +23,30 @@
 	return 0
 }
 
-// worth describes the runs of a group as possible victims.
-type worth struct {
+// activeGroup is a group with active runs.
+type activeGroup struct {
 	job        *jobs.Job
 	group      *jobs.Group
 	occurrence int32
 	groupIndex int32
-	priority   int32
-	age        time.Duration
-	needed     time.Duration // remaining critical path, without the progress of runs
-	objective  time.Duration
-	expected   time.Duration // duration of a task at full pace
-	value      float64       // of the job in time
-	work       float64       // remaining core-seconds
-	requeued   lateness      // of the job among the candidates, if the run ended now
-	ended      bool          // the job has ended; its runs are being stopped
-	givesWay   bool          // to some candidate
+	ended      bool // the job has ended; its runs are being stopped
+}
+
+// worth is what the runs of a group are worth, as possible victims.
+type worth struct {
+	activeGroup
+	priority  int32
+	age       time.Duration
+	needed    time.Duration // remaining critical path, without the progress of runs
+	objective time.Duration
+	expected  time.Duration // duration of a task at full pace
+	value     float64       // of the job in time
+	work      float64       // remaining core-seconds
+	// requeued is the lateness of the job among the candidates, if a run ended now. It
+	// decides on the order and ignores the progress of runs, as the plan does; the lateness
+	// of a victim counts the progress of that run and decides on the loss.
+	requeued lateness
+	givesWay bool // to some candidate
 }
 
 // groupsToStop returns the groups with active runs, if runs of some of them may give
@@ -63,9 +71,9 @@
 	for k, occurrence := range job.Occurrences {
 		for g, group := range occurrence.Groups {
 			if slices.ContainsFunc(group.Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 }) {
-				groups = append(groups, &worth{
+				groups = append(groups, &worth{activeGroup: activeGroup{
 					job: job, group: group, occurrence: int32(k), groupIndex: int32(g), ended: job.Phase.Ended(),
-				})
+				}})
 			}
 		}
 	}
@@ -73,7 +81,7 @@
 }
 
 // eachRun calls f with each active run of the group and the key of its worker.
-func (w *worth) eachRun(f func(run jobs.RunID, worker string)) {
+func (w *activeGroup) eachRun(f func(run jobs.RunID, worker string)) {
 	for i := range w.group.Tasks {
 		for _, run := range w.group.Tasks[i].Runs {
 			task := jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: int32(i)}
@@ -83,7 +91,7 @@
 }
 
 // mustStop reports whether a run is of no use any more.
-func (w *worth) mustStop(run jobs.RunID) bool {
+func (w *activeGroup) mustStop(run jobs.RunID) bool {
 	return w.ended || w.group.Tasks[run.Task.Index].Done || w.group.Broken(run.Number)
 }
 
