--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -1,12 +1,11 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
-	"amaranthpaddle/resource"
 )
 
 // Preemption is a decision to stop a run, so that a waiting task has room.
@@ -33,23 +32,40 @@
 // state of the jobs.
 type PreemptionState struct {
 	Leading  time.Duration         // since the leadership started
-	Stopping map[jobs.RunID]bool   // runs with RunStatus.Stopping whose room is soon free
+	Stopping map[jobs.RunID]bool   // runs that are being stopped for whatever reason, and whose room is soon free
 	Recently func(job string) bool // runs of the job were preempted within PreemptionPause
+	// Before reports whether an earlier run of a task was preempted, however long ago.
+	Before func(task jobs.TaskID) bool
 }
 
 // Parameters of preemption.
 const (
 	// PreemptionPause is the time for which a job is spared after runs of it were
 	// preempted, and a new leader preempts nothing: it does not know what an earlier one did.
-	PreemptionPause    = 5 * time.Second
-	maxPreemptions     = 8                      // runs per call
-	maxFailedSearches  = 6                      // per call, each of them over all workers
-	maxCompared        = 12                     // workers with victims, per search
-	maxWaitersAhead    = 8                      // distinct demands that are compared with the room of preempted runs
-	preemptionStopTime = 300 * time.Millisecond // until the room is free: order to the agent, checkpoint, commit of the end
-	nearlyDonePercent  = 75                     // from which the last copy of a speculative task is spared
+	PreemptionPause = 5 * time.Second
+
+	// maxPreemptions bounds the runs of a call, so that later calls see the effect of
+	// earlier ones before much work is stopped.
+	maxPreemptions = 8
+	// maxFailedSearches bounds the time of a call under a backlog, as each failed search
+	// compares all workers.
+	maxFailedSearches = 6
+	// maxCompared bounds the workers with victims whose sets are compared in a search, as
+	// all runs on each of them are assessed.
+	maxCompared = 12
+	// maxWaitersAhead bounds the distinct demands that are compared with the room of each
+	// set of victims. A demand that another one of its queue covers needs no entry.
+	maxWaitersAhead = 8
+	// nearlyDonePercent is from which the last copy of a speculative task is spared: another
+	// run of it would begin anew while this one needs a quarter of its time.
+	nearlyDonePercent = 75
 )
 
+// preemptionStopTime is the time from the order to stop a run until the waiting task
+// starts: the usual time of a stop, and a round to plan and commit the start. stopBand
+// alone describes when the room is free, for forecasts.
+var preemptionStopTime = stopBand.Likely + 100*time.Millisecond
+
 // Preempt returns the runs to stop, so that waiting tasks that can still be in time
 // find room. The view contains the starts that were just planned.
 //
@@ -85,19 +101,39 @@
 type preemptor struct {
 	planner
 	state     PreemptionState
-	groups    map[*jobs.Group]*worth // whose runs may give way to some candidate
-	runs      map[*load][]*victim    // of these groups, filled on first use
-	ending    map[string]int         // runs that are stopping or chosen, by job
-	coming    []*load                // workers with room that stops free
-	isComing  map[*load]bool         // the same as a set
-	ahead     []waiter               // candidates so far that found no room
+	groups    map[*jobs.Group]*worth   // whose runs may give way to some candidate
+	runs      map[*load][]*victim      // of these groups, filled on first use
+	furthest  map[*jobs.Job]jobs.RunID // the run of a job that has done most of its work, filled on first use
+	coming    []*load                  // workers with room that stops free
+	isComing  map[*load]bool           // the same as a set
+	ahead     []waiter                 // candidates so far that found no room
 	chosen    []Preemption
 	noRoom    unfitDemands // in the room that is coming
-	noVictims unfitDemands // for which no victims were found
+	noVictims map[searchClass][]failedSearch
+	changes   []loadChange // of loads for the present candidate
 
 	failedSearches int
 }
 
+// loadChange is a change of a worker's load, to be undone after a panic.
+type loadChange struct {
+	load  *load
+	group *api.TaskGroup
+	runs  int64
+}
+
+func (p *preemptor) addLoad(l *load, group *api.TaskGroup, runs int64) {
+	p.fleet.add(l, group, runs)
+	p.changes = append(p.changes, loadChange{l, group, runs})
+}
+
+// undoChanges restores the loads as they were before the present candidate.
+func (p *preemptor) undoChanges() {
+	for _, c := range p.changes {
+		p.fleet.add(c.load, c.group, -c.runs)
+	}
+}
+
 // waiter is a candidate that found no room and takes it first once there is some.
 type waiter struct {
 	candidate
@@ -106,31 +142,44 @@
 
 func newPreemptor(view jobs.View, in Input, state PreemptionState, groups []*worth) *preemptor {
 	p := &preemptor{
-		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers)}, state: state,
-		groups: map[*jobs.Group]*worth{}, runs: map[*load][]*victim{}, ending: map[string]int{}, isComing: map[*load]bool{},
-		noRoom: unfitDemands{}, noVictims: unfitDemands{},
+		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfitDemands{}}, state: state,
+		groups: map[*jobs.Group]*worth{}, runs: map[*load][]*victim{}, furthest: map[*jobs.Job]jobs.RunID{}, isComing: map[*load]bool{},
+		noRoom: unfitDemands{}, noVictims: map[searchClass][]failedSearch{},
 	}
 	for _, w := range groups {
 		if w.givesWay {
 			p.groups[w.group] = w
 		}
-		for i := range w.group.Tasks {
-			for _, run := range w.group.Tasks[i].Runs {
-				id := jobs.RunID{Task: jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: int32(i)}, Number: run.Number}
-				if l := p.fleet.byKey[run.Worker]; l != nil && p.isEnding(w, id) {
-					p.fleet.add(l, w.group.Spec, -1)
-					p.ending[w.job.ID]++
-					p.noteComing(l)
-				}
+		w.eachRun(func(run jobs.RunID, worker string) {
+			if l := p.fleet.byKey[worker]; l != nil && p.state.Stopping[run] {
+				p.fleet.add(l, w.group.Spec, -1)
+				p.noteComing(l)
 			}
-		}
+		})
 	}
 	return p
 }
 
-// isEnding reports whether a run is being stopped.
-func (p *preemptor) isEnding(w *worth, run jobs.RunID) bool {
-	return w.ended || p.state.Stopping[run] || w.group.Tasks[run.Task.Index].Done || w.group.Broken(run.Number)
+// EachStopped calls f with each active run that is stopped because its job has ended,
+// its task is done or its gang is broken.
+func EachStopped(view jobs.View, f func(run jobs.RunID)) {
+	view.ActiveJobs(func(job *jobs.Job) {
+		if job.ActiveRuns() == 0 {
+			return
+		}
+		for _, w := range activeGroups(job) {
+			w.eachRun(func(run jobs.RunID, _ string) {
+				if w.mustStop(run) {
+					f(run)
+				}
+			})
+		}
+	})
+}
+
+// isStopped reports whether a run is being stopped.
+func (p *preemptor) isStopped(w *worth, run jobs.RunID) bool {
+	return p.state.Stopping[run] || w.mustStop(run)
 }
 
 // runsOn returns the runs on a worker that may give way to some candidate.
@@ -140,7 +189,7 @@
 	}
 	runs := make([]*victim, 0, l.runs)
 	p.view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
-		if w := p.groups[group]; w != nil && !p.isEnding(w, run) {
+		if w := p.groups[group]; w != nil && !p.isStopped(w, run) {
 			runs = append(runs, &victim{worth: w, run: run})
 		}
 	})
@@ -159,9 +208,11 @@
 // stopped for it.
 func (p *preemptor) tryMakeRoom(c candidate) {
 	chosen := len(p.chosen)
+	p.changes = p.changes[:0]
 	defer func() {
 		if cause := recover(); cause != nil {
 			p.chosen = p.chosen[:chosen]
+			p.undoChanges()
 			p.in.Panicked(c.job.ID, cause)
 		}
 	}()
@@ -180,6 +231,9 @@
 		c.tickets = tickets
 	}
 	spread := p.spreadOf(c)
+	if p.waitsByChoice(c, spread) {
+		return
+	}
 	for i := range c.group.Tasks {
 		if !needsRun(c.group, i) || c.group.Tasks[i].OnProbation() {
 			continue
@@ -192,13 +246,30 @@
 			p.noteAhead(c, spread)
 			return // all tasks of a group have the same demand
 		}
-		p.fleet.add(l, c.group.Spec, 1)
+		p.addLoad(l, c.group.Spec, 1)
 		spread.workers[l.worker.Key]++
 		spread.racks[l.worker.Rack]++
 		c.waited = 0
 	}
 }
 
+// waitsByChoice reports whether a candidate waits for the rack of its data although it
+// has room elsewhere, now or when stops have ended: the plan expects room on its rack soon.
+func (p *preemptor) waitsByChoice(c candidate, spread spread) bool {
+	if p.in.Policy.RemotePenalty <= 1 || c.group.Spec.DataRack == "" {
+		return false
+	}
+	class, need := p.classOf(c)
+	if p.unfit.covers(class, need) {
+		return false
+	}
+	if slices.ContainsFunc(p.fleet.workers, func(l *load) bool { return p.fits(c, l, spread) }) {
+		return true
+	}
+	p.unfit.note(c, class, need)
+	return false
+}
+
 // roomComing returns a worker on which stops free enough for a task of the
 // candidate, or nil.
 func (p *preemptor) roomComing(c candidate, spread spread) *load {
@@ -219,146 +290,23 @@
 	return demand(c.group.Spec).Fits(l.free()) && p.eligible(c, l, spread)
 }
 
+// takesRoom reports whether a waiter takes the room on a worker before later candidates
+// do. One that waits for the rack of its data does not count elsewhere: no runs there
+// give way to it, and later candidates would wait for its sake in vain.
+func (p *preemptor) takesRoom(w waiter, l *load) bool {
+	rack := w.group.Spec.DataRack
+	return (rack == "" || rack == l.worker.Rack) && p.fits(w.candidate, l, w.spread)
+}
+
 // noteAhead remembers a candidate without room.
 func (p *preemptor) noteAhead(c candidate, spread spread) {
 	need := demand(c.group.Spec)
-	same := func(w waiter) bool {
-		return w.queue == c.queue && w.group.Spec.BestEffort == c.group.Spec.BestEffort && demand(w.group.Spec).Fits(need)
+	same := func(w waiter) bool { // as w takes all room that c takes
+		rack := w.group.Spec.DataRack
+		return w.queue == c.queue && w.group.Spec.BestEffort == c.group.Spec.BestEffort &&
+			(rack == "" || rack == c.group.Spec.DataRack) && demand(w.group.Spec).Fits(need)
 	}
 	if len(p.ahead) < maxWaitersAhead && !slices.ContainsFunc(p.ahead, same) {
 		p.ahead = append(p.ahead, waiter{c, spread})
 	}
 }
-
-// preemptFor chooses the victims for a task of the candidate and returns their
-// worker, or nil.
-func (p *preemptor) preemptFor(c candidate, spread spread) *load {
-	class, need := p.classOf(c)
-	if p.failedSearches >= maxFailedSearches || !p.inTimeAfterStop(c) || p.noVictims.covers(class, need) {
-		return nil
-	}
-	best, compared := victimSet{loss: p.gain(c)}, 0
-	for _, l := range p.fleet.workers {
-		found, ok := p.victimsOn(l, c, spread, best.loss)
-		if !ok {
-			continue
-		}
-		if best.worker == nil || found.compare(best) < 0 {
-			best = found
-		}
-		if compared++; compared == maxCompared {
-			break
-		}
-	}
-	if best.worker == nil {
-		p.failedSearches++
-		p.noVictims.note(c, class, need)
-		return nil
-	}
-	for _, v := range best.victims {
-		p.fleet.add(best.worker, v.group.Spec, -1)
-		p.ending[v.run.Task.Job]++
-		p.chosen = append(p.chosen, Preemption{
-			Run: v.run, Worker: best.worker.worker.Key, Reason: v.reasonFor(c), Discarded: v.discarded, Set: len(best.victims),
-			For: jobs.GroupID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex},
-		})
-		v.spared = true // it is chosen once
-	}
-	p.noteComing(best.worker)
-	return best.worker
-}
-
-// victimSet is a set of runs on one worker whose ends make room for a task.
-type victimSet struct {
-	worker    *load
-	victims   []*victim
-	loss      float64 // of value
-	discarded float64 // core-seconds
-}
-
-func (s victimSet) compare(other victimSet) int {
-	return cmp.Or(
-		cmp.Compare(s.loss, other.loss),
-		cmp.Compare(len(s.victims), len(other.victims)),
-		cmp.Compare(s.discarded, other.discarded),
-	)
-}
-
-// victimsOn returns a set of runs on a worker whose ends make room for a task of the
-// candidate, at a loss of less than limit, or of limit if that is 0. None of them can
-// be left out. It returns false if there is none, or if another waiting task would
-// take the room.
-func (p *preemptor) victimsOn(l *load, c candidate, spread spread, limit float64) (set victimSet, found bool) {
-	if !p.worthwhileOn(l, c, spread) {
-		return set, false
-	}
-	set.worker = l
-	for _, v := range p.assessed(l) {
-		if p.fits(c, l, spread) {
-			break
-		}
-		if v.reasonFor(c) == "" || !contributes(v, c, l) || p.keepsJobAlive(v, set.victims) {
-			continue
-		}
-		p.fleet.add(l, v.group.Spec, -1)
-		set.victims = append(set.victims, v)
-	}
-	found = p.fits(c, l, spread)
-	for i := len(set.victims) - 1; found && i >= 0; i-- {
-		v := set.victims[i]
-		p.fleet.add(l, v.group.Spec, 1)
-		if p.fits(c, l, spread) {
-			set.victims = slices.Delete(set.victims, i, i+1)
-		} else {
-			p.fleet.add(l, v.group.Spec, -1)
-		}
-	}
-	found = found && len(p.chosen)+len(set.victims) <= maxPreemptions &&
-		!slices.ContainsFunc(p.ahead, func(w waiter) bool { return p.fits(w.candidate, l, w.spread) })
-	for _, v := range set.victims {
-		p.fleet.add(l, v.group.Spec, 1)
-		set.loss += v.loss
-		set.discarded += v.discarded
-	}
-	return set, found && (set.loss < limit || set.loss == 0)
-}
-
-// worthwhileOn reports whether a task of the candidate may run on a worker, at the
-// place of its data or peers, and could have room there if all runs that may give
-// way did.
-func (p *preemptor) worthwhileOn(l *load, c candidate, spread spread) bool {
-	group := c.group.Spec
-	if !l.worker.Open || !l.worker.allows(c.queue, group) ||
-		group.DataRack != "" && group.DataRack != l.worker.Rack ||
-		group.RackLocal && len(spread.racks) > 0 && spread.racks[l.worker.Rack] == 0 {
-		return false
-	}
-	room := l.free()
-	for _, v := range p.runsOn(l) {
-		if !v.spared && v.mayComeAfter(c) {
-			room = room.Add(demand(v.group.Spec))
-		}
-	}
-	return demand(group).Fits(room)
-}
-
-// contributes reports whether the end of a run frees some of what a task of the
-// candidate lacks on the worker.
-func contributes(v *victim, c candidate, l *load) bool {
-	need, free, room := demand(c.group.Spec), l.free(), demand(v.group.Spec)
-	freed := room.Min(need.Sub(free)).Max(resource.Vector{})
-	return !freed.IsZero() || c.group.Spec.BestEffort && v.group.Spec.MilliCpu > 0
-}
-
-// keepsJobAlive reports whether a run is the last one of a job that has existed for
-// longer than starvationTimeout, given the victims so far. Such a job keeps a run, so
-// that it completes eventually.
-func (p *preemptor) keepsJobAlive(v *victim, victims []*victim) bool {
-	left := v.job.ActiveRuns() - p.ending[v.job.ID]
-	for _, other := range victims {
-		if other.job == v.job {
-			left--
-		}
-	}
-	return v.age > starvationTimeout && left <= 1
-}
--- a/dispatch/preemptvalue.go
+++ b/dispatch/preemptvalue.go
@@ -8,8 +8,8 @@
 	"amaranthpaddle/jobs"
 )
 
-// lateValue is the share of its value that a late job has, from the users' account:
-// about a seventh.
+// lateValue is the share of its value that a late job has, as the users state it: 0.15
+// of the value.
 const lateValue = 0.15
 
 // valueFactor returns the share of its value that a job has.
@@ -23,22 +23,30 @@
 	return 0
 }
 
-// worth describes the runs of a group as possible victims.
-type worth struct {
+// activeGroup is a group with active runs.
+type activeGroup struct {
 	job        *jobs.Job
 	group      *jobs.Group
 	occurrence int32
 	groupIndex int32
-	priority   int32
-	age        time.Duration
-	needed     time.Duration // remaining critical path, without the progress of runs
-	objective  time.Duration
-	expected   time.Duration // duration of a task at full pace
-	value      float64       // of the job in time
-	work       float64       // remaining core-seconds
-	requeued   lateness      // of the job among the candidates, if the run ended now
-	ended      bool          // the job has ended; its runs are being stopped
-	givesWay   bool          // to some candidate
+	ended      bool // the job has ended; its runs are being stopped
+}
+
+// worth is what the runs of a group are worth, as possible victims.
+type worth struct {
+	activeGroup
+	priority  int32
+	age       time.Duration
+	needed    time.Duration // remaining critical path, without the progress of runs
+	objective time.Duration
+	expected  time.Duration // duration of a task at full pace
+	value     float64       // of the job in time
+	work      float64       // remaining core-seconds
+	// requeued is the lateness of the job among the candidates, if a run ended now. It
+	// decides on the order and ignores the progress of runs, as the plan does; the lateness
+	// of a victim counts the progress of that run and decides on the loss.
+	requeued lateness
+	givesWay bool // to some candidate
 }
 
 // groupsToStop returns the groups with active runs, if runs of some of them may give
@@ -63,15 +71,30 @@
 	for k, occurrence := range job.Occurrences {
 		for g, group := range occurrence.Groups {
 			if slices.ContainsFunc(group.Tasks, func(t jobs.Task) bool { return len(t.Runs) > 0 }) {
-				groups = append(groups, &worth{
+				groups = append(groups, &worth{activeGroup: activeGroup{
 					job: job, group: group, occurrence: int32(k), groupIndex: int32(g), ended: job.Phase.Ended(),
-				})
+				}})
 			}
 		}
 	}
 	return groups
 }
 
+// eachRun calls f with each active run of the group and the key of its worker.
+func (w *activeGroup) eachRun(f func(run jobs.RunID, worker string)) {
+	for i := range w.group.Tasks {
+		for _, run := range w.group.Tasks[i].Runs {
+			task := jobs.TaskID{Job: w.job.ID, Occurrence: w.occurrence, Group: w.groupIndex, Index: int32(i)}
+			f(jobs.RunID{Task: task, Number: run.Number}, run.Worker)
+		}
+	}
+}
+
+// mustStop reports whether a run is of no use any more.
+func (w *activeGroup) mustStop(run jobs.RunID) bool {
+	return w.ended || w.group.Tasks[run.Task.Index].Done || w.group.Broken(run.Number)
+}
+
 // tryEvaluate determines which groups of a job may give way, none after a panic.
 func tryEvaluate(view jobs.View, in Input, state PreemptionState, groups []*worth, waiting []candidate) {
 	defer func() {
@@ -183,12 +206,12 @@
 	ticket := slices.ContainsFunc(task.Runs, func(r jobs.Run) bool { return r.Number == v.run.Number && r.Ticket != "" })
 	left := v.expected * time.Duration(FullPace-min(status.Percent, FullPace)) / time.Duration(max(status.Pace, 1))
 	lastCopy := v.group.Spec.Speculative && len(task.Runs) == 1 && status.Percent >= nearlyDonePercent
-	if !known || status.Stopping || ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime {
+	if !known || status.Stopping || ticket || task.OnProbation() || lastCopy || left <= preemptionStopTime || p.mustComplete(v) {
 		v.spared = true
 		return
 	}
 	cores := float64(v.group.Spec.MilliCpu) / 1000
-	worked := max(v.expected*time.Duration(status.Percent)/FullPace, status.Age*time.Duration(status.Pace)/FullPace)
+	worked := workDone(status, v.expected)
 	needed := v.needed - min(worked, v.expected, v.needed)
 	v.lateness = latenessOf(v.age, needed, v.objective)
 	lost := relocationCost
@@ -201,6 +224,12 @@
 	v.loss = v.value * (factor*cores*lost.Seconds()/v.work + max(factor-delayed, 0))
 }
 
+// workDone returns the time at full pace that a run has worked, of a task that takes
+// the expected time.
+func workDone(status RunStatus, expected time.Duration) time.Duration {
+	return max(expected*time.Duration(status.Percent)/FullPace, status.Age*time.Duration(status.Pace)/FullPace)
+}
+
 // gain returns the value that a task of the candidate brings.
 func (p *preemptor) gain(c candidate) float64 {
 	estimate := p.in.Durations.ForQueue(c.job.QueueKey)
