jobentry, platform, controlclient: refuse calls only if no leader can come in time

Change: the estimate is the shortest longer learnt length and doesn't jump; waiting calls end only by learnt lengths; 1.5 s of an election are always waited for; NotLeader asks for a survey; attempts are marked before they are sent; controlclient.NotAttempted leaves the client as it is; Retry-After defaults to 1 s. Callers of an 8 s outage are told from 5 s on with nothing learnt and from 1.2 s once learnt, in place of 1.3 s always, because the entry can't tell it from one of 4.2 s. Order of returns: within the spread.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -61,10 +61,19 @@
 	})
 }
 
+// NotAttempted is returned by a call that Do was given when it sent nothing. Do
+// then ends with its cause, and what the client knows of the leader stays.
+type NotAttempted struct{ Cause error }
+
+func (e *NotAttempted) Error() string { return e.Cause.Error() }
+
 // Do makes an idempotent call as Call does, over a connection to the leader.
 func (c *Client) Do(ctx context.Context, call func(context.Context, *grpc.ClientConn, ...grpc.CallOption) error) error {
 	for {
 		err := c.tryOnce(ctx, call)
+		if skipped, ok := err.(*NotAttempted); ok {
+			return skipped.Cause
+		}
 		if err == nil || !mayTryElsewhere(err) {
 			return err
 		}
@@ -112,7 +121,11 @@
 	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	var trailer metadata.MD
-	err = fault.FromStatus(call(attempt, connection, grpc.Trailer(&trailer)))
+	err = call(attempt, connection, grpc.Trailer(&trailer))
+	if _, ok := err.(*NotAttempted); ok {
+		return err
+	}
+	err = fault.FromStatus(err)
 	c.Note(address, trailer, err)
 	return err
 }
--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -7,7 +7,6 @@
 	"context"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -141,7 +140,7 @@
 	probe, cancel := context.WithTimeout(ctx, probeTimeout-answerReserve)
 	defer cancel()
 	call := &api.JobCall{Kind: api.JobCallKind_JOB_CALL_KIND_LOOK, RemainingMs: probeTimeout.Milliseconds()}
-	_, err := g.forward(probe, call, new(atomic.Bool))
+	_, err := g.forward(probe, call, new(progress))
 	if err != nil && ctx.Err() == nil {
 		g.recordFailure(err)
 		klog.InfoS("Leader does not answer", "error", err)
@@ -161,12 +160,12 @@
 		defer cancel()
 		call.RemainingMs = time.Until(deadline).Milliseconds()
 	}
-	var uncertain atomic.Bool
-	answer, err := g.forwardInTime(ctx, call, &uncertain)
+	var tries progress
+	answer, err := g.forwardInTime(ctx, call, &tries)
 	if err == nil {
-		err = checkRefusal(answer, uncertain.Load())
+		err = checkRefusal(answer, tries.isUncertain())
 	} else {
-		err = g.finalError(err, uncertain.Load(), call.Kind)
+		err = g.finalError(err, tries.isUncertain(), call.Kind)
 	}
 	logCall(call, answer, err, time.Since(received))
 	if err != nil {
@@ -177,32 +176,33 @@
 
 // forwardInTime forwards a call as forward does while a leader is to be expected
 // in time. It returns withoutLeader otherwise.
-func (g *Gateway) forwardInTime(ctx context.Context, call *api.JobCall, uncertain *atomic.Bool) (*api.JobAnswer, error) {
+func (g *Gateway) forwardInTime(ctx context.Context, call *api.JobCall, tries *progress) (*api.JobAnswer, error) {
 	if !g.options.RefuseWithoutLeader {
-		return g.forward(ctx, call, uncertain)
+		return g.forward(ctx, call, tries)
 	}
-	if reason := g.decide(ctx, call.Kind, false); reason != nil {
+	if reason := g.decide(ctx, call.Kind, false, false); reason != nil {
 		return nil, reason
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	go g.watch(ctx, call.Kind, uncertain, cancel)
-	answer, err := g.forward(ctx, call, uncertain)
+	go g.watch(ctx, call.Kind, tries, cancel)
+	answer, err := g.forward(ctx, call, tries)
 	if reason, ended := context.Cause(ctx).(*withoutLeader); ended && err != nil {
 		return nil, reason
 	}
 	return answer, err
 }
 
-// forward sends a call until it is answered or ctx ends. It sets uncertain when an
-// attempt without an answer may have been accepted.
-func (g *Gateway) forward(ctx context.Context, call *api.JobCall, uncertain *atomic.Bool) (answer *api.JobAnswer, err error) {
+// forward sends a call until it is answered or ctx ends. It records its
+// attempts in tries.
+func (g *Gateway) forward(ctx context.Context, call *api.JobCall, tries *progress) (answer *api.JobAnswer, err error) {
 	var failure error // of the last attempt
 	err = g.client.Do(ctx, func(try context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
 		if failure != nil && lacksTime(ctx) {
-			return fault.ToStatus(fault.Wrap(fault.NoQuorum, failure, "too little time is left for another attempt"))
+			return &controlclient.NotAttempted{Cause: fault.Wrap(fault.NoQuorum, failure, "too little time is left for another attempt")}
 		}
 		call.Attempt++
+		tries.begin()
 		var err error
 		sent := true
 		if g.options.RefuseWithoutLeader {
@@ -211,12 +211,11 @@
 			answer, err = api.NewJobsClient(connection).Call(try, call, options...)
 		}
 		if err == nil {
+			tries.end(false)
 			return nil
 		}
 		failure = fault.FromStatus(err)
-		if sent && fault.KindOf(failure).Answer().Outcome != fault.OutcomeNotRun {
-			uncertain.Store(true)
-		}
+		tries.end(sent && fault.KindOf(failure).Answer().Outcome != fault.OutcomeNotRun)
 		if ctx.Err() == nil {
 			g.recordFailure(failure)
 		}
@@ -262,7 +261,7 @@
 		telemetry.JobEntryRefusals.Add(1, callName(kind))
 	} else if g.options.RefuseWithoutLeader {
 		g.mu.Lock()
-		retryAfter = g.outage.retryAfter(timing.Boot())
+		retryAfter = g.outage.retryAfter(timing.Boot(), kind)
 		g.mu.Unlock()
 	}
 	return fault.WithRetryAfter(fault.Wrap(fault.NoQuorum, err, "no leader"), retryAfter)
--- a/jobentry/outage.go
+++ b/jobentry/outage.go
@@ -2,24 +2,27 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"amaranthpaddle/api"
 )
 
-// Estimates before anything has been observed, and limits of the decision.
+// Limits of the decision, and the length of an election before any has been observed.
 const (
 	defaultElection = 1 * time.Second
-	defaultRecovery = 8 * time.Second // restart of the control VMs and their processes; above any caller's deadline
 
 	// quorumLossDelay is how long surveys must miss a quorum. A single one also
 	// misses it when the entry itself was short of processor time.
 	quorumLossDelay = 500 * time.Millisecond
-	minOutage       = 100 * time.Millisecond // shorter ones are redirections to a new leader and are not learnt
-	minRetryAfter   = 1 * time.Second        // Retry-After counts whole seconds
+	minElectionWait = 1500 * time.Millisecond // every call waits for an ordinary election of about 1 s
+	minOutage       = 100 * time.Millisecond  // shorter ones are redirections to a new leader and are not learnt
+	minRetryAfter   = 1 * time.Second         // Retry-After counts whole seconds
 	maxRetryAfter   = 5 * time.Second
-	retrySpread     = 1 * time.Second // random addition to the time after which callers return
+
+	// retrySpread is the random addition to the time after which callers return.
+	// It exceeds the whole second that Retry-After is rounded up to, so that callers
+	// who are told at the same time always get different times.
+	retrySpread = 1500 * time.Millisecond
 )
 
 // outage estimates when a leader will answer again, and decides which calls need
@@ -30,13 +33,15 @@
 	began      time.Time // first failure since the leader last answered; zero while it answers
 	quorumLost time.Time // first of the surveys in a row without a quorum; zero while there is one
 	electing   time.Time // since when an election may be in progress
-	lastReturn time.Time // latest time at which a caller was told to return
+	recovering time.Time // when the quorum was lost that has since returned; zero for none
 
-	elections, recoveries durations // of earlier outages
+	elections  outageLengths // from the first failure, or the return of the quorum, to the leader's answer
+	recoveries outageLengths // from the loss of the quorum to the leader's answer
 }
 
-func newOutage() outage {
-	return outage{elections: newDurations(defaultElection), recoveries: newDurations(defaultRecovery)}
+func newOutage() (o outage) {
+	o.elections.add(defaultElection)
+	return o
 }
 
 // failed records an attempt that found no leader. It reports whether an outage began.
@@ -57,8 +62,7 @@
 		o.quorumLost = now
 	case quorum && !o.quorumLost.IsZero():
 		if o.withoutQuorum(now) {
-			o.recoveries.add(now.Sub(o.quorumLost))
-			o.electing = now
+			o.recovering, o.electing = o.quorumLost, now
 		}
 		o.quorumLost = time.Time{}
 	}
@@ -72,11 +76,14 @@
 	}
 	lasted := now.Sub(o.began)
 	if o.withoutQuorum(now) {
-		o.recoveries.add(now.Sub(o.quorumLost))
+		o.recovering = o.quorumLost
 	} else if election := now.Sub(o.electing); election >= minOutage {
 		o.elections.add(election)
 	}
-	o.began, o.quorumLost, o.electing, o.lastReturn = time.Time{}, time.Time{}, time.Time{}, time.Time{}
+	if !o.recovering.IsZero() {
+		o.recoveries.add(now.Sub(o.recovering))
+	}
+	o.began, o.quorumLost, o.electing, o.recovering = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	return lasted
 }
 
@@ -87,81 +94,87 @@
 	return !o.quorumLost.IsZero() && now.Sub(o.quorumLost) >= quorumLossDelay
 }
 
-// remaining estimates the time until a leader answers.
-func (o *outage) remaining(now time.Time) time.Duration {
+// remaining estimates the time until a leader answers a call of the kind, at the
+// earliest that earlier outages make likely. learnt is whether one of them lasted
+// longer than this one has lasted; otherwise the estimate follows from the elapsed
+// time alone.
+//
+// Of outages of unknown scale that have lasted for t, two in five end within 2t/3
+// and a quarter within t/3. The smaller share is enough to keep a query or a
+// cancellation while a quorum can be reached, which may elect a leader at any time.
+func (o *outage) remaining(now time.Time, kind api.JobCallKind) (estimate time.Duration, learnt bool) {
 	switch {
 	case !o.active():
-		return 0
+		return 0, false
 	case o.withoutQuorum(now):
-		return o.recoveries.remaining(now.Sub(o.quorumLost)) + o.elections.remaining(0)
+		elapsed := now.Sub(o.quorumLost)
+		return o.recoveries.remaining(elapsed, elapsed*2/3)
+	}
+	elapsed := now.Sub(o.electing)
+	if kind == api.JobCallKind_JOB_CALL_KIND_SUBMIT {
+		return o.elections.remaining(elapsed, elapsed*2/3)
 	}
-	return o.elections.remaining(now.Sub(o.electing))
+	return o.elections.remaining(elapsed, elapsed/3)
 }
 
 // hopeless reports whether a call of the kind with this time left until its
 // deadline should end now. waiting is whether it has been tried already.
 //
-// A submission that waited for over two thirds of its time starts a job that has
-// lost most of its value. A query or a cancellation is as useful at its deadline,
-// so one that waits goes on while a quorum can be reached and may elect a leader
-// at any time. A call with less time left than the shortest Retry-After goes on:
-// its caller could not return before that deadline.
+// A call that waits is ended only by learnt lengths: once it has waited, the
+// elapsed time alone tells too little about the short rest of its time. A call with
+// less time left than the shortest Retry-After goes on, because its caller could
+// not return before that deadline.
 func (o *outage) hopeless(now time.Time, kind api.JobCallKind, left time.Duration, waiting bool) bool {
-	if left < minRetryAfter {
+	if left < minRetryAfter || !o.withoutQuorum(now) && now.Sub(o.electing) < minElectionWait {
 		return false
 	}
-	if kind == api.JobCallKind_JOB_CALL_KIND_SUBMIT {
-		return o.remaining(now) > left*2/3
-	}
-	return o.remaining(now) > left && (!waiting || o.withoutQuorum(now))
+	remaining, learnt := o.remaining(now, kind)
+	return remaining > left && (learnt || !waiting)
 }
 
 // retryAfter returns the whole seconds after which a caller that is told so now
 // should return: a random time of up to retrySpread after the leader is expected,
-// but not before those who were told earlier, and maxRetryAfter at most.
-func (o *outage) retryAfter(now time.Time) time.Duration {
+// and maxRetryAfter at most. Callers who are told later return later, within
+// retrySpread and the rounding, unless the leader is expected earlier by then.
+func (o *outage) retryAfter(now time.Time, kind api.JobCallKind) time.Duration {
 	if !o.active() {
 		return minRetryAfter
 	}
-	after := max(o.remaining(now)+rand.N(retrySpread), o.lastReturn.Sub(now))
-	after = (after + time.Second - 1).Truncate(time.Second)
-	after = min(max(after, minRetryAfter), maxRetryAfter)
-	o.lastReturn = now.Add(after)
-	return after
+	remaining, _ := o.remaining(now, kind)
+	after := min(remaining, maxRetryAfter-retrySpread) + rand.N(retrySpread)
+	return max((after + time.Second - 1).Truncate(time.Second), minRetryAfter)
 }
 
-// durations holds the latest observed durations of one kind.
-type durations struct {
+// outageLengths holds the latest observed lengths of one phase of outages.
+type outageLengths struct {
 	samples     [7]time.Duration
 	count, next int
 }
 
-func newDurations(first time.Duration) (d durations) {
-	d.add(first)
-	return d
+func (l *outageLengths) add(sample time.Duration) {
+	l.samples[l.next] = sample
+	l.next = (l.next + 1) % len(l.samples)
+	l.count = min(l.count+1, len(l.samples))
 }
 
-func (d *durations) add(sample time.Duration) {
-	d.samples[d.next] = sample
-	d.next = (d.next + 1) % len(d.samples)
-	d.count = min(d.count+1, len(d.samples))
-}
-
-// remaining estimates how much longer something lasts that has lasted for elapsed:
-// the median of the observed durations that were longer. A third of elapsed is the
-// least, so that the estimate grows once all observed durations are exceeded.
-func (d *durations) remaining(elapsed time.Duration) time.Duration {
-	var longer [len(d.samples)]time.Duration
-	n := 0
-	for _, sample := range d.samples[:d.count] {
-		if sample > elapsed {
-			longer[n] = sample
-			n++
+// remaining estimates how much longer a phase lasts that has lasted for elapsed:
+// until the shortest longer length, if there is one (learnt), else for unlearnt.
+// After a length has passed, the estimate grows from 0 by no more than the time
+// since then: it never jumps to the next length.
+func (l *outageLengths) remaining(elapsed, unlearnt time.Duration) (estimate time.Duration, learnt bool) {
+	passed, next := time.Duration(0), time.Duration(0)
+	for _, sample := range l.samples[:l.count] {
+		if sample <= elapsed {
+			passed = max(passed, sample)
+		} else if next == 0 || sample < next {
+			next = sample
 		}
 	}
-	if n == 0 {
-		return elapsed / 3
+	switch {
+	case next == 0:
+		return min(unlearnt, elapsed-passed), false
+	case passed == 0:
+		return next - elapsed, true
 	}
-	slices.Sort(longer[:n])
-	return max(longer[n/2]-elapsed, elapsed/3)
+	return min(next-elapsed, elapsed-passed), true
 }
--- a/jobentry/survey.go
+++ b/jobentry/survey.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -32,9 +32,40 @@
 
 func (*withoutLeader) Error() string { return "no leader is expected in time" }
 
+// progress is what became of a call's attempts so far. Its lock comes before the
+// gateway's.
+type progress struct {
+	mu        sync.Mutex
+	open      bool // an attempt is under way
+	uncertain bool // an attempt without an answer may have been accepted
+}
+
+// begin records that an attempt is about to be sent.
+func (p *progress) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open = true
+}
+
+// end records that the attempt has ended; uncertain is whether it may have been
+// accepted without an answer.
+func (p *progress) end(uncertain bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open = false
+	p.uncertain = p.uncertain || uncertain
+}
+
+func (p *progress) isUncertain() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.uncertain
+}
+
 // decide returns the reason to end a call now, nil for none. A call without a
-// deadline never ends early. waiting is whether the call has been tried already.
-func (g *Gateway) decide(ctx context.Context, kind api.JobCallKind, waiting bool) *withoutLeader {
+// deadline never ends early. waiting is whether the call has been tried already,
+// open whether an attempt is under way, which a reachable quorum may still answer.
+func (g *Gateway) decide(ctx context.Context, kind api.JobCallKind, waiting, open bool) *withoutLeader {
 	deadline, given := ctx.Deadline()
 	if !given {
 		return nil
@@ -42,25 +73,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := timing.Boot()
-	if !g.outage.hopeless(now, kind, time.Until(deadline), waiting) {
+	if open && !g.outage.withoutQuorum(now) || !g.outage.hopeless(now, kind, time.Until(deadline), waiting) {
 		return nil
 	}
-	return &withoutLeader{g.outage.retryAfter(now)}
+	return &withoutLeader{g.outage.retryAfter(now, kind)}
 }
 
 // watch ends a waiting call by cancel as soon as no leader is to be expected in
 // time, and asks for a survey when the call is slow. It ends with ctx.
-// A submission that may have been accepted is worth as much as a query: what became
-// of it can be learnt until the deadline.
-func (g *Gateway) watch(ctx context.Context, kind api.JobCallKind, uncertain *atomic.Bool, cancel context.CancelCauseFunc) {
+func (g *Gateway) watch(ctx context.Context, kind api.JobCallKind, tries *progress, cancel context.CancelCauseFunc) {
 	slow := time.Now().Add(slowCall)
 	requested := false
 	for timing.Sleep(ctx, recheckInterval) {
-		if uncertain.Load() {
-			kind = api.JobCallKind_JOB_CALL_KIND_LOOK
-		}
-		if reason := g.decide(ctx, kind, true); reason != nil {
-			cancel(reason)
+		if g.endHopeless(ctx, kind, tries, cancel) {
 			return
 		}
 		if !requested && time.Now().After(slow) {
@@ -70,6 +95,23 @@
 	}
 }
 
+// endHopeless ends a waiting call by cancel if no leader is to be expected in time.
+// No attempt begins between the decision and cancel. A submission that may have
+// been accepted is treated like a query: what became of it can be learnt until the
+// deadline.
+func (g *Gateway) endHopeless(ctx context.Context, kind api.JobCallKind, tries *progress, cancel context.CancelCauseFunc) bool {
+	tries.mu.Lock()
+	defer tries.mu.Unlock()
+	if tries.open || tries.uncertain {
+		kind = api.JobCallKind_JOB_CALL_KIND_LOOK
+	}
+	reason := g.decide(ctx, kind, true, tries.open)
+	if reason != nil {
+		cancel(reason)
+	}
+	return reason != nil
+}
+
 func (g *Gateway) requestSurvey() {
 	select {
 	case g.surveys <- struct{}{}:
@@ -77,11 +119,17 @@
 	}
 }
 
-// recordFailure records the error of an attempt, if it means that no leader was found.
+// recordFailure records the error of an attempt, if it means that no leader was
+// found. A replica that does not lead may name the leader, so its answer only asks
+// for a survey.
 func (g *Gateway) recordFailure(err error) {
 	if !g.options.RefuseWithoutLeader || !(replicaAnswered(err) || replicaSilent(err)) {
 		return
 	}
+	if fault.Is(err, fault.NotLeader) {
+		g.requestSurvey()
+		return
+	}
 	g.mu.Lock()
 	began := g.outage.failed(timing.Boot())
 	g.mu.Unlock()
