--- a/settings/jobs_test.go
+++ b/settings/jobs_test.go
@@ -55,7 +55,7 @@
 	}
 	if control.Listen != "10.1.0.13:7720" || !control.FirstStart || control.Tolerated != 2 || control.Adviser != "10.200.1.9:8169" ||
 		control.Fleet != "10.200.1.9:8169" || control.Lease() != 4*time.Second ||
-		control.Scheduling != (Scheduling{Reservations: 4, Admission: AdmissionForecast, FairShares: true, RemotePenalty: 1.5}) || !entry.RefuseWithoutLeader {
+		control.Scheduling != (Scheduling{Admission: AdmissionForecast, FairShares: true, RemotePenalty: 1.5}) || !entry.RefuseWithoutLeader {
 		t.Errorf("%+v, lease %v", control, control.Lease())
 	}
 	agent, err := ParseJobAgent("agent.ini", fill(t, "agent.ini"))
