control, fleet, session: refuse a backend server alone, not its VM's session

Cause: an announcement that holds one backend server whose id is published for another VM was refused as a whole (fault.Conflict), and the session ended before the report's task statuses were read and before any directive was sent. A VM that was declared lost returns with the instances that were moved meanwhile: it could neither be told to stop them nor report, so it stayed out until the other VM withdrew. An instance that is moved by an eviction also meets its predecessor, which stays announced as leaving for up to 2 s.

Change: the leader leaves the servers that are published for other VMs out of the announcement that it proposes, and names them in each directive (new field refused_servers). The agent logs each once. When a new revision releases an id, the session announces the server at once. The run that the VM no longer owns is stopped by the directive that the session now reaches. The state machine still refuses the whole announcement, so that replicas of older builds compute the same state; an announcement that loses a race is drafted again. An older leader refuses as before. New counter paddle_control_servers_refused_total.

--- a/control/metrics.go
+++ b/control/metrics.go
@@ -10,8 +10,10 @@
 	throttles  *metrics.Counter
 	refusals   *metrics.Counter // decisions that were outdated when they were committed
 	vmsLost    *metrics.Counter
-	decide     *metrics.Histogram // seconds to take a snapshot and decide
-	commit     *metrics.Histogram // seconds from proposal to result
+	// serversRefused counts announced servers whose ids were published for other VMs.
+	serversRefused *metrics.Counter
+	decide         *metrics.Histogram // seconds to take a snapshot and decide
+	commit         *metrics.Histogram // seconds from proposal to result
 }
 
 func newServerMetrics(s *Server) *serverMetrics {
@@ -30,14 +32,15 @@
 	})
 	set.NewGauge("paddle_control_claims", func() float64 { return float64(s.state.claimCount()) })
 	return &serverMetrics{
-		set:        set,
-		placements: set.NewCounter("paddle_control_placements_total"),
-		evictions:  set.NewCounter("paddle_control_evictions_total"),
-		throttles:  set.NewCounter("paddle_control_throttles_total"),
-		refusals:   set.NewCounter("paddle_control_decisions_refused_total"),
-		vmsLost:    set.NewCounter("paddle_control_vms_lost_total"),
-		decide:     set.NewHistogram("paddle_control_decide_seconds"),
-		commit:     set.NewHistogram("paddle_control_commit_seconds"),
+		set:            set,
+		placements:     set.NewCounter("paddle_control_placements_total"),
+		evictions:      set.NewCounter("paddle_control_evictions_total"),
+		throttles:      set.NewCounter("paddle_control_throttles_total"),
+		refusals:       set.NewCounter("paddle_control_decisions_refused_total"),
+		vmsLost:        set.NewCounter("paddle_control_vms_lost_total"),
+		serversRefused: set.NewCounter("paddle_control_servers_refused_total"),
+		decide:         set.NewHistogram("paddle_control_decide_seconds"),
+		commit:         set.NewHistogram("paddle_control_commit_seconds"),
 	}
 }
 
--- a/control/node_test.go
+++ b/control/node_test.go
@@ -17,6 +17,7 @@
 	changed chan struct{}
 	noRead  bool // ConfirmRead finds no quorum
 	log     [][]byte
+	earlier []byte // command of another proposer, applied before the next one
 }
 
 func newFakeNode(state replica.StateMachine) *fakeNode {
@@ -33,6 +34,10 @@
 	if !n.status.LeaderReady {
 		return nil, fault.New(fault.NotLeader, "fake")
 	}
+	if earlier := n.earlier; earlier != nil {
+		n.earlier = nil
+		n.state.Apply(n.status.Applied, earlier)
+	}
 	n.log = append(n.log, data)
 	n.status.Applied++
 	n.status.Commit++
--- a/control/server.go
+++ b/control/server.go
@@ -105,6 +105,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if effects.Revision {
+		s.notifyRefused()
+	}
 	if effects.AllVMs {
 		for _, session := range s.sessions {
 			signal(session.notify)
@@ -118,6 +121,16 @@
 	}
 }
 
+// notifyRefused wakes the sessions with refused servers, whose ids the latest
+// revision may have released. The caller holds mu.
+func (s *Server) notifyRefused() {
+	for _, session := range s.sessions {
+		if session.view.refused {
+			signal(session.notify)
+		}
+	}
+}
+
 // leadTerm runs the leader's loops until the leadership of the term has ended.
 func (s *Server) leadTerm(ctx context.Context, term uint64) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/control/session.go
+++ b/control/session.go
@@ -19,7 +19,8 @@
 	stream       grpc.BidiStreamingServer[api.AgentReport, api.Directive]
 	vm           *api.VM
 	incarnation  uint64
-	servers      []*api.BackendServer
+	servers      []*api.BackendServer // as announced
+	refused      []*api.RefusedServer // of servers, published for other VMs
 	leaving      bool
 	runs         *agentRuns
 	newStatuses  bool       // the agent reported task statuses since the last directive
@@ -37,12 +38,18 @@
 type agentView struct {
 	revision   uint64
 	lastReport time.Time
+	refused    bool // some announced server is refused, so that a new revision may release it
 }
 
 // sentState holds the fields of a directive whose change makes a push necessary.
 type sentState struct {
 	inService bool
 	drain     bool
+	refused   string // ids of the refused servers
+}
+
+func sentStateOf(d *api.Directive) sentState {
+	return sentState{d.ZoneInService, d.Drain, joinIDs(d.RefusedServers)}
 }
 
 // Session serves one agent. Only the leader accepts sessions.
@@ -188,55 +195,7 @@
 func (c *session) updateView(revision uint64, now time.Time) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.view = agentView{revision: revision, lastReport: now}
-}
-
-// announce commits the announcement if it differs from the committed one. A VM
-// that was declared lost must be announced again after the declaration.
-func (c *session) announce(ctx context.Context, report *api.AgentReport) error {
-	a := fleet.Announcement{
-		VM:             c.vm,
-		Incarnation:    c.incarnation,
-		Servers:        c.servers,
-		ServersChanged: report.ServersChanged,
-		Leaving:        c.leaving,
-	}
-	leases := c.server.leases
-	if !leases.declaredLost(c.vm.Id) && !c.server.state.announcementChanges(a) {
-		return nil
-	}
-	// An announcement that will be refused must not extend the VM's lease.
-	if err := c.server.state.checkAnnouncement(a); err != nil {
-		return err
-	}
-	declarations, ok := leases.beginAnnounce(c.vm.Id, time.Now())
-	if !ok {
-		return nil // the answer grants nothing; the next report tries again
-	}
-	_, err := c.server.commit(ctx, &api.Command{Body: &api.Command_AnnounceVm{AnnounceVm: &api.AnnounceVM{
-		Vm:             a.VM,
-		Incarnation:    a.Incarnation,
-		Servers:        a.Servers,
-		ServersChanged: true,
-		Leaving:        a.Leaving,
-	}}})
-	if err == nil {
-		leases.endAnnounce(c.vm.Id, declarations)
-	}
-	return err
-}
-
-func (s *State) checkAnnouncement(a fleet.Announcement) error {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.registry.Validate(a)
-}
-
-// announcementChanges reports whether an announcement differs from the committed one.
-func (s *State) announcementChanges(a fleet.Announcement) bool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.registry.WouldChange(a)
+	c.view.revision, c.view.lastReport = revision, now
 }
 
 // commitTasks commits the statuses that change the task table.
@@ -280,19 +239,21 @@
 // permissions are counted from the last report, so an earlier confirmation is
 // sufficient.
 func (c *session) push(ctx context.Context) error {
+	if err := c.announceReleased(ctx); err != nil {
+		return err
+	}
 	d, err := c.buildDirective(ctx, time.Now().Add(-confirmMaxAge))
 	if err != nil {
 		return err
 	}
-	state := sentState{d.ZoneInService, d.Drain}
-	if state == c.lastSent && len(d.Start) == 0 && len(d.Stop) == 0 && len(d.Throttle) == 0 {
+	if sentStateOf(d) == c.lastSent && len(d.Start) == 0 && len(d.Stop) == 0 && len(d.Throttle) == 0 {
 		return nil
 	}
 	return c.send(d)
 }
 
 func (c *session) send(d *api.Directive) error {
-	c.lastSent = sentState{d.ZoneInService, d.Drain}
+	c.lastSent = sentStateOf(d)
 	return fault.Wrap(fault.Canceled, c.stream.Send(d), "send directive")
 }
 
@@ -321,6 +282,7 @@
 	if interval := server.currentHeartbeatInterval(); interval > minHeartbeatInterval {
 		d.HeartbeatMs = millis(interval)
 	}
+	d.RefusedServers = c.refused
 	d.UsageMs = millis(usageInterval(int(server.runningTasks.Load())))
 	if view.known && server.leases.grant(c.vm.Id, now) {
 		config := server.config
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -148,14 +148,25 @@
 }
 
 func (r *Registry) checkServerOwners(a Announcement) error {
-	for _, s := range a.Servers {
+	if _, refused := r.PartitionServers(a.VM.Id, a.Servers); len(refused) > 0 {
+		return fault.Newf(fault.Conflict, "backend server %s belongs to VM %s", refused[0].Id, refused[0].Vm)
+	}
+	return nil
+}
+
+// PartitionServers splits the servers of an announcement of the VM into those
+// that Announce accepts and those that it refuses, because their ids are
+// published for other VMs. Both keep the order of servers.
+func (r *Registry) PartitionServers(vm string, servers []*api.BackendServer) (accepted []*api.BackendServer, refused []*api.RefusedServer) {
+	for _, s := range servers {
 		published := r.publisher.Directory().Server(s.Id)
-		if published == nil || published.Vm == a.VM.Id {
+		if published == nil || published.Vm == vm {
+			accepted = append(accepted, s)
 			continue
 		}
-		return fault.Newf(fault.Conflict, "backend server %s belongs to VM %s", s.Id, published.Vm)
+		refused = append(refused, &api.RefusedServer{Id: s.Id, Vm: published.Vm})
 	}
-	return nil
+	return accepted, refused
 }
 
 func (r *Registry) replaceServers(v *VM, servers []*api.BackendServer) {
--- a/session/report.go
+++ b/session/report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"amaranthpaddle/api"
 	"amaranthpaddle/timing"
 )
@@ -66,6 +68,7 @@
 		s.heartbeat = time.Duration(directive.HeartbeatMs) * time.Millisecond
 	}
 	s.holder.ApplyDirective(directive)
+	s.recordRefused(directive.RefusedServers)
 	for _, start := range directive.Start {
 		s.starts[runKey{start.Task, start.Generation}] = pendingStart{start, now, s.holder.lease.Expiry()}
 	}
@@ -79,3 +82,18 @@
 	s.mu.Unlock()
 	signal(s.wakeDriver)
 }
+
+// recordRefused records which backend servers the control group refuses to
+// publish, and logs each once for the VM that its id is published for. The caller
+// holds mu.
+func (s *Session) recordRefused(servers []*api.RefusedServer) {
+	refused := make(map[string]string, len(servers))
+	for _, server := range servers {
+		refused[server.Id] = server.Vm
+		if s.refused[server.Id] != server.Vm {
+			klog.InfoS("Backend server not published, its id is published for another VM",
+				"vm", s.config.VM.Id, "server", server.Id, "other", server.Vm)
+		}
+	}
+	s.refused = refused
+}
--- a/session/session.go
+++ b/session/session.go
@@ -67,11 +67,12 @@
 	stops             map[runKey]*api.StopTask
 	throttles         map[runKey]*api.ThrottleTask
 	leaving           bool
-	helloNeeded       bool            // the next report must describe the VM
-	heartbeat         time.Duration   // interval between reports
-	unansweredSince   time.Time       // when the oldest unanswered report was sent, zero for none
-	leader            string          // address to try first
-	announcementStale <-chan struct{} // closed when the last reported announcement is out of date
+	helloNeeded       bool              // the next report must describe the VM
+	heartbeat         time.Duration     // interval between reports
+	unansweredSince   time.Time         // when the oldest unanswered report was sent, zero for none
+	leader            string            // address to try first
+	refused           map[string]string // by backend server that is refused now, the VM that its id is published for
+	announcementStale <-chan struct{}   // closed when the last reported announcement is out of date
 }
 
 // pendingStart is a start directive that has not been carried out. It is valid
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -1,13 +1,16 @@
 package session
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"google.golang.org/grpc"
+	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
@@ -389,3 +392,21 @@
 		}
 	})
 }
+
+// Directives repeat the refused servers. A log line for each would fill the log of
+// a VM whose server stays refused.
+func TestRefusedServerIsLoggedOnce(t *testing.T) {
+	r := newRig(t)
+	var log bytes.Buffer
+	defer klog.CaptureState().Restore()
+	klog.LogToStderr(false)
+	klog.SetOutput(&log)
+	for range 3 {
+		r.grant(&api.Directive{RefusedServers: []*api.RefusedServer{{Id: "s1", Vm: "vm-2"}}})
+	}
+	r.grant(&api.Directive{RefusedServers: []*api.RefusedServer{{Id: "s1", Vm: "vm-3"}}})
+	klog.Flush()
+	if lines := strings.Count(log.String(), "Backend server not published"); lines != 2 {
+		t.Errorf("%d lines for two VMs that the server's id was published for, want 2:\n%s", lines, &log)
+	}
+}
