jobcontrol: record the waits of a leader's recovery

Cause: after a change of leader or a loss of power, the log did not tell which wait kept runs from starting: the election, the quorum, agents' sessions, lists, leases or the plan.

Change: the pure type recovery is given the times of these events by the leadership. When a run has started, or nothing can, and all workers with runs have listed them or are lost, the leader logs "Recovery finished" and observes paddle_jobs_recovery_seconds by wait. A recovery that the end of the leadership interrupts is logged as such; one with a silent worker ends after 15 s. The election counts from when the replica itself no longer knew a leader. Nothing is decided differently.

--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -89,6 +89,7 @@
 		return
 	}
 	l.startedAt[run] = l.server.now()
+	setFirst(&l.recovery.start, l.server.now())
 	l.observeWait(run)
 	l.forecastStart(run)
 	l.server.config.State.Read(func(view jobs.View) {
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -55,6 +55,8 @@
 	admission admissionState
 
 	joiners joiners
+
+	recovery recovery
 }
 
 func newLeadership(ctx context.Context, cancel context.CancelFunc, server *Server, term uint64) *leadership {
@@ -88,6 +90,7 @@
 	}
 	l.assumed.Read(func(view jobs.View) { l.knowledge = dispatch.NewKnowledge(view.Learnt()) })
 	l.initJobAges()
+	l.recovery = newRecovery(server.endLeaderless(), l.since, l.workersWithRuns())
 	return l
 }
 
--- a/jobcontrol/recovery_test.go
+++ b/jobcontrol/recovery_test.go
@@ -1,6 +1,7 @@
 package jobcontrol
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -75,3 +76,106 @@
 		})
 	}
 }
+
+// Load pattern: ten workers with runs, of which eight come back at different times, one
+// under a later incarnation, and one not at all. Guards against a wait that is counted
+// twice or not at all: each path of waits must add up to its time.
+func TestWaitsOfARecoveryAddUp(t *testing.T) {
+	began := time.Unix(100, 0)
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	keys := []string{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"}
+	r := newRecovery(at(-700), began, keys)
+	r.session = at(20)
+	r.confirmed = at(50) // after the first session
+	r.planned(0, false, at(60))
+	r.listed(keys[0], at(100))
+	r.planned(0, true, at(104))
+	for i, key := range keys[1:9] {
+		r.listed(key, at(200+10*i))
+	}
+	r.planned(3, true, at(300))
+	r.start = at(312)
+	if r.finish(at(400)) {
+		t.Fatal("finished before the last worker is settled")
+	}
+	r.lose(keys[9], at(4250))
+	if !r.finish(at(4250)) || r.finish(at(4300)) || r.interrupt(at(4300)) || r.result != recoveryDone {
+		t.Errorf("result %q, want it to end once, done", r.result)
+	}
+	want := map[string]time.Duration{
+		waitElection: 700, waitConfirmation: 50, waitSession: 0, waitList: 50, waitPlan: 200, waitCommit: 12, waitMostLists: 170, waitLeases: 3980,
+	}
+	for name := range want {
+		want[name] *= time.Millisecond
+	}
+	if waits := r.waits(); !maps.Equal(waits, want) || r.reported != 9 || r.lost != 1 {
+		t.Errorf("waits %v, want %v; %d reported, %d lost, want 9 and 1", waits, want, r.reported, r.lost)
+	}
+}
+
+// Guards against a recovery that lasts for ever, or ends before a worker could start
+// anything, and against an election that is counted from an outage that another leader
+// ended.
+func TestEndOfARecovery(t *testing.T) {
+	began := time.Unix(100, 0)
+	r := newRecovery(time.Time{}, began, nil)
+	r.planned(0, false, began)
+	if r.finish(began.Add(time.Second)) {
+		t.Error("finished before a worker was open")
+	}
+	r.planned(0, true, began)
+	if !r.finish(began.Add(time.Second)) || r.result != recoveryDone {
+		t.Errorf("result %q with nothing to start, want done", r.result)
+	}
+	r = newRecovery(time.Time{}, began, []string{"silent"})
+	if r.finish(began.Add(maxRecovery-1)) || !r.finish(began.Add(maxRecovery)) || r.result != recoveryTimedOut {
+		t.Errorf("result %q with a silent worker, want a time-out", r.result)
+	}
+	var w leaderWatch
+	for i, leader := range []uint64{0, 2, 0, 0, 1} {
+		w.observe(1, leader, began.Add(time.Duration(i)))
+	}
+	if w.since != began.Add(2) {
+		t.Errorf("without a leader since %v, want %v", w.since, began.Add(2))
+	}
+}
+
+// Guards against a leadership that records no recovery, or does not say that the next
+// change of leader interrupted it.
+func TestEachLeadershipRecordsItsRecovery(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.connect("b")
+		a.listed = []*api.RunStatus{}
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 2, MilliCpu: 3000, LongRunning: true}}}, accepted)
+		r.wait(100 * time.Millisecond)
+		next := func(term uint64) *leadership {
+			r.replica.lead(term-1, false)
+			r.wait(300 * time.Millisecond)
+			r.replica.lead(term, true)
+			r.wait(100 * time.Millisecond)
+			lead, err := r.server.currentLeadership()
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.reconnect()
+			return lead
+		}
+		second := next(2)
+		if w := second.recovery.waits(); second.recovery.reported != 1 || w[waitConfirmation] == 0 || w[waitSession] == 0 {
+			t.Errorf("%d workers reported, waits %v; want one, after a confirmation and a session", second.recovery.reported, w)
+		}
+		third := next(3)
+		if second.recovery.result != recoveryInterrupted {
+			t.Errorf("result %q after a change of leader, want %q", second.recovery.result, recoveryInterrupted)
+		}
+		for range 6 {
+			r.wait(testLease / 4)
+			a.report()
+		}
+		if third.recovery.result != recoveryDone || third.recovery.lost != 1 {
+			t.Errorf("result %q with %d workers lost, want done and one", third.recovery.result, third.recovery.lost)
+		}
+	})
+}
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -126,6 +127,7 @@
 	}
 	l.assumed.ApplyBatch(next.message)
 	l.planStarts(next)
+	l.checkRecovery()
 	l.relocateThrottled()
 	l.preemptRuns()
 	if len(next.changes) == 0 {
@@ -142,10 +144,14 @@
 // them to the assumed state. The lock is held.
 func (l *leadership) planStarts(next *batch) {
 	var schedule dispatch.Schedule
+	var in dispatch.Input
 	l.assumed.Read(func(view jobs.View) {
 		l.forgetAdvice(view)
-		schedule = dispatch.MakeSchedule(view, l.holdClearingWorkers(view, l.planInput(view)))
+		in = l.holdClearingWorkers(view, l.planInput(view))
+		schedule = dispatch.MakeSchedule(view, in)
 	})
+	open := slices.ContainsFunc(in.Workers, func(w dispatch.Worker) bool { return w.Open })
+	l.recovery.planned(len(schedule.Starts), open, l.server.now())
 	l.reservations.update(schedule, l.server.now())
 	l.rackWaits.update(schedule.HeldForRack, l.server.now())
 	starts := schedule.Starts
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -26,6 +26,8 @@
 
 	mu   sync.Mutex
 	lead *leadership // nil while this replica is not the leader
+
+	leaders leaderWatch
 }
 
 // New returns a server that does nothing until Start is called.
@@ -44,6 +46,7 @@
 func (s *Server) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop = cancel
+	s.done.Go(func() { s.watchLeader(ctx) })
 	s.done.Go(func() { replica.FollowLeadership(ctx, s.config.Replica, s.leadTerm) })
 }
 
@@ -65,6 +68,7 @@
 	klog.InfoS("Leadership started", "term", term, "jobs", lead.activeJobs())
 	var loops sync.WaitGroup
 	loops.Go(func() { s.confirmer.Run(ctx, term) })
+	loops.Go(func() { lead.awaitConfirmation() })
 	loops.Go(func() { lead.runRounds() })
 	loops.Go(func() { lead.completeBatches() })
 	loops.Go(func() { lead.logSummaries() })
@@ -74,6 +78,7 @@
 	cancel()
 	loops.Wait()
 	lead.failPending()
+	lead.interruptRecovery()
 	klog.InfoS("Leadership ended", "term", term)
 }
 
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -104,6 +104,7 @@
 		stopSentAt: map[jobs.RunID]time.Time{}, sentCosts: map[dispatch.Pair]float64{},
 	}
 	l.sessions[agent] = session
+	setFirst(&l.recovery.session, l.server.now())
 	klog.InfoS("Agent session started", "agent", agent, "term", l.term)
 	return session
 }
@@ -141,6 +142,7 @@
 		session.sendExpected = true
 	}
 	if report.RunsListed {
+		l.recovery.listed(view.key, l.server.now())
 		view.setRuns(report.Runs)
 		l.updateProgress(view, report)
 		view.sample = l.sampleWorker(view)
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -88,6 +88,7 @@
 		})
 	})
 	for _, key := range earlier {
+		l.recovery.listed(key, l.server.now())
 		l.loseRuns(key, "the worker started anew")
 	}
 }
@@ -124,6 +125,7 @@
 		})
 	})
 	for _, key := range lost {
+		l.recovery.lose(key, now)
 		l.loseRuns(key, "the lease is over")
 	}
 	for id, view := range l.workers {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -67,7 +67,10 @@
 	JobReservations    = Metric{"paddle_jobs_reservations_total", []string{"event"}}
 	JobTasksBackfilled = Metric{"paddle_jobs_tasks_backfilled_total", nil}
 	JobsRefused        = Metric{"paddle_jobs_refused_total", []string{"reason"}}
-	JobsTooLate        = Metric{"paddle_jobs_accepted_too_late_total", []string{"queue"}}
+	// JobRecovery is a histogram of the waits between a change of leader and the end
+	// of the recovery.
+	JobRecovery = Metric{"paddle_jobs_recovery_seconds", []string{"wait"}}
+	JobsTooLate = Metric{"paddle_jobs_accepted_too_late_total", []string{"queue"}}
 )
 
 // Metrics lists every metric of this package.
@@ -80,7 +83,7 @@
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
-		JobsRefused, JobsTooLate,
+		JobsRefused, JobsTooLate, JobRecovery,
 	}
 }
 
