jobagent: look for the leader at all replicas in parallel

Cause: an agent that had lost its leader tried the replicas one after the other, 0.9 s each for those without power, with pauses that doubled to 0.5 s.

Change: one goroutine for each replica opens a session there and tries again after a refusal, with at most one stream open and a jittered backoff; the first session that a leader of the latest term answers is kept. A replica that is named as the leader is tried at once, and while one is known to lead, the others are tried 150 ms later.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -20,6 +20,10 @@
 // the leader's address (ip:port), when it knows it.
 const LeaderTrailer = "paddle-leader"
 
+// LostLeaderHeader is the gRPC header in which an agent names the address (ip:port) of
+// the leader whose session it has lost.
+const LostLeaderHeader = "paddle-lost-leader"
+
 const (
 	attemptTimeout = 1 * time.Second
 	retryDelay     = 50 * time.Millisecond
@@ -142,6 +146,13 @@
 	return c.addresses[c.next%len(c.addresses)]
 }
 
+// Leader returns the address of the leader as far as it is known, empty otherwise.
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
 // SetAddresses replaces the addresses (ip:port) of the replicas; an empty list
 // changes nothing. Connections to other addresses are closed.
 func (c *Client) SetAddresses(addresses []string) {
--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -39,6 +39,7 @@
 	current    *incarnation // nil until a worker has registered
 	leaving    bool         // the worker has deregistered
 	stopping   bool
+	sessions   int64           // number of sessions that were tried
 	term       uint64          // highest term of a leader that has answered
 	leaseUntil time.Time       // end of the lease under which runs may be started and renewed
 	costs      *dispatch.Costs // interference costs that the leader has learned
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
@@ -21,70 +22,124 @@
 	answerTimeout     = 900 * time.Millisecond // for a report, before another replica is tried; longer than a commit and an election's vote
 	minReconnectDelay = 30 * time.Millisecond
 	maxReconnectDelay = 500 * time.Millisecond
+	reconnectJitter   = 0.5                    // fraction of a delay, in both directions
+	otherReplicaDelay = 150 * time.Millisecond // before the other replicas are tried beside the one that is said to lead; about twice a round trip between regions
 )
 
-// runSessions opens one session after the other, trying the control replicas
-// until one of them leads.
+// runSessions opens one session after the other with the control replica that leads.
 func (a *Agent) runSessions(ctx context.Context) {
-	backoff := timing.NewBackoff(minReconnectDelay, maxReconnectDelay)
-	for id := int64(1); ctx.Err() == nil; id++ {
-		answered, err := a.runSession(ctx, id)
-		if ctx.Err() != nil {
+	for lost := ""; ctx.Err() == nil; {
+		s := a.findLeader(ctx, lost)
+		if s == nil {
 			return
 		}
-		if answered {
-			klog.InfoS("Session with the leader ended", "error", err)
-			backoff.Reset()
+		err := s.serve(ctx)
+		trailer := s.stream.Trailer()
+		s.close()
+		if ctx.Err() != nil {
+			return
 		}
-		if !timing.Sleep(ctx, backoff.Next()) {
+		klog.InfoS("Session with the leader ended", "error", err)
+		lost = s.address
+		a.config.Control.Note(s.address, trailer, sessionError(err))
+		if !timing.Sleep(ctx, timing.Jitter(minReconnectDelay, reconnectJitter)) {
 			return
 		}
 	}
 }
 
 // leaderSession is one stream to a control replica that may be the leader.
-// sequence, sentAt and answered are guarded by Agent.mu while the stream is open.
+// sequence, sentAt and established are guarded by Agent.mu while the stream is open.
 type leaderSession struct {
 	agent       *Agent
 	id          int64
+	address     string
 	cancel      context.CancelFunc
 	stream      api.Jobs_DriveClient
 	answerTimer *time.Timer // cancels the stream when a report goes unanswered for too long
+	detach      func() bool // lets the session outlive the search for the leader
+	first       *api.WorkerDirective
 
-	sequence int64
-	sentAt   map[int64]time.Time // send times of unanswered reports, by sequence
-	answered bool
+	sequence    int64
+	sentAt      map[int64]time.Time // send times of unanswered reports, by sequence
+	established bool
 }
 
-// runSession runs one session until it ends, and reports whether a leader answered.
-func (a *Agent) runSession(ctx context.Context, id int64) (bool, error) {
-	address := a.config.Control.Target()
+// openSession opens a stream to a replica and returns a session once the replica has
+// answered the first report as the leader. The session ends with search until detach
+// is called. The trailer of a refusal may name the leader. lost is the address of the
+// leader whose session was lost: a replica does not refuse for the sake of that one.
+func (a *Agent) openSession(search context.Context, address, lost string) (s *leaderSession, trailer metadata.MD, err error) {
 	connection, err := a.config.Control.Connection(address)
 	if err != nil {
-		return false, err
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(a.ctx)
+	if lost != "" {
+		ctx = metadata.AppendToOutgoingContext(ctx, controlclient.LostLeaderHeader, lost)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s := &leaderSession{agent: a, id: id, cancel: cancel, sentAt: map[int64]time.Time{}}
+	s = &leaderSession{agent: a, address: address, cancel: cancel, detach: context.AfterFunc(search, cancel), sentAt: map[int64]time.Time{}}
 	s.answerTimer = time.AfterFunc(answerTimeout, cancel)
-	defer s.answerTimer.Stop()
 	s.stream, err = api.NewJobsClient(connection).Drive(ctx)
-	var trailer metadata.MD
 	if err == nil {
-		err = s.serve(ctx)
+		err = s.openWithReport()
 		trailer = s.stream.Trailer()
 	}
+	if err != nil {
+		s.close()
+		return nil, trailer, sessionError(err)
+	}
+	return s, nil, nil
+}
+
+// openWithReport sends the first report and waits for the directive that answers it.
+func (s *leaderSession) openWithReport() error {
+	a := s.agent
+	a.mu.Lock()
+	a.sessions++
+	s.id = a.sessions
+	a.mu.Unlock()
+	sendErr := s.send()
+	directive, err := s.stream.Recv() // holds the stream's actual error if the report was not sent
+	if err == nil {
+		err = sendErr
+	}
+	if err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s.first = directive
+	return a.checkTerm(directive.Term)
+}
+
+func (s *leaderSession) close() {
+	s.detach()
+	s.answerTimer.Stop()
+	s.cancel()
+}
+
+// sessionError returns the error of a session with its kind. A stream that the agent
+// canceled had no answer in time.
+func sessionError(err error) error {
 	err = fault.FromStatus(err)
 	if fault.Is(err, fault.Canceled) {
-		err = fault.Wrap(fault.DeadlineUnknown, err, "the replica did not answer in time")
+		return fault.Wrap(fault.DeadlineUnknown, err, "the replica did not answer in time")
 	}
-	a.config.Control.Note(address, trailer, err)
-	return s.answered, err
+	return err
 }
 
-// serve sends reports and handles directives until the stream ends.
+// checkTerm returns fault.NotLeader for a term that has ended. Agent.mu must be held.
+func (a *Agent) checkTerm(term uint64) error {
+	if term < a.term {
+		return fault.Newf(fault.NotLeader, "term %d has ended, the current term is %d", term, a.term)
+	}
+	return nil
+}
+
+// serve handles directives and sends reports until the stream ends.
 func (s *leaderSession) serve(ctx context.Context) error {
-	if err := s.send(); err != nil {
+	if err := s.handleDirective(s.first); err != nil {
 		return err
 	}
 	received := make(chan error, 1)
@@ -96,10 +151,12 @@
 		case err := <-received:
 			return err
 		case <-ctx.Done():
+			s.cancel()
 			return <-received
 		case <-ticker.C:
 		case <-s.agent.notify:
 			if !timing.Sleep(ctx, reportBatchDelay) {
+				s.cancel()
 				return <-received
 			}
 		}
@@ -142,13 +199,13 @@
 	a.config.Control.SetAddresses(d.Members)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if d.Term < a.term {
-		return fault.Newf(fault.NotLeader, "term %d has ended, the current term is %d", d.Term, a.term)
+	if err := a.checkTerm(d.Term); err != nil {
+		return err
 	}
-	if !s.answered {
+	if !s.established {
 		klog.InfoS("Session with the leader established", "term", d.Term)
 	}
-	s.answered = true
+	s.established = true
 	a.term = d.Term
 	if d.LeaseMs > 0 {
 		a.healthPath = d.HealthPath
