jobcontrol: agents' sessions wait for the election and the first confirmation

Cause: three waits after a change of leader followed from no rule. A replica without a leader refused sessions, and agents asked again after pauses of up to 0.5 s. A report that came before the new leader's first quorum confirmation was answered without a lease, so its worker got no run until the next report, up to 1 s later. A lease that was granted after the round of its report opened the worker to the next idle round only, up to 250 ms later.

Change: a replica keeps an agent's session for up to 700 ms while it knows no leader but the one that the agent has lost, and serves it if it is elected. Answers wait for the first confirmation. A lease that opens a worker causes a round. Leases, confirmations and fencing are as before.

--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/replica"
@@ -26,12 +28,15 @@
 	changed chan struct{}
 	index   uint64
 	cutOff  bool // from the quorum: it commits and confirms nothing
+
+	confirmDelay time.Duration // of a quorum confirmation
+	membersDelay time.Duration // of Members
 }
 
 func newFakeReplica(state *jobs.State) *fakeReplica {
 	return &fakeReplica{
 		state: state, changed: make(chan struct{}),
-		status: replica.Status{ID: 1, Leader: 1, Term: 1, LeaderReady: true, LeaderSince: 1},
+		confirmDelay: time.Millisecond, status: replica.Status{ID: 1, Leader: 1, Term: 1, LeaderReady: true, LeaderSince: 1},
 	}
 }
 
@@ -67,13 +72,13 @@
 
 func (f *fakeReplica) ConfirmRead(ctx context.Context) (uint64, error) {
 	f.mu.Lock()
-	cutOff := f.cutOff
+	cutOff, delay := f.cutOff, f.confirmDelay
 	f.mu.Unlock()
 	if cutOff {
 		<-ctx.Done()
 		return 0, fault.New(fault.NoQuorum, "cut off")
 	}
-	time.Sleep(time.Millisecond)
+	time.Sleep(delay)
 	return 0, nil
 }
 
@@ -105,7 +110,11 @@
 }
 
 func (f *fakeReplica) Members() ([]replica.MemberStatus, error) {
-	return []replica.MemberStatus{{ID: 1, Address: "10.0.0.1:1", Voter: true, Leader: true}}, nil
+	f.mu.Lock()
+	delay := f.membersDelay
+	f.mu.Unlock()
+	time.Sleep(delay)
+	return []replica.MemberStatus{{ID: 1, Address: "10.0.0.1:1", Voter: true, Leader: true}, {ID: 2, Address: "10.0.0.2:1", Voter: true}}, nil
 }
 
 func (f *fakeReplica) WasRemoved(uint64) (bool, error)                  { return false, nil }
@@ -227,6 +236,7 @@
 
 	unreachable bool
 	milliCPU    int64
+	lost        string // address of the leader whose session was lost
 }
 
 func (r *rig) connect(name string) *fakeAgent {
@@ -238,6 +248,9 @@
 
 func (a *fakeAgent) reconnect() {
 	ctx, cancel := context.WithCancel(context.Background())
+	if a.lost != "" {
+		ctx = metadata.NewIncomingContext(ctx, metadata.Pairs(controlclient.LostLeaderHeader, a.lost))
+	}
 	a.stream = &fakeStream{
 		ctx: ctx, cancel: cancel, reports: make(chan *api.WorkerReport, 16),
 		directives: make(chan *api.WorkerDirective, 256), ended: make(chan error, 1),
--- a/jobcontrol/recovery.go
+++ b/jobcontrol/recovery.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"google.golang.org/grpc/metadata"
 	"k8s.io/klog/v2"
 
+	"amaranthpaddle/controlclient"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/telemetry"
 )
@@ -224,12 +226,16 @@
 	return t.Sub(r.began).Milliseconds()
 }
 
-// awaitConfirmation records the first quorum confirmation of the leadership.
+// awaitConfirmation waits for the first quorum confirmation of the leadership, and has
+// the reports answered that arrived before it.
 func (l *leadership) awaitConfirmation() {
 	for l.ctx.Err() == nil {
 		if _, err := l.server.confirmer.Wait(l.ctx, time.Time{}); err == nil {
 			l.mu.Lock()
 			l.recovery.confirmed = l.server.now()
+			for _, session := range l.sessions {
+				session.signal()
+			}
 			l.mu.Unlock()
 			return
 		}
@@ -275,3 +281,60 @@
 	s.leaders.since = time.Time{}
 	return since
 }
+
+// maxLeaderWait is how long an agent's session waits for an election. It stays below the
+// time after which the agent gives the replica up (900 ms), less a confirmation.
+const maxLeaderWait = 700 * time.Millisecond
+
+// lostLeader returns the address of the leader whose session an agent has lost, empty
+// if it names none.
+func lostLeader(ctx context.Context) string {
+	header, _ := metadata.FromIncomingContext(ctx)
+	if lost := header.Get(controlclient.LostLeaderHeader); len(lost) > 0 {
+		return lost[0]
+	}
+	return ""
+}
+
+// awaitLeadership returns the leadership in progress. While this replica knows no leader
+// except the one that the agent has lost, it waits up to maxLeaderWait for an election,
+// so that the agents need not ask again. Errors: fault.NotLeader.
+func (s *Server) awaitLeadership(ctx context.Context, lost string) (*leadership, error) {
+	timeout := time.NewTimer(maxLeaderWait)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		leadChanged := s.leadChanged
+		s.mu.Unlock()
+		statusChanged := s.config.Replica.StatusChanged()
+		lead, err := s.currentLeadership()
+		if err == nil || s.knowsOtherLeader(lost) {
+			return lead, err
+		}
+		select {
+		case <-leadChanged:
+		case <-statusChanged:
+		case <-timeout.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, err
+		case <-s.stopped:
+			return nil, err
+		}
+	}
+}
+
+// knowsOtherLeader reports whether the replica knows a leader other than itself and the
+// one at an address.
+func (s *Server) knowsOtherLeader(address string) bool {
+	status := s.config.Replica.Status()
+	if status.Leader == 0 || status.Leader == status.ID {
+		return false
+	}
+	for _, member := range s.members() {
+		if member.ID == status.Leader {
+			return member.Address != address
+		}
+	}
+	return true
+}
--- a/jobcontrol/recovery_test.go
+++ b/jobcontrol/recovery_test.go
@@ -179,3 +179,93 @@
 		}
 	})
 }
+
+// Load pattern: after a change of leader, all agents report before a quorum has confirmed
+// the new leader. Guards against an answer without a lease, after which a worker gets no
+// run until its agent's next report, up to 1 s later.
+func TestReportBeforeTheFirstConfirmationGetsALease(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.replica.set(func() { r.replica.confirmDelay = 150 * time.Millisecond })
+		r.replica.lead(1, false)
+		r.wait(100 * time.Millisecond)
+		a.drainDirectives()
+		r.replica.lead(2, true)
+		a.reconnect()
+		if _, _, _, lease := a.drainDirectives(); lease != 0 {
+			t.Errorf("a lease of %v before the confirmation", lease)
+		}
+		r.wait(150 * time.Millisecond)
+		if _, _, _, lease := a.drainDirectives(); lease != testLease {
+			t.Errorf("a lease of %v after the first confirmation, want %v", lease, testLease)
+		}
+	})
+}
+
+// Guards against a lease that is granted after the round that a report caused: the worker
+// was left out until the next idle round, up to 250 ms later.
+func TestWorkerIsPlannedForAsSoonAsItsLeaseIsGranted(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(time.Second + 10*time.Millisecond) // the next idle round is 240 ms away
+		r.replica.set(func() { r.replica.membersDelay = 15 * time.Millisecond })
+		a := r.connect("a")
+		if starts, _, _, _ := a.drainDirectives(); len(starts) != 1 {
+			t.Errorf("%d starts 50 ms after the first report, want 1", len(starts))
+		}
+	})
+}
+
+// Load pattern: the leader's VM is lost, and agents look for its successor while the
+// election lasts. Guards against refusals that make agents ask again with increasing
+// pauses, so that they miss the end of the election by up to 0.5 s.
+func TestSessionWaitsForTheElection(t *testing.T) {
+	follow := func(r *rig, leader uint64) {
+		r.replica.set(func() { r.replica.status.Leader = leader })
+		r.replica.lead(1, false)
+		r.wait(time.Millisecond)
+	}
+	cases := []struct {
+		name   string
+		leader uint64 // that the replica knows
+		lost   string // leader that the agent has lost
+		waits  bool
+	}{
+		{"no leader", 0, "", true},
+		{"the lost leader", 2, "10.0.0.2:1", true},
+		{"another leader", 2, "10.0.0.3:1", false},
+		{"this replica, not ready yet", 1, "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				a := r.connect("a")
+				for _, elected := range []bool{true, false} {
+					follow(r, c.leader)
+					a.lost = c.lost
+					a.reconnect()
+					refused := len(a.stream.ended) > 0
+					if refused == c.waits {
+						t.Fatalf("refused at once: %v, want %v", refused, !c.waits)
+					}
+					switch {
+					case refused:
+					case elected:
+						r.replica.lead(2, true)
+						r.wait(20 * time.Millisecond)
+						if _, _, _, lease := a.drainDirectives(); lease == 0 {
+							t.Error("no lease from the replica once it leads")
+						}
+					default:
+						r.wait(maxLeaderWait)
+						if len(a.stream.ended) == 0 {
+							t.Errorf("not refused after %v", maxLeaderWait)
+						}
+					}
+				}
+			})
+		})
+	}
+}
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -27,7 +27,9 @@
 	mu   sync.Mutex
 	lead *leadership // nil while this replica is not the leader
 
-	leaders leaderWatch
+	leadChanged chan struct{} // closed when lead changes
+	leaders     leaderWatch
+	stopped     <-chan struct{}
 }
 
 // New returns a server that does nothing until Start is called.
@@ -36,6 +38,8 @@
 	return &Server{
 		config:    config,
 		confirmer: replica.NewConfirmer(config.Replica, confirmInterval, config.Clock),
+
+		leadChanged: make(chan struct{}),
 	}
 }
 
@@ -45,7 +49,7 @@
 // Start serves as leader whenever the replica leads, until Stop is called.
 func (s *Server) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	s.stop = cancel
+	s.stop, s.stopped = cancel, ctx.Done()
 	s.done.Go(func() { s.watchLeader(ctx) })
 	s.done.Go(func() { replica.FollowLeadership(ctx, s.config.Replica, s.leadTerm) })
 }
@@ -86,6 +90,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lead = lead
+	close(s.leadChanged)
+	s.leadChanged = make(chan struct{})
 }
 
 // currentLeadership returns the leadership in progress, or fault.NotLeader.
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -49,7 +49,7 @@
 }
 
 func (s *Server) drive(stream grpc.BidiStreamingServer[api.WorkerReport, api.WorkerDirective]) error {
-	lead, err := s.currentLeadership()
+	lead, err := s.awaitLeadership(stream.Context(), lostLeader(stream.Context()))
 	if err != nil {
 		return err
 	}
@@ -295,6 +295,9 @@
 		return nil
 	}
 	d := &api.WorkerDirective{Acknowledged: session.receivedSeq, Term: l.term, Worker: session.key}
+	if l.server.confirmer.Began().IsZero() {
+		return nil // an answer would grant no lease; awaitConfirmation signals the session
+	}
 	if session.answeredSeq != session.receivedSeq {
 		d.LeaseMs = l.grantLease(session).Milliseconds()
 		d.Members = members
@@ -381,6 +384,9 @@
 	}
 	until := l.server.now().Add(granted + config.leaseMargin())
 	if view := l.viewOf(session.key); view != nil && until.After(view.leaseUntil) {
+		if !l.openFor(view, l.server.now()) {
+			l.signal() // the round after the report may have left the worker out
+		}
 		view.leaseUntil = until
 	}
 	return granted
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -228,9 +228,13 @@
 // it gets no new runs.
 const maxUnanswered = 700 * time.Millisecond
 
-// dispatchWorkers returns the workers as input of the planner. A worker is open to
-// new runs only while more than half a lease remains until leaseUntil. The lock is
-// held.
+// openFor reports whether a worker's lease lasts for long enough to start runs there:
+// more than half of it remains until leaseUntil.
+func (l *leadership) openFor(view *workerView, now time.Time) bool {
+	return now.Before(view.leaseUntil.Add(-l.server.config.Lease / 2))
+}
+
+// dispatchWorkers returns the workers as input of the planner. The lock is held.
 func (l *leadership) dispatchWorkers(state jobs.View, now time.Time) []dispatch.Worker {
 	workers := make([]dispatch.Worker, 0, len(l.workers))
 	keys := make([]string, 0, len(l.workers))
@@ -240,7 +244,7 @@
 	suspects := l.health.Suspects(now, keys)
 	for _, view := range l.workers {
 		w := view.worker
-		open := l.sessions[view.agent] != nil && now.Before(view.leaseUntil.Add(-l.server.config.Lease/2)) &&
+		open := l.sessions[view.agent] != nil && l.openFor(view, now) &&
 			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && !view.unreachable && view.unanswered < maxUnanswered &&
 			!suspects[view.key]
 		if _, closed := l.maintenance.closed[w.Machine]; closed {
