jobcontrol: jobs age while there is no leader

Cause: a new leader derived the ages of jobs from the log's clock, which stands still while nothing is committed. After a loss of power for 7 s, every job counted as 7 s younger. Jobs whose value was lost went before jobs that could still be in time.

Change: the time of day counts if it is later than the log's clock. The first batch of a leader moves the log's clock there anyway.

--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -9,12 +9,14 @@
 	"amaranthpaddle/telemetry"
 )
 
-// initJobAges derives when the jobs of earlier leaders were first seen from their
-// age on the log's clock.
+// initJobAges derives when the jobs of earlier leaders were first seen from their time
+// of submission. The log's clock stood still while nothing was committed, so the time of
+// day counts if it is later.
 func (l *leadership) initJobAges() {
+	now := l.server.config.UnixTime().UnixMilli()
 	l.assumed.Read(func(view jobs.View) {
 		view.ActiveJobs(func(job *jobs.Job) {
-			age := time.Duration(view.NowMS()-job.SubmittedMS) * time.Millisecond
+			age := time.Duration(max(now, view.NowMS())-job.SubmittedMS) * time.Millisecond
 			l.firstSeen[job.ID] = l.since.Add(-max(age, 0))
 		})
 	})
--- a/jobcontrol/recovery_test.go
+++ b/jobcontrol/recovery_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 // Load pattern: power is lost everywhere, and comes back on all VMs at once. Seen in
@@ -269,3 +270,30 @@
 		})
 	}
 }
+
+// Load pattern: all control replicas lose power for 7 s. The log's time stands still
+// meanwhile. Guards against jobs that count as younger by the length of the outage: those
+// whose value was lost went before jobs that could still be in time.
+func TestJobsAgeWhileThereIsNoLeader(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		submitted := time.Now()
+		r.replica.lead(1, false)
+		r.wait(7 * time.Second)
+		r.replica.lead(2, true)
+		r.wait(10 * time.Millisecond)
+		lead, err := r.server.currentLeadership()
+		if err != nil {
+			t.Fatal(err)
+		}
+		lead.mu.Lock()
+		defer lead.mu.Unlock()
+		r.state.Read(func(view jobs.View) {
+			age := lead.jobAge(view.Job(testJob), time.Now())
+			if want := time.Since(submitted); age < want || age > want+50*time.Millisecond {
+				t.Errorf("age %v after the outage, want %v", age, want)
+			}
+		})
+	})
+}
