--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -26,6 +26,10 @@
 
 	mu   sync.Mutex
 	lead *leadership // nil while this replica is not the leader
+
+	leadChanged chan struct{} // closed when lead changes
+	leaders     leaderWatch
+	stopped     <-chan struct{}
 }
 
 // New returns a server that does nothing until Start is called.
@@ -34,6 +38,8 @@
 	return &Server{
 		config:    config,
 		confirmer: replica.NewConfirmer(config.Replica, confirmInterval, config.Clock),
+
+		leadChanged: make(chan struct{}),
 	}
 }
 
@@ -43,7 +49,8 @@
 // Start serves as leader whenever the replica leads, until Stop is called.
 func (s *Server) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	s.stop = cancel
+	s.stop, s.stopped = cancel, ctx.Done()
+	s.done.Go(func() { s.watchLeader(ctx) })
 	s.done.Go(func() { replica.FollowLeadership(ctx, s.config.Replica, s.leadTerm) })
 }
 
@@ -65,6 +72,7 @@
 	klog.InfoS("Leadership started", "term", term, "jobs", lead.activeJobs())
 	var loops sync.WaitGroup
 	loops.Go(func() { s.confirmer.Run(ctx, term) })
+	loops.Go(func() { lead.awaitConfirmation() })
 	loops.Go(func() { lead.runRounds() })
 	loops.Go(func() { lead.completeBatches() })
 	loops.Go(func() { lead.logSummaries() })
@@ -74,6 +82,7 @@
 	cancel()
 	loops.Wait()
 	lead.failPending()
+	lead.interruptRecovery()
 	klog.InfoS("Leadership ended", "term", term)
 }
 
@@ -81,6 +90,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lead = lead
+	close(s.leadChanged)
+	s.leadChanged = make(chan struct{})
 }
 
 // currentLeadership returns the leadership in progress, or fault.NotLeader.
