api, jobs, jobentry: a job keeps the zone of the entry that took it

Cause: the leader is not told in which availability zone a call arrived, so fair shares and return times cannot tell the callers of two zones apart.

A repeated submission through another zone keeps the first zone. Older entries and leaders send none; their jobs have no zone. The lines "Job submitted" and "Job refused" name it.

Result: no decision uses the zone yet. The tests of jobs, jobentry and jobcontrol pass with -race.

--- a/cmd/paddle-jobentry/main.go
+++ b/cmd/paddle-jobentry/main.go
@@ -42,7 +42,7 @@
 	}
 	client := controlclient.New(security, s.Seeds)
 	defer client.Close()
-	gateway := jobentry.New(client, jobentry.Options{RefuseWithoutLeader: s.RefuseWithoutLeader})
+	gateway := jobentry.New(client, jobentry.Options{RefuseWithoutLeader: s.RefuseWithoutLeader, Zone: s.Zone})
 	gateway.Start()
 	defer gateway.Stop()
 	servers := daemon.Servers{Security: security}
--- a/jobcontrol/admission.go
+++ b/jobcontrol/admission.go
@@ -116,7 +116,7 @@
 	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Refuse{Refuse: &api.JobRefusal{
 		Job: t.job, UntilUnixMs: l.server.config.UnixTime().Add(duration).UnixMilli(),
 	}}})
-	klog.InfoS("Job refused", "job", t.job, "queue", t.queue, "version", t.version, "attempt", call.Attempt,
+	klog.InfoS("Job refused", "job", t.job, "queue", t.queue, "zone", call.Zone, "version", t.version, "attempt", call.Attempt,
 		"reason", verdict.Reason, "wait_ms", verdict.Wait.Milliseconds(), "retry_after_ms", verdict.RetryAfter.Milliseconds(),
 		"error", err, "shape", jobs.Shape(call.Spec))
 	switch {
--- a/jobcontrol/call.go
+++ b/jobcontrol/call.go
@@ -122,9 +122,9 @@
 	}
 	received := l.server.now()
 	err := l.commit(ctx, &api.JobChange{Body: &api.JobChange_Submit{
-		Submit: &api.SubmitJob{Key: &api.JobKey{Queue: t.queue, Job: t.job}, Spec: call.Spec},
+		Submit: &api.SubmitJob{Key: &api.JobKey{Queue: t.queue, Job: t.job}, Spec: call.Spec, Zone: call.Zone},
 	}})
-	klog.InfoS("Job submitted", "job", t.job, "queue", t.queue, "version", t.version,
+	klog.InfoS("Job submitted", "job", t.job, "queue", t.queue, "zone", call.Zone, "version", t.version,
 		"attempt", call.Attempt, "commit_ms", l.millisSince(received), "error", err, "shape", jobs.Shape(call.Spec))
 	switch {
 	case fault.Is(err, fault.NotFound):
--- a/jobentry/gateway.go
+++ b/jobentry/gateway.go
@@ -47,6 +47,9 @@
 	// RefuseWithoutLeader answers calls at once while no leader is to be expected in
 	// time, in place of trying until the caller's deadline.
 	RefuseWithoutLeader bool
+	// Zone is the availability zone of the entry, which calls carry. Empty if it is not
+	// known.
+	Zone string
 }
 
 // New returns a gateway that calls the control group through client.
@@ -160,6 +163,7 @@
 		defer cancel()
 		call.RemainingMs = time.Until(deadline).Milliseconds()
 	}
+	call.Zone = g.options.Zone
 	var tries progress
 	answer, err := g.forwardInTime(ctx, call, &tries)
 	if err == nil {
--- a/jobentry/gateway_test.go
+++ b/jobentry/gateway_test.go
@@ -25,6 +25,7 @@
 	mu    sync.Mutex
 	steps []step
 	calls int
+	zone  string // of the latest call
 }
 
 type step struct {
@@ -36,9 +37,10 @@
 	leader   string // address in the trailer
 }
 
-func (f *fakeLeader) Call(ctx context.Context, _ *api.JobCall) (*api.JobAnswer, error) {
+func (f *fakeLeader) Call(ctx context.Context, call *api.JobCall) (*api.JobAnswer, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.zone = call.Zone
 	s := f.steps[min(f.calls, len(f.steps)-1)]
 	f.calls++
 	if s.received != nil {
@@ -274,3 +276,16 @@
 		t.Errorf("after an answer: %v", err)
 	}
 }
+
+// Guards against calls without the zone of their entry: all their jobs would count as
+// those of one caller.
+func TestCallsCarryTheZoneOfTheEntry(t *testing.T) {
+	gateway, leader := serve(t, step{kind: api.JobAnswerKind_JOB_ANSWER_KIND_ACCEPTED})
+	gateway.options.Zone = "za"
+	if _, err := gateway.Call(t.Context(), &api.JobCall{Kind: api.JobCallKind_JOB_CALL_KIND_SUBMIT, Zone: "of the caller"}); err != nil {
+		t.Fatal(err)
+	}
+	if leader.zone != "za" {
+		t.Errorf("zone %q", leader.zone)
+	}
+}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -42,6 +42,7 @@
 type Job struct {
 	ID          string
 	QueueKey    string
+	Zone        string        // availability zone of the entry that took the submission, empty if it is not known
 	Queue       *api.JobQueue // configuration of the queue at the submission
 	Spec        *api.JobSpec  // nil for a job that was cancelled before its submission arrived
 	Phase       Phase
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -75,6 +75,7 @@
 	record := &api.JobRecord{
 		Id:              job.ID,
 		QueueKey:        job.QueueKey,
+		Zone:            job.Zone,
 		Queue:           job.Queue,
 		Spec:            job.Spec,
 		State:           int32(job.Phase),
@@ -135,7 +136,7 @@
 
 func (s *State) loadJob(record *api.JobRecord) {
 	job := &Job{
-		ID: record.Id, QueueKey: record.QueueKey, Queue: record.Queue, Spec: record.Spec,
+		ID: record.Id, QueueKey: record.QueueKey, Zone: record.Zone, Queue: record.Queue, Spec: record.Spec,
 		Phase: Phase(record.State), SubmittedMS: record.SubmittedUnixMs, EndedMS: record.EndedUnixMs,
 		CrashedBy: record.CrashedBy, begun: record.Begun,
 	}
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -179,6 +179,7 @@
 		return fault.Newf(fault.Overloaded, "job %s was refused", id)
 	}
 	job := newJob(id, c.Key.Queue, queue, c.Spec, s.nowMS)
+	job.Zone = c.Zone
 	s.jobs[id] = job
 	s.active[id] = job
 	return nil
