jobcontrol: split holdClearingWorkers into its two jobs

Cause: holdClearingWorkers forgot sets of preempted runs and closed workers in the input of a plan. Explanations called it too, although they must have no effects.

Change: preemption.unfinished returns the sets that still wait, without effects, and closeWorkers closes their workers.

--- /dev/null
+++ b/dispatch/candidates.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// candidate is a group with tasks that are ready to start.
+type candidate struct {
+	job        *jobs.Job
+	queue      *api.JobQueue
+	occurrence int32
+	groupIndex int32
+	group      *jobs.Group
+	lateness   lateness
+	waited     time.Duration     // time since submission, or since the occurrence was due, if no run of the job is active; 0 otherwise
+	tickets    map[string]string // from the queue's adviser, by worker key
+	density    float64           // value of the job per remaining core-second
+	slack      time.Duration     // for which the job may wait and still be in time, 0 for long-running groups
+	reserved   int               // for an entry that places only tasks with a reservation, their number
+}
+
+// lateness classifies a job by the value that it can still have.
+type lateness int
+
+const (
+	inTime  lateness = iota // the objective can still be met
+	late                    // the objective will be missed; the job has a part of its value
+	expired                 // later than expiryFactor objectives; the job has no value left
+)
+
+// candidates returns the groups with tasks to start, the most urgent first.
+//
+// The order handles overload, when the workers cannot complete all work in
+// time. Work on a job that misses its objective anyway is wasted, so such jobs
+// come after those that can still meet it, and jobs with a high value per
+// remaining core-second go first. The remaining work of a job shrinks as it
+// progresses, so jobs in progress tend to be finished before others are begun.
+// Jobs with a task on probation go before others of their kind: such a task needs a
+// worker that is starting nothing else.
+func candidates(view jobs.View, in Input) []candidate {
+	var all []candidate
+	view.ActiveJobs(func(job *jobs.Job) {
+		if !job.Phase.Ended() {
+			all = append(all, tryCandidates(view, in, job)...)
+		}
+	})
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.rank(), b.rank()),
+			cmp.Compare(a.lateness, b.lateness),
+			-cmp.Compare(min(a.job.TasksOnProbation(), 1), min(b.job.TasksOnProbation(), 1)),
+			-cmp.Compare(a.density, b.density),
+			cmp.Compare(a.job.ID, b.job.ID),
+			cmp.Compare(a.occurrence, b.occurrence),
+			cmp.Compare(a.groupIndex, b.groupIndex),
+		)
+	})
+	fairOrder(view, in, all)
+	return all
+}
+
+// rank returns the sort key for the priority. Expired jobs come after all
+// others.
+func (c candidate) rank() int {
+	if c.lateness == expired {
+		return expiredRank + int(c.queue.Priority)
+	}
+	return int(c.queue.Priority)
+}
+
+// expiredRank is larger than any priority.
+const expiredRank = 1 << 20
+
+// tryCandidates returns the groups of a job with tasks to start, none after a panic.
+func tryCandidates(view jobs.View, in Input, job *jobs.Job) (all []candidate) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			all = nil
+			in.Panicked(job.ID, cause)
+		}
+	}()
+	return jobCandidates(view, in, job)
+}
+
+func jobCandidates(view jobs.View, in Input, job *jobs.Job) (all []candidate) {
+	queue := view.QueueOf(job)
+	estimate := in.Durations.ForQueue(job.QueueKey)
+	objective := Objective(queue, job.Spec, estimate)
+	value := in.QueueWork.Value(job.QueueKey, Work(job.Spec, estimate))
+	for k, occurrence := range job.Occurrences {
+		age := in.Age(job)
+		if due, scheduled := job.DueMS(int32(k)); scheduled {
+			if in.UnixMS < due {
+				break
+			}
+			age = time.Duration(in.UnixMS-due) * time.Millisecond
+		}
+		for g, group := range occurrence.Groups {
+			if group.Done() || !occurrence.Ready(group) {
+				continue
+			}
+			c := candidate{
+				job: job, queue: queue, occurrence: int32(k), groupIndex: int32(g), group: group,
+				density: value / remainingWork(occurrence, estimate),
+			}
+			if c.anyStartable(in) {
+				c.assess(age, objective, estimate)
+				all = append(all, c)
+			}
+		}
+	}
+	return all
+}
+
+// assess sets what follows from the age of the job and from its objective.
+func (c *candidate) assess(age, objective time.Duration, estimate func(*api.TaskGroup) float64) {
+	if c.job.ActiveRuns() == 0 {
+		c.waited = age
+	}
+	if !c.group.Spec.LongRunning {
+		needed := remainingCriticalPath(c.job.Occurrences[c.occurrence], estimate)
+		c.lateness, c.slack = latenessOf(age, needed, objective), objective-age-needed
+	}
+}
+
+// latenessOf classifies a job by its age and the shortest time that it still
+// needs.
+func latenessOf(age, needed, objective time.Duration) lateness {
+	switch {
+	case age > expiryFactor*objective:
+		return expired
+	case age+needed > objective:
+		return late
+	}
+	return inTime
+}
+
+func (c *candidate) anyStartable(in Input) bool {
+	for i := range c.group.Tasks {
+		if c.startable(i, in) {
+			return true
+		}
+	}
+	return false
+}
+
+// startable reports whether a task needs a run, or a copy of its only run.
+func (c *candidate) startable(index int, in Input) bool {
+	return needsRun(c.group, index) || c.needsCopy(index, in)
+}
+
+// CountWaiting returns the number of tasks of a group that are not done and
+// have no run.
+func CountWaiting(group *jobs.Group) (tasks int) {
+	for i := range group.Tasks {
+		if needsRun(group, i) {
+			tasks++
+		}
+	}
+	return tasks
+}
+
+// needsRun reports whether a task is not done and has no run.
+func needsRun(group *jobs.Group, index int) bool {
+	return !group.Tasks[index].Done && len(group.Tasks[index].Runs) == 0
+}
+
+// needsCopy reports whether a task of a speculative group has a single run that
+// a copy would likely overtake.
+func (c *candidate) needsCopy(index int, in Input) bool {
+	task := &c.group.Tasks[index]
+	if !c.group.Spec.Speculative || c.group.Spec.Gang || task.Done || task.OnProbation() || len(task.Runs) != 1 || in.Behind == nil {
+		return false
+	}
+	return in.Behind(jobs.RunID{Task: c.taskID(index), Number: task.Runs[0].Number})
+}
+
+func (c *candidate) taskID(index int) jobs.TaskID {
+	return jobs.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Group: c.groupIndex, Index: int32(index)}
+}
--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -128,27 +128,33 @@
 	p.clearing = append(p.clearing, c)
 }
 
-// holdClearingWorkers closes the workers in the input of a plan on which several runs
-// give way to one task, until all of them have ended. Their ends may be committed in
-// different batches, and less urgent tasks would take the room of the first one. Of
-// several sets on a worker the first that has ended opens it, so that its task does
-// not wait for the others. The lock is held.
-func (l *leadership) holdClearingWorkers(view jobs.View, in dispatch.Input) dispatch.Input {
-	now := l.server.now()
-	open := map[string]bool{} // workers on which a set has ended
-	for _, c := range l.preemption.clearing {
-		if now.Sub(c.since) >= maxClearingTime || !slices.ContainsFunc(c.runs, func(run jobs.RunID) bool {
-			job, _, _ := view.Run(run)
-			return job != nil
-		}) {
+// unfinished returns the sets whose workers stay closed. Of several sets on a worker the
+// first that has ended opens it, so that its task does not wait for the others.
+func (p *preemption) unfinished(view jobs.View, now time.Time) []clearing {
+	open := map[string]bool{}
+	for _, c := range p.clearing {
+		if now.Sub(c.since) >= maxClearingTime || !c.anyActive(view) {
 			open[c.worker] = true
 		}
 	}
-	l.preemption.clearing = slices.DeleteFunc(l.preemption.clearing, func(c clearing) bool { return open[c.worker] })
-	for _, c := range l.preemption.clearing {
-		if i := slices.IndexFunc(in.Workers, func(w dispatch.Worker) bool { return w.Key == c.worker }); i >= 0 {
-			in.Workers[i].Open = false
+	return slices.DeleteFunc(slices.Clone(p.clearing), func(c clearing) bool { return open[c.worker] })
+}
+
+// anyActive reports whether a run of the set has not ended.
+func (c *clearing) anyActive(view jobs.View) bool {
+	return slices.ContainsFunc(c.runs, func(run jobs.RunID) bool {
+		job, _, _ := view.Run(run)
+		return job != nil
+	})
+}
+
+// closeWorkers closes the workers of a plan on which several runs give way to one task.
+// Their ends may be committed in different batches, and less urgent tasks would take the
+// room of the first one.
+func closeWorkers(workers []dispatch.Worker, sets []clearing) {
+	for _, c := range sets {
+		if i := slices.IndexFunc(workers, func(w dispatch.Worker) bool { return w.Key == c.worker }); i >= 0 {
+			workers[i].Open = false
 		}
 	}
-	return in
 }
--- a/jobcontrol/preemption_test.go
+++ b/jobcontrol/preemption_test.go
@@ -122,7 +122,9 @@
 			} {
 				l.preemption.clear(c.set, now.Add(-c.since))
 				l.assumed.Read(func(view jobs.View) {
-					in := l.holdClearingWorkers(view, l.planInput(view))
+					in := l.planInput(view)
+					l.preemption.clearing = l.preemption.unfinished(view, now)
+					closeWorkers(in.Workers, l.preemption.clearing)
 					if in.Workers[0].Open != c.open || c.open && len(l.preemption.clearing) > 0 {
 						t.Errorf("worker open: %v, after set %v; sets %v", in.Workers[0].Open, c.set, l.preemption.clearing)
 					}
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -144,7 +144,10 @@
 	var schedule dispatch.Schedule
 	l.assumed.Read(func(view jobs.View) {
 		l.forgetAdvice(view)
-		schedule = dispatch.MakeSchedule(view, l.holdClearingWorkers(view, l.planInput(view)))
+		in := l.planInput(view)
+		l.preemption.clearing = l.preemption.unfinished(view, l.server.now())
+		closeWorkers(in.Workers, l.preemption.clearing)
+		schedule = dispatch.MakeSchedule(view, in)
 	})
 	l.reservations.update(schedule, l.server.now())
 	l.rackWaits.update(schedule.HeldForRack, l.server.now())
--- a/jobcontrol/where.go
+++ b/jobcontrol/where.go
@@ -160,11 +160,12 @@
 	var panicked any
 	state.Read(func(view jobs.View) {
 		found := false
-		in := l.holdClearingWorkers(view, l.passiveInput(view, func(id string, cause any) {
+		in := l.passiveInput(view, func(id string, cause any) {
 			if id == job {
 				panicked = cause
 			}
-		}))
+		})
+		closeWorkers(in.Workers, l.preemption.unfinished(view, l.server.now()))
 		if explanation, found = dispatch.ExplainJob(view, in, job); !found {
 			err = fault.Newf(fault.NotFound, "no job %s", job)
 		}
