--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -147,7 +147,9 @@
 	var in dispatch.Input
 	l.assumed.Read(func(view jobs.View) {
 		l.forgetAdvice(view)
-		in = l.holdClearingWorkers(view, l.planInput(view))
+		in = l.planInput(view)
+		l.preemption.clearing = l.preemption.unfinished(view, l.server.now())
+		closeWorkers(in.Workers, l.preemption.clearing)
 		schedule = dispatch.MakeSchedule(view, in)
 	})
 	open := slices.ContainsFunc(in.Workers, func(w dispatch.Worker) bool { return w.Open })
