dispatch: CPU that throttled runs leave unused is not claimed

Cause: a best-effort run that is throttled or paused to protect services kept its claim on unused CPU at full pace (unusedShare). Beside services that can spare nothing, 8 runs held 4 workers without working, and neither starving jobs nor tasks that disturb no service started there.

Change: a throttled run claims what the runs of its image use by the worker's sample, at least 5 % (the lowest pace above a pause) of its declared CPU; memory counts in full. Runs at full pace, runs that have not started and runs that the plan adds claim all of it. The CPU that is left is open to the first task of a job that starves, and to tasks that interfere with no service on the worker while none of these is over its target. The interference limits and the score of a worker count all runs at full pace, as before. The leader tells the plan which runs are at full pace (Worker.AtFullPace).

Tests: the replay of starvation_test.go returns what it shows; it bounds the headroom of a service at 0.1 from below, since one of 0 or less stands for unknown.

--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"amaranthpaddle/api"
@@ -96,31 +95,6 @@
 	return float64(milliCPU) / float64(l.worker.Capacity.MilliCPU)
 }
 
-// allowsBestEffort reports whether a best-effort task of the candidate may
-// start on the worker: there is unused CPU, and the services on the worker can
-// spare the headroom.
-func (p *planner) allowsBestEffort(c candidate, l *load) bool {
-	group := c.group.Spec
-	unused := hasUnusedCPU(c, l)
-	if starves(c) && (unused || p.fleet.countedBelowHalf()) {
-		return true // its agent throttles it as far as the services need
-	}
-	if !unused {
-		return false // it would only slow down the best-effort runs on the worker
-	}
-	limit := maxInterference
-	if p.ignoresInterference(c) {
-		limit = math.Inf(1) // it is throttled until the services can spare the headroom
-	}
-	return p.interference(group, l) < limit
-}
-
-// hasUnusedCPU reports whether a worker has unused CPU for one more best-effort
-// task, or no best-effort task yet.
-func hasUnusedCPU(c candidate, l *load) bool {
-	return l.bestEffortMilliCPU == 0 || unusedShare(l) >= share(c.group.Spec.MilliCpu, l)
-}
-
 // starves reports whether no task of the candidate's job has found a worker for
 // too long.
 func starves(c candidate) bool { return c.waited > starvationTimeout }
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -18,12 +18,26 @@
 func TestLastTaskStartsBesidePausedRuns(t *testing.T) { testLastTaskStarts(t, 1.2) }
 
 func testLastTaskStarts(t *testing.T, headroom Headroom) {
+	replayInterferingBacklog(t, func(time.Duration) Headroom { return headroom })
+}
+
+// backlogReplay is what a replay shows of the waits and of the services.
+type backlogReplay struct {
+	longestWait time.Duration // from a job's submission to its first start
+	started     int           // jobs
+	lowest      Headroom      // of a service
+	overTarget  int           // steps of workers whose service is over its target
+}
+
+// replayInterferingBacklog runs the load. headroomAt returns the headroom of the services without best-effort work.
+func replayInterferingBacklog(t *testing.T, headroomAt func(time.Duration) Headroom) backlogReplay {
+	result := backlogReplay{lowest: maxHeadroom}
 	const step, taskTime, cores, costPerCore = 500 * time.Millisecond, 2 * time.Second, 2, 0.25
 	w := newFixture(t, 4)
 	pair := Pair{"s", "f"}
 	pacers := map[string]*Pacer{}
 	for i := range w.workers {
-		w.serve(i, pair.Service, headroom)
+		w.serve(i, pair.Service, headroomAt(0))
 		pacers[w.workers[i].Key] = NewPacer()
 	}
 	submit := func(count int32) string {
@@ -57,13 +71,21 @@
 				}
 			}
 			for run, service := range worker.Sample.Services {
-				service.Headroom = headroom - Headroom(costPerCore*used)
+				service.Headroom = max(headroomAt(w.now)-Headroom(costPerCore*used), 0.1)
 				worker.Sample.Services[run] = service
+				result.lowest = min(result.lowest, service.Headroom)
+				if service.Headroom < targetHeadroom {
+					result.overTarget++
+				}
 			}
 			worker.Sample.Cores = map[string]float64{pair.BestEffort: used}
 		}
 		for _, start := range w.plan() {
-			left[start], started[start.Run.Task.Job] = taskTime, true
+			job := start.Run.Task.Job
+			if !started[job] {
+				result.longestWait = max(result.longestWait, w.now-w.submitted[job])
+			}
+			left[start], started[job] = taskTime, true
 		}
 		w.now += step
 	}
@@ -85,4 +107,6 @@
 	if !started[seven] {
 		t.Errorf("the last task has not started in 60 s; %d runs are active, %d jobs of %d have started", len(left), len(started), w.jobs)
 	}
+	result.started = len(started)
+	return result
 }
--- /dev/null
+++ b/dispatch/unusedcpu.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"math"
+
+	"amaranthpaddle/jobs"
+)
+
+// minClaimShare is the least share of its declared CPU that a throttled run claims: the
+// lowest pace above a pause. It bounds the runs that gather on a worker while they are
+// paused and that share its CPU when the services recover.
+const minClaimShare = float64(minPercent) / FullPace
+
+// allowsBestEffort reports whether a best-effort task of the candidate may
+// start on the worker: there is unused CPU, and the services on the worker can
+// spare the headroom. CPU that throttled runs leave unused is open to tasks that
+// interfere with no service there, and to those that starve.
+func (p *planner) allowsBestEffort(c candidate, l *load) bool {
+	group := c.group.Spec
+	unclaimed := hasUnclaimedCPU(c, l)
+	unused := unclaimed || p.hasUnusedCPU(c, l)
+	if starves(c) && (unused || p.fleet.countedBelowHalf()) {
+		return true // its agent throttles it as far as the services need
+	}
+	if !unused {
+		return false // it would only slow down the best-effort runs on the worker
+	}
+	if !unclaimed {
+		// Over its target, a service has all best-effort runs paused in the end.
+		return !l.worker.Sample.overTarget() && p.interference(group, l) == 0
+	}
+	limit := maxInterference
+	if p.ignoresInterference(c) {
+		limit = math.Inf(1) // it is throttled until the services can spare the headroom
+	}
+	return p.interference(group, l) < limit
+}
+
+// hasUnclaimedCPU reports whether a worker has CPU for one more best-effort task
+// if all runs work at full pace, or no best-effort task yet.
+func hasUnclaimedCPU(c candidate, l *load) bool {
+	return l.bestEffortMilliCPU == 0 || unusedShare(l) >= share(c.group.Spec.MilliCpu, l)
+}
+
+// hasUnusedCPU reports whether a worker has CPU for one more best-effort task at
+// the present paces of its runs.
+func (p *planner) hasUnusedCPU(c candidate, l *load) bool {
+	if len(l.worker.Sample.Cores) == 0 {
+		return false // nothing is known of what its runs use
+	}
+	idle := l.bestEffortMilliCPU - p.likelyMilliCPU(l)
+	return unusedShare(l)+share(idle, l) >= share(c.group.Spec.MilliCpu, l)
+}
+
+// likelyMilliCPU returns what the best-effort runs on a worker are likely to use at
+// their paces. Runs that the plan adds count in full.
+func (p *planner) likelyMilliCPU(l *load) int64 {
+	if l.bestEffortUse == nil {
+		use := p.bestEffortUseOf(l)
+		l.bestEffortUse = &use
+	}
+	use := l.bestEffortUse
+	if added := l.bestEffortMilliCPU - use.claimed; added >= 0 {
+		return use.likely + added
+	}
+	return int64(float64(use.likely) * float64(l.bestEffortMilliCPU) / float64(use.claimed))
+}
+
+// bestEffortUse is what the best-effort runs on a worker use, without those that the
+// plan adds.
+type bestEffortUse struct {
+	claimed int64 // milli-cores at full pace
+	likely  int64 // milli-cores at their paces
+}
+
+// bestEffortUseOf determines what the runs on a worker use. A throttled run uses as much
+// of its declared CPU as the runs of its image do on average.
+func (p *planner) bestEffortUseOf(l *load) bestEffortUse {
+	use := bestEffortUse{}
+	throttled, all := map[string]int64{}, map[string]int64{}
+	p.view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
+		spec := group.Spec
+		if !spec.BestEffort {
+			return
+		}
+		use.claimed += spec.MilliCpu
+		all[spec.Image] += spec.MilliCpu
+		if l.worker.AtFullPace != nil && l.worker.AtFullPace(run) {
+			use.likely += spec.MilliCpu
+		} else {
+			throttled[spec.Image] += spec.MilliCpu
+		}
+	})
+	for image, claimed := range throttled {
+		used := 1000 * l.worker.Sample.Cores[image] / float64(max(all[image], 1))
+		use.likely += int64(math.Ceil(float64(claimed) * min(max(used, minClaimShare), 1)))
+	}
+	return use
+}
+
+// overTarget reports whether a service in the sample is over its target.
+func (s *Sample) overTarget() bool {
+	for _, service := range s.Services {
+		if service.Headroom > 0 && service.Headroom < targetHeadroom {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -24,6 +24,9 @@
 	// Starting reports whether the worker has not yet survived the start of a run. It
 	// is nil while no task is on probation.
 	Starting func(jobs.RunID) bool
+	// AtFullPace reports whether a best-effort run is, as far as is known, not throttled. If it
+	// is nil, the paces are unknown, and the sample tells what the runs use.
+	AtFullPace func(jobs.RunID) bool
 }
 
 // Capacity returns the resources of a worker.
@@ -49,6 +52,7 @@
 	lasting            resource.Vector    // demands of the long-running ones, which do not end by themselves
 	bestEffortMilliCPU int64              // that best-effort runs would use at full pace
 	bestEffortCores    map[string]float64 // the same in cores, by image
+	bestEffortUse      *bestEffortUse     // nil until it is needed
 	serviceRuns        map[string]int     // runs with a latency target, by image
 	serviceMilliCPU    int64              // declared by runs with a latency target
 	runs               int
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -32,6 +32,12 @@
 	return status == nil || status.Starting
 }
 
+// atFullPace reports whether a best-effort run is not throttled. One that has not
+// started yet is not.
+func (v *workerView) atFullPace(run jobs.RunID) bool {
+	return v.starting(run) || v.runs[run].Pace >= dispatch.FullPace
+}
+
 // setSuspect records whether a worker is suspect, and logs a change.
 func (v *workerView) setSuspect(suspect bool) {
 	if v.suspect != suspect {
@@ -252,7 +258,7 @@
 		workers = append(workers, dispatch.Worker{
 			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
 			Capacity: dispatch.Capacity(w), Open: open, Sample: view.sample,
-			HealthPenalty: l.health.Penalty(view.key, now), Starting: starting,
+			HealthPenalty: l.health.Penalty(view.key, now), Starting: starting, AtFullPace: view.atFullPace,
 		})
 	}
 	return workers
