dispatch, jobcontrol: one replay harness, redundant tests merged

Where the checks went: - TestUrgentWorkGoesFirstUnderContention, TestUnderOverloadSmallRemainingWork- GoesFirst, TestJobInTimeGoesBeforeLateJob, TestExpiredUrgentJobYields: cases of TestJobOfMoreValueGoesFirst. Each case checks both jobs and the next plan now. - TestBestEffortJobDoesNotStarveBesideServices: case of TestBestEffortJobDoesNotStarve. - TestPlanNeverExceedsCapacityOrLimit: TestPlanWithRememberedDemandsEqualsFull- Comparison, which draws from the same groups and calls checkLimits after each plan, with and without reservations. - TestRoomOnChangingWorkers: cases of TestRoomIsForeseenWhenEnoughRunsHaveEnded, with the median exact in place of bounds on Latest. - TestPreemptionTogetherWithReservationsAndRemotePenalty and TestPreemption- SparesProtectedRunsAndMakesRoom: one property test of the latter name. It draws the settings, the pace and the kinds of both, and makes all checks of both after each of 60 rounds: the same starts without preemption, protected runs, room that stops make, capacity, no task in time beside runs without value. - TestWideTaskWaitsABoundedTimeWhileSmallOnesKeepComing: the wait of the wide task is read from its start; a task that never starts fails as before. - server set-up and withLeadership of jobcontrol's tests: in the harness.

--- a/dispatch/fleetload_test.go
+++ b/dispatch/fleetload_test.go
@@ -64,3 +64,38 @@
 		t.Fatalf("sums %d and %d, want %d and %d", f.counted, f.claimed, counted, claimed)
 	}
 }
+
+// checkConservation checks that a task that fits on a worker waits only for the sake of a
+// reservation that is no less urgent and that it might outlast.
+func (w *fixture) checkConservation(t *rapid.T) {
+	held := map[string]Reservation{}
+	for _, r := range w.reserved {
+		held[r.Worker] = r
+	}
+	w.state.Read(func(view jobs.View) {
+		rank := map[jobs.GroupID]int{}
+		all := candidates(view, w.input())
+		for _, c := range all {
+			rank[c.groupID()] = c.rank()
+		}
+		for _, c := range all {
+			group := c.group.Spec
+			if group.BestEffort || group.Gang || group.MaxPerWorker > 0 || group.LongRunning || CountWaiting(c.group) == 0 {
+				continue
+			}
+			for _, l := range newFleetLoad(view, w.workers).workers {
+				r, reserved := held[l.worker.Key]
+				latest := w.learned.Durations.RunTimes.Remaining(c.job.QueueKey, group, RunStatus{Pace: FullPace}, false).Latest
+				inTimeBesideService := false
+				if reserved {
+					owner := view.Job(r.Group.Job).Occurrences[r.Group.Occurrence].Groups[r.Group.Group].Spec
+					inTimeBesideService = owner.LongRunning && c.lateness == inTime && c.rank() == rank[r.Group]
+				}
+				if demand(group).Fits(l.free()) &&
+					(!reserved || c.rank() < rank[r.Group] || latest <= r.At.Latest-time.Microsecond || inTimeBesideService) {
+					t.Fatalf("%v waits beside worker %s with %+v free and reservation %+v", c.groupID(), l.worker.Key, l.free(), r)
+				}
+			}
+		}
+	})
+}
--- a/jobcontrol/forecasts_test.go
+++ b/jobcontrol/forecasts_test.go
@@ -9,18 +9,6 @@
 	"amaranthpaddle/jobs"
 )
 
-// withLeadership calls f with the leader's soft state and its lock held.
-func (r *rig) withLeadership(f func(*leadership)) {
-	r.t.Helper()
-	lead, err := r.server.currentLeadership()
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	lead.mu.Lock()
-	defer lead.mu.Unlock()
-	f(lead)
-}
-
 // Failure: inherently long tasks were copied and moved as stragglers. Guards as well
 // against learnt run times that change answers while all features are off.
 func TestLongTaskIsNoStragglerWithAFeatureOnOnly(t *testing.T) {
