raft: a replica that has just started campaigns without a whole election timeout

Change: the first timeout after a start is that of a campaign (heartbeat plus a random part). A replica with an active leader ignores PreVotes as before. Result: TestStartedReplicaCampaignsSoonUnlessALeaderIsHeard failed before; raft, replica, control, controlnode and jobnode pass with -race.

--- a/raft/raft.go
+++ b/raft/raft.go
@@ -103,6 +103,9 @@
 	}
 	r.prevHardState.Term, r.prevHardState.Vote = r.term, r.vote
 	r.becomeFollower(r.term, 0)
+	// A replica that has just started follows no leader. Replicas with an active leader
+	// ignore its PreVotes, and after a loss of power everywhere nobody waits longer.
+	r.resetCampaignTimeout()
 	return r
 }
 
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -170,6 +170,23 @@
 	}
 }
 
+// After a loss of power everywhere no leader is left. Guards against replicas that wait
+// for a whole election timeout first, and against one that campaigns beside a leader.
+func TestStartedReplicaCampaignsSoonUnlessALeaderIsHeard(t *testing.T) {
+	if runTicks(newReplica(), testHeartbeatTicks-1) != nil {
+		t.Error("campaigned before a leader's heartbeat was due")
+	}
+	if sent := runTicks(newReplica(), testHeartbeatTicks); len(sent) != 2 || sent[0].Type != msgPreVote {
+		t.Errorf("sent %v after the heartbeat interval, want requests for votes", sent)
+	}
+	r := newReplica()
+	r.Step(from(2, &api.RaftMessage{Type: msgHeartbeat, Term: 1}))
+	drainReady(r)
+	if sent := runTicks(r, testElectionTicks); len(sent) != 0 {
+		t.Errorf("sent %v within the election timeout of an active leader", sent)
+	}
+}
+
 func TestRemovedMemberIsIgnored(t *testing.T) {
 	r := newReplica()
 	r.memberships[0].membership.Removed = []uint64{7}
