dispatch, jobcontrol: fair shares and return times by queue and zone

Cause: fair shares knew the queue only, so a burst in one zone delayed the jobs of all zones of the queue, and its refused callers took all the next times to return.

Change: with fair_shares on, the caller is the queue and the zone of the entry. ZoneDemand weighs the zones by their usual demand and by what other zones demand less than usually, so demand that moves takes its room along. Zones with about equal shares go by value density. Returns gives the zones of a queue turns.

--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -32,6 +32,11 @@
 	policy   Policy
 	refuses  bool // some jobs are surely too late
 	equal    bool // both queues have the same priority
+
+	// zone returns the zone in which a job of a kind arrives; draw is from 0 up to 1. It
+	// is nil if all arrive in one.
+	zone    func(kind int, at time.Duration, draw float64) string
+	unnamed bool // entries don't name their zones
 }
 
 const (
@@ -44,7 +49,7 @@
 
 // replayedJob is what became of a job.
 type replayedJob struct {
-	queue              string
+	queue, zone        string
 	at, objective, end time.Duration // end is 0 if it did not complete
 	verdict            Verdict
 }
@@ -71,6 +76,7 @@
 		fixture: newFixture(t, load.workers), load: load, admission: admission, arrivals: NewArrivals(),
 		noise: rand.New(rand.NewPCG(seed, 2)), byID: map[string]*replayedJob{}, ends: map[Start]time.Duration{},
 	}
+	r.demand = NewZoneDemand()
 	r.policy, r.since, r.took = load.policy, map[jobs.RunID]time.Duration{}, map[jobs.RunID]time.Duration{}
 	if load.equal {
 		r.equalPriorities()
@@ -79,9 +85,9 @@
 		r.submit(urgentQueue, load.services)
 		r.plan()
 	}
-	arriving := rand.New(rand.NewPCG(seed, 1))
+	arriving, zones := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 3))
 	for ; r.now < replayUntil; r.now += loadStep {
-		for _, kind := range load.kinds {
+		for k, kind := range load.kinds {
 			rate := kind.rate
 			if r.now >= burstFrom && r.now < burstUntil {
 				rate *= kind.burst
@@ -89,7 +95,11 @@
 			scale := math.Exp(0.4 * arriving.NormFloat64())
 			for n := rate * loadStep.Seconds(); n > 0 && r.now < arriveUntil; n-- {
 				if arriving.Float64() < n {
-					r.arrive(kind, scale)
+					zone := ""
+					if load.zone != nil {
+						zone = load.zone(k, r.now, zones.Float64())
+					}
+					r.arrive(kind, zone, scale)
 				}
 			}
 		}
@@ -99,11 +109,14 @@
 	return r.jobs
 }
 
-func (r *replayer) arrive(kind jobKind, scale float64) {
+func (r *replayer) arrive(kind jobKind, zone string, scale float64) {
 	group := proto.CloneOf(kind.group)
 	group.Count = max(int32(scale*float64(group.Count)), 1)
-	s := Submission{QueueKey: kind.queue, Spec: &api.JobSpec{Groups: []*api.TaskGroup{group}}}
-	job := &replayedJob{queue: kind.queue, at: r.now}
+	if r.zone = zone; r.load.unnamed {
+		r.zone = ""
+	}
+	s := Submission{QueueKey: kind.queue, Zone: r.zone, Spec: &api.JobSpec{Groups: []*api.TaskGroup{group}}}
+	job := &replayedJob{queue: kind.queue, zone: zone, at: r.now}
 	r.jobs = append(r.jobs, job)
 	now := time.Unix(0, 0).Add(r.now)
 	r.state.Read(func(view jobs.View) {
@@ -119,6 +132,7 @@
 	estimate := r.learned.Durations.ForQueue(kind.queue)
 	r.arrivals.Learn(kind.queue, s.Spec, estimate, now)
 	r.learned.QueueWork.Learn(kind.queue, Work(s.Spec, estimate))
+	r.demand.Learn(kind.queue, r.zone, Work(s.Spec, estimate), now)
 	r.byID[r.submit(kind.queue, group)] = job
 }
 
@@ -161,6 +175,9 @@
 		{name: "burst on a full fleet", refuses: true, workers: 10, kinds: []jobKind{{batchQueue, 2, 2.6, batch}, {urgentQueue, 4, 2.6, check}}},
 		{name: "steady overload", refuses: true, workers: 10, kinds: []jobKind{{batchQueue, 4, 1, batch}, {urgentQueue, 8, 1, check}}},
 		{name: "burst of one queue beside a steady one", refuses: true, workers: 10, kinds: []jobKind{{batchQueue, 1.5, 5, batch}, {urgentQueue, 8, 1, check}}},
+		{name: "fair shares of three zones", refuses: true, workers: 10, policy: Policy{FairShares: true},
+			kinds: []jobKind{{batchQueue, 1.5, 5, batch}, {urgentQueue, 8, 1, check}},
+			zone:  func(_ int, _ time.Duration, draw float64) string { return []string{"za", "zb", "zc"}[int(3*draw)] }},
 		{name: "urgent burst beside steady batch", workers: 10, kinds: []jobKind{{batchQueue, 1.5, 1, batch}, {urgentQueue, 6, 5, check}}},
 		{name: "memory binds before cores", refuses: true, workers: 10, kinds: []jobKind{
 			{batchQueue, 2.2, 2.6, &api.TaskGroup{Count: 20, MilliCpu: 500, MemoryMib: 20_000, EstimatedMs: 1000}},
@@ -289,7 +306,7 @@
 func TestRefusedCallersReturnInOrder(t *testing.T) {
 	r, random, now, last := NewReturns(), rand.New(rand.NewPCG(1, 1)), time.Unix(0, 0), time.Duration(0)
 	for i := range 400 {
-		after := r.Book(batchQueue, 5*time.Second, 200*time.Millisecond, random.Float64(), now)
+		after := r.Book(batchQueue, "", 5*time.Second, 200*time.Millisecond, random.Float64(), now)
 		if after < 5*time.Second || after > maxRetryAfter {
 			t.Fatalf("caller %d returns after %v", i, after)
 		}
@@ -298,11 +315,42 @@
 		}
 		last = after
 	}
-	if after := r.Book(urgentQueue, time.Second, time.Second, 0, now); after != time.Second {
+	if after := r.Book(urgentQueue, "", time.Second, time.Second, 0, now); after != time.Second {
 		t.Errorf("caller of another queue returns after %v", after)
 	}
 }
 
+// Guards against a zone whose callers all return after those of a zone that were refused
+// before, against callers of several zones that return together, and against a zone that
+// gets more turns than another.
+func TestRefusedCallersReturnInTurnByZone(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	r, now := NewReturns(), time.Unix(0, 0)
+	book := func(zone string) time.Duration { return r.Book(batchQueue, zone, 5*time.Second, interval, 0, now) }
+	for range 100 {
+		book("za")
+	}
+	for i := range 10 {
+		if after := book("zb"); after > 5*time.Second+time.Duration(2*i+2)*interval {
+			t.Errorf("caller %d of the zone that came second returns after %v", i, after)
+		}
+	}
+	r = NewReturns()
+	last, taken := map[string]int{}, map[time.Duration]string{}
+	for i := range 60 {
+		zone := []string{"za", "zb", "zc"}[i%3]
+		after := book(zone)
+		turn := int((after - 5*time.Second) / interval)
+		if other := taken[after]; other != "" || turn > i+3 || i >= 3 && turn-last[zone] != 3 {
+			t.Errorf("%s: turn %d after turn %d, beside %q", zone, turn, last[zone], other)
+		}
+		taken[after], last[zone] = zone, turn
+	}
+	if now = now.Add(time.Hour); book("zd") != 5*time.Second || len(r.next) != 1 || len(r.booked[batchQueue]) != 1 {
+		t.Errorf("%d zones and %d returns are kept after an hour", len(r.next), len(r.booked[batchQueue]))
+	}
+}
+
 // Guards against a burst, or a load that has ended, that counts as steady.
 func TestOnlySteadyArrivalsCount(t *testing.T) {
 	w := newFixture(t, 1)
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -60,6 +60,7 @@
 // Submission is a job that asks for admission.
 type Submission struct {
 	QueueKey string
+	Zone     string // of the entry that took it, empty if it is not known
 	Queue    *api.JobQueue
 	Spec     *api.JobSpec
 }
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -16,6 +16,8 @@
 	state      *jobs.State
 	workers    []Worker
 	submitted  map[string]time.Duration
+	zone       string // of the entry that takes the next submission
+	demand     *ZoneDemand
 	now        time.Duration
 	unixMS     int64
 	learned    Knowledge
@@ -72,7 +74,7 @@
 	w.t.Helper()
 	id := fmt.Sprintf("job%d", w.jobs)
 	w.apply(&api.JobChange{Body: &api.JobChange_Submit{Submit: &api.SubmitJob{
-		Key: &api.JobKey{Queue: queue, Job: id}, Spec: spec,
+		Key: &api.JobKey{Queue: queue, Job: id}, Spec: spec, Zone: w.zone,
 	}}})
 	w.submitted[id] = w.now
 	return id
@@ -114,7 +116,7 @@
 		Behind:   func(run jobs.RunID) bool { return w.stragglers[run] },
 		Tickets:  func(*api.JobQueue, jobs.GroupID) (map[string]string, bool) { return w.tickets, w.tickets != nil },
 		Panicked: func(job string, cause any) { w.t.Errorf("job %s: %v", job, cause) },
-		Policy:   w.policy, Reserved: w.reserved,
+		Policy:   w.policy, Reserved: w.reserved, ZoneWeights: w.zoneWeights,
 		Run: func(run jobs.RunID) (RunStatus, bool) {
 			since, known := w.since[run]
 			status := RunStatus{Age: w.now - since, Pace: FullPace}
@@ -127,6 +129,13 @@
 	}
 }
 
+func (w *fixture) zoneWeights(queue string) map[string]float64 {
+	if w.demand == nil {
+		return nil
+	}
+	return w.demand.Weights(queue, time.Unix(0, 0).Add(w.now))
+}
+
 func (w *fixture) end(start Start, outcome api.RunOutcome) {
 	w.t.Helper()
 	w.apply(&api.JobChange{Body: &api.JobChange_End{End: &api.EndRun{
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -27,6 +27,9 @@
 	// be nil.
 	Run    func(run jobs.RunID) (RunStatus, bool)
 	Policy Policy
+	// ZoneWeights returns the weights of a queue's zones in fair shares; see ZoneDemand.
+	// Zones without a weight have 1. It may be nil.
+	ZoneWeights func(queue string) map[string]float64
 	// Reserved holds the reservations of the last plan, with the times that remain.
 	Reserved []Reservation
 	// Tickets returns the tickets of a group by worker key, for a queue with an
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -73,3 +73,95 @@
 		})
 	}
 }
+
+// zoneWaits returns the median and the 95th percentile of the times to completion, in
+// milliseconds, of a zone's jobs from the move on, and the number of those that are late.
+func zoneWaits(played []*replayedJob, zone string) (median, p95 int64, late int) {
+	var all []time.Duration
+	for _, job := range played {
+		if job.zone == zone && job.at >= moveAt {
+			all = append(all, cmp.Or(job.end, replayUntil)-job.at)
+			if !job.inTime() {
+				late++
+			}
+		}
+	}
+	slices.Sort(all)
+	return all[len(all)/2].Milliseconds(), all[len(all)*95/100].Milliseconds(), late
+}
+
+// moveAt is 5 s before the burst.
+const moveAt = burstFrom - 5*time.Second
+
+// Guards against a burst in one zone that delays the jobs of another zone of the queue,
+// and against a disadvantage of the zone to which callers move, or of that which they
+// leave, beyond a tenth of the waits without zones.
+func TestBurstInAZonePaysAndMovedDemandDoesNot(t *testing.T) {
+	four := &api.TaskGroup{Count: 4, MilliCpu: 1000, MemoryMib: 1000, EstimatedMs: 1000}
+	two := &api.TaskGroup{Count: 2, MilliCpu: 1000, MemoryMib: 1000, EstimatedMs: 700}
+	zones := []string{"za", "zb"}
+	for _, test := range []struct {
+		name  string
+		kinds []jobKind
+		moved float64 // share of the callers of za, to zb
+	}{
+		{"burst in za", []jobKind{{batchQueue, 10, 6, two}, {batchQueue, 6, 1, four}}, 0},
+		{"callers of za move, then a burst of the queue", []jobKind{{batchQueue, 6, 1.8, four}, {batchQueue, 6, 1.8, four}}, 0.6},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			load := replayedLoad{
+				workers: 6, equal: true, kinds: test.kinds, policy: Policy{FairShares: true},
+				zone: func(kind int, at time.Duration, draw float64) string {
+					if kind == 0 && at >= moveAt && draw < test.moved {
+						kind = 1
+					}
+					return zones[kind]
+				},
+			}
+			var played [2][]*replayedJob // without and with zones
+			for seed := range uint64(6) {
+				for i := range played {
+					load.unnamed = i == 0
+					played[i] = append(played[i], replayLoad(t, load, 1+seed, false)...)
+				}
+			}
+			for _, zone := range zones {
+				median, p95, late := zoneWaits(played[0], zone)
+				medianAfter, p95After, lateAfter := zoneWaits(played[1], zone)
+				t.Logf("%s: median %d ms, 95th percentile %d ms, %d late; with zones %d ms, %d ms, %d late",
+					zone, median, p95, late, medianAfter, p95After, lateAfter)
+				switch {
+				case test.moved > 0 && (10*medianAfter > 11*median || 10*p95After > 11*p95):
+					t.Errorf("%s is at a disadvantage", zone)
+				case test.moved == 0 && zone == "zb" && (late == 0 || 2*lateAfter > late || 2*p95After > p95):
+					t.Error("the burst in za delays zb")
+				}
+			}
+		})
+	}
+}
+
+// Guards against plans that change with the zones of the jobs while fair shares are off.
+func TestZonesChangeNoPlanWithoutFairShares(t *testing.T) {
+	for _, policy := range []Policy{{}, {Reservations: 4, Preemption: true, ForecastAdmission: true, RemotePenalty: 2}} {
+		w := newFixture(t, 6)
+		w.policy, w.demand = policy, NewZoneDemand()
+		for i := range int32(60) {
+			w.now = time.Duration(i) * 100 * time.Millisecond
+			w.zone = []string{"za", "zb", ""}[i*i%7%3]
+			w.submit([]string{batchQueue, urgentQueue}[i%5/3], &api.TaskGroup{Count: 1 + i*5%13, MilliCpu: 700, EstimatedMs: 500 + 300*int64(i%4)})
+			w.demand.Learn(batchQueue, w.zone, 1, time.Unix(0, 0).Add(w.now))
+			recorded := w.state.Clone()
+			w.state.Read(func(view jobs.View) { view.ActiveJobs(func(job *jobs.Job) { job.Zone = "" }) })
+			without := w.planOnly()
+			w.state = recorded
+			if with := w.plan(); !slices.Equal(with, without) {
+				t.Fatalf("plan %d: %v with zones, %v without", i, with, without)
+			}
+			for _, start := range without[:len(without)/2] {
+				w.end(start, api.RunOutcome_RUN_OUTCOME_DONE)
+			}
+		}
+	}
+}
--- a/jobcontrol/admission.go
+++ b/jobcontrol/admission.go
@@ -22,6 +22,7 @@
 type admissionState struct {
 	arrivals *dispatch.Arrivals
 	returns  *dispatch.Returns
+	demand   *dispatch.ZoneDemand
 	accepted map[string]acceptedJob // by id, until it has ended or has no value left
 }
 
@@ -34,7 +35,8 @@
 
 func newAdmissionState() admissionState {
 	return admissionState{
-		arrivals: dispatch.NewArrivals(), returns: dispatch.NewReturns(), accepted: map[string]acceptedJob{},
+		arrivals: dispatch.NewArrivals(), returns: dispatch.NewReturns(), demand: dispatch.NewZoneDemand(),
+		accepted: map[string]acceptedJob{},
 	}
 }
 
@@ -49,7 +51,7 @@
 		if queue == nil || view.Job(t.job) != nil {
 			return
 		}
-		submission := dispatch.Submission{QueueKey: t.queue, Queue: queue, Spec: call.Spec}
+		submission := dispatch.Submission{QueueKey: t.queue, Zone: call.Zone, Queue: queue, Spec: call.Spec}
 		if now.Sub(l.since) >= agentReconnectTime {
 			verdict = l.verdict(view, l.planInput(view), submission, now)
 		}
@@ -59,7 +61,11 @@
 	})
 	if verdict.Refuse && l.server.config.Policy.ForecastAdmission {
 		earliest := max(verdict.RetryAfter, l.refusalDuration(call, t))
-		verdict.RetryAfter = l.admission.returns.Book(t.queue, earliest, verdict.Occupied, rand.Float64(), now)
+		zone := ""
+		if l.server.config.Policy.FairShares {
+			zone = call.Zone
+		}
+		verdict.RetryAfter = l.admission.returns.Book(t.queue, zone, earliest, verdict.Occupied, rand.Float64(), now)
 	}
 	return verdict
 }
@@ -79,7 +85,9 @@
 		return
 	}
 	l.admission.accepted[job] = acceptedJob{queue: s.QueueKey, deadline: deadline, since: now}
-	l.admission.arrivals.Learn(s.QueueKey, s.Spec, l.knowledge.Durations.ForQueue(s.QueueKey), now)
+	estimate := l.knowledge.Durations.ForQueue(s.QueueKey)
+	l.admission.arrivals.Learn(s.QueueKey, s.Spec, estimate, now)
+	l.admission.demand.Learn(s.QueueKey, s.Zone, dispatch.Work(s.Spec, estimate), now)
 }
 
 // countTooLate counts the accepted jobs that have lost all value, once each, and forgets
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -177,6 +177,7 @@
 		Behind:      func(run jobs.RunID) bool { return l.behind(view, run, now) },
 		Run:         func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
 		Policy:      l.server.config.Policy,
+		ZoneWeights: func(queue string) map[string]float64 { return l.admission.demand.Weights(queue, now) },
 		HeldForRack: func(group jobs.GroupID) time.Duration { return l.rackWaits.waited(group, now) },
 		Reserved:    l.reservations.at(now),
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
