--- a/dispatch/admission_test.go
+++ b/dispatch/admission_test.go
@@ -20,6 +20,9 @@
 		{name: "burst on a full fleet", refuses: true, workers: 10, kinds: []jobKind{{batchQueue, 2, 2.6, batch, 0}, {urgentQueue, 4, 2.6, check, 0}}},
 		{name: "steady overload", refuses: true, workers: 10, kinds: []jobKind{{batchQueue, 4, 1, batch, 0}, {urgentQueue, 8, 1, check, 0}}},
 		{name: "burst of one queue beside a steady one", refuses: true, workers: 10, kinds: []jobKind{{batchQueue, 1.5, 5, batch, 0}, {urgentQueue, 8, 1, check, 0}}},
+		{name: "fair shares of three zones", refuses: true, workers: 10, policy: Policy{FairShares: true},
+			kinds: []jobKind{{batchQueue, 1.5, 5, batch, 0}, {urgentQueue, 8, 1, check, 0}},
+			zone:  func(_ int, _ time.Duration, draw float64) string { return []string{"za", "zb", "zc"}[int(3*draw)] }},
 		{name: "urgent burst beside steady batch", workers: 10, kinds: []jobKind{{batchQueue, 1.5, 1, batch, 0}, {urgentQueue, 6, 5, check, 0}}},
 		{name: "memory binds before cores", refuses: true, workers: 10, kinds: []jobKind{
 			{batchQueue, 2.2, 2.6, &api.TaskGroup{Count: 20, MilliCpu: 500, MemoryMib: 20_000, EstimatedMs: 1000}, 0},
@@ -146,7 +149,7 @@
 func TestRefusedCallersReturnInOrder(t *testing.T) {
 	r, random, now, last := NewReturns(), rand.New(rand.NewPCG(1, 1)), time.Unix(0, 0), time.Duration(0)
 	for i := range 400 {
-		after := r.Book(batchQueue, 5*time.Second, 200*time.Millisecond, random.Float64(), now)
+		after := r.Book(batchQueue, "", 5*time.Second, 200*time.Millisecond, random.Float64(), now)
 		if after < 5*time.Second || after > maxRetryAfter {
 			t.Fatalf("caller %d returns after %v", i, after)
 		}
@@ -155,11 +158,42 @@
 		}
 		last = after
 	}
-	if after := r.Book(urgentQueue, time.Second, time.Second, 0, now); after != time.Second {
+	if after := r.Book(urgentQueue, "", time.Second, time.Second, 0, now); after != time.Second {
 		t.Errorf("caller of another queue returns after %v", after)
 	}
 }
 
+// Guards against a zone whose callers all return after those of a zone that were refused
+// before, against callers of several zones that return together, and against a zone that
+// gets more turns than another.
+func TestRefusedCallersReturnInTurnByZone(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	r, now := NewReturns(), time.Unix(0, 0)
+	book := func(zone string) time.Duration { return r.Book(batchQueue, zone, 5*time.Second, interval, 0, now) }
+	for range 100 {
+		book("za")
+	}
+	for i := range 10 {
+		if after := book("zb"); after > 5*time.Second+time.Duration(2*i+2)*interval {
+			t.Errorf("caller %d of the zone that came second returns after %v", i, after)
+		}
+	}
+	r = NewReturns()
+	last, taken := map[string]int{}, map[time.Duration]string{}
+	for i := range 60 {
+		zone := []string{"za", "zb", "zc"}[i%3]
+		after := book(zone)
+		turn := int((after - 5*time.Second) / interval)
+		if other := taken[after]; other != "" || turn > i+3 || i >= 3 && turn-last[zone] != 3 {
+			t.Errorf("%s: turn %d after turn %d, beside %q", zone, turn, last[zone], other)
+		}
+		taken[after], last[zone] = zone, turn
+	}
+	if now = now.Add(time.Hour); book("zd") != 5*time.Second || len(r.next) != 1 || len(r.booked[batchQueue]) != 1 {
+		t.Errorf("%d zones and %d returns are kept after an hour", len(r.next), len(r.booked[batchQueue]))
+	}
+}
+
 // Guards against a burst, or a load that has ended, that counts as steady.
 func TestOnlySteadyArrivalsCount(t *testing.T) {
 	w := newFixture(t, 1)
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -35,6 +35,11 @@
 	even     bool          // all jobs of a kind have as many tasks, one kind has a rate, and nothing is learnt
 	actual   time.Duration // of each task if the load is even
 	long     float64       // share of these tasks that take seven times as long
+
+	// zone returns the zone in which a job of a kind arrives; draw is from 0 up to 1. It
+	// is nil if all arrive in one.
+	zone    func(kind int, at time.Duration, draw float64) string
+	unnamed bool // entries don't name their zones
 }
 
 const (
@@ -46,7 +51,7 @@
 
 // replayedJob is what became of a job.
 type replayedJob struct {
-	queue              string
+	queue, zone        string
 	group              *api.TaskGroup
 	at, objective, end time.Duration   // end is 0 if it did not complete
 	waits              []time.Duration // of its tasks that have started
@@ -65,6 +70,7 @@
 	noise     *rand.Rand
 	jobs      []*replayedJob
 	byID      map[string]*replayedJob
+	zones     *rand.Rand
 	next      time.Duration // arrival of the kind with a rate in an even load
 }
 
@@ -80,6 +86,7 @@
 		fixture: newFixture(t, l.workers), load: l, admission: admission, arrivals: NewArrivals(),
 		noise: rand.New(rand.NewPCG(seed, stream)), byID: map[string]*replayedJob{},
 	}
+	r.demand, r.zones = NewZoneDemand(), rand.New(rand.NewPCG(seed, 3))
 	if r.policy, r.listing = l.policy, !l.even; l.equal {
 		r.equalPriorities()
 	}
@@ -106,7 +113,7 @@
 
 // arrive submits the jobs of a step.
 func (r *replay) arrive(arriving *rand.Rand, step time.Duration) {
-	for _, kind := range r.load.kinds {
+	for k, kind := range r.load.kinds {
 		rate := kind.rate
 		if r.now >= burstFrom && r.now < burstUntil {
 			rate *= kind.burst
@@ -114,7 +121,11 @@
 		scale := math.Exp(0.4 * arriving.NormFloat64())
 		for n := rate * step.Seconds(); n > 0; n-- {
 			if arriving.Float64() < n {
-				r.submitKind(kind, scale)
+				zone := ""
+				if r.load.zone != nil {
+					zone = r.load.zone(k, r.now, r.zones.Float64())
+				}
+				r.submitKind(kind, zone, scale)
 			}
 		}
 	}
@@ -124,19 +135,22 @@
 func (r *replay) arriveEvenly() {
 	for _, kind := range r.load.kinds {
 		if kind.every > 0 && r.now%kind.every == 0 {
-			r.submitKind(kind, 1)
+			r.submitKind(kind, "", 1)
 		}
 		for ; kind.rate > 0 && r.next <= r.now; r.next += time.Duration(r.noise.ExpFloat64() / kind.rate * float64(time.Second)) {
-			r.submitKind(kind, 1)
+			r.submitKind(kind, "", 1)
 		}
 	}
 }
 
-func (r *replay) submitKind(kind jobKind, scale float64) {
+func (r *replay) submitKind(kind jobKind, zone string, scale float64) {
 	group := proto.CloneOf(kind.group)
 	group.Count = max(int32(scale*float64(group.Count)), 1)
-	s := Submission{QueueKey: kind.queue, Spec: &api.JobSpec{Groups: []*api.TaskGroup{group}}}
-	job := &replayedJob{queue: kind.queue, group: kind.group, at: r.now}
+	if r.zone = zone; r.load.unnamed {
+		r.zone = ""
+	}
+	s := Submission{QueueKey: kind.queue, Zone: r.zone, Spec: &api.JobSpec{Groups: []*api.TaskGroup{group}}}
+	job := &replayedJob{queue: kind.queue, zone: zone, group: kind.group, at: r.now}
 	r.jobs = append(r.jobs, job)
 	now := time.Unix(0, 0).Add(r.now)
 	r.state.Read(func(view jobs.View) {
@@ -153,6 +167,7 @@
 		estimate := r.learned.Durations.ForQueue(kind.queue)
 		r.arrivals.Learn(kind.queue, s.Spec, estimate, now)
 		r.learned.QueueWork.Learn(kind.queue, Work(s.Spec, estimate))
+		r.demand.Learn(kind.queue, r.zone, Work(s.Spec, estimate), now)
 	}
 	r.byID[r.submit(kind.queue, group)] = job
 }
