dispatch, jobcontrol: move best-effort runs off workers that shrank

Cause: when a worker's capacity shrinks below the counted CPU or the memory that it holds, its best-effort runs stand still until counted runs have ended, while other workers have room. Nothing moved them: Relocate looks at paces, which agents lower for services only.

Change: with move_from_shrunk = true in [scheduling], dispatch.MoveFromShrunken chooses best-effort runs on such workers, those that lose the least work since their last checkpoint first, and the leader stops them. At most 8 each 100 ms, only to room that no waiting task can use, within disruption budgets, never members of gangs, no job within 5 s of an earlier round that moved it, nothing in a leader's first 5 s. Progress keeps the percent at a run's latest checkpoint (RunStatus.SavedPercent). Off by default; deploy/control.ini is unchanged.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -15,6 +15,7 @@
 	ForecastAdmission bool    // admission by a forecast of the room, in place of the backlog's drain rate
 	FairShares        bool    // callers that compete for too little room share it
 	RemotePenalty     float64 // factor on the duration of a task away from its data or peers, 0 if unknown
+	MoveFromShrunk    bool    // best-effort runs are moved off workers that hold more than their capacity
 }
 
 // RemoteFactor returns how many times as long a task takes on a worker because its
@@ -35,6 +36,8 @@
 	Percent  int32         // of its work that is done, by the latest listing
 	Pace     int32         // in percent of full pace, 0 while it is paused
 	Stopping bool          // a stop has been ordered
+	// SavedPercent is Percent as of the latest checkpoint, 0 without one.
+	SavedPercent int32
 
 	Lost      time.Duration // of Age, to a pace below full pace
 	ListedAgo time.Duration // since the listing that Percent is from
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -28,6 +28,9 @@
 	baseAt      time.Time
 	baseLost    time.Duration
 	stepAt      time.Time // first listing at this percent
+
+	checkpoint   string // of the latest listing
+	savedPercent int32  // of the first listing that shows it
 }
 
 // Parameters of the detection of stalled runs and stragglers.
@@ -67,6 +70,14 @@
 	r.listings++
 }
 
+// RecordCheckpoint records the latest checkpoint of a run, empty for none, from the
+// same listing as Record.
+func (p *Progress) RecordCheckpoint(run jobs.RunID, checkpoint string, percent int32) {
+	if r := p.runs[run]; r != nil && checkpoint != r.checkpoint {
+		r.checkpoint, r.savedPercent = checkpoint, percent
+	}
+}
+
 // recordWork updates what a listing tells of the rate of progress. r has the pace
 // and the percent of the listing before.
 func (r *runProgress) recordWork(percent int32, now time.Time) {
@@ -106,6 +117,7 @@
 	if status.Age == 0 {
 		status.Age = now.Sub(r.began)
 	}
+	status.SavedPercent = r.savedPercent
 	status.Lost, status.ListedAgo = r.lost+r.lostSince(now), now.Sub(r.listedAt)
 	if !fromStart && !r.baseAt.IsZero() {
 		status.BasePercent, status.BaseAge = r.basePercent, max(status.Age-now.Sub(r.baseAt)-r.baseLost, 0)
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -43,6 +43,8 @@
 	relocatedAt time.Time           // when throttled runs were last looked for
 	preemption  preemption
 
+	shrunkenMoves shrunkenMoves
+
 	reservations reservations
 
 	advice    map[jobs.GroupID]*advice
--- a/jobcontrol/progress.go
+++ b/jobcontrol/progress.go
@@ -1,6 +1,7 @@
 package jobcontrol
 
 import (
+	"cmp"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,11 +22,12 @@
 	now := l.server.now()
 	l.server.config.State.Read(func(state jobs.View) {
 		for run, status := range view.runs {
-			job, group, _ := state.Run(run)
+			job, group, task := state.Run(run)
 			if group == nil || group.Spec.Gang {
 				continue // a gang waits for its members
 			}
 			l.progress.Record(run, status.Percent, status.Pace, now)
+			l.progress.RecordCheckpoint(run, cmp.Or(status.Checkpoint, task.Checkpoint), status.Percent)
 			l.forecastListed(state, run, now)
 			serving := group.Spec.LongRunning && status.Percent >= dispatch.FullPace
 			if !serving && !l.movingRuns[run] && l.stalled(run, l.expectedDuration(job, group), now) {
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -128,6 +128,7 @@
 	l.planStarts(next)
 	l.relocateThrottled()
 	l.preemptRuns()
+	l.moveFromShrunken()
 	if len(next.changes) == 0 {
 		l.queueStops() // orders stops without effect again
 		return nil
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -60,6 +60,8 @@
 	Admission     string  // AdmissionBacklog or AdmissionForecast, empty for the former
 	FairShares    bool    // callers that compete for too little room share it
 	RemotePenalty float64 // factor on the duration of a task away from its data or peers, 0 if unknown
+
+	MoveFromShrunk bool // best-effort runs are moved off workers that hold more than their capacity
 }
 
 // Values of Scheduling.Admission.
@@ -168,6 +170,8 @@
 		Admission:     r.choice("scheduling", "admission", AdmissionBacklog, AdmissionForecast),
 		FairShares:    r.boolean("scheduling", "fair_shares"),
 		RemotePenalty: r.factor("scheduling", "remote_penalty", 1, maxRemotePenalty),
+
+		MoveFromShrunk: r.boolean("scheduling", "move_from_shrunk"),
 	}
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -52,6 +52,7 @@
 	JobRunsEnded     = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
 	JobRunsStalled   = Metric{"paddle_jobs_runs_stalled_total", nil}
 	JobRunsRelocated = Metric{"paddle_jobs_runs_relocated_total", nil}
+	JobRunsOffShrunk = Metric{"paddle_jobs_runs_moved_from_shrunk_total", []string{"resource"}}
 	JobRunsPreempted = Metric{"paddle_jobs_runs_preempted_total", []string{"reason"}}
 	JobWorkDiscarded = Metric{"paddle_jobs_discarded_core_seconds_total", nil}
 	JobForecastEnds  = Metric{"paddle_jobs_forecast_ends_total", []string{"queue", "made", "result"}}
@@ -74,7 +75,7 @@
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated,
+		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobRunsOffShrunk,
 		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobFleet,
 		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
