dispatch, jobcontrol: more urgent tasks may take room that is being cleared

Cause: a worker on which several runs give way to one task was closed to all starts for up to 0.4 s, also to tasks of a more urgent queue that fit beside the runs that are left. The most urgent jobs can wait about 0.7 s.

Change: the leader passes the groups for which a worker is being cleared to the plan (Worker.ClearingFor) in place of closing the worker. The plan keeps the room from candidates whose queue is not more urgent, and from expired jobs, while such a group waits. holdClearingWorkers only marks the workers; forgetCleared drops the sets that have ended. Explanations follow the same rule. Without preemption plans are as before.

Weighed: to admit all candidates that come before the waiting task in the order. By value density these are small jobs of the same queue, and large tasks, for which several runs give way, would lose each room to them (seen in the first form of the test: the small task took the room).

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -43,7 +43,7 @@
 	group := c.group.Spec
 	need, free := demand(group), l.free()
 	switch {
-	case !l.worker.Open || l.probation || !l.worker.allows(c.queue, group) ||
+	case !l.worker.Open || l.probation || p.isKept(c, l) || !l.worker.allows(c.queue, group) ||
 		group.MaxPerWorker > 0 && spread.workers[l.worker.Key] >= int(group.MaxPerWorker):
 		return ObstacleClosed
 	case need.MemoryMiB > free.MemoryMiB || need.Accelerators > free.Accelerators:
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -54,6 +54,7 @@
 	p := newPlanner(view, in, unfit)
 	all := candidates(view, in)
 	p.hold(all)
+	p.clearing = newClearing(in.Workers, all)
 	for _, c := range p.ownersFirst(all) {
 		p.tryPlace(c)
 	}
@@ -253,6 +254,7 @@
 	unfit    unfitDemands
 	reserver *reserver // nil without reservations
 	starts   []Start
+	clearing clearing  // nil outside of a plan
 	locality *locality // nil until a task could start away from its data
 }
 
@@ -426,7 +428,7 @@
 // apart from its capacity.
 func (p *planner) eligible(c candidate, l *load, spread spread) bool {
 	group := c.group.Spec
-	if !l.worker.Open || l.probation || !l.worker.allows(c.queue, group) {
+	if !l.worker.Open || l.probation || p.isKept(c, l) || !l.worker.allows(c.queue, group) {
 		return false
 	}
 	if c.queue.Advice != nil && c.tickets[l.worker.Key] == "" {
--- a/dispatch/where.go
+++ b/dispatch/where.go
@@ -169,7 +169,7 @@
 	}
 	all := candidates(view, in)
 	x.hold(all)
-	x.order = x.ownersFirst(all)
+	x.order, x.clearing = x.ownersFirst(all), newClearing(in.Workers, all)
 	for i, c := range x.order {
 		if t, again := x.turns[c.groupID()]; again {
 			x.turns[c.groupID()] = turns{first: t.first, last: i, reserved: x.order[t.first].reserved}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -24,6 +24,9 @@
 	// Starting reports whether the worker has not yet survived the start of a run. It
 	// is nil while no task is on probation.
 	Starting func(jobs.RunID) bool
+	// ClearingFor holds the groups of the tasks for which several runs on the worker are being
+	// stopped. Until all of a set have ended, only tasks of more urgent queues start here.
+	ClearingFor []jobs.GroupID
 	// AtFullPace reports whether a best-effort run is, as far as is known, not throttled. If it
 	// is nil, the paces are unknown, and the sample tells what the runs use.
 	AtFullPace func(jobs.RunID) bool
--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -23,7 +23,8 @@
 
 // clearing is a set of runs on one worker that give way to the same task.
 type clearing struct {
-	worker string // key of the incarnation
+	worker string       // key of the incarnation
+	task   jobs.GroupID // group of that task
 	since  time.Time
 	runs   []jobs.RunID
 }
@@ -36,9 +37,9 @@
 	// preemptionInterval is the time between searches for victims. It is below the
 	// time that the most urgent jobs can wait and still be in time.
 	preemptionInterval = 100 * time.Millisecond
-	// maxClearingTime is how long a worker stays closed to starts while several runs
-	// there give way to one task. Stops usually take less; longer, more urgent tasks
-	// that fit beside the remaining runs would be delayed for a stop that may be lost.
+	// maxClearingTime is how long a worker stays closed to less urgent starts while several
+	// runs there give way to one task. Stops usually take less; longer, other tasks that
+	// fit beside the remaining runs would be delayed for a stop that may be lost.
 	maxClearingTime = 400 * time.Millisecond
 	// maxStopTime is how long the room of a run that is being stopped counts as soon
 	// free. An agent's call to stop a run times out after 800 ms, so a stop that takes
@@ -121,22 +122,32 @@
 	if len(set) == 1 {
 		return // its end alone makes the room
 	}
-	c := clearing{worker: set[0].Worker, since: now}
+	c := clearing{worker: set[0].Worker, task: set[0].For, since: now}
 	for _, s := range set {
 		c.runs = append(c.runs, s.Run)
 	}
 	p.clearing = append(p.clearing, c)
 }
 
-// holdClearingWorkers closes the workers in the input of a plan on which several runs
-// give way to one task, until all of them have ended. Their ends may be committed in
-// different batches, and less urgent tasks would take the room of the first one. Of
-// several sets on a worker the first that has ended opens it, so that its task does
-// not wait for the others. The lock is held.
+// holdClearingWorkers keeps the workers in the input of a plan on which several runs
+// give way to one task for tasks of more urgent queues, until all of the runs have ended.
+// Their ends may be committed in different batches, and less urgent tasks would take the
+// room of the first one. The lock is held.
 func (l *leadership) holdClearingWorkers(view jobs.View, in dispatch.Input) dispatch.Input {
-	now := l.server.now()
-	open := map[string]bool{} // workers on which a set has ended
+	l.preemption.forgetCleared(view, l.server.now())
 	for _, c := range l.preemption.clearing {
+		if i := slices.IndexFunc(in.Workers, func(w dispatch.Worker) bool { return w.Key == c.worker }); i >= 0 {
+			in.Workers[i].ClearingFor = append(in.Workers[i].ClearingFor, c.task)
+		}
+	}
+	return in
+}
+
+// forgetCleared drops the sets on workers on which a set has ended: of several sets on a
+// worker the first that has ended opens it, so that its task does not wait for the others.
+func (p *preemption) forgetCleared(view jobs.View, now time.Time) {
+	open := map[string]bool{}
+	for _, c := range p.clearing {
 		if now.Sub(c.since) >= maxClearingTime || !slices.ContainsFunc(c.runs, func(run jobs.RunID) bool {
 			job, _, _ := view.Run(run)
 			return job != nil
@@ -144,11 +155,5 @@
 			open[c.worker] = true
 		}
 	}
-	l.preemption.clearing = slices.DeleteFunc(l.preemption.clearing, func(c clearing) bool { return open[c.worker] })
-	for _, c := range l.preemption.clearing {
-		if i := slices.IndexFunc(in.Workers, func(w dispatch.Worker) bool { return w.Key == c.worker }); i >= 0 {
-			in.Workers[i].Open = false
-		}
-	}
-	return in
+	p.clearing = slices.DeleteFunc(p.clearing, func(c clearing) bool { return open[c.worker] })
 }
