--- a/jobcontrol/preemption.go
+++ b/jobcontrol/preemption.go
@@ -23,7 +23,8 @@
 
 // clearing is a set of runs on one worker that give way to the same task.
 type clearing struct {
-	worker string // key of the incarnation
+	worker string       // key of the incarnation
+	task   jobs.GroupID // group of that task
 	since  time.Time
 	runs   []jobs.RunID
 }
@@ -36,9 +37,9 @@
 	// preemptionInterval is the time between searches for victims. It is below the
 	// time that the most urgent jobs can wait and still be in time.
 	preemptionInterval = 100 * time.Millisecond
-	// maxClearingTime is how long a worker stays closed to starts while several runs
-	// there give way to one task. Stops usually take less; longer, more urgent tasks
-	// that fit beside the remaining runs would be delayed for a stop that may be lost.
+	// maxClearingTime is how long a worker stays closed to less urgent starts while several
+	// runs there give way to one task. Stops usually take less; longer, other tasks that
+	// fit beside the remaining runs would be delayed for a stop that may be lost.
 	maxClearingTime = 400 * time.Millisecond
 	// maxStopTime is how long the room of a run that is being stopped counts as soon
 	// free. An agent's call to stop a run times out after 800 ms, so a stop that takes
@@ -121,7 +122,7 @@
 	if len(set) == 1 {
 		return // its end alone makes the room
 	}
-	c := clearing{worker: set[0].Worker, since: now}
+	c := clearing{worker: set[0].Worker, task: set[0].For, since: now}
 	for _, s := range set {
 		c.runs = append(c.runs, s.Run)
 	}
@@ -148,13 +149,13 @@
 	})
 }
 
-// closeWorkers closes the workers of a plan on which several runs give way to one task.
-// Their ends may be committed in different batches, and less urgent tasks would take the
-// room of the first one.
-func closeWorkers(workers []dispatch.Worker, sets []clearing) {
+// holdWorkers keeps the workers of a plan on which several runs give way to one task for
+// tasks of more urgent queues. The ends of the runs may be committed in different batches,
+// and less urgent tasks would take the room of the first one.
+func holdWorkers(workers []dispatch.Worker, sets []clearing) {
 	for _, c := range sets {
 		if i := slices.IndexFunc(workers, func(w dispatch.Worker) bool { return w.Key == c.worker }); i >= 0 {
-			workers[i].Open = false
+			workers[i].ClearingFor = append(workers[i].ClearingFor, c.task)
 		}
 	}
 }
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -130,6 +130,7 @@
 	l.checkRecovery()
 	l.relocateThrottled()
 	l.preemptRuns()
+	l.moveFromShrunken()
 	if len(next.changes) == 0 {
 		l.queueStops() // orders stops without effect again
 		return nil
@@ -149,7 +150,7 @@
 		l.forgetAdvice(view)
 		in = l.planInput(view)
 		l.preemption.clearing = l.preemption.unfinished(view, l.server.now())
-		closeWorkers(in.Workers, l.preemption.clearing)
+		holdWorkers(in.Workers, l.preemption.clearing)
 		schedule = dispatch.MakeSchedule(view, in)
 	})
 	open := slices.ContainsFunc(in.Workers, func(w dispatch.Worker) bool { return w.Open })
--- a/jobcontrol/where.go
+++ b/jobcontrol/where.go
@@ -165,7 +165,7 @@
 				panicked = cause
 			}
 		})
-		closeWorkers(in.Workers, l.preemption.unfinished(view, l.server.now()))
+		holdWorkers(in.Workers, l.preemption.unfinished(view, l.server.now()))
 		if explanation, found = dispatch.ExplainJob(view, in, job); !found {
 			err = fault.Newf(fault.NotFound, "no job %s", job)
 		}
