dispatch: fewer allocations and comparisons in plans and preemption calls

Cause: a plan at 240 workers spent most of its time on memory: two maps for each worker, two for each candidate, a slice for each job. For each task it looked at what services can spare on workers that are full anyway.

Change: loads come from one allocation and hold amounts by image in slices; spreads that are used until the next candidate only share their maps, and count runs only for groups whose placement depends on them; candidates are appended to one slice; the work of a task is estimated once for each group. choose compares the free room first. Comparisons of candidates and of ends stop at the first difference. Preempt allocates the victims of a worker together.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -124,7 +124,7 @@
 			return
 		}
 		estimate := in.Durations.ForQueue(job.QueueKey)
-		for _, c := range jobCandidates(view, in, job) {
+		for _, c := range jobCandidates(view, in, job, nil) {
 			if c.group.Spec.LongRunning || c.lateness == expired || !c.precedes(queue, density) {
 				continue
 			}
--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -46,27 +46,36 @@
 	var all []candidate
 	view.ActiveJobs(func(job *jobs.Job) {
 		if !job.Phase.Ended() {
-			all = append(all, tryCandidates(view, in, job)...)
+			all = tryCandidates(view, in, job, all)
 		}
 	})
-	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.rank(), b.rank()),
-			cmp.Compare(a.lateness, b.lateness),
-			-cmp.Compare(min(a.job.TasksOnProbation(), 1), min(b.job.TasksOnProbation(), 1)),
-			-cmp.Compare(a.density, b.density),
-			cmp.Compare(a.job.ID, b.job.ID),
-			cmp.Compare(a.occurrence, b.occurrence),
-			cmp.Compare(a.groupIndex, b.groupIndex),
-		)
-	})
+	slices.SortFunc(all, func(a, b candidate) int { return a.compareUrgency(&b) })
 	fairOrder(view, in, all)
 	return all
 }
 
+// compareUrgency returns a negative number for a candidate that is more urgent than
+// another one. It is called often in each plan, so it looks at a job only where needed.
+func (c *candidate) compareUrgency(other *candidate) int {
+	if by := cmp.Or(cmp.Compare(c.rank(), other.rank()), cmp.Compare(c.lateness, other.lateness)); by != 0 {
+		return by
+	}
+	if by := cmp.Compare(min(other.job.TasksOnProbation(), 1), min(c.job.TasksOnProbation(), 1)); by != 0 {
+		return by
+	}
+	if by := cmp.Compare(other.density, c.density); by != 0 {
+		return by
+	}
+	return cmp.Or(
+		cmp.Compare(c.job.ID, other.job.ID),
+		cmp.Compare(c.occurrence, other.occurrence),
+		cmp.Compare(c.groupIndex, other.groupIndex),
+	)
+}
+
 // rank returns the sort key for the priority. Expired jobs come after all
 // others.
-func (c candidate) rank() int {
+func (c *candidate) rank() int {
 	if c.lateness == expired {
 		return expiredRank + int(c.queue.Priority)
 	}
@@ -76,18 +85,18 @@
 // expiredRank is larger than any priority.
 const expiredRank = 1 << 20
 
-// tryCandidates returns the groups of a job with tasks to start, none after a panic.
-func tryCandidates(view jobs.View, in Input, job *jobs.Job) (all []candidate) {
+// tryCandidates appends the groups of a job with tasks to start, none after a panic.
+func tryCandidates(view jobs.View, in Input, job *jobs.Job, before []candidate) (all []candidate) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			all = nil
+			all = before
 			in.Panicked(job.ID, cause)
 		}
 	}()
-	return jobCandidates(view, in, job)
+	return jobCandidates(view, in, job, before)
 }
 
-func jobCandidates(view jobs.View, in Input, job *jobs.Job) (all []candidate) {
+func jobCandidates(view jobs.View, in Input, job *jobs.Job, all []candidate) []candidate {
 	queue := view.QueueOf(job)
 	estimate := in.Durations.ForQueue(job.QueueKey)
 	objective := Objective(queue, job.Spec, estimate)
--- a/dispatch/fleetload.go
+++ b/dispatch/fleetload.go
@@ -23,8 +23,11 @@
 // newFleetLoad returns the load of the workers by the runs in the view.
 func newFleetLoad(view jobs.View, workers []Worker) *fleetLoad {
 	f := &fleetLoad{workers: make([]*load, len(workers)), byKey: make(map[string]*load, len(workers))}
+	// Most workers run one image of each kind at most: one allocation for all of them.
+	loads, cores, services := make([]load, len(workers)), make(perImage[float64], len(workers)), make(perImage[int], len(workers))
 	for i := range workers {
-		l := &load{worker: &workers[i], bestEffortCores: map[string]float64{}, serviceRuns: map[string]int{}}
+		l := &loads[i]
+		l.worker, l.bestEffortCores, l.serviceRuns = &workers[i], cores[i:i:i+1], services[i:i:i+1]
 		f.workers[i], f.byKey[l.worker.Key] = l, l
 		f.capacity += l.worker.Capacity.MilliCPU
 		view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -118,11 +118,17 @@
 	})
 	n := len(both)
 	slices.SortFunc(both, func(a, b roomEnd) int {
-		return cmp.Or(cmp.Compare(a.end.Likely, b.end.Likely), cmp.Compare(a.end.Latest, b.end.Latest), a.compareRoom(b))
+		if a.end.Likely != b.end.Likely {
+			return cmp.Compare(a.end.Likely, b.end.Likely)
+		}
+		return cmp.Or(cmp.Compare(a.end.Latest, b.end.Latest), a.compareRoom(b))
 	})
 	both = append(both, both...)
 	slices.SortFunc(both[n:], func(a, b roomEnd) int {
-		return cmp.Or(cmp.Compare(a.end.Latest, b.end.Latest), cmp.Compare(a.end.Likely, b.end.Likely), a.compareRoom(b))
+		if a.end.Latest != b.end.Latest {
+			return cmp.Compare(a.end.Latest, b.end.Latest)
+		}
+		return cmp.Or(cmp.Compare(a.end.Likely, b.end.Likely), a.compareRoom(b))
 	})
 	ends := workerEnds{byLikely: both[:n], byLatest: both[n:]}
 	f.ends[l.worker.Key] = ends
--- a/dispatch/objective.go
+++ b/dispatch/objective.go
@@ -116,9 +116,10 @@
 		if group.Done() || group.Spec.LongRunning {
 			continue
 		}
+		task := TaskWork(group.Spec, estimate)
 		for i := range group.Tasks {
 			if !group.Tasks[i].Done {
-				work += TaskWork(group.Spec, estimate)
+				work += task
 			}
 		}
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -81,6 +81,7 @@
 	reserver *reserver // nil without reservations
 	starts   []Start
 	locality *locality // nil until a task could start away from its data
+	passing  spread    // of briefSpreadOf
 }
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
@@ -109,11 +110,12 @@
 
 // placeTasks places the tasks of a candidate from an index on, until one fits nowhere.
 func (p *planner) placeTasks(c candidate, first int) {
-	spread := p.spreadOf(c)
-	placed := 0
+	spread := p.briefSpreadOf(c)
 	if c.reserved > 0 {
+		spread = p.spreadOf(c)
 		defer func() { p.reserver.spreads[c.groupID()] = spread }()
 	}
+	placed := 0
 	for i := first; i < len(c.group.Tasks); i++ {
 		others, probation := c.group.Tasks[i].Runs, onProbation(c.group, i)
 		if !c.startable(i, p.in) || c.reserved > 0 && (len(others) > 0 || probation) {
@@ -152,7 +154,7 @@
 		}
 	}
 	number := c.group.NextRun(0)
-	spread := p.spreadOf(c)
+	spread := p.briefSpreadOf(c)
 	placed := len(p.starts)
 	for i := range c.group.Tasks {
 		chosen, _ := p.choose(c, spread, nil, false)
@@ -211,6 +213,31 @@
 		}
 	}
 	s := spread{workers: map[string]int{}, racks: map[string]int{}}
+	p.countRuns(c, s)
+	return s
+}
+
+// briefSpreadOf is as spreadOf, for a spread that is used until the next call only.
+func (p *planner) briefSpreadOf(c candidate) spread {
+	if p.reserver != nil {
+		if s, begun := p.reserver.spreads[c.groupID()]; begun {
+			return s
+		}
+	}
+	if p.passing.workers == nil {
+		p.passing = spread{workers: map[string]int{}, racks: map[string]int{}}
+	}
+	clear(p.passing.workers)
+	clear(p.passing.racks)
+	// The placement of other groups does not depend on where their runs are.
+	if group := c.group.Spec; group.MaxPerWorker > 0 || group.LongRunning || group.RackLocal {
+		p.countRuns(c, p.passing)
+	}
+	return p.passing
+}
+
+// countRuns adds the runs of a candidate's group to a spread.
+func (p *planner) countRuns(c candidate, s spread) {
 	for i := range c.group.Tasks {
 		for _, run := range c.group.Tasks[i].Runs {
 			s.workers[run.Worker]++
@@ -219,7 +246,6 @@
 			}
 		}
 	}
-	return s
 }
 
 // choose returns the best worker with capacity for one more task of the
@@ -229,7 +255,7 @@
 	need := demand(c.group.Spec)
 	var bestScore float64
 	for _, l := range p.fleet.workers {
-		if !p.eligible(c, l, spread) || !need.Fits(l.free()) {
+		if !need.Fits(l.free()) || !p.eligible(c, l, spread) {
 			continue
 		}
 		if probation && !p.fleet.allowsProbation(l) {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -187,12 +187,19 @@
 	if runs, known := p.runs[l]; known {
 		return runs
 	}
-	runs := make([]*victim, 0, l.runs)
+	var victims []victim
 	p.view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
 		if w := p.groups[group]; w != nil && !p.isStopped(w, run) {
-			runs = append(runs, &victim{worth: w, run: run})
+			if victims == nil {
+				victims = make([]victim, 0, l.runs)
+			}
+			victims = append(victims, victim{worth: w, run: run})
 		}
 	})
+	runs := make([]*victim, len(victims))
+	for i := range victims {
+		runs[i] = &victims[i]
+	}
 	p.runs[l] = runs
 	return runs
 }
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -73,6 +73,7 @@
 	gaps     map[string]resource.Vector   // by service: mean demand of the runs that end
 	begun    map[jobs.GroupID]int         // number of a group's tasks that were tried for its reservations
 	spreads  map[jobs.GroupID]spread      // of a group after that
+	suitable []lackingLoad                // memory of planner.suitable
 }
 
 // newReserver returns nil if the policy allows no reservations. Without remember, each
@@ -152,7 +153,7 @@
 	}
 	need := times(demand(owner.group.Spec), reservation.Tasks)
 	if l == nil || l.hold != nil || r.count(owner.queue.Service) >= r.limit ||
-		len(r.of(reservation.Group)) >= CountWaiting(owner.group) || !p.mayReserve(owner, l, p.spreadOf(owner), need) {
+		len(r.of(reservation.Group)) >= CountWaiting(owner.group) || !p.mayReserve(owner, l, p.briefSpreadOf(owner), need) {
 		return false
 	}
 	at, foreseen := r.forecast.roomAt(l, need)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -70,7 +70,10 @@
 // foreseenRooms returns the workers that will have room for a demand of the candidate,
 // the earliest first and those that missed their forecast last.
 func (p *planner) foreseenRooms(c candidate, need resource.Vector) (rooms []foreseenRoom) {
-	for _, l := range p.suitable(c, need) {
+	suitable := p.suitable(c, need)
+	rooms = make([]foreseenRoom, 0, len(suitable))
+	for _, s := range suitable {
+		l := s.load
 		if at, foreseen := p.reserver.forecast.roomAt(l, need); foreseen {
 			missed := slices.ContainsFunc(p.reserver.missed, func(m Reservation) bool {
 				return m.Group == c.groupID() && m.Worker == l.worker.Key
@@ -88,23 +91,28 @@
 
 // suitable returns the maxForecasts workers that may hold room for a candidate and lack
 // least of it.
-func (p *planner) suitable(c candidate, need resource.Vector) []*load {
-	spread := p.spreadOf(c)
-	var suitable []*load
-	lacking := make(map[*load]float64, len(p.fleet.workers))
+func (p *planner) suitable(c candidate, need resource.Vector) []lackingLoad {
+	spread, rank := p.briefSpreadOf(c), c.rank()
+	suitable := p.reserver.suitable[:0]
 	for _, l := range p.fleet.workers {
-		if (l.hold == nil || l.hold.owner.rank() > c.rank()) && p.mayReserve(c, l, spread, need) {
-			suitable = append(suitable, l)
-			lacking[l] = missingShare(l, need)
+		if (l.hold == nil || l.hold.owner.rank() > rank) && p.mayReserve(c, l, spread, need) {
+			suitable = append(suitable, lackingLoad{l, missingShare(l, need)})
 		}
 	}
+	p.reserver.suitable = suitable // the next call uses the same memory
 	if len(suitable) > maxForecasts {
-		slices.SortStableFunc(suitable, func(a, b *load) int { return cmp.Compare(lacking[a], lacking[b]) })
+		slices.SortStableFunc(suitable, func(a, b lackingLoad) int { return cmp.Compare(a.lacking, b.lacking) })
 		suitable = suitable[:maxForecasts]
 	}
 	return suitable
 }
 
+// lackingLoad is a worker and how much of a demand it lacks.
+type lackingLoad struct {
+	*load
+	lacking float64
+}
+
 // missingShare returns how much of a demand a worker lacks, as a share of its capacity
 // in the resource that it lacks most.
 func missingShare(l *load, need resource.Vector) float64 {
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -62,7 +62,7 @@
 // it.
 func otherImages(l *load, image string) int {
 	others := len(l.serviceRuns)
-	if l.serviceRuns[image] > 0 {
+	if l.serviceRuns.of(image) > 0 {
 		others--
 	}
 	return others
@@ -72,9 +72,9 @@
 // best-effort work that interferes with a service of the group.
 func (p *planner) interferingShare(group *api.TaskGroup, l *load) float64 {
 	cores := 0.0
-	for image, used := range l.bestEffortCores {
-		if significantCost(p.in.PerCore, Pair{group.Image, image}) > 0 {
-			cores += used
+	for _, used := range l.bestEffortCores {
+		if significantCost(p.in.PerCore, Pair{group.Image, used.image}) > 0 {
+			cores += used.amount
 		}
 	}
 	return share(int64(1000*cores), l)
@@ -163,9 +163,9 @@
 		}
 		worst = max(worst, p.headroomTaken(service.Image, cost, group, l)/max(spare, minSpareHeadroom))
 	}
-	for image := range l.serviceRuns {
-		if cost := significantCost(p.in.PerCore, Pair{image, group.Image}); cost > 0 && !l.worker.Sample.shows(image) {
-			worst = max(worst, p.headroomTaken(image, cost, group, l)/(unsampledHeadroom-reservedHeadroom))
+	for _, runs := range l.serviceRuns {
+		if cost := significantCost(p.in.PerCore, Pair{runs.image, group.Image}); cost > 0 && !l.worker.Sample.shows(runs.image) {
+			worst = max(worst, p.headroomTaken(runs.image, cost, group, l)/(unsampledHeadroom-reservedHeadroom))
 		}
 	}
 	return worst
@@ -175,8 +175,8 @@
 // worker with one more task of a group, which costs the service cost per core.
 func (p *planner) headroomTaken(service string, cost float64, group *api.TaskGroup, l *load) float64 {
 	taken := cost * float64(group.MilliCpu) / 1000
-	for image, cores := range l.bestEffortCores {
-		taken += p.in.PerCore(Pair{service, image}) * cores
+	for _, cores := range l.bestEffortCores {
+		taken += p.in.PerCore(Pair{service, cores.image}) * cores.amount
 	}
 	return taken
 }
--- a/dispatch/victims.go
+++ b/dispatch/victims.go
@@ -129,6 +129,9 @@
 		}
 		if v.reasonFor(c) != "" && contributes(v, c, l) {
 			p.addLoad(l, v.group.Spec, -1)
+			if victims == nil {
+				victims = make([]*victim, 0, maxPreemptions)
+			}
 			victims = append(victims, v)
 		}
 	}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -46,11 +46,11 @@
 type load struct {
 	worker             *Worker
 	used               resource.Vector
-	lasting            resource.Vector    // demands of the long-running ones, which do not end by themselves
-	bestEffortMilliCPU int64              // that best-effort runs would use at full pace
-	bestEffortCores    map[string]float64 // the same in cores, by image
-	serviceRuns        map[string]int     // runs with a latency target, by image
-	serviceMilliCPU    int64              // declared by runs with a latency target
+	lasting            resource.Vector   // demands of the long-running ones, which do not end by themselves
+	bestEffortMilliCPU int64             // that best-effort runs would use at full pace
+	bestEffortCores    perImage[float64] // the same in cores
+	serviceRuns        perImage[int]     // runs with a latency target
+	serviceMilliCPU    int64             // declared by runs with a latency target
 	runs               int
 	starting           int   // runs whose start the worker has not survived yet
 	probation          bool  // one of them is of a task on probation
@@ -71,14 +71,45 @@
 	}
 	if group.BestEffort {
 		l.bestEffortMilliCPU += runs * group.MilliCpu
-		l.bestEffortCores[group.Image] += float64(runs*group.MilliCpu) / 1000
+		l.bestEffortCores.add(group.Image, float64(runs*group.MilliCpu)/1000)
 	}
 	if group.TargetLatencyMs > 0 {
 		l.serviceMilliCPU += runs * group.MilliCpu
-		if l.serviceRuns[group.Image] += int(runs); l.serviceRuns[group.Image] == 0 {
-			delete(l.serviceRuns, group.Image)
+		l.serviceRuns.add(group.Image, int(runs))
+	}
+}
+
+// perImage holds amounts by image, without zeros. A worker runs few images, for which a
+// slice takes less time and memory than a map.
+type perImage[T int | float64] []imageAmount[T]
+
+type imageAmount[T int | float64] struct {
+	image  string
+	amount T
+}
+
+// of returns the amount of an image.
+func (p perImage[T]) of(image string) T {
+	for _, entry := range p {
+		if entry.image == image {
+			return entry.amount
 		}
 	}
+	return 0
+}
+
+func (p *perImage[T]) add(image string, amount T) {
+	for i := range *p {
+		if (*p)[i].image == image {
+			if (*p)[i].amount += amount; (*p)[i].amount == 0 {
+				*p = slices.Delete(*p, i, i+1)
+			}
+			return
+		}
+	}
+	if amount != 0 {
+		*p = append(*p, imageAmount[T]{image, amount})
+	}
 }
 
 // allows reports whether tasks of the queue and the group may run on the
