dispatch: rack_local groups are placed by the forecast with remote_penalty

Cause: the best worker for the first task decided on the rack of a rack_local group, and a fixed weight of 2 kept later tasks there. Such a group began in the gap of a rack, and the rest of its tasks ran elsewhere for remote_penalty times as long.

Change: with remote_penalty above 1, peerRack decides once for each group and plan: the rack that first has room for all waiting tasks, now or within the longest wait, which is bounded as for data racks by the extra time of a remote run, the slack of the job and the time that the group has waited. Tasks that have no room there yet wait and count against the foreseen room; a gang waits as a whole. If no rack has room for all in time, the tasks start at once as before. Preempt lets nobody give way to a group that waits by this choice. The log message about a wait names data and peers, since it is logged for both.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -38,6 +38,7 @@
 	pace     int32
 	percent  int32 // of their work that all runs have done, unless workers list it
 	stopping map[jobs.RunID]bool
+	waits    map[jobs.GroupID]time.Duration // when groups began to wait for a rack
 
 	missed, backfilled int // reservations and starts of all plans
 }
@@ -51,6 +52,7 @@
 	w := &fixture{
 		t: t, state: jobs.NewState(), submitted: map[string]time.Duration{}, learned: NewKnowledge(nil), pace: FullPace,
 		active: map[jobs.RunID]Start{}, since: map[jobs.RunID]time.Duration{}, due: map[jobs.RunID]time.Duration{}, stopping: map[jobs.RunID]bool{},
+		waits: map[jobs.GroupID]time.Duration{},
 	}
 	w.apply(&api.JobChange{Body: &api.JobChange_Configure{Configure: &api.JobConfiguration{
 		Version:  1,
@@ -102,6 +104,11 @@
 	for _, start := range s.Starts {
 		w.start(start)
 	}
+	for _, group := range s.HeldForRack {
+		if _, known := w.waits[group]; !known {
+			w.waits[group] = w.now
+		}
+	}
 	w.reserved, w.missed, w.backfilled = s.Reservations, w.missed+len(s.Missed), w.backfilled+s.Backfilled
 	return s.Starts
 }
@@ -213,6 +220,12 @@
 			}
 			return status, known
 		},
+		HeldForRack: func(group jobs.GroupID) time.Duration {
+			if since, known := w.waits[group]; known {
+				return w.now - since
+			}
+			return 0
+		},
 		PerCore: w.learned.Interference.PerCore, Durations: w.learned.Durations, QueueWork: w.learned.QueueWork,
 	}
 	if w.change != nil {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,7 +20,7 @@
 	// likely complete before it. It is nil if nothing is known of runs.
 	Behind func(run jobs.RunID) bool
 	// HeldForRack returns for how long tasks of a group have waited for the rack of
-	// their data although another worker had room. It may be nil.
+	// their data or peers although another worker had room. It may be nil.
 	HeldForRack func(group jobs.GroupID) time.Duration
 	// Run returns the status of an active run, false if nothing is known of it. It may
 	// be nil.
@@ -115,10 +115,11 @@
 		spread = p.spreadOf(c)
 		defer func() { p.reserver.spreads[c.groupID()] = spread }()
 	}
-	placed := 0
+	placed, peers := 0, peers{}
 	for i := first; i < len(c.group.Tasks); i++ {
 		others, probation := c.group.Tasks[i].Runs, onProbation(c.group, i)
-		if !c.startable(i, p.in) || c.reserved > 0 && (len(others) > 0 || probation) {
+		plain := len(others) == 0 && !probation
+		if !c.startable(i, p.in) || c.reserved > 0 && !plain || plain && peers.wait && p.waitsForPeers(c, &peers, spread) {
 			continue
 		}
 		chosen, heldBack := p.choose(c, spread, others, probation)
@@ -132,7 +133,10 @@
 			}
 			return // all tasks of a group have the same demand
 		}
-		if len(others) == 0 && !probation && p.waitsForRack(c, chosen, spread) {
+		if plain {
+			chosen = p.nearPeers(c, i, &peers, chosen, spread)
+		}
+		if chosen == nil || plain && p.waitsForRack(c, chosen, spread) {
 			continue
 		}
 		p.start(c, i, c.group.NextRun(i), chosen, spread)
@@ -155,7 +159,7 @@
 	}
 	number := c.group.NextRun(0)
 	spread := p.briefSpreadOf(c)
-	placed := len(p.starts)
+	placed, peers := len(p.starts), peers{}
 	for i := range c.group.Tasks {
 		chosen, _ := p.choose(c, spread, nil, false)
 		if chosen == nil {
@@ -163,6 +167,10 @@
 			p.reserve(c, 0)
 			return
 		}
+		if chosen = p.nearPeers(c, i, &peers, chosen, spread); chosen == nil {
+			p.undo(placed, c)
+			return
+		}
 		p.start(c, i, number, chosen, spread)
 	}
 	for _, h := range p.reserver.of(c.groupID()) {
@@ -279,7 +287,7 @@
 // apart from its capacity.
 func (p *planner) eligible(c candidate, l *load, spread spread) bool {
 	group := c.group.Spec
-	if !l.worker.Open || l.probation || !l.worker.allows(c.queue, group) {
+	if !l.worker.Open || l.probation || !l.worker.allows(c.queue, group) || c.peerRack != "" && c.peerRack != l.worker.Rack {
 		return false
 	}
 	if c.queue.Advice != nil && c.tickets[l.worker.Key] == "" {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -260,10 +260,10 @@
 	}
 }
 
-// waitsByChoice reports whether a candidate waits for the rack of its data although it
+// waitsByChoice reports whether a candidate waits for the rack of its data or peers although it
 // has room elsewhere, now or when stops have ended: the plan expects room on its rack soon.
 func (p *preemptor) waitsByChoice(c candidate, spread spread) bool {
-	if p.in.Policy.RemotePenalty <= 1 || c.group.Spec.DataRack == "" {
+	if p.in.Policy.RemotePenalty <= 1 || c.group.Spec.DataRack == "" && !c.group.Spec.RackLocal {
 		return false
 	}
 	class, need := p.classOf(c)
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -34,7 +34,7 @@
 	Reservations []Reservation  // to hold until the next plan
 	Missed       []Reservation  // dropped because their forecast was wrong
 	Backfilled   int            // starts beside a reservation of another group
-	HeldForRack  []jobs.GroupID // groups with tasks that wait for the rack of their data
+	HeldForRack  []jobs.GroupID // groups with tasks that wait for the rack of their data or peers
 }
 
 const (
--- a/dispatch/reserve_test.go
+++ b/dispatch/reserve_test.go
@@ -15,13 +15,25 @@
 	"amaranthpaddle/jobs"
 )
 
-// plansWithoutReservations is the digest of the starts of 300 plans, recorded with the
-// planner as it was before reservations existed.
-const plansWithoutReservations = 0xf51303083000c0f1
+// Digests of the starts of 300 plans, recorded with the planner as it was before
+// reservations existed, and, with groups that want a rack, before remote_penalty decided
+// on rack_local groups.
+const (
+	plansWithoutReservations = 0xf51303083000c0f1
+	plansWithRacks           = 0x100e126dc8fd1793
+)
 
-// Guards against reservations that take part in plans although the setting is 0: the
-// starts must be those that were recorded before, plan by plan.
-func TestPlansWithoutReservationsAreAsRecorded(t *testing.T) {
+// Guards against reservations and racks that take part in plans in a new way although the
+// settings are 0: the starts must be those that were recorded before, plan by plan.
+func TestPlansWithSettingsOffAreAsRecorded(t *testing.T) {
+	for racks, want := range map[bool]uint64{false: plansWithoutReservations, true: plansWithRacks} {
+		if got := digestOfPlans(t, racks); got != want {
+			t.Errorf("digest of the plans %#x, want %#x; with racks %v", got, want, racks)
+		}
+	}
+}
+
+func digestOfPlans(t *testing.T, racks bool) uint64 {
 	random := rand.New(rand.NewPCG(1, 2))
 	w := newFixture(t, 5)
 	digest := fnv.New64a()
@@ -32,6 +44,9 @@
 			Count: 1 + random.Int32N(6), MilliCpu: 500 + 500*random.Int64N(12), MemoryMib: 1000 * random.Int64N(30), EstimatedMs: 100 + random.Int64N(900),
 			BestEffort: random.IntN(4) == 0, Gang: random.IntN(6) == 0, MaxPerWorker: random.Int32N(2) * 2, Image: "i",
 		}
+		if racks {
+			group.RackLocal, group.DataRack = random.IntN(2) == 0, []string{"", "", "r0", "r2"}[random.IntN(4)]
+		}
 		w.submit([]string{urgentQueue, batchQueue}[random.IntN(2)], group)
 		starts := w.plan()
 		fmt.Fprintln(digest, starts)
@@ -42,9 +57,7 @@
 			active = active[1:]
 		}
 	}
-	if digest.Sum64() != plansWithoutReservations {
-		t.Errorf("digest of the plans %#x, want %#x", digest.Sum64(), uint64(plansWithoutReservations))
-	}
+	return digest.Sum64()
 }
 
 // mixed returns a load of small jobs of 10 tasks, and every 3 s of a job of wide tasks, on
--- a/jobcontrol/locality.go
+++ b/jobcontrol/locality.go
@@ -10,7 +10,7 @@
 )
 
 // rackWaits is the time since when tasks of each group have waited for the rack of their
-// data although another worker had room. It is soft state: a new leader starts without,
+// data or peers although another worker had room. It is soft state: a new leader starts without,
 // and lets each group wait once more at most.
 type rackWaits map[jobs.GroupID]time.Time
 
@@ -23,7 +23,7 @@
 		}
 		w[group] = now
 		telemetry.JobRackWaits.Add(1)
-		klog.InfoS("Group waits for the rack of its data", "job", group.Job, "group", group.Group)
+		klog.InfoS("Group waits for the rack of its data or peers", "job", group.Job, "group", group.Group)
 	}
 }
 
