--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -20,7 +20,7 @@
 	// likely complete before it. It is nil if nothing is known of runs.
 	Behind func(run jobs.RunID) bool
 	// HeldForRack returns for how long tasks of a group have waited for the rack of
-	// their data although another worker had room. It may be nil.
+	// their data or peers although another worker had room. It may be nil.
 	HeldForRack func(group jobs.GroupID) time.Duration
 	// Run returns the status of an active run, false if nothing is known of it. It may
 	// be nil.
@@ -86,6 +86,7 @@
 	starts   []Start
 	clearing clearing  // nil outside of a plan
 	locality *locality // nil until a task could start away from its data
+	passing  spread    // of briefSpreadOf
 }
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
@@ -114,14 +115,16 @@
 
 // placeTasks places the tasks of a candidate from an index on, until one fits nowhere.
 func (p *planner) placeTasks(c candidate, first int) {
-	spread := p.spreadOf(c)
-	placed := 0
+	spread := p.briefSpreadOf(c)
 	if c.reserved > 0 {
+		spread = p.spreadOf(c)
 		defer func() { p.reserver.spreads[c.groupID()] = spread }()
 	}
+	placed, peers := 0, peers{}
 	for i := first; i < len(c.group.Tasks); i++ {
 		others, probation := c.group.Tasks[i].Runs, onProbation(c.group, i)
-		if !c.startable(i, p.in) || c.reserved > 0 && (len(others) > 0 || probation) {
+		plain := len(others) == 0 && !probation
+		if !c.startable(i, p.in) || c.reserved > 0 && !plain || plain && peers.wait && p.waitsForPeers(c, &peers, spread) {
 			continue
 		}
 		chosen, heldBack := p.choose(c, spread, others, probation)
@@ -135,7 +138,10 @@
 			}
 			return // all tasks of a group have the same demand
 		}
-		if len(others) == 0 && !probation && p.waitsForRack(c, chosen, spread) {
+		if plain {
+			chosen = p.nearPeers(c, i, &peers, chosen, spread)
+		}
+		if chosen == nil || plain && p.waitsForRack(c, chosen, spread) {
 			continue
 		}
 		p.start(c, i, c.group.NextRun(i), chosen, spread)
@@ -157,8 +163,8 @@
 		}
 	}
 	number := c.group.NextRun(0)
-	spread := p.spreadOf(c)
-	placed := len(p.starts)
+	spread := p.briefSpreadOf(c)
+	placed, peers := len(p.starts), peers{}
 	for i := range c.group.Tasks {
 		chosen, _ := p.choose(c, spread, nil, false)
 		if chosen == nil {
@@ -166,6 +172,10 @@
 			p.reserve(c, 0)
 			return
 		}
+		if chosen = p.nearPeers(c, i, &peers, chosen, spread); chosen == nil {
+			p.undo(placed, c)
+			return
+		}
 		p.start(c, i, number, chosen, spread)
 	}
 	for _, h := range p.reserver.of(c.groupID()) {
@@ -216,6 +226,31 @@
 		}
 	}
 	s := spread{workers: map[string]int{}, racks: map[string]int{}}
+	p.countRuns(c, s)
+	return s
+}
+
+// briefSpreadOf is as spreadOf, for a spread that is used until the next call only.
+func (p *planner) briefSpreadOf(c candidate) spread {
+	if p.reserver != nil {
+		if s, begun := p.reserver.spreads[c.groupID()]; begun {
+			return s
+		}
+	}
+	if p.passing.workers == nil {
+		p.passing = spread{workers: map[string]int{}, racks: map[string]int{}}
+	}
+	clear(p.passing.workers)
+	clear(p.passing.racks)
+	// The placement of other groups does not depend on where their runs are.
+	if group := c.group.Spec; group.MaxPerWorker > 0 || group.LongRunning || group.RackLocal {
+		p.countRuns(c, p.passing)
+	}
+	return p.passing
+}
+
+// countRuns adds the runs of a candidate's group to a spread.
+func (p *planner) countRuns(c candidate, s spread) {
 	for i := range c.group.Tasks {
 		for _, run := range c.group.Tasks[i].Runs {
 			s.workers[run.Worker]++
@@ -224,7 +259,6 @@
 			}
 		}
 	}
-	return s
 }
 
 // choose returns the best worker with capacity for one more task of the
@@ -234,7 +268,7 @@
 	need := demand(c.group.Spec)
 	var bestScore float64
 	for _, l := range p.fleet.workers {
-		if !p.eligible(c, l, spread) || !need.Fits(l.free()) {
+		if !need.Fits(l.free()) || !p.eligible(c, l, spread) {
 			continue
 		}
 		if probation && !p.fleet.allowsProbation(l) {
@@ -258,7 +292,7 @@
 // apart from its capacity.
 func (p *planner) eligible(c candidate, l *load, spread spread) bool {
 	group := c.group.Spec
-	if !l.worker.Open || l.probation || p.isKept(c, l) || !l.worker.allows(c.queue, group) {
+	if !l.worker.Open || l.probation || p.isKept(c, l) || !l.worker.allows(c.queue, group) || c.peerRack != "" && c.peerRack != l.worker.Rack {
 		return false
 	}
 	if c.queue.Advice != nil && c.tickets[l.worker.Key] == "" {
