dispatch: large best-effort tasks start in gaps smaller than they declare

Cause: a worker took a best-effort task only if all of its declared CPU was unused. Change: with partial_fit in [scheduling], a task starts where it gets this share of its CPU on average over its run time, by the forecast of ends beside it, and a quarter of it at once. One task at most overcommits a worker, and only tasks that interfere with no service there do so. Off by default, and then plans are as before.

--- a/dispatch/fleetload.go
+++ b/dispatch/fleetload.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
@@ -67,9 +68,10 @@
 type placementClass struct {
 	service, regions, label string
 	bestEffort              bool
-	image                   string // of best-effort tasks, which interfere by image
-	unlimited               bool   // interference does not count
-	starving                bool   // it may start whatever it interferes with
+	image                   string        // of best-effort tasks, which interfere by image
+	unlimited               bool          // interference does not count
+	starving                bool          // it may start whatever it interferes with
+	runTime                 time.Duration // over which a partial fit is weighed, 0 for whole fits
 }
 
 // classOf returns the class of a candidate's tasks and what they demand.
@@ -79,6 +81,7 @@
 	if group.BestEffort {
 		class.bestEffort, class.image = true, group.Image
 		class.unlimited, class.starving = p.ignoresInterference(c), starves(c)
+		class.runTime = p.partialFits.runTime(c)
 	}
 	return class, resource.Vector{MilliCPU: group.MilliCpu, MemoryMiB: group.MemoryMib, Accelerators: group.Accelerators}
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -87,10 +87,15 @@
 	clearing clearing  // nil outside of a plan
 	locality *locality // nil until a task could start away from its data
 	passing  spread    // of briefSpreadOf
+
+	partialFits *partialFits // nil if the policy asks for whole fits
 }
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
-	return &planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit, reserver: newReserver(view, in, unfit != nil)}
+	return &planner{
+		view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit,
+		reserver: newReserver(view, in, unfit != nil), partialFits: newPartialFits(view, in),
+	}
 }
 
 func (p *planner) place(c candidate) {
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -14,6 +14,7 @@
 	Preemption        bool    // runs of little value give way to waiting tasks
 	ForecastAdmission bool    // admission by a forecast of the room, in place of the backlog's drain rate
 	FairShares        bool    // callers that compete for too little room share it
+	PartialFit        float64 // least share of its CPU with which a best-effort task starts, 0 and 1 for all of it
 	RemotePenalty     float64 // factor on the duration of a task away from its data or peers, 0 if unknown
 	MoveFromShrunk    bool    // best-effort runs are moved off workers that hold more than their capacity
 }
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -82,9 +82,15 @@
 // unusedShare returns the share of the CPU that is left for more best-effort
 // work, given that services use less than they declare. It is negative if the
 // best-effort work on the worker wants more than is left.
-func unusedShare(l *load) float64 {
-	counted := l.used.MilliCPU - int64((1-avgServiceUtilization)*float64(l.serviceMilliCPU))
-	return 1 - share(counted+l.bestEffortMilliCPU, l)
+func unusedShare(l *load) float64 { return 1 - share(expectedMilliCPU(l), l) }
+
+// unusedMilliCPU is unusedShare in milli-cores.
+func unusedMilliCPU(l *load) int64 { return l.worker.Capacity.MilliCPU - expectedMilliCPU(l) }
+
+// expectedMilliCPU returns what the runs on a worker use together, with best-effort
+// runs at full pace.
+func expectedMilliCPU(l *load) int64 {
+	return l.used.MilliCPU - int64((1-avgServiceUtilization)*float64(l.serviceMilliCPU)) + l.bestEffortMilliCPU
 }
 
 // share returns an amount of CPU as a share of the worker's capacity.
--- a/dispatch/unusedcpu.go
+++ b/dispatch/unusedcpu.go
@@ -13,8 +13,8 @@
 
 // allowsBestEffort reports whether a best-effort task of the candidate may
 // start on the worker: there is unused CPU, and the services on the worker can
-// spare the headroom. CPU that throttled runs leave unused is open to tasks that
-// interfere with no service there, and to those that starve.
+// spare the headroom. CPU that throttled runs leave unused, and gaps for a partial fit,
+// are open to tasks that interfere with no service there, and to those that starve.
 func (p *planner) allowsBestEffort(c candidate, l *load) bool {
 	group := c.group.Spec
 	unclaimed := hasUnclaimedCPU(c, l)
@@ -43,13 +43,16 @@
 }
 
 // hasUnusedCPU reports whether a worker has CPU for one more best-effort task at
-// the present paces of its runs.
+// the present paces of its runs, or enough for a partial fit.
 func (p *planner) hasUnusedCPU(c candidate, l *load) bool {
-	if len(l.worker.Sample.Cores) == 0 {
-		return false // nothing is known of what its runs use
+	unused := unusedMilliCPU(l)
+	if len(l.worker.Sample.Cores) > 0 { // otherwise nothing is known of what its runs use
+		unused += l.bestEffortMilliCPU - p.likelyMilliCPU(l)
+		if unused >= c.group.Spec.MilliCpu {
+			return true
+		}
 	}
-	idle := l.bestEffortMilliCPU - p.likelyMilliCPU(l)
-	return unusedShare(l)+share(idle, l) >= share(c.group.Spec.MilliCpu, l)
+	return p.partialFits.allows(c, l, unused)
 }
 
 // likelyMilliCPU returns what the best-effort runs on a worker are likely to use at
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -59,6 +59,7 @@
 	Preemption    bool    // runs of little value give way to waiting tasks
 	Admission     string  // AdmissionBacklog or AdmissionForecast, empty for the former
 	FairShares    bool    // callers that compete for too little room share it
+	PartialFit    float64 // least share of its CPU with which a best-effort task starts, 0 for all of it
 	RemotePenalty float64 // factor on the duration of a task away from its data or peers, 0 if unknown
 
 	MoveFromShrunk bool // best-effort runs are moved off workers that hold more than their capacity
@@ -111,6 +112,7 @@
 
 	maxReservations  = 1000
 	maxRemotePenalty = 100
+	minPartialFit    = 0.1 // a task with less crawls
 )
 
 // ParseJobEntry reads the settings of paddle-jobentry from data; name stands in faults.
@@ -169,6 +171,7 @@
 		Preemption:    r.boolean("scheduling", "preemption"),
 		Admission:     r.choice("scheduling", "admission", AdmissionBacklog, AdmissionForecast),
 		FairShares:    r.boolean("scheduling", "fair_shares"),
+		PartialFit:    r.factor("scheduling", "partial_fit", minPartialFit, 1),
 		RemotePenalty: r.factor("scheduling", "remote_penalty", 1, maxRemotePenalty),
 
 		MoveFromShrunk: r.boolean("scheduling", "move_from_shrunk"),
