dispatch: a job that will have lost its value goes last

Cause: a job counted as expired once its age exceeded three objectives. One that could not complete within them was late until then, and an urgent one went before jobs of less urgent queues that could still be in time, also with its next groups. After a loss of power, such jobs took room for several seconds.

Change: the time that a job still needs counts too.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -94,7 +94,7 @@
 const (
 	inTime  lateness = iota // the objective can still be met
 	late                    // the objective will be missed; the job has a part of its value
-	expired                 // later than expiryFactor objectives; the job has no value left
+	expired                 // it cannot complete within expiryFactor objectives; the job has no value left
 )
 
 // candidates returns the groups with tasks to start, the most urgent first.
@@ -193,7 +193,7 @@
 // needs.
 func latenessOf(age, needed, objective time.Duration) lateness {
 	switch {
-	case age > expiryFactor*objective:
+	case age+needed > expiryFactor*objective:
 		return expired
 	case age+needed > objective:
 		return late
