controlclient: replicas that gave no answer are not tried again at once

Cause: while no leader is known, calls go to the replicas in turn. Each turn through a replica without power cost 1 s, also if it had been silent a moment ago.

Change: a replica that gave no answer is left out for 2 s, unless all replicas are silent.

--- a/controlclient/client.go
+++ b/controlclient/client.go
@@ -27,6 +27,7 @@
 const (
 	attemptTimeout = 1 * time.Second
 	retryDelay     = 50 * time.Millisecond
+	silentPause    = 2 * time.Second // before a replica that gave no answer is tried again while others answer; two attempts
 )
 
 // Client keeps one connection per control replica. It is safe for concurrent use.
@@ -37,6 +38,7 @@
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
 	answered    map[string]time.Time // when an address last answered anything
+	silent      map[string]time.Time // when an address last gave no answer, unless it has answered since
 	leader      string               // address that answered last
 	next        int                  // index into addresses to try when no leader is known
 }
@@ -44,7 +46,7 @@
 // New returns a client of the control group with the replicas' addresses (ip:port).
 func New(security *transport.Security, addresses []string) *Client {
 	return &Client{security: security, addresses: addresses, connections: map[string]*grpc.ClientConn{},
-		answered: map[string]time.Time{}}
+		answered: map[string]time.Time{}, silent: map[string]time.Time{}}
 }
 
 // Close closes all connections.
@@ -135,13 +137,21 @@
 }
 
 // Target returns the address to call next: that of the leader, when it is
-// known, or the next one of the replicas.
+// known, or the next one of the replicas, without those that gave no answer within
+// silentPause unless all did.
 func (c *Client) Target() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader != "" {
 		return c.leader
 	}
+	for range c.addresses {
+		c.next++
+		address := c.addresses[c.next%len(c.addresses)]
+		if since, silent := c.silent[address]; !silent || time.Since(since) >= silentPause {
+			return address
+		}
+	}
 	c.next++
 	return c.addresses[c.next%len(c.addresses)]
 }
@@ -208,8 +218,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	silent := fault.Is(err, fault.DeadlineUnknown) || fault.Is(err, fault.ConnectionLost)
-	if !silent {
+	if silent {
+		c.silent[address] = time.Now()
+	} else {
 		c.answered[address] = time.Now()
+		delete(c.silent, address)
 	}
 	if err == nil {
 		c.leader = address
