jobagent: read the trailer of ended streams only

Cause: gRPC provides the trailer once Recv has returned an error. After a directive of an earlier leader, the trailer was read from an open stream, which may race with its end. No test shows it, since the race needs an end of the stream in that moment.

Change: leaderSession.trailer returns nil unless the stream has ended.

Result: go test -race of jobagent passes.

--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -34,7 +34,7 @@
 			return
 		}
 		err := s.serve(ctx)
-		trailer := s.stream.Trailer()
+		trailer := s.trailer()
 		s.close()
 		if ctx.Err() != nil {
 			return
@@ -59,6 +59,7 @@
 	answerTimer *time.Timer // cancels the stream when a report goes unanswered for too long
 	detach      func() bool // lets the session outlive the search for the leader
 	first       *api.WorkerDirective
+	ended       bool // the stream has returned an error
 
 	sequence    int64
 	sentAt      map[int64]time.Time // send times of unanswered reports, by sequence
@@ -83,7 +84,7 @@
 	s.stream, err = api.NewJobsClient(connection).Drive(ctx)
 	if err == nil {
 		err = s.openWithReport()
-		trailer = s.stream.Trailer()
+		trailer = s.trailer()
 	}
 	if err != nil {
 		s.close()
@@ -100,7 +101,7 @@
 	s.id = a.sessions
 	a.mu.Unlock()
 	sendErr := s.send()
-	directive, err := s.stream.Recv() // holds the stream's actual error if the report was not sent
+	directive, err := s.recv() // holds the stream's actual error if the report was not sent
 	if err == nil {
 		err = sendErr
 	}
@@ -113,6 +114,20 @@
 	return a.checkTerm(directive.Term)
 }
 
+func (s *leaderSession) recv() (*api.WorkerDirective, error) {
+	directive, err := s.stream.Recv()
+	s.ended = err != nil
+	return directive, err
+}
+
+// trailer returns the trailer of a stream that the replica has ended, nil otherwise.
+func (s *leaderSession) trailer() metadata.MD {
+	if !s.ended {
+		return nil
+	}
+	return s.stream.Trailer()
+}
+
 func (s *leaderSession) close() {
 	s.detach()
 	s.answerTimer.Stop()
@@ -181,7 +196,7 @@
 
 func (s *leaderSession) receive() error {
 	for {
-		directive, err := s.stream.Recv()
+		directive, err := s.recv()
 		if err != nil {
 			return err
 		}
