dispatch: late jobs go after jobs in time with late_last

Cause: after a loss of power for 7 s, urgent jobs that already missed their objective, and earn 0.15 of their value, went before jobs of a less urgent queue that could still be in time.

Change: with late_last = true in [scheduling], late jobs come after jobs in time of all queues, and the admission by forecast does not count them as ahead of a job in time.

--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -122,7 +122,7 @@
 func policy(s settings.Scheduling) dispatch.Policy {
 	return dispatch.Policy{
 		Reservations: s.Reservations, Preemption: s.Preemption, ForecastAdmission: s.Admission == settings.AdmissionForecast,
-		FairShares: s.FairShares, RemotePenalty: s.RemotePenalty,
+		FairShares: s.FairShares, LateLast: s.LateLast, RemotePenalty: s.RemotePenalty,
 	}
 }
 
--- a/dispatch/admitpool.go
+++ b/dispatch/admitpool.go
@@ -178,7 +178,7 @@
 	arriving := a.moreUrgent.add(a.asUrgent)
 	for i := range a.ahead {
 		job := &a.ahead[i]
-		before := job.priority < a.s.Queue.Priority
+		before := job.priority < a.s.Queue.Priority && !(a.in.Policy.LateLast && job.lateness == late)
 		if later.begun(p, group, arriving) > job.expiry {
 			continue // it has no value left by then, and is placed after the others
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -81,6 +81,7 @@
 	groupIndex int32
 	group      *jobs.Group
 	lateness   lateness
+	lateLast   bool              // as the policy says
 	waited     time.Duration     // time since submission, or since the occurrence was due, if no run of the job is active; 0 otherwise
 	tickets    map[string]string // from the queue's adviser, by worker key
 	density    float64           // value of the job per remaining core-second
@@ -129,16 +130,22 @@
 }
 
 // rank returns the sort key for the priority. Expired jobs come after all
-// others.
+// others, and late ones after those in time if the policy says so.
 func (c candidate) rank() int {
-	if c.lateness == expired {
+	switch {
+	case c.lateness == expired:
 		return expiredRank + int(c.queue.Priority)
+	case c.lateness == late && c.lateLast:
+		return lateRank + int(c.queue.Priority)
 	}
 	return int(c.queue.Priority)
 }
 
-// expiredRank is larger than any priority.
-const expiredRank = 1 << 20
+// lateRank is larger than any priority, and expiredRank than any rank of a late job.
+const (
+	lateRank    = 1 << 20
+	expiredRank = 2 * lateRank
+)
 
 // tryCandidates returns the groups of a job with tasks to start, none after a panic.
 func tryCandidates(view jobs.View, in Input, job *jobs.Job) (all []candidate) {
@@ -171,7 +178,7 @@
 			}
 			c := candidate{
 				job: job, queue: queue, occurrence: int32(k), groupIndex: int32(g), group: group,
-				density: value / remainingWork(occurrence, estimate),
+				density: value / remainingWork(occurrence, estimate), lateLast: in.Policy.LateLast,
 			}
 			if !c.anyStartable(in) {
 				continue
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -14,6 +14,7 @@
 	Preemption        bool    // runs of little value give way to waiting tasks
 	ForecastAdmission bool    // admission by a forecast of the room, in place of the backlog's drain rate
 	FairShares        bool    // callers that compete for too little room share it
+	LateLast          bool    // late jobs go after those of less urgent queues that can still be in time
 	RemotePenalty     float64 // factor on the duration of a task away from its data or peers, 0 if unknown
 }
 
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -59,6 +59,7 @@
 	Preemption    bool    // runs of little value give way to waiting tasks
 	Admission     string  // AdmissionBacklog or AdmissionForecast, empty for the former
 	FairShares    bool    // callers that compete for too little room share it
+	LateLast      bool    // late jobs go after those of less urgent queues that can still be in time
 	RemotePenalty float64 // factor on the duration of a task away from its data or peers, 0 if unknown
 }
 
@@ -167,6 +168,7 @@
 		Preemption:    r.boolean("scheduling", "preemption"),
 		Admission:     r.choice("scheduling", "admission", AdmissionBacklog, AdmissionForecast),
 		FairShares:    r.boolean("scheduling", "fair_shares"),
+		LateLast:      r.boolean("scheduling", "late_last"),
 		RemotePenalty: r.factor("scheduling", "remote_penalty", 1, maxRemotePenalty),
 	}
 }
--- a/settings/jobs_test.go
+++ b/settings/jobs_test.go
@@ -71,7 +71,7 @@
 // that would make remote work look faster.
 func TestWrongSchedulingSettingsAreRefused(t *testing.T) {
 	for key, value := range map[string]string{
-		"reservations": "-1", "preemption": "on", "admission": "forcast", "fair_shares": "1", "remote_penalty": "0.5",
+		"reservations": "-1", "preemption": "on", "admission": "forcast", "fair_shares": "1", "late_last": "1", "remote_penalty": "0.5",
 	} {
 		data := string(fill(t, "control.ini"))
 		data = data[:strings.Index(data, "[scheduling]")] + "[scheduling]\n" + key + " = " + value + "\n"
