--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -17,6 +17,7 @@
 	groupIndex int32
 	group      *jobs.Group
 	lateness   lateness
+	lateLast   bool              // as the policy says
 	waited     time.Duration     // time since submission, or since the occurrence was due, if no run of the job is active; 0 otherwise
 	tickets    map[string]string // from the queue's adviser, by worker key
 	density    float64           // value of the job per remaining core-second
@@ -31,7 +32,7 @@
 const (
 	inTime  lateness = iota // the objective can still be met
 	late                    // the objective will be missed; the job has a part of its value
-	expired                 // later than expiryFactor objectives; the job has no value left
+	expired                 // later than expiryFactor objectives, or surely so with LateLast; the job has no value left
 )
 
 // candidates returns the groups with tasks to start, the most urgent first.
@@ -75,16 +76,22 @@
 }
 
 // rank returns the sort key for the priority. Expired jobs come after all
-// others.
+// others, and late ones after those in time if the policy says so.
 func (c *candidate) rank() int {
-	if c.lateness == expired {
+	switch {
+	case c.lateness == expired:
 		return expiredRank + int(c.queue.Priority)
+	case c.lateness == late && c.lateLast:
+		return lateRank + int(c.queue.Priority)
 	}
 	return int(c.queue.Priority)
 }
 
-// expiredRank is larger than any priority.
-const expiredRank = 1 << 20
+// lateRank is larger than any priority, and expiredRank than any rank of a late job.
+const (
+	lateRank    = 1 << 20
+	expiredRank = 2 * lateRank
+)
 
 // tryCandidates appends the groups of a job with tasks to start, none after a panic.
 func tryCandidates(view jobs.View, in Input, job *jobs.Job, before []candidate) (all []candidate) {
@@ -116,7 +123,7 @@
 			}
 			c := candidate{
 				job: job, queue: queue, occurrence: int32(k), groupIndex: int32(g), group: group,
-				density: value / remainingWork(occurrence, estimate),
+				density: value / remainingWork(occurrence, estimate), lateLast: in.Policy.LateLast,
 			}
 			if c.anyStartable(in) {
 				c.assess(age, objective, estimate)
@@ -135,6 +142,9 @@
 	if !c.group.Spec.LongRunning {
 		needed := remainingCriticalPath(c.job.Occurrences[c.occurrence], estimate)
 		c.lateness, c.slack = latenessOf(age, needed, objective), objective-age-needed
+		if c.lateLast && age+needed > expiryFactor*objective {
+			c.lateness = expired // it cannot complete before it has lost all value
+		}
 	}
 }
 
