dispatch, jobs, jobcontrol: learned run times are saved in the log

Cause: the distributions of run times were soft state. A new leader forecast with declared durations until it had learnt them anew, which takes minutes for images with few ends.

Change: Learnt.run_times carries changed distributions, in 2000 bytes every 3 s: those that changed most first, each that changed once before any again. A new leader restores them and leaves out what is not valid. A save without run times, as of an older build, leaves those in the log. Only with a switch of [scheduling] on are they saved, as no plan depends on them otherwise.

TestModelsSurviveLeaderChange passes the new budget, otherwise unchanged. jobs and jobcontrol pass with -race.

--- a/dispatch/models.go
+++ b/dispatch/models.go
@@ -29,12 +29,14 @@
 			k.QueueWork.means[q.Queue] = q.MeanWork
 		}
 	}
+	k.Durations.RunTimes.Restore(learnt.GetRunTimes())
 	return k
 }
 
-// Learnt returns the state of the models for a later leader.
-func (k Knowledge) Learnt() *api.Learnt {
-	learnt := &api.Learnt{Costs: k.Interference.Message()}
+// Learnt returns the state of the models for a later leader, with run times of at most
+// runTimesBudget bytes; see RunTimes.Learnt.
+func (k Knowledge) Learnt(runTimesBudget int) *api.Learnt {
+	learnt := &api.Learnt{Costs: k.Interference.Message(), RunTimes: k.Durations.RunTimes.Learnt(runTimesBudget)}
 	for _, queue := range slices.Sorted(maps.Keys(k.Durations.queues)) {
 		s := k.Durations.queues[queue]
 		learnt.Queues = append(learnt.Queues, &api.QueueLearnt{
--- a/dispatch/models_test.go
+++ b/dispatch/models_test.go
@@ -141,7 +141,7 @@
 		k.Durations.Learn("q", 1000, 400)
 	}
 	k.QueueWork.Learn("q", 12)
-	next := NewKnowledge(k.Learnt())
+	next := NewKnowledge(k.Learnt(2000))
 	if cost := next.Interference.PerCore(Pair{"s", "heavy"}); cost != 0.3 {
 		t.Errorf("cost %.2f", cost)
 	}
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 // RunTimes learns the durations of runs at full pace as distributions: by image
@@ -15,6 +16,7 @@
 	durations *Durations // estimates by queue, while little is learnt
 	learnt    map[runTimeKey]*runTime
 	ends      int64 // learnt so far
+	round     int64 // of saves
 }
 
 // runTimeKey names an image, or a queue for groups without an image.
@@ -25,12 +27,15 @@
 	estimates durationStats
 	ratios    distribution // of observed durations to estimates
 	lastEnd   int64        // number of the latest end
+
+	unsaved    int64 // ends since the latest save
+	savedRound int64 // of the latest save, 0 for none
 }
 
 const (
 	// maxRunTimeKeys bounds the memory, at 600 bytes a key. The key that was learnt
 	// longest ago gives way to a new one.
-	maxRunTimeKeys = 64
+	maxRunTimeKeys = jobs.MaxRunTimeKeys
 	// startLatency bounds the part of a run's age before it makes progress: the commit
 	// on its way to the agent, and the call that starts the run.
 	startLatency = 100 * time.Millisecond
@@ -75,6 +80,7 @@
 	}
 	t.ends++
 	known.lastEnd = t.ends
+	known.unsaved++
 	x, y := logMS(group.EstimatedMs), math.Log(max(toMS(took), 1))
 	known.ratios.learn(y - known.estimates.estimate(x, t.durations.logEstimate(queue, x)))
 	known.estimates.learn(x, y)
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -20,20 +20,33 @@
 	})
 }
 
-// knowledgeSaveInterval is the shortest time between saves of the learned
-// statistics. A save takes about 1 kB, and what a leader change loses is learned
-// again within this time.
-const knowledgeSaveInterval = 3 * time.Second
+const (
+	// knowledgeSaveInterval is the shortest time between saves of the learned
+	// statistics. A save takes about 1 kB without run times, and what a leader change
+	// loses is learned again within this time.
+	knowledgeSaveInterval = 3 * time.Second
+	// runTimesSaveBudget bounds the run times in a save, in bytes: about ten keys, so
+	// all 64 are saved within 21 s.
+	runTimesSaveBudget = 2000
+)
 
 // saveKnowledge adds the learned statistics to the log, for a later leader. The
 // lock is held.
 func (l *leadership) saveKnowledge() {
 	now, version := l.server.now(), l.knowledge.Interference.Version()
-	if version == l.savedCostsVersion || now.Sub(l.knowledgeSavedAt) < knowledgeSaveInterval {
+	if now.Sub(l.knowledgeSavedAt) < knowledgeSaveInterval {
+		return
+	}
+	// Without a scheduling feature no plan depends on run times.
+	budget := 0
+	if l.server.config.Policy.Any() && l.knowledge.Durations.RunTimes.Changed() {
+		budget = runTimesSaveBudget
+	}
+	if version == l.savedCostsVersion && budget == 0 {
 		return
 	}
 	l.knowledgeSavedAt, l.savedCostsVersion = now, version
-	l.add(&api.JobChange{Body: &api.JobChange_Learnt{Learnt: l.knowledge.Learnt()}})
+	l.add(&api.JobChange{Body: &api.JobChange_Learnt{Learnt: l.knowledge.Learnt(budget)}})
 }
 
 func (l *leadership) jobAge(job *jobs.Job, now time.Time) time.Duration {
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -116,7 +116,7 @@
 	case *api.JobChange_End:
 		return s.end(body.End)
 	case *api.JobChange_Learnt:
-		s.learnt = body.Learnt
+		s.learnt = mergeLearnt(s.learnt, body.Learnt)
 		return nil
 	case *api.JobChange_Refuse:
 		return s.refuse(body.Refuse)
