--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
 	"amaranthpaddle/replica"
@@ -139,6 +140,16 @@
 	})
 }
 
+// restart replaces the server by one with a policy, which the caller stops.
+func (r *rig) restart(policy dispatch.Policy) {
+	r.server.Stop()
+	r.server = New(Config{
+		Replica: r.replica, State: r.state, Lease: testLease, Clock: time.Now, UnixTime: time.Now, Policy: policy,
+	})
+	r.server.Start()
+	r.wait(100 * time.Millisecond)
+}
+
 func (r *rig) wait(d time.Duration) {
 	time.Sleep(d)
 	synctest.Wait()
