--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -22,20 +22,35 @@
 	})
 }
 
-// knowledgeSaveInterval is the shortest time between saves of the learned
-// statistics. A save takes about 1 kB, and what a leader change loses is learned
-// again within this time.
-const knowledgeSaveInterval = 3 * time.Second
+const (
+	// knowledgeSaveInterval is the shortest time between saves of the learned
+	// statistics. A save takes about 1 kB without run times, and what a leader change
+	// loses is learned again within this time.
+	knowledgeSaveInterval = 3 * time.Second
+	// runTimesSaveBudget bounds the run times in a save, in bytes: about ten keys, so
+	// all 64 are saved within 24 s.
+	runTimesSaveBudget = 2000
+)
 
 // saveKnowledge adds the learned statistics to the log, for a later leader. The
 // lock is held.
 func (l *leadership) saveKnowledge() {
 	now, version := l.server.now(), l.knowledge.Interference.Version()
-	if version == l.savedCostsVersion || now.Sub(l.knowledgeSavedAt) < knowledgeSaveInterval {
+	if now.Sub(l.knowledgeSavedAt) < knowledgeSaveInterval {
+		return
+	}
+	// Without a scheduling feature no plan depends on run times.
+	budget := 0
+	if l.server.config.Policy.Any() && l.knowledge.Durations.RunTimes.Changed() {
+		budget = runTimesSaveBudget
+	}
+	if version == l.savedCostsVersion && budget == 0 {
 		return
 	}
 	l.knowledgeSavedAt, l.savedCostsVersion = now, version
-	l.add(&api.JobChange{Body: &api.JobChange_Learnt{Learnt: l.knowledge.Learnt()}})
+	learnt := l.knowledge.Learnt(budget)
+	telemetry.JobRunTimesSaved.Add(len(learnt.RunTimes))
+	l.add(&api.JobChange{Body: &api.JobChange_Learnt{Learnt: learnt}})
 }
 
 func (l *leadership) jobAge(job *jobs.Job, now time.Time) time.Duration {
@@ -73,7 +88,13 @@
 		return
 	}
 	l.startedJobs[run.Task.Job] = true
-	telemetry.JobWaitSeconds.Observe(l.server.now().Sub(first))
+	waited := l.server.now().Sub(first)
+	telemetry.JobWaitSeconds.Observe(waited)
+	l.assumed.Read(func(view jobs.View) {
+		if job := view.Job(run.Task.Job); job != nil {
+			telemetry.JobZoneWait.Observe(waited, job.Zone)
+		}
+	})
 }
 
 // learnDuration updates the durations of a queue's tasks with a run that was done.
