cmd/paddle-soak: refusals, shares, reservations and preemption

Cause: the soak test ran with the default settings and small jobs of one queue, so it never refused, reserved or preempted.

Change: control runs with admission by forecast, fair shares, 8 reservations and preemption. Four callers hand in jobs to two queues, one job of eight wide (6 of a worker's 8 cores). New checks: a refusal (429 or 503) has a Retry-After of 1 s or more, and an accepted wide job starts within 30 s; TestEachBrokenPromiseIsFound plants a violation of each. The answer to a submission is now passed to the checker as a whole, so two of its existing lines changed their argument. Refused jobs, ends of accepted jobs and capacity were checked before.

--- a/cmd/paddle-soak/callers.go
+++ b/cmd/paddle-soak/callers.go
@@ -32,13 +32,17 @@
 
 const (
 	queueHost    = "soak.example"
-	queuePrefix  = "/jobs/"
 	maxAttempts  = 3
+	wideCPU      = 6000 // milli-cores of a wide task, most of a worker
 	callDeadline = 3 * time.Second
 )
 
-// caller hands in jobs, one after the other, and looks at them.
+// queuePrefixes are the path prefixes of the queues, which share their service.
+var queuePrefixes = []string{"/jobs/", "/more/"}
+
+// caller hands in jobs to one queue, one after the other, and looks at them.
 type caller struct {
+	prefix  string // of its queue
 	random  *rand.Rand
 	entries []string // addresses
 	check   *checker
@@ -46,8 +50,9 @@
 	open    []string     // jobs that were accepted and have not ended
 }
 
-func newCaller(seed uint64, entries []string, check *checker) *caller {
+func newCaller(seed uint64, prefix string, entries []string, check *checker) *caller {
 	return &caller{
+		prefix: prefix,
 		random: rand.New(rand.NewPCG(seed, 2)), entries: entries, check: check,
 		client: &http.Client{Timeout: callDeadline, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 	}
@@ -68,29 +73,38 @@
 	}
 }
 
-// call makes a call at some entry; the status is 0 without an answer.
-func (c *caller) call(method, path string, body []byte) (int, []byte) {
-	request, err := http.NewRequest(method, "http://"+c.entries[c.random.IntN(len(c.entries))]+path, bytes.NewReader(body))
+// call makes a call about a job at some entry.
+func (c *caller) call(method, id string, body []byte) answer {
+	request, err := http.NewRequest(method, "http://"+c.entries[c.random.IntN(len(c.entries))]+c.prefix+id, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
 	request.Host = queueHost
 	request.Header.Set("Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
 	return answerOf(c.client, request)
 }
 
-// answerOf returns the status and the body of an answer, 0 when it is not whole.
-func answerOf(client *http.Client, request *http.Request) (int, []byte) {
-	answer, err := client.Do(request)
+// answer is the answer to a call.
+type answer struct {
+	status     int // 0 without a whole answer
+	body       []byte
+	retryAfter string
+}
+
+// refused reports whether the call was answered as one that had no effect.
+func (a answer) refused() bool { return a.status == 429 || a.status == 503 }
+
+func answerOf(client *http.Client, request *http.Request) answer {
+	response, err := client.Do(request)
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
-	defer answer.Body.Close()
-	data, err := io.ReadAll(answer.Body)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
-	return answer.StatusCode, data
+	return answer{response.StatusCode, data, response.Header.Get("Retry-After")}
 }
 
 // submit hands in a job, again as long as it is not known whether it was taken.
@@ -103,13 +117,13 @@
 	groups, body := c.job(spec)
 	for range 4 {
 		c.check.sent(id, spec, groups)
-		status, _ := c.call("POST", queuePrefix+id, body)
-		c.check.answered(id, status)
-		if status/100 == 2 {
+		got := c.call("POST", id, body)
+		c.check.answered(id, got)
+		if got.status/100 == 2 {
 			c.open = append(c.open, id)
 			break
 		}
-		if status == 429 || status == 503 {
+		if got.refused() {
 			time.Sleep(200 * time.Millisecond)
 		}
 	}
@@ -118,11 +132,16 @@
 	}
 }
 
+// job draws the groups of a job; one job of eight is wide.
 func (c *caller) job(spec string) ([]groupView, []byte) {
 	var groups []groupView
 	var steps []map[string]any
+	wide := c.random.IntN(8) == 0
 	for g := range 1 + c.random.IntN(2) {
 		group := groupView{count: 1 + c.random.IntN(4), milliCPU: int64(500 + 500*c.random.IntN(5))}
+		if wide && g == 0 {
+			group = groupView{count: 1, milliCPU: wideCPU}
+		}
 		step := map[string]any{"count": group.count, "cpu": group.milliCPU, "mem_mb": 100, "estimated_ms": 500}
 		if g > 0 {
 			group.dependsOn = []int{0}
@@ -139,7 +158,7 @@
 
 func (c *caller) cancel(id string) {
 	c.check.cancelSent(id)
-	if status, _ := c.call("DELETE", queuePrefix+id, nil); status/100 == 2 {
+	if c.call("DELETE", id, nil).status/100 == 2 {
 		c.check.cancelAcknowledged(id)
 	}
 }
@@ -157,16 +176,16 @@
 // look asks for a job's state and reports whether it is final.
 func (c *caller) look(id string) bool {
 	asked := time.Now()
-	status, data := c.call("GET", queuePrefix+id, nil)
-	var answer struct {
+	got := c.call("GET", id, nil)
+	var job struct {
 		State string `json:"state"`
 	}
 	switch {
-	case status == 410:
+	case got.status == 410:
 		c.check.shown(id, "", true, asked)
-	case status == 200 && json.Unmarshal(data, &answer) == nil:
-		c.check.shown(id, answer.State, false, asked)
-		return answer.State == "completed" || answer.State == "failed" || answer.State == "cancelled"
+	case got.status == 200 && json.Unmarshal(got.body, &job) == nil:
+		c.check.shown(id, job.State, false, asked)
+		return job.State == "completed" || job.State == "failed" || job.State == "cancelled"
 	}
 	return false
 }
@@ -187,10 +206,10 @@
 	}
 }
 
-func (o *operator) call(method, path string, body []byte) (int, []byte) {
+func (o *operator) call(method, path string, body []byte) answer {
 	request, err := http.NewRequest(method, "http://"+o.control[o.random.IntN(len(o.control))]+path, bytes.NewReader(body))
 	if err != nil {
-		return 0, nil
+		return answer{}
 	}
 	return answerOf(o.client, request)
 }
@@ -198,11 +217,14 @@
 // configure sends the next version until it is acknowledged or stop is closed.
 func (o *operator) configure(stop chan struct{}) bool {
 	o.version += int64(1 + o.random.IntN(3))
-	body := fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"q","host":%q,"path_prefix":%q,"kind":"non_idempotent","timeout_ms":3000,`+
-		`"target_completion_ms":1000,"priority":0,"service":"svc","max_attempts":%d,"slack_factor":2}],`+
-		`"services":[{"name":"svc"}],"limits":{}}`, o.version, queueHost, queuePrefix, maxAttempts)
+	var routes []string
+	for i, prefix := range queuePrefixes {
+		routes = append(routes, fmt.Sprintf(`{"name":"q%d","host":%q,"path_prefix":%q,"kind":"non_idempotent","timeout_ms":3000,`+
+			`"target_completion_ms":1000,"priority":0,"service":"svc","max_attempts":%d,"slack_factor":2}`, i, queueHost, prefix, maxAttempts))
+	}
+	body := fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[{"name":"svc"}],"limits":{}}`, o.version, strings.Join(routes, ","))
 	for {
-		if status, _ := o.call("POST", "/v1/Config.Replace", body); status == 200 {
+		if o.call("POST", "/v1/Config.Replace", body).status == 200 {
 			o.check.configured(o.version)
 			return true
 		}
@@ -224,14 +246,14 @@
 
 func (o *operator) read() bool {
 	newest := o.check.acknowledged()
-	status, data := o.call("GET", "/v1/Config.Get", nil)
-	var answer struct {
+	got := o.call("GET", "/v1/Config.Get", nil)
+	var configuration struct {
 		Version int64 `json:"version"`
 	}
-	if status != 200 || json.Unmarshal(data, &answer) != nil {
+	if got.status != 200 || json.Unmarshal(got.body, &configuration) != nil {
 		return false
 	}
-	o.check.read(answer.Version, newest)
+	o.check.read(configuration.Version, newest)
 	return true
 }
 
@@ -257,7 +279,7 @@
 		verb = "Begin"
 	}
 	for {
-		if status, _ := o.call("POST", "/v1/Evacuations."+verb+"/"+zone, nil); status == 200 {
+		if o.call("POST", "/v1/Evacuations."+verb+"/"+zone, nil).status == 200 {
 			return true
 		}
 		select {
--- a/cmd/paddle-soak/checker.go
+++ b/cmd/paddle-soak/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 	promiseAttempts  = "a task is not tried more often than its queue allows"
 	promiseAsked     = "only what callers handed in and did not cancel is started, as they described it"
 	promiseRefused   = "what was refused never runs"
+	promiseRetry     = "a refusal tells when to try again"
+	promiseWide      = "a wide job waits for a bounded time"
 	promiseKept      = "what was accepted is known and comes to its end"
 	promiseTruthful  = "a state that is shown is true"
 	promiseNewest    = "a configuration that is read is not older than the newest acknowledged one"
@@ -74,14 +77,17 @@
 	jobs       map[string]*jobView
 	tasks      map[taskName]*taskView
 	used       map[string]int64 // milli-cores by incarnation
+	refusals   map[int]int      // refused submissions by status
 	attempts   int              // that the queue allows
 	newest     int64            // acknowledged configuration
 	violations []string
 	starts     int
+	wideStarts int
+	widestWait time.Duration // longest wait of a wide job that has started
 }
 
 func newChecker(attempts int) *checker {
-	return &checker{jobs: map[string]*jobView{}, tasks: map[taskName]*taskView{}, used: map[string]int64{}, attempts: attempts}
+	return &checker{jobs: map[string]*jobView{}, tasks: map[taskName]*taskView{}, used: map[string]int64{}, refusals: map[int]int{}, attempts: attempts}
 }
 
 func (c *checker) broken(promise, format string, values ...any) {
@@ -109,19 +115,44 @@
 	job.attempts++
 }
 
-// answered takes in the status of an answer to a submission, 0 for none.
-func (c *checker) answered(id string, status int) {
+// answered takes in the answer to a submission.
+func (c *checker) answered(id string, got answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	job := c.jobs[id]
 	switch {
-	case status/100 == 2 && job.accepted.IsZero():
+	case got.status/100 == 2 && job.accepted.IsZero():
 		job.accepted = time.Now()
-	case status == 429 || status == 503 || status == 404:
+	case got.refused():
+		if seconds, err := strconv.Atoi(got.retryAfter); err != nil || seconds < 1 {
+			c.broken(promiseRetry, "job %s is refused with %d and Retry-After %q: %s", id, got.status, got.retryAfter, got.body)
+		}
+		c.refusals[got.status]++
+		job.refused++
+	case got.status == 404:
 		job.refused++
 	}
 }
 
+// maxWideWait is how long an accepted wide job may wait for its first start.
+const maxWideWait = 30 * time.Second
+
+// wide reports whether the job needs most of a worker for its first group.
+func (j *jobView) wide() bool { return j.groups[0].milliCPU >= wideCPU }
+
+// checkWait takes in that a wide job has waited until now for its first start. A
+// start may come before the answer to its submission.
+func (c *checker) checkWait(id string, job *jobView) {
+	if job.accepted.IsZero() || !job.wide() {
+		return
+	}
+	wait := time.Since(job.accepted)
+	c.widestWait = max(c.widestWait, wait)
+	if wait > maxWideWait {
+		c.broken(promiseWide, "job %s has waited for %v", id, wait)
+	}
+}
+
 func (c *checker) cancelSent(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -202,7 +233,13 @@
 		c.broken(promiseAsked, "task %v on %s with payload %q was not handed in", s.task, s.worker, s.spec)
 		return
 	}
-	job.started = true
+	if !job.started {
+		job.started = true
+		if job.wide() {
+			c.wideStarts++
+		}
+		c.checkWait(s.task.job, job)
+	}
 	c.checkOnce(s, task)
 	c.checkJob(s, job, task)
 	c.used[s.worker] += job.groups[s.task.group].milliCPU
@@ -353,6 +390,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, job := range c.jobs {
+		if !job.started && !job.cancelAsk {
+			c.checkWait(id, job)
+		}
 		if job.started && job.refused == job.attempts {
 			c.broken(promiseRefused, "job %s runs, and each of its %d sendings was refused", id, job.attempts)
 		}
@@ -367,5 +407,6 @@
 	for _, job := range c.jobs {
 		states[job.state]++
 	}
-	return strings.TrimSpace(fmt.Sprintf("%d jobs %v, %d starts, configuration %d", len(c.jobs), states, c.starts, c.newest))
+	return strings.TrimSpace(fmt.Sprintf("%d jobs %v, refusals %v, %d starts, %d wide jobs started after at most %v, configuration %d",
+		len(c.jobs), states, c.refusals, c.starts, c.wideStarts, c.widestWait.Round(time.Millisecond), c.newest))
 }
--- a/cmd/paddle-soak/checker_test.go
+++ b/cmd/paddle-soak/checker_test.go
@@ -16,7 +16,7 @@
 func history() *checker {
 	c := newChecker(2)
 	c.sent(testID, testSpec, []groupView{{count: 2, milliCPU: 3000}, {count: 1, milliCPU: 1000, dependsOn: []int{0}}})
-	c.answered(testID, 200)
+	c.answered(testID, answer{status: 200})
 	return c
 }
 
@@ -81,9 +81,20 @@
 		}},
 		{promiseRefused, func(c *checker) {
 			c.sent("00000000000000cc", testSpec, []groupView{{count: 1}})
-			c.answered("00000000000000cc", 429)
+			c.answered("00000000000000cc", answer{status: 429, retryAfter: "1"})
 			begin(c, taskName{"00000000000000cc", 0, 0}, "w1")
 		}},
+		{promiseRetry, func(c *checker) { c.answered(testID, answer{status: 429}) }},
+		{promiseRetry, func(c *checker) { c.answered(testID, answer{status: 503, retryAfter: "0"}) }},
+		{promiseWide, func(c *checker) {
+			c.jobs[testID].groups[0].milliCPU = wideCPU
+			c.jobs[testID].accepted = time.Now().Add(-2 * maxWideWait)
+			begin(c, task(0, 0), "w1")
+		}},
+		{promiseWide, func(c *checker) {
+			c.jobs[testID].groups[0].milliCPU = wideCPU
+			c.jobs[testID].accepted = time.Now().Add(-2 * maxWideWait)
+		}},
 		{promiseKept, func(*checker) {}},
 		{promiseKept, func(c *checker) {
 			c.jobs[testID].accepted = time.Now().Add(-2 * visibleAfter)
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -17,7 +17,7 @@
 	controls   = 3
 	entries    = 2
 	workers    = 3
-	callers    = 3
+	callers    = 4                // half of them at each queue
 	grace      = 3 * time.Second  // between SIGTERM and SIGKILL
 	startLimit = 20 * time.Second // for the programs to serve at first
 	settleTime = 60 * time.Second // for all jobs to end once the faults are over
@@ -62,7 +62,7 @@
 		addresses = append(addresses, link.address)
 	}
 	for i := range callers {
-		r.callers = append(r.callers, newCaller(seed*100+uint64(i), addresses, r.check))
+		r.callers = append(r.callers, newCaller(seed*100+uint64(i), queuePrefixes[i%len(queuePrefixes)], addresses, r.check))
 	}
 	r.operator = newOperator(seed, r.operators, r.check)
 	return r, nil
@@ -141,7 +141,8 @@
 
 func (r *run) controlSettings(i int, seeds []string, listen string, first bool) string {
 	return common(fmt.Sprintf("control-%d", i), i, seeds) + fmt.Sprintf("data_folder = %s\nfirst_start = %v\ntolerated_losses = 1\nadvertised = %s\n"+
-		"[listen]\ncontrol = %s\noperators = %s\n[leases]\nlimit = %s\n",
+		"[listen]\ncontrol = %s\noperators = %s\n[leases]\nlimit = %s\n"+
+		"[scheduling]\nadmission = forecast\nfair_shares = true\nreservations = 8\npreemption = true\n",
 		r.dataFolder(i), first, seeds[i], listen, r.operators[i], longestLease)
 }
 
