dispatch: merge tests of racks and of excluded workers

Change: TestTasksWaitForTheRackOfTheirDataOnlyWhileThatIsFaster and TestRackLocal- GroupStaysTogetherOnlyWhileThatIsFaster are one table, TestTasksWaitForTheirRack- OnlyWhileThatIsFaster. All cases stay; those for data check the rack of each start now, in place of the number of starts and of workers that are not full. TestTasksGoToTheRackOfTheirData and TestRackLocalGroupStaysOnOneRack are one test over two groups. TestFleetWideFailuresMakeNoSuspects is a case of TestAtMostAThirdOfWorkersIsExcluded.

--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -28,30 +28,18 @@
 	}
 }
 
-func TestFleetWideFailuresMakeNoSuspects(t *testing.T) {
-	h := NewHealth()
-	now := time.Unix(1000, 0)
-	workers := []string{"w0", "w1", "w2"}
-	for i := range 30 {
-		h.Record(workers[i%3], true, now)
-	}
-	if suspects := h.Suspects(now, workers); len(suspects) > 0 {
-		t.Errorf("suspects %v", suspects)
-	}
-}
-
+// Guards against the exclusion of so many workers that the others can't do their work.
 func TestAtMostAThirdOfWorkersIsExcluded(t *testing.T) {
-	h := NewHealth()
-	now := time.Unix(1000, 0)
-	workers := []string{"w0", "w1", "w2", "w3"}
-	for range 10 {
-		h.Record("w0", true, now)
-		h.Record("w1", true, now)
-		h.Record("w2", false, now)
-		h.Record("w3", false, now)
-	}
-	if suspects := h.Suspects(now, workers); len(suspects) > 0 {
-		t.Errorf("half of the fleet is excluded: %v", suspects)
+	for _, fails := range [][]bool{{true, true, true}, {true, true, false, false}} {
+		h, now, workers := NewHealth(), time.Unix(1000, 0), []string{"w0", "w1", "w2", "w3"}[:len(fails)]
+		for range 10 {
+			for i, worker := range workers {
+				h.Record(worker, fails[i], now)
+			}
+		}
+		if suspects := h.Suspects(now, workers); len(suspects) > 0 {
+			t.Errorf("suspects %v of %v", suspects, fails)
+		}
 	}
 }
 
--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,57 +13,81 @@
 	"amaranthpaddle/jobs"
 )
 
-// Guards against both ways to lose time on a rack that many tasks want: starting away
-// from the data although room there is about to be free, and waiting for room that
-// comes too late, that is not enough for all, or that the job has no time for.
-func TestTasksWaitForTheRackOfTheirDataOnlyWhileThatIsFaster(t *testing.T) {
-	type load struct {
-		penalty  float64
-		percent  int32         // of the runs that take the rack, which have worked for a second or less
-		declared int64         // duration of the tasks, in milliseconds
-		age      time.Duration // of their job
-		held     time.Duration // for which they have waited for the rack
-		sick     bool          // the rack has room for all, on workers whose runs fail
+// Guards against both ways to lose time on a rack that many tasks want: starting away from
+// data or peers although room there is about to be free, and waiting for room that comes
+// too late, that is not enough for all, or that the job has no time for. Guards as well
+// against groups that begin on a rack with room for a part of their tasks only. Racks r0
+// and r1 have two workers of 10 cores each.
+func TestTasksWaitForTheirRackOnlyWhileThatIsFaster(t *testing.T) {
+	const penalty = 3
+	ms := time.Millisecond
+	data := func(declared int64) *api.TaskGroup {
+		return &api.TaskGroup{Count: 8, MilliCpu: 3000, EstimatedMs: declared, DataRack: "r0"}
 	}
-	for _, test := range []struct {
+	local := &api.TaskGroup{Count: 4, MilliCpu: 5000, EstimatedMs: 1000, RackLocal: true}
+	gang := &api.TaskGroup{Count: 4, MilliCpu: 5000, EstimatedMs: 1000, RackLocal: true, Gang: true}
+	type racks = map[string]int
+	for _, c := range []struct {
 		name    string
-		load    load
-		started int // of 8 tasks; all on the other rack, which holds 6, unless the rack is sick
+		group   *api.TaskGroup
+		taken   [2]int32 // by rack: runs of 5 cores that have worked for a second or less
+		percent int32    // of these runs
+		penalty float64
+		age     time.Duration // of the job
+		held    time.Duration // for which its tasks have waited
+		want    racks         // starts
+		waits   bool
 	}{
-		{"without a penalty all start at once", load{penalty: 0, percent: 95, declared: 1000}, 6},
-		{"room for six comes soon", load{penalty: 3, percent: 95, declared: 1000}, 2},
-		{"room comes too late", load{penalty: 3, percent: 0, declared: 1000}, 6},
-		{"a penalty smaller than the wait", load{penalty: 1.05, percent: 95, declared: 1000}, 6},
-		{"the job has no time left", load{penalty: 3, percent: 95, declared: 1000, age: 1800 * time.Millisecond}, 6},
-		{"tasks that are short wherever they run", load{penalty: 3, percent: 95, declared: 10}, 6},
-		{"held for as long as a remote run takes", load{penalty: 3, percent: 95, declared: 1000, held: 3 * time.Second}, 6},
-		{"workers with room that were passed over", load{penalty: 3, percent: 95, declared: 1000, sick: true}, 8},
+		{"without a penalty all start at once", data(1000), [2]int32{4, 0}, 95, 0, 0, 0, racks{"r1": 6}, false},
+		{"room for six comes soon", data(1000), [2]int32{4, 0}, 95, penalty, 0, 0, racks{"r1": 2}, true},
+		{"room comes too late", data(1000), [2]int32{4, 0}, 0, penalty, 0, 0, racks{"r1": 6}, false},
+		{"a penalty smaller than the wait", data(1000), [2]int32{4, 0}, 95, 1.05, 0, 0, racks{"r1": 6}, false},
+		{"the job has no time left", data(1000), [2]int32{4, 0}, 95, penalty, 1800 * ms, 0, racks{"r1": 6}, false},
+		{"tasks that are short wherever they run", data(10), [2]int32{4, 0}, 95, penalty, 0, 0, racks{"r1": 6}, false},
+		{"held for as long as a remote run takes", data(1000), [2]int32{4, 0}, 95, penalty, 0, 3000 * ms, racks{"r1": 6}, false},
+		{"workers with room that were passed over", data(1000), [2]int32{4, 0}, 95, penalty, 0, 0, racks{"r0": 2, "r1": 6}, false},
+
+		{"a rack has room for all", local, [2]int32{1, 0}, 0, penalty, 0, 0, racks{"r1": 4}, false},
+		{"a rack has room for a gang", gang, [2]int32{1, 0}, 0, penalty, 0, 0, racks{"r1": 4}, false},
+		{"without a penalty peers begin beside the best worker", local, [2]int32{1, 0}, 0, 0, 0, 0, racks{"r0": 3, "r1": 1}, false},
+		{"room for all peers comes soon", local, [2]int32{2, 3}, 95, penalty, 0, 0, racks{"r0": 2}, true},
+		{"room for a gang comes soon", gang, [2]int32{2, 2}, 95, penalty, 0, 0, racks{}, true},
+		{"room for all peers comes too late", local, [2]int32{2, 3}, 0, penalty, 0, 0, racks{"r0": 2, "r1": 1}, false},
+		{"room for a gang comes too late", gang, [2]int32{2, 2}, 0, penalty, 0, 0, racks{"r0": 2, "r1": 2}, false},
+		{"a job with peers has no time left", local, [2]int32{2, 3}, 95, penalty, 1800 * ms, 0, racks{"r0": 2, "r1": 1}, false},
+		{"peers held for as long as a remote run takes", local, [2]int32{2, 3}, 95, penalty, 0, 3000 * ms, racks{"r0": 2, "r1": 1}, false},
+		{"a penalty smaller than the wait for peers", local, [2]int32{2, 3}, 95, 1.05, 0, 0, racks{"r0": 2, "r1": 1}, false},
+		{"two peers run on a rack that has room soon", local, [2]int32{2, 0}, 95, penalty, 0, 0, racks{}, true},
+		{"two peers run on a rack that has no room for long", local, [2]int32{2, 0}, 0, penalty, 0, 0, racks{"r1": 2}, false},
 	} {
-		w := newFixture(t, 4) // racks r0 and r1 with two workers each
-		w.submit(urgentQueue, &api.TaskGroup{Count: 4, MilliCpu: 5000, EstimatedMs: 1000, DataRack: "r0"})
-		w.plan()
-		w.submit(urgentQueue, &api.TaskGroup{Count: 8, MilliCpu: 3000, EstimatedMs: test.load.declared, DataRack: "r0"})
-		w.now = test.load.age
-		for i := range 2 {
-			if test.load.sick {
-				w.workers[i].Capacity.MilliCPU, w.workers[i].HealthPenalty = 100_000, 0.9
+		w := newFixture(t, 4)
+		for i, rack := range []string{"r0", "r1"} {
+			if c.taken[i] > 0 {
+				w.submit(urgentQueue, &api.TaskGroup{Count: c.taken[i], MilliCpu: 5000, EstimatedMs: 1000, DataRack: rack})
+				w.plan()
 			}
 		}
-		w.policy.RemotePenalty = test.load.penalty
+		id := w.submit(urgentQueue, c.group)
+		if strings.HasPrefix(c.name, "two peers run") {
+			w.startOn(1, id, 0)
+			w.startOn(1, id, 1)
+		}
+		for i := 0; i < 2 && c.name == "workers with room that were passed over"; i++ {
+			w.workers[i].Capacity.MilliCPU, w.workers[i].HealthPenalty = 100_000, 0.9
+		}
+		w.now, w.policy.RemotePenalty = c.age, c.penalty
 		w.change = func(in *Input) {
-			in.HeldForRack = func(jobs.GroupID) time.Duration { return test.load.held }
+			in.HeldForRack = func(jobs.GroupID) time.Duration { return c.held }
 			in.Run = func(jobs.RunID) (RunStatus, bool) {
-				return RunStatus{Age: time.Duration(test.load.percent) * 10 * time.Millisecond, Percent: test.load.percent, Pace: FullPace}, true
+				return RunStatus{Age: time.Duration(c.percent) * 10 * ms, Percent: c.percent, Pace: FullPace}, true
 			}
 		}
-		schedule := w.schedule()
-		for _, start := range schedule.Starts {
-			if !test.load.sick && (start.Worker == "w0" || start.Worker == "w1") {
-				t.Errorf("%s: started on a full worker: %v", test.name, start)
-			}
+		s, started := w.schedule(), racks{}
+		for _, start := range s.Starts {
+			started[w.rackOf(start)]++
 		}
-		if waits := test.started == 2; len(schedule.Starts) != test.started || (len(schedule.HeldForRack) == 1) != waits {
-			t.Errorf("%s: %d tasks started, want %d; groups held %v", test.name, len(schedule.Starts), test.started, schedule.HeldForRack)
+		if !maps.Equal(started, c.want) || (len(s.HeldForRack) == 1) != c.waits {
+			t.Errorf("%s: started on %v, want %v; groups held %v", c.name, started, c.want, s.HeldForRack)
 		}
 	}
 }
@@ -84,71 +109,6 @@
 	})
 }
 
-// Guards against groups that begin on a rack with room for a part of their tasks only, so
-// that the rest runs elsewhere for several times as long, and against waiting for a rack
-// that comes too late, or that the job has no time for. The group has 4 tasks; racks r0
-// and r1 have room for 4 each, some of which other runs take.
-func TestRackLocalGroupStaysTogetherOnlyWhileThatIsFaster(t *testing.T) {
-	const penalty = 3
-	ms := time.Millisecond
-	for _, c := range []struct {
-		name    string
-		taken   [2]int32 // by rack, of runs that have worked for a second or less
-		percent int32    // of these runs
-		gang    bool
-		running int32 // tasks of the group that run on r0 already
-		penalty float64
-		age     time.Duration // of the job
-		held    time.Duration // for which its tasks have waited
-		want    map[string]int
-		waits   bool
-	}{
-		{"a rack has room for all", [2]int32{1, 0}, 0, false, 0, penalty, 0, 0, map[string]int{"r1": 4}, false},
-		{"a rack has room for a gang", [2]int32{1, 0}, 0, true, 0, penalty, 0, 0, map[string]int{"r1": 4}, false},
-		{"without a penalty, the first rack is that of the best worker", [2]int32{1, 0}, 0, false, 0, 0, 0, 0, map[string]int{"r0": 3, "r1": 1}, false},
-		{"room for all comes soon", [2]int32{2, 3}, 95, false, 0, penalty, 0, 0, map[string]int{"r0": 2}, true},
-		{"room for a gang comes soon", [2]int32{2, 2}, 95, true, 0, penalty, 0, 0, nil, true},
-		{"room for all comes too late", [2]int32{2, 3}, 0, false, 0, penalty, 0, 0, map[string]int{"r0": 2, "r1": 1}, false},
-		{"room for a gang comes too late", [2]int32{2, 2}, 0, true, 0, penalty, 0, 0, map[string]int{"r0": 2, "r1": 2}, false},
-		{"the job has no time left", [2]int32{2, 3}, 95, false, 0, penalty, 1800 * ms, 0, map[string]int{"r0": 2, "r1": 1}, false},
-		{"held for as long as a remote run takes", [2]int32{2, 3}, 95, false, 0, penalty, 0, 3000 * ms, map[string]int{"r0": 2, "r1": 1}, false},
-		{"a penalty smaller than the wait", [2]int32{2, 3}, 95, false, 0, 1.05, 0, 0, map[string]int{"r0": 2, "r1": 1}, false},
-		{"peers run on a rack that has room soon", [2]int32{2, 0}, 95, false, 2, penalty, 0, 0, nil, true},
-		{"peers run on a rack that has no room for long", [2]int32{2, 0}, 0, false, 2, penalty, 0, 0, map[string]int{"r1": 2}, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			w := newFixture(t, 4)
-			for i, rack := range []string{"r0", "r1"} {
-				if taken := counted(c.taken[i], 5000, 0); taken.Count > 0 {
-					taken.DataRack = rack
-					w.submit(urgentQueue, taken)
-					w.plan()
-				}
-			}
-			group := counted(4, 5000, 0)
-			group.RackLocal, group.Gang, group.EstimatedMs = true, c.gang, 1000
-			id := w.submit(urgentQueue, group)
-			for i := range c.running {
-				w.startOn(1, id, i)
-			}
-			w.now, w.percent, w.policy.RemotePenalty = c.age, c.percent, c.penalty
-			w.change = func(in *Input) {
-				in.HeldForRack = func(jobs.GroupID) time.Duration { return c.held }
-				for i := range w.since {
-					w.since[i] = w.now - time.Duration(c.percent)*10*ms
-				}
-			}
-			s, racks := w.schedule(), map[string]int{}
-			for _, start := range s.Starts {
-				racks[w.rackOf(start)]++
-			}
-			if !maps.Equal(racks, c.want) || (len(s.HeldForRack) == 1) != c.waits {
-				t.Errorf("started on %v, want %v; groups held %v", racks, c.want, s.HeldForRack)
-			}
-		})
-	}
-}
-
 func (w *fixture) rackOf(start Start) string {
 	return w.workers[slices.IndexFunc(w.workers, func(worker Worker) bool { return worker.Key == start.Worker })].Rack
 }
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -97,30 +97,19 @@
 	}
 }
 
-func TestTasksGoToTheRackOfTheirData(t *testing.T) {
-	w := newFixture(t, 6)
-	job := w.submit(urgentQueue, &api.TaskGroup{Count: 3, MilliCpu: 1000, DataRack: "r2"})
-	for worker := range startsByWorker(w.plan(), job) {
-		if worker != "w4" && worker != "w5" {
-			t.Errorf("a task started on %s, away from its data", worker)
+func TestTasksGoToTheRackOfTheirDataOrPeers(t *testing.T) {
+	for _, group := range []*api.TaskGroup{
+		{Count: 3, MilliCpu: 1000, DataRack: "r2"}, {Count: 4, MilliCpu: 5000, RackLocal: true},
+	} {
+		w, racks := newFixture(t, 6), map[string]bool{}
+		w.submit(urgentQueue, group)
+		for _, start := range w.plan() {
+			racks[w.rackOf(start)] = true
 		}
-	}
-}
-
-func TestRackLocalGroupStaysOnOneRack(t *testing.T) {
-	w := newFixture(t, 6)
-	job := w.submit(urgentQueue, &api.TaskGroup{Count: 4, MilliCpu: 5000, RackLocal: true})
-	racks := map[string]bool{}
-	for worker := range startsByWorker(w.plan(), job) {
-		for i := range w.workers {
-			if w.workers[i].Key == worker {
-				racks[w.workers[i].Rack] = true
-			}
+		if len(racks) != 1 || group.DataRack != "" && !racks[group.DataRack] {
+			t.Errorf("%v is on racks %v", group, racks)
 		}
 	}
-	if len(racks) != 1 {
-		t.Errorf("the group is on racks %v", racks)
-	}
 }
 
 func TestOccurrenceStartsWhenDue(t *testing.T) {
