--- a/dispatch/preempt_property_test.go
+++ b/dispatch/preempt_property_test.go
@@ -22,9 +22,10 @@
 		r := newPreemptionRig(t, rapid.IntRange(1, 5).Draw(rt, "workers"))
 		r.policy.Reservations, r.policy.RemotePenalty = rapid.SampledFrom([]int{0, 2}).Draw(rt, "reservations"), rapid.SampledFrom([]float64{0, 3}).Draw(rt, "penalty")
 		r.pace, r.takes = rapid.Int32Range(1, FullPace).Draw(rt, "pace"), declaredTime(6)
+		small := rapid.Bool().Draw(rt, "small") // tasks of which more than maxPreemptions fit on a worker
 		for step := range 60 {
 			for range rapid.SampledFrom([]int{0, 0, 0, 1, 2}).Draw(rt, "jobs") {
-				r.submit(rapid.SampledFrom([]string{urgentQueue, batchQueue}).Draw(rt, "queue"), drawPreemptible(rt, step < 5))
+				r.submit(rapid.SampledFrom([]string{urgentQueue, batchQueue}).Draw(rt, "queue"), drawPreemptible(rt, step < 5, small))
 			}
 			r.endDue()
 			if step%4 == 0 {
@@ -44,7 +45,7 @@
 			r.state.Read(func(view jobs.View) {
 				fleet := newFleetLoad(view, r.workers)
 				r.checkRoom(rt, view, fleet, preempted)
-				r.checkPreempted(rt, view, fleet, preempted, before, recent)
+				r.checkPreempted(rt, view, fleet, preempted, before, recent, !small)
 			})
 			r.pass(300 * time.Millisecond)
 		}
@@ -54,8 +55,12 @@
 	}
 }
 
-func drawPreemptible(t *rapid.T, first bool) *api.TaskGroup {
-	group := counted(rapid.Int32Range(1, 5).Draw(t, "count"), rapid.Int64Range(1500, 10_000).Draw(t, "cpu"), rapid.Int64Range(15_000, 90_000).Draw(t, "memory"))
+func drawPreemptible(t *rapid.T, first, small bool) *api.TaskGroup {
+	leastCPU, leastMemory := int64(1500), int64(15_000)
+	if small {
+		leastCPU, leastMemory = 500, 0
+	}
+	group := counted(rapid.Int32Range(1, 5).Draw(t, "count"), rapid.Int64Range(leastCPU, 10_000).Draw(t, "cpu"), rapid.Int64Range(leastMemory, 90_000).Draw(t, "memory"))
 	group.EstimatedMs = rapid.Int64Range(500, 2000).Draw(t, "estimate")
 	group.DataRack = rapid.SampledFrom([]string{"", "", "r0", "r1"}).Draw(t, "rack")
 	group.Checkpointing, group.Speculative = rapid.Bool().Draw(t, "checkpointing"), rapid.Bool().Draw(t, "speculative")
@@ -93,9 +98,10 @@
 
 // checkPreempted checks that the preempted runs are not protected, and that the first
 // waiting task finds no room in that of its own and of runs without value, unless runs
-// are being stopped.
+// are being stopped. The latter holds for large tasks only, as a call stops maxPreemptions
+// runs at most.
 func (r *preemptionRig) checkPreempted(
-	t *rapid.T, view jobs.View, fleet *fleetLoad, preempted []Preemption, before map[jobs.TaskID]bool, recent map[string]time.Duration,
+	t *rapid.T, view jobs.View, fleet *fleetLoad, preempted []Preemption, before map[jobs.TaskID]bool, recent map[string]time.Duration, large bool,
 ) {
 	justChosen := map[jobs.RunID]bool{}
 	for _, p := range preempted {
@@ -121,7 +127,7 @@
 		}
 	}
 	all := candidates(view, r.input())
-	if len(r.stopping) > 0 || len(all) == 0 || all[0].lateness != inTime || all[0].slack < preemptionStopTime {
+	if !large || len(r.stopping) > 0 || len(all) == 0 || all[0].lateness != inTime || all[0].slack < preemptionStopTime {
 		return
 	}
 	c := all[0]
