--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -78,19 +78,13 @@
 // declared duration, off by 0.3 (standard deviation of the logarithm), unless the load is
 // even.
 func (l replayedLoad) replay(t testing.TB, seed uint64, admission bool) *replay {
-	stream, step, until := uint64(2), 50*time.Millisecond, replayUntil
+	step, until := 50*time.Millisecond, replayUntil
 	if l.even {
-		stream, step, until = 4, 20*time.Millisecond, 40*time.Second
-	}
-	r := &replay{
-		fixture: newFixture(t, l.workers), load: l, admission: admission, arrivals: NewArrivals(),
-		noise: rand.New(rand.NewPCG(seed, stream)), byID: map[string]*replayedJob{},
-	}
-	r.demand, r.zones = NewZoneDemand(), rand.New(rand.NewPCG(seed, 3))
-	if r.policy, r.listing = l.policy, !l.even; l.equal {
-		r.equalPriorities()
+		step, until = 20*time.Millisecond, 40*time.Second
 	}
+	r := l.newReplay(t, seed, admission)
 	if l.services != nil {
+		r.takes = nil
 		r.submit(urgentQueue, l.services)
 		r.plan()
 	}
@@ -111,6 +105,23 @@
 	return r
 }
 
+// newReplay returns a replay that has not begun.
+func (l replayedLoad) newReplay(t testing.TB, seed uint64, admission bool) *replay {
+	stream := uint64(2)
+	if l.even {
+		stream = 4
+	}
+	r := &replay{
+		fixture: newFixture(t, l.workers), load: l, admission: admission, arrivals: NewArrivals(),
+		noise: rand.New(rand.NewPCG(seed, stream)), byID: map[string]*replayedJob{},
+	}
+	r.demand, r.zones = NewZoneDemand(), rand.New(rand.NewPCG(seed, 3))
+	if r.policy, r.listing = l.policy, !l.even; l.equal {
+		r.equalPriorities()
+	}
+	return r
+}
+
 // arrive submits the jobs of a step.
 func (r *replay) arrive(arriving *rand.Rand, step time.Duration) {
 	for k, kind := range r.load.kinds {
