--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -169,10 +169,10 @@
 	return all
 }
 
-// next returns the contender whose candidate goes first: of the queue of the one with the
+// nextContender returns the contender whose candidate goes first: of the queue of the one with the
 // smallest share, the zone with the highest value density among those whose shares are
 // about as small.
-func next(all []*contender) *contender {
+func nextContender(all []*contender) *contender {
 	least := slices.MinFunc(all, func(a, b *contender) int {
 		return cmp.Or(cmp.Compare(a.share, b.share), cmp.Compare(a.caller.queue, b.caller.queue))
 	})
@@ -189,7 +189,7 @@
 func (s *shares) merge(level []candidate) {
 	all := s.contenders(level)
 	for i := range level {
-		c := next(all)
+		c := nextContender(all)
 		level[i] = c.waiting[0]
 		s.used[c.caller] = s.used[c.caller].Add(wanted(&level[i]))
 		c.measure(s.used[c.caller])
