--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -48,7 +48,7 @@
 		return ObstacleClosed
 	case need.MemoryMiB > free.MemoryMiB || need.Accelerators > free.Accelerators:
 		return ObstacleMemory
-	case need.MilliCPU > free.MilliCPU || group.BestEffort && !hasUnclaimedCPU(c, l) && !p.hasUnusedCPU(c, l) && !p.allowsBestEffort(c, l):
+	case need.MilliCPU > free.MilliCPU || group.BestEffort && !hasUnclaimedCPU(c, l) && !p.partialFits.allows(c, l, unusedMilliCPU(l)) && !p.allowsBestEffort(c, l):
 		return ObstacleCPU
 	case group.BestEffort && !p.allowsBestEffort(c, l):
 		return ObstacleInterference
--- a/dispatch/unusedcpu.go
+++ b/dispatch/unusedcpu.go
@@ -12,17 +12,17 @@
 const minClaimShare = float64(minPercent) / FullPace
 
 // allowsBestEffort reports whether a best-effort task of the candidate may
-// start on the worker: there is unused CPU, and the services on the worker can
-// spare the headroom. CPU that throttled runs leave unused, and gaps for a partial fit,
-// are open to tasks that interfere with no service there, and to those that starve.
+// start on the worker: there is unclaimed CPU, and the services on the worker can
+// spare the headroom. CPU that throttled runs leave unused is open to jobs that starve
+// only: small costs of many runs add up, and services were over their target twice as
+// long when it was open to all tasks that by themselves cost a service little.
 func (p *planner) allowsBestEffort(c candidate, l *load) bool {
 	group := c.group.Spec
 	unclaimed := hasUnclaimedCPU(c, l)
-	unused := unclaimed || p.hasUnusedCPU(c, l)
-	if starves(c) && (unused || p.fleet.countedBelowHalf()) {
+	if starves(c) && (unclaimed || p.hasUnusedCPU(c, l) || p.fleet.countedBelowHalf()) {
 		return true // its agent throttles it as far as the services need
 	}
-	if !unused {
+	if !unclaimed && !p.partialFits.allows(c, l, unusedMilliCPU(l)) {
 		return false // it would only slow down the best-effort runs on the worker
 	}
 	if !unclaimed {
@@ -43,16 +43,13 @@
 }
 
 // hasUnusedCPU reports whether a worker has CPU for one more best-effort task at
-// the present paces of its runs, or enough for a partial fit.
+// the present paces of its runs.
 func (p *planner) hasUnusedCPU(c candidate, l *load) bool {
-	unused := unusedMilliCPU(l)
-	if len(l.worker.Sample.Cores) > 0 { // otherwise nothing is known of what its runs use
-		unused += l.bestEffortMilliCPU - p.likelyMilliCPU(l)
-		if unused >= c.group.Spec.MilliCpu {
-			return true
-		}
+	if len(l.worker.Sample.Cores) == 0 {
+		return false // nothing is known of what its runs use
 	}
-	return p.partialFits.allows(c, l, unused)
+	idle := l.bestEffortMilliCPU - p.likelyMilliCPU(l)
+	return unusedMilliCPU(l)+idle >= c.group.Spec.MilliCpu
 }
 
 // likelyMilliCPU returns what the best-effort runs on a worker are likely to use at
