dispatch: bounds on the queues with zone demand and on searches for shrunken workers' runs

Cause: ZoneDemand kept each queue that ever had a job, while configurations add and remove queues; and MoveFromShrunken looked for room on all workers for each movable run of groups with conditions of their own. Change: queues without demand for five minutes are forgotten when a new one comes; at most 64 runs a call are tried.

--- a/dispatch/shrunken.go
+++ b/dispatch/shrunken.go
@@ -47,6 +47,10 @@
 	// maxShrunkenMoves bounds the runs of a call, so that the store and the agents are not
 	// flooded when many workers shrink at once, and later calls see the effect of earlier ones.
 	maxShrunkenMoves = 8
+
+	// maxShrunkenTries bounds the runs of a call for which room is looked for on all workers:
+	// a plan has to fit into a millisecond beside it.
+	maxShrunkenTries = 64
 )
 
 // MoveFromShrunken returns the best-effort runs to stop on workers that hold more counted
@@ -73,7 +77,7 @@
 		return cmp.Or(cmp.Compare(a.lost, b.lost), compareRuns(a.run, b.run))
 	})
 	var moves []ShrunkenMove
-	for _, run := range movable {
+	for _, run := range movable[:min(len(movable), maxShrunkenTries)] {
 		if len(moves) == maxShrunkenMoves {
 			break
 		}
--- a/dispatch/zonedemand.go
+++ b/dispatch/zonedemand.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -48,6 +49,7 @@
 func (d *ZoneDemand) Learn(queue, zone string, work float64, now time.Time) {
 	q := d.queues[queue]
 	if q == nil {
+		d.forget(now)
 		q = &queueDemand{since: now, at: now, zones: map[string]*demandRate{}}
 		d.queues[queue] = q
 	}
@@ -58,6 +60,12 @@
 	q.zones[zone].sum += work
 }
 
+// forget drops the queues without demand for several times usualDemandTime, to bound the
+// memory while configurations add and remove queues.
+func (d *ZoneDemand) forget(now time.Time) {
+	maps.DeleteFunc(d.queues, func(_ string, q *queueDemand) bool { return now.Sub(q.at) > 5*usualDemandTime })
+}
+
 // present returns the present demand of a zone: an average since the first submission to
 // the queue, as long as that is shorter than the time constant.
 func (q *queueDemand) present(z *demandRate) float64 {
