dispatch, jobcontrol, telemetry: partial fits are counted and logged

Cause: an operator could not see whether partial_fit takes effect. Change: a plan names the starts of best-effort runs that find less unused CPU than they declare; the leader counts them (paddle_jobs_partial_fits_total) and logs each.

--- a/dispatch/partialfit_test.go
+++ b/dispatch/partialfit_test.go
@@ -121,7 +121,8 @@
 			w.now += test.ran
 			waiting := w.submit(batchQueue, &api.TaskGroup{Count: 1, MilliCpu: 8000, EstimatedMs: 1000, BestEffort: true, Image: "large"})
 			w.submitted[waiting] -= test.age
-			if starts := w.planOnly(); (total(startsByWorker(starts, waiting)) == 1) != test.wantStart {
+			s := w.schedule()
+			if starts := s.Starts; (total(startsByWorker(starts, waiting)) == 1) != test.wantStart || !slices.Equal(starts, s.Partial) {
 				t.Errorf("starts %v", starts)
 			}
 		})
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -69,7 +69,7 @@
 	placed := len(p.starts)
 	defer func() {
 		if cause := recover(); cause != nil {
-			p.starts = p.starts[:placed]
+			p.dropStarts(placed)
 			p.in.Panicked(c.job.ID, cause)
 		}
 	}()
@@ -89,6 +89,7 @@
 	passing  spread    // of briefSpreadOf
 
 	partialFits *partialFits // nil if the policy asks for whole fits
+	partial     []int        // indexes of starts with less unused CPU than they declare
 }
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
@@ -188,6 +189,12 @@
 	}
 }
 
+// dropStarts drops the starts from the given index on.
+func (p *planner) dropStarts(from int) {
+	p.starts = p.starts[:from]
+	p.partial = slices.DeleteFunc(p.partial, func(start int) bool { return start >= from })
+}
+
 // undo reverts the starts from the given index on.
 func (p *planner) undo(from int, c candidate) {
 	for _, start := range p.starts[from:] {
@@ -196,13 +203,16 @@
 		p.countBackfill(c, l, -1)
 		l.starting--
 	}
-	p.starts = p.starts[:from]
+	p.dropStarts(from)
 	if p.reserver != nil {
 		delete(p.reserver.begun, c.groupID())
 	}
 }
 
 func (p *planner) start(c candidate, index int, number int32, l *load, spread spread) {
+	if c.group.Spec.BestEffort && !hasUnclaimedCPU(c, l) {
+		p.partial = append(p.partial, len(p.starts))
+	}
 	p.countBackfill(c, l, 1)
 	p.fleet.add(l, c.group.Spec, 1)
 	p.fleet.addStarting(l, onProbation(c.group, index))
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -34,6 +34,7 @@
 	Reservations []Reservation  // to hold until the next plan
 	Missed       []Reservation  // dropped because their forecast was wrong
 	Backfilled   int            // starts beside a reservation of another group
+	Partial      []Start        // those of best-effort runs that find less unused CPU than they declare
 	HeldForRack  []jobs.GroupID // groups with tasks that wait for the rack of their data or peers
 }
 
@@ -290,6 +291,9 @@
 // schedule returns the result of the plan.
 func (p *planner) schedule() Schedule {
 	s := Schedule{Starts: p.starts}
+	for _, i := range p.partial {
+		s.Partial = append(s.Partial, p.starts[i])
+	}
 	if p.locality != nil {
 		s.HeldForRack = p.locality.held
 	}
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -12,6 +12,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
 	"amaranthpaddle/transport"
 )
 
@@ -157,6 +158,10 @@
 	l.recovery.planned(len(schedule.Starts), open, l.server.now())
 	l.reservations.update(schedule, l.server.now())
 	l.rackWaits.update(schedule.HeldForRack, l.server.now())
+	for _, start := range schedule.Partial {
+		telemetry.JobPartialFits.Add(1)
+		klog.InfoS("Run planned with less unused CPU than it declares", "job", start.Run.Task.Job, "run", start.Run.String(), "worker", start.Worker)
+	}
 	starts := schedule.Starts
 	if len(starts) == 0 {
 		return
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -69,6 +69,7 @@
 	// JobReservations counts reservations that were made or missed their forecast.
 	JobReservations    = Metric{"paddle_jobs_reservations_total", []string{"event"}}
 	JobTasksBackfilled = Metric{"paddle_jobs_tasks_backfilled_total", nil}
+	JobPartialFits     = Metric{"paddle_jobs_partial_fits_total", nil}
 	JobsRefused        = Metric{"paddle_jobs_refused_total", []string{"reason"}}
 	// JobRecovery is a histogram of the waits between a change of leader and the end
 	// of the recovery.
@@ -82,7 +83,7 @@
 		TaskStarts, AgentTasks, AgentRevision,
 		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobZoneWait, JobRunTimesSaved, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobRunsOffShrunk,
 		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobFleet,
-		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled,
+		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled, JobPartialFits,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
