--- a/review/harness/deploy.go
+++ b/review/harness/deploy.go
@@ -97,7 +97,8 @@
 	ports  ports
 	core   []*machine
 	side   []*machine
-	cloud  string // address of the platform's API for machines, empty for none
+	cloud  string   // address of the platform's API for machines, empty for none
+	before []string // addresses of forwarders before the core machines, empty for none
 }
 
 // newDeployment lays out a deployment. Machine i has an address of its own in 127.0.0.0/8.
@@ -147,6 +148,9 @@
 	for _, c := range d.core[:min(3, len(d.core))] {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", c.ip, d.ports.control))
 	}
+	for i, ip := range d.before {
+		seeds[i] = fmt.Sprintf("%s:%d", ip, d.ports.control)
+	}
 	return map[string]string{
 		"node_name": m.name, "zone": m.zone, "region": "munster", "ip": m.ip, "seeds": strings.Join(seeds, ","),
 		"bootstrap": fmt.Sprint(bootstrap), "data_dir": filepath.Join(d.folder, "data-"+m.name+"-"+role),
@@ -183,6 +187,12 @@
 	if err != nil {
 		return "", err
 	}
+	for i, ip := range d.before {
+		if role == "control" && m == d.core[i] {
+			port := "port = {{internal_port_range.0}}\n"
+			template = []byte(strings.Replace(string(template), port, port+fmt.Sprintf("advertised = %s:%d\n", ip, d.ports.internal), 1))
+		}
+	}
 	path := filepath.Join(d.folder, m.name+"-"+role+".ini")
 	return path, os.WriteFile(path, []byte(render(string(template), d.fields(m, role, memory, bootstrap))), 0o644)
 }
@@ -243,6 +253,18 @@
 	return m.control.start()
 }
 
+// forwardCore puts a forwarder before each core machine, at an address of its own.
+func (d *deployment) forwardCore(f *forwarder) error {
+	for _, m := range d.core {
+		ip := m.ip + "5"
+		if err := f.forward(fmt.Sprintf("%s:%d", ip, d.ports.internal), fmt.Sprintf("%s:%d", m.ip, d.ports.internal)); err != nil {
+			return err
+		}
+		d.before = append(d.before, ip)
+	}
+	return nil
+}
+
 // stop ends all processes and removes the folder, unless KEEP is set.
 func (d *deployment) stop() {
 	var ends sync.WaitGroup
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,6 +21,7 @@
 
 var cases = map[string]func(rec *record, root string, trouble bool) outcome{
 	"ends":       manyEnds,
+	"lease":      uncountedLease,
 	"evacuation": staleEvacuation,
 }
 
--- a/review/harness/minion.go
+++ b/review/harness/minion.go
@@ -52,6 +52,10 @@
 	born     int64
 	began    time.Time
 	sequence int64
+
+	acknowledged   int64 // sequence of the latest heartbeat that was acknowledged, 0 before
+	acknowledgedAt time.Time
+
 	fence    uint64
 	running  map[string]*ledgerRun
 	gone     map[string]int64 // highest run stopped or ended here
@@ -69,6 +73,9 @@
 // maxFinished is the number of ends in one response: "500 at a time".
 const maxFinished = 500
 
+// lasts stands for the duration of a task that lasts.
+const lasts = 24 * time.Hour
+
 // tick is how often the minion looks for runs that are done.
 const tick = 4 * time.Millisecond
 
@@ -89,7 +96,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.up, w.born, w.began = true, time.Now().UnixMilli(), time.Now()
-	w.sequence, w.fence, w.cursor, w.leaseEnd = 0, 0, 0, 0
+	w.sequence, w.fence, w.cursor, w.leaseEnd, w.acknowledged = 0, 0, 0, 0, 0
 	w.running, w.gone, w.stopping, w.ends = map[string]*ledgerRun{}, map[string]int64{}, map[string]time.Time{}, nil
 	w.changed, w.over = make(chan struct{}), make(chan struct{})
 	mux := http.NewServeMux()
@@ -279,8 +286,7 @@
 	defer w.mu.Unlock()
 	running, finished := [][]any{}, [][]any{}
 	for task, r := range w.running {
-		percent := 100 * float64(time.Since(r.began)) / float64(w.takes(task))
-		running = append(running, []any{task, r.run, "", int(math.Min(percent, 99)), 0})
+		running = append(running, []any{task, r.run, "", w.percent(r), 0})
 	}
 	for _, r := range w.ends[w.cursor:] {
 		if len(finished) == maxFinished {
@@ -292,6 +298,17 @@
 	return body
 }
 
+// startup is the time until a task that lasts is at work.
+const startup = 400 * time.Millisecond
+
+// percent is the progress of a run: 100 for a task that lasts and is at work.
+func (w *minion) percent(r *ledgerRun) int {
+	if w.takes(r.task) == lasts {
+		return int(math.Min(100*float64(time.Since(r.began))/float64(startup), 100))
+	}
+	return int(math.Min(100*float64(time.Since(r.began))/float64(w.takes(r.task)), 99))
+}
+
 // work ends the runs whose time has come, and all when the lease is over.
 func (w *minion) work(over chan struct{}) {
 	for {
@@ -352,10 +369,9 @@
 			"labels": w.labels, "clock_ms": w.clock(), "sequence": w.sequence, "born": w.born, "machine": "m-" + w.machine.name,
 		}
 		w.mu.Unlock()
-		wait := heartbeatTime
-		if a := send("POST", w.agent, "/v1/Instances.Heartbeat/"+w.id, "", body, time.Second); a.status/100 != 2 {
-			wait = 200 * time.Millisecond // the agent may not listen yet
-		}
+		sent := time.Now()
+		a := send("POST", w.agent, "/v1/Instances.Heartbeat/"+w.id, "", body, time.Second)
+		wait := w.noteBeat(a, sent)
 		select {
 		case <-over:
 			return
@@ -364,6 +380,20 @@
 	}
 }
 
+// noteBeat notes the answer to a heartbeat, and returns the time until the next one: a heartbeat_ms
+// after this one was sent. An agent that has not answered any may not listen yet.
+func (w *minion) noteBeat(a answer, sent time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rec.note("minion %s: heartbeat %d: %d %.60s", w.id, w.sequence, a.status, a.body)
+	if a.status/100 == 2 {
+		w.acknowledged, w.acknowledgedAt = w.sequence, sent
+	} else if w.acknowledged == 0 {
+		return 200 * time.Millisecond
+	}
+	return time.Until(sent.Add(heartbeatTime))
+}
+
 // spread returns a number from 0 to 1 for a task, always the same.
 func spread(task string) float64 {
 	h := fnv.New64a()
