review: case 5, jobs given up as minions crash by chance

Cause: two crashes of minions as a task starts fail its job, and the rate of crashes by chance is taken far too low. The case: a script; one of seven minions crashes every 1.2 s while short tasks run.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,6 +23,7 @@
 	"ends":       manyEnds,
 	"lease":      uncountedLease,
 	"evacuation": staleEvacuation,
+	"givenup":    givenUp,
 }
 
 func main() {
