jobnode, replica, wal: a replica whose storage failed is started again

Cause: the first failed write ends a replica's part for good. Nothing but its own status told so, and the process ran on, so nothing started it again.

Change: a replica reports that it has failed. jobnode.Supervise starts the next one from the same data folder, with pauses while the disk is full; a replica that the group does not know joins anew with an empty folder, and emptying is finished after a crash. The log removes the frame whose write or sync failed, so that opening it again does not take the page cache for the disk.

--- a/cmd/paddle-control/main.go
+++ b/cmd/paddle-control/main.go
@@ -52,7 +52,14 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-node.Replica().Failed():
+		// Its supervisor starts the process again; the data folder holds what is durable.
+		err := node.Replica().Err()
+		node.Kill()
+		return err
+	}
 	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	node.Stop(stopping)
--- a/cmd/paddle-jobagent/main.go
+++ b/cmd/paddle-jobagent/main.go
@@ -53,6 +53,8 @@
 		select {
 		case changed := <-reloads:
 			client.AddAddresses(changed.Seeds)
+		case err := <-servers.Failed():
+			return err
 		case <-ctx.Done():
 			servers.Stop(0, s.Grace)
 			return nil
--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -4,16 +4,11 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"path/filepath"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/daemon"
 	"amaranthpaddle/dispatch"
-	"amaranthpaddle/fault"
 	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobnode"
 	"amaranthpaddle/operatorapi"
@@ -29,6 +24,9 @@
 	// stopPart of the grace is for the hand-over of the leadership, the rest for
 	// the orders in progress.
 	stopPart = 0.5
+	// endedGrace is for the orders in progress at a replica that has ended, which
+	// starts again at once.
+	endedGrace = 500 * time.Millisecond
 )
 
 func main() {
@@ -49,29 +47,23 @@
 	}
 	client := controlclient.New(security, s.Seeds)
 	defer client.Close()
-	for {
-		removed, err := runReplica(ctx, s, reloads, security, client)
-		if err != nil || !removed {
-			return err
-		}
-		klog.InfoS("The group has removed this replica; it joins anew with an empty data folder")
-		if err := emptyFolder(s.DataFolder); err != nil {
-			return err
-		}
-		s.FirstStart = false
-	}
+	return jobnode.Supervise(ctx, s.DataFolder, s.FirstStart, func(firstStart bool) error {
+		s.FirstStart = firstStart
+		return runReplica(ctx, s, reloads, security, client)
+	})
 }
 
-// runReplica runs a replica until ctx ends, or the group has removed it.
+// runReplica runs a replica until ctx ends, or with jobnode.EndedError until it ends
+// its part in the group.
 func runReplica(ctx context.Context, s *settings.JobControl, reloads <-chan *settings.JobControl,
-	security *transport.Security, client *controlclient.Client) (removed bool, err error) {
+	security *transport.Security, client *controlclient.Client) error {
 	control, err := jobnode.StartControl(jobnode.Config{
 		Address: s.Advertised, Listen: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
 		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), LeaseLimit: s.LeaseLimit, Retain: s.Retain, Security: security,
 		Adviser: adviser(s, security), Fleet: fleet(s, security), Policy: policy(s.Scheduling),
 	}, client)
 	if err != nil {
-		return false, err
+		return err
 	}
 	mux := http.NewServeMux()
 	platform.RegisterOperators(mux, control.Operators())
@@ -84,23 +76,26 @@
 	}
 	if err := servers.Start(); err != nil {
 		control.Kill()
-		return false, err
+		return err
 	}
 	for {
 		select {
 		case changed := <-reloads:
 			client.AddAddresses(changed.Seeds)
-		case <-control.Removed:
-			servers.Stop(0, s.Grace)
+		case err := <-control.Ended:
+			servers.Stop(0, endedGrace)
 			control.Kill()
-			return true, nil
+			return err
+		case err := <-servers.Failed():
+			control.Kill()
+			return err
 		case <-ctx.Done():
 			stopping, cancel := context.WithTimeout(context.Background(), time.Duration(stopPart*float64(s.Grace)))
 			defer cancel()
 			control.HandOver(stopping)
 			servers.Stop(0, time.Duration((1-stopPart)*float64(s.Grace)))
 			control.Kill()
-			return false, nil
+			return nil
 		}
 	}
 }
@@ -125,17 +120,3 @@
 		FairShares: s.FairShares, LateLast: s.LateLast, PartialFit: s.PartialFit, RemotePenalty: s.RemotePenalty, MoveFromShrunk: s.MoveFromShrunk,
 	}
 }
-
-// emptyFolder removes what a data folder holds.
-func emptyFolder(folder string) error {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return fault.Wrap(fault.StorageFailed, err, "list data folder")
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(folder, entry.Name())); err != nil {
-			return fault.Wrap(fault.StorageFailed, err, "empty data folder")
-		}
-	}
-	return nil
-}
--- a/cmd/paddle-jobentry/main.go
+++ b/cmd/paddle-jobentry/main.go
@@ -58,6 +58,8 @@
 		select {
 		case changed := <-reloads:
 			client.AddAddresses(changed.Seeds)
+		case err := <-servers.Failed():
+			return err
 		case <-ctx.Done():
 			gateway.Drain()
 			klog.InfoS("Entry drains", "grace", s.Grace)
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -16,6 +16,7 @@
 type Servers struct {
 	Security *transport.Security
 	list     []namedServer
+	failed   chan error
 }
 
 type namedServer struct {
@@ -39,6 +40,7 @@
 // Start opens all listeners and serves them. Error: fault.InvalidArgument when
 // one can't be opened.
 func (s *Servers) Start() error {
+	s.failed = make(chan error, len(s.list))
 	for i, named := range s.list {
 		listener, err := s.Security.ListenHTTP(named.address)
 		if err != nil {
@@ -50,6 +52,7 @@
 		go func() {
 			if err := named.server.Serve(listener); err != http.ErrServerClosed {
 				klog.ErrorS(err, "Listener ended", "server", named.name)
+				s.failed <- fault.Wrap(fault.Internal, err, "listener for "+named.name)
 			}
 		}()
 		klog.InfoS("Listening", "server", named.name, "address", named.address)
@@ -57,6 +60,10 @@
 	return nil
 }
 
+// Failed returns a channel that receives an error when a listener has ended by itself.
+// The process should end then, so that it is started again.
+func (s *Servers) Failed() <-chan error { return s.failed }
+
 // Stop serves on for the notice, then takes no new connections and lets what is
 // in progress end, and returns within the limit.
 func (s *Servers) Stop(notice, limit time.Duration) {
@@ -66,6 +73,7 @@
 	for _, named := range s.list {
 		if err := named.server.Shutdown(ctx); err != nil {
 			klog.InfoS("Requests were cut", "server", named.name, "error", err)
+			named.server.Close()
 		}
 	}
 }
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -44,6 +44,7 @@
 	Adviser    jobcontrol.Adviser // nil without a placement adviser
 	Fleet      jobcontrol.Fleet   // nil when maintenance and moves of VMs cannot be ordered
 	Policy     dispatch.Policy
+	FS         disk.FS // nil for the operating system's
 }
 
 // Control is a running control replica.
@@ -57,9 +58,10 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 	started  time.Time
-	// Removed is closed when the group has removed this replica. Its data folder
-	// cannot be used again.
-	Removed chan struct{}
+	// Ended receives an EndedError once the replica takes no part in the group any
+	// more: fault.Conflict when the group has removed it or does not know its data
+	// folder, else the error of replica.Replica.Err or of the listener.
+	Ended chan error
 }
 
 // StartControl starts a replica with the identity stored in its data folder. Without
@@ -67,7 +69,10 @@
 // seeds contain its address, and otherwise asks to join the group. Errors: those of
 // replica.StoredID, of replica.Start and of listening.
 func StartControl(config Config, client *controlclient.Client) (*Control, error) {
-	id, inGroup, err := replica.StoredID(disk.OS{}, config.DataDir)
+	if config.FS == nil {
+		config.FS = disk.OS{}
+	}
+	id, inGroup, err := replica.StoredID(config.FS, config.DataDir)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +95,7 @@
 	state := jobs.NewState()
 	replicaConfig := replica.Config{
 		ID: id, Address: config.Address, Join: join, DataDir: config.DataDir, Security: *config.Security,
-		StateMachine: state, Heartbeat: config.Heartbeat, Election: config.Election,
+		StateMachine: state, Heartbeat: config.Heartbeat, Election: config.Election, FS: config.FS,
 	}
 	if first {
 		replicaConfig.Peers = peers
@@ -114,7 +119,7 @@
 	started *replica.Replica, state *jobs.State, id uint64) *Control {
 	c := &Control{
 		config: config, client: client, listener: listener, replica: started,
-		started: timing.Boot(), Removed: make(chan struct{}),
+		started: timing.Boot(), Ended: make(chan error, 1),
 	}
 	c.server = jobcontrol.New(jobcontrol.Config{
 		Replica: started, State: state, Lease: config.Lease, LeaseLimit: config.LeaseLimit, Retain: config.Retain, Voters: config.Voters,
@@ -128,13 +133,28 @@
 	c.cancel = cancel
 	c.done.Go(func() {
 		if err := c.grpc.Serve(listener); err != nil {
-			klog.ErrorS(err, "gRPC server failed")
+			c.end(fault.Wrap(fault.Internal, err, "gRPC server failed"))
+		}
+	})
+	c.done.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-started.Failed():
+			c.end(started.Err())
 		}
 	})
 	c.done.Go(func() { c.maintainMembership(ctx, id) })
 	return c
 }
 
+// end reports why the replica has ended. Only the first cause counts.
+func (c *Control) end(cause error) {
+	select {
+	case c.Ended <- &EndedError{Cause: cause}:
+	default:
+	}
+}
+
 // Operators returns the handler of operators' orders.
 func (c *Control) Operators() jobcontrol.Operators {
 	return jobcontrol.Operators{Server: c.server, Client: c.client}
@@ -175,7 +195,7 @@
 	joinTimeout         = time.Second
 )
 
-// maintainMembership asks to join until this replica is a voter, and closes Removed
+// maintainMembership asks to join until this replica is a voter, and ends the replica
 // when the group has removed it.
 func (c *Control) maintainMembership(ctx context.Context, id uint64) {
 	for {
@@ -190,7 +210,7 @@
 			continue
 		}
 		if c.askToJoin(ctx, id) {
-			close(c.Removed)
+			c.end(fault.Newf(fault.Conflict, "the group has removed replica %d", id))
 			return
 		}
 	}
--- a/replica/loop.go
+++ b/replica/loop.go
@@ -117,8 +117,7 @@
 
 // advance does the protocol's pending work and publishes the result.
 func (r *Replica) advance() {
-	healthy := r.engine.failed == nil
-	if healthy {
+	if r.engine.failed == nil {
 		r.readLoop.issue(r)
 		r.engine.raft.Flush()
 	}
@@ -126,10 +125,11 @@
 	if err == nil {
 		err = r.engine.checkMembership(r.config.ID, r.identity.Incarnation)
 	}
-	if err != nil && healthy {
+	if err != nil && r.Err() == nil {
 		klog.ErrorS(err, "Replica neither votes nor acknowledges any more", "replica", r.config.ID)
 		r.waiting.failAll(fault.Wrap(fault.CommitUnknown, err, "replica failed"))
 		r.readLoop.failAll(fault.Wrap(fault.NotLeader, err, "replica failed"))
+		r.fail(err)
 	}
 	r.syncPeers()
 	r.view.update(r.engine)
--- a/replica/start.go
+++ b/replica/start.go
@@ -25,6 +25,8 @@
 	reads      chan *readRequest
 	calls      chan func() // run by the loop
 
+	failed  context.Context // ends when the replica fails, with the error as its cause
+	fail    context.CancelCauseFunc
 	view    view
 	waiting proposalTable
 	apply   *applier
@@ -69,6 +71,7 @@
 		peers:      map[uint64]*peer{},
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.failed, r.fail = context.WithCancelCause(context.Background())
 	r.view.init(config.ID, identity.Incarnation)
 	r.waiting.init()
 	r.readLoop.init(config.Random)
@@ -96,7 +99,7 @@
 	defer r.done.Done()
 	if r.engine == nil {
 		if err := r.enterGroup(); err != nil {
-			r.fail(err)
+			r.failToEnter(err)
 			r.cancel()
 			return
 		}
@@ -150,15 +153,24 @@
 	return r.open()
 }
 
-// fail records why the replica does not take part.
-func (r *Replica) fail(err error) {
+// failToEnter records why the replica does not enter the group.
+func (r *Replica) failToEnter(err error) {
 	if fault.Is(err, fault.Canceled) {
 		return
 	}
 	klog.ErrorS(err, "Replica does not take part", "replica", r.config.ID)
 	r.view.setFault(fault.KindOf(err).String() + ": " + err.Error())
+	r.fail(err)
 }
 
+// Failed returns a channel that is closed when the replica has ended its part in the
+// group for good. Its process has to stop it, and may start another one.
+func (r *Replica) Failed() <-chan struct{} { return r.failed.Done() }
+
+// Err returns why the replica failed, nil if it has not. Errors: fault.StorageFailed
+// and fault.DataCorrupt; fault.Conflict when the group does not accept this data folder.
+func (r *Replica) Err() error { return context.Cause(r.failed) }
+
 // electionTimeouts returns n times the longest election timeout.
 func (r *Replica) electionTimeouts(n int) time.Duration {
 	return time.Duration(n) * (2*r.config.Election + r.config.Heartbeat)
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/disk"
@@ -138,10 +139,10 @@
 	}
 	w.keepBuffer(frame)
 	if _, err := w.file.Write(frame); err != nil {
-		return w.fail(err, "write log")
+		return w.discardUnsynced(err, "write log")
 	}
 	if err := w.file.Sync(); err != nil {
-		return w.fail(err, "sync log")
+		return w.discardUnsynced(err, "sync log")
 	}
 	w.size += len(frame)
 	return nil
@@ -165,6 +166,16 @@
 	return w.failed
 }
 
+// discardUnsynced fails the log and removes the frame whose write or sync failed.
+// Opening the log again would read it from the page cache and take it for durable.
+func (w *WAL) discardUnsynced(err error, message string) error {
+	path := w.path(w.segments[len(w.segments)-1].number)
+	if truncateErr := w.options.FS.Truncate(path, int64(w.size)); truncateErr != nil {
+		klog.ErrorS(truncateErr, "Unsynced end of the log not removed", "segment", path)
+	}
+	return w.fail(err, message)
+}
+
 // Rotate closes the open segment and starts a new one.
 func (w *WAL) Rotate() error {
 	if w.failed != nil {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -158,6 +158,10 @@
 		if err := w.Save(nil, []*api.LogEntry{entry(2, 1)}); !fault.Is(err, fault.StorageFailed) {
 			t.Errorf("%s, after the disk recovered: %v", name, err)
 		}
+		// What was not synced must not be read from the page cache and count as durable.
+		if _, restored := mustOpen(t, fs); len(restored.Entries) != 1 {
+			t.Errorf("%s: opened again with %d entries, want the synced one", name, len(restored.Entries))
+		}
 	}
 }
 
