replica: a removal counts once it is committed

Cause: WasRemoved read the latest member table, committed or not. A replica that is told that it was removed discards its data; if that removal is then undone by a new leader, its seat votes no more until it is replaced.

Measured: TestARemovalCountsOnceItIsCommitted fails before ("removed true before the removal is committed") and passes.

--- a/replica/members.go
+++ b/replica/members.go
@@ -40,12 +40,13 @@
 	return members, err
 }
 
-// WasRemoved reports whether the id was a member and never will be again.
+// WasRemoved reports whether the id was a member and never will be again. It counts a
+// removal once it is committed: the replica that is told so discards its data.
 // Errors: fault.NotLeader while the replica is in no group.
 func (r *Replica) WasRemoved(id uint64) (removed bool, err error) {
 	err = r.do(func() error {
-		table, _ := r.engine.raft.Membership()
-		removed = slices.Contains(table.Removed, id)
+		table, committed := r.engine.raft.Membership()
+		removed = committed && slices.Contains(table.Removed, id)
 		return nil
 	})
 	return removed, err
--- a/replica/members_test.go
+++ b/replica/members_test.go
@@ -224,3 +224,22 @@
 		t.Errorf("read: %v", err)
 	}
 }
+
+// Guards against a replica that discards its data for a removal that is never committed:
+// its seat in the group would stay, with nothing behind it.
+func TestARemovalCountsOnceItIsCommitted(t *testing.T) {
+	hosts := startGroup(t, 3, nil)
+	leader := waitLeader(t, hosts)
+	rest := others(hosts, leader)
+	for _, h := range rest {
+		h.stop()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := leader.replica.Remove(ctx, rest[0].config.ID); !fault.Is(err, fault.CommitUnknown) {
+		t.Fatalf("removal without a quorum: %v", err)
+	}
+	if removed, err := leader.replica.WasRemoved(rest[0].config.ID); removed || err != nil {
+		t.Errorf("removed %v, error %v before the removal is committed", removed, err)
+	}
+}
