jobcontrol, jobnode: a voter that leaves hands its seat to its successor

Cause: a silent voter counted as lost only for a joiner younger than its silence. The successor of a planned replacement is older, so the empty seat voted for 20 s, and the group had no loss to spare.

Change: a voter that is silent for 1.5 s loses its place to any caught-up learner that answers. A replica that is stopped as planned asks the leader to give its seat to such a learner before it ends, and marks its data folder as discarded if that was done. Builds are mixed safely: an older leader answers that it doesn't know the call, and the replica stops as before.

The row of TestNextMemberStep that kept a voter silent for 5 s beside an older learner was the fault itself. In its place: kept at 1 s, replaced at 1.5 s, and no learner that doesn't answer is promoted.

TestGroupBearsALossRightAfterAPlannedReplacement fails without the change ("not within 30s: the other two go on").

--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -21,8 +21,8 @@
 const (
 	headerTimeout = 5 * time.Second
 	bodyTimeout   = 10 * time.Second // of a request to the listener of metrics
-	// stopPart of the grace is for the hand-over of the leadership, the rest for
-	// the orders in progress.
+	// stopPart of the grace is for the hand-over of the leadership and of the seat in
+	// the group, the rest for the orders in progress.
 	stopPart = 0.5
 	// endedGrace is for the orders in progress at a replica that has ended, which
 	// starts again at once.
@@ -93,6 +93,7 @@
 			stopping, cancel := context.WithTimeout(context.Background(), time.Duration(stopPart*float64(s.Grace)))
 			defer cancel()
 			control.HandOver(stopping)
+			control.Leave(stopping)
 			servers.Stop(0, time.Duration((1-stopPart)*float64(s.Grace)))
 			control.Kill()
 			return nil
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -63,6 +63,7 @@
 	admission admissionState
 
 	joiners joiners
+	leavers leavers
 
 	recovery recovery
 }
@@ -98,7 +99,7 @@
 
 		admission: newAdmissionState(),
 
-		joiners: joiners{byID: map[uint64]joiner{}},
+		joiners: joiners{byID: map[uint64]joiner{}}, leavers: leavers{byID: map[uint64]time.Time{}},
 	}
 	l.assumed.Read(func(view jobs.View) { l.knowledge = dispatch.NewKnowledge(view.Learnt()) })
 	l.initJobAges()
--- a/jobcontrol/memberplan.go
+++ b/jobcontrol/memberplan.go
@@ -1,6 +1,7 @@
 package jobcontrol
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,25 +26,22 @@
 	reason  string
 }
 
-// Silences after which a member counts as permanently lost.
+// Silences after which a member loses its place.
 const (
-	// replacedAfter applies when a replica that is younger than the silence asks to
-	// join. It exceeds a process restart plus an election.
+	// replacedAfter is for a voter whose place a caught-up learner can take. It exceeds
+	// a process restart plus an election. A voter that returns later joins anew.
 	replacedAfter = 1500 * time.Millisecond
-	// abandonedAfter applies without such a replica; a standby learner then takes a
-	// voter's place. It exceeds the pauses and partitions from which members recover.
+	// abandonedAfter is for a learner. It exceeds the pauses and partitions from which
+	// members recover.
 	abandonedAfter = 20 * time.Second
-	// replacementMargin is added to the silence, which may have begun before this
-	// leader could notice it.
-	replacementMargin = 3 * time.Second
 )
 
 // memberView is the input of a membership decision.
 type memberView struct {
 	members []replica.MemberStatus
 	joining map[uint64]joiner
+	leaving map[uint64]bool // members that are about to stop
 	silent  func(id uint64) time.Duration
-	now     time.Time
 	voters  int // desired number
 }
 
@@ -92,23 +90,34 @@
 	return voting
 }
 
-// lost reports whether a silent member is permanently lost: another id is active
-// at its address, a replica younger than its silence asks to join, or the silence
-// has reached abandonedAfter.
+// lost reports whether a member is to lose its place: it is silent and another id is
+// active at its address, or it is a voter that leaves or has been silent for
+// replacedAfter while a successor answers, or a learner silent for abandonedAfter. Which
+// of the two replicas is older doesn't matter: in a planned replacement the successor is.
 func (v memberView) lost(member replica.MemberStatus) bool {
 	silence := v.silent(member.ID)
-	if member.Leader || silence == 0 {
+	switch {
+	case member.Leader:
 		return false
-	}
-	if v.replaced(member) {
+	case silence > 0 && v.replaced(member):
 		return true
+	case !member.Voter:
+		return silence >= abandonedAfter
+	case !v.hasSuccessor():
+		return false
 	}
-	for id, joiner := range v.joining {
-		if id != member.ID && silence >= replacedAfter && v.now.Sub(joiner.created) <= silence+replacementMargin {
-			return true
-		}
-	}
-	return silence >= abandonedAfter
+	return v.leaving[member.ID] || silence >= replacedAfter
+}
+
+// hasSuccessor reports whether a caught-up learner answers that can take a voter's
+// place, or one has been promoted already.
+func (v memberView) hasSuccessor() bool {
+	return len(v.voting()) > v.voters || v.readyLearner() != 0
+}
+
+// mustStay reports whether a member can't leave the group: it has no successor.
+func (v memberView) mustStay(id uint64) bool {
+	return !v.hasSuccessor() && slices.ContainsFunc(v.members, func(m replica.MemberStatus) bool { return m.ID == id })
 }
 
 // replaced reports whether another member is active at the address of a member.
@@ -129,23 +138,24 @@
 }
 
 // lostVoter returns the lost voter with the longest silence, 0 for none. One whose
-// replacement is active goes first: others that are silent may merely restart.
+// replacement is active goes first, then one that leaves: others that are silent may
+// merely restart.
 func (v memberView) lostVoter() uint64 {
 	var longest time.Duration
-	var id uint64
+	var id, leaving uint64
 	for _, member := range v.voting() {
 		silence := v.silent(member.ID)
-		if !v.lost(member) {
-			continue
-		}
-		if v.replaced(member) {
+		switch {
+		case !v.lost(member):
+		case silence > 0 && v.replaced(member):
 			return member.ID
-		}
-		if silence > longest {
+		case v.leaving[member.ID]:
+			leaving = member.ID
+		case silence > longest:
 			longest, id = silence, member.ID
 		}
 	}
-	return id
+	return cmp.Or(leaving, id)
 }
 
 // readyLearner returns a learner that can be promoted, 0 for none. It prefers the
--- a/jobcontrol/members.go
+++ b/jobcontrol/members.go
@@ -10,6 +10,7 @@
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/replica"
+	"amaranthpaddle/timing"
 )
 
 // joiners holds the replicas that ask to join the group.
@@ -25,11 +26,40 @@
 	created time.Time // when its data folder was created, as far as it knows
 }
 
+// leavers holds the voters that are about to stop, with the time of their request.
+type leavers struct {
+	mu   sync.Mutex
+	byID map[uint64]time.Time
+}
+
+func (l *leavers) record(id uint64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byID[id] = now
+}
+
+// current returns the voters that asked within leaverTimeout, and drops the others.
+func (l *leavers) current(now time.Time) map[uint64]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := map[uint64]bool{}
+	for id, asked := range l.byID {
+		if now.Sub(asked) > leaverTimeout {
+			delete(l.byID, id)
+			continue
+		}
+		list[id] = true
+	}
+	return list
+}
+
 // Intervals and timeouts of membership changes.
 const (
 	memberCheckInterval = 200 * time.Millisecond // between checks of the members
 	memberChangeTimeout = 3 * time.Second        // for one change
 	joinerTimeout       = 3 * time.Second        // of a joiner that is then dropped; several of its request intervals
+	leaverTimeout       = 3 * time.Second        // of a voter that asked to leave; it may have started again
+	leavePoll           = 50 * time.Millisecond  // between looks at whether a leaving voter is removed
 )
 
 // Join records at the leader that a replica asks to become a member, and answers
@@ -59,6 +89,33 @@
 	return answer, nil
 }
 
+// Leave gives the seat of a voter that is about to stop to a learner that has caught
+// up, so that the group bears the next loss from that moment on. It answers at once
+// if there is none. Errors: fault.NotLeader, fault.CommitUnknown when ctx ends first.
+func (s *Server) Leave(ctx context.Context, request *api.LeaveRequest) (*api.LeaveAnswer, error) {
+	lead, err := s.currentLeadership()
+	if err != nil {
+		return nil, s.toStatus(ctx, err)
+	}
+	lead.leavers.record(request.Id, s.now())
+	for {
+		removed, err := s.config.Replica.WasRemoved(request.Id)
+		if err != nil {
+			return nil, s.toStatus(ctx, err)
+		}
+		view := memberView{members: s.members(), silent: func(uint64) time.Duration { return 0 }, voters: s.config.Voters}
+		if removed || view.mustStay(request.Id) {
+			return &api.LeaveAnswer{Removed: removed}, nil
+		}
+		if !timing.Sleep(ctx, leavePoll) {
+			return nil, s.toStatus(ctx, fault.New(fault.CommitUnknown, "the call ended before the voter was removed"))
+		}
+		if lead.ctx.Err() != nil {
+			return nil, s.toStatus(ctx, fault.New(fault.NotLeader, "the leadership ended"))
+		}
+	}
+}
+
 func (j *joiners) record(request *api.JoinRequest, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -103,8 +160,8 @@
 		updateSilent(silent, members, s.now())
 		now := s.now()
 		step := nextMemberStep(memberView{
-			members: members, joining: lead.joiners.current(now),
-			silent: silentFor(silent, now), now: now, voters: s.config.Voters,
+			members: members, joining: lead.joiners.current(now), leaving: lead.leavers.current(now),
+			silent: silentFor(silent, now), voters: s.config.Voters,
 		})
 		if step.kind == memberKeep {
 			continue
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -179,6 +179,28 @@
 	}
 }
 
+// Leave asks the group to give this replica's seat to a learner, if one has caught up,
+// until ctx ends. The leadership has to be handed over before. If that was done, the
+// data folder is marked as discarded: this replica joins anew if it is started again.
+func (c *Control) Leave(ctx context.Context) {
+	id := c.replica.Status().ID
+	if !c.isVoter(id) {
+		return
+	}
+	removed := false
+	err := c.client.Do(ctx, func(ctx context.Context, connection *grpc.ClientConn, options ...grpc.CallOption) error {
+		answer, err := api.NewJobsClient(connection).Leave(ctx, &api.LeaveRequest{Id: id}, options...)
+		if err == nil {
+			removed = answer.Removed
+		}
+		return err
+	})
+	if removed {
+		err = markDiscarded(c.config.DataDir)
+	}
+	klog.InfoS("Asked to leave the group before the stop", "replica", id, "removed", removed, "error", err)
+}
+
 // Kill stops the replica at once, without transferring the leadership.
 func (c *Control) Kill() {
 	c.cancel()
--- a/jobnode/restart.go
+++ b/jobnode/restart.go
@@ -73,19 +73,24 @@
 	}
 }
 
-// discardedFile marks a data folder that is being emptied.
+// discardedFile marks a data folder whose content has no use any more.
 const discardedFile = "discarded"
 
 // emptyFolder removes what a data folder holds. A part of it would be taken for a
 // damaged folder, so a crash meanwhile is followed by finishEmptying.
 func emptyFolder(folder string) error {
-	marker := filepath.Join(folder, discardedFile)
-	if err := disk.WriteFileAtomic(disk.OS{}, folder, marker, nil); err != nil {
-		return fault.Wrap(fault.StorageFailed, err, "mark data folder as discarded")
+	if err := markDiscarded(folder); err != nil {
+		return err
 	}
 	return finishEmptying(folder)
 }
 
+// markDiscarded makes the next start empty the data folder. Errors: fault.StorageFailed.
+func markDiscarded(folder string) error {
+	err := disk.WriteFileAtomic(disk.OS{}, folder, filepath.Join(folder, discardedFile), nil)
+	return fault.Wrap(fault.StorageFailed, err, "mark data folder as discarded")
+}
+
 // finishEmptying empties a folder that is marked as discarded. Errors: fault.StorageFailed.
 func finishEmptying(folder string) error {
 	entries, err := os.ReadDir(folder)
