jobagent, platform: a cut list of ends settles no run that it doesn't name

Cause: a worker returns its ends 500 at a time. While no leader records ends, it returns the first 500 again and again, and the agent took the runs beyond them for lost: neither running nor ended in the list, before and after a confirmed stop.

Change: the platform's client says when ends may have been left out. Such a response settles nothing about runs that it doesn't name, and doesn't count as a list by which a run can be seen to stall. Evidence that it suffices: until the ends are recorded the position doesn't move, and afterwards the rest is listed. The workers of the tests and of the soak keep the limit of 500.

--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -359,6 +359,9 @@
 	}
 }
 
+// maxListedEnds is the number of ends that a worker returns at a time.
+const maxListedEnds = 500
+
 func (w *worker) lists() map[string]any {
 	body := w.clock("")
 	w.mu.Lock()
@@ -368,7 +371,7 @@
 		percent := min(100*time.Since(run.began).Milliseconds()/max(run.takes.Milliseconds(), 1), 99)
 		running = append(running, []any{name.String(), run.number, "", percent, 0})
 	}
-	for _, end := range w.ends[w.recorded:] {
+	for _, end := range w.ends[w.recorded:min(w.recorded+maxListedEnds, int64(len(w.ends)))] {
 		finished = append(finished, []any{end.position, end.task.String(), end.run, end.how, ""})
 	}
 	body["born"], body["running"], body["finished"] = w.born, running, finished
--- a/jobagent/harness_test.go
+++ b/jobagent/harness_test.go
@@ -14,6 +14,9 @@
 	"amaranthpaddle/jobs"
 )
 
+// maxListedEnds is the number of ends that a worker returns at a time.
+const maxListedEnds = 500
+
 const testLeaseLimit = 6 * time.Second
 
 // fakeWorker is an in-memory Worker. Its clock is that of the test.
@@ -247,9 +250,14 @@
 		})
 	}
 	for _, end := range f.ends {
-		if end.Position > f.acked {
-			answer.Ends = append(answer.Ends, end)
+		if end.Position <= f.acked {
+			continue
+		}
+		if len(answer.Ends) == maxListedEnds {
+			answer.MoreEnds = true
+			break
 		}
+		answer.Ends = append(answer.Ends, end)
 	}
 	return answer
 }
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -29,6 +29,7 @@
 	clockMS      int64         // latest reading of the worker's clock
 	clockReadAt  time.Time     // when that reading arrived; zero before the first one
 	polls        int64         // answered polls; each was sent after the previous response
+	wholeLists   int64         // answered polls whose response left out no end
 	sentPolls    int64         // polls that were sent, by which lists are numbered
 	startTimeout time.Duration // after which a start that is not answered is looked for in a list
 	endWait      func()        // ends the long poll under way; nil when the present one does not wait
@@ -298,7 +299,7 @@
 	now := w.agent.config.Clock()
 	report.Worker = w.worker
 	report.RunsListed = true
-	report.Lists, report.Unhealthy = w.polls, w.unhealthy
+	report.Lists, report.Unhealthy = w.wholeLists, w.unhealthy
 	if w.crashesSession != sessionID {
 		w.crashesSession, report.Crashes = sessionID, w.crashReports(now)
 	}
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -168,6 +168,9 @@
 	}
 	w.unreachable, w.downSince = false, time.Time{}
 	w.polls++
+	if !response.MoreEnds {
+		w.wholeLists++
+	}
 	if w.polls == 1 {
 		w.agent.requestReport()
 	}
@@ -182,21 +185,21 @@
 		w.finish(listed.Run, listed.Outcome, listed.Checkpoint, listed.Reason, listed.Position)
 	}
 	w.noteAlive(w.agent.config.Clock())
-	w.reconcileWithWorker(response.Running, number)
+	w.noteRunning(response.Running)
+	if !response.MoreEnds {
+		w.settleUnlisted(response.Running, number)
+	}
 	w.adjustPaces()
 	if w.colocated() {
 		w.agent.requestReport() // the leader learns interference costs from every usage sample
 	}
 }
 
-// reconcileWithWorker compares the runs that the worker lists, in its response to the poll
-// of a number, with those that the agent knows, adopts unknown ones and stops those that
-// have disappeared. Agent.mu must be held.
-func (w *incarnation) reconcileWithWorker(list []*api.RunStatus, poll int64) {
-	running := make(map[jobs.RunID]bool, len(list))
+// noteRunning records the runs that the worker lists as running, and adopts unknown ones.
+// Agent.mu must be held.
+func (w *incarnation) noteRunning(list []*api.RunStatus) {
 	for _, status := range list {
 		id := jobs.RunIDOf(status.Run)
-		running[id] = true
 		w.noteListed(id)
 		if w.runs[id] == nil && !w.adopt(id) {
 			continue // the list is older than the end of the run
@@ -210,6 +213,16 @@
 			r.startedAt = w.agent.config.Clock()
 		}
 	}
+}
+
+// settleUnlisted decides on the runs that the worker's response to the poll of a number
+// doesn't name. The response must be whole, else they may be ends that were left out.
+// Agent.mu must be held.
+func (w *incarnation) settleUnlisted(list []*api.RunStatus, poll int64) {
+	running := make(map[jobs.RunID]bool, len(list))
+	for _, status := range list {
+		running[jobs.RunIDOf(status.Run)] = true
+	}
 	for id, r := range w.runs {
 		switch {
 		case running[id]:
--- a/jobagent/worker.go
+++ b/jobagent/worker.go
@@ -38,6 +38,9 @@
 	Born    int64 // start time of the incarnation that answered
 	Running []*api.RunStatus
 	Ends    []ListedEnd
+	// MoreEnds is set when the worker has ended runs that did not fit into the response.
+	// A run that it doesn't name may then be one of them.
+	MoreEnds bool
 }
 
 // ListedEnd is the end of one run in a worker's list. Positions start at 1 and
