jobcontrol, jobagent: a lease belongs to one incarnation of a worker

Cause: a restarted agent opens its session before its worker registers. The leader answered with a lease that it counted for nobody, and the agent passed its end on to the worker. When the VM was cut off then, the leader waited for the lease that it had counted before the restart, which ended earlier.

Change: the leader grants a lease only to the incarnation that the session reports on, and the agent keeps it with the incarnation that it names. Either side alone is enough, so builds can be mixed.

--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -41,7 +41,6 @@
 	stopping   bool
 	sessions   int64     // number of sessions that were tried
 	term       uint64    // highest term of a leader that has answered
-	leaseUntil time.Time // end of the lease under which runs may be started and renewed
 	sentStarts map[jobs.RunID]*sentStart
 	costs      *dispatch.Costs // interference costs that the leader has learned
 	healthPath string          // path of the worker's health check, empty for none
@@ -105,7 +104,10 @@
 func (a *Agent) Ready() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, held := a.lease(); !held {
+	if a.current == nil {
+		return fault.New(fault.NotLeader, "no worker has registered")
+	}
+	if _, held := a.current.lease(); !held {
 		return fault.New(fault.NotLeader, "no lease is held")
 	}
 	return nil
@@ -184,12 +186,6 @@
 	}
 }
 
-// lease returns the end of the lease and whether it is held now. Agent.mu must
-// be held.
-func (a *Agent) lease() (time.Time, bool) {
-	return a.leaseUntil, a.config.Clock().Before(a.leaseUntil)
-}
-
 // buildReport returns the next report to the leader. Agent.mu must be held.
 func (a *Agent) buildReport(sequence int64, sessionID int64) *api.WorkerReport {
 	report := &api.WorkerReport{Sequence: sequence, Agent: a.config.Name, Leaving: a.leaving}
--- a/jobagent/agent_test.go
+++ b/jobagent/agent_test.go
@@ -224,7 +224,7 @@
 		r.register(1, false)
 		r.grantLease(4 * time.Second)
 		r.wait(3 * time.Second)
-		until := r.agent.leaseUntil
+		until := r.agent.current.leaseUntil
 		slow := time.Duration(float64(r.worker.deadline-r.worker.clockMS())/minClockRate) * time.Millisecond
 		if end := time.Now().Add(slow); end.After(until.Add(10 * time.Millisecond)) {
 			t.Errorf("on a slow clock, the worker's lease ends %v after the agent's", end.Sub(until))
--- a/jobagent/harness_test.go
+++ b/jobagent/harness_test.go
@@ -326,12 +326,12 @@
 	}})
 }
 
-// grantLease gives the agent a lease that starts now.
+// grantLease gives the worker that is registered a lease that starts now.
 func (r *rig) grantLease(lease time.Duration) {
 	r.agent.mu.Lock()
 	defer r.agent.mu.Unlock()
 	r.agent.term = 1
-	r.agent.leaseUntil = time.Now().Add(lease)
+	r.agent.current.leaseUntil = time.Now().Add(lease)
 }
 
 // serve registers the worker and gives its agent a lease.
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -44,6 +44,7 @@
 	unhealthy       bool      // result of the worker's health check
 	unreachable     bool      // the latest poll was refused, or could not connect
 	unansweredSince time.Time // since when polls have gone unanswered; zero while they are answered
+	leaseUntil      time.Time // end of the lease that the leader has granted to this incarnation, under which its runs may be started and renewed
 	sentLeaseUntil  time.Time // latest end of a lease that was sent to the worker, on the agent's clock
 	pacer           *dispatch.Pacer
 	pacedAt         time.Time
@@ -111,12 +112,18 @@
 
 func (w *incarnation) target() Target { return Target{Address: w.address, ID: w.worker.Id} }
 
+// lease returns the end of the incarnation's lease and whether it is held now. Agent.mu
+// must be held.
+func (w *incarnation) lease() (time.Time, bool) {
+	return w.leaseUntil, w.agent.config.Clock().Before(w.leaseUntil)
+}
+
 // deadlineMS returns the end of the lease on the worker's clock, 0 when no lease
 // is held or the worker's clock is not known. With any permitted clock drift, the
 // worker reaches the deadline before the agent's lease ends. Agent.mu must be
 // held.
 func (w *incarnation) deadlineMS() int64 {
-	until, held := w.agent.lease()
+	until, held := w.lease()
 	if !held || w.clockReadAt.IsZero() {
 		return 0
 	}
@@ -210,7 +217,7 @@
 	case deadline == 0:
 		return StartRequest{}, "no lease is held"
 	}
-	if until, _ := w.agent.lease(); until.After(w.sentLeaseUntil) {
+	if until, _ := w.lease(); until.After(w.sentLeaseUntil) {
 		w.sentLeaseUntil = until
 	}
 	return StartRequest{
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -88,7 +88,7 @@
 	if w.unansweredSince.IsZero() {
 		request.Cursor = w.cursor()
 		if request.DeadlineMS = w.deadlineMS(); request.DeadlineMS > 0 {
-			until, _ := w.agent.lease()
+			until, _ := w.lease()
 			w.sentLeaseUntil = later(w.sentLeaseUntil, until)
 		}
 		request.WaitMS = w.pollWait().Milliseconds()
--- a/jobagent/search_test.go
+++ b/jobagent/search_test.go
@@ -45,7 +45,7 @@
 			return err
 		}
 		began()
-		if err := stream.Send(&api.WorkerDirective{Acknowledged: report.Sequence, Term: term, LeaseMs: 4000}); err != nil {
+		if err := stream.Send(&api.WorkerDirective{Acknowledged: report.Sequence, Term: term, LeaseMs: 4000, HealthPath: "/healthz"}); err != nil {
 			return err
 		}
 		<-stream.Context().Done()
@@ -102,7 +102,12 @@
 	agent.Start()
 	t.Cleanup(agent.Stop)
 	<-reached
-	for agent.Ready() != nil { // until the leader's directive is applied
+	applied := func() bool { // the leader's directive
+		agent.mu.Lock()
+		defer agent.mu.Unlock()
+		return agent.healthPath != ""
+	}
+	for !applied() {
 		time.Sleep(time.Millisecond)
 	}
 	if got := client.Leader(); got != leader {
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -235,8 +235,9 @@
 	return nil
 }
 
-// handleAck extends the lease, counted from when the acknowledged report was
-// sent. Agent.mu must be held.
+// handleAck extends the lease of the incarnation that the directive names, counted from
+// when the acknowledged report was sent. The leader counts a lease for that incarnation
+// only, so no other one may use it. Agent.mu must be held.
 func (s *leaderSession) handleAck(d *api.WorkerDirective) {
 	a := s.agent
 	sent, known := s.sentAt[d.Acknowledged]
@@ -249,8 +250,8 @@
 	if len(s.sentAt) > 0 {
 		s.answerTimer.Reset(answerTimeout)
 	}
-	if known && d.LeaseMs > 0 {
-		a.leaseUntil = later(a.leaseUntil, sent.Add(time.Duration(d.LeaseMs)*time.Millisecond))
+	if w := a.current; known && d.LeaseMs > 0 && w != nil && d.Worker == w.key {
+		w.leaseUntil = later(w.leaseUntil, sent.Add(time.Duration(d.LeaseMs)*time.Millisecond))
 	}
 }
 
--- a/jobcontrol/directive.go
+++ b/jobcontrol/directive.go
@@ -122,16 +122,22 @@
 }
 
 // grantLease returns the lease that answers the latest report, 0 without a recent
-// quorum confirmation that this replica leads. The lock is held.
+// quorum confirmation that this replica leads. It is granted to the worker's incarnation
+// that the session reports on and counted there before it is sent; a session without one
+// gets none. The lock is held.
 func (l *leadership) grantLease(session *session) time.Duration {
 	config := &l.server.config
+	view := l.viewOf(session.key)
+	if view == nil {
+		return 0
+	}
 	age := max(session.receivedAt.Sub(l.server.confirmer.Began()), 0)
 	granted := config.Lease - age
 	if granted <= 0 {
 		return 0
 	}
 	until := l.server.now().Add(granted + config.leaseMargin())
-	if view := l.viewOf(session.key); view != nil && until.After(view.leaseUntil) {
+	if until.After(view.leaseUntil) {
 		if !l.openFor(view, l.server.now()) {
 			l.signal() // the round after the report may have left the worker out
 		}
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -256,10 +256,11 @@
 	crashes  []*api.WorkerCrash
 	downAt   map[string]time.Time // when each incarnation with a crash went down
 
-	unreachable bool
-	down        time.Time // since when the worker does not answer, zero while it does
-	milliCPU    int64
-	lost        string // address of the leader whose session was lost
+	unregistered bool // the worker has not registered yet
+	unreachable  bool
+	down         time.Time // since when the worker does not answer, zero while it does
+	milliCPU     int64
+	lost         string // address of the leader whose session was lost
 }
 
 func (r *rig) connect(name string) *fakeAgent {
@@ -292,6 +293,9 @@
 		Sequence: a.sequence, Agent: a.name, Ends: ends, Crashes: a.crashes, Unreachable: a.unreachable,
 		Worker: &api.Worker{Id: a.worker, Born: a.born, Service: "s", Zone: "z", MilliCpu: a.milliCPU, MemoryMib: 4000, Machine: a.machine},
 	}
+	if a.unregistered {
+		report.Worker = nil
+	}
 	if !a.down.IsZero() {
 		report.UnansweredMs = time.Since(a.down).Milliseconds()
 	}
--- a/jobcontrol/server_test.go
+++ b/jobcontrol/server_test.go
@@ -134,6 +134,28 @@
 	})
 }
 
+// Guards against a lease that is counted for no worker: an agent that has just restarted
+// passes it on to the worker that registers next, whose runs then outlive what the leader
+// waits for before their tasks start elsewhere.
+func TestSessionWithoutAWorkerGetsNoLease(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		a.drainDirectives()
+		a.unregistered = true
+		a.reconnect()
+		r.wait(100 * time.Millisecond)
+		if _, _, _, lease := a.drainDirectives(); lease != 0 {
+			t.Errorf("a lease of %v for no worker", lease)
+		}
+		a.unregistered = false
+		a.report()
+		if _, _, _, lease := a.drainDirectives(); lease == 0 {
+			t.Error("no lease for the worker that has registered")
+		}
+	})
+}
+
 func TestRunsAreLostWhenLeaseExpires(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.configure()
