jobcontrol, replica: a large change takes no other change with it

Cause: a batch was bounded by its number of changes, and a proposal by 1 MiB, less than the largest configuration that the operators' listener takes (4 MiB, encoded as it was sent and in its parsed form). The same bound met planned starts: a job of many thousand tasks that all fit made each batch too large.

Change: a batch takes changes up to 256 KiB and starts up to as much again, the rest goes into the next one; a larger change is a batch of its own. A proposal may have 12 MiB, and replicas receive messages of that size.

--- a/jobcontrol/config.go
+++ b/jobcontrol/config.go
@@ -56,7 +56,8 @@
 	batchDelay        = 4 * time.Millisecond   // for which a round collects changes; shorter than a disk sync
 	idleRoundInterval = 250 * time.Millisecond // between rounds while no event occurs
 	maxInFlight       = 4                      // proposed batches; two cover the commit latency
-	maxBatchChanges   = 512                    // keeps a batch below 1 MB
+	maxBatchChanges   = 512                    // besides the starts that are planned on them
+	maxBatchBytes     = 256 << 10              // of the changes and again of the starts; a larger change is a batch of its own
 	commitTimeout     = 5 * time.Second        // for one batch; longer than an election
 )
 
--- a/jobcontrol/queue.go
+++ b/jobcontrol/queue.go
@@ -1,6 +1,10 @@
 package jobcontrol
 
 import (
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
 	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
 )
@@ -35,9 +39,20 @@
 	}
 }
 
-// take removes and returns at most limit changes from the front.
-func (q *changeQueue) take(limit int) []*pendingChange {
-	n := min(len(q.changes), limit)
+// takeAll removes and returns all changes.
+func (q *changeQueue) takeAll() []*pendingChange { return q.take(len(q.changes), math.MaxInt) }
+
+// take removes and returns changes from the front: at most limit, which together encode
+// to at most maxBytes, but always the first one, even if it is larger.
+func (q *changeQueue) take(limit, maxBytes int) []*pendingChange {
+	n, size := 0, 0
+	for n < min(len(q.changes), limit) {
+		size += proto.Size(q.changes[n].change)
+		if n > 0 && size > maxBytes {
+			break
+		}
+		n++
+	}
 	taken := q.changes[:n:n]
 	q.changes = q.changes[n:]
 	for _, p := range taken {
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -67,7 +67,7 @@
 func (l *leadership) failPending() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, p := range l.queue.take(l.queue.len()) {
+	for _, p := range l.queue.takeAll() {
 		p.finish(fault.New(fault.NotLeader, "the leadership ended before the change was proposed"))
 	}
 }
@@ -124,7 +124,7 @@
 		NowUnixMs: l.server.config.UnixTime().UnixMilli(),
 		RetainMs:  l.server.config.Retain.Milliseconds(),
 	}}
-	next.changes = l.queue.take(maxBatchChanges)
+	next.changes = l.queue.take(maxBatchChanges, maxBatchBytes)
 	for _, p := range next.changes {
 		next.message.Changes = append(next.message.Changes, p.change)
 	}
@@ -169,12 +169,18 @@
 		return
 	}
 	starting := &api.JobBatch{NowUnixMs: next.message.NowUnixMs}
-	for _, start := range starts {
+	size := 0
+	for i, start := range starts {
+		if size > maxBatchBytes && start.Run.Task.GroupID() != starts[i-1].Run.Task.GroupID() {
+			l.signal() // the next round starts the others
+			break
+		}
 		change := &api.JobChange{Body: &api.JobChange_Start{
 			Start: &api.StartRun{
 				Run: start.Run.Ref(), Worker: start.Worker, Ticket: l.ticketOf(start), Vm: l.vmOf(start.Worker),
 			},
 		}}
+		size += proto.Size(change)
 		starting.Changes = append(starting.Changes, change)
 		next.changes = append(next.changes, &pendingChange{change: change})
 	}
--- a/replica/config.go
+++ b/replica/config.go
@@ -43,8 +43,9 @@
 	ticksPerHeartbeat      = 5
 )
 
-// MaxProposalBytes is the largest proposal.
-const MaxProposalBytes = 1 << 20
+// MaxProposalBytes is the largest proposal. It exceeds the largest configuration that
+// operators may send, which is encoded together with its parsed form.
+const MaxProposalBytes = 12 << 20
 
 func (c *Config) setDefaults() {
 	if c.Heartbeat == 0 {
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -231,3 +231,17 @@
 		}
 	}
 }
+
+// Guards against a proposal that is accepted and then fits into no message to the others.
+func TestTheLargestProposalIsReplicated(t *testing.T) {
+	hosts := startGroup(t, 3, nil)
+	leader := waitLeader(t, hosts)
+	mustPropose(t, leader, make([]byte, MaxProposalBytes))
+	for _, h := range hosts {
+		waitApplied(t, h, 1)
+	}
+	_, err := leader.replica.Propose(testContext(t), make([]byte, MaxProposalBytes+1))
+	if !fault.Is(err, fault.TooLarge) {
+		t.Errorf("a larger proposal: %v, want too-large", err)
+	}
+}
--- a/replica/service.go
+++ b/replica/service.go
@@ -24,6 +24,7 @@
 	return []grpc.ServerOption{
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
+		grpc.MaxRecvMsgSize(MaxProposalBytes + maxBatchBytes),
 	}
 }
 
