jobcontrol: planning keeps the batches that were outstanding as another failed

Cause: after a failed batch, the state that is planned on was reset to the committed one. Batches that were outstanding then, and committed later, were missing in it for good: runs that had ended counted as active, and the next group of their jobs was never ready. Evidence: the leader's summary shows 49 waiting tasks without an obstacle and 7 of 4,256 cores counted, for 45 s after one batch was refused as too large, in one term.

Change: after a failed batch nothing is planned until an empty batch is committed, which settles all before it; then the committed state replaces the assumed one. Agents are told the expected runs, as a batch that was given up may be committed after all, with starts that nobody was told of. Batches are given up by the time since their proposal.

TestPlanFollowsBatchesThatWereOutstandingWhenAnotherFailed fails before in both cases ("the agent was told of [] after the first group has ended"). TestBegunJobIsAddedAgainIfItIsNotCommitted loses only the batch with the news now: before, it also lost a later batch of the same term while others of it were committed, which an ordered log excludes. Its bound is as before. The stand-in for the replica commits in the order of the proposals.

--- a/jobcontrol/begun_test.go
+++ b/jobcontrol/begun_test.go
@@ -152,9 +152,11 @@
 		a.listRuns(jobs.RunID{Task: jobs.TaskID{Job: testJob}, Number: 1})
 		r.replica.set(func() { r.replica.cutOff = true })
 		a.report()
-		r.wait(commitTimeout)
 		r.replica.set(func() { r.replica.cutOff = false })
-		a.report()
+		for waited := time.Duration(0); waited <= commitTimeout; waited += time.Second {
+			r.wait(time.Second) // the agent reports on, and no other batch is lost
+			a.report()
+		}
 		r.wait(200 * time.Millisecond)
 		if answer := r.mustCall(look, testPath, nil, stateAnswer); answer.State != "running" {
 			t.Errorf("the job is %s, want running", answer.State)
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -16,7 +16,7 @@
 // results.
 func (l *leadership) completeBatches() {
 	for b := range l.inFlight {
-		ctx, cancel := context.WithTimeout(l.ctx, commitTimeout)
+		ctx, cancel := context.WithTimeout(l.ctx, b.timeout()-l.server.now().Sub(b.proposed))
 		data, err := b.wait(ctx)
 		cancel()
 		result := &api.JobBatchResult{}
@@ -30,7 +30,8 @@
 			klog.ErrorS(err, "Batch not committed", "changes", len(b.changes))
 			b.fail(err)
 			l.mu.Lock()
-			l.resetAssumed()
+			l.outstanding--
+			l.markAssumedStale()
 			l.requeueCrashes(b)
 			l.mu.Unlock()
 			continue
@@ -44,6 +45,11 @@
 func (l *leadership) deliverResults(b *batch, result *api.JobBatchResult) {
 	telemetry.JobBatchSeconds.Observe(l.server.now().Sub(b.proposed))
 	l.mu.Lock()
+	l.outstanding--
+	if b.barrier {
+		l.assumed, l.assumedStale = l.server.config.State.Clone(), false
+		l.sendExpectedRuns()
+	}
 	for i, p := range b.changes {
 		l.handleCommitted(p.change, jobs.ResultError(result.Results[i]))
 	}
@@ -55,6 +61,16 @@
 	l.signal()
 }
 
+// sendExpectedRuns makes every session send the runs that its agent has to know. A batch
+// whose commit was not known in time may be committed after all, and its starts have not
+// been sent: the agents fence them, so that their tasks start again. The lock is held.
+func (l *leadership) sendExpectedRuns() {
+	for _, session := range l.sessions {
+		session.sendExpected = true
+		session.signal()
+	}
+}
+
 // handleCommitted updates the leader's soft state for one committed change; err is
 // the result of the change. The lock is held.
 func (l *leadership) handleCommitted(change *api.JobChange, err error) {
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -30,6 +30,10 @@
 	index   uint64
 	cutOff  bool // from the quorum: it commits and confirms nothing
 
+	commitDelay time.Duration
+	lastCommit  time.Time // of all proposals so far; entries are applied in order
+	refusals    int       // number of proposals to refuse as too large
+
 	confirmDelay time.Duration // of a quorum confirmation
 	membersDelay time.Duration // of Members
 }
@@ -37,7 +41,7 @@
 func newFakeReplica(state *jobs.State) *fakeReplica {
 	return &fakeReplica{
 		state: state, changed: make(chan struct{}),
-		confirmDelay: time.Millisecond, status: replica.Status{ID: 1, Leader: 1, Term: 1, LeaderReady: true, LeaderSince: 1},
+		commitDelay: commitDelay, confirmDelay: time.Millisecond, status: replica.Status{ID: 1, Leader: 1, Term: 1, LeaderReady: true, LeaderSince: 1},
 	}
 }
 
@@ -47,11 +51,17 @@
 	if !f.status.LeaderReady {
 		return nil, fault.New(fault.NotLeader, "not leading")
 	}
+	if f.refusals > 0 {
+		f.refusals--
+		return nil, fault.New(fault.TooLarge, "the proposal is too large")
+	}
 	committed := make(chan []byte, 1)
 	if !f.cutOff {
 		f.index++
 		index := f.index
-		time.AfterFunc(commitDelay, func() { committed <- f.state.Apply(index, data) })
+		now := time.Now()
+		f.lastCommit = later(now.Add(f.commitDelay), f.lastCommit.Add(time.Nanosecond))
+		time.AfterFunc(f.lastCommit.Sub(now), func() { committed <- f.state.Apply(index, data) })
 	}
 	return func(ctx context.Context) ([]byte, error) {
 		select {
@@ -63,6 +73,13 @@
 	}, nil
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (f *fakeReplica) Propose(ctx context.Context, data []byte) ([]byte, error) {
 	wait, err := f.Enqueue(data)
 	if err != nil {
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -20,7 +20,9 @@
 	inFlight chan *batch   // proposed batches, in order
 
 	mu           sync.Mutex
-	assumed      *jobs.State
+	assumed      *jobs.State // committed state with the outstanding batches applied
+	assumedStale bool        // a batch has failed, so that it differs from that; see proposeBarrier
+	outstanding  int         // proposed batches whose results have not been handled
 	queue        changeQueue
 	workers      map[string]*workerView // latest incarnation by worker id
 	sessions     map[string]*session    // by agent
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -28,6 +28,15 @@
 	message  *api.JobBatch
 	changes  []*pendingChange
 	wait     func(context.Context) ([]byte, error)
+	barrier  bool // it has no changes; once it is committed, so are all batches before it that ever will be
+}
+
+// timeout returns how long after its proposal the batch is given up.
+func (b *batch) timeout() time.Duration {
+	if b.barrier {
+		return barrierTimeout
+	}
+	return commitTimeout
 }
 
 func (l *leadership) signal() {
@@ -120,10 +129,10 @@
 	l.dropCarried()
 	l.dropLostWorkers()
 	l.saveKnowledge()
-	next := &batch{message: &api.JobBatch{
-		NowUnixMs: l.server.config.UnixTime().UnixMilli(),
-		RetainMs:  l.server.config.Retain.Milliseconds(),
-	}}
+	if l.assumedStale {
+		return l.proposeBarrier()
+	}
+	next := l.newBatch()
 	next.changes = l.queue.take(maxBatchChanges, maxBatchBytes)
 	for _, p := range next.changes {
 		next.message.Changes = append(next.message.Changes, p.change)
@@ -144,6 +153,14 @@
 	return l.propose(next)
 }
 
+// newBatch returns a batch without changes.
+func (l *leadership) newBatch() *batch {
+	return &batch{message: &api.JobBatch{
+		NowUnixMs: l.server.config.UnixTime().UnixMilli(),
+		RetainMs:  l.server.config.Retain.Milliseconds(),
+	}}
+}
+
 // planStarts adds the starts planned on the assumed state to the batch, and applies
 // them to the assumed state. The lock is held.
 func (l *leadership) planStarts(next *batch) {
@@ -222,8 +239,20 @@
 	}
 }
 
+// proposeBarrier proposes an empty batch once no other batch is outstanding, and returns
+// nil before. Its commit shows which batches are committed: one whose commit is not known
+// precedes it in the log. Until then nothing is planned. The lock is held.
+func (l *leadership) proposeBarrier() *batch {
+	if l.outstanding > 0 {
+		return nil // the results wake the next round
+	}
+	next := l.newBatch()
+	next.barrier = true
+	return l.propose(next)
+}
+
 // propose appends the batch to the log. When that fails, it fails the batch's
-// changes, resets the assumed state and returns nil. The lock is held.
+// changes, marks the assumed state as stale and returns nil. The lock is held.
 func (l *leadership) propose(next *batch) *batch {
 	data, err := proto.Marshal(next.message)
 	if err != nil {
@@ -234,18 +263,21 @@
 	if err != nil {
 		klog.ErrorS(err, "Batch not proposed", "changes", len(next.changes))
 		next.fail(err)
-		l.resetAssumed()
+		l.markAssumedStale()
 		l.requeueCrashes(next)
 		return nil
 	}
+	l.outstanding++
 	next.proposed = l.server.now()
 	return next
 }
 
-// resetAssumed resets the assumed state to the committed one, after a batch whose
-// commit failed or is not known. The lock is held.
-func (l *leadership) resetAssumed() {
-	l.assumed = l.server.config.State.Clone()
+// markAssumedStale takes back the changes of a batch that failed. The committed state
+// stands in for the assumed one, and nothing is planned on it: it lacks the changes of
+// batches that are outstanding. The lock is held.
+func (l *leadership) markAssumedStale() {
+	l.assumed, l.assumedStale = l.server.config.State.Clone(), true
+	l.signal()
 }
 
 func (b *batch) fail(err error) {
