--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -39,8 +39,8 @@
 	current    *incarnation // nil until a worker has registered
 	leaving    bool         // the worker has deregistered
 	stopping   bool
-	sessions   int64     // number of sessions that were tried
-	term       uint64    // highest term of a leader that has answered
+	sessions   int64  // number of sessions that were tried
+	term       uint64 // highest term of a leader that has answered
 	sentStarts map[jobs.RunID]*sentStart
 	costs      *dispatch.Costs // interference costs that the leader has learned
 	healthPath string          // path of the worker's health check, empty for none
