jobcontrol: a new leader waits for learners before a voter leaves without a successor

What an operator would see: a control VM that leads is replaced as planned, and another one is lost right after: no service any more.

Cause: the voter that leaves has just handed the leadership over, so it asks a leader that was elected a moment ago and has heard of no learner yet. Load only makes the election and the request fall closer together.

Change: the answer waits while a learner is active, as the leader counts each member until it had an election timeout to answer, or while a replica asks to join. Without either it is given at once, as before.

The new TestVoterThatLeavesWaitsForASuccessorInSight fails before in two of its rows ("a learner that may still answer: the voter must stay: true, want false").

--- a/jobcontrol/memberplan.go
+++ b/jobcontrol/memberplan.go
@@ -72,8 +72,7 @@
 
 func (v memberView) addStep() memberStep {
 	for _, id := range slices.Sorted(maps.Keys(v.joining)) {
-		known := slices.ContainsFunc(v.members, func(m replica.MemberStatus) bool { return m.ID == id })
-		if !known {
+		if !v.isMember(id) {
 			return memberStep{kind: memberAdd, id: id, address: v.joining[id].address, reason: "it asked to join"}
 		}
 	}
@@ -115,9 +114,25 @@
 	return len(v.voting()) > v.voters || v.readyLearner() != 0
 }
 
-// mustStay reports whether a member can't leave the group: it has no successor.
+// mustStay reports whether a member can't leave the group: it has no successor and none
+// is in sight.
 func (v memberView) mustStay(id uint64) bool {
-	return !v.hasSuccessor() && slices.ContainsFunc(v.members, func(m replica.MemberStatus) bool { return m.ID == id })
+	return v.isMember(id) && !v.hasSuccessor() && !v.expectsSuccessor()
+}
+
+func (v memberView) isMember(id uint64) bool {
+	return slices.ContainsFunc(v.members, func(m replica.MemberStatus) bool { return m.ID == id })
+}
+
+// expectsSuccessor reports whether a learner may still turn out to have caught up. A new
+// leader counts every member as active until it has had the time to answer.
+func (v memberView) expectsSuccessor() bool {
+	for id := range v.joining {
+		if !v.isMember(id) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(v.members, func(m replica.MemberStatus) bool { return !m.Voter && m.Active })
 }
 
 // replaced reports whether another member is active at the address of a member.
--- a/jobcontrol/memberplan_test.go
+++ b/jobcontrol/memberplan_test.go
@@ -102,6 +102,34 @@
 	}
 }
 
+// Guards against a leader that refuses to replace a voter that leaves because no learner
+// has answered it yet: it was elected a moment ago, as the voter handed over to it.
+func TestVoterThatLeavesWaitsForASuccessorInSight(t *testing.T) {
+	voters := []replica.MemberStatus{leader(1, "a"), voter(2, "b", true), voter(3, "c", true)}
+	unheard := replica.MemberStatus{ID: 9, Address: "d", Active: true}
+	cases := []struct {
+		name    string
+		learner []replica.MemberStatus
+		joining map[uint64]joiner
+		stays   bool
+	}{
+		{"no learner", nil, nil, true},
+		{"a learner that has caught up", []replica.MemberStatus{learner(9, "d", true)}, nil, false},
+		{"a learner that may still answer", []replica.MemberStatus{unheard}, nil, false},
+		{"a learner that doesn't answer", []replica.MemberStatus{learner(9, "d", false)}, nil, true},
+		{"a joiner that becomes a learner", nil, map[uint64]joiner{9: {address: "d"}}, false},
+	}
+	for _, c := range cases {
+		view := memberView{
+			members: append(voters[:3:3], c.learner...), joining: c.joining, voters: 3,
+			silent: func(uint64) time.Duration { return 0 },
+		}
+		if stays := view.mustStay(3); stays != c.stays {
+			t.Errorf("%s: the voter must stay: %v, want %v", c.name, stays, c.stays)
+		}
+	}
+}
+
 // Guards against removing a voter that merely restarts, and keeping one that never comes
 // back, when both fall silent together: the replica that joins with an empty data folder
 // counts as proof against each voter that is silent for longer than it exists.
--- a/jobcontrol/members.go
+++ b/jobcontrol/members.go
@@ -91,7 +91,7 @@
 
 // Leave gives the seat of a voter that is about to stop to a learner that has caught
 // up, so that the group bears the next loss from that moment on. It answers at once
-// if there is none. Errors: fault.NotLeader, fault.CommitUnknown when ctx ends first.
+// if none has and none is in sight. Errors: fault.NotLeader, fault.CommitUnknown when ctx ends first.
 func (s *Server) Leave(ctx context.Context, request *api.LeaveRequest) (*api.LeaveAnswer, error) {
 	lead, err := s.currentLeadership()
 	if err != nil {
@@ -103,7 +103,10 @@
 		if err != nil {
 			return nil, s.toStatus(ctx, err)
 		}
-		view := memberView{members: s.members(), silent: func(uint64) time.Duration { return 0 }, voters: s.config.Voters}
+		view := memberView{
+			members: s.members(), joining: lead.joiners.current(s.now()), voters: s.config.Voters,
+			silent: func(uint64) time.Duration { return 0 },
+		}
 		if removed || view.mustStay(request.Id) {
 			return &api.LeaveAnswer{Removed: removed}, nil
 		}
