transport, entry, agent, controlnode: a listener that ends by itself ends its process

Change: transport.ServerErrors reports the first server that has ended by itself, and the programs end with that error. daemon.Servers uses it too.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -59,6 +59,7 @@
 	local         *http.Server
 	listener      net.Listener // for entries
 	localListener net.Listener
+	failed        transport.ServerErrors
 	cancel        context.CancelFunc
 	wait          sync.WaitGroup
 
@@ -79,7 +80,7 @@
 		listener.Close()
 		return nil, err
 	}
-	a := &Agent{config: config, listener: listener, localListener: localListener}
+	a := &Agent{config: config, listener: listener, localListener: localListener, failed: transport.NewServerErrors()}
 	if err := a.assemble(); err != nil {
 		listener.Close()
 		localListener.Close()
@@ -146,8 +147,8 @@
 func (a *Agent) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
-	a.goRun(func() { _ = a.server.Serve(a.listener) })
-	a.goRun(func() { _ = a.local.Serve(a.localListener) })
+	a.goRun(func() { a.failed.Serve("entries", a.listener, a.server.Serve) })
+	a.goRun(func() { a.failed.Serve("local calls", a.localListener, a.local.Serve) })
 	a.goRun(func() { a.registryLoop(ctx) })
 	a.goRun(func() { a.session.Run(ctx) })
 	klog.InfoS("Agent started", "vm", a.config.VM.Id, "zone", a.config.VM.Zone,
@@ -226,6 +227,9 @@
 	return err
 }
 
+// Failed returns a channel that receives why one of the listeners has ended by itself.
+func (a *Agent) Failed() <-chan error { return a.failed }
+
 // Kill stops the agent immediately, as a crash of its process would.
 func (a *Agent) Kill() { a.shutdown(a.server.Stop) }
 
--- a/cmd/paddle-agent/main.go
+++ b/cmd/paddle-agent/main.go
@@ -49,7 +49,12 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case err := <-started.Failed():
+		started.Kill()
+		return err
+	}
 	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	return started.Stop(stopping)
--- a/cmd/paddle-control/main.go
+++ b/cmd/paddle-control/main.go
@@ -54,6 +54,9 @@
 	}
 	select {
 	case <-ctx.Done():
+	case err := <-node.Failed():
+		node.Kill()
+		return err
 	case <-node.Replica().Failed():
 		// Its supervisor starts the process again; the data folder holds what is durable.
 		err := node.Replica().Err()
--- a/cmd/paddle-entry/main.go
+++ b/cmd/paddle-entry/main.go
@@ -55,7 +55,8 @@
 	if err != nil {
 		return err
 	}
-	stopMetrics, err := serveMetrics(s.Metrics, security, e)
+	failed := transport.NewServerErrors()
+	stopMetrics, err := serveMetrics(s.Metrics, security, e, failed)
 	if err != nil {
 		return err
 	}
@@ -64,14 +65,20 @@
 		return err
 	}
 	klog.InfoS("Entry serves callers", "address", e.Address().String(), "zone", s.Zone)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case err := <-e.Failed():
+		return err
+	case err := <-failed:
+		return err
+	}
 	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	return e.Stop(stopping)
 }
 
 // serveMetrics serves /metrics, /healthz and /readyz at address, if there is one.
-func serveMetrics(address string, security *transport.Security, e *entry.Entry) (stop func(), err error) {
+func serveMetrics(address string, security *transport.Security, e *entry.Entry, failed transport.ServerErrors) (stop func(), err error) {
 	if address == "" {
 		return func() {}, nil
 	}
@@ -86,6 +93,6 @@
 		return fault.New(fault.Draining, "no confirmed configuration yet, or stopping")
 	}
 	server := &http.Server{Handler: telemetry.Mux(ready), ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
+	go failed.Serve("metrics", listener, server.Serve)
 	return func() { server.Close() }, nil
 }
--- a/controlnode/controlnode.go
+++ b/controlnode/controlnode.go
@@ -47,6 +47,7 @@
 	server   *control.Server
 	grpc     *grpc.Server
 	operator *http.Server
+	failed   transport.ServerErrors
 	wait     sync.WaitGroup
 }
 
@@ -56,14 +57,14 @@
 	if err := openListeners(&config); err != nil {
 		return nil, err
 	}
-	n := &Node{config: config}
+	n := &Node{config: config, failed: transport.NewServerErrors()}
 	if err := n.assemble(); err != nil {
 		config.Listener.Close()
 		config.Operator.Close()
 		return nil, err
 	}
-	n.spawn(func() { _ = n.grpc.Serve(config.Listener) })
-	n.spawn(func() { _ = n.operator.Serve(config.Operator) })
+	n.spawn(func() { n.failed.Serve("agents, entries and replicas", config.Listener, n.grpc.Serve) })
+	n.spawn(func() { n.failed.Serve("operators", config.Operator, n.operator.Serve) })
 	n.server.Start()
 	klog.InfoS("Control replica started", "id", config.ID,
 		"address", config.Listener.Addr().String(), "operators", config.Operator.Addr().String())
@@ -168,6 +169,9 @@
 	}()
 }
 
+// Failed returns a channel that receives why one of the listeners has ended by itself.
+func (n *Node) Failed() <-chan error { return n.failed }
+
 // Replica returns the replica of the log.
 func (n *Node) Replica() *replica.Replica { return n.replica }
 
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -16,7 +16,7 @@
 type Servers struct {
 	Security *transport.Security
 	list     []namedServer
-	failed   chan error
+	failed   transport.ServerErrors
 }
 
 type namedServer struct {
@@ -40,7 +40,7 @@
 // Start opens all listeners and serves them. Error: fault.InvalidArgument when
 // one can't be opened.
 func (s *Servers) Start() error {
-	s.failed = make(chan error, len(s.list))
+	s.failed = transport.NewServerErrors()
 	for i, named := range s.list {
 		listener, err := s.Security.ListenHTTP(named.address)
 		if err != nil {
@@ -49,12 +49,7 @@
 			}
 			return fault.Wrap(fault.InvalidArgument, err, "listen for "+named.name)
 		}
-		go func() {
-			if err := named.server.Serve(listener); err != http.ErrServerClosed {
-				klog.ErrorS(err, "Listener ended", "server", named.name)
-				s.failed <- fault.Wrap(fault.Internal, err, "listener for "+named.name)
-			}
-		}()
+		go s.failed.Serve(named.name, listener, named.server.Serve)
 		klog.InfoS("Listening", "server", named.name, "address", named.address)
 	}
 	return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,8 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"amaranthpaddle/blob"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/transport"
@@ -69,6 +67,7 @@
 	recorder   *recorder
 	server     *http.Server
 	listener   net.Listener
+	failed     transport.ServerErrors
 
 	ctx        context.Context // canceled to stop background work
 	cancel     context.CancelFunc
@@ -94,6 +93,7 @@
 		linkBudget: newLinkBudget(config.LinkRate),
 		bodies:     newBodyHolders(),
 		recorder:   newRecorder(),
+		failed:     transport.NewServerErrors(),
 		ctx:        ctx,
 		cancel:     cancel,
 		stopping:   make(chan struct{}),
@@ -164,14 +164,13 @@
 		e.background.Go(func() { e.follow(first + i) })
 	}
 	e.background.Go(func() { e.report() })
-	e.background.Go(func() {
-		if err := e.server.Serve(listener); err != http.ErrServerClosed {
-			klog.ErrorS(err, "Listener for callers failed", "address", listener.Addr())
-		}
-	})
+	e.background.Go(func() { e.failed.Serve("callers", listener, e.server.Serve) })
 	return nil
 }
 
+// Failed returns a channel that receives why the listener for callers has ended by itself.
+func (e *Entry) Failed() <-chan error { return e.failed }
+
 // Address returns the listener's address after Start.
 func (e *Entry) Address() net.Addr { return e.listener.Addr() }
 
