jobcontrol: tasks whose workers went down together start again apart

Cause: tasks that were being started when several workers went down together were given different times for their next start only if the crash proved nothing. If it proved a little, they were held apart by a pause that depends on the number of crashes alone, the same for all, so tasks that crash their workers started and crashed together again and passed for a common cause.

Change: they are spread whatever the crash proved, and a pause that is longer already isn't shortened.

--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -87,7 +87,7 @@
 			Ran: ranBefore(c, i), Simultaneous: simultaneous, Workers: len(l.workers), Rate: rate, Others: l.otherSuspects(c, i),
 			SameVM: again,
 		}.Weaken(reported)
-		if weighed == api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN && reported >= api.CrashEvidence_CRASH_EVIDENCE_SUSPECT && simultaneous > 0 {
+		if reported >= api.CrashEvidence_CRASH_EVIDENCE_SUSPECT && simultaneous > 0 {
 			l.spread(jobs.RunIDOf(run).Task)
 		}
 		if weighed != api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN {
@@ -231,9 +231,12 @@
 	l.spreadSlot = (l.spreadSlot + 1) % spreadSlots
 }
 
-// pause lets a task wait before it starts again. The lock is held.
+// pause lets a task wait before it starts again, at least as long as it has to already.
+// The lock is held.
 func (l *leadership) pause(task jobs.TaskID, pause time.Duration) {
-	l.pausedUntil[task] = l.server.now().Add(pause)
+	if until := l.server.now().Add(pause); until.After(l.pausedUntil[task]) {
+		l.pausedUntil[task] = until
+	}
 }
 
 // holdApart lets a task on probation wait before it starts again. The lock is held.
