jobs, dispatch, jobcontrol: evidence against a task is weighed by what was tested

Cause: the assumed rate of crashes, one in 600 worker-seconds, outweighed the first 86 s of observation of seven workers that crash once in 8.4, so a crash passed for proof. And a bound on one task's evidence says nothing of how many tasks are tested: one in 250 innocent suspects met enough of it even with the right rate, of 1,500.

Change: the assumed rate weighs as much as ten worker-seconds; crashes that an earlier suspect explains don't count towards the rate; a crash under a lone suspect weighs its likelihood ratio, up to 10^4; the evidence that is asked for grows with the suspects of the last minute. Four recorded crashes always suffice, so the users' bound of two starts after three crashes stays.

TestOutagesWithinAMomentAreSimultaneous expected the rate after two crashes to be three times that after none, which was the too heavy assumption itself; it expects the observed rate within 2% now.

TestTaskIsGivenUpForWhatItsLeaderCallsConclusive needs the new fields.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
-	"slices"
+	"maps"
+	"math"
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 // WorkerCrashCase holds what is known when the crash of a worker is weighed as evidence
@@ -34,18 +36,63 @@
 	return 1 - spared
 }
 
+// Parameters of the weights.
+const (
+	weightUnit = 0.4 // decimal logarithm of the likelihood ratio of one unit
+	// maxSoleWeight bounds what one crash proves, as its likelihood ratio rests on a
+	// model of the crashes.
+	maxSoleWeight = 10
+	// wronglyBlamed is the number of innocent tasks that may be given up in
+	// outageRetention, in the mean.
+	wronglyBlamed = 0.01
+)
+
+// Weight returns what the crash adds to the suspicion against the run, in units of
+// weightUnit, if it supports evidence of a kind.
+func (c WorkerCrashCase) Weight(evidence api.CrashEvidence) int32 {
+	for _, level := range evidenceLevels {
+		if level.evidence != evidence {
+			continue
+		}
+		weight := level.weight
+		if evidence == api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT {
+			weight = max(weight, min(units(1/c.chance()), maxSoleWeight))
+		}
+		return weight
+	}
+	return 0
+}
+
+// ConclusiveSuspicion returns the suspicion from which a task is given up, in units of
+// weightUnit, while workers crashed under a number of tasks within outageRetention. The
+// number of innocent tasks that meet two more crashes by chance grows with the number of
+// suspects and with the square of that of crashes, which is in proportion to it. The crash
+// that makes a task a suspect proves nothing here.
+func ConclusiveSuspicion(suspects int) int32 {
+	if suspects == 0 {
+		return 0
+	}
+	const first = 4 // weight of the crash that makes a task a suspect
+	return first + units(math.Pow(float64(suspects), 3)/wronglyBlamed)
+}
+
+func units(likelihoodRatio float64) int32 {
+	return int32(math.Log10(likelihoodRatio) / weightUnit)
+}
+
 // evidenceLevel is a likelihood ratio from which on a crash supports evidence.
 type evidenceLevel struct {
 	ratio    float64
+	weight   int32 // least weight, in units of weightUnit
 	evidence api.CrashEvidence
 }
 
 // evidenceLevels are those that the weights of the evidence in the log stand for; see
 // jobs.Task.CrashProbability.
 var evidenceLevels = []evidenceLevel{
-	{250, api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT},
-	{40, api.CrashEvidence_CRASH_EVIDENCE_SUSPECT},
-	{16, api.CrashEvidence_CRASH_EVIDENCE_RECENT},
+	{250, 6, api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT},
+	{40, 4, api.CrashEvidence_CRASH_EVIDENCE_SUSPECT},
+	{16, 3, api.CrashEvidence_CRASH_EVIDENCE_RECENT},
 }
 
 // Weaken returns the evidence that the crash supports against the run, at most the
@@ -69,23 +116,26 @@
 // Outages keeps when workers went down. Times may be given in any order. It is not safe
 // for concurrent use.
 type Outages struct {
-	since   time.Time
-	down    map[string]time.Time // by worker's incarnation
-	crashes []time.Time
+	since    time.Time
+	down     map[string]time.Time      // by worker's incarnation
+	crashes  map[string]time.Time      // by worker's incarnation; without those that a suspect explains
+	suspects map[jobs.TaskID]time.Time // latest crash under each task
 }
 
 // Parameters of Outages.
 const (
 	outageRetention   = time.Minute
 	simultaneousRange = 100 * time.Millisecond // between the times of outages with one cause, as agents notice them
-	// A fleet that has just been observed counts as one with a crash in this many
-	// worker-seconds.
-	priorWorkerSeconds = 600
+	// What is assumed of a fleet before it is observed: one crash in 600 worker-seconds.
+	// It weighs as much as priorWorkerSeconds of observation, since fleets differ by
+	// orders of magnitude.
+	priorWorkerSeconds = 10
+	priorCrashes       = priorWorkerSeconds / 600.0
 )
 
 // NewOutages returns an Outages that observes from now on.
 func NewOutages(now time.Time) *Outages {
-	return &Outages{since: now, down: map[string]time.Time{}}
+	return &Outages{since: now, down: map[string]time.Time{}, crashes: map[string]time.Time{}, suspects: map[jobs.TaskID]time.Time{}}
 }
 
 // Note records that a worker's incarnation does not answer since a time, the zero time if
@@ -96,18 +146,35 @@
 		return
 	}
 	o.down[key] = since
-	for other, at := range o.down {
-		if now.Sub(at) > outageRetention {
-			delete(o.down, other)
-		}
-	}
+	dropOlder(o.down, now)
 }
 
 // Crash records that an incarnation crashed at a time.
 func (o *Outages) Crash(key string, at, now time.Time) {
 	o.Note(key, at, now)
-	o.crashes = append(o.crashes, at)
-	o.crashes = slices.DeleteFunc(o.crashes, func(at time.Time) bool { return now.Sub(at) > outageRetention })
+	o.crashes[key] = at
+	dropOlder(o.crashes, now)
+}
+
+// Suspect records the tasks that may have crashed an incarnation. If one of them was a
+// suspect before, it explains the crash, which then doesn't count towards the rate of
+// crashes that no task causes. At most half of the workers start a suspect at a time, so
+// innocent suspects hide at most half of that rate.
+func (o *Outages) Suspect(key string, tasks []jobs.TaskID, now time.Time) {
+	dropOlder(o.suspects, now)
+	for _, task := range tasks {
+		if _, before := o.suspects[task]; before {
+			delete(o.crashes, key)
+		}
+		o.suspects[task] = now
+	}
+}
+
+// Suspects returns the number of tasks under which workers crashed within outageRetention.
+func (o *Outages) Suspects() int { return len(o.suspects) }
+
+func dropOlder[Key comparable](times map[Key]time.Time, now time.Time) {
+	maps.DeleteFunc(times, func(_ Key, at time.Time) bool { return now.Sub(at) > outageRetention })
 }
 
 // Simultaneous returns the number of other incarnations that went down at about a time.
@@ -120,8 +187,15 @@
 	return others
 }
 
-// Rate returns the recent crashes per second of one of a number of workers.
+// Rate returns the recent crashes per second of one of a number of workers that no suspect
+// explains.
 func (o *Outages) Rate(workers int, now time.Time) float64 {
-	observed := min(now.Sub(o.since), outageRetention).Seconds()
-	return float64(1+len(o.crashes)) / (priorWorkerSeconds + float64(workers)*observed)
+	since := o.since
+	for _, at := range o.crashes {
+		if at.Before(since) {
+			since = at // agents report earlier crashes to a new leader
+		}
+	}
+	observed := min(now.Sub(since), outageRetention).Seconds()
+	return (priorCrashes + float64(len(o.crashes))) / (priorWorkerSeconds + float64(workers)*observed)
 }
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 const (
@@ -85,8 +86,8 @@
 	if got := o.Simultaneous("e@1", at(0)); got != 2 {
 		t.Errorf("%d outages at the same time, want 2", got)
 	}
-	if calm, crashed := NewOutages(start).Rate(11, at(60_000)), o.Rate(11, at(60_000)); crashed != 3*calm {
-		t.Errorf("rate %v after two crashes, %v after none, want three times as much", crashed, calm)
+	if got, want := o.Rate(11, at(60_000)), 2.0/(11*60.1); got < 0.98*want || got > 1.02*want {
+		t.Errorf("rate %v after two crashes of 11 workers in 60.1 s, want %v", got, want)
 	}
 	o.Crash("f@1", at(120_000), at(120_000))
 	if got := o.Simultaneous("e@1", at(0)); got != 0 {
@@ -94,6 +95,32 @@
 	}
 }
 
+// Guards against a fleet whose workers crash by themselves and that passes for a calm one,
+// so that each crash seems to prove much (review/5), and against tasks that crash their
+// workers and pass for such a fleet.
+func TestRateIsThatOfCrashesWhichNoSuspectExplains(t *testing.T) {
+	start := time.Unix(0, 0)
+	by, repeated := NewOutages(start), NewOutages(start)
+	now := start
+	for i := range 8 {
+		now = now.Add(1200 * time.Millisecond)
+		key := now.String()
+		by.Crash(key, now, now)
+		by.Suspect(key, []jobs.TaskID{{Job: "a", Index: int32(i)}}, now)
+		repeated.Crash(key, now, now)
+		repeated.Suspect(key, []jobs.TaskID{{Job: "a"}}, now)
+	}
+	if got, want := by.Rate(7, now), 1/8.4; got < 0.8*want || got > 1.2*want {
+		t.Errorf("rate %v, want %v: each of seven workers crashes every 8.4 s", got, want)
+	}
+	if got, want := repeated.Rate(7, now), 1/(7*9.6); got < 0.8*want || got > 1.2*want {
+		t.Errorf("rate %v, want %v: one task was a suspect of eight crashes", got, want)
+	}
+	if by.Suspects() != 8 || repeated.Suspects() != 1 {
+		t.Errorf("%d and %d suspects, want 8 and 1", by.Suspects(), repeated.Suspects())
+	}
+}
+
 func TestProbationPauseGrows(t *testing.T) {
 	var last time.Duration
 	for crashes := range 12 {
--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -78,21 +78,30 @@
 func (l *leadership) weighCrash(crash reportedCrash) {
 	c := crash.message
 	reported := l.weaken(c.Evidence)
+	var tasks []jobs.TaskID
+	for _, run := range c.Suspects {
+		tasks = append(tasks, jobs.RunIDOf(run).Task)
+	}
+	l.outages.Suspect(c.Worker, tasks, l.server.now())
+	conclusive := dispatch.ConclusiveSuspicion(l.outages.Suspects())
 	simultaneous, rate := l.outages.Simultaneous(c.Worker, crash.at), l.outages.Rate(len(l.workers), l.server.now())
 	klog.InfoS("Worker crashed", "worker", c.Worker, "suspects", len(c.Suspects), "evidence", jobs.EvidenceName(reported),
-		"ago_ms", c.AgoMs, "simultaneous", simultaneous, "workers", len(l.workers), "crashes_per_worker_hour", int(rate*3600))
+		"ago_ms", c.AgoMs, "simultaneous", simultaneous, "workers", len(l.workers), "crashes_per_worker_hour", int(rate*3600), "conclusive", conclusive)
 	for i, run := range c.Suspects {
 		_, again := l.crashedUnder[jobs.RunIDOf(run).Task][crash.agent]
-		weighed := dispatch.WorkerCrashCase{
+		weighing := dispatch.WorkerCrashCase{
 			Ran: ranBefore(c, i), Simultaneous: simultaneous, Workers: len(l.workers), Rate: rate, Others: l.otherSuspects(c, i),
 			SameVM: again,
-		}.Weaken(reported)
+		}
+		weighed := weighing.Weaken(reported)
 		if reported >= api.CrashEvidence_CRASH_EVIDENCE_SUSPECT && simultaneous > 0 {
 			l.spread(jobs.RunIDOf(run).Task)
 		}
 		if weighed != api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN {
 			l.noteCrashedUnder(jobs.RunIDOf(run).Task, crash.agent)
-			l.add(&api.JobChange{Body: &api.JobChange_Crash{Crash: &api.RunCrash{Run: run, Evidence: weighed}}})
+			l.add(&api.JobChange{Body: &api.JobChange_Crash{Crash: &api.RunCrash{
+				Run: run, Evidence: weighed, Weight: weighing.Weight(weighed), Conclusive: conclusive,
+			}}})
 		}
 	}
 }
--- a/jobs/state_test.go
+++ b/jobs/state_test.go
@@ -21,6 +21,8 @@
 	t     *testing.T
 	state *State
 	now   int64
+
+	weight, conclusive int32 // of the crashes in lose
 }
 
 func newFixture(t *testing.T) *fixture {
--- a/jobs/suspicion.go
+++ b/jobs/suspicion.go
@@ -10,17 +10,18 @@
 
 // Weights of the evidence that a task crashes its workers. A unit is a likelihood ratio of
 // 10^0.4, so a task that is given up has at least 10,000: with one in crashingTasks that
-// crash their workers, it is twice as likely that it does as that it doesn't. A crash
-// blames all runs that the worker was starting, so one crash is never enough; two are if
-// the second left no other suspect.
+// crash their workers, it is twice as likely that it does as that it doesn't. The leader
+// asks for more where it has tested many suspects, and weighs what it measures. A crash
+// blames all runs that the worker was starting, so one crash is never enough.
 const (
 	recentWeight      = 3
 	suspectWeight     = 4
 	soleSuspectWeight = 6
 
 	probationSuspicion = suspectWeight                     // from which a task starts apart from others
-	maxSuspicion       = suspectWeight + soleSuspectWeight // at which a task is given up
+	maxSuspicion       = suspectWeight + soleSuspectWeight // at which a task is given up, unless the leader asks for more
 	minCrashes         = 2                                 // before a task is given up
+	maxCrashes         = 4                                 // at which a task is given up whatever they weigh
 
 	// One of this many tasks is expected to crash its workers. With 1000, a crash that
 	// leaves 30 suspects or more put none of them on probation.
@@ -58,16 +59,20 @@
 		return fault.Newf(fault.Stale, "the crash under run %v is recorded, or says nothing of the task", run)
 	}
 	task.crashedRuns = append(task.crashedRuns, run.Number)
-	s.setSuspicion(job, task, task.suspicion+weightOf(c.Evidence))
-	if task.suspicion >= maxSuspicion && len(task.crashedRuns) >= minCrashes {
+	s.setSuspicion(job, task, task.suspicion+weightOf(c))
+	conclusive := task.suspicion >= max(maxSuspicion, c.Conclusive)
+	if crashes := len(task.crashedRuns); crashes >= minCrashes && conclusive || crashes >= maxCrashes {
 		job.CrashedBy = run.Ref()
 		s.finish(job, PhaseFailed)
 	}
 	return nil
 }
 
-func weightOf(evidence api.CrashEvidence) int32 {
-	switch evidence {
+func weightOf(c *api.RunCrash) int32 {
+	if c.Weight > 0 {
+		return c.Weight
+	}
+	switch c.Evidence {
 	case api.CrashEvidence_CRASH_EVIDENCE_RECENT:
 		return recentWeight
 	case api.CrashEvidence_CRASH_EVIDENCE_SUSPECT:
--- a/jobs/suspicion_test.go
+++ b/jobs/suspicion_test.go
@@ -37,7 +37,9 @@
 		return false
 	}
 	if evidence > silent {
-		f.mustApply(crashChange(run, evidence))
+		change := crashChange(run, evidence)
+		change.GetCrash().Weight, change.GetCrash().Conclusive = f.weight, f.conclusive
+		f.mustApply(change)
 		evidence = unknown
 	}
 	f.mustApply(lossChange(run, "w", evidence))
@@ -80,6 +82,26 @@
 	}
 }
 
+// Guards against a job that is given up after two crashes although its leader, which has
+// tested many suspects, asks for more.
+func TestTaskIsGivenUpForWhatItsLeaderCallsConclusive(t *testing.T) {
+	for _, c := range []struct {
+		weight, conclusive int32
+		crashes            int // that fail the job
+	}{{0, 0, 2}, {10, 20, 2}, {9, 20, 3}, {6, 18, 3}, {4, 13, 4}, {3, 40, 4}, {10, 0, 2}} {
+		f := newFixture(t)
+		f.submit(&api.TaskGroup{Count: 1})
+		f.weight, f.conclusive = c.weight, c.conclusive
+		crashes := 0
+		for crashes < 6 && f.lose(int32(crashes+1), sole) {
+			crashes++
+		}
+		if crashes != c.crashes {
+			t.Errorf("weight %d of %d: given up after %d crashes, want %d", c.weight, c.conclusive, crashes, c.crashes)
+		}
+	}
+}
+
 // Guards against evidence that is lost with the state of one leader.
 func TestSuspicionSurvivesSnapshot(t *testing.T) {
 	f := newFixture(t)
@@ -114,6 +136,7 @@
 		f.submit(&api.TaskGroup{Count: 1})
 		evidence := rapid.SliceOfN(rapid.SampledFrom([]api.CrashEvidence{recent, suspect, sole}), 6, 6).Draw(rt, "evidence")
 		evidence = slices.Insert(evidence, rapid.IntRange(0, 6).Draw(rt, "unknown at"), unknown)
+		f.weight, f.conclusive = rapid.Int32Range(0, 10).Draw(rt, "weight"), rapid.Int32Range(0, 40).Draw(rt, "conclusive")
 		starts := 0
 		for i, e := range evidence {
 			if f.lose(int32(i+1), e) {
