dispatch, jobcontrol: a crash right at the start of a run has a bounded weight

Cause: the time between start and crash comes in whole milliseconds, cut off, and 0 of them made the likelihood ratio infinite. Its conversion to an integer isn't defined: on arm64 it became the largest weight, on amd64 none. Found by reading.

Change: the ratio is bounded before the conversion, and the time counts a millisecond more.

TestOneCrashNeverWeighsMoreThanItsBound guards it; on arm64 it passes without the change too, by the saturating conversion.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -39,11 +39,11 @@
 // Parameters of the weights.
 const (
 	weightUnit = 0.4 // decimal logarithm of the likelihood ratio of one unit
-	// maxSoleWeight bounds what one crash proves, as its likelihood ratio rests on a
-	// model of the crashes.
-	maxSoleWeight = 10
-	// wronglyBlamed is the number of innocent tasks that may be given up in
-	// outageRetention, in the mean.
+	// maxSoleRatio bounds what one crash proves, as its likelihood ratio rests on a model
+	// of the crashes.
+	maxSoleRatio = 1e4
+	// wronglyBlamed bounds the mean number of innocent tasks that are given up in
+	// outageRetention.
 	wronglyBlamed = 0.01
 )
 
@@ -56,7 +56,7 @@
 		}
 		weight := level.weight
 		if evidence == api.CrashEvidence_CRASH_EVIDENCE_SOLE_SUSPECT {
-			weight = max(weight, min(units(1/c.chance()), maxSoleWeight))
+			weight = max(weight, units(min(1/c.chance(), maxSoleRatio)))
 		}
 		return weight
 	}
@@ -76,6 +76,7 @@
 	return first + units(math.Pow(float64(suspects), 3)/wronglyBlamed)
 }
 
+// units returns the weight of a finite likelihood ratio.
 func units(likelihoodRatio float64) int32 {
 	return int32(math.Log10(likelihoodRatio) / weightUnit)
 }
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// Guards against a weight that depends on the machine: the chance of a crash right at the
+// start of a run is 0, and the conversion of an infinite ratio isn't defined.
+func TestOneCrashNeverWeighsMoreThanItsBound(t *testing.T) {
+	for ran, want := range map[time.Duration]int32{0: 10, time.Millisecond: 10, 50 * time.Millisecond: 7, 200 * time.Millisecond: 6} {
+		if got := (WorkerCrashCase{Ran: ran, Workers: 7, Rate: 0.02}).Weight(sole); got != want {
+			t.Errorf("weight %d of a crash %v after the start, want %d", got, ran, want)
+		}
+	}
+}
+
 // More that went down, more crashes, more suspects or a longer time never make a crash
 // weigh more.
 func TestMoreOtherCausesNeverStrengthenEvidence(t *testing.T) {
--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -140,7 +140,7 @@
 	if suspect >= len(c.RanMs) {
 		return unknownRunAge
 	}
-	return time.Duration(c.RanMs[suspect]) * time.Millisecond
+	return time.Duration(c.RanMs[suspect]+1) * time.Millisecond // the agent cuts fractions off
 }
 
 // otherSuspects returns the probabilities of the other suspects of a crash that they crash
