jobcontrol: the empty batch after a failed one is given up as late as others

Cause: it was given up after 0.5 s and proposed again. While each commit takes longer than that, its result is never known, and the leader proposes nothing else: no submission is answered, nothing starts.

Change: it has the time of other batches. A leader that loses its quorum loses the lead meanwhile, which ends the wait.

TestPlanningGoesOnAfterAFailedBatchWhileCommitsAreSlow (commits of 0.7 s) fails before: the submission ends as commit-unknown after 5 s.

--- a/jobcontrol/batch_test.go
+++ b/jobcontrol/batch_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// Guards against a leader that plans nothing after a failed batch while each commit is
+// slow: the empty batch that settles the state was given up sooner than others.
+func TestPlanningGoesOnAfterAFailedBatchWhileCommitsAreSlow(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.replica.set(func() { r.replica.commitDelay, r.replica.refusals = 700*time.Millisecond, 1 })
+		_, _ = r.call(submit, "/q/00000000000000bb", oneTask())
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		for range 5 {
+			a.report()
+			r.wait(time.Second)
+		}
+		if told := a.toldRuns(); !slices.Contains(told, testRun) {
+			t.Errorf("the agent was told of %v in 5 s, want %v", told, testRun)
+		}
+	})
+}
+
 // toldRuns returns the runs that the directives since the last call order to start or
 // expect on the worker. An agent fences those that it doesn't know.
 func (a *fakeAgent) toldRuns() (runs []jobs.RunID) {
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -16,7 +16,7 @@
 // results.
 func (l *leadership) completeBatches() {
 	for b := range l.inFlight {
-		ctx, cancel := context.WithTimeout(l.ctx, b.timeout()-l.server.now().Sub(b.proposed))
+		ctx, cancel := context.WithTimeout(l.ctx, commitTimeout-l.server.now().Sub(b.proposed))
 		data, err := b.wait(ctx)
 		cancel()
 		result := &api.JobBatchResult{}
--- a/jobcontrol/config.go
+++ b/jobcontrol/config.go
@@ -59,7 +59,6 @@
 	maxBatchChanges   = 512                    // besides the starts that are planned on them
 	maxBatchBytes     = 256 << 10              // of the changes and again of the starts; a larger change is a batch of its own
 	commitTimeout     = 5 * time.Second        // for one batch; longer than an election
-	barrierTimeout    = 500 * time.Millisecond // for an empty batch, which can be repeated at no harm
 )
 
 func (c *Config) setDefaults() {
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -31,14 +31,6 @@
 	barrier  bool // it has no changes; once it is committed, so are all batches before it that ever will be
 }
 
-// timeout returns how long after its proposal the batch is given up.
-func (b *batch) timeout() time.Duration {
-	if b.barrier {
-		return barrierTimeout
-	}
-	return commitTimeout
-}
-
 func (l *leadership) signal() {
 	select {
 	case l.wake <- struct{}{}:
