jobcontrol, dispatch: crashes beside those of other workers count under a task

Cause: a crash in which another worker goes down at the same moment proves too little to be recorded, however often it happens under one task.

Change: unless more than half of the other workers went down too, the crash is recorded without weight, and four recorded crashes give a task up. Restarts of all workers still count nothing.

TestTaskThatCrashesWhileOthersGoDownIsStartedAtMostFiveTimes fails before (24 starts).

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -36,6 +36,13 @@
 	return 1 - spared
 }
 
+// FewSimultaneous reports whether some, but at most half, of the other workers went down
+// with this one. Such a crash may prove nothing, yet it counts as one under its suspects:
+// tasks that crash their workers together are bounded by their number of crashes.
+func (c WorkerCrashCase) FewSimultaneous() bool {
+	return c.Simultaneous > 0 && 2*c.Simultaneous <= c.Workers-1
+}
+
 // Parameters of the weights.
 const (
 	weightUnit = 0.4 // decimal logarithm of the likelihood ratio of one unit
--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -97,8 +97,11 @@
 		if reported >= api.CrashEvidence_CRASH_EVIDENCE_SUSPECT && simultaneous > 0 {
 			l.spread(jobs.RunIDOf(run).Task)
 		}
-		if weighed != api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN {
+		proved := weighed != api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
+		if proved {
 			l.noteCrashedUnder(jobs.RunIDOf(run).Task, crash.agent)
+		}
+		if proved || reported >= api.CrashEvidence_CRASH_EVIDENCE_SUSPECT && weighing.FewSimultaneous() {
 			l.add(&api.JobChange{Body: &api.JobChange_Crash{Crash: &api.RunCrash{
 				Run: run, Evidence: weighed, Weight: weighing.Weight(weighed), Conclusive: conclusive,
 			}}})
--- a/jobcontrol/crashes_test.go
+++ b/jobcontrol/crashes_test.go
@@ -347,6 +347,33 @@
 	}
 }
 
+// Load pattern: whenever a task crashes its worker, one of the two other workers goes down
+// at that moment. Guards against a task that is started for ever, since no such crash
+// proves anything (soak, seeds 1626, 5004 and 5033).
+func TestTaskThatCrashesWhileOthersGoDownIsStartedAtMostFiveTimes(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		agents := []*fakeAgent{r.connect("a"), r.connect("b"), r.connect("c")}
+		r.mustCall(submit, "/q/"+crashingJob, oneTask(), accepted)
+		starts := 0
+		for range 30 {
+			for a, started := range r.letStartingWorkersGoDown(agents) {
+				starts++
+				other := agents[(slices.Index(agents, a)+1)%len(agents)]
+				other.down = a.down
+				other.report()
+				r.wait(300 * time.Millisecond)
+				a.crash(started...)
+				other.crash()
+			}
+			r.wait(time.Second)
+		}
+		if starts > 5 {
+			t.Errorf("%d starts, want at most two after three crashes", starts)
+		}
+	})
+}
+
 // letStartingWorkersGoDown lets each worker go down that has been ordered to start a run,
 // and returns these runs.
 func (r *rig) letStartingWorkersGoDown(agents []*fakeAgent) map[*fakeAgent][]jobs.RunID {
