--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -49,8 +49,8 @@
 	// maxSoleRatio bounds what one crash proves, as its likelihood ratio rests on a model
 	// of the crashes.
 	maxSoleRatio = 1e4
-	// wronglyBlamed bounds the mean number of innocent tasks that are given up in
-	// outageRetention.
+	// wronglyBlamed is the number of innocent tasks in outageRetention for which the evidence
+	// is scaled. It is an estimate, no proven bound: crashes may depend on each other.
 	wronglyBlamed = 0.01
 )
 
