jobcontrol: test agent sends its first report before the session is served

Cause: the agent of the tests' harness started the handler and sent its first report afterwards. A handler that refuses at once, as TestSessionWaitsForTheElection asks in its case "another leader", ends the stream; when it did so before the report was sent, the harness's select had two ready branches and ended the test with "the session has ended" in half of these cases. The product did what the test asks.

Change: the first report is queued before the handler runs, as gRPC does with a client's first message. What the tests check is unchanged.

--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -297,14 +297,20 @@
 		directives: make(chan *api.WorkerDirective, 256), ended: make(chan error, 1),
 	}
 	stream := a.stream
+	a.send(nil) // first, since a refusal ends the stream
 	go func() {
 		defer cancel() // as gRPC does when a handler returns
 		stream.ended <- a.r.server.drive(stream)
 	}()
-	a.report()
+	a.r.wait(50 * time.Millisecond)
 }
 
 func (a *fakeAgent) report(ends ...*api.WorkerEnd) {
+	a.send(ends)
+	a.r.wait(50 * time.Millisecond)
+}
+
+func (a *fakeAgent) send(ends []*api.WorkerEnd) {
 	a.sequence++
 	report := &api.WorkerReport{
 		Sequence: a.sequence, Agent: a.name, Ends: ends, Crashes: a.crashes, Unreachable: a.unreachable,
@@ -327,7 +333,6 @@
 	case <-a.stream.ctx.Done():
 		a.r.t.Fatal("the session has ended")
 	}
-	a.r.wait(50 * time.Millisecond)
 }
 
 // drainDirectives returns the content of the directives received since the last
