jobagent: a call without an answer keeps its slot for 120 ms

Cause: an agent makes at most 16 calls to its worker at a time. While the worker leaves calls unanswered, each kept its slot for up to 800 ms, so further starts and stops waited for slots in which nothing happened.

Change: a call keeps its slot for 120 ms at most, the time after which its answer is overdue. The number of calls stays bounded by the runs that the leader orders.

TestCallsWithoutAnAnswerDoNotDelayOtherStarts fails before.

--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -52,6 +52,7 @@
 	maxStartTimeout   = 800 * time.Millisecond // the run is fenced afterwards, also without a list
 	stopTimeout       = 800 * time.Millisecond
 	minCallTimeout    = 120 * time.Millisecond // of the first attempt of a call that may be repeated
+	slotTimeout       = startTimeout           // longest time for which a call keeps its slot
 	pollMargin        = 600 * time.Millisecond // added to the long-poll wait to give the timeout of a poll; highest timeout of one that does not wait
 	maxPollWait       = 1000 * time.Millisecond
 	colocatedPollWait = 400 * time.Millisecond // shorter than the interval over which the worker measures usage
@@ -64,7 +65,7 @@
 const defaultLeaseLimit = 10 * time.Second
 
 // MaxConcurrentCalls is the maximum number of concurrent calls to the worker, not
-// counting the long poll.
+// counting the long poll and calls without an answer for slotTimeout.
 const MaxConcurrentCalls = 16
 
 // minClockRate is the lowest rate of a worker's clock relative to the agent's:
--- a/jobagent/crash.go
+++ b/jobagent/crash.go
@@ -162,10 +162,14 @@
 // on probation, so that this is known before the next list. The pace of a best-effort
 // run is left to setPaces.
 func (w *incarnation) confirmStart(id jobs.RunID, r *run) {
-	if r.order.BestEffort || !timing.Sleep(w.ctx, minStartTime) || !w.acquire() {
+	if r.order.BestEffort || !timing.Sleep(w.ctx, minStartTime) {
 		return
 	}
-	defer w.release()
+	release := w.acquire()
+	if release == nil {
+		return
+	}
+	defer release()
 	w.agent.mu.Lock()
 	target, fence, at := w.target(), w.fence(), w.agent.config.Clock()
 	w.agent.mu.Unlock()
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -152,25 +153,30 @@
 	w.agent.wg.Go(func() { w.startRun(id, r) })
 }
 
-// acquire waits for a slot for a call to the worker. It returns false when the
-// incarnation has ended.
-func (w *incarnation) acquire() bool {
+// acquire waits for a slot for a call to the worker. It returns the function that
+// releases the slot, or nil when the incarnation has ended. The slot is released after
+// slotTimeout at the latest, so that calls without an answer don't delay others.
+func (w *incarnation) acquire() (release func()) {
 	select {
 	case w.callSlots <- struct{}{}:
-		return true
+		free := sync.OnceFunc(func() { <-w.callSlots })
+		timer := time.AfterFunc(slotTimeout, free)
+		return func() {
+			timer.Stop()
+			free()
+		}
 	case <-w.ctx.Done():
-		return false
+		return nil
 	}
 }
 
-func (w *incarnation) release() { <-w.callSlots }
-
 // startRun sends the start of a run to the worker and handles the result.
 func (w *incarnation) startRun(id jobs.RunID, r *run) {
-	if !w.acquire() {
+	release := w.acquire()
+	if release == nil {
 		return
 	}
-	defer w.release()
+	defer release()
 	a := w.agent
 	a.mu.Lock()
 	request, refusal := w.startRequest(id, r)
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -366,10 +366,11 @@
 func cores(milliCPU int64) float64 { return float64(milliCPU) / 1000 }
 
 func (w *incarnation) callPace(id jobs.RunID, percent int) {
-	if !w.acquire() {
+	release := w.acquire()
+	if release == nil {
 		return
 	}
-	defer w.release()
+	defer release()
 	w.agent.mu.Lock()
 	target, fence := w.target(), w.fence()
 	w.agent.mu.Unlock()
--- a/jobagent/stop.go
+++ b/jobagent/stop.go
@@ -57,10 +57,11 @@
 }
 
 func (w *incarnation) callStop(id jobs.RunID, timeout time.Duration) error {
-	if !w.acquire() {
+	release := w.acquire()
+	if release == nil {
 		return fault.New(fault.Canceled, "the worker incarnation has ended")
 	}
-	defer w.release()
+	defer release()
 	w.agent.mu.Lock()
 	target, fence := w.target(), w.fence()
 	w.agent.mu.Unlock()
--- a/jobagent/unanswered_test.go
+++ b/jobagent/unanswered_test.go
@@ -142,3 +142,21 @@
 		})
 	}
 }
+
+// Guards against starts that wait while all slots are held by calls that get no answer.
+func TestCallsWithoutAnAnswerDoNotDelayOtherStarts(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.serve(20 * time.Second)
+		r.worker.set(func() { r.worker.hang = true })
+		for i := range MaxConcurrentCalls {
+			r.start(jobs.RunID{Task: jobs.TaskID{Job: "unanswered", Index: int32(i)}, Number: 1})
+		}
+		r.wait(startTimeout + 10*time.Millisecond)
+		r.worker.set(func() { r.worker.hang = false })
+		r.start(testRun(1))
+		r.wait(10 * time.Millisecond)
+		if !r.worker.isRunning(testRun(1)) {
+			t.Error("a start is still waiting for a slot")
+		}
+	})
+}
