jobagent: a burst of unanswered starts lengthens their time-out once

Cause: each start without an answer doubled the time-out of later ones, up to 800 ms, also when several were sent under the same time-out. Two or three of a burst were enough for the longest, until a start was answered within 120 ms.

Change: starts sent after the one that went unanswered get twice its time-out, as a retransmission timer backs off once per round trip.

TestUnansweredBurstOfStartsLengthensTheTimeoutOnce fails before.

--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -193,6 +193,7 @@
 	defer cancel()
 	r.cancelStart = cancel
 	checkAfter := w.startTimeout
+	r.times.checkAfter = checkAfter
 	a.mu.Unlock()
 	defer time.AfterFunc(checkAfter, func() { w.checkStart(r) }).Stop()
 	sent := time.Now()
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -227,9 +227,10 @@
 		switch {
 		case running[id]:
 		case r.phase == runStarting && r.overduePoll > 0 && poll >= r.overduePoll:
-			// The worker answers calls, but not this one. It may need longer for starts.
+			// The worker answers calls, but not this one. It may need longer for starts. Starts
+			// that were sent at the same time lengthen the time-out once.
 			r.cancelStart()
-			w.startTimeout = min(2*w.startTimeout, maxStartTimeout)
+			w.startTimeout = max(w.startTimeout, min(2*r.times.checkAfter, maxStartTimeout))
 		case r.phase == runFencing && r.conclusivePoll > 0 && poll >= r.conclusivePoll:
 			w.finish(id, api.RunOutcome_RUN_OUTCOME_LOST, "", "the worker does not know the run and never will", 0)
 		case r.phase == runRunning && !r.stopping && (r.listedOnce || r.acceptedPoll > 0 && poll >= r.acceptedPoll):
--- a/jobagent/unanswered.go
+++ b/jobagent/unanswered.go
@@ -18,14 +18,15 @@
 type startTimes struct {
 	ordered       time.Time
 	sent          time.Time
-	fenced        time.Time // when the missing answer was given up
+	checkAfter    time.Duration // after sent, unless it is answered by then
+	fenced        time.Time     // when the missing answer was given up
 	stopConfirmed time.Time
 	stopCalls     int
 }
 
 // checkStart requests a list if a start has not been answered in time. A run in it has
-// begun, and one that is missing is fenced. The time doubles with each such start, up to
-// maxStartTimeout, until one is answered within startTimeout: a worker may answer polls
+// begun, and one that is missing is fenced. The starts sent afterwards have twice that time,
+// up to maxStartTimeout, until one is answered within startTimeout: a worker may answer polls
 // sooner than starts.
 func (w *incarnation) checkStart(r *run) {
 	w.agent.mu.Lock()
--- a/jobagent/unanswered_test.go
+++ b/jobagent/unanswered_test.go
@@ -160,3 +160,19 @@
 		}
 	})
 }
+
+// Guards against a time-out of starts that doubles with each start of a burst: the next
+// start kept its room and its task for the longest time-out.
+func TestUnansweredBurstOfStartsLengthensTheTimeoutOnce(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.serve(20 * time.Second)
+		r.worker.set(func() { r.worker.delayStarts = true })
+		for i := range MaxConcurrentCalls {
+			r.start(jobs.RunID{Task: jobs.TaskID{Job: "burst", Index: int32(i)}, Number: 1})
+		}
+		r.wait(maxSettleTime)
+		r.start(testRun(1))
+		r.wait(maxSettleTime)
+		r.wantOutcome(testRun(1), lost)
+	})
+}
