jobcontrol: operators' orders that a newer one may have overtaken are refused

Callers saw: a zone that is evacuated, with an acknowledgement, opens again (EVAC). An operator had sent an order to a VM that was frozen, closed the connection, and sent it and newer ones through another VM; the first carried it out as it woke.

Cause: orders on zones carry no version. A replica forwarded whatever it found in its sockets; only the end of the connection, noticed in another goroutine, could stop it, and nothing told the leader how old the order was.

A forwarded order carries the log index that its reader had applied, and the leader refuses it when it is proposed if another order on its zone was applied since or is outstanding. Orders whose caller has left are not proposed.

--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -31,6 +31,7 @@
 			b.fail(err)
 			l.mu.Lock()
 			l.outstanding--
+			l.zoneOrders.settle(b.changes, l.server.appliedIndex())
 			l.markAssumedStale()
 			l.requeueCrashes(b)
 			l.mu.Unlock()
@@ -46,6 +47,7 @@
 	telemetry.JobBatchSeconds.Observe(l.server.now().Sub(b.proposed))
 	l.mu.Lock()
 	l.outstanding--
+	l.zoneOrders.settle(b.changes, l.server.appliedIndex())
 	if b.barrier {
 		l.assumed, l.assumedStale = l.server.config.State.Clone(), false
 		l.sendExpectedRuns()
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -96,8 +96,9 @@
 		<-ctx.Done()
 		return 0, fault.New(fault.NoQuorum, "cut off")
 	}
+	index := f.state.Applied()
 	time.Sleep(delay)
-	return 0, nil
+	return index, nil
 }
 
 func (f *fakeReplica) Status() replica.Status {
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -22,7 +22,8 @@
 	mu           sync.Mutex
 	assumed      *jobs.State // committed state with the outstanding batches applied
 	assumedStale bool        // a batch has failed, so that it differs from that; see proposeBarrier
-	outstanding  int         // proposed batches whose results have not been handled
+	zoneOrders   zoneOrders
+	outstanding  int // proposed batches whose results have not been handled
 	queue        changeQueue
 	workers      map[string]*workerView // latest incarnation by worker id
 	sessions     map[string]*session    // by agent
@@ -77,6 +78,7 @@
 		inFlight: make(chan *batch, maxInFlight),
 
 		assumed:      server.config.State.Clone(),
+		zoneOrders:   newZoneOrders(server.appliedIndex()),
 		workers:      map[string]*workerView{},
 		sessions:     map[string]*session{},
 		crashes:      map[string]workerCrash{},
--- a/jobcontrol/operate.go
+++ b/jobcontrol/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
@@ -9,8 +10,9 @@
 )
 
 // Operate commits an operator's order at the leader. An order that was accepted
-// before is acknowledged again. Errors: fault.InvalidArgument; fault.NotLeader and
-// fault.NoQuorum when nothing was done; fault.CommitUnknown when it may take effect.
+// before is acknowledged again. Errors: fault.InvalidArgument; fault.Stale for one that a
+// newer order may have overtaken; fault.NotLeader and fault.NoQuorum when nothing was done;
+// fault.CommitUnknown when it may take effect.
 func (s *Server) Operate(ctx context.Context, order *api.OperatorOrder) (*api.OperatorAnswer, error) {
 	answer, err := s.operate(ctx, order)
 	if err != nil {
@@ -41,12 +43,42 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := lead.commit(ctx, change); err != nil {
+	if err := lead.commitOrder(ctx, change, order.SeenIndex); err != nil {
 		return nil, err
 	}
 	return &api.OperatorAnswer{}, nil
 }
 
+// dropOvertaken takes operators' orders out of a batch that is about to be proposed: those
+// whose caller has left, and those on a zone that would undo an order which may be newer.
+// The lock is held.
+func (l *leadership) dropOvertaken(next *batch) {
+	zonesOut := map[string]bool{} // of the changes that stay in the batch
+	next.changes = slices.DeleteFunc(next.changes, func(p *pendingChange) bool {
+		if p.caller == nil {
+			return false
+		}
+		if p.caller.Err() != nil {
+			p.finish(fault.Wrap(fault.Canceled, p.caller.Err(), "the order was not proposed"))
+			return true
+		}
+		order := p.change.GetZone()
+		if order == nil {
+			return false
+		}
+		out, batched := zonesOut[order.Zone]
+		if !batched {
+			l.assumed.Read(func(view jobs.View) { out = view.ZoneOut(order.Zone) })
+		}
+		if out != order.Out && (l.zoneOrders.overtaken(order.Zone, p.seen) || batched && p.seen > 0) {
+			p.finish(fault.Newf(fault.Stale, "zone %s may have been ordered otherwise after index %d", order.Zone, p.seen))
+			return true
+		}
+		zonesOut[order.Zone] = order.Out
+		return false
+	})
+}
+
 // Configuration returns the configuration in force, confirmed by a quorum. It works
 // on any replica. Errors: fault.NotLeader, fault.NoQuorum; fault.NotFound before the
 // first configuration.
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -20,6 +20,9 @@
 type pendingChange struct {
 	change *api.JobChange
 	done   chan error // buffered for one result; nil when no caller waits
+
+	caller context.Context // of an operator's order, which is not proposed once its caller has left; nil for others
+	seen   uint64          // index up to which the reader of an operator's order had applied the log; 0 when unknown
 }
 
 // batch is a set of changes that are proposed as one log entry.
@@ -47,7 +50,18 @@
 // fault.NotLeader when it was not proposed; fault.CommitUnknown when it may still be
 // committed.
 func (l *leadership) commit(ctx context.Context, change *api.JobChange) error {
-	p := &pendingChange{change: change, done: make(chan error, 1)}
+	return l.commitPending(ctx, &pendingChange{change: change})
+}
+
+// commitOrder commits an operator's order as commit does. Its reader had applied the log
+// up to the index seen. Further error: fault.Stale when another order on its zone may
+// have been carried out since; the order is not carried out.
+func (l *leadership) commitOrder(ctx context.Context, change *api.JobChange, seen uint64) error {
+	return l.commitPending(ctx, &pendingChange{change: change, caller: ctx, seen: seen})
+}
+
+func (l *leadership) commitPending(ctx context.Context, p *pendingChange) error {
+	p.done = make(chan error, 1)
 	l.mu.Lock()
 	if l.ctx.Err() != nil {
 		l.mu.Unlock()
@@ -126,6 +140,7 @@
 	}
 	next := l.newBatch()
 	next.changes = l.queue.take(maxBatchChanges, maxBatchBytes)
+	l.dropOvertaken(next)
 	for _, p := range next.changes {
 		next.message.Changes = append(next.message.Changes, p.change)
 	}
@@ -260,6 +275,7 @@
 		return nil
 	}
 	l.outstanding++
+	l.zoneOrders.propose(next.changes)
 	next.proposed = l.server.now()
 	return next
 }
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -13,6 +13,7 @@
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/replica"
+	"amaranthpaddle/timing"
 )
 
 // Server is the submitted-jobs service of one control replica.
@@ -27,6 +28,8 @@
 	mu   sync.Mutex
 	lead *leadership // nil while this replica is not the leader
 
+	pauses *timing.PauseWatch
+
 	leadChanged chan struct{} // closed when lead changes
 	leaders     leaderWatch
 	stopped     <-chan struct{}
@@ -38,6 +41,7 @@
 	return &Server{
 		config:    config,
 		confirmer: replica.NewConfirmer(config.Replica, confirmInterval, config.Clock),
+		pauses:    timing.NewPauseWatch(config.Clock),
 
 		leadChanged: make(chan struct{}),
 	}
@@ -51,6 +55,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stop, s.stopped = cancel, ctx.Done()
 	s.done.Go(func() { s.watchLeader(ctx) })
+	s.done.Go(func() { s.pauses.Run(ctx) })
 	s.done.Go(func() { replica.FollowLeadership(ctx, s.config.Replica, s.leadTerm) })
 }
 
@@ -162,4 +167,10 @@
 	return err
 }
 
+// appliedIndex returns an index up to which the log is applied here. It includes the
+// entry of every result that was delivered before.
+func (s *Server) appliedIndex() uint64 {
+	return max(s.config.State.Applied(), s.config.Replica.Status().Applied)
+}
+
 func (s *Server) now() time.Time { return s.config.Clock() }
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -16,7 +16,8 @@
 type State struct {
 	mu sync.RWMutex
 
-	nowMS         int64 // clock of the log, monotonic
+	applied       uint64 // index of the last entry applied to this state; not part of snapshots
+	nowMS         int64  // clock of the log, monotonic
 	configuration *api.JobConfiguration
 	queues        map[string]*api.JobQueue // of the configuration, by key
 	zonesOut      map[string]bool
@@ -57,7 +58,10 @@
 }
 
 // Apply applies a committed api.JobBatch and returns an encoded api.JobBatchResult.
-func (s *State) Apply(_ uint64, data []byte) []byte {
+func (s *State) Apply(index uint64, data []byte) []byte {
+	s.mu.Lock()
+	s.applied = index
+	s.mu.Unlock()
 	batch := &api.JobBatch{}
 	if err := proto.Unmarshal(data, batch); err != nil {
 		// The result is empty on every replica: all reject the same bytes.
@@ -70,6 +74,14 @@
 	return result
 }
 
+// Applied returns the index of the last entry that Apply was called with, 0 before the
+// first one.
+func (s *State) Applied() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.applied
+}
+
 // ApplyBatch applies the changes of a batch in order.
 func (s *State) ApplyBatch(batch *api.JobBatch) *api.JobBatchResult {
 	s.mu.Lock()
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -76,6 +76,7 @@
 	JobReservations    = Metric{"paddle_jobs_reservations_total", []string{"event"}}
 	JobTasksBackfilled = Metric{"paddle_jobs_tasks_backfilled_total", nil}
 	JobPartialFits     = Metric{"paddle_jobs_partial_fits_total", nil}
+	JobOrdersRefused   = Metric{"paddle_jobs_orders_refused_total", []string{"reason"}}
 	JobsRefused        = Metric{"paddle_jobs_refused_total", []string{"reason"}}
 	// JobRecovery is a histogram of the waits between a change of leader and the end
 	// of the recovery.
@@ -89,7 +90,7 @@
 		TaskStarts, AgentTasks, AgentRevision,
 		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobZoneWait, JobRunTimesSaved, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobRunsOffShrunk,
 		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobFleet,
-		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled, JobPartialFits,
+		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled, JobPartialFits, JobOrdersRefused,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds, JobAgentUnanswered, JobAgentCrossedStarts,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
