--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -45,11 +45,18 @@
 	{"restart a worker under held calls", 3, (*run).restartUnderHeldCalls},
 }
 
+// orderKinds are the faults around series of operators' orders. They are played alone: a zone
+// is out of service most of the time.
+var orderKinds = []kind{
+	{"pause around orders", 1, (*run).pauseAroundOrders},
+}
+
 // Lengths and pauses of faults, in ms.
 const (
 	shortestFault, longestFault = 100, 4000
 	shortestGap, longestGap     = 100, 1600
 	longestRestartGap           = 3000
+	longestOrderGap             = 4000
 )
 
 // Times of restarts, in ms. Calls that are held back are carried out up to
@@ -63,15 +70,18 @@
 // the replica that joined in place of the last one.
 const wipeGap = 15 * time.Second
 
-// disturbAll inflicts the faults of both schedules, or of the one that is chosen, for a time.
+// disturbAll inflicts the faults of the chosen schedules for a time.
 func (r *run) disturbAll(d time.Duration, faults string) {
 	var schedules sync.WaitGroup
-	if faults != restartFaults {
+	if faults == allFaults || faults == generalFaults {
 		schedules.Go(func() { r.disturb(d, kinds, longestGap, r.random) })
 	}
-	if faults != generalFaults {
+	if faults == allFaults || faults == restartFaults {
 		schedules.Go(func() { r.disturb(d, restartKinds, longestRestartGap, r.restarts) })
 	}
+	if faults == orderFaults {
+		schedules.Go(func() { r.disturb(d, orderKinds, longestOrderGap, r.orders) })
+	}
 	schedules.Wait()
 }
 
@@ -292,21 +302,60 @@
 }
 
 func (r *run) takeZoneOut(lasts time.Duration) (string, func()) {
-	zone := fmt.Sprintf("z%d", r.random.IntN(workers))
+	zone := r.random.IntN(workers)
 	operator := newOperator(r.random.Uint64(), r.operators, r.check)
-	return zone, func() {
-		stop := make(chan struct{})
-		timer := time.AfterFunc(10*time.Second, func() { close(stop) })
-		defer timer.Stop()
-		if operator.setZone(zone, true, stop) {
-			r.mu.Lock()
-			r.zonesOut[zone] = time.Now()
-			r.mu.Unlock()
-			time.Sleep(2 * lasts)
+	return zoneName(zone), func() { r.evacuate(zone, operator, 2*lasts, nothing) }
+}
+
+// pauseAroundOrders takes an evacuated zone back and evacuates it again, repeatedly, while a
+// control process is paused.
+func (r *run) pauseAroundOrders(lasts time.Duration) (string, func()) {
+	zone, p := r.orders.IntN(workers), r.control[r.orders.IntN(controls)]
+	operator := newOperator(r.orders.Uint64(), r.operators, r.check)
+	series := func() {
+		p.noteFault()
+		p.signal(syscall.SIGSTOP)
+		var resumed sync.WaitGroup
+		resumed.Go(func() {
+			time.Sleep(shortestOrderPause + lasts/2)
+			p.signal(syscall.SIGCONT)
+			p.noteFault()
+		})
+		for range 2 {
+			operator.setZone(zoneName(zone), false, nil)
+			operator.setZone(zoneName(zone), true, nil)
 		}
+		resumed.Wait()
+	}
+	return p.name + ", " + zoneName(zone), func() { r.evacuate(zone, operator, calmAfter+lasts/2, series) }
+}
+
+// shortestOrderPause is the shortest time for which a control process is paused around
+// orders. Clients give up calls to
+// it before.
+const shortestOrderPause = 4 * time.Second
+
+func zoneName(zone int) string { return fmt.Sprintf("z%d", zone) }
+
+// evacuate takes a zone out of service for a time, after a series of orders that leaves it
+// evacuated, and takes it back. It does nothing while another one is in progress.
+func (r *run) evacuate(zone int, operator *operator, lasts time.Duration, series func()) {
+	if !r.evacuating.TryLock() {
+		return
+	}
+	defer r.evacuating.Unlock()
+	stop := make(chan struct{})
+	timer := time.AfterFunc(10*time.Second, func() { close(stop) })
+	defer timer.Stop()
+	if operator.setZone(zoneName(zone), true, stop) {
+		series()
 		r.mu.Lock()
-		delete(r.zonesOut, zone)
+		r.zonesOut[zoneName(zone)] = time.Now()
 		r.mu.Unlock()
-		operator.setZone(zone, false, make(chan struct{}))
+		time.Sleep(lasts)
 	}
+	r.mu.Lock()
+	delete(r.zonesOut, zoneName(zone))
+	r.mu.Unlock()
+	operator.setZone(zoneName(zone), false, nil)
 }
--- a/cmd/paddle-soak/main.go
+++ b/cmd/paddle-soak/main.go
@@ -24,7 +24,7 @@
 	flaggy.SetDescription("disturbs the programs of submitted jobs and checks their promises")
 	flaggy.UInt64(&seed, "s", "seed", "fixes the schedule of faults and the jobs")
 	flaggy.Duration(&disturbed, "d", "duration", "time with faults, before the programs are left alone and must finish")
-	flaggy.String(&faults, "k", "faults", "schedules of faults: all, general or restarts (of workers)")
+	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers) or orders (of operators)")
 	flaggy.String(&folder, "f", "folder", "keeps logs and data in this folder, which must not exist")
 	flaggy.String(&programs, "p", "programs", "folder of the built programs; they are built when empty")
 	flaggy.Parse()
@@ -43,11 +43,12 @@
 	allFaults     = "all"
 	generalFaults = "general"
 	restartFaults = "restarts"
+	orderFaults   = "orders"
 )
 
 // soak runs one seed and prints its outcome.
 func soak(seed uint64, disturbed time.Duration, faults, folder, programs string) ([]string, error) {
-	if !slices.Contains([]string{allFaults, generalFaults, restartFaults}, faults) {
+	if !slices.Contains([]string{allFaults, generalFaults, restartFaults, orderFaults}, faults) {
 		return nil, fault.Newf(fault.InvalidArgument, "unknown schedules of faults %q", faults)
 	}
 	keep := folder != ""
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -28,6 +28,7 @@
 type run struct {
 	random   *rand.Rand
 	restarts *rand.Rand // of the schedule of restarts
+	orders   *rand.Rand // of the schedule of faults around orders
 	folder   string
 	programs string
 	check    *checker
@@ -45,6 +46,8 @@
 	callers      []*caller
 	operator     *operator
 
+	evacuating sync.Mutex // held while an operator orders a zone out and back
+
 	mu       sync.Mutex
 	zonesOut map[string]time.Time // since when their going out was acknowledged
 	wiped    time.Time            // when a control process last lost its disk
@@ -53,7 +56,7 @@
 
 func newRun(seed uint64, folder, programs string) (*run, error) {
 	r := &run{
-		random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), folder: folder, programs: programs, check: newChecker(maxAttempts),
+		random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
 		zonesOut: map[string]time.Time{},
 	}
 	if err := r.deploy(); err != nil {
