--- a/fault/fault.go
+++ b/fault/fault.go
@@ -21,7 +21,7 @@
 	InvalidArgument                // malformed request, sheet or setting
 	NotFound                       // the named service, task, plan or zone does not exist
 	Conflict                       // the same number or key was used with different content
-	Stale                          // a lower plan number or an older revision than the one in force
+	Stale                          // a lower plan number, an older revision, or an order that a newer one may have overtaken
 	Unauthenticated                // no valid credential
 	Forbidden                      // the credential does not allow the call
 	TooLarge                       // a body or header exceeds its limit
