--- a/jobcontrol/zoneorders.go
+++ b/jobcontrol/zoneorders.go
@@ -5,9 +5,10 @@
 // maxOrderedZones bounds the zones whose orders are told apart.
 const maxOrderedZones = 1000
 
-// zoneOrders tells which orders on zones have been overtaken. It holds an index of the
-// log for each zone: what reads an order after the last one on the zone was acknowledged
-// can have applied the log up to there. It is guarded by leadership.mu.
+// zoneOrders tells which orders on zones may have been overtaken. For each zone it holds
+// the index up to which the log was applied when the last order on it was settled: a
+// replica that is up to date when it reads a later order has applied at least that. It
+// is guarded by leadership.mu.
 type zoneOrders struct {
 	floor       uint64            // index of zones that are not in applied
 	applied     map[string]uint64 // by zone
