control: the test of observed usage waits for the next round

A sample reaches the status in a scheduling round.

Change: the test waits for idleInterval and one tick, the longest time between rounds. What it checks is unchanged.

--- a/control/schedule_test.go
+++ b/control/schedule_test.go
@@ -239,7 +239,7 @@
 			Used: &api.Resources{MilliCpu: 700, MemoryMib: 300}, Speed: 1,
 		}}}
 		agent.next(t)
-		time.Sleep(2 * leaderLoopInterval)
+		time.Sleep(idleInterval + leaderLoopInterval) // until the next round, if the last one made no decisions
 		var status operatorapi.Status
 		s.request(t, http.MethodGet, operatorapi.PathStatus, "", nil, &status)
 		if used := status.VMs[0].Used; used.MilliCPU != 700 || used.MemoryMiB != 300 {
