paddle-soak: evacuations of the general schedule overlap again

Change: only the series of orders exclude each other. Two comments are reworded; what the tests check is unchanged.

--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -327,23 +327,24 @@
 		}
 		resumed.Wait()
 	}
-	return p.name + ", " + zoneName(zone), func() { r.evacuate(zone, operator, calmAfter+lasts/2, series) }
+	return p.name + ", " + zoneName(zone), func() {
+		if !r.ordering.TryLock() {
+			return // another series would leave the zone in another state
+		}
+		defer r.ordering.Unlock()
+		r.evacuate(zone, operator, calmAfter+lasts/2, series)
+	}
 }
 
 // shortestOrderPause is the shortest time for which a control process is paused around
-// orders. Clients give up calls to
-// it before.
+// orders; clients give up calls to it earlier.
 const shortestOrderPause = 4 * time.Second
 
 func zoneName(zone int) string { return fmt.Sprintf("z%d", zone) }
 
 // evacuate takes a zone out of service for a time, after a series of orders that leaves it
-// evacuated, and takes it back. It does nothing while another one is in progress.
+// evacuated, and takes it back.
 func (r *run) evacuate(zone int, operator *operator, lasts time.Duration, series func()) {
-	if !r.evacuating.TryLock() {
-		return
-	}
-	defer r.evacuating.Unlock()
 	stop := make(chan struct{})
 	timer := time.AfterFunc(10*time.Second, func() { close(stop) })
 	defer timer.Stop()
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -46,7 +46,7 @@
 	callers      []*caller
 	operator     *operator
 
-	evacuating sync.Mutex // held while an operator orders a zone out and back
+	ordering sync.Mutex // held during a series of orders around a pause
 
 	mu       sync.Mutex
 	zonesOut map[string]time.Time // since when their going out was acknowledged
--- a/jobcontrol/zoneorders_test.go
+++ b/jobcontrol/zoneorders_test.go
@@ -138,8 +138,8 @@
 	lost     bool // the first acknowledgement is lost
 	slow     bool // commits take longer than the leader waits for them
 	election bool
-	released int           // number of frozen VMs that run again around the time of the order
-	after    time.Duration // it is sent
+	released int           // number of frozen VMs that run again
+	after    time.Duration // until they run again, from when the order is sent
 }
 
 func drawOrderStep(t *rapid.T) orderStep {
