--- a/cmd/paddle-soak/checker.go
+++ b/cmd/paddle-soak/checker.go
@@ -18,6 +18,7 @@
 	promiseAsked     = "only what callers handed in and did not cancel is started, as they described it"
 	promiseRefused   = "what was refused never runs"
 	promiseRetry     = "a refusal tells when to try again"
+	promiseMoves     = "a job with nothing running does not stand still while there is room"
 	promiseWide      = "a wide job waits for a bounded time"
 	promiseKept      = "what was accepted is known and comes to its end"
 	promiseTruthful  = "a state that is shown is true"
@@ -44,9 +45,20 @@
 
 // groupView is one group of a job.
 type groupView struct {
-	count     int
-	milliCPU  int64
-	dependsOn []int
+	count      int
+	milliCPU   int64
+	memoryMB   int64
+	bestEffort bool // its CPU does not count against the capacity of workers
+	lasting    bool
+	dependsOn  []int
+}
+
+// countedCPU returns the CPU of a task that counts against the capacity of its worker.
+func (g groupView) countedCPU() int64 {
+	if g.bestEffort {
+		return 0
+	}
+	return g.milliCPU
 }
 
 // taskName names a task as workers do.
@@ -138,7 +150,7 @@
 const maxWideWait = 30 * time.Second
 
 // wide reports whether the job needs most of a worker for its first group.
-func (j *jobView) wide() bool { return j.groups[0].milliCPU >= wideCPU }
+func (j *jobView) wide() bool { return j.groups[0].memoryMB == 0 && j.groups[0].milliCPU >= wideCPU }
 
 // checkWait takes in that a wide job has waited until now for its first start. A
 // start may come before the answer to its submission.
@@ -242,7 +254,7 @@
 	}
 	c.checkOnce(s, task)
 	c.checkJob(s, job, task)
-	c.used[s.worker] += job.groups[s.task.group].milliCPU
+	c.used[s.worker] += job.groups[s.task.group].countedCPU()
 	if c.used[s.worker] > s.capacity {
 		c.broken(promiseRoom, "task %v brings %s to %d of %d milli-cores", s.task, s.worker, c.used[s.worker], s.capacity)
 	}
@@ -274,7 +286,7 @@
 			}
 		}
 	}
-	if task.failures >= c.attempts {
+	if task.failures >= c.attempts && !job.groups[s.task.group].lasting {
 		c.broken(promiseAttempts, "task %v begins after %d failures", s.task, task.failures)
 	}
 	if task.crashes >= 3 && crashes(s.spec, s.task) && !s.late {
@@ -299,7 +311,7 @@
 	task := c.task(name)
 	delete(task.live, worker)
 	if job := c.jobs[name.job]; job != nil && name.group < len(job.groups) {
-		c.used[worker] -= job.groups[name.group].milliCPU
+		c.used[worker] -= job.groups[name.group].countedCPU()
 	}
 	switch how {
 	case "done":
@@ -366,13 +378,13 @@
 	c.broken(promiseProcesses, "%s", process)
 }
 
-// unfinished returns the accepted jobs that were not seen in a final state.
+// unfinished returns the accepted jobs that were not seen in a final state, without services.
 func (c *checker) unfinished() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var open []string
 	for id, job := range c.jobs {
-		if !job.accepted.IsZero() && !slices.Contains([]string{"completed", "failed", "cancelled"}, job.state) {
+		if !job.accepted.IsZero() && !job.groups[0].lasting && !slices.Contains([]string{"completed", "failed", "cancelled"}, job.state) {
 			open = append(open, id)
 		}
 	}
--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -79,6 +79,9 @@
 	if faults == allFaults || faults == restartFaults {
 		schedules.Go(func() { r.disturb(d, restartKinds, longestRestartGap, r.restarts) })
 	}
+	if faults == noFaults {
+		time.Sleep(d)
+	}
 	if faults == orderFaults {
 		schedules.Go(func() { r.disturb(d, orderKinds, longestOrderGap, r.orders) })
 	}
@@ -302,7 +305,7 @@
 }
 
 func (r *run) takeZoneOut(lasts time.Duration) (string, func()) {
-	zone := r.random.IntN(workers)
+	zone := r.random.IntN(zones)
 	operator := newOperator(r.random.Uint64(), r.operators, r.check)
 	return zoneName(zone), func() { r.evacuate(zone, operator, 2*lasts, nothing) }
 }
@@ -310,7 +313,7 @@
 // pauseAroundOrders takes an evacuated zone back and evacuates it again, repeatedly, while a
 // control process is paused.
 func (r *run) pauseAroundOrders(lasts time.Duration) (string, func()) {
-	zone, p := r.orders.IntN(workers), r.control[r.orders.IntN(controls)]
+	zone, p := r.orders.IntN(zones), r.control[r.orders.IntN(controls)]
 	operator := newOperator(r.orders.Uint64(), r.operators, r.check)
 	series := func() {
 		p.noteFault()
--- a/cmd/paddle-soak/main.go
+++ b/cmd/paddle-soak/main.go
@@ -19,16 +19,17 @@
 )
 
 func main() {
-	seed, disturbed, faults, folder, programs := uint64(1), 20*time.Second, allFaults, "", ""
+	seed, disturbed, faults, load, folder, programs := uint64(1), 20*time.Second, allFaults, wideLoad, "", ""
 	flaggy.SetName("paddle-soak")
 	flaggy.SetDescription("disturbs the programs of submitted jobs and checks their promises")
 	flaggy.UInt64(&seed, "s", "seed", "fixes the schedule of faults and the jobs")
 	flaggy.Duration(&disturbed, "d", "duration", "time with faults, before the programs are left alone and must finish")
-	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers) or orders (of operators)")
+	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers), orders (of operators) or none")
+	flaggy.String(&load, "l", "load", "jobs: wide (many for three workers) or mixed (services, short tasks and best-effort work for eleven)")
 	flaggy.String(&folder, "f", "folder", "keeps logs and data in this folder, which must not exist")
 	flaggy.String(&programs, "p", "programs", "folder of the built programs; they are built when empty")
 	flaggy.Parse()
-	violations, err := soak(seed, disturbed, faults, folder, programs)
+	violations, err := soak(seed, disturbed, faults, load, folder, programs)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "paddle-soak:", err)
 		os.Exit(fault.ExitFailure)
@@ -44,13 +45,23 @@
 	generalFaults = "general"
 	restartFaults = "restarts"
 	orderFaults   = "orders"
+	noFaults      = "none"
+)
+
+// Loads of jobs.
+const (
+	wideLoad  = "wide"
+	mixedLoad = "mixed"
 )
 
 // soak runs one seed and prints its outcome.
-func soak(seed uint64, disturbed time.Duration, faults, folder, programs string) ([]string, error) {
-	if !slices.Contains([]string{allFaults, generalFaults, restartFaults, orderFaults}, faults) {
+func soak(seed uint64, disturbed time.Duration, faults, load, folder, programs string) ([]string, error) {
+	if !slices.Contains([]string{allFaults, generalFaults, restartFaults, orderFaults, noFaults}, faults) {
 		return nil, fault.Newf(fault.InvalidArgument, "unknown schedules of faults %q", faults)
 	}
+	if load != wideLoad && load != mixedLoad {
+		return nil, fault.Newf(fault.InvalidArgument, "unknown load %q", load)
+	}
 	keep := folder != ""
 	if !keep {
 		var err error
@@ -67,7 +78,7 @@
 			return nil, err
 		}
 	}
-	r, err := newRun(seed, folder, programs)
+	r, err := newRun(seed, load, folder, programs)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -17,7 +17,7 @@
 const (
 	controls   = 3
 	entries    = 2
-	workers    = 3
+	zones      = 3
 	callers    = 4                // half of them at each queue
 	grace      = 3 * time.Second  // between SIGTERM and SIGKILL
 	startLimit = 20 * time.Second // for the programs to serve at first
@@ -26,6 +26,8 @@
 
 // run is one deployment with its callers, its operator and its faults.
 type run struct {
+	seed     uint64
+	load     string
 	random   *rand.Rand
 	restarts *rand.Rand // of the schedule of restarts
 	orders   *rand.Rand // of the schedule of faults around orders
@@ -54,9 +56,9 @@
 	busy     sync.WaitGroup       // faults in progress
 }
 
-func newRun(seed uint64, folder, programs string) (*run, error) {
+func newRun(seed uint64, load, folder, programs string) (*run, error) {
 	r := &run{
-		random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
+		seed: seed, load: load, random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
 		zonesOut: map[string]time.Time{},
 	}
 	if err := r.deploy(); err != nil {
@@ -90,7 +92,7 @@
 
 // deploy writes the settings and prepares all processes and links.
 func (r *run) deploy() error {
-	listen, err := addresses(controls*2 + entries*2 + workers)
+	listen, err := addresses(controls*2 + entries*2 + 2*r.workerCount())
 	if err != nil {
 		return err
 	}
@@ -131,8 +133,8 @@
 		}
 		r.entries, r.entryLinks = append(r.entries, p), append(r.entryLinks, link)
 	}
-	for i := range workers {
-		if err := r.deployWorker(i, seeds, next()); err != nil {
+	for i := range r.workerCount() {
+		if err := r.deployWorker(i, seeds, next(), next()); err != nil {
 			return err
 		}
 	}
@@ -147,24 +149,34 @@
 func (r *run) controlSettings(i int, seeds []string, listen string, first bool) string {
 	return common(fmt.Sprintf("control-%d", i), i, seeds) + fmt.Sprintf("data_folder = %s\nfirst_start = %v\ntolerated_losses = 1\nadvertised = %s\n"+
 		"[listen]\ncontrol = %s\noperators = %s\n[leases]\nlimit = %s\n"+
-		"[scheduling]\nadmission = forecast\nfair_shares = true\nreservations = 8\npreemption = true\n",
-		r.dataFolder(i), first, seeds[i], listen, r.operators[i], longestLease)
+		"[scheduling]\nadmission = forecast\nfair_shares = true\n%s",
+		r.dataFolder(i), first, seeds[i], listen, r.operators[i], longestLease, r.schedulingSettings())
+}
+
+func (r *run) schedulingSettings() string {
+	if r.load == mixedLoad {
+		return "remote_penalty = 1.5\n" // as in deploy/control.ini
+	}
+	return "reservations = 8\npreemption = true\n"
 }
 
 func (r *run) dataFolder(i int) string { return filepath.Join(r.folder, fmt.Sprintf("data-%d", i)) }
 
-func (r *run) deployWorker(i int, seeds []string, address string) error {
+func (r *run) deployWorker(i int, seeds []string, agentAddress, address string) error {
 	name := fmt.Sprintf("agent-%d", i)
 	p, err := newProcess(name, filepath.Join(r.programs, "paddle-jobagent"), r.folder,
-		common(name, i, seeds)+fmt.Sprintf("[listen]\nworker = %s\n[leases]\nlimit = %s\n", address, longestLease))
+		common(name, i%zones, seeds)+fmt.Sprintf("[listen]\nworker = %s\n[leases]\nlimit = %s\n", agentAddress, longestLease))
 	if err != nil {
 		return err
 	}
-	zone := fmt.Sprintf("z%d", i)
-	r.agents, r.agentAddress = append(r.agents, p), append(r.agentAddress, address)
+	zone, milliCPU, memoryMB := zoneName(i%zones), int64(workerCapacity), int64(workerMemoryMB)
+	if r.load == mixedLoad {
+		milliCPU, memoryMB = mixedCapacity[i%len(mixedCapacity)], mixedMemoryMB
+	}
+	r.agents, r.agentAddress = append(r.agents, p), append(r.agentAddress, agentAddress)
 	r.workers = append(r.workers, &worker{
-		id: fmt.Sprintf("w-%d", i), zone: zone, agent: address, check: r.check, note: r.note,
-		order: p.calm, out: func() bool { return r.zoneOut(zone) },
+		id: fmt.Sprintf("w-%d", i), zone: zone, agent: agentAddress, address: address, check: r.check, note: r.note,
+		noise: latencyNoises[r.seed%uint64(len(latencyNoises))], milliCPU: milliCPU, memoryMB: memoryMB, rack: fmt.Sprintf("r-%s-%d", zone, i/zones/rackSize), order: p.calm, out: func() bool { return r.zoneOut(zone) },
 	})
 	return nil
 }
@@ -210,26 +222,54 @@
 			return []string{fmt.Sprintf("settings of control %d can't be changed", i)}
 		}
 	}
-	stop := make(chan struct{})
-	var loops sync.WaitGroup
-	for _, c := range r.callers {
-		loops.Go(func() { c.run(stop) })
+	stop, settled := make(chan struct{}), make(chan struct{})
+	var loops, watching sync.WaitGroup
+	if r.load == mixedLoad {
+		watching.Go(func() { r.watchStandstills(settled) })
 	}
+	r.submitJobs(&loops, stop)
 	loops.Go(func() { r.operator.run(stop) })
 	r.disturbAll(disturbed, faults)
 	r.busy.Wait()
 	close(stop)
 	loops.Wait()
 	r.settle()
+	close(settled)
+	watching.Wait()
 	return r.check.finish()
 }
 
+// submitJobs starts the callers of the run's load, until stop is closed.
+func (r *run) submitJobs(loops *sync.WaitGroup, stop chan struct{}) {
+	if r.load == wideLoad {
+		for _, c := range r.callers {
+			loops.Go(func() { c.run(stop) })
+		}
+		return
+	}
+	loops.Go(func() { r.callers[0].runMixed(stop, shortJobRate/2, 1.6, shortGroup) })
+	loops.Go(func() { r.callers[2].runMixed(stop, shortJobRate/2, 1.6, shortGroup) })
+	loops.Go(func() { r.callers[1].runMixed(stop, workJobRate, 2, workGroup) })
+	loops.Go(func() { r.callers[3].runServices(stop) })
+}
+
+// workerCount returns the number of workers of the run's load.
+func (r *run) workerCount() int {
+	if r.load == mixedLoad {
+		return mixedWorkers
+	}
+	return zones
+}
+
 // settle waits for all accepted jobs to end, and reads the configuration back.
 func (r *run) settle() {
 	for limit := time.Now().Add(settleTime); time.Now().Before(limit); time.Sleep(200 * time.Millisecond) {
 		for _, c := range r.callers {
 			c.lookAtOpen(len(c.open))
 		}
+		if r.load == mixedLoad && !r.anyOpen() {
+			break // services last
+		}
 		if len(r.check.unfinished()) == 0 && r.operator.read() {
 			break
 		}
@@ -241,6 +281,11 @@
 	}
 }
 
+// anyOpen reports whether a caller waits for a job to end.
+func (r *run) anyOpen() bool {
+	return slices.ContainsFunc(r.callers, func(c *caller) bool { return len(c.open) > 0 })
+}
+
 func (r *run) close() {
 	for _, w := range r.workers {
 		w.crash(false)
--- a/cmd/paddle-soak/soak_test.go
+++ b/cmd/paddle-soak/soak_test.go
@@ -14,7 +14,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	violations, err := soak(7, 5*time.Second, generalFaults, t.TempDir(), "")
+	violations, err := soak(7, 5*time.Second, generalFaults, wideLoad, t.TempDir(), "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +38,7 @@
 
 // restartSoak is a short run in which workers only restart, which its tests share.
 var restartSoak = sync.OnceValues(func() ([]string, error) {
-	return soak(1302, 5*time.Second, restartFaults, "", "")
+	return soak(1302, 5*time.Second, restartFaults, wideLoad, "", "")
 })
 
 // checkRestartSoak fails for the violations of the promises that are chosen.
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -15,6 +15,7 @@
 // Times of a stand-in worker.
 const (
 	workerCapacity = 8000 // milli-cores
+	workerMemoryMB = 64000
 	shrunkCapacity = 3000
 	shrinkGrace    = 4500 * time.Millisecond // until starts that exceed a capacity that has shrunk count
 	crashDelay     = 10 * time.Millisecond   // after the start of a task that crashes its worker
@@ -38,6 +39,10 @@
 	order func() bool // whether orders of its agent are timely now
 	out   func() bool // whether its zone was taken out of service well before
 
+	milliCPU, memoryMB int64 // full capacity
+	rack               string
+	noise              float64 // of the tail latencies of services; see latencyNoises
+
 	lives sync.Mutex // held from the end of an incarnation to the next one
 
 	mu          sync.Mutex
@@ -72,15 +77,25 @@
 	takes   time.Duration
 	fails   bool
 	stopped bool
+	model   *modelRun // nil but for the mixed load
+}
+
+// over reports whether a run has done its work, or its stop takes effect.
+func (r *workerRun) over() bool {
+	if r.model != nil && !r.stopped {
+		return r.model.worked >= r.takes
+	}
+	return time.Since(r.began) >= r.takes
 }
 
 type workerEnd struct {
-	position int64
-	task     taskName
-	run      int64
-	how      string
-	at       time.Time
-	lapsed   bool // the lease lapsed before the end was recorded; who gave it may run the task again
+	position   int64
+	task       taskName
+	run        int64
+	how        string
+	checkpoint string
+	at         time.Time
+	lapsed     bool // the lease lapsed before the end was recorded; who gave it may run the task again
 }
 
 // incarnation names the present incarnation.
@@ -115,7 +130,7 @@
 	mux.HandleFunc("POST /v1/run-start", w.handle(w.startRun))
 	mux.HandleFunc("POST /v1/run-stop", w.handle(w.stopRun))
 	mux.HandleFunc("POST /v1/hold", w.handle(w.hold))
-	mux.HandleFunc("POST /v1/pace", w.handle(func(*call) (int, any) { return 200, w.clock("") }))
+	mux.HandleFunc("POST /v1/pace", w.handle(w.paceRun))
 	w.listener, w.server = listener, &http.Server{Handler: mux}
 	go w.server.Serve(listener)
 	go w.beat(w.ended)
@@ -176,6 +191,8 @@
 	Fence      uint64 `json:"fencing_token"`
 	Cursor     int64  `json:"ack_cursor"`
 	WaitMS     int64  `json:"wait_ms"`
+	Percent    int    `json:"percent"`
+	Checkpoint string `json:"checkpoint"`
 
 	late bool
 	born int64 // of the incarnation that took it
@@ -275,6 +292,13 @@
 	}
 	run := &workerRun{number: c.RunID, spec: c.Spec, began: time.Now()}
 	run.takes, run.fails = taskOf(c.Spec, name, c.RunID)
+	if group := mixedGroupOf(c.Spec, name); group != nil {
+		run.model = &modelRun{group: group, pace: 100, tailMS: idleTailMS}
+		run.takes, run.fails = mixedTaskOf(group, c.Spec, name, c.RunID)
+		if done, err := strconv.ParseInt(c.Checkpoint, 10, 64); err == nil {
+			run.model.worked = time.Duration(done) * time.Millisecond
+		}
+	}
 	w.runs[name] = run
 	if c.born != w.born || !w.registered {
 		w.note("%s starts %v run %d, ordered for an earlier incarnation, taken by %d", w.incarnation(), name, c.RunID, c.born)
@@ -292,7 +316,7 @@
 // capacity is what the worker reports of its room. The lock is held.
 func (w *worker) capacity() int64 {
 	if w.shrunkSince.IsZero() {
-		return workerCapacity
+		return w.milliCPU
 	}
 	return shrunkCapacity
 }
@@ -300,7 +324,7 @@
 // enforcedCapacity is the room that starts must keep to. The lock is held.
 func (w *worker) enforcedCapacity() int64 {
 	if time.Since(w.shrunkSince) < shrinkGrace {
-		return workerCapacity
+		return w.milliCPU
 	}
 	return w.capacity()
 }
@@ -321,13 +345,26 @@
 	w.fence = c.Fence
 	w.gone[name] = max(w.gone[name], c.RunID)
 	if run := w.runs[name]; run != nil && run.number <= c.RunID && !run.stopped {
-		stop := time.Duration(stopRatio * float64(run.takes))
+		stop := runStopTime
+		if run.model == nil {
+			stop = time.Duration(stopRatio * float64(run.takes))
+		}
 		run.stopped, run.takes, run.fails = true, time.Since(run.began)+stop, false
 	}
 	w.mu.Unlock()
 	return 200, w.clock("")
 }
 
+// paceRun sets the pace of a run of the mixed load.
+func (w *worker) paceRun(c *call) (int, any) {
+	w.mu.Lock()
+	if run := w.runs[parseTaskName(c.Task)]; run != nil && run.number == c.RunID && run.model != nil && c.Fence >= w.fence {
+		run.model.pace = c.Percent
+	}
+	w.mu.Unlock()
+	return 200, w.clock("")
+}
+
 func (w *worker) hold(c *call) (int, any) {
 	w.mu.Lock()
 	if w.closedByRun || c.Fence < w.fence {
@@ -368,11 +405,14 @@
 	defer w.mu.Unlock()
 	running, finished := [][]any{}, [][]any{}
 	for name, run := range w.runs {
-		percent := min(100*time.Since(run.began).Milliseconds()/max(run.takes.Milliseconds(), 1), 99)
-		running = append(running, []any{name.String(), run.number, "", percent, 0})
+		checkpoint, percent, usage := "", min(100*time.Since(run.began).Milliseconds()/max(run.takes.Milliseconds(), 1), 99), int64(0)
+		if run.model != nil {
+			checkpoint, percent, usage = run.row()
+		}
+		running = append(running, []any{name.String(), run.number, checkpoint, percent, usage})
 	}
 	for _, end := range w.ends[w.recorded:min(w.recorded+maxListedEnds, int64(len(w.ends)))] {
-		finished = append(finished, []any{end.position, end.task.String(), end.run, end.how, ""})
+		finished = append(finished, []any{end.position, end.task.String(), end.run, end.how, end.checkpoint})
 	}
 	body["born"], body["running"], body["finished"] = w.born, running, finished
 	return body
@@ -380,13 +420,16 @@
 
 // work ends the runs whose time has come, and all when the lease is over.
 func (w *worker) work(ended chan struct{}) {
-	for {
+	for stepped := time.Now(); ; {
 		select {
 		case <-ended:
 			return
-		case <-time.After(20 * time.Millisecond):
+		case <-time.After(modelStep):
 		}
 		w.mu.Lock()
+		now := time.Now()
+		w.stepModel(now, now.Sub(stepped))
+		stepped = now
 		lapsed := w.leaseEnd > 0 && w.clockMS() > w.leaseEnd
 		for i := w.recorded; lapsed && i < int64(len(w.ends)); i++ {
 			w.ends[i].lapsed = true
@@ -395,7 +438,7 @@
 			switch {
 			case lapsed:
 				w.end(name, run, "lapsed")
-			case time.Since(run.began) < run.takes:
+			case !run.over():
 			case run.stopped:
 				w.end(name, run, "stopped")
 			case run.fails:
@@ -412,7 +455,11 @@
 func (w *worker) end(name taskName, run *workerRun, how string) {
 	delete(w.runs, name)
 	w.gone[name] = max(w.gone[name], run.number)
-	w.ends = append(w.ends, workerEnd{position: int64(len(w.ends) + 1), task: name, run: run.number, how: how, at: time.Now()})
+	checkpoint := ""
+	if run.model != nil && run.model.group.Saves {
+		checkpoint = saved(run.model.worked)
+	}
+	w.ends = append(w.ends, workerEnd{position: int64(len(w.ends) + 1), task: name, run: run.number, how: how, checkpoint: checkpoint, at: time.Now()})
 	w.check.ended(name, w.incarnation(), how)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -435,8 +482,8 @@
 		}
 		body, err := json.Marshal(map[string]any{
 			"service": "svc", "address": w.address, "zone": w.zone, "version": "v1", "state": state,
-			"drain_remaining_ms": remaining, "capacity": map[string]any{"cpu": w.capacity(), "mem_mb": 64000},
-			"labels": []string{"a", "r-" + w.zone}, "sequence": w.sequence, "born": w.born, "machine": "m-" + w.id,
+			"drain_remaining_ms": remaining, "capacity": map[string]any{"cpu": w.capacity(), "mem_mb": w.memoryMB},
+			"labels": []string{"a", w.rack}, "sequence": w.sequence, "born": w.born, "machine": "m-" + w.id,
 		})
 		mute := w.mute
 		w.mu.Unlock()
--- a/cmd/paddle-soak/worker_test.go
+++ b/cmd/paddle-soak/worker_test.go
@@ -7,7 +7,7 @@
 // standIn is a worker in its first incarnation whose heartbeats reach nobody.
 func standIn(t *testing.T, check *checker) *worker {
 	w := &worker{
-		id: "w", check: check, note: t.Logf,
+		id: "w", milliCPU: workerCapacity, check: check, note: t.Logf,
 		order: func() bool { return true }, out: func() bool { return false },
 	}
 	if err := w.begin(); err != nil {
