dispatch: obstacles tell why a worker is closed and what holds a group

Cause: `closed` stood for at least six conditions, and the Fleet line left out groups of queues with an adviser, paused tasks, tasks on probation that no worker may take, tasks that wait for a rack and groups that are not ready.

Change: an obstacle has a detail. Worker.Closed holds the reason why a worker is not open, set where jobcontrol decides it; the detail of other closed and held workers is found beside it. Explain also counts whole groups by what keeps all workers from them, and explains single groups on request. `closed` and `held` keep their names and their counts in `paddlectl job where`, which has `details` beside them in JSON; the Fleet line has `obstacle_details` and `group_obstacles`, and counts tasks on probation as `held`. Explain takes the leader's input without effects, so it asks no adviser. No plan depends on any of it.

--- a/dispatch/reserve_test.go
+++ b/dispatch/reserve_test.go
@@ -203,11 +203,9 @@
 	w.reserved = first
 	w.endOn(full, first[0].Worker, 1)
 	w.submit(batchQueue, &api.TaskGroup{Count: 2, MilliCpu: 1000, EstimatedMs: 60_000})
-	w.state.Read(func(view jobs.View) {
-		if n := Explain(view, w.input())[ObstacleReserved]; n == 0 {
-			t.Error("no obstacle is called reserved")
-		}
-	})
+	if n := w.explain().Workers[ObstacleReserved]; n == 0 {
+		t.Error("no obstacle is called reserved")
+	}
 	w.endOn(full, s.Reservations[0].Worker, 10)
 	w.submit(batchQueue, &api.TaskGroup{Count: 10, MilliCpu: 1000, EstimatedMs: 100})
 	if starts := w.plan(); len(starts) == 0 || starts[0].Run.Task.Job != "job2" {
--- a/dispatch/where.go
+++ b/dispatch/where.go
@@ -9,15 +9,6 @@
 	"amaranthpaddle/resource"
 )
 
-// Obstacles that only an explanation of one job counts.
-const (
-	ObstacleAdvice Obstacle = "advice" // no ticket of the queue's adviser
-	// ObstacleHeld is for workers that have room and that the plan doesn't use: the room
-	// is kept for other work by a reservation of this plan, or too little for a whole gang, the task waits for the rack
-	// of its data, or it is on probation.
-	ObstacleHeld Obstacle = "held"
-)
-
 // Limits of an explanation.
 const (
 	maxExplainedGroups  = 32
@@ -71,6 +62,7 @@
 
 	Left      int              `json:"left"`                // tasks that still wait after the plan
 	Obstacles map[Obstacle]int `json:"obstacles,omitempty"` // workers by what keeps these tasks from them
+	Details   map[Obstacle]int `json:"details,omitempty"`   // of the workers that are closed or held, as far as known
 	Room      *RoomForecast    `json:"room,omitempty"`      // nil if no room can be foreseen
 
 	Reservations []RoomForecast `json:"reservations,omitempty"` // that the plan holds for the group
@@ -322,13 +314,11 @@
 	if c.queue.Advice != nil {
 		c.tickets, _ = x.in.Tickets(c.queue, c.groupID())
 	}
-	e.Obstacles = map[Obstacle]int{}
+	counts, apart := newObstacles(), x.apartOf(c)
+	e.Obstacles, e.Details = counts.Workers, counts.Details
 	for _, l := range x.fleet.workers {
-		obstacle := cmp.Or(x.obstacle(c, l, spread), ObstacleHeld)
-		if c.queue.Advice != nil && c.tickets[l.worker.Key] == "" && obstacle != ObstacleClosed {
-			obstacle = ObstacleAdvice
-		}
-		e.Obstacles[obstacle]++
+		obstacle := cmp.Or(x.obstacle(c, l, spread, apart), ObstacleHeld)
+		counts.add(obstacle)
 		if waitsForEnds(obstacle, c.group.Spec) {
 			x.noteRoom(e, l, demand(c.group.Spec))
 		}
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -18,9 +18,10 @@
 	Labels   []string
 	Capacity resource.Vector
 
-	Open          bool    // its agent holds a lease, and it is neither draining nor out of service
-	Sample        Sample  // of its services and best-effort runs
-	HealthPenalty float64 // 0 for a worker without excess failures, 1 for one on which all runs fail
+	Open          bool     // its agent holds a lease, and it is neither draining nor out of service
+	Closed        Obstacle // why it is not open, empty if it is or that is not known
+	Sample        Sample   // of its services and best-effort runs
+	HealthPenalty float64  // 0 for a worker without excess failures, 1 for one on which all runs fail
 	// Starting reports whether the worker has not yet survived the start of a run. It
 	// is nil while no task is on probation.
 	Starting func(jobs.RunID) bool
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -46,6 +46,7 @@
 	health      *dispatch.Health
 	progress    *dispatch.Progress
 	rackWaits   rackWaits
+	heldForRack []jobs.GroupID // groups with tasks that waited for a rack in the latest plan
 	forecasts   *dispatch.Forecasts
 	drain       dispatch.DrainRate
 	movingRuns  map[jobs.RunID]bool // runs being stopped so that they start again on another worker
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -183,6 +183,7 @@
 	open := slices.ContainsFunc(in.Workers, func(w dispatch.Worker) bool { return w.Open })
 	l.recovery.planned(len(schedule.Starts), open, l.server.now())
 	l.reservations.update(schedule, l.server.now())
+	l.heldForRack = schedule.HeldForRack
 	l.rackWaits.update(schedule.HeldForRack, l.server.now())
 	for _, start := range schedule.Partial {
 		telemetry.JobPartialFits.Add(1)
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -41,21 +41,26 @@
 	defer l.mu.Unlock()
 	l.countTooLate()
 	s := l.summary()
+	waits := l.explainWaits(s.waitingJobs, nil)
 	klog.InfoS("Fleet", "term", l.term, "workers", len(l.workers), "sessions", len(l.sessions),
 		"capacity_cores", int(s.capacity), "counted_cores", int(s.counted), "service_cores", int(s.services),
 		"best_effort_cores", int(s.bestEffort), "best_effort_used", int(s.bestEffortUsed),
 		"runs", s.running, "waiting_tasks", s.waitingTasks, "waiting_jobs", s.waitingJobs, "pending_jobs", s.pendingJobs,
-		"obstacles", l.obstacles(s.waitingJobs))
+		"obstacles", waits.Workers, "obstacle_details", waits.Details, "group_obstacles", waits.Groups)
 }
 
-// obstacles counts what keeps waiting tasks from the workers, if any wait. The lock
-// is held.
-func (l *leadership) obstacles(waitingJobs int) (obstacles map[dispatch.Obstacle]int) {
+// explainWaits tells what keeps waiting tasks from the workers, if any wait. It has no
+// effect on plans. The lock is held.
+func (l *leadership) explainWaits(waitingJobs int, groups []jobs.GroupID) (waits dispatch.Waits) {
 	if waitingJobs == 0 {
-		return nil
+		return dispatch.Waits{}
 	}
-	l.assumed.Read(func(view jobs.View) { obstacles = dispatch.Explain(view, l.planInput(view)) })
-	return obstacles
+	l.assumed.Read(func(view jobs.View) {
+		in := l.passiveInput(view, nil)
+		holdWorkers(in.Workers, l.preemption.unfinished(view, l.server.now()))
+		waits = dispatch.Explain(view, in, dispatch.Question{Groups: groups, RackWaits: l.heldForRack})
+	})
+	return waits
 }
 
 func (l *leadership) summary() (s fleetSummary) {
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -266,6 +266,34 @@
 	return now.Before(view.leaseUntil.Add(-l.server.config.Lease / 2))
 }
 
+// closedReason returns why a worker gets no new runs, empty if it is open. The lock is held.
+func (l *leadership) closedReason(state jobs.View, view *workerView, suspect bool, now time.Time) dispatch.Obstacle {
+	w := view.worker
+	switch _, maintained := l.maintenance.closed[w.Machine]; {
+	case l.sessions[view.agent] == nil:
+		return dispatch.ClosedSession
+	case !l.openFor(view, now):
+		return dispatch.ClosedLease
+	case w.Draining:
+		return dispatch.ClosedDraining
+	case view.leaving:
+		return dispatch.ClosedLeaving
+	case state.ZoneOut(w.Zone):
+		return dispatch.ClosedZone
+	case view.unreachable:
+		return dispatch.ClosedUnreachable
+	case view.unanswered >= maxUnanswered:
+		return dispatch.ClosedUnanswered
+	case suspect:
+		return dispatch.ClosedSuspect
+	case view.unbooked:
+		return dispatch.ClosedUnbooked
+	case maintained:
+		return dispatch.ClosedMaintenance
+	}
+	return ""
+}
+
 // dispatchWorkers returns the workers as input of the planner. The lock is held.
 func (l *leadership) dispatchWorkers(state jobs.View, now time.Time) []dispatch.Worker {
 	workers := make([]dispatch.Worker, 0, len(l.workers))
@@ -276,12 +304,7 @@
 	suspects := l.health.Suspects(now, keys)
 	for _, view := range l.workers {
 		w := view.worker
-		open := l.sessions[view.agent] != nil && l.openFor(view, now) &&
-			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && !view.unreachable && view.unanswered < maxUnanswered &&
-			!suspects[view.key] && !view.unbooked
-		if _, closed := l.maintenance.closed[w.Machine]; closed {
-			open = false
-		}
+		closed := l.closedReason(state, view, suspects[view.key], now)
 		view.setSuspect(suspects[view.key])
 		var starting func(jobs.RunID) bool
 		if state.TasksOnProbation() > 0 {
@@ -289,7 +312,7 @@
 		}
 		workers = append(workers, dispatch.Worker{
 			Key: view.key, Service: w.Service, Zone: w.Zone, Region: w.Region, Rack: w.Rack, Labels: w.Labels,
-			Capacity: dispatch.Capacity(w), Open: open, Sample: view.sample,
+			Capacity: dispatch.Capacity(w), Open: closed == "", Closed: closed, Sample: view.sample,
 			HealthPenalty: l.health.Penalty(view.key, now), Starting: starting, AtFullPace: view.atFullPace,
 		})
 	}
