jobcontrol: log and count jobs that stand still

Change: with each Fleet line the leader looks through the committed state. `Job stands still` names an accepted job without an active run for 2 s although it is the turn of a task, with the obstacles of its group, its latest end, and what the assumed state has of it; `Job moves again` ends it. `Long-running tasks have no run` and `Run is not listed by its worker` name what a job's count of runs hides. Each names the 8 oldest and counts the others. Gauges and the histogram paddle_jobs_standstill_seconds go with them. Times come from committed starts and ends, so a standstill counts from the end of the last run. Explain calls a group `unplanned` whose planning panics. No plan depends on any of it.

Result: the new tests pass; each failed with the rule that it guards broken.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -54,6 +54,8 @@
 		ordered[c.groupID()] = true
 		if CountWaiting(c.group) > 0 {
 			w.explain(p, c, q)
+		} else if slices.Contains(q.Groups, c.groupID()) {
+			w.Of[c.groupID()] = GroupWait{State: GroupRunning} // with a straggler to copy
 		}
 	}
 	view.ActiveJobs(func(job *jobs.Job) {
@@ -134,7 +136,7 @@
 		for g, group := range occurrence.Groups {
 			c := candidate{job: job, occurrence: int32(k), groupIndex: int32(g), group: group}
 			if id := c.groupID(); !group.Done() && !ordered[id] {
-				wait := GroupWait{State: stateOutside(occurrence, group, early)}
+				wait := GroupWait{State: c.stateOutside(occurrence, early, in)}
 				if wait.State != GroupRunning {
 					w.Groups[wait.State]++
 				}
@@ -151,14 +153,16 @@
 }
 
 // stateOutside returns the state of a group that is not in the order of the plan.
-func stateOutside(occurrence *jobs.Occurrence, group *jobs.Group, early bool) Obstacle {
+func (c *candidate) stateOutside(occurrence *jobs.Occurrence, early bool, in Input) Obstacle {
 	switch {
 	case early:
 		return GroupScheduled
-	case !occurrence.Ready(group):
+	case !occurrence.Ready(c.group):
 		return GroupBlocked
-	case CountWaiting(group) == 0:
+	case CountWaiting(c.group) == 0:
 		return GroupRunning
+	case c.anyStartable(in):
+		return WaitsUnplanned
 	}
 	return WaitsPaused
 }
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -74,6 +74,7 @@
 		{"paused", plain, func(w *fixture, _ string) {
 			w.change = func(in *Input) { in.Paused = func(jobs.TaskID) bool { return true } }
 		}, WaitsPaused, ""},
+		{"plan ends by a panic", plain, func(w *fixture, job string) { w.change = panicOn(job) }, WaitsUnplanned, ""},
 		{"adviser is silent", plain, func(w *fixture, _ string) { w.advised = true }, WaitsForAdvice, ""},
 		{"no ticket", plain, func(w *fixture, _ string) { w.advised, w.tickets = true, map[string]string{"w9": "x"} }, GroupReady, ObstacleAdvice},
 	}
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -56,9 +56,10 @@
 
 // The obstacles of whole groups, with GroupBlocked and GroupScheduled.
 const (
-	WaitsForAdvice Obstacle = "advice" // the queue's adviser has given no tickets
-	WaitsPaused    Obstacle = "paused" // all waiting tasks pause after crashes
-	WaitsForRack   Obstacle = "rack"   // tasks wait for the rack of their data or peers
+	WaitsForAdvice Obstacle = "advice"    // the queue's adviser has given no tickets
+	WaitsPaused    Obstacle = "paused"    // all waiting tasks pause after crashes
+	WaitsUnplanned Obstacle = "unplanned" // the plan of the job ends by a panic
+	WaitsForRack   Obstacle = "rack"      // tasks wait for the rack of their data or peers
 )
 
 // class returns the obstacle that a detail belongs to, and the obstacle itself if it is
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -109,6 +109,8 @@
 		return
 	}
 	l.startedAt[run] = l.server.now()
+	lasted, named := l.standstills.start(run, l.server.now())
+	l.endStandstill(run, lasted, named)
 	setFirst(&l.recovery.start, l.server.now())
 	l.observeWait(run)
 	l.forecastStart(run)
@@ -132,6 +134,7 @@
 	}
 	l.checkForecasts(run, err == nil && end.Outcome == api.RunOutcome_RUN_OUTCOME_DONE)
 	delete(l.startedAt, run)
+	defer delete(l.standstills.reasons, run)
 	delete(l.movingRuns, run)
 	if err == nil && end.CrashEvidence == api.CrashEvidence_CRASH_EVIDENCE_SURVIVED {
 		delete(l.crashedUnder, run.Task)
@@ -141,6 +144,10 @@
 	l.server.config.State.Read(func(view jobs.View) {
 		if job := view.Job(run.Task.Job); job != nil {
 			phase = job.Phase.String()
+			if err == nil {
+				group, _ := job.Task(run.Task)
+				l.standstills.end(run, end.Worker, jobs.OutcomeName(end.Outcome), group != nil && group.Spec.LongRunning, l.server.now())
+			}
 			if job.Phase.Ended() {
 				l.forgetJob(job.ID)
 			}
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -70,6 +70,8 @@
 	leavers leavers
 
 	recovery recovery
+
+	standstills standstills
 }
 
 func newLeadership(ctx context.Context, cancel context.CancelFunc, server *Server, term uint64) *leadership {
@@ -105,6 +107,7 @@
 		admission: newAdmissionState(),
 
 		joiners: joiners{byID: map[uint64]joiner{}}, leavers: leavers{byID: map[uint64]time.Time{}},
+		standstills: newStandstills(),
 	}
 	l.assumed.Read(func(view jobs.View) { l.knowledge = dispatch.NewKnowledge(view.Learnt()) })
 	l.initJobAges()
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -65,6 +65,8 @@
 
 // forgetJob drops the times of a job that has ended. The lock is held.
 func (l *leadership) forgetJob(job string) {
+	lasted, named := l.standstills.forget(job, l.server.now())
+	l.endStandstill(jobs.RunID{Task: jobs.TaskID{Job: job}}, lasted, named)
 	delete(l.firstSeen, job)
 	delete(l.startedJobs, job)
 	delete(l.unplannable, job)
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -208,6 +208,7 @@
 	l.learnDrainRate(queue, task, end.Outcome)
 	l.add(endChange(run, key, end.Outcome, end.Checkpoint, end.CrashEvidence))
 	if end.Reason != "" && end.Outcome != api.RunOutcome_RUN_OUTCOME_DONE {
+		l.standstills.noteReason(run, end.Reason)
 		klog.InfoS("Run end reported", "job", run.Task.Job, "run", run.String(), "worker", view.key,
 			"outcome", jobs.OutcomeName(end.Outcome), "reason", end.Reason)
 	}
--- a/jobcontrol/summary.go
+++ b/jobcontrol/summary.go
@@ -41,7 +41,7 @@
 	defer l.mu.Unlock()
 	l.countTooLate()
 	s := l.summary()
-	waits := l.explainWaits(s.waitingJobs, nil)
+	waits := l.logStandstills(s.waitingJobs)
 	klog.InfoS("Fleet", "term", l.term, "workers", len(l.workers), "sessions", len(l.sessions),
 		"capacity_cores", int(s.capacity), "counted_cores", int(s.counted), "service_cores", int(s.services),
 		"best_effort_cores", int(s.bestEffort), "best_effort_used", int(s.bestEffortUsed),
@@ -127,6 +127,8 @@
 		{"best_effort_cores", f.bestEffort}, {"best_effort_cores_used", f.bestEffortUsed},
 		{"runs", float64(f.running)}, {"waiting_tasks", float64(f.waitingTasks)}, {"waiting_jobs", float64(f.waitingJobs)},
 		{"pending_jobs", float64(f.pendingJobs)},
+		{"still_jobs", float64(lead.standstills.stillJobs)}, {"longest_standstill_seconds", lead.standstills.longest.Seconds()},
+		{"still_long_running_tasks", float64(lead.standstills.stillTasks)}, {"unlisted_runs", float64(lead.standstills.notSeen)},
 		{"reservations", float64(len(lead.reservations.held))},
 	} {
 		telemetry.JobFleet.Write(w, gauge.value, gauge.what)
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -197,6 +197,7 @@
 			if l.queue.hasEnd(run, key) || l.isCarried(key, run) {
 				return
 			}
+			l.standstills.noteReason(run, reason)
 			evidence := l.lossEvidence(key, run)
 			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason,
 				"crash_evidence", jobs.EvidenceName(evidence), "start_confirmed", l.survivedStart(key, run), "term", l.term)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -62,6 +62,7 @@
 	JobRackWaits     = Metric{"paddle_jobs_rack_waits_total", nil}
 	JobsGivenUp      = Metric{"paddle_jobs_given_up_total", nil}
 	JobWorkerCrashes = Metric{"paddle_jobs_worker_crashes_total", []string{"evidence"}}
+	JobStandstills   = Metric{"paddle_jobs_standstill_seconds", nil}
 	JobFleet         = Metric{"paddle_jobs_fleet", []string{"what"}}
 	JobAgentEnds     = Metric{"paddle_jobagent_ends_total", []string{"outcome"}}
 	JobAgentCalls    = Metric{"paddle_jobagent_worker_calls_total", []string{"call", "result"}}
@@ -89,7 +90,7 @@
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
 		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobZoneWait, JobRunTimesSaved, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobRunsOffShrunk,
-		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobFleet,
+		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobStandstills, JobFleet,
 		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled, JobPartialFits, JobOrdersRefused,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds, JobAgentUnanswered, JobAgentCrossedStarts,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
