--- a/cmd/paddle-soak/standstill.go
+++ b/cmd/paddle-soak/standstill.go
@@ -52,7 +52,22 @@
 	since    map[string]time.Time // by job, or by task of a service
 	reported map[string]bool
 	longest  time.Duration
-	stood    int // standstills of over a second
+	stood    int       // standstills of over a second
+	lookedAt time.Time // the latest look
+}
+
+// maxLookGap is the longest time between two looks that counts. After a longer one, all
+// processes of the machine may have stood still.
+const maxLookGap = time.Second
+
+// skipGap leaves out the time since the latest look, if it is too long to count.
+func (s *standstills) skipGap(now time.Time) {
+	if gap := now.Sub(s.lookedAt); !s.lookedAt.IsZero() && gap > maxLookGap {
+		for name := range s.since {
+			s.since[name] = s.since[name].Add(gap)
+		}
+	}
+	s.lookedAt = now
 }
 
 // watchStandstills looks for jobs that stand still until stop is closed.
@@ -92,6 +107,7 @@
 func (c *checker) lookForStandstills(s *standstills, fleet fleetRoom, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s.skipGap(now)
 	still := map[string]time.Duration{} // bound by name
 	for id, job := range c.jobs {
 		if job.accepted.IsZero() || job.cancelAsk || slices.Contains([]string{"completed", "failed", "cancelled"}, job.state) {
