jobs: a state and its copy forget the same jobs

Cause: the order of the ended jobs, by which they are forgotten, was the order of their ends. The first job with active runs holds back all after it, so a replica that was restored, and the leader's assumed state after a barrier or a change of leader, kept or lost other jobs than the state they were copied from.

What callers saw: for a resend after the retention, replicas could disagree whether it is a new job. The states part from then on: the leader plans the job and its start is refused, or the job waits and is never planned.

While builds are mixed, replicas may differ as they did before.

--- a/jobs/state.go
+++ b/jobs/state.go
@@ -25,7 +25,7 @@
 	active        map[string]*Job             // jobs that have not ended or have active runs, by id
 	workerVMs     map[string]string           // VMs of the workers with active runs, by worker key, as far as known
 	runs          map[string]map[RunID]*Group // groups of the active runs, by worker key and run
-	ended         []string                    // ids of ended jobs, in the order of their ends
+	ended         []string                    // ids of ended jobs, sorted by the time of the end and the id
 	learnt        *api.Learnt                 // by the leaders so far
 	waves         map[int64]*api.MaintenanceWave
 	lent          map[string]string // standby pool of each lent VM
@@ -240,10 +240,24 @@
 func (s *State) finish(job *Job, phase Phase) {
 	job.Phase = phase
 	job.EndedMS = s.nowMS
-	s.ended = append(s.ended, job.ID)
+	s.addEnded(job)
 	s.releaseEnded(job)
 }
 
+// addEnded adds a job to the ended ones. Their order decides which jobs are forgotten, so
+// it depends on nothing that a snapshot lacks, such as the order of ends at one time.
+func (s *State) addEnded(job *Job) {
+	position := len(s.ended)
+	for position > 0 {
+		last := s.jobs[s.ended[position-1]]
+		if last.EndedMS < job.EndedMS || last.ID < job.ID {
+			break
+		}
+		position--
+	}
+	s.ended = slices.Insert(s.ended, position, job.ID)
+}
+
 // releaseEnded drops the tasks and the specification of an ended job once it
 // has no active runs.
 func (s *State) releaseEnded(job *Job) {
