--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,6 +148,9 @@
 	state   *jobs.State
 	replica *fakeReplica
 	server  *Server
+
+	retain time.Duration // of ended jobs, for servers that are started later; 0 for the default
+	step   atomic.Int64  // by which the time of day differs from the bubble's clock, in nanoseconds
 }
 
 const (
@@ -170,11 +174,13 @@
 	if r.server != nil {
 		r.server.Stop()
 	}
-	r.server = New(Config{Replica: r.replica, State: r.state, Lease: testLease, Clock: time.Now, UnixTime: time.Now, Policy: policy})
+	r.server = New(Config{Replica: r.replica, State: r.state, Lease: testLease, Retain: r.retain, Clock: time.Now, UnixTime: r.unixTime, Policy: policy})
 	r.server.Start()
 	r.wait(100 * time.Millisecond)
 }
 
+func (r *rig) unixTime() time.Time { return time.Now().Add(time.Duration(r.step.Load())) }
+
 // withLeadership calls f with the leader's soft state and its lock held.
 func (r *rig) withLeadership(f func(*leadership)) {
 	r.t.Helper()
