jobcontrol: the assumed state ages with the committed one

Cause: each round applied its batch to the assumed state, also one without changes, which is not proposed. The clock of the assumed state went on in idle rounds and it forgot ended jobs and refusals alone. The results of the changes that follow are often the same in both states, so nothing showed it.

What callers saw: a job that is sent again when only the assumed state has forgotten it is planned, its start is refused (Start not committed), and the run holds room of its worker for the rest of the term: other jobs wait beside a free worker. After the time of day was set back, by as much, an ended job that only the committed state has forgotten is accepted and never planned.

Change: a batch is applied to the assumed state only if it is proposed. Starts are applied with the time and the retention of their batch; a second application of these in one round changes nothing, as starts concern no ended job.

Before: 3 of 3 cases of TestJobsStartWhateverHasBeenForgotten fail. After: they pass, and the states are equal to the millisecond.

go test -race ./jobcontrol: one other test failed, TestTaskThatCrashesWhileOthersGoDownIsStartedAtMostFiveTimes (6 starts), in 1 of 80 runs with this commit and in 2 of 80 without it.

--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -144,7 +144,9 @@
 	for _, p := range next.changes {
 		next.message.Changes = append(next.message.Changes, p.change)
 	}
-	l.assumed.ApplyBatch(next.message)
+	if len(next.changes) > 0 { // a batch that is not proposed must not advance the clock of the assumed state alone
+		l.assumed.ApplyBatch(next.message)
+	}
 	l.planStarts(next)
 	l.checkRecovery()
 	l.relocateThrottled()
@@ -192,7 +194,7 @@
 	if len(starts) == 0 {
 		return
 	}
-	starting := &api.JobBatch{NowUnixMs: next.message.NowUnixMs}
+	starting := &api.JobBatch{NowUnixMs: next.message.NowUnixMs, RetainMs: next.message.RetainMs}
 	size := 0
 	for i, start := range starts {
 		if size > maxBatchBytes && start.Run.Task.GroupID() != starts[i-1].Run.Task.GroupID() {
