jobcontrol: a failing test of a leadership that lacks a batch of its term

A leadership copies the committed state when it starts. Enqueue asks whether the replica leads, not in which term, so the former leadership of the same replica can still propose in the new term until it is told of the election, for instance at the end of a long round. Such a batch is committed after the copy was made. The test has the start of a run in it: its end is reported, and dropped as one that is proposed already (handleReportedEnd), until the term ends.

--- a/jobcontrol/assumed_test.go
+++ b/jobcontrol/assumed_test.go
@@ -109,3 +109,38 @@
 		r.t.Fatalf("job %s is %s", job, answer.State)
 	}
 }
+
+// Guards against a leadership that lacks, for its whole term, what the one before proposed
+// in it: a replica that has lost an election and won the next one may propose for its
+// former leadership until that is told. Here it is the start of a run, whose end was then
+// taken for one that is proposed already, again and again.
+func TestANewLeadershipKnowsBatchesThatTheOneBeforeItProposedInItsTerm(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{
+			{Count: 1, MilliCpu: 1000}, {Count: 1, MilliCpu: 1000, DependsOn: []int32{0}},
+		}}, accepted)
+		r.reportFor(time.Second, a)
+		r.replica.set(func() { r.replica.status.Term, r.replica.commitDelay = 3, 500*time.Millisecond })
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_DONE)
+		r.replica.lead(3, true)
+		r.replica.set(func() { r.replica.commitDelay = commitDelay })
+		r.wait(time.Second)
+		a.toldRuns()
+		a.reconnect()
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_DONE) // again, as it was not acknowledged
+		r.reportFor(3*time.Second, a)
+		next := jobs.RunID{Task: jobs.TaskID{Job: testJob, Group: 1}, Number: 1}
+		if told := a.toldRuns(); !slices.Contains(told, next) {
+			t.Errorf("the agent was told of %v, want %v", told, next)
+		}
+		for range 3 {
+			a.end(next, api.RunOutcome_RUN_OUTCOME_DONE)
+			r.reportFor(time.Second, a)
+		}
+		if answer := r.mustCall(look, testPath, nil, stateAnswer); answer.State != "completed" {
+			t.Errorf("the job is %s although its last run has ended", answer.State)
+		}
+	})
+}
