jobcontrol: a leadership plans after its first batch is committed

Cause: a leadership took the committed state of its start for all that precedes its own batches. A replica that loses an election and wins the next one may propose for its former leadership until that is told, for instance at the end of a long round: Enqueue takes the batch in the new term. It was committed after the copy, and was missing in the assumed state until the term ended.

What callers saw: runs that only the committed state has hold their room, and their ends are taken for proposed ones and dropped, so their jobs never end. Runs whose ends only the committed state has keep the next group of their job from starting.

Change: the assumed state of a new leadership counts as stale, as after a failed batch. The first batch is empty, and once it is committed so is all that this replica has proposed before, or it never will be. It costs a commit before the first plan.

Ruled out: entries of earlier terms. A replica is ready to lead when an entry of its own term is applied, and they precede it.

--- a/jobcontrol/doc.go
+++ b/jobcontrol/doc.go
@@ -7,8 +7,9 @@
 // The replicated state is jobs.State. The leader keeps a second copy, the
 // assumed state, to which each round applies its changes when it proposes them.
 // Rounds plan on the assumed state, so several batches can be in flight at a
-// time. When a batch cannot be proposed, or is not committed, the assumed state is
-// reset to the committed one.
+// time. At the start of a leadership, and when a batch cannot be proposed or is not
+// committed, nothing is planned until an empty batch is committed, and the committed
+// state replaces the assumed one.
 //
 // The soft state exists on the leader only and is rebuilt after an election:
 // workers, sessions, leases, and learned statistics.
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -21,7 +21,7 @@
 
 	mu           sync.Mutex
 	assumed      *jobs.State // committed state with the outstanding batches applied
-	assumedStale bool        // a batch has failed, so that it differs from that; see proposeBarrier
+	assumedStale bool        // it may differ from that; see proposeBarrier
 	zoneOrders   zoneOrders
 	outstanding  int // proposed batches whose results have not been handled
 	queue        changeQueue
@@ -78,6 +78,7 @@
 		inFlight: make(chan *batch, maxInFlight),
 
 		assumed:      server.config.State.Clone(),
+		assumedStale: true, // what an earlier leadership of this replica proposed in this term may follow
 		zoneOrders:   newZoneOrders(server.appliedIndex()),
 		workers:      map[string]*workerView{},
 		sessions:     map[string]*session{},
@@ -108,6 +109,7 @@
 	l.assumed.Read(func(view jobs.View) { l.knowledge = dispatch.NewKnowledge(view.Learnt()) })
 	l.initJobAges()
 	l.recovery = newRecovery(server.endLeaderless(), l.since, l.workersWithRuns())
+	l.signal()
 	return l
 }
 
