jobcontrol: property test of the assumed state

Random submissions, cancellations, ends, crashes, restarts, silences, steps of the time of day, slow, late and refused commits and late notices of an election: whenever nothing is outstanding, the assumed state is the committed one.

--- a/jobcontrol/assumed_test.go
+++ b/jobcontrol/assumed_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/dispatch"
@@ -144,3 +145,138 @@
 		}
 	})
 }
+
+// assumedStep is one step of TestAssumedStateFollowsTheCommittedOne.
+type assumedStep struct {
+	kind    string
+	job     int
+	agent   int
+	outcome api.RunOutcome
+	gang    bool
+	length  time.Duration
+}
+
+func drawAssumedStep(t *rapid.T) assumedStep {
+	return assumedStep{
+		kind: rapid.SampledFrom([]string{
+			"submit", "submit", "submit", "cancel", "end", "end", "end", "end twice", "list", "crash", "restart", "silence", "reconnect",
+			"set clock", "slow commits", "late commit", "refused proposal", "late notice", "wait", "wait", "long wait",
+		}).Draw(t, "kind"),
+		job: rapid.IntRange(0, 4).Draw(t, "job"), agent: rapid.IntRange(0, 1).Draw(t, "agent"), gang: rapid.Bool().Draw(t, "gang"),
+		outcome: rapid.SampledFrom([]api.RunOutcome{
+			api.RunOutcome_RUN_OUTCOME_DONE, api.RunOutcome_RUN_OUTCOME_DONE, api.RunOutcome_RUN_OUTCOME_FAILED,
+			api.RunOutcome_RUN_OUTCOME_STOPPED, api.RunOutcome_RUN_OUTCOME_REFUSED,
+		}).Draw(t, "outcome"),
+		length: time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "length")) * time.Millisecond,
+	}
+}
+
+// Property: whatever is submitted, ends and fails, whichever commits are slow or not known,
+// and however the time of day is set, the assumed state is the committed one whenever
+// nothing is outstanding. Ended jobs are forgotten after seconds here.
+func TestAssumedStateFollowsTheCommittedOne(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawAssumedStep), 5, 40).Draw(rt, "steps")
+		var committed, assumed string
+		settled, at := true, -1
+		inBubble(t, func(r *rig) {
+			r.retain = 8 * time.Second
+			r.serve(dispatch.Policy{})
+			r.configure()
+			agents := []*fakeAgent{r.connect("a"), r.connect("b")}
+			for i, step := range steps {
+				r.playStep(step, agents)
+				if committed, assumed, _ = r.difference(); committed != assumed {
+					at = i
+					return
+				}
+			}
+			r.reportFor(20*time.Second, agents...)
+			committed, assumed, settled = r.difference()
+		})
+		if committed != assumed || !settled {
+			rt.Fatalf("after step %d, settled %v\ncommitted: %s\nassumed: %s", at, settled, committed, assumed)
+		}
+	})
+}
+
+// playStep plays a step. Calls go on in the background.
+func (r *rig) playStep(step assumedStep, agents []*fakeAgent) {
+	a := agents[step.agent]
+	path := "/q/" + "00000000000000a" + string(rune('0'+step.job))
+	switch step.kind {
+	case "submit":
+		go func() {
+			_, _ = r.call(submit, path, &api.JobSpec{Groups: []*api.TaskGroup{
+				{Count: 2, MilliCpu: 900, Gang: step.gang}, {Count: 1, MilliCpu: 900, DependsOn: []int32{0}, Speculative: step.gang},
+			}})
+		}()
+	case "cancel":
+		go func() { _, _ = r.call(cancel, path, nil) }()
+	case "end", "end twice":
+		if runs := r.runsOn(a); len(runs) > 0 {
+			end := &api.WorkerEnd{Run: runs[step.job%len(runs)].Ref(), Outcome: step.outcome, Begun: step.gang}
+			a.send([]*api.WorkerEnd{end})
+			if step.kind == "end twice" {
+				r.wait(step.length.Abs() / 100)
+				a.send([]*api.WorkerEnd{end})
+			}
+		}
+	case "list":
+		a.listed = nil
+		a.listRuns(r.runsOn(a)...)
+		a.send(nil)
+	case "crash":
+		runs := r.runsOn(a)
+		a.crash(runs[:min(len(runs), step.job)]...)
+	case "restart":
+		a.born, a.listed = a.born+1, []*api.RunStatus{}
+		a.send(nil)
+	case "silence":
+		r.wait(2 * testLease)
+	case "reconnect":
+		a.stream.cancel()
+		r.wait(10 * time.Millisecond)
+		a.reconnect()
+	case "set clock":
+		r.step.Store(int64(step.length))
+	case "slow commits":
+		r.replica.set(func() { r.replica.commitDelay = step.length.Abs() / 5 })
+		time.AfterFunc(2*time.Second, func() { r.replica.set(func() { r.replica.commitDelay = commitDelay }) })
+	case "late commit":
+		r.replica.set(func() { r.replica.commitDelay = commitTimeout + time.Second })
+		time.AfterFunc(step.length.Abs()/10, func() { r.replica.set(func() { r.replica.commitDelay = commitDelay }) })
+	case "refused proposal":
+		r.replica.set(func() { r.replica.refusals = 1 + step.job%2 })
+	case "late notice":
+		r.noticeLate(step, path, agents)
+	case "wait":
+		r.wait(step.length.Abs() / 50)
+	case "long wait":
+		r.reportFor(step.length.Abs()*2, agents...)
+	}
+	r.wait(time.Millisecond)
+}
+
+// noticeLate lets the replica lose an election and win the next one, and tells its server
+// only after a submission.
+func (r *rig) noticeLate(step assumedStep, path string, agents []*fakeAgent) {
+	r.reportFor(10*time.Second, agents...) // what the former term proposed is committed
+	r.replica.set(func() { r.replica.status.Term++ })
+	go func() { _, _ = r.call(submit, path, oneTask()) }()
+	r.wait(step.length.Abs() / 500)
+	r.replica.lead(r.replica.Status().Term, true)
+	r.wait(100 * time.Millisecond)
+	for _, a := range agents {
+		a.reconnect()
+	}
+}
+
+// runsOn returns the committed runs on an agent's worker, sorted.
+func (r *rig) runsOn(a *fakeAgent) (runs []jobs.RunID) {
+	r.state.Read(func(view jobs.View) {
+		view.RunsOn(jobs.WorkerKey(a.worker, a.born), func(run jobs.RunID, _ *jobs.Group) { runs = append(runs, run) })
+	})
+	slices.SortFunc(runs, func(a, b jobs.RunID) int { return slices.Compare([]byte(a.String()), []byte(b.String())) })
+	return runs
+}
