jobcontrol: a failing test of an assumed state that has parted

Results of changes are not compared between the assumed and the committed state, nor are the states. The test lets them part by a submission, an end and a cancellation that only the assumed state has. All three cases fail: the states differ until the term ends, and no log line or metric tells.

--- a/jobcontrol/assumed_test.go
+++ b/jobcontrol/assumed_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -146,6 +147,66 @@
 	})
 }
 
+// Guards against a leader that goes on planning on an assumed state that has parted from the
+// committed one, whatever the cause, without a trace: jobs stand still beside free workers
+// until the term ends.
+func TestAnAssumedStateThatHasPartedIsReplaced(t *testing.T) {
+	const phantom, other = "00000000000000bb", "00000000000000dd"
+	whole := &api.JobSpec{Groups: []*api.TaskGroup{{Count: 1, MilliCpu: 4000}}}
+	submission := func(job string) *api.JobChange {
+		return &api.JobChange{Body: &api.JobChange_Submit{Submit: &api.SubmitJob{Key: &api.JobKey{Queue: "h /q/", Job: job}, Spec: whole}}}
+	}
+	first := func(job string) jobs.RunID { return jobs.RunID{Task: jobs.TaskID{Job: job}, Number: 1} }
+	cases := map[string]struct {
+		running []string // jobs that run before the states part
+		assumed *api.JobChange
+		found   string
+	}{
+		"a job that the committed state lacks": {assumed: submission(phantom), found: "result"},
+		"an end that was not committed": {
+			running: []string{other},
+			assumed: endChange(first(other), "w-a@1", api.RunOutcome_RUN_OUTCOME_DONE, "", api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN),
+			found:   "state",
+		},
+		"a cancellation that was not committed": {
+			assumed: &api.JobChange{Body: &api.JobChange_Cancel{Cancel: &api.JobKey{Queue: "h /q/", Job: testJob}}}, found: "state",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			count := metrics.GetOrCreateCounter(`paddle_jobs_assumed_differences_total{found="` + c.found + `"}`)
+			inBubble(t, func(r *rig) {
+				r.configure()
+				a := r.connect("a")
+				for _, job := range c.running {
+					r.mustCall(submit, "/q/"+job, whole, accepted)
+				}
+				r.reportFor(time.Second, a)
+				before := count.Get()
+				r.withLeadership(func(l *leadership) {
+					l.assumed.ApplyBatch(&api.JobBatch{Changes: []*api.JobChange{c.assumed}})
+				})
+				r.wait(300 * time.Millisecond) // a round plans on it
+				r.mustCall(submit, testPath, whole, accepted)
+				r.wait(100 * time.Millisecond)
+				for _, job := range c.running {
+					a.end(first(job), api.RunOutcome_RUN_OUTCOME_DONE)
+				}
+				r.reportFor(4*time.Second, a)
+				if told := a.toldRuns(); !slices.Contains(told, testRun) {
+					t.Errorf("the agent was told of %v, want %v", told, testRun)
+				}
+				if committed, assumed, settled := r.difference(); committed != assumed || !settled {
+					t.Errorf("committed: %s\nassumed: %s\nsettled: %v", committed, assumed, settled)
+				}
+				if count.Get() == before {
+					t.Error("no difference was counted")
+				}
+			})
+		})
+	}
+}
+
 // assumedStep is one step of TestAssumedStateFollowsTheCommittedOne.
 type assumedStep struct {
 	kind    string
