--- a/jobagent/harness_test.go
+++ b/jobagent/harness_test.go
@@ -45,6 +45,7 @@
 	delayLists    time.Duration        // between the making of a list and its arrival
 	lostStops     int                  // number of stops that are left unanswered and not carried out
 	lostPolls     int                  // number of polls that are left unanswered
+	paceDelays    []time.Duration      // of the next calls that set a pace, before they are carried out
 	endAdded      chan struct{}        // closed when the next run ends
 	usage         map[jobs.RunID]int64 // usage listed with a run
 }
@@ -265,6 +266,13 @@
 func (f *fakeWorker) Pace(_ context.Context, _ Target, run jobs.RunID, percent int, _ uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.paceDelays) > 0 {
+		delay := f.paceDelays[0]
+		f.paceDelays = f.paceDelays[1:]
+		f.mu.Unlock()
+		time.Sleep(delay)
+		f.mu.Lock()
+	}
 	f.paces[run] = percent
 	return nil
 }
