--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -70,7 +70,8 @@
 	phase          runPhase
 	order          *api.RunOrder // nil for a run that this process did not start
 	status         *api.RunStatus
-	pace           int
+	pace           int       // the latest one, which the worker may not have yet
+	pacing         bool      // a call that sets the pace is under way
 	stopping       bool      // a stop has been requested
 	conclusivePoll int64     // first poll that is sent after the stop was confirmed: from its list on, a missing run never begins; 0 before
 	acceptedPoll   int64     // first poll that is sent after the worker accepted the start; 0 before
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -352,7 +352,10 @@
 		if r := w.runs[ids[i]]; r.pace != percent {
 			r.pace = percent
 			changed++
-			w.agent.wg.Go(func() { w.callPace(ids[i], percent) })
+			if !r.pacing {
+				r.pacing = true
+				w.agent.wg.Go(func() { w.sendPaces(ids[i], r) })
+			}
 		}
 	}
 	if changed > 0 {
@@ -366,10 +369,33 @@
 
 func cores(milliCPU int64) float64 { return float64(milliCPU) / 1000 }
 
-func (w *incarnation) callPace(id jobs.RunID, percent int) {
+// sendPaces sets the pace of a run at the worker until it is the latest one. Calls on
+// different connections may overtake each other, so one is under way at a time.
+func (w *incarnation) sendPaces(id jobs.RunID, r *run) {
+	for sent := unknownPace; ; {
+		w.agent.mu.Lock()
+		percent := r.pace
+		if percent == sent || w.runs[id] != r {
+			r.pacing = false
+			w.agent.mu.Unlock()
+			return
+		}
+		w.agent.mu.Unlock()
+		if err := w.callPace(id, percent); err != nil {
+			klog.InfoS("Failed to set best-effort pace", "job", id.Task.Job, "run", id.String(), "worker", w.key, "percent", percent, "error", err)
+			w.agent.mu.Lock()
+			r.pace, r.pacing = unknownPace, false
+			w.agent.mu.Unlock()
+			return
+		}
+		sent = percent
+	}
+}
+
+func (w *incarnation) callPace(id jobs.RunID, percent int) error {
 	release := w.acquire()
 	if release == nil {
-		return
+		return fault.New(fault.Canceled, "the worker incarnation has ended")
 	}
 	defer release()
 	w.agent.mu.Lock()
@@ -377,12 +403,5 @@
 	w.agent.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, stopTimeout)
 	defer cancel()
-	if err := w.agent.config.Worker.Pace(ctx, target, id, percent, fence); err != nil {
-		klog.InfoS("Failed to set best-effort pace", "job", id.Task.Job, "run", id.String(), "worker", w.key, "percent", percent, "error", err)
-		w.agent.mu.Lock()
-		defer w.agent.mu.Unlock()
-		if r := w.runs[id]; r != nil {
-			r.pace = unknownPace
-		}
-	}
+	return w.agent.config.Worker.Pace(ctx, target, id, percent, fence)
 }
