--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -130,6 +130,10 @@
 	session.receivedAt = l.server.now()
 	defer session.signal()
 	if report.Worker == nil {
+		if session.key != "" {
+			klog.InfoS("Worker has started anew and has listed no runs yet", "agent", session.agent, "worker", session.key)
+			session.rebind("") // the lease of the earlier incarnation is extended no more
+		}
 		return
 	}
 	l.recordCrashes(session.agent, report.Crashes)
@@ -166,8 +170,8 @@
 	}
 }
 
-// rebind turns the session to another incarnation of the agent's worker. What is queued
-// was decided for the former one.
+// rebind turns the session to another incarnation of the agent's worker, empty for one
+// that is not known yet. What is queued was decided for the former one.
 func (s *session) rebind(key string) {
 	s.key, s.sendExpected = key, true
 	s.starts, s.stops, s.recorded = nil, nil, nil
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -276,7 +276,7 @@
 	suspects := l.health.Suspects(now, keys)
 	for _, view := range l.workers {
 		w := view.worker
-		open := l.sessions[view.agent] != nil && l.openFor(view, now) &&
+		open := l.hasSession(view) && l.openFor(view, now) &&
 			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && !view.unreachable && view.unanswered < maxUnanswered &&
 			!suspects[view.key] && !view.unbooked
 		if _, closed := l.maintenance.closed[w.Machine]; closed {
