jobcontrol: failing test of a run that the log does not have (47)

A worker that lists such a run is closed. The agent is told which runs are expected at the start of a session only, so that the worker stays closed until the run ends.

--- a/jobcontrol/workers_test.go
+++ b/jobcontrol/workers_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
 )
 
@@ -35,3 +36,27 @@
 		}
 	})
 }
+
+// Guards against a worker that stays closed: its agent holds a run that the log does not
+// have, and is not told so for as long as its session lasts (issue 47).
+func TestRunThatTheLogDoesNotHaveIsStopped(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		a.drainDirectives()
+		r.wait(testLease + time.Second) // no report is sent, and the run is lost
+		a.list(testRun, 0)
+		r.reportFor(2*time.Second, a)
+		if starts, stops, _, _ := a.drainDirectives(); len(starts) > 0 || len(stops) == 0 || stops[0] != testRun {
+			r.t.Fatalf("starts %v and stops %v while the worker lists a run that is lost, want a stop of it", starts, stops)
+		}
+		a.listed = []*api.RunStatus{}
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_STOPPED)
+		r.reportFor(time.Second, a)
+		if starts, _, recorded, _ := a.drainDirectives(); len(starts) != 1 || len(recorded) != 1 {
+			t.Errorf("starts %v and recorded ends %v once the run has ended, want one each", starts, recorded)
+		}
+	})
+}
