--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -147,7 +147,7 @@
 	if report.RunsListed {
 		l.recovery.listed(view.key, l.server.now())
 		view.setRuns(report.Runs)
-		view.unbooked = l.hasUnbooked(view)
+		l.stopUnbooked(session, view)
 		for run, status := range view.runs {
 			if hasBegun(status) {
 				l.recordBegun(run)
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -220,16 +220,23 @@
 	}}}
 }
 
-// hasUnbooked reports whether a worker lists a run that the log does not have on it: one
-// that was ordered for an earlier incarnation, or that was lost meanwhile. Its room is not
-// counted. The lock is held.
-func (l *leadership) hasUnbooked(view *workerView) (unbooked bool) {
+// stopUnbooked closes a worker while it lists runs that the log does not have on it, and
+// orders stops for them: they were ordered for an earlier incarnation, or lost meanwhile.
+// Their room is not counted. The lock is held.
+func (l *leadership) stopUnbooked(session *session, view *workerView) {
+	unbooked := 0
 	l.server.config.State.Read(func(state jobs.View) {
 		for run := range view.runs {
-			unbooked = unbooked || state.WorkerOf(run) != view.key
+			if state.WorkerOf(run) != view.key {
+				unbooked++
+				session.queueStop(run, l.server.now())
+			}
 		}
 	})
-	return unbooked
+	if closed := unbooked > 0; closed != view.unbooked {
+		klog.InfoS("Runs that the log does not have changed", "worker", view.key, "runs", unbooked)
+		view.unbooked = closed
+	}
 }
 
 // sampleWorker returns what the worker's latest list shows of its services and
