--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -25,7 +25,7 @@
 
 // Details of ObstacleClosed that Worker.Closed tells of a worker that is not open.
 const (
-	ClosedSession     Obstacle = "session"     // its agent has none
+	ClosedSession     Obstacle = "session"     // its agent has none that reports on this incarnation
 	ClosedLease       Obstacle = "lease"       // too little of its agent's lease remains
 	ClosedDraining    Obstacle = "draining"    // by its own word
 	ClosedLeaving     Obstacle = "leaving"     // its agent stops
