jobcontrol, jobagent: one run of a job is kept at work while all of its runs are paused

Cause: beside services that stay over their target, or have less headroom than their load may take, an agent pauses best-effort runs for as long as that lasts, without a bound. Services whose tail latencies are noisy, or that are over their target by their own load, never let them go on.

Change: the leader follows from the lists which runs are paused, and for how long a job has had no run at work. After 1 s it has the agent of one run, that beside the services with most headroom, keep it at the lowest pace (5 %), until it works faster by itself.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -94,6 +94,18 @@
 	Headroom Headroom
 }
 
+// LeastHeadroom returns the least headroom of the services in the sample, that of a service
+// without load if there are none.
+func (s *Sample) LeastHeadroom() Headroom {
+	least := Headroom(maxHeadroom)
+	for _, service := range s.Services {
+		if service.Headroom > 0 {
+			least = min(least, service.Headroom)
+		}
+	}
+	return least
+}
+
 // Interference learns how much best-effort work interferes with services, as
 // the cost of each pair of images. The load of a service changes within seconds
 // and is not observable, but all replicas of a group carry about the same load
--- a/dispatch/models_test.go
+++ b/dispatch/models_test.go
@@ -176,7 +176,7 @@
 func TestPaceDropsForCostlyRunsOnlyAndRecovers(t *testing.T) {
 	costs := map[Pair]float64{{"s", "heavy"}: 0.4, {"s", "light"}: 0}
 	perCore := func(pair Pair) float64 { return costs[pair] }
-	runs := []BestEffortRun{{"heavy", 3, 3}, {"light", 5, 5}}
+	runs := []BestEffortRun{{Image: "heavy", Cores: 3, FullPaceCores: 3}, {Image: "light", Cores: 5, FullPaceCores: 5}}
 	p := NewPacer()
 	cases := []struct {
 		name                string
@@ -210,7 +210,7 @@
 func TestSpareHeadroomGoesToCheapestRuns(t *testing.T) {
 	costs := map[Pair]float64{{"s", "heavy"}: 0.4, {"s", "mild"}: 0.1, {"s", "light"}: 0.01}
 	perCore := func(pair Pair) float64 { return costs[pair] }
-	runs := []BestEffortRun{{"heavy", 0, 4}, {"mild", 0, 4}, {"light", 0, 20}}
+	runs := []BestEffortRun{{Image: "heavy", FullPaceCores: 4}, {Image: "mild", FullPaceCores: 4}, {Image: "light", FullPaceCores: 20}}
 	paces := NewPacer().Update([]ServiceHeadroom{{"s", reservedHeadroom + 0.8}}, runs, perCore)
 	if paces[0] < 20 || paces[0] > 30 || paces[1] != FullPace || paces[2] != FullPace {
 		t.Errorf("paces %v, want about a quarter for the costly run and full pace for the others", paces)
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -16,6 +16,15 @@
 	Image         string
 	Cores         float64 // in use now
 	FullPaceCores float64 // expected use at full pace
+	KeepAtWork    bool    // it has at least MinPace, as its job has nothing else at work
+}
+
+// leastPace returns the pace of the run when the services can spare nothing for it.
+func (r *BestEffortRun) leastPace() int {
+	if r.KeepAtWork {
+		return MinPace
+	}
+	return 0
 }
 
 // Pacer throttles the best-effort runs on one worker. It handles service load
@@ -25,7 +34,7 @@
 // other runs share the headroom that the services can spare, those with the
 // lowest cost per core first. If a service exceeds its target all the same,
 // their share is reduced further, and finally all best-effort runs are paused
-// until the services recover.
+// until the services recover, except those that the leader keeps at work.
 type Pacer struct {
 	budgetScale float64 // share of the spare headroom that interfering runs may use; below 1 after a service was over its target
 	overTarget  int     // consecutive samples with a service over its target
@@ -41,7 +50,7 @@
 	scaleDownFactor   = 0.5  // per sample with a service over its target
 	scaleUpStep       = 0.25 // per sample with all services recovered
 	minBudgetScale    = 0.06 // below it the budget scale is set to 0
-	minPercent        = 5    // lower paces are rounded down to a pause
+	MinPace           = 5    // percent; lower paces are rounded down to a pause
 	FullPace          = 100
 )
 
@@ -59,6 +68,9 @@
 // scale. It is for changes of the set of runs between samples.
 func (p *Pacer) Paces(services []ServiceHeadroom, runs []BestEffortRun, perCore func(Pair) float64) []int {
 	paces := make([]int, len(runs))
+	for i := range runs {
+		paces[i] = runs[i].leastPace()
+	}
 	if p.overTarget >= pauseAfterSamples {
 		return paces
 	}
@@ -70,8 +82,8 @@
 				share = min(share, max(left, 0)/taken)
 			}
 		}
-		if paces[i] = int(share * FullPace); paces[i] < minPercent {
-			paces[i] = 0
+		if paces[i] = int(share * FullPace); paces[i] < MinPace {
+			paces[i] = runs[i].leastPace()
 			continue
 		}
 		for image := range budgets {
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -129,7 +129,7 @@
 }
 
 func (e expectedTimes) remaining(status RunStatus, resumed bool) Band {
-	pace := float64(min(max(status.Pace, minPercent), FullPace)) / FullPace
+	pace := float64(min(max(status.Pace, MinPace), FullPace)) / FullPace
 	p := status.progress(resumed)
 	low, high := p.bounds()
 	likely, latest := e.quantiles(low, high)
--- a/dispatch/unusedcpu.go
+++ b/dispatch/unusedcpu.go
@@ -9,7 +9,7 @@
 // minClaimShare is the least share of its declared CPU that a throttled run claims: the
 // lowest pace above a pause. It bounds the runs that gather on a worker while they are
 // paused and that share its CPU when the services recover.
-const minClaimShare = float64(minPercent) / FullPace
+const minClaimShare = float64(MinPace) / FullPace
 
 // allowsBestEffort reports whether a best-effort task of the candidate may
 // start on the worker: there is unclaimed CPU, and the services on the worker can
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -37,9 +37,10 @@
 
 	runs         map[jobs.RunID]*run
 	ends         map[jobs.RunID]*end
-	lastPosition int64              // highest position received in the worker's list of ended runs
-	unrecorded   map[int64]struct{} // received positions that the leader has not recorded yet
-	recorded     chan struct{}      // signaled when the leader has recorded an end
+	kept         map[jobs.RunID]bool // best-effort runs that are not paused
+	lastPosition int64               // highest position received in the worker's list of ended runs
+	unrecorded   map[int64]struct{}  // received positions that the leader has not recorded yet
+	recorded     chan struct{}       // signaled when the leader has recorded an end
 
 	compared        bool      // with the leader's runs: it expects no run that is not known here
 	unhealthy       bool      // result of the worker's health check
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -323,6 +323,16 @@
 	w.setPaces(ids, w.pacer.Paces(services, bestEffort, w.agent.costs.PerCore), services)
 }
 
+// keepAtWork takes over which best-effort runs the leader keeps at work. Agent.mu must be
+// held.
+func (w *incarnation) keepAtWork(list []*api.RunRef) {
+	w.kept = make(map[jobs.RunID]bool, len(list))
+	for _, ref := range list {
+		w.kept[jobs.RunIDOf(ref)] = true
+	}
+	w.paceNewRun()
+}
+
 // colocatedRuns returns the services and the best-effort runs from the worker's
 // latest list; ids are those of the best-effort runs. Agent.mu must be held.
 func (w *incarnation) colocatedRuns() (services []dispatch.ServiceHeadroom, bestEffort []dispatch.BestEffortRun, ids []jobs.RunID) {
@@ -338,6 +348,7 @@
 			ids = append(ids, id)
 			bestEffort = append(bestEffort, dispatch.BestEffortRun{
 				Image: r.order.Image, Cores: cores(r.status.GetUsage()), FullPaceCores: cores(r.order.MilliCpu),
+				KeepAtWork: w.kept[id],
 			})
 		}
 	}
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -261,6 +261,9 @@
 	for _, ref := range d.Recorded {
 		w.markRecorded(jobs.RunIDOf(ref))
 	}
+	if d.KeptListed {
+		w.keepAtWork(d.KeptAtWork)
+	}
 	for _, order := range d.Starts {
 		w.acceptStart(order)
 	}
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -106,11 +106,13 @@
 	run := jobs.RunIDOf(start.Run)
 	if err != nil {
 		klog.InfoS("Start not committed", "run", run.String(), "worker", start.Worker, "error", err)
+		l.releaseKept(run)
 		return
 	}
 	l.startedAt[run] = l.server.now()
 	lasted, named := l.standstills.start(run, l.server.now())
 	l.endStandstill(run, lasted, named)
+	l.idleJobs.begin(run.Task.Job)
 	setFirst(&l.recovery.start, l.server.now())
 	l.observeWait(run)
 	l.forecastStart(run)
@@ -136,6 +138,8 @@
 	delete(l.startedAt, run)
 	defer delete(l.standstills.reasons, run)
 	delete(l.movingRuns, run)
+	l.idleJobs.setPaused(run, false)
+	l.releaseKept(run)
 	if err == nil && end.CrashEvidence == api.CrashEvidence_CRASH_EVIDENCE_SURVIVED {
 		delete(l.crashedUnder, run.Task)
 	}
--- a/jobcontrol/directive.go
+++ b/jobcontrol/directive.go
@@ -59,7 +59,11 @@
 		d.ExpectedListed = true
 		d.Expected, d.Described = l.expectedRuns(session.key)
 	}
-	if session.answeredSeq == session.receivedSeq && len(d.Starts)+len(d.Stops)+len(d.Recorded) == 0 && !d.ExpectedListed {
+	if session.sendKept && session.key != "" {
+		session.sendKept = false
+		d.KeptListed, d.KeptAtWork = true, l.keptOn(session.key)
+	}
+	if session.answeredSeq == session.receivedSeq && len(d.Starts)+len(d.Stops)+len(d.Recorded) == 0 && !d.ExpectedListed && !d.KeptListed {
 		return nil
 	}
 	session.answeredSeq = session.receivedSeq
--- /dev/null
+++ b/jobcontrol/idle.go
@@ -0,0 +1,175 @@
+package jobcontrol
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/dispatch"
+	"amaranthpaddle/jobs"
+	"amaranthpaddle/telemetry"
+)
+
+// idleJobs knows for how long jobs have had no run at work. Best-effort runs that their
+// agents have paused are active and not at work. It is given the times. It is not safe for
+// concurrent use.
+type idleJobs struct {
+	paused map[string]map[jobs.RunID]bool // by job: runs that their workers last listed as paused
+	since  map[string]time.Time           // since when a job has had no run at work
+}
+
+func newIdleJobs() idleJobs {
+	return idleJobs{paused: map[string]map[jobs.RunID]bool{}, since: map[string]time.Time{}}
+}
+
+// setPaused records whether a run is paused.
+func (i *idleJobs) setPaused(run jobs.RunID, paused bool) {
+	runs := i.paused[run.Task.Job]
+	if !paused {
+		if delete(runs, run); len(runs) == 0 {
+			delete(i.paused, run.Task.Job)
+		}
+		return
+	}
+	if runs == nil {
+		runs = map[jobs.RunID]bool{}
+		i.paused[run.Task.Job] = runs
+	}
+	runs[run] = true
+}
+
+// idle returns for how long a job has had no run at work, 0 if it has one. The time counts
+// from the first call that finds none.
+func (i *idleJobs) idle(job *jobs.Job, now time.Time) time.Duration {
+	if job.ActiveRuns() > len(i.paused[job.ID]) {
+		delete(i.since, job.ID)
+		return 0
+	}
+	since, known := i.since[job.ID]
+	if !known {
+		since = now
+		i.since[job.ID] = now
+	}
+	return now.Sub(since)
+}
+
+// begin records that a run of a job starts.
+func (i *idleJobs) begin(job string) { delete(i.since, job) }
+
+// forget drops a job that has ended.
+func (i *idleJobs) forget(job string) {
+	delete(i.paused, job)
+	delete(i.since, job)
+}
+
+// Intervals of the look for jobs of which all runs are paused.
+const (
+	keepInterval = 200 * time.Millisecond
+	// pausedTolerance is how long all runs of a job may be paused. Together with the intervals
+	// of the agents' reports it is below the 3 s for which an accepted job may stand still.
+	pausedTolerance = time.Second
+	// minKeepTime is how long a run is kept at work at least: it starts at full pace, and its
+	// agent may pause it after the next list.
+	minKeepTime = 2 * time.Second
+)
+
+// keptRun is a best-effort run that its agent does not pause.
+type keptRun struct {
+	worker string // key
+	since  time.Time
+}
+
+// keepJobsAtWork chooses a run of each job of which all runs have been paused for too long.
+// Its agent does not pause it while the services on the worker recover: at the lowest pace
+// it costs them little. The lock is held.
+func (l *leadership) keepJobsAtWork() {
+	now := l.server.now()
+	if now.Sub(l.keptAt) < keepInterval {
+		return
+	}
+	l.keptAt = now
+	l.assumed.Read(func(state jobs.View) {
+		for id, paused := range l.idleJobs.paused {
+			job := state.Job(id)
+			if job == nil || job.Phase.Ended() || l.idleJobs.idle(job, now) < pausedTolerance {
+				continue
+			}
+			if run, found := l.leastAffecting(state, paused); found {
+				l.keepAtWork(run, state.WorkerOf(run), "all runs of the job were paused")
+			}
+		}
+	})
+}
+
+// leastAffecting returns the run on the worker whose services have most headroom, false if
+// one of the runs is kept at work already. The lock is held.
+func (l *leadership) leastAffecting(state jobs.View, paused map[jobs.RunID]bool) (best jobs.RunID, found bool) {
+	type choice struct {
+		run      jobs.RunID
+		headroom dispatch.Headroom
+	}
+	var choices []choice
+	for run := range paused {
+		if _, kept := l.kept[run]; kept {
+			return run, false
+		}
+		if view := l.viewOf(state.WorkerOf(run)); view != nil {
+			choices = append(choices, choice{run, view.sample.LeastHeadroom()})
+		}
+	}
+	if len(choices) == 0 {
+		return best, false
+	}
+	return slices.MinFunc(choices, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(b.headroom, a.headroom), cmp.Compare(a.run.String(), b.run.String()))
+	}).run, true
+}
+
+// keepAtWork has the agent of a worker keep a best-effort run at work, until it works
+// faster than at the lowest pace. The lock is held.
+func (l *leadership) keepAtWork(run jobs.RunID, worker, reason string) {
+	l.kept[run] = keptRun{worker, l.server.now()}
+	telemetry.JobRunsKept.Add(1)
+	klog.InfoS("Run kept at work", "job", run.Task.Job, "run", run.String(), "worker", worker, "reason", reason)
+	l.sendKept(worker)
+}
+
+// releaseKept ends what keepAtWork has ordered for a run. The lock is held.
+func (l *leadership) releaseKept(run jobs.RunID) {
+	if k, kept := l.kept[run]; kept {
+		delete(l.kept, run)
+		l.sendKept(k.worker)
+	}
+}
+
+// sendKept has the runs that are kept at work on a worker sent to its agent. The lock is held.
+func (l *leadership) sendKept(worker string) {
+	if session := l.sessionOfWorker(worker); session != nil {
+		session.sendKept = true
+		session.signal()
+	}
+}
+
+// keptOn returns the runs that are kept at work on a worker. The lock is held.
+func (l *leadership) keptOn(worker string) (runs []*api.RunRef) {
+	for run, k := range l.kept {
+		if k.worker == worker {
+			runs = append(runs, run.Ref())
+		}
+	}
+	return runs
+}
+
+// notePaces records from a worker's latest list which best-effort runs are paused, and
+// releases those that work by themselves. The lock is held.
+func (l *leadership) notePaces(view *workerView) {
+	for run, status := range view.runs {
+		l.idleJobs.setPaused(run, status.Pace == 0)
+		if k, kept := l.kept[run]; kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
+			l.releaseKept(run)
+		}
+	}
+}
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -51,6 +51,9 @@
 	drain       dispatch.DrainRate
 	movingRuns  map[jobs.RunID]bool // runs being stopped so that they start again on another worker
 	relocatedAt time.Time           // when throttled runs were last looked for
+	idleJobs    idleJobs
+	kept        map[jobs.RunID]keptRun // see keepAtWork
+	keptAt      time.Time              // when such runs were last looked for
 	preemption  preemption
 
 	shrunkenMoves shrunkenMoves
@@ -96,6 +99,7 @@
 
 		startedAt: map[jobs.RunID]time.Time{},
 		health:    dispatch.NewHealth(), progress: dispatch.NewProgress(), movingRuns: map[jobs.RunID]bool{},
+		idleJobs: newIdleJobs(), kept: map[jobs.RunID]keptRun{},
 		preemption: newPreemption(),
 		rackWaits:  rackWaits{},
 		forecasts:  dispatch.NewForecasts(),
--- a/jobcontrol/learn.go
+++ b/jobcontrol/learn.go
@@ -71,6 +71,8 @@
 	delete(l.startedJobs, job)
 	delete(l.unplannable, job)
 	l.rackWaits.forget(job)
+	l.idleJobs.forget(job)
+	maps.DeleteFunc(l.kept, func(run jobs.RunID, _ keptRun) bool { return run.Task.Job == job })
 	ofJob := func(task jobs.TaskID) bool { return task.Job == job }
 	maps.DeleteFunc(l.pausedUntil, func(task jobs.TaskID, _ time.Time) bool { return ofJob(task) })
 	maps.DeleteFunc(l.crashedUnder, func(task jobs.TaskID, _ map[string]time.Time) bool { return ofJob(task) })
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -150,6 +150,7 @@
 	l.planStarts(next)
 	l.checkRecovery()
 	l.relocateThrottled()
+	l.keepJobsAtWork()
 	l.preemptRuns()
 	l.moveFromShrunken()
 	if len(next.changes) == 0 {
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -26,6 +26,7 @@
 	receivedSeq  int64     // sequence of the latest report
 	receivedAt   time.Time // when that report arrived
 	answeredSeq  int64     // sequence of the latest report that was answered
+	sendKept     bool      // the next directive must list the runs that are kept at work
 	sendExpected bool      // the next directive must list the runs that the leader counts on the worker
 	starts       []*api.RunOrder
 	stops        []*api.RunRef
@@ -154,6 +155,7 @@
 			}
 		}
 		l.updateProgress(view, report)
+		l.notePaces(view)
 		view.sample = l.sampleWorker(view)
 		l.knowledge.Interference.Learn(view.key, view.sample)
 	}
@@ -173,7 +175,7 @@
 // rebind turns the session to another incarnation of the agent's worker, empty for one
 // that is not known yet. What is queued was decided for the former one.
 func (s *session) rebind(key string) {
-	s.key, s.sendExpected = key, true
+	s.key, s.sendExpected, s.sendKept = key, true, true
 	s.starts, s.stops, s.recorded = nil, nil, nil
 	clear(s.stopSentAt)
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -54,6 +54,7 @@
 	JobRunsEnded     = Metric{"paddle_jobs_runs_ended_total", []string{"outcome"}}
 	JobRunsStalled   = Metric{"paddle_jobs_runs_stalled_total", nil}
 	JobRunsRelocated = Metric{"paddle_jobs_runs_relocated_total", nil}
+	JobRunsKept      = Metric{"paddle_jobs_runs_kept_at_work_total", nil}
 	JobRunsOffShrunk = Metric{"paddle_jobs_runs_moved_from_shrunk_total", []string{"resource"}}
 	JobRunsPreempted = Metric{"paddle_jobs_runs_preempted_total", []string{"reason"}}
 	JobWorkDiscarded = Metric{"paddle_jobs_discarded_core_seconds_total", nil}
@@ -89,7 +90,7 @@
 func Metrics() []Metric {
 	return []Metric{
 		TaskStarts, AgentTasks, AgentRevision,
-		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobZoneWait, JobRunTimesSaved, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobRunsOffShrunk,
+		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobZoneWait, JobRunTimesSaved, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobRunsKept, JobRunsOffShrunk,
 		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobStandstills, JobFleet,
 		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled, JobPartialFits, JobOrdersRefused,
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds, JobAgentUnanswered, JobAgentCrossedStarts,
