jobcontrol: an assumed state that has parted is found and replaced

Cause: the leader compared neither the results of changes on its assumed state with the committed ones, nor the states. Whatever let them part, they stayed so until the term ended. A run of a plan that was refused (Start not committed) was logged, and held its room in all further plans.

Change: each committed result is compared with that on the assumed state. As some differences show in no result (a job that is new in one state and has ended in the other), the states are compared too, once a second while nothing is outstanding. A difference is logged with its cause (Assumed state differs from the committed one), counted (paddle_jobs_assumed_differences_total), and replaced as after a failed batch: nothing is planned until an empty batch is committed. While batches are outstanding all the time, only the results are compared.

The property test of the assumed state also fails if a difference was counted, as one that was mended is a fault all the same. The test of a parted state delays the comparison of the states, so that each way to find a difference has a case of its own.

--- a/jobcontrol/assumed_test.go
+++ b/jobcontrol/assumed_test.go
@@ -162,14 +162,14 @@
 		assumed *api.JobChange
 		found   string
 	}{
-		"a job that the committed state lacks": {assumed: submission(phantom), found: "result"},
+		"a job that the committed state lacks": {assumed: submission(phantom), found: differentResult},
 		"an end that was not committed": {
 			running: []string{other},
 			assumed: endChange(first(other), "w-a@1", api.RunOutcome_RUN_OUTCOME_DONE, "", api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN),
-			found:   "state",
+			found:   differentState,
 		},
 		"a cancellation that was not committed": {
-			assumed: &api.JobChange{Body: &api.JobChange_Cancel{Cancel: &api.JobKey{Queue: "h /q/", Job: testJob}}}, found: "state",
+			assumed: &api.JobChange{Body: &api.JobChange_Cancel{Cancel: &api.JobKey{Queue: "h /q/", Job: testJob}}}, found: differentState,
 		},
 	}
 	for name, c := range cases {
@@ -185,6 +185,7 @@
 				before := count.Get()
 				r.withLeadership(func(l *leadership) {
 					l.assumed.ApplyBatch(&api.JobBatch{Changes: []*api.JobChange{c.assumed}})
+					l.assumedCheckedAt = time.Now() // so that results show the difference first, if they can
 				})
 				r.wait(300 * time.Millisecond) // a round plans on it
 				r.mustCall(submit, testPath, whole, accepted)
@@ -240,6 +241,7 @@
 		steps := rapid.SliceOfN(rapid.Custom(drawAssumedStep), 5, 40).Draw(rt, "steps")
 		var committed, assumed string
 		settled, at := true, -1
+		before := countedDifferences()
 		inBubble(t, func(r *rig) {
 			r.retain = 8 * time.Second
 			r.serve(dispatch.Policy{})
@@ -255,12 +257,19 @@
 			r.reportFor(20*time.Second, agents...)
 			committed, assumed, settled = r.difference()
 		})
-		if committed != assumed || !settled {
-			rt.Fatalf("after step %d, settled %v\ncommitted: %s\nassumed: %s", at, settled, committed, assumed)
+		if counted := countedDifferences() - before; counted > 0 || committed != assumed || !settled {
+			rt.Fatalf("after step %d, settled %v, %d differences counted\ncommitted: %s\nassumed: %s", at, settled, counted, committed, assumed)
 		}
 	})
 }
 
+func countedDifferences() (n uint64) {
+	for _, found := range []string{differentResult, differentState} {
+		n += metrics.GetOrCreateCounter(`paddle_jobs_assumed_differences_total{found="` + found + `"}`).Get()
+	}
+	return n
+}
+
 // playStep plays a step. Calls go on in the background.
 func (r *rig) playStep(step assumedStep, agents []*fakeAgent) {
 	a := agents[step.agent]
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -52,6 +52,7 @@
 		l.assumed, l.assumedStale = l.server.config.State.Clone(), false
 		l.sendExpectedRuns()
 	}
+	l.compareResults(b, result.Results)
 	for i, p := range b.changes {
 		l.handleCommitted(p.change, jobs.ResultError(result.Results[i]))
 	}
--- a/jobcontrol/doc.go
+++ b/jobcontrol/doc.go
@@ -9,7 +9,8 @@
 // Rounds plan on the assumed state, so several batches can be in flight at a
 // time. At the start of a leadership, and when a batch cannot be proposed or is not
 // committed, nothing is planned until an empty batch is committed, and the committed
-// state replaces the assumed one.
+// state replaces the assumed one. The same is done when the two states, or the results
+// of a change on them, are found to differ.
 //
 // The soft state exists on the leader only and is rebuilt after an election:
 // workers, sessions, leases, and learned statistics.
@@ -24,6 +25,6 @@
 //
 // # Lock order
 //
-// leadership.mu, then the locks of jobs.State. No lock is held while waiting for
+// leadership.mu, then the locks of jobs.State, that of the assumed state first. No lock is held while waiting for
 // a proposal, or during a Send or a Recv.
 package jobcontrol
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -19,9 +19,11 @@
 	wake     chan struct{} // signals that a round has work
 	inFlight chan *batch   // proposed batches, in order
 
-	mu           sync.Mutex
-	assumed      *jobs.State // committed state with the outstanding batches applied
-	assumedStale bool        // it may differ from that; see proposeBarrier
+	mu               sync.Mutex
+	assumed          *jobs.State // committed state with the outstanding batches applied
+	assumedStale     bool        // it may differ from that; see proposeBarrier
+	assumedCheckedAt time.Time   // when it was last compared with the committed state
+
 	zoneOrders   zoneOrders
 	outstanding  int // proposed batches whose results have not been handled
 	queue        changeQueue
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -30,6 +30,7 @@
 	proposed time.Time
 	message  *api.JobBatch
 	changes  []*pendingChange
+	assumed  []*api.JobChangeResult // of the changes, on the assumed state
 	wait     func(context.Context) ([]byte, error)
 	barrier  bool // it has no changes; once it is committed, so are all batches before it that ever will be
 }
@@ -135,6 +136,7 @@
 	l.dropCarried()
 	l.dropLostWorkers()
 	l.saveKnowledge()
+	l.compareStates()
 	if l.assumedStale {
 		return l.proposeBarrier()
 	}
@@ -145,7 +147,7 @@
 		next.message.Changes = append(next.message.Changes, p.change)
 	}
 	if len(next.changes) > 0 { // a batch that is not proposed must not advance the clock of the assumed state alone
-		l.assumed.ApplyBatch(next.message)
+		next.assumed = l.assumed.ApplyBatch(next.message).Results
 	}
 	l.planStarts(next)
 	l.checkRecovery()
@@ -210,7 +212,7 @@
 		starting.Changes = append(starting.Changes, change)
 		next.changes = append(next.changes, &pendingChange{change: change})
 	}
-	l.assumed.ApplyBatch(starting)
+	next.assumed = append(next.assumed, l.assumed.ApplyBatch(starting).Results...)
 	next.message.Changes = append(next.message.Changes, starting.Changes...)
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -82,6 +82,9 @@
 	// of the recovery.
 	JobRecovery = Metric{"paddle_jobs_recovery_seconds", []string{"wait"}}
 	JobsTooLate = Metric{"paddle_jobs_accepted_too_late_total", []string{"queue"}}
+	// JobAssumedDifferences counts how often the state that the leader plans on had parted
+	// from the committed one.
+	JobAssumedDifferences = Metric{"paddle_jobs_assumed_differences_total", []string{"found"}}
 )
 
 // Metrics lists every metric of this package.
@@ -94,7 +97,7 @@
 		JobAgentEnds, JobAgentCalls, JobAgentSeconds, JobAgentUnanswered, JobAgentCrossedStarts,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
-		JobsRefused, JobsTooLate, JobRecovery,
+		JobsRefused, JobsTooLate, JobRecovery, JobAssumedDifferences,
 	}
 }
 
