jobcontrol, dispatch: failing tests of runs that are kept at work (47)

- a lost run that is listed as paused once more is never forgotten: its job counts as one without a run at work, although the next run works
- a run that was planned as kept on another worker, in a batch that was not committed, is taken for one that is kept, and stays paused

--- a/jobcontrol/idle_test.go
+++ b/jobcontrol/idle_test.go
@@ -56,3 +56,59 @@
 	}
 	return runs
 }
+
+// Guards against a job that counts as one without a run at work although it has one: its
+// worker listed an earlier, paused run once more after that was lost (issue 47).
+func TestALostRunThatIsListedAsPausedIsForgotten(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 1, MilliCpu: 1000, BestEffort: true, Image: "f"}}}, accepted)
+		r.wait(100 * time.Millisecond)
+		r.wait(testLease + time.Second) // no report is sent, and the run is lost
+		a.listed = []*api.RunStatus{{Run: testRun.Ref(), Pace: 0, Begun: true}}
+		a.lists++
+		r.reportFor(2*time.Second, a)
+		a.listed = []*api.RunStatus{}
+		a.lists++
+		a.end(testRun, api.RunOutcome_RUN_OUTCOME_STOPPED)
+		r.reportFor(time.Second, a)
+		again := jobs.RunID{Task: testRun.Task, Number: 2}
+		a.listed = []*api.RunStatus{{Run: again.Ref(), Pace: dispatch.FullPace, Begun: true}}
+		a.lists++
+		r.reportFor(time.Second, a)
+		r.withLeadership(func(l *leadership) {
+			l.assumed.Read(func(state jobs.View) {
+				job := state.Job(testJob)
+				if job.ActiveRuns() != 1 {
+					t.Fatalf("%d active runs, want one", job.ActiveRuns())
+				}
+				l.idleJobs.idle(job, l.server.now())
+			})
+			if paused, since := l.idleJobs.paused[testJob], l.idleJobs.since[testJob]; len(paused) > 0 || !since.IsZero() {
+				t.Errorf("the job is idle since %v, and %v are paused, although its run works at full pace", since, paused)
+			}
+		})
+	})
+}
+
+// Guards against a run that stays paused for good: the plan of it on another worker, which
+// was not committed, counted as if it was kept at work (issue 47).
+func TestARunThatWasToBeKeptElsewhereIsKeptAtWork(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		r.withLeadership(func(l *leadership) { l.keepAtWork(testRun, "another worker", "its start was not committed") })
+		a := r.connect("a")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 1, MilliCpu: 1000, BestEffort: true, Image: "f"}}}, accepted)
+		r.wait(100 * time.Millisecond)
+		a.listed = []*api.RunStatus{{Run: testRun.Ref(), Pace: 0, Begun: true}}
+		for range 6 { // 2.4 s
+			a.lists++
+			a.report()
+			r.wait(400 * time.Millisecond)
+		}
+		if kept := a.lastKept(); len(kept) != 1 || kept[0] != testRun {
+			t.Errorf("the agent keeps %v at work after 2.4 s, want %v", kept, testRun)
+		}
+	})
+}
