--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -164,10 +164,17 @@
 }
 
 // notePaces records from a worker's latest list which best-effort runs are paused, and
-// releases those that work by themselves. The lock is held.
+// releases those that work by themselves. A run that the log does not have on the worker
+// is not active, and no committed end would clear it. The lock is held.
 func (l *leadership) notePaces(view *workerView) {
+	active := make(map[jobs.RunID]bool, len(view.runs))
+	l.server.config.State.Read(func(state jobs.View) {
+		for run := range view.runs {
+			active[run] = state.WorkerOf(run) == view.key
+		}
+	})
 	for run, status := range view.runs {
-		l.idleJobs.setPaused(run, status.Pace == 0)
+		l.idleJobs.setPaused(run, active[run] && status.Pace == 0)
 		if k, kept := l.kept[run]; kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
 			l.releaseKept(run)
 		}
