jobcontrol: a run that was to be kept on another worker is not taken for kept (47)

Cause: a plan records its kept runs before their starts are committed. If the batch fails, the entry stays, and the same run may start on another worker, as one that is not kept. All of the job's runs being paused then kept none of them: the entry stood for one that is kept already.

Before: TestARunThatWasToBeKeptElsewhereIsKeptAtWork fails. After: it passes.

--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -113,10 +113,12 @@
 	}
 	var choices []choice
 	for run := range paused {
-		if _, kept := l.kept[run]; kept {
+		worker := state.WorkerOf(run)
+		// A plan that was not committed may have kept it on another worker.
+		if k, kept := l.kept[run]; kept && k.worker == worker {
 			return run, false
 		}
-		if view := l.viewOf(state.WorkerOf(run)); view != nil {
+		if view := l.viewOf(worker); view != nil {
 			choices = append(choices, choice{run, view.sample.LeastHeadroom()})
 		}
 	}
