jobcontrol: a failing test of a pause that is undone at once (47)

idleJobs.since is only cleared by a call of idle while a run is at work, or by a start. A job without startable tasks is not asked for then. Its next pause counts from the first one, and its run is kept at work without the tolerance of 1 s.

--- a/jobcontrol/idle_test.go
+++ b/jobcontrol/idle_test.go
@@ -112,3 +112,36 @@
 		}
 	})
 }
+
+// Guards against a pause that is undone at once, while a service is over its target: the
+// time without a run at work went on from an earlier pause, as nobody asked for it while
+// the run worked (issue 47).
+func TestThePausedTimeOfAJobBeginsAnewAfterItsRunWorked(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 1, MilliCpu: 1000, BestEffort: true, Image: "f"}}}, accepted)
+		r.wait(100 * time.Millisecond)
+		list := func(pace int32) {
+			a.listed = []*api.RunStatus{{Run: testRun.Ref(), Pace: pace, Begun: true}}
+			a.lists++
+			a.report()
+			r.wait(350 * time.Millisecond)
+		}
+		for range 6 {
+			list(0)
+		}
+		if kept := a.lastKept(); len(kept) != 1 {
+			t.Fatalf("the agent keeps %v at work after 2.1 s, want one run", kept)
+		}
+		for range 12 {
+			list(dispatch.FullPace)
+		}
+		a.lastKept()
+		list(0)
+		list(0)
+		if kept := a.lastKept(); len(kept) != 0 {
+			t.Errorf("the agent keeps %v at work within %v after its run was paused again", kept, pausedTolerance)
+		}
+	})
+}
