--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -56,8 +56,8 @@
 	return now.Sub(since)
 }
 
-// begin records that a run of a job starts.
-func (i *idleJobs) begin(job string) { delete(i.since, job) }
+// markAtWork records that a run of a job starts or is listed as not paused.
+func (i *idleJobs) markAtWork(job string) { delete(i.since, job) }
 
 // forget drops a job that has ended.
 func (i *idleJobs) forget(job string) {
@@ -177,6 +177,9 @@
 	})
 	for run, status := range view.runs {
 		l.idleJobs.setPaused(run, active[run] && status.Pace == 0)
+		if active[run] && status.Pace != 0 {
+			l.idleJobs.markAtWork(run.Task.Job)
+		}
 		if k, kept := l.kept[run]; kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
 			l.releaseKept(run)
 		}
