--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -56,8 +56,8 @@
 	return now.Sub(since)
 }
 
-// begin records that a run of a job starts.
-func (i *idleJobs) begin(job string) { delete(i.since, job) }
+// markAtWork records that a run of a job starts or is listed as not paused.
+func (i *idleJobs) markAtWork(job string) { delete(i.since, job) }
 
 // forget drops a job that has ended.
 func (i *idleJobs) forget(job string) {
@@ -113,10 +113,12 @@
 	}
 	var choices []choice
 	for run := range paused {
-		if _, kept := l.kept[run]; kept {
+		worker := state.WorkerOf(run)
+		// A plan that was not committed may have kept it on another worker.
+		if k, kept := l.kept[run]; kept && k.worker == worker {
 			return run, false
 		}
-		if view := l.viewOf(state.WorkerOf(run)); view != nil {
+		if view := l.viewOf(worker); view != nil {
 			choices = append(choices, choice{run, view.sample.LeastHeadroom()})
 		}
 	}
@@ -164,10 +166,20 @@
 }
 
 // notePaces records from a worker's latest list which best-effort runs are paused, and
-// releases those that work by themselves. The lock is held.
+// releases those that work by themselves. A run that the log does not have on the worker
+// is not active, and no committed end would clear it. The lock is held.
 func (l *leadership) notePaces(view *workerView) {
+	active := make(map[jobs.RunID]bool, len(view.runs))
+	l.server.config.State.Read(func(state jobs.View) {
+		for run := range view.runs {
+			active[run] = state.WorkerOf(run) == view.key
+		}
+	})
 	for run, status := range view.runs {
-		l.idleJobs.setPaused(run, status.Pace == 0)
+		l.idleJobs.setPaused(run, active[run] && status.Pace == 0)
+		if active[run] && status.Pace != 0 {
+			l.idleJobs.markAtWork(run.Task.Job)
+		}
 		if k, kept := l.kept[run]; kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
 			l.releaseKept(run)
 		}
