dispatch, jobcontrol: runs that are kept at work take little headroom, and each service counts by itself

And whether a fleet is mostly unused was asked of the workers of all services, so that a full service held back the jobs of one that is mostly unused.

Change: a run is kept at work only if services at their target or below it lose at most 0.1 headroom to best-effort work with it, in a plan and when all runs of a job are paused; the use of CPU is that of the service's own workers. A job whose services are all at that bound may stand still: services go first.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -98,10 +98,10 @@
 	locality *locality // nil until a task could start away from its data
 	passing  spread    // of briefSpreadOf
 
-	mostlyIdle  *idleFleet   // result of mostlyUnused, nil until it is needed
-	partialFits *partialFits // nil if the policy asks for whole fits
-	partial     []int        // indexes of starts with less unused CPU than they declare
-	kept        []int        // indexes of starts of best-effort runs whose jobs have stood still
+	idleServices map[string]idleService // results of mostlyUnused
+	partialFits  *partialFits           // nil if the policy asks for whole fits
+	partial      []int                  // indexes of starts with less unused CPU than they declare
+	kept         []int                  // indexes of starts of best-effort runs whose jobs have stood still
 }
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
@@ -234,8 +234,9 @@
 	p.fleet.addStarting(l, onProbation(c.group, index))
 	spread.workers[l.worker.Key]++
 	spread.racks[l.worker.Rack]++
-	if c.group.Spec.BestEffort && c.idle > interferenceWait {
+	if c.group.Spec.BestEffort && c.idle > interferenceWait && p.mayKeep(c, l) {
 		p.kept = append(p.kept, len(p.starts))
+		l.keep(c.group.Spec)
 	}
 	p.starts = append(p.starts, Start{
 		Run:    jobs.RunID{Task: c.taskID(index), Number: number},
--- a/dispatch/unusedcpu.go
+++ b/dispatch/unusedcpu.go
@@ -19,7 +19,8 @@
 func (p *planner) allowsBestEffort(c candidate, l *load) bool {
 	group := c.group.Spec
 	unclaimed := hasUnclaimedCPU(c, l)
-	if p.starves(c) && (unclaimed || p.hasUnusedCPU(c, l) || p.fleet.countedBelowHalf() || p.mostlyUnused()) {
+	if c.waited > starvationTimeout && (unclaimed || p.hasUnusedCPU(c, l) || p.fleet.countedBelowHalf()) ||
+		p.standsStill(c) && p.mayKeep(c, l) {
 		return true // its agent throttles it as far as the services need
 	}
 	if !unclaimed && !p.partialFits.allows(c, l, unusedMilliCPU(l)) {
@@ -36,34 +37,80 @@
 	return p.interference(group, l) < limit
 }
 
-// idleFleet is whether a fleet is mostly unused, for one sum of what its runs claim.
-type idleFleet struct {
+// idleService is whether the workers of a service are mostly unused, for one sum of what
+// the fleet's runs claim.
+type idleService struct {
 	claimed      int64
 	mostlyUnused bool
 }
 
-// mostlyUnused reports whether less than half of the CPU of all workers is likely in use:
-// services use about half of what they declare, and throttled runs less than they claim.
-func (p *planner) mostlyUnused() bool {
-	if p.mostlyIdle == nil || p.mostlyIdle.claimed != p.fleet.claimed {
-		p.mostlyIdle = &idleFleet{p.fleet.claimed, 2*p.likelyFleetMilliCPU() < p.fleet.capacity}
+// mostlyUnused reports whether less than half of the CPU of a service's workers is likely in
+// use: services use about half of what they declare, and throttled runs less than they claim.
+func (p *planner) mostlyUnused(service string) bool {
+	known, found := p.idleServices[service]
+	if !found || known.claimed != p.fleet.claimed {
+		used, capacity := p.likelyMilliCPUOf(service)
+		known = idleService{p.fleet.claimed, 2*used < capacity}
+		if p.idleServices == nil {
+			p.idleServices = map[string]idleService{}
+		}
+		p.idleServices[service] = known
 	}
-	return p.mostlyIdle.mostlyUnused
+	return known.mostlyUnused
 }
 
-// likelyFleetMilliCPU returns what all runs are likely to use. Best-effort runs that no
-// sample shows count in full.
-func (p *planner) likelyFleetMilliCPU() (milliCPU int64) {
+// likelyMilliCPUOf returns what all runs on a service's workers are likely to use, and the
+// capacity of the workers. Best-effort runs that no sample shows count in full.
+func (p *planner) likelyMilliCPUOf(service string) (milliCPU, capacity int64) {
 	for _, l := range p.fleet.workers {
+		if l.worker.Service != service {
+			continue
+		}
+		capacity += l.worker.Capacity.MilliCPU
 		bestEffort := l.bestEffortMilliCPU
 		if len(l.worker.Sample.Cores) > 0 {
 			bestEffort = p.likelyMilliCPU(l)
 		}
 		milliCPU += l.used.MilliCPU - int64((1-avgServiceUtilization)*float64(l.serviceMilliCPU)) + bestEffort
 	}
-	return milliCPU
+	return milliCPU, capacity
+}
+
+// maxKeptCost is how much headroom best-effort work may take from a service that is at its
+// target or over it, for the sake of runs that are kept at work.
+const maxKeptCost = 0.1
+
+// MayKeep reports whether one more best-effort run, at the lowest pace, may be kept at work
+// beside the services of a sample. kept holds the cores of others that the sample does not
+// show yet, by image.
+func (s *Sample) MayKeep(perCore func(Pair) float64, image string, milliCPU int64, kept map[string]float64) bool {
+	for _, service := range s.Services {
+		if service.Headroom <= 0 {
+			continue
+		}
+		added := perCore(Pair{service.Image, image}) * KeptCores(milliCPU)
+		for other, cores := range kept {
+			added += perCore(Pair{service.Image, other}) * cores
+		}
+		taken := added
+		for other, cores := range s.Cores {
+			taken += perCore(Pair{service.Image, other}) * cores
+		}
+		if taken > maxKeptCost && float64(service.Headroom)-added < targetHeadroom {
+			return false
+		}
+	}
+	return true
 }
 
+// mayKeep reports whether a task of the candidate may be kept at work on a worker.
+func (p *planner) mayKeep(c candidate, l *load) bool {
+	return l.worker.Sample.MayKeep(p.in.PerCore, c.group.Spec.Image, c.group.Spec.MilliCpu, l.keptCores)
+}
+
+// KeptCores returns the cores that a run uses at the lowest pace.
+func KeptCores(milliCPU int64) float64 { return float64(milliCPU) / 1000 * MinPace / FullPace }
+
 // hasUnclaimedCPU reports whether a worker has CPU for one more best-effort task
 // if all runs work at full pace, or no best-effort task yet.
 func hasUnclaimedCPU(c candidate, l *load) bool {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -63,6 +63,16 @@
 	starting           int   // runs whose start the worker has not survived yet
 	probation          bool  // one of them is of a task on probation
 	hold               *hold // a reservation, nil for none
+
+	keptCores map[string]float64 // of runs of this plan that are kept at work, by image
+}
+
+// keep counts a run that the plan keeps at work.
+func (l *load) keep(group *api.TaskGroup) {
+	if l.keptCores == nil {
+		l.keptCores = map[string]float64{}
+	}
+	l.keptCores[group.Image] += KeptCores(group.MilliCpu)
 }
 
 func (l *load) free() resource.Vector { return l.worker.Capacity.Sub(l.used) }
--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -74,6 +74,9 @@
 	// minKeepTime is how long a run is kept at work at least: it starts at full pace, and its
 	// agent may pause it after the next list.
 	minKeepTime = 2 * time.Second
+	// keptSampleTime is the time until the sample of a worker shows what a run uses: its
+	// average covers half a second, and lists come about as often.
+	keptSampleTime = time.Second
 )
 
 // keptRun is a best-effort run that its agent does not pause.
@@ -104,8 +107,8 @@
 	})
 }
 
-// leastAffecting returns the run on the worker whose services have most headroom, false if
-// one of the runs is kept at work already. The lock is held.
+// leastAffecting returns the run on the worker whose services have most headroom. It returns
+// false if one of the runs is kept at work already, or none may be. The lock is held.
 func (l *leadership) leastAffecting(state jobs.View, paused map[jobs.RunID]bool) (best jobs.RunID, found bool) {
 	type choice struct {
 		run      jobs.RunID
@@ -118,7 +121,7 @@
 		if k, kept := l.kept[run]; kept && k.worker == worker {
 			return run, false
 		}
-		if view := l.viewOf(worker); view != nil {
+		if view := l.viewOf(worker); view != nil && l.mayKeep(state, view, run) {
 			choices = append(choices, choice{run, view.sample.LeastHeadroom()})
 		}
 	}
@@ -130,6 +133,25 @@
 	}).run, true
 }
 
+// mayKeep reports whether the services on a worker can bear a run that is kept at work,
+// beside those that its sample does not show yet. The lock is held.
+func (l *leadership) mayKeep(state jobs.View, view *workerView, run jobs.RunID) bool {
+	_, group, _ := state.Run(run)
+	if group == nil {
+		return false
+	}
+	unsampled := map[string]float64{}
+	for other, k := range l.kept {
+		if k.worker != view.key || l.server.now().Sub(k.since) >= keptSampleTime {
+			continue
+		}
+		if _, g, _ := state.Run(other); g != nil {
+			unsampled[g.Spec.Image] += dispatch.KeptCores(g.Spec.MilliCpu)
+		}
+	}
+	return view.sample.MayKeep(l.knowledge.Interference.PerCore, group.Spec.Image, group.Spec.MilliCpu, unsampled)
+}
+
 // keepAtWork has the agent of a worker keep a best-effort run at work, until it works
 // faster than at the lowest pace. The lock is held.
 func (l *leadership) keepAtWork(run jobs.RunID, worker, reason string) {
