--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -24,7 +24,7 @@
 	lists       int64                         // number of the worker's lists that its agent has received
 	sample      dispatch.Sample               // of its services and best-effort runs
 	suspect     bool                          // its runs fail more often than those on other workers
-	unbooked    bool                          // its latest list names a run that is not counted on it
+	unbooked    map[jobs.RunID]time.Time      // runs of its latest list that are not counted on it, since when
 }
 
 // starting reports whether the worker may not have survived the start of a run yet.
@@ -220,22 +220,33 @@
 	}}}
 }
 
+// unbookedGrace is the time in which the members of a gang end by themselves once the end
+// of one of them, which completes the gang, is in the log.
+const unbookedGrace = 500 * time.Millisecond
+
 // stopUnbooked closes a worker while it lists runs that the log does not have on it, and
-// orders stops for them: they were ordered for an earlier incarnation, or lost meanwhile.
-// Their room is not counted. The lock is held.
+// orders stops for those that do not end by themselves: they were ordered for an earlier
+// incarnation, or lost meanwhile. Their room is not counted. The lock is held.
 func (l *leadership) stopUnbooked(session *session, view *workerView) {
-	unbooked := 0
+	now, earlier := l.server.now(), view.unbooked
+	view.unbooked = map[jobs.RunID]time.Time{}
 	l.server.config.State.Read(func(state jobs.View) {
 		for run := range view.runs {
-			if state.WorkerOf(run) != view.key {
-				unbooked++
-				session.queueStop(run, l.server.now())
+			if state.WorkerOf(run) == view.key {
+				continue
+			}
+			since, known := earlier[run]
+			if !known {
+				since = now
+			}
+			view.unbooked[run] = since
+			if now.Sub(since) >= unbookedGrace {
+				session.queueStop(run, now)
 			}
 		}
 	})
-	if closed := unbooked > 0; closed != view.unbooked {
-		klog.InfoS("Runs that the log does not have changed", "worker", view.key, "runs", unbooked)
-		view.unbooked = closed
+	if len(view.unbooked) != len(earlier) {
+		klog.InfoS("Runs that the log does not have changed", "worker", view.key, "runs", len(view.unbooked))
 	}
 }
 
@@ -285,7 +296,7 @@
 		w := view.worker
 		open := l.hasSession(view) && l.openFor(view, now) &&
 			!w.Draining && !view.leaving && !state.ZoneOut(w.Zone) && !view.unreachable && view.unanswered < maxUnanswered &&
-			!suspects[view.key] && !view.unbooked
+			!suspects[view.key] && len(view.unbooked) == 0
 		if _, closed := l.maintenance.closed[w.Machine]; closed {
 			open = false
 		}
--- a/jobcontrol/workers_test.go
+++ b/jobcontrol/workers_test.go
@@ -60,3 +60,29 @@
 		}
 	})
 }
+
+// Guards against a job that is shown as completed with a member of its gang stopped: the
+// members of a gang end at about the same time, and the end of the first one completes
+// the gang in the log.
+func TestMemberOfACompletedGangEndsByItself(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a, b := r.connect("a"), r.connect("b")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 2, MilliCpu: 3000, Gang: true}}}, accepted)
+		r.wait(100 * time.Millisecond)
+		first, _, _, _ := a.drainDirectives()
+		second, _, _, _ := b.drainDirectives()
+		a.end(first[0], api.RunOutcome_RUN_OUTCOME_DONE)
+		for range 5 {
+			b.list(second[0], 100)
+			b.report()
+		}
+		if _, stops, _, _ := b.drainDirectives(); len(stops) > 0 {
+			t.Errorf("stops %v right after the end of the first member", stops)
+		}
+		r.reportFor(time.Second, b)
+		if _, stops, _, _ := b.drainDirectives(); len(stops) != 1 || stops[0] != second[0] {
+			t.Errorf("stops %v of a member that runs on, want one of %v", stops, second[0])
+		}
+	})
+}
