jobcontrol: tickets that fit no open worker are replaced

Cause: the adviser was asked again only once the tickets of a group had expired. Tickets are for incarnations of workers: when these are gone or closed, the group waited for three quarters of the validity, though the adviser would have allowed others.

Change: the adviser is asked again while no valid ticket is for an open worker, still at most every adviceRetryInterval and one call at a time. The tickets stand until the answer, so a worker that opens again meanwhile is used.

--- a/jobcontrol/advice.go
+++ b/jobcontrol/advice.go
@@ -34,25 +34,33 @@
 	validUntil time.Time
 }
 
-// ticketsFor returns the valid tickets of a group by worker key. Without any it
-// returns false, and asks the adviser unless a request is pending or the last one
-// is too recent. The lock is held.
-func (l *leadership) ticketsFor(view jobs.View, queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
+// ticketsFor returns the valid tickets of a group by worker key, false without any. If
+// none of them is for an open worker, it asks the adviser unless a request is pending or
+// the last one is too recent; what is known stands until the answer. The lock is held.
+func (l *leadership) ticketsFor(queue *api.JobQueue, group jobs.GroupID, open map[string]bool) (map[string]string, bool) {
 	now := l.server.now()
 	cached := l.advice[group]
 	if cached == nil {
 		cached = &advice{}
 		l.advice[group] = cached
 	}
-	if len(cached.tickets) > 0 && now.Before(cached.validUntil) {
-		return cached.tickets, true
+	valid, usable := len(cached.tickets) > 0 && now.Before(cached.validUntil), false
+	if valid {
+		for key := range cached.tickets {
+			if usable = open[key]; usable {
+				break
+			}
+		}
 	}
-	if !cached.asking && now.Sub(cached.askedAt) >= adviceRetryInterval && l.server.config.Adviser != nil {
+	if !usable && !cached.asking && now.Sub(cached.askedAt) >= adviceRetryInterval && l.server.config.Adviser != nil {
 		cached.asking, cached.askedAt = true, now
 		ids, keys := l.adviserCandidates(queue.Service)
 		go l.askAdviser(group, cached, ids, keys, time.Duration(queue.Advice.GetValidityMs())*time.Millisecond)
 	}
-	return nil, false
+	if !valid {
+		return nil, false
+	}
+	return cached.tickets, true
 }
 
 // adviserCandidates returns the ids of a service's workers that are not draining,
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -227,12 +227,19 @@
 	if len(l.pausedUntil) > 0 {
 		paused = func(task jobs.TaskID) bool { return l.paused(task, now) }
 	}
+	workers := l.dispatchWorkers(view, now)
+	open := map[string]bool{}
+	for i := range workers {
+		if workers[i].Open {
+			open[workers[i].Key] = true
+		}
+	}
 	return dispatch.Input{
 		UnixMS:  l.server.config.UnixTime().UnixMilli(),
 		PerCore: l.knowledge.Interference.PerCore, Durations: l.knowledge.Durations, QueueWork: l.knowledge.QueueWork,
 		Age:          func(job *jobs.Job) time.Duration { return l.jobAge(job, now) },
 		Idle:         func(job *jobs.Job) time.Duration { return l.idleJobs.idle(job, now) },
-		Workers:      l.dispatchWorkers(view, now),
+		Workers:      workers,
 		Panicked:     l.handlePlanPanic,
 		Behind:       func(run jobs.RunID) bool { return l.behind(view, run, now) },
 		Run:          func(run jobs.RunID) (dispatch.RunStatus, bool) { return l.runStatus(view, run, now) },
@@ -243,7 +250,7 @@
 		CrashedUnder: func(task jobs.TaskID) []string { return l.crashedWorkers(task, now) },
 		Paused:       paused,
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
-			return l.ticketsFor(view, queue, group)
+			return l.ticketsFor(queue, group, open)
 		},
 	}
 }
