--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -83,7 +83,8 @@
 	asked := slices.Contains(q.Groups, id)
 	var found []Obstacle
 	if advised {
-		spread, apart := p.spreadOf(c), p.apartOf(c)
+		spread := p.spreadOf(c)
+		apart := p.apartOf(c, spread)
 		for _, l := range p.fleet.workers {
 			obstacle := p.obstacle(c, l, spread, apart)
 			if obstacle != "" {
--- a/dispatch/obstacle.go
+++ b/dispatch/obstacle.go
@@ -100,7 +100,7 @@
 	avoided []jobs.Run // workers that have crashed under the first of them
 }
 
-func (p *planner) apartOf(c candidate) (a apart) {
+func (p *planner) apartOf(c candidate, spread spread) (a apart) {
 	first := -1
 	for i := range c.group.Tasks {
 		if !needsRun(c.group, i) || !c.startable(i, p.in) {
@@ -116,7 +116,7 @@
 	if first < 0 {
 		return apart{}
 	}
-	return apart{all: true, avoided: p.avoidCrashed(c, first, nil)}
+	return apart{all: true, avoided: p.avoidCrashed(c, first, spread, nil)}
 }
 
 // obstacle returns why a task of the candidate does not start on a worker, in detail,
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		if probation {
-			others = p.avoidCrashed(c, i, others)
+			others = p.avoidCrashed(c, i, spread, others)
 		}
 		chosen, heldBack := p.choose(c, spread, others, probation)
 		if chosen == nil && probation {
--- a/dispatch/where.go
+++ b/dispatch/where.go
@@ -314,7 +314,7 @@
 	if c.queue.Advice != nil {
 		c.tickets, _ = x.in.Tickets(c.queue, c.groupID())
 	}
-	counts, apart := newObstacles(), x.apartOf(c)
+	counts, apart := newObstacles(), x.apartOf(c, spread)
 	e.Obstacles, e.Details = counts.Workers, counts.Details
 	for _, l := range x.fleet.workers {
 		obstacle := cmp.Or(x.obstacle(c, l, spread, apart), ObstacleHeld)
