dispatch: a job with nothing at work waits for a rack for 2 s at most

Cause: tasks wait for room on the rack of their data or peers as long as the objective of their job allows, or a run elsewhere takes. Both are longer than 3 s for long tasks, and the runs there may seem to end soon again and again.

Change: while the job has nothing at work, its tasks wait for 2 s at most, and only for room that is foreseen within what is left of them.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -56,6 +56,10 @@
 	return longest > 0 && p.locate().promise(p, c, group.DataRack, spread, longest)
 }
 
+// maxRackWait is how long tasks wait for a rack at most while their job has nothing at work.
+// It is below the 3 s for which an accepted job may stand still.
+const maxRackWait = 2 * time.Second
+
 // longestWait returns for how long a task waits at most for a rack, if a run elsewhere
 // takes a number of times as long. It is not positive if it does not wait.
 func (p *planner) longestWait(c candidate, remote float64) time.Duration {
@@ -65,7 +69,12 @@
 	if spare >= extra {
 		spare -= extra // a remote run would be in time, and must still be so after the wait
 	}
-	return min(extra, spare, near+extra-p.locate().heldFor(c))
+	held := p.locate().heldFor(c)
+	longest := min(extra, spare, near+extra-held)
+	if c.job.ActiveRuns() == 0 || c.idle > 0 {
+		longest = min(longest, maxRackWait-held)
+	}
+	return longest
 }
 
 // heldFor returns for how long tasks of the candidate have waited for their rack.
