dispatch: a start on probation closes its worker for 2 s at most

Cause: a worker that is starting a task on probation is closed to all tasks until it has survived the start. Only the list of the worker ends that: one that goes on showing the run as starting stays closed for as long.

Change: after 2 s the start, by the age of the run, no longer closes the worker, nor does it count among the probations of the fleet. Other tasks on probation still keep off it, so that a crash shows which of them was the cause. A run of which nothing is known closes its worker as before.

--- a/dispatch/fleetload.go
+++ b/dispatch/fleetload.go
@@ -21,8 +21,15 @@
 	probations int // workers with a task on probation that is starting
 }
 
-// newFleetLoad returns the load of the workers by the runs in the view.
+// newFleetLoad returns the load of the workers by the runs in the view. The ages of the
+// runs count as unknown.
 func newFleetLoad(view jobs.View, workers []Worker) *fleetLoad {
+	return loadFleet(view, Input{Workers: workers})
+}
+
+// loadFleet returns the load of the workers of an input by the runs in the view.
+func loadFleet(view jobs.View, in Input) *fleetLoad {
+	workers := in.Workers
 	f := &fleetLoad{workers: make([]*load, len(workers)), byKey: make(map[string]*load, len(workers))}
 	// Most workers run one image of each kind at most: one allocation for all of them.
 	loads, cores, services := make([]load, len(workers)), make(perImage[float64], len(workers)), make(perImage[int], len(workers))
@@ -33,7 +40,7 @@
 		f.capacity += l.worker.Capacity.MilliCPU
 		view.RunsOn(l.worker.Key, func(run jobs.RunID, group *jobs.Group) {
 			f.add(l, group.Spec, 1)
-			f.countStarting(l, run, group)
+			f.countStarting(in, l, run, group)
 		})
 	}
 	return f
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -106,7 +106,7 @@
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
 	return &planner{
-		view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit,
+		view: view, in: in, fleet: loadFleet(view, in), unfit: unfit,
 		reserver: newReserver(view, in, unfit != nil), partialFits: newPartialFits(view, in),
 	}
 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -142,7 +142,7 @@
 
 func newPreemptor(view jobs.View, in Input, state PreemptionState, groups []*worth) *preemptor {
 	p := &preemptor{
-		planner: planner{view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfitDemands{}}, state: state,
+		planner: planner{view: view, in: in, fleet: loadFleet(view, in), unfit: unfitDemands{}}, state: state,
 		groups: map[*jobs.Group]*worth{}, runs: make(map[*load][]*victim, len(in.Workers)), furthest: map[*jobs.Job]jobs.RunID{}, isComing: map[*load]bool{},
 		noRoom: unfitDemands{}, noVictims: map[searchClass][]failedSearch{},
 	}
--- a/dispatch/probation.go
+++ b/dispatch/probation.go
@@ -20,11 +20,22 @@
 	}
 }
 
-// countStarting counts the run if its worker is still starting it.
-func (f *fleetLoad) countStarting(l *load, run jobs.RunID, group *jobs.Group) {
-	if l.worker.Starting != nil && l.worker.Starting(run) {
-		f.addStarting(l, onProbation(group, int(run.Task.Index)))
+// maxProbationStart is how long the start of a task on probation closes its worker. It is
+// below the 3 s for which an accepted job may stand still.
+const maxProbationStart = 2 * time.Second
+
+// countStarting counts the run if its worker is still starting it. A start on probation
+// that takes longer than maxProbationStart keeps off other tasks on probation only.
+func (f *fleetLoad) countStarting(in Input, l *load, run jobs.RunID, group *jobs.Group) {
+	if l.worker.Starting == nil || !l.worker.Starting(run) {
+		return
+	}
+	probation := onProbation(group, int(run.Task.Index))
+	if probation {
+		status, known := in.runStatus(run)
+		probation = !known || status.Age <= maxProbationStart
 	}
+	f.addStarting(l, probation)
 }
 
 // onProbation reports whether a task has to start apart from others. The tasks of a
