dispatch: the paces of runs count where their use is not reported

Cause: on a worker whose sample shows no use of CPU, best-effort runs count in full, paused ones too. Beside services that declare most of the CPU the fleet then never counts as mostly unused, and a job starves without an end.

Change: if the paces of the runs are known, each counts with the part of its declared CPU that its pace allows, at least that of the lowest pace, and in full if nothing is known of the run. A sample that shows some use decides as before.

TestAJobStartsInTimeBesidePausedRuns: before, no start in 20 s in the case "use not reported" (its two other cases pass since the rule of idle jobs); after, all three pass, with the tests of unused CPU, starvation and partial fits.

--- a/dispatch/unusedcpu.go
+++ b/dispatch/unusedcpu.go
@@ -51,12 +51,12 @@
 	return p.mostlyIdle.mostlyUnused
 }
 
-// likelyFleetMilliCPU returns what all runs are likely to use. Best-effort runs that no
-// sample shows count in full.
+// likelyFleetMilliCPU returns what all runs are likely to use. Best-effort runs count in
+// full where neither their use nor their paces are known.
 func (p *planner) likelyFleetMilliCPU() (milliCPU int64) {
 	for _, l := range p.fleet.workers {
 		bestEffort := l.bestEffortMilliCPU
-		if len(l.worker.Sample.Cores) > 0 {
+		if len(l.worker.Sample.Cores) > 0 || l.worker.AtFullPace != nil {
 			bestEffort = p.likelyMilliCPU(l)
 		}
 		milliCPU += l.used.MilliCPU - int64((1-avgServiceUtilization)*float64(l.serviceMilliCPU)) + bestEffort
@@ -102,7 +102,8 @@
 }
 
 // bestEffortUseOf determines what the runs on a worker use. A throttled run uses as much
-// of its declared CPU as the runs of its image do on average.
+// of its declared CPU as the runs of its image do on average, or as its pace allows if the
+// worker tells nothing of their use.
 func (p *planner) bestEffortUseOf(l *load) bestEffortUse {
 	use := bestEffortUse{}
 	throttled, all := map[string]int64{}, map[string]int64{}
@@ -113,10 +114,13 @@
 		}
 		use.claimed += spec.MilliCpu
 		all[spec.Image] += spec.MilliCpu
-		if l.worker.AtFullPace != nil && l.worker.AtFullPace(run) {
+		switch reported := len(l.worker.Sample.Cores) > 0; {
+		case l.worker.AtFullPace != nil && l.worker.AtFullPace(run):
 			use.likely += spec.MilliCpu
-		} else {
+		case reported:
 			throttled[spec.Image] += spec.MilliCpu
+		default:
+			use.likely += p.paceLimit(run, spec.MilliCpu)
 		}
 	})
 	for image, claimed := range throttled {
@@ -126,6 +130,16 @@
 	return use
 }
 
+// paceLimit returns the part of its declared CPU that the pace of a run allows, all of it
+// if its pace is not known.
+func (p *planner) paceLimit(run jobs.RunID, milliCPU int64) int64 {
+	status, known := p.in.runStatus(run)
+	if !known {
+		return milliCPU
+	}
+	return milliCPU * int64(max(status.Pace, MinPace)) / FullPace
+}
+
 // overTarget reports whether a service in the sample is over its target.
 func (s *Sample) overTarget() bool {
 	for _, service := range s.Services {
