dispatch, jobcontrol: tasks of long-running groups stand still each by itself

Cause: the waits that let a task start beside services that can spare little headroom count for the job, and only while no run of it is at work. One running task, even a paused one, held all others for good.

Change: for a long-running group, the longest time for which one of its waiting tasks has had no run counts too. The leader counts it from the first plan in which the task waits.

--- a/dispatch/candidates.go
+++ b/dispatch/candidates.go
@@ -20,6 +20,7 @@
 	lateLast   bool              // as the policy says
 	waited     time.Duration     // time since submission, or since the occurrence was due, if no run of the job is active; 0 otherwise
 	idle       time.Duration     // time since then, or since a run of the job was last at work, if none is now; 0 otherwise
+	taskIdle   time.Duration     // for a long-running group, the longest time for which one of its waiting tasks has had no run; 0 for others
 	tickets    map[string]string // from the queue's adviser, by worker key
 	density    float64           // value of the job per remaining core-second
 	slack      time.Duration     // for which the job may wait and still be in time, 0 for long-running groups
@@ -128,7 +129,7 @@
 			}
 			if c.anyStartable(in) {
 				c.assess(age, objective, estimate)
-				c.idle = min(age, in.idle(job))
+				c.idle, c.taskIdle = min(age, in.idle(job)), min(age, c.longestIdle(in))
 				all = append(all, c)
 			}
 		}
@@ -161,8 +162,35 @@
 	return 0
 }
 
-// markAtWork records that a run of the candidate's job starts.
-func (c *candidate) markAtWork() { c.waited, c.idle = 0, 0 }
+// longestIdle returns the longest time for which a task of a long-running group that may
+// start has had no run. Each of its tasks is to run all the time, whatever runs beside it.
+func (c *candidate) longestIdle(in Input) (longest time.Duration) {
+	if !c.group.Spec.LongRunning {
+		return 0
+	}
+	for i := range c.group.Tasks {
+		if needsRun(c.group, i) && c.startable(i, in) {
+			longest = max(longest, in.taskIdle(c.job, c.taskID(i)))
+		}
+	}
+	return longest
+}
+
+// taskIdle returns for how long a waiting task of a long-running group has had no run.
+func (in Input) taskIdle(job *jobs.Job, task jobs.TaskID) time.Duration {
+	if in.TaskIdle != nil {
+		return in.TaskIdle(task)
+	}
+	return in.Age(job)
+}
+
+// stoodStill returns for how long the candidate's job, or a task of a long-running group,
+// has had nothing at work.
+func (c *candidate) stoodStill() time.Duration { return max(c.idle, c.taskIdle) }
+
+// markAtWork records that a run of the candidate's job starts. Other tasks of a long-running
+// group have their turn in the next plan.
+func (c *candidate) markAtWork() { c.waited, c.idle, c.taskIdle = 0, 0, 0 }
 
 // latenessOf classifies a job by its age and the shortest time that it still
 // needs.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,7 +15,10 @@
 	// Idle returns for how long a job has had no run at work: one that is active and not
 	// paused. If it is nil, the time since the submission stands in for jobs without
 	// active runs.
-	Idle      func(*jobs.Job) time.Duration
+	Idle func(*jobs.Job) time.Duration
+	// TaskIdle returns for how long a waiting task of a long-running group has had no run. If
+	// it is nil, the time since the submission of its job stands in.
+	TaskIdle  func(jobs.TaskID) time.Duration
 	PerCore   func(Pair) float64 // headroom that a service loses per core of best-effort work
 	Durations *Durations
 	QueueWork *QueueWork
--- a/dispatch/probation.go
+++ b/dispatch/probation.go
@@ -59,13 +59,13 @@
 	return exposed
 }
 
-// maxCrashAvoidance is how long a job stands still at most for a worker that has not crashed
+// maxCrashAvoidance is how long a job, or a long-running task, stands still at most for a worker that has not crashed
 // under its task. It is below the 3 s for which an accepted job may stand still.
 const maxCrashAvoidance = 1500 * time.Millisecond
 
 // avoidCrashed adds to the runs of a task on probation, beside which it does not start,
 // the workers that have crashed under it, as long as another worker may take it: a worker
-// that crashes by itself shows nothing more. For a worker that cannot take it now, the job
+// that crashes by itself shows nothing more. For a worker that cannot take it now, it
 // stands still for no longer than maxCrashAvoidance.
 func (p *planner) avoidCrashed(c candidate, index int, spread spread, others []jobs.Run) []jobs.Run {
 	if p.in.CrashedUnder == nil {
@@ -80,7 +80,7 @@
 		return l.worker.Open && l.worker.allows(c.queue, c.group.Spec) && need.Fits(l.worker.Capacity) &&
 			(c.queue.Advice == nil || c.tickets[l.worker.Key] != "") && !slices.Contains(crashed, l.worker.Key)
 	}
-	if c.idle > maxCrashAvoidance {
+	if c.stoodStill() > maxCrashAvoidance {
 		mayTake = func(l *load) bool {
 			return need.Fits(l.free()) && p.eligible(c, l, spread) && p.fleet.allowsProbation(l) && !p.heldBack(c, l) &&
 				!slices.Contains(crashed, l.worker.Key)
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -103,9 +103,9 @@
 
 // starves reports whether no task of the candidate's job has found a worker for too
 // long. While most of the fleet is unused, that is a job without a run at work for
-// interferenceWait.
+// interferenceWait, or a task of a long-running group without a run.
 func (p *planner) starves(c candidate) bool {
-	return c.waited > starvationTimeout || c.idle > interferenceWait && p.mostlyUnused()
+	return c.waited > starvationTimeout || c.stoodStill() > interferenceWait && p.mostlyUnused()
 }
 
 // ignoresInterference reports whether a task of the candidate may start beside
--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -113,7 +113,7 @@
 	l.startedAt[run] = l.server.now()
 	lasted, named := l.standstills.start(run, l.server.now())
 	l.endStandstill(run, lasted, named)
-	l.idleJobs.begin(run.Task.Job)
+	l.idleJobs.begin(run.Task)
 	setFirst(&l.recovery.start, l.server.now())
 	l.observeWait(run)
 	l.forecastStart(run)
--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -19,10 +19,12 @@
 type idleJobs struct {
 	paused map[string]map[jobs.RunID]bool // by job: runs that their workers last listed as paused
 	since  map[string]time.Time           // since when a job has had no run at work
+	// tasks has since when tasks of long-running groups have had no run, by job.
+	tasks map[string]map[jobs.TaskID]time.Time
 }
 
 func newIdleJobs() idleJobs {
-	return idleJobs{paused: map[string]map[jobs.RunID]bool{}, since: map[string]time.Time{}}
+	return idleJobs{paused: map[string]map[jobs.RunID]bool{}, since: map[string]time.Time{}, tasks: map[string]map[jobs.TaskID]time.Time{}}
 }
 
 // setPaused records whether a run is paused.
@@ -56,13 +58,37 @@
 	return now.Sub(since)
 }
 
-// begin records that a run of a job starts.
-func (i *idleJobs) begin(job string) { delete(i.since, job) }
+// taskIdle returns for how long a waiting task of a long-running group has had no run. The
+// time counts from the first call since its latest start.
+func (i *idleJobs) taskIdle(task jobs.TaskID, now time.Time) time.Duration {
+	tasks := i.tasks[task.Job]
+	if tasks == nil {
+		tasks = map[jobs.TaskID]time.Time{}
+		i.tasks[task.Job] = tasks
+	}
+	since, known := tasks[task]
+	if !known {
+		since = now
+		tasks[task] = now
+	}
+	return now.Sub(since)
+}
+
+// begin records that a run of a task starts.
+func (i *idleJobs) begin(task jobs.TaskID) {
+	delete(i.since, task.Job)
+	if tasks := i.tasks[task.Job]; tasks != nil {
+		if delete(tasks, task); len(tasks) == 0 {
+			delete(i.tasks, task.Job)
+		}
+	}
+}
 
 // forget drops a job that has ended.
 func (i *idleJobs) forget(job string) {
 	delete(i.paused, job)
 	delete(i.since, job)
+	delete(i.tasks, job)
 }
 
 // Intervals of the look for jobs of which all runs are paused.
--- a/jobcontrol/idle_test.go
+++ b/jobcontrol/idle_test.go
@@ -56,3 +56,34 @@
 	}
 	return runs
 }
+
+// Guards against a long-running task whose wait goes on over its runs, or begins anew with
+// the start of another task of its job.
+func TestTasksOfOneJobAreIdleEachByItself(t *testing.T) {
+	i, now := newIdleJobs(), time.Unix(0, 0)
+	first, second := jobs.TaskID{Job: "a", Index: 0}, jobs.TaskID{Job: "a", Index: 1}
+	expect := func(task jobs.TaskID, want time.Duration) {
+		t.Helper()
+		if got := i.taskIdle(task, now); got != want {
+			t.Errorf("task %d: %v without a run, want %v", task.Index, got, want)
+		}
+	}
+	expect(first, 0)
+	expect(second, 0)
+	now = now.Add(2 * time.Second)
+	i.begin(first)
+	expect(second, 2*time.Second)
+	now = now.Add(time.Second)
+	expect(first, 0) // its run has ended
+	expect(second, 3*time.Second)
+	i.begin(first)
+	i.begin(second)
+	if len(i.tasks) > 0 {
+		t.Errorf("%v is kept of tasks that run", i.tasks)
+	}
+	expect(first, 0)
+	i.forget("a")
+	if len(i.tasks) > 0 {
+		t.Errorf("%v is kept of a job that has ended", i.tasks)
+	}
+}
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -239,6 +239,7 @@
 		PerCore: l.knowledge.Interference.PerCore, Durations: l.knowledge.Durations, QueueWork: l.knowledge.QueueWork,
 		Age:          func(job *jobs.Job) time.Duration { return l.jobAge(job, now) },
 		Idle:         func(job *jobs.Job) time.Duration { return l.idleJobs.idle(job, now) },
+		TaskIdle:     func(task jobs.TaskID) time.Duration { return l.idleJobs.taskIdle(task, now) },
 		Workers:      workers,
 		Panicked:     l.handlePlanPanic,
 		Behind:       func(run jobs.RunID) bool { return l.behind(view, run, now) },
