--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -107,10 +107,10 @@
 	return c.waited > starvationTimeout || p.standsStill(c)
 }
 
-// standsStill reports whether the candidate's job has had no run at work for too long while
-// its service is mostly unused.
+// standsStill reports whether the candidate's job has had no run at work for too long, or a
+// task of a long-running group no run, while its service is mostly unused.
 func (p *planner) standsStill(c candidate) bool {
-	return c.idle > interferenceWait && p.mostlyUnused(c.queue.Service)
+	return c.stoodStill() > interferenceWait && p.mostlyUnused(c.queue.Service)
 }
 
 // ignoresInterference reports whether a task of the candidate may start beside
