dispatch, jobcontrol, jobagent: findings of the review of runs that are kept at work

Only a start of a job that stands still on a mostly unused service is kept, not each one of a job without a run for 1.5 s. An agent drops what an earlier leader kept: a leader of an earlier build sends no list. All by reading, but for the last one; the tests of dispatch, jobcontrol and jobagent pass, but for known failures.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -237,7 +237,7 @@
 	p.fleet.addStarting(l, onProbation(c.group, index))
 	spread.workers[l.worker.Key]++
 	spread.racks[l.worker.Rack]++
-	if c.group.Spec.BestEffort && c.idle > interferenceWait && p.mayKeep(c, l) {
+	if c.group.Spec.BestEffort && c.idle > 0 && p.standsStill(c) && p.mayKeep(c, l) {
 		p.kept = append(p.kept, len(p.starts))
 		l.keep(c.group.Spec)
 	}
--- a/dispatch/plan_test.go
+++ b/dispatch/plan_test.go
@@ -268,6 +268,25 @@
 	}
 }
 
+// The same beside services of a fleet of which more than half is in use: the job waits for
+// CPU or headroom, and starves in the end.
+func TestBestEffortJobWaitsLongerWhereMostCPUIsInUse(t *testing.T) {
+	w := newFixture(t, 1)
+	w.serve(0, "s", 1.5)
+	w.submit(urgentQueue, &api.TaskGroup{Count: 1, MilliCpu: 2000, EstimatedMs: 60_000})
+	w.plan()
+	w.learned.Interference.Set(PairCost{Pair{"s", "f"}, 0.5})
+	waiting := w.submit(batchQueue, bestEffort(3, 2000, 0))
+	w.now = starvationTimeout - time.Second
+	if starts := w.plan(); len(starts) > 0 {
+		t.Fatalf("started after %v: %v", w.now, starts)
+	}
+	w.now = starvationTimeout + time.Second
+	if starts := w.plan(); len(starts) != 1 || starts[0].Run.Task.Job != waiting {
+		t.Errorf("starts %v, want one task of the waiting job", starts)
+	}
+}
+
 // Load pattern: all work starts again at the same time, after a loss of power. Seen on
 // nilefeather-loft, scale-2: services and best-effort work that was known to interfere
 // were placed together, as no sample showed the services yet; for six seconds the
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -221,6 +221,9 @@
 		klog.InfoS("Session with the leader established", "term", d.Term)
 	}
 	s.established = true
+	if w := a.current; w != nil && d.Term != a.term {
+		w.kept = nil // this leader sends its own; one of an earlier build sends none
+	}
 	a.term = d.Term
 	if d.LeaseMs > 0 {
 		a.healthPath = d.HealthPath
