--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -98,10 +98,10 @@
 	locality *locality // nil until a task could start away from its data
 	passing  spread    // of briefSpreadOf
 
-	mostlyIdle  *idleFleet   // result of mostlyUnused, nil until it is needed
-	partialFits *partialFits // nil if the policy asks for whole fits
-	partial     []int        // indexes of starts with less unused CPU than they declare
-	kept        []int        // indexes of starts of best-effort runs whose jobs have stood still
+	mostlyIdle  map[string]idleService // results of mostlyUnused, by service
+	partialFits *partialFits           // nil if the policy asks for whole fits
+	partial     []int                  // indexes of starts with less unused CPU than they declare
+	kept        []int                  // indexes of starts of best-effort runs whose jobs have stood still
 }
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
--- a/dispatch/score.go
+++ b/dispatch/score.go
@@ -102,10 +102,10 @@
 }
 
 // starves reports whether no task of the candidate's job has found a worker for too
-// long. While most of the fleet is unused, that is a job without a run at work for
-// interferenceWait.
+// long. While the workers of its service are mostly unused, that is a job without a run at
+// work for interferenceWait.
 func (p *planner) starves(c candidate) bool {
-	return c.waited > starvationTimeout || c.idle > interferenceWait && p.mostlyUnused()
+	return c.waited > starvationTimeout || c.idle > interferenceWait && p.mostlyUnused(c.queue.Service)
 }
 
 // ignoresInterference reports whether a task of the candidate may start beside
--- a/dispatch/unusedcpu.go
+++ b/dispatch/unusedcpu.go
@@ -19,7 +19,7 @@
 func (p *planner) allowsBestEffort(c candidate, l *load) bool {
 	group := c.group.Spec
 	unclaimed := hasUnclaimedCPU(c, l)
-	if p.starves(c) && (unclaimed || p.hasUnusedCPU(c, l) || p.fleet.countedBelowHalf() || p.mostlyUnused()) {
+	if p.starves(c) && (unclaimed || p.hasUnusedCPU(c, l) || p.fleet.countedBelowHalf() || p.mostlyUnused(c.queue.Service)) {
 		return true // its agent throttles it as far as the services need
 	}
 	if !unclaimed && !p.partialFits.allows(c, l, unusedMilliCPU(l)) {
@@ -36,32 +36,44 @@
 	return p.interference(group, l) < limit
 }
 
-// idleFleet is whether a fleet is mostly unused, for one sum of what its runs claim.
-type idleFleet struct {
+// idleService is whether the workers of a service are mostly unused, for one sum of what
+// the runs of the fleet claim.
+type idleService struct {
 	claimed      int64
 	mostlyUnused bool
 }
 
-// mostlyUnused reports whether less than half of the CPU of all workers is likely in use:
-// services use about half of what they declare, and throttled runs less than they claim.
-func (p *planner) mostlyUnused() bool {
-	if p.mostlyIdle == nil || p.mostlyIdle.claimed != p.fleet.claimed {
-		p.mostlyIdle = &idleFleet{p.fleet.claimed, 2*p.likelyFleetMilliCPU() < p.fleet.capacity}
+// mostlyUnused reports whether less than half of the CPU of a service's workers is likely
+// in use: services use about half of what they declare, and throttled runs less than they
+// claim.
+func (p *planner) mostlyUnused(service string) bool {
+	known, seen := p.mostlyIdle[service]
+	if !seen || known.claimed != p.fleet.claimed {
+		used, capacity := p.likelyUse(service)
+		known = idleService{p.fleet.claimed, 2*used < capacity}
+		if p.mostlyIdle == nil {
+			p.mostlyIdle = map[string]idleService{}
+		}
+		p.mostlyIdle[service] = known
 	}
-	return p.mostlyIdle.mostlyUnused
+	return known.mostlyUnused
 }
 
-// likelyFleetMilliCPU returns what all runs are likely to use. Best-effort runs that no
-// sample shows count in full.
-func (p *planner) likelyFleetMilliCPU() (milliCPU int64) {
+// likelyUse returns the milli-cores that all runs on the workers of a service are likely to
+// use, and the capacity of these workers. Best-effort runs that no sample shows count in full.
+func (p *planner) likelyUse(service string) (used, capacity int64) {
 	for _, l := range p.fleet.workers {
+		if l.worker.Service != service {
+			continue
+		}
 		bestEffort := l.bestEffortMilliCPU
 		if len(l.worker.Sample.Cores) > 0 {
 			bestEffort = p.likelyMilliCPU(l)
 		}
-		milliCPU += l.used.MilliCPU - int64((1-avgServiceUtilization)*float64(l.serviceMilliCPU)) + bestEffort
+		used += l.used.MilliCPU - int64((1-avgServiceUtilization)*float64(l.serviceMilliCPU)) + bestEffort
+		capacity += l.worker.Capacity.MilliCPU
 	}
-	return milliCPU
+	return used, capacity
 }
 
 // hasUnclaimedCPU reports whether a worker has CPU for one more best-effort task
