jobcontrol: a run of unknown pace is not taken to be at work (47)

An agent reports a pace of -1 after a call that set it has failed. A worker that refuses such calls would otherwise begin the time without a run at work anew with each of them. Found by reading; no test has it. The tests of jobcontrol of kept and paused runs pass.

--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -177,7 +177,7 @@
 	})
 	for run, status := range view.runs {
 		l.idleJobs.setPaused(run, active[run] && status.Pace == 0)
-		if active[run] && status.Pace != 0 {
+		if active[run] && status.Pace > 0 { // a negative pace is not known
 			l.idleJobs.markAtWork(run.Task.Job)
 		}
 		if k, kept := l.kept[run]; kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
