--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -323,9 +323,9 @@
 	w.setPaces(ids, w.pacer.Paces(services, bestEffort, w.agent.costs.PerCore), services)
 }
 
-// keepAtWork takes over which best-effort runs the leader keeps at work. Agent.mu must be
+// setKept takes over which best-effort runs the leader keeps at work. Agent.mu must be
 // held.
-func (w *incarnation) keepAtWork(list []*api.RunRef) {
+func (w *incarnation) setKept(list []*api.RunRef) {
 	w.kept = make(map[jobs.RunID]bool, len(list))
 	for _, ref := range list {
 		w.kept[jobs.RunIDOf(ref)] = true
--- a/jobagent/session.go
+++ b/jobagent/session.go
@@ -265,7 +265,7 @@
 		w.markRecorded(jobs.RunIDOf(ref))
 	}
 	if d.KeptListed {
-		w.keepAtWork(d.KeptAtWork)
+		w.setKept(d.KeptAtWork)
 	}
 	for _, order := range d.Starts {
 		w.acceptStart(order)
