dispatch: tests of long starts on probation and of avoided workers

They guard the two sides that the bounds on such holds leave as they were: a second suspect keeps off a worker that has been starting one for over 2 s, and a job that has waited still avoids a crashed VM while another worker takes its task.

--- a/dispatch/probation_test.go
+++ b/dispatch/probation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -169,3 +170,36 @@
 		t.Errorf("%d starts after the capacity has grown again, want 2", len(starts))
 	}
 }
+
+// Guards against two suspects that start on one worker, as the first of them has been
+// starting for so long that it no longer closes the worker to others.
+func TestALongStartOnProbationKeepsOtherSuspectsOff(t *testing.T) {
+	w := newFixture(t, 1)
+	w.trackStarting(nil)
+	for range 2 {
+		w.submit(urgentQueue, &api.TaskGroup{Count: 1, MilliCpu: 100})
+	}
+	w.crash(w.plan()...)
+	if starts := w.plan(); len(starts) != 1 {
+		t.Fatalf("%d suspects start on the only worker, want 1", len(starts))
+	}
+	w.pass(maxProbationStart + time.Millisecond)
+	w.submit(urgentQueue, &api.TaskGroup{Count: 1, MilliCpu: 100})
+	if starts := w.plan(); len(starts) != 1 || w.onProbation(starts[0]) {
+		t.Errorf("starts %v, want the task that is not on probation only", starts)
+	}
+}
+
+// Guards against a task that starts again on a VM that has crashed under it, as its job has
+// waited, though another worker has room.
+func TestACrashedWorkerIsAvoidedWhileAnotherTakesTheTask(t *testing.T) {
+	w := newFixture(t, 2)
+	w.submit(urgentQueue, &api.TaskGroup{Count: 1, MilliCpu: 100})
+	w.crash(w.plan()...)
+	w.workers[1].HealthPenalty = 0.5 // the crashed one would be preferred
+	w.change = func(in *Input) { in.CrashedUnder = func(jobs.TaskID) []string { return []string{"w0"} } }
+	w.pass(maxCrashAvoidance + time.Second)
+	if starts := w.plan(); len(starts) != 1 || starts[0].Worker != "w1" {
+		t.Errorf("starts %v, want one on w1", starts)
+	}
+}
