--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -228,12 +229,7 @@
 		paused = func(task jobs.TaskID) bool { return l.paused(task, now) }
 	}
 	workers := l.dispatchWorkers(view, now)
-	open := map[string]bool{}
-	for i := range workers {
-		if workers[i].Open {
-			open[workers[i].Key] = true
-		}
-	}
+	open := sync.OnceValue(func() map[string]bool { return openWorkers(workers) })
 	return dispatch.Input{
 		UnixMS:  l.server.config.UnixTime().UnixMilli(),
 		PerCore: l.knowledge.Interference.PerCore, Durations: l.knowledge.Durations, QueueWork: l.knowledge.QueueWork,
@@ -251,11 +247,22 @@
 		CrashedUnder: func(task jobs.TaskID) []string { return l.crashedWorkers(task, now) },
 		Paused:       paused,
 		Tickets: func(queue *api.JobQueue, group jobs.GroupID) (map[string]string, bool) {
-			return l.ticketsFor(queue, group, open)
+			return l.ticketsFor(queue, group, open())
 		},
 	}
 }
 
+// openWorkers returns the keys of the workers that are open.
+func openWorkers(workers []dispatch.Worker) map[string]bool {
+	open := map[string]bool{}
+	for i := range workers {
+		if workers[i].Open {
+			open[workers[i].Key] = true
+		}
+	}
+	return open
+}
+
 // handlePlanPanic logs the first panic while a job was planned. The lock is held.
 func (l *leadership) handlePlanPanic(job string, cause any) {
 	if !l.unplannable[job] {
