--- a/cmd/paddle-soak/mixed.go
+++ b/cmd/paddle-soak/mixed.go
@@ -198,23 +198,23 @@
 
 // Parameters of the model of a worker.
 const (
-	modelStep      = 20 * time.Millisecond
-	usageTime      = 500 * time.Millisecond // over which a worker averages
-	idleTailMS     = 25.0                   // tail latency of a service without load
-	meanLoad       = 0.48                   // share of its CPU that a service uses
-	loadSwing      = 0.5
-	loadPeriod     = 20 * time.Second
-	interferes     = 0.55 // share of the pairs of images
-	costPerCore    = 0.16 // headroom that a service loses to a core of such a pair
-	longestTailMS  = 3000.0
-	runStopTime    = 300 * time.Millisecond
-	saveInterval   = 500 * time.Millisecond // of work, between checkpoints
-	startupTime    = 400 * time.Millisecond // of a service
-	failingRun     = 0.01                   // share of the runs
-	failingShort   = 0.05                   // share of the runs of short tasks
-	failingService = 0.3
-	shortestCrawl  = 0.02 // least speed of best-effort work that is not paused
-	noiseInterval  = 500 * time.Millisecond
+	modelStep            = 20 * time.Millisecond
+	usageTime            = 500 * time.Millisecond // over which a worker averages
+	idleTailMS           = 25.0                   // tail latency of a service without load
+	meanLoad             = 0.48                   // share of its CPU that a service uses
+	loadSwing            = 0.5
+	loadPeriod           = 20 * time.Second
+	interferes           = 0.55 // share of the pairs of images
+	costPerCore          = 0.16 // headroom that a service loses to a core of such a pair
+	longestTailMS        = 3000.0
+	runStopTime          = 300 * time.Millisecond
+	saveInterval         = 500 * time.Millisecond // of work, between checkpoints
+	startupTime          = 400 * time.Millisecond // of a service
+	failingRun           = 0.01                   // share of the runs
+	failingShort         = 0.05                   // share of the runs of short tasks
+	failingService       = 0.3
+	leastBestEffortRatio = 0.02 // so that best-effort work beside a full worker goes on
+	noiseInterval        = 500 * time.Millisecond
 )
 
 func hashOf(values ...any) *rand.Rand {
@@ -262,6 +262,35 @@
 
 // stepModel lets the runs of the mixed load work for a time. The lock is held.
 func (w *worker) stepModel(now time.Time, passed time.Duration) {
+	ratio, weight := w.bestEffortRatio(now), min(1, float64(passed)/float64(usageTime))
+	inUse := map[string]float64{} // by best-effort image, in cores
+	for _, run := range w.runs {
+		m := run.model
+		if m == nil {
+			continue
+		}
+		cores := run.coresAt(now)
+		if m.group.BestEffort {
+			cores *= float64(m.pace) / 100 * ratio
+			inUse[m.group.Image] += cores
+		}
+		m.cores += weight * (cores - m.cores)
+		if m.group.Lasting {
+			m.worked += passed
+		} else {
+			m.worked += time.Duration(float64(passed) * cores * 1000 / float64(m.group.MilliCPU))
+		}
+	}
+	for name, run := range w.runs {
+		if m := run.model; m != nil && m.group.Lasting {
+			m.tailMS += weight * (w.tailLatency(name, m.group.Image, inUse, now) - m.tailMS)
+		}
+	}
+}
+
+// bestEffortRatio returns the share of the CPU that they want at their paces that
+// best-effort runs get beside the other runs. The lock is held.
+func (w *worker) bestEffortRatio(now time.Time) float64 {
 	free, wanted := float64(w.capacity())/1000, 0.0
 	for _, run := range w.runs {
 		if m := run.model; m == nil {
@@ -272,34 +301,16 @@
 			free -= run.coresAt(now)
 		}
 	}
-	ratio := max(shortestCrawl, min(1, free/max(wanted, 0.001)))
-	weight := min(1, float64(passed)/float64(usageTime))
-	inUse := map[string]float64{}
-	for _, run := range w.runs {
-		if m := run.model; m != nil {
-			cores := run.coresAt(now)
-			if m.group.BestEffort {
-				cores *= float64(m.pace) / 100 * ratio
-				inUse[m.group.Image] += cores
-			}
-			m.cores += weight * (cores - m.cores)
-			if m.group.Lasting {
-				m.worked += passed
-			} else {
-				m.worked += time.Duration(float64(passed) * cores * 1000 / float64(m.group.MilliCPU))
-			}
-		}
-	}
-	for name, run := range w.runs {
-		if m := run.model; m != nil && m.group.Lasting {
-			headroom := targetLatencyMS / idleTailMS * (1 - serviceLoad(m.group.Image, now))
-			for image, cores := range inUse {
-				headroom -= interferenceCost(m.group.Image, image) * cores
-			}
-			tail := min(longestTailMS, targetLatencyMS/max(headroom, 0.01)*w.latencyFactor(name, now))
-			m.tailMS += weight * (tail - m.tailMS)
-		}
+	return max(leastBestEffortRatio, min(1, free/max(wanted, 0.001)))
+}
+
+// tailLatency returns the tail latency of a service beside best-effort work, in ms.
+func (w *worker) tailLatency(name taskName, image string, inUse map[string]float64, now time.Time) float64 {
+	headroom := targetLatencyMS / idleTailMS * (1 - serviceLoad(image, now))
+	for other, cores := range inUse {
+		headroom -= interferenceCost(image, other) * cores
 	}
+	return min(longestTailMS, targetLatencyMS/max(headroom, 0.01)*w.latencyFactor(name, now))
 }
 
 // coresAt returns the cores that a run uses at full pace.
