paddle-soak: standstills count after 4 s without a fault

The users' rule asks that the time of a standstill and the 4 s before are calm. Runs without faults are judged as before.

--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -106,7 +106,11 @@
 			if inflict != nil {
 				r.faults.Add(1)
 				r.note("%s: %s for %v", k.name, what, lasts)
-				r.busy.Go(inflict)
+				r.busy.Go(func() {
+					r.disturbedAt.Store(time.Now().UnixNano())
+					inflict()
+					r.disturbedAt.Store(time.Now().UnixNano())
+				})
 			}
 			break
 		}
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -26,16 +26,17 @@
 
 // run is one deployment with its callers, its operator and its faults.
 type run struct {
-	seed     uint64
-	load     string
-	random   *rand.Rand
-	restarts *rand.Rand // of the schedule of restarts
-	orders   *rand.Rand // of the schedule of faults around orders
-	folder   string
-	programs string
-	check    *checker
-	faults   atomic.Int64
-	began    time.Time
+	seed        uint64
+	load        string
+	random      *rand.Rand
+	restarts    *rand.Rand // of the schedule of restarts
+	orders      *rand.Rand // of the schedule of faults around orders
+	folder      string
+	programs    string
+	check       *checker
+	faults      atomic.Int64
+	disturbedAt atomic.Int64 // when a fault last began or ended, in Unix nanoseconds
+	began       time.Time
 
 	control      []*process
 	controlLinks []*proxy
--- a/cmd/paddle-soak/standstill.go
+++ b/cmd/paddle-soak/standstill.go
@@ -14,6 +14,9 @@
 // to the same bound, whether other tasks of its job run or not.
 const serviceRestart = 6 * time.Second
 
+// calmBefore is the time without faults before a standstill that counts.
+const calmBefore = 4 * time.Second
+
 // watchInterval is the time between looks at all jobs.
 const watchInterval = 100 * time.Millisecond
 
@@ -92,6 +95,10 @@
 				rooms = append(rooms, room)
 			}
 		}
+		if time.Since(time.Unix(0, r.disturbedAt.Load())) < calmBefore {
+			clear(s.since) // the rule asks for calm before and during a standstill
+			continue
+		}
 		r.check.lookForStandstills(s, fleetRoom{rooms, paused, used < cores/2}, time.Now())
 	}
 }
