--- a/cmd/paddle-soak/mixed.go
+++ b/cmd/paddle-soak/mixed.go
@@ -250,18 +250,19 @@
 }
 
 // serviceLoad returns the share of its CPU that a service uses.
-func serviceLoad(image string, at time.Time) float64 {
+func serviceLoad(image string, at time.Duration) float64 {
 	phase := hashOf("load", image).Float64()
-	return meanLoad * (1 + loadSwing*math.Sin(2*math.Pi*(phase+float64(at.UnixNano())/float64(loadPeriod))))
+	return meanLoad * (1 + loadSwing*math.Sin(2*math.Pi*(phase+float64(at)/float64(loadPeriod))))
 }
 
 // latencyFactor returns by how much the tail latency of a run differs from its mean in one half second.
-func (w *worker) latencyFactor(name taskName, at time.Time) float64 {
-	return math.Exp(w.noise * hashOf(w.id, name, at.UnixNano()/int64(noiseInterval)).NormFloat64())
+func (w *worker) latencyFactor(name taskName, at time.Duration) float64 {
+	return math.Exp(w.noise * hashOf(w.id, name, int64(at/noiseInterval)).NormFloat64())
 }
 
-// stepModel lets the runs of the mixed load work for a time. The lock is held.
-func (w *worker) stepModel(now time.Time, passed time.Duration) {
+// stepModel lets the runs of the mixed load work for a time. now is the time since the
+// start of the soak, on which loads and noise depend. The lock is held.
+func (w *worker) stepModel(now, passed time.Duration) {
 	ratio, weight := w.bestEffortRatio(now), min(1, float64(passed)/float64(usageTime))
 	inUse := map[string]float64{} // by best-effort image, in cores
 	for _, run := range w.runs {
@@ -290,7 +291,7 @@
 
 // bestEffortRatio returns the share of the CPU that they want at their paces that
 // best-effort runs get beside the other runs. The lock is held.
-func (w *worker) bestEffortRatio(now time.Time) float64 {
+func (w *worker) bestEffortRatio(now time.Duration) float64 {
 	free, wanted := float64(w.capacity())/1000, 0.0
 	for _, run := range w.runs {
 		if m := run.model; m == nil {
@@ -305,7 +306,7 @@
 }
 
 // tailLatency returns the tail latency of a service beside best-effort work, in ms.
-func (w *worker) tailLatency(name taskName, image string, inUse map[string]float64, now time.Time) float64 {
+func (w *worker) tailLatency(name taskName, image string, inUse map[string]float64, now time.Duration) float64 {
 	headroom := targetLatencyMS / idleTailMS * (1 - serviceLoad(image, now))
 	for other, cores := range inUse {
 		headroom -= interferenceCost(image, other) * cores
@@ -314,7 +315,7 @@
 }
 
 // coresAt returns the cores that a run uses at full pace.
-func (r *workerRun) coresAt(now time.Time) float64 {
+func (r *workerRun) coresAt(now time.Duration) float64 {
 	cores := float64(r.model.group.MilliCPU) / 1000
 	if r.model.group.Lasting {
 		return cores * serviceLoad(r.model.group.Image, now)
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -27,6 +27,7 @@
 // run is one deployment with its callers, its operator and its faults.
 type run struct {
 	seed        uint64
+	epoch       time.Time // when it was set up
 	load        string
 	random      *rand.Rand
 	restarts    *rand.Rand // of the schedule of restarts
@@ -59,7 +60,7 @@
 
 func newRun(seed uint64, load, folder, programs string) (*run, error) {
 	r := &run{
-		seed: seed, load: load, random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
+		seed: seed, load: load, epoch: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
 		zonesOut: map[string]time.Time{},
 	}
 	if err := r.deploy(); err != nil {
@@ -177,7 +178,7 @@
 	r.agents, r.agentAddress = append(r.agents, p), append(r.agentAddress, agentAddress)
 	r.workers = append(r.workers, &worker{
 		id: fmt.Sprintf("w-%d", i), zone: zone, agent: agentAddress, address: address, check: r.check, note: r.note,
-		noise: latencyNoises[r.seed%uint64(len(latencyNoises))], milliCPU: milliCPU, memoryMB: memoryMB, rack: fmt.Sprintf("r-%s-%d", zone, i/zones/rackSize), order: p.calm, out: func() bool { return r.zoneOut(zone) },
+		epoch: r.epoch, noise: latencyNoises[r.seed%uint64(len(latencyNoises))], milliCPU: milliCPU, memoryMB: memoryMB, rack: fmt.Sprintf("r-%s-%d", zone, i/zones/rackSize), order: p.calm, out: func() bool { return r.zoneOut(zone) },
 	})
 	return nil
 }
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -41,7 +41,8 @@
 
 	milliCPU, memoryMB int64 // full capacity
 	rack               string
-	noise              float64 // of the tail latencies of services; see latencyNoises
+	epoch              time.Time // start of the soak
+	noise              float64   // of the tail latencies of services; see latencyNoises
 
 	lives sync.Mutex // held from the end of an incarnation to the next one
 
@@ -428,7 +429,7 @@
 		}
 		w.mu.Lock()
 		now := time.Now()
-		w.stepModel(now, now.Sub(stepped))
+		w.stepModel(now.Sub(w.epoch), now.Sub(stepped))
 		stepped = now
 		lapsed := w.leaseEnd > 0 && w.clockMS() > w.leaseEnd
 		for i := w.recorded; lapsed && i < int64(len(w.ends)); i++ {
