dispatch, jobcontrol: runs that are kept at work pause in turns beside services over their target

Agents pause all best-effort runs after 2 s, except those that are kept at work.

Change: beside a service over its target a kept run works for two samples of seven, and pauses for less than 3 s, so a service that it keeps over its target recovers. The leader takes such a run to be at work.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -19,9 +19,11 @@
 	KeepAtWork    bool    // it has at least MinPace, as its job has nothing else at work
 }
 
-// leastPace returns the pace of the run when the services can spare nothing for it.
-func (r *BestEffortRun) leastPace() int {
-	if r.KeepAtWork {
+// leastPace returns the pace of a run when the services can spare nothing for it. While a
+// service is over its target, runs that are kept at work pause in turns, so that it
+// recovers if they are the cause.
+func (p *Pacer) leastPace(r BestEffortRun) int {
+	if r.KeepAtWork && p.overTarget%keptCycle < keptSamples {
 		return MinPace
 	}
 	return 0
@@ -50,6 +52,8 @@
 	scaleDownFactor   = 0.5  // per sample with a service over its target
 	scaleUpStep       = 0.25 // per sample with all services recovered
 	minBudgetScale    = 0.06 // below it the budget scale is set to 0
+	keptCycle         = 7    // samples; the pause within it is below the 3 s for which a job may stand still
+	keptSamples       = 2    // of a cycle, in which kept runs work beside a service over its target
 	MinPace           = 5    // percent; lower paces are rounded down to a pause
 	FullPace          = 100
 )
@@ -69,7 +73,7 @@
 func (p *Pacer) Paces(services []ServiceHeadroom, runs []BestEffortRun, perCore func(Pair) float64) []int {
 	paces := make([]int, len(runs))
 	for i := range runs {
-		paces[i] = runs[i].leastPace()
+		paces[i] = p.leastPace(runs[i])
 	}
 	if p.overTarget >= pauseAfterSamples {
 		return paces
@@ -83,7 +87,7 @@
 			}
 		}
 		if paces[i] = int(share * FullPace); paces[i] < MinPace {
-			paces[i] = runs[i].leastPace()
+			paces[i] = p.leastPace(runs[i])
 			continue
 		}
 		for image := range budgets {
--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -227,11 +227,13 @@
 		}
 	})
 	for run, status := range view.runs {
-		l.idleJobs.setPaused(run, active[run] && status.Pace == 0)
-		if active[run] && status.Pace > 0 { // an unknown pace is negative
+		k, kept := l.kept[run]
+		kept = kept && k.worker == view.key // it pauses in turns, which is no standstill
+		l.idleJobs.setPaused(run, active[run] && status.Pace == 0 && !kept)
+		if active[run] && (status.Pace > 0 || kept) { // an unknown pace is negative
 			l.idleJobs.markAtWork(run.Task.Job)
 		}
-		if k, kept := l.kept[run]; kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
+		if kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
 			l.releaseKept(run)
 		}
 	}
