--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -15,7 +15,10 @@
 	// Idle returns for how long a job has had no run at work: one that is active and not
 	// paused. If it is nil, the time since the submission stands in for jobs without
 	// active runs.
-	Idle      func(*jobs.Job) time.Duration
+	Idle func(*jobs.Job) time.Duration
+	// TaskIdle returns for how long a waiting task of a long-running group has had no run. If
+	// it is nil, the time since the submission of its job stands in.
+	TaskIdle  func(jobs.TaskID) time.Duration
 	PerCore   func(Pair) float64 // headroom that a service loses per core of best-effort work
 	Durations *Durations
 	QueueWork *QueueWork
@@ -98,15 +101,15 @@
 	locality *locality // nil until a task could start away from its data
 	passing  spread    // of briefSpreadOf
 
-	mostlyIdle  *idleFleet   // result of mostlyUnused, nil until it is needed
-	partialFits *partialFits // nil if the policy asks for whole fits
-	partial     []int        // indexes of starts with less unused CPU than they declare
-	kept        []int        // indexes of starts of best-effort runs whose jobs have stood still
+	idleServices map[string]idleService // results of mostlyUnused
+	partialFits  *partialFits           // nil if the policy asks for whole fits
+	partial      []int                  // indexes of starts with less unused CPU than they declare
+	kept         []int                  // indexes of starts of best-effort runs whose jobs have stood still
 }
 
 func newPlanner(view jobs.View, in Input, unfit unfitDemands) *planner {
 	return &planner{
-		view: view, in: in, fleet: newFleetLoad(view, in.Workers), unfit: unfit,
+		view: view, in: in, fleet: loadFleet(view, in), unfit: unfit,
 		reserver: newReserver(view, in, unfit != nil), partialFits: newPartialFits(view, in),
 	}
 }
@@ -146,7 +149,7 @@
 			continue
 		}
 		if probation {
-			others = p.avoidCrashed(c, i, others)
+			others = p.avoidCrashed(c, i, spread, others)
 		}
 		chosen, heldBack := p.choose(c, spread, others, probation)
 		if chosen == nil && probation {
@@ -234,8 +237,9 @@
 	p.fleet.addStarting(l, onProbation(c.group, index))
 	spread.workers[l.worker.Key]++
 	spread.racks[l.worker.Rack]++
-	if c.group.Spec.BestEffort && c.idle > interferenceWait {
+	if c.group.Spec.BestEffort && c.idle > 0 && p.standsStill(c) && p.mayKeep(c, l) {
 		p.kept = append(p.kept, len(p.starts))
+		l.keep(c.group.Spec)
 	}
 	p.starts = append(p.starts, Start{
 		Run:    jobs.RunID{Task: c.taskID(index), Number: number},
--- a/jobcontrol/idle.go
+++ b/jobcontrol/idle.go
@@ -19,10 +19,12 @@
 type idleJobs struct {
 	paused map[string]map[jobs.RunID]bool // by job: runs that their workers last listed as paused
 	since  map[string]time.Time           // since when a job has had no run at work
+	// tasks has since when tasks of long-running groups have had no run, by job.
+	tasks map[string]map[jobs.TaskID]time.Time
 }
 
 func newIdleJobs() idleJobs {
-	return idleJobs{paused: map[string]map[jobs.RunID]bool{}, since: map[string]time.Time{}}
+	return idleJobs{paused: map[string]map[jobs.RunID]bool{}, since: map[string]time.Time{}, tasks: map[string]map[jobs.TaskID]time.Time{}}
 }
 
 // setPaused records whether a run is paused.
@@ -56,13 +58,40 @@
 	return now.Sub(since)
 }
 
-// begin records that a run of a job starts.
-func (i *idleJobs) begin(job string) { delete(i.since, job) }
+// markAtWork records that a run of a job is listed as not paused.
+func (i *idleJobs) markAtWork(job string) { delete(i.since, job) }
+
+// taskIdle returns for how long a waiting task of a long-running group has had no run. The
+// time counts from the first call since its latest start.
+func (i *idleJobs) taskIdle(task jobs.TaskID, now time.Time) time.Duration {
+	tasks := i.tasks[task.Job]
+	if tasks == nil {
+		tasks = map[jobs.TaskID]time.Time{}
+		i.tasks[task.Job] = tasks
+	}
+	since, known := tasks[task]
+	if !known {
+		since = now
+		tasks[task] = now
+	}
+	return now.Sub(since)
+}
+
+// begin records that a run of a task starts.
+func (i *idleJobs) begin(task jobs.TaskID) {
+	i.markAtWork(task.Job)
+	if tasks := i.tasks[task.Job]; tasks != nil {
+		if delete(tasks, task); len(tasks) == 0 {
+			delete(i.tasks, task.Job)
+		}
+	}
+}
 
 // forget drops a job that has ended.
 func (i *idleJobs) forget(job string) {
 	delete(i.paused, job)
 	delete(i.since, job)
+	delete(i.tasks, job)
 }
 
 // Intervals of the look for jobs of which all runs are paused.
@@ -74,6 +103,9 @@
 	// minKeepTime is how long a run is kept at work at least: it starts at full pace, and its
 	// agent may pause it after the next list.
 	minKeepTime = 2 * time.Second
+	// keptSampleTime is the time until the sample of a worker shows what a run uses: its
+	// average covers half a second, and lists come about as often.
+	keptSampleTime = time.Second
 )
 
 // keptRun is a best-effort run that its agent does not pause.
@@ -104,8 +136,8 @@
 	})
 }
 
-// leastAffecting returns the run on the worker whose services have most headroom, false if
-// one of the runs is kept at work already. The lock is held.
+// leastAffecting returns the run on the worker whose services have most headroom. It returns
+// false if one of the runs is kept at work already, or none may be. The lock is held.
 func (l *leadership) leastAffecting(state jobs.View, paused map[jobs.RunID]bool) (best jobs.RunID, found bool) {
 	type choice struct {
 		run      jobs.RunID
@@ -113,10 +145,12 @@
 	}
 	var choices []choice
 	for run := range paused {
-		if _, kept := l.kept[run]; kept {
+		worker := state.WorkerOf(run)
+		// A plan that was not committed may have kept it on another worker.
+		if k, kept := l.kept[run]; kept && k.worker == worker {
 			return run, false
 		}
-		if view := l.viewOf(state.WorkerOf(run)); view != nil {
+		if view := l.viewOf(worker); view != nil && l.mayKeep(state, view, run) {
 			choices = append(choices, choice{run, view.sample.LeastHeadroom()})
 		}
 	}
@@ -128,6 +162,25 @@
 	}).run, true
 }
 
+// mayKeep reports whether the services on a worker can bear a run that is kept at work,
+// beside those that its sample does not show yet. The lock is held.
+func (l *leadership) mayKeep(state jobs.View, view *workerView, run jobs.RunID) bool {
+	_, group, _ := state.Run(run)
+	if group == nil {
+		return false
+	}
+	unsampled := map[string]float64{}
+	for other, k := range l.kept {
+		if k.worker != view.key || l.server.now().Sub(k.since) >= keptSampleTime {
+			continue
+		}
+		if _, g, _ := state.Run(other); g != nil {
+			unsampled[g.Spec.Image] += dispatch.KeptCores(g.Spec.MilliCpu)
+		}
+	}
+	return view.sample.MayKeep(l.knowledge.Interference.PerCore, group.Spec.Image, group.Spec.MilliCpu, unsampled)
+}
+
 // keepAtWork has the agent of a worker keep a best-effort run at work, until it works
 // faster than at the lowest pace. The lock is held.
 func (l *leadership) keepAtWork(run jobs.RunID, worker, reason string) {
@@ -164,10 +217,20 @@
 }
 
 // notePaces records from a worker's latest list which best-effort runs are paused, and
-// releases those that work by themselves. The lock is held.
+// releases those that work by themselves. A run that the log does not have on the worker
+// is not active, and no committed end would clear it. The lock is held.
 func (l *leadership) notePaces(view *workerView) {
+	active := make(map[jobs.RunID]bool, len(view.runs))
+	l.server.config.State.Read(func(state jobs.View) {
+		for run := range view.runs {
+			active[run] = state.WorkerOf(run) == view.key
+		}
+	})
 	for run, status := range view.runs {
-		l.idleJobs.setPaused(run, status.Pace == 0)
+		l.idleJobs.setPaused(run, active[run] && status.Pace == 0)
+		if active[run] && status.Pace > 0 { // an unknown pace is negative
+			l.idleJobs.markAtWork(run.Task.Job)
+		}
 		if k, kept := l.kept[run]; kept && status.Pace > dispatch.MinPace && l.server.now().Sub(k.since) >= minKeepTime {
 			l.releaseKept(run)
 		}
