--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -26,16 +26,18 @@
 
 // run is one deployment with its callers, its operator and its faults.
 type run struct {
-	seed     uint64
-	load     string
-	random   *rand.Rand
-	restarts *rand.Rand // of the schedule of restarts
-	orders   *rand.Rand // of the schedule of faults around orders
-	folder   string
-	programs string
-	check    *checker
-	faults   atomic.Int64
-	began    time.Time
+	seed        uint64
+	epoch       time.Time // when it was set up
+	load        string
+	random      *rand.Rand
+	restarts    *rand.Rand // of the schedule of restarts
+	orders      *rand.Rand // of the schedule of faults around orders
+	folder      string
+	programs    string
+	check       *checker
+	faults      atomic.Int64
+	disturbedAt atomic.Int64 // when a fault last began or ended, in Unix nanoseconds
+	began       time.Time
 
 	control      []*process
 	controlLinks []*proxy
@@ -58,7 +60,7 @@
 
 func newRun(seed uint64, load, folder, programs string) (*run, error) {
 	r := &run{
-		seed: seed, load: load, random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
+		seed: seed, load: load, epoch: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
 		zonesOut: map[string]time.Time{},
 	}
 	if err := r.deploy(); err != nil {
@@ -176,7 +178,7 @@
 	r.agents, r.agentAddress = append(r.agents, p), append(r.agentAddress, agentAddress)
 	r.workers = append(r.workers, &worker{
 		id: fmt.Sprintf("w-%d", i), zone: zone, agent: agentAddress, address: address, check: r.check, note: r.note,
-		noise: latencyNoises[r.seed%uint64(len(latencyNoises))], milliCPU: milliCPU, memoryMB: memoryMB, rack: fmt.Sprintf("r-%s-%d", zone, i/zones/rackSize), order: p.calm, out: func() bool { return r.zoneOut(zone) },
+		epoch: r.epoch, noise: latencyNoises[r.seed%uint64(len(latencyNoises))], milliCPU: milliCPU, memoryMB: memoryMB, rack: fmt.Sprintf("r-%s-%d", zone, i/zones/rackSize), order: p.calm, out: func() bool { return r.zoneOut(zone) },
 	})
 	return nil
 }
