review 2, case 10: tasks of one job that crash their minions together are started on and on

Cause: a crash later than 100 ms after the start counts as merely recent, and of crashes that come together a common cause is taken for granted, so none of them is counted. Case: one job with eight tasks, each of which crashes each minion 150 ms after its start; the minion is back 3 s later. BUDGET is broken: three to five further starts of a task after the third crash under it.

--- a/review/standin-2/deadly.go
+++ b/review/standin-2/deadly.go
@@ -36,7 +36,7 @@
 func startsAfterCrashes(f *fleet) (crashes, more int) {
 	for _, e := range f.record.list() {
 		switch {
-		case e.kind == "crash":
+		case e.kind == "crash" && e.task != "":
 			crashes++
 		case e.kind == "start" && crashes >= 3:
 			more++
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -25,8 +25,9 @@
 	play    func(f *fleet, trouble bool) (played, error)
 }{
 	"deadly":          {6, playDeadly},
+	"together":        {11, playTogether},
 	"shared-id":       {4, playSharedID},
-	"gang-checkpoint": {6, playGangCheckpoint},
+	"gang-checkpoint": {8, playGangCheckpoint},
 }
 
 func main() {
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -102,7 +102,10 @@
 }
 
 // crash ends the minion's life; nothing of it is left.
-func (m *minion) crash() {
+func (m *minion) crash() { m.crashUnder(nil) }
+
+// crashUnder is crash; r is the run that has caused it, nil for none.
+func (m *minion) crashUnder(r *run) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.alive {
@@ -111,10 +114,14 @@
 	m.alive = false
 	m.cancel()
 	m.server.Close()
-	m.fleet.record.note("minion %s has crashed", m.id)
-	for _, r := range m.runs {
-		if r.gang != nil {
-			go r.gang.leave(m, r, "crash")
+	e := event{kind: "crash", minion: m.id}
+	if r != nil {
+		e.task, e.run, e.spec = r.task, r.number, r.spec
+	}
+	m.fleet.record.event(e)
+	for _, other := range m.runs {
+		if other.gang != nil {
+			go other.gang.leave(m, other, "crash")
 		}
 	}
 	m.runs = map[string]*run{}
@@ -129,8 +136,7 @@
 	if !there {
 		return
 	}
-	m.fleet.record.event(event{kind: "crash", minion: m.id, task: r.task, run: r.number, spec: r.spec})
-	m.crash()
+	m.crashUnder(r)
 	time.Sleep(minionDown)
 	if m.fleet.closed.Load() {
 		return
@@ -143,6 +149,21 @@
 // minionDown is how long a minion is down after a task has crashed it.
 const minionDown = 3 * time.Second
 
+// crashWhileStarting crashes the minion if it began a run of a job whose id begins so
+// less than a time ago, and reports whether it did.
+func (m *minion) crashWhileStarting(job string, within time.Duration) bool {
+	m.mu.Lock()
+	starting := false
+	for _, r := range m.runs {
+		starting = starting || strings.HasPrefix(r.task, job) && time.Since(r.began) < within
+	}
+	m.mu.Unlock()
+	if starting {
+		m.crash()
+	}
+	return starting
+}
+
 func (m *minion) wasPolled() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
