--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,6 +26,8 @@
 }{
 	"deadly":          {6, playDeadly},
 	"together":        {11, playTogether},
+	"suspects":        {11, playSuspects},
+	"standstill":      {8, playStandstill},
 	"shared-id":       {4, playSharedID},
 	"gang-checkpoint": {8, playGangCheckpoint},
 }
--- a/review/standin-2/minion.go
+++ b/review/standin-2/minion.go
@@ -196,6 +196,9 @@
 			return
 		}
 		status, body := f(c)
+		if status == 0 {
+			panic(http.ErrAbortHandler) // the minion has crashed: no answer
+		}
 		m.mu.Lock()
 		body["clock_ms"], body["born"] = m.clock(), m.born
 		m.mu.Unlock()
@@ -223,6 +226,9 @@
 func (m *minion) startRun(c request) (int, map[string]any) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.alive {
+		return 0, nil
+	}
 	if !m.checkFence(c) {
 		return refused("fence")
 	}
@@ -253,6 +259,9 @@
 func (m *minion) stopRun(c request) (int, map[string]any) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.alive {
+		return 0, nil
+	}
 	if !m.checkFence(c) {
 		return refused("fence")
 	}
@@ -267,12 +276,19 @@
 func (m *minion) pace(c request) (int, map[string]any) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.alive {
+		return 0, nil
+	}
 	m.checkFence(c)
 	return 200, map[string]any{}
 }
 
 func (m *minion) hold(c request) (int, map[string]any) {
 	m.mu.Lock()
+	if !m.alive {
+		m.mu.Unlock()
+		return 0, nil
+	}
 	if !m.checkFence(c) {
 		m.mu.Unlock()
 		return refused("fence")
@@ -295,6 +311,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if life.Err() != nil {
+		return 0, nil
+	}
 	running, finished := [][]any{}, [][]any{}
 	for _, r := range m.runs {
 		running = append(running, []any{r.task, r.number, r.saved(), r.percent(), 480})
