--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -27,8 +27,9 @@
 	address  string
 	sequence int64
 
-	clockMS      int64         // latest reading of the worker's clock
-	clockReadAt  time.Time     // when that reading arrived; zero before the first one
+	clockMS      int64     // latest reading of the worker's clock
+	clockReadAt  time.Time // when that reading arrived; zero before the first one
+	registeredAt time.Time
 	polls        int64         // answered polls; each was sent after the previous response
 	wholeLists   int64         // answered polls whose response left out no end
 	sentPolls    int64         // polls that were sent, by which lists are numbered
@@ -37,10 +38,11 @@
 
 	runs         map[jobs.RunID]*run
 	ends         map[jobs.RunID]*end
-	kept         map[jobs.RunID]bool // best-effort runs that are not paused
-	lastPosition int64               // highest position received in the worker's list of ended runs
-	unrecorded   map[int64]struct{}  // received positions that the leader has not recorded yet
-	recorded     chan struct{}       // signaled when the leader has recorded an end
+	kept         map[jobs.RunID]bool      // best-effort runs that are not paused
+	lapsed       map[jobs.RunID]time.Time // runs that were reported lost with the worker's lease, since when
+	lastPosition int64                    // highest position received in the worker's list of ended runs
+	unrecorded   map[int64]struct{}       // received positions that the leader has not recorded yet
+	recorded     chan struct{}            // signaled when the leader has recorded an end
 
 	compared        bool      // with the leader's runs: it expects no run that is not known here
 	unhealthy       bool      // result of the worker's health check
@@ -103,8 +105,8 @@
 		agent: a, ctx: ctx, cancel: cancel,
 		key:       jobs.WorkerKey(r.Worker.Id, r.Worker.Born),
 		callSlots: make(chan struct{}, MaxConcurrentCalls),
-		worker:    r.Worker, address: r.Address, sequence: r.Sequence,
-		runs: map[jobs.RunID]*run{}, ends: map[jobs.RunID]*end{}, unrecorded: map[int64]struct{}{},
+		worker:    r.Worker, address: r.Address, sequence: r.Sequence, registeredAt: a.config.Clock(),
+		runs: map[jobs.RunID]*run{}, ends: map[jobs.RunID]*end{}, lapsed: map[jobs.RunID]time.Time{}, unrecorded: map[int64]struct{}{},
 		recorded:     make(chan struct{}, 1),
 		pacer:        dispatch.NewPacer(),
 		startTimeout: startTimeout,
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -172,6 +172,8 @@
 		w.wholeLists++
 	}
 	if w.polls == 1 {
+		klog.InfoS("Worker listed its runs for the first time", "worker", w.key, "runs", len(response.Running), "ends", len(response.Ends),
+			"since_registered_ms", w.agent.config.Clock().Sub(w.registeredAt).Milliseconds(), "unsettled_starts", w.agent.unsettledStarts(w.key))
 		w.agent.requestReport()
 	}
 	w.updateClock(response.ClockMS)
@@ -186,6 +188,7 @@
 	}
 	w.noteAlive(w.agent.config.Clock())
 	w.noteRunning(response.Running)
+	clear(w.lapsed) // this list has shown which of them run on
 	if !response.MoreEnds {
 		w.settleUnlisted(response.Running, number)
 	}
@@ -201,6 +204,7 @@
 	for _, status := range list {
 		id := jobs.RunIDOf(status.Run)
 		w.noteListed(id)
+		w.noteOutlived(id)
 		if w.runs[id] == nil && !w.adopt(id) {
 			continue // the list is older than the end of the run
 		}
@@ -264,6 +268,11 @@
 	if now.Before(w.sentLeaseUntil.Add(lapseMargin)) {
 		return
 	}
+	if len(w.runs) > 0 {
+		klog.InfoS("Lease of the silent worker is over", "worker", w.key, "runs", len(w.runs), "answered", w.polls > 0,
+			"since_registered_ms", now.Sub(w.registeredAt).Milliseconds(), "silent_ms", now.Sub(w.unansweredSince).Milliseconds(),
+			"unsettled_starts", a.unsettledStarts(""))
+	}
 	for id, r := range w.runs {
 		if r.phase == runStarting {
 			continue // the result of its start request decides
@@ -273,6 +282,7 @@
 			checkpoint = r.status.Checkpoint
 		}
 		w.finish(id, api.RunOutcome_RUN_OUTCOME_LOST, checkpoint, "the worker does not answer and its lease is over", 0)
+		w.lapsed[id] = now
 		if r.starting() {
 			w.ends[id].message.CrashEvidence = api.CrashEvidence_CRASH_EVIDENCE_SILENT
 			at, _ := w.downAt()
--- a/jobagent/restart.go
+++ b/jobagent/restart.go
@@ -106,3 +106,27 @@
 	w.stopRun(id)
 	return true
 }
+
+// unsettledStarts returns how many of the remembered starts were sent to other incarnations
+// than the one with the key and have no answer. Agent.mu must be held.
+func (a *Agent) unsettledStarts(key string) (n int) {
+	for _, sent := range a.sentStarts {
+		if sent.key != key && !sent.answered && !sent.crossed {
+			n++
+		}
+	}
+	return n
+}
+
+// noteOutlived records that the worker lists a run as running which was reported lost with
+// its lease: the lease lasted for longer than the agent had counted. Agent.mu must be held.
+func (w *incarnation) noteOutlived(id jobs.RunID) {
+	since, lost := w.lapsed[id]
+	if !lost {
+		return
+	}
+	delete(w.lapsed, id)
+	telemetry.JobAgentOutlivedRuns.Add(1)
+	klog.InfoS("Run that was reported lost is still running", "job", id.Task.Job, "run", id.String(), "worker", w.key,
+		"since_reported_ms", w.agent.config.Clock().Sub(since).Milliseconds())
+}
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -17,6 +17,7 @@
 	agent       string
 	leaving     bool
 	leaseUntil  time.Time                     // when the lease of its agent has certainly expired, margin included
+	joined      time.Time                     // when its agent first reported it
 	heard       time.Time                     // when its agent last reported
 	runs        map[jobs.RunID]*api.RunStatus // from the worker's latest list
 	unreachable bool                          // it refuses connections or polls of its agent
@@ -66,7 +67,7 @@
 		}
 		l.loseEarlierRuns(worker)
 		l.dropPredecessors(worker)
-		view = &workerView{key: key, runs: map[jobs.RunID]*api.RunStatus{}}
+		view = &workerView{key: key, joined: l.server.now(), runs: map[jobs.RunID]*api.RunStatus{}}
 		l.workers[worker.Id] = view
 	}
 	if view.worker != nil && worker.Draining != view.worker.Draining {
@@ -200,13 +201,23 @@
 			l.standstills.noteReason(run, reason)
 			evidence := l.lossEvidence(key, run)
 			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason,
-				"crash_evidence", jobs.EvidenceName(evidence), "start_confirmed", l.survivedStart(key, run), "term", l.term)
+				"crash_evidence", jobs.EvidenceName(evidence), "start_confirmed", l.survivedStart(key, run), "joined_ms", l.sinceJoined(key), "term", l.term)
 			l.add(endChange(run, key, api.RunOutcome_RUN_OUTCOME_LOST, l.latestCheckpoint(key, run), evidence))
 		})
 	})
 	l.signal()
 }
 
+// sinceJoined returns for how many ms this leader has known a worker's incarnation, -1 if it
+// doesn't. The lock is held.
+func (l *leadership) sinceJoined(key string) int64 {
+	view := l.viewOf(key)
+	if view == nil {
+		return -1
+	}
+	return l.server.now().Sub(view.joined).Milliseconds()
+}
+
 // latestCheckpoint returns the checkpoint of a run in the worker's latest list.
 func (l *leadership) latestCheckpoint(key string, run jobs.RunID) string {
 	if view := l.viewOf(key); view != nil {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -74,6 +74,9 @@
 	// JobAgentCrossedStarts counts the runs that an incarnation of a worker started by an
 	// order for an earlier one.
 	JobAgentCrossedStarts = Metric{"paddle_jobagent_crossed_starts_total", nil}
+	// JobAgentOutlivedRuns counts the runs that a worker still listed as running after they
+	// had been reported lost.
+	JobAgentOutlivedRuns = Metric{"paddle_jobagent_outlived_runs_total", nil}
 	// JobReservations counts reservations that were made or missed their forecast.
 	JobReservations    = Metric{"paddle_jobs_reservations_total", []string{"event"}}
 	JobTasksBackfilled = Metric{"paddle_jobs_tasks_backfilled_total", nil}
@@ -96,7 +99,7 @@
 		JobEntryCalls, JobEntryRefusals, JobEntrySeconds, JobCalls, JobBatchSeconds, JobWaitSeconds, JobZoneWait, JobRunTimesSaved, JobRunsEnded, JobRunsStalled, JobRunsRelocated, JobRunsKept, JobRunsOffShrunk,
 		JobRunsPreempted, JobWorkDiscarded, JobWorkerCrashes, JobsGivenUp, JobRackWaits, JobStandstills, JobFleet,
 		JobForecastEnds, JobForecastError, JobReservations, JobTasksBackfilled, JobPartialFits, JobOrdersRefused,
-		JobAgentEnds, JobAgentCalls, JobAgentSeconds, JobAgentUnanswered, JobAgentCrossedStarts,
+		JobAgentEnds, JobAgentCalls, JobAgentSeconds, JobAgentUnanswered, JobAgentCrossedStarts, JobAgentOutlivedRuns,
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
 		JobsRefused, JobsTooLate, JobRecovery, JobAssumedDifferences,
