jobagent: the lease from a worker's former life counts from its first answer

Callers saw two runs of one task. Until an incarnation has answered the first call, it carries out calls that were meant for an earlier one under its id. The lease in them ends on that one's clock, so the worker takes the longest lease that it grants. The agent counted that from the registration; a worker that registers and answers two seconds later, and is then cut off, works on for longer.

The longest lease now counts from the first answer, and on a clock that is as slow as workers' may be. TestLeaseOfAnEarlierIncarnationIsCountedFromTheFirstAnswer failed before: the run was reported lost 1.2 s before the lease was over.

--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -111,7 +111,7 @@
 		pacer:        dispatch.NewPacer(),
 		startTimeout: startTimeout,
 		// A previous process of this agent may have just sent the longest possible lease.
-		sentLeaseUntil: a.config.Clock().Add(a.config.LeaseLimit),
+		sentLeaseUntil: a.config.Clock().Add(a.longestLease()),
 	}
 }
 
@@ -137,9 +137,20 @@
 	return w.clockMS + int64(minClockRate*float64((sinceRead+remaining).Milliseconds()))
 }
 
+// longestLease returns the longest time for which a worker's lease lasts on the agent's
+// clock, whoever has sent it.
+func (a *Agent) longestLease() time.Duration {
+	return time.Duration(float64(a.config.LeaseLimit) / minClockRate)
+}
+
 // updateClock applies a reading of the worker's clock; earlier and missing
-// readings are ignored. Agent.mu must be held.
+// readings are ignored. Until the first reading, which answers the first call, the worker
+// carries out calls to earlier incarnations. The leases in them end on another clock, so
+// it may hold the longest one that it grants. Agent.mu must be held.
 func (w *incarnation) updateClock(clockMS int64) {
+	if clockMS > 0 && w.clockReadAt.IsZero() {
+		w.sentLeaseUntil = later(w.sentLeaseUntil, w.agent.config.Clock().Add(w.agent.longestLease()))
+	}
 	if clockMS > 0 && (w.clockReadAt.IsZero() || clockMS >= w.clockMS) {
 		w.clockMS, w.clockReadAt = clockMS, w.agent.config.Clock()
 	}
