jobcontrol, jobagent: the leader counts a lease from a worker's former life

Callers saw two runs of one task, the first of which ended done or with its worker.

Agents now report for how long such a lease may last (former_lease_ms), and the leader loses no run there before. A new leader that has heard nothing of the worker counts from when its own log first had a run on it (workerAges).

TestRunIsNotPlacedElsewhereWhileALeaseOfTheFormerLifeLasts failed before: run 2 started on b 4.7 s before the lease on a was over, 4.5 s under a new leader.

--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -41,6 +41,7 @@
 	stopping   bool
 	sessions   int64  // number of sessions that were tried
 	term       uint64 // highest term of a leader that has answered
+	startedAt  time.Time
 	sentStarts map[jobs.RunID]*sentStart
 	costs      *dispatch.Costs // interference costs that the leader has learned
 	healthPath string          // path of the worker's health check, empty for none
@@ -80,7 +81,10 @@
 	if config.LeaseLimit == 0 {
 		config.LeaseLimit = defaultLeaseLimit
 	}
-	return &Agent{config: config, notify: make(chan struct{}, 1), costs: dispatch.NewCosts(), sentStarts: map[jobs.RunID]*sentStart{}}
+	return &Agent{
+		config: config, notify: make(chan struct{}, 1), startedAt: config.Clock(),
+		costs: dispatch.NewCosts(), sentStarts: map[jobs.RunID]*sentStart{},
+	}
 }
 
 // Start opens the session with the leader in the background.
@@ -149,6 +153,7 @@
 	klog.InfoS("Worker registered", "worker", jobs.WorkerKey(r.Worker.Id, r.Worker.Born), "address", r.Address,
 		"service", r.Worker.Service, "draining", r.Worker.Draining)
 	next := newIncarnation(a, r)
+	next.reusesID = a.mayReuseID(r.Worker.Id)
 	if a.current != nil {
 		a.current.cancel()
 		next.preventStarts()
--- a/jobagent/formerlife_test.go
+++ b/jobagent/formerlife_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"amaranthpaddle/api"
 )
 
 // Guards against a run that is placed elsewhere while its worker still runs it: until an
@@ -37,3 +39,32 @@
 		}
 	})
 }
+
+// Guards against a leader that waits too short a time for a worker that is cut off, or too
+// long for one whose id is new, which no earlier call can reach.
+func TestReportTellsForHowLongALeaseOfTheFormerLifeMayLast(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.register(1, false)
+		r.wait(100 * time.Millisecond)
+		if r.buildReport().FormerLeaseMs == 0 {
+			t.Error("none reported by an agent that has just started, whose process before may have made calls")
+		}
+		r.wait(time.Minute)
+		r.restartWorker(0)
+		r.register(1, false)
+		r.wait(100 * time.Millisecond)
+		if left := r.buildReport().FormerLeaseMs; left < testLeaseLimit.Milliseconds()-100 || left > testLeaseLimit.Milliseconds()+200 {
+			t.Errorf("%d ms left 100 ms after the first answer, the worker grants %v", left, testLeaseLimit)
+		}
+		r.wait(testLeaseLimit + 200*time.Millisecond)
+		if left := r.buildReport().FormerLeaseMs; left != 0 {
+			t.Errorf("%d ms left after the longest lease", left)
+		}
+		r.restartWorker(0)
+		r.agent.Register(Registration{Address: "10.0.0.1:1", Sequence: 1, Worker: &api.Worker{Id: "new", Born: r.worker.born, Service: "s"}})
+		r.wait(100 * time.Millisecond)
+		if left := r.buildReport().FormerLeaseMs; left != 0 {
+			t.Errorf("%d ms left for a worker whose id is new", left)
+		}
+	})
+}
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -44,14 +44,16 @@
 	unrecorded   map[int64]struct{}       // received positions that the leader has not recorded yet
 	recorded     chan struct{}            // signaled when the leader has recorded an end
 
-	compared        bool      // with the leader's runs: it expects no run that is not known here
-	unhealthy       bool      // result of the worker's health check
-	unreachable     bool      // the latest poll was refused, or could not connect
-	unansweredSince time.Time // since when polls have gone unanswered; zero while they are answered
-	leaseUntil      time.Time // end of the lease that the leader has granted to this incarnation, under which its runs may be started and renewed
-	sentLeaseUntil  time.Time // latest end of a lease that was sent to the worker, on the agent's clock
-	pacer           *dispatch.Pacer
-	pacedAt         time.Time
+	compared         bool      // with the leader's runs: it expects no run that is not known here
+	unhealthy        bool      // result of the worker's health check
+	unreachable      bool      // the latest poll was refused, or could not connect
+	unansweredSince  time.Time // since when polls have gone unanswered; zero while they are answered
+	leaseUntil       time.Time // end of the lease that the leader has granted to this incarnation, under which its runs may be started and renewed
+	sentLeaseUntil   time.Time // latest end of a lease that was sent to the worker, on the agent's clock
+	reusesID         bool      // calls to an earlier incarnation with this id may be under way
+	formerLeaseUntil time.Time // latest end of a lease from such a call; zero before the worker's first answer
+	pacer            *dispatch.Pacer
+	pacedAt          time.Time
 
 	downSince      time.Time      // when the connection of a poll was lost that the worker had answered until then; zero otherwise
 	silentStarts   []crashSuspect // runs that were given up with the silent worker while it was starting them
@@ -149,7 +151,8 @@
 // it may hold the longest one that it grants. Agent.mu must be held.
 func (w *incarnation) updateClock(clockMS int64) {
 	if clockMS > 0 && w.clockReadAt.IsZero() {
-		w.sentLeaseUntil = later(w.sentLeaseUntil, w.agent.config.Clock().Add(w.agent.longestLease()))
+		w.formerLeaseUntil = w.agent.config.Clock().Add(w.agent.longestLease())
+		w.sentLeaseUntil = later(w.sentLeaseUntil, w.formerLeaseUntil)
 	}
 	if clockMS > 0 && (w.clockReadAt.IsZero() || clockMS >= w.clockMS) {
 		w.clockMS, w.clockReadAt = clockMS, w.agent.config.Clock()
@@ -347,6 +350,9 @@
 		report.Ends = append(report.Ends, e.message)
 	}
 	report.Unreachable = w.unreachable
+	if w.reusesID {
+		report.FormerLeaseMs = max(w.formerLeaseUntil.Sub(now).Milliseconds(), 0)
+	}
 	if !w.unansweredSince.IsZero() {
 		report.UnansweredMs = now.Sub(w.unansweredSince).Milliseconds()
 	}
--- a/jobagent/restart.go
+++ b/jobagent/restart.go
@@ -85,6 +85,15 @@
 	}
 }
 
+// mayReuseID reports whether calls to an earlier incarnation with an id may be under way:
+// this process has made some, or the one before may have. Agent.mu must be held.
+func (a *Agent) mayReuseID(id string) bool {
+	if a.current != nil && a.current.worker.Id == id {
+		return true
+	}
+	return a.config.Clock().Sub(a.startedAt) < jobs.StartDelayLimit
+}
+
 // preventStarts asks a new incarnation once to refuse the starts that were sent to earlier
 // ones. Their fencing token does so only from its first answer on, and no longer at the
 // incarnation after it. Agent.mu must be held.
--- a/jobcontrol/config.go
+++ b/jobcontrol/config.go
@@ -83,3 +83,7 @@
 }
 
 func (c *Config) leaseMargin() time.Duration { return c.Lease / leaseMarginDivisor }
+
+// longestLease returns the longest time for which a worker's lease may last, whoever has
+// granted it, margin included.
+func (c *Config) longestLease() time.Duration { return c.LeaseLimit + c.LeaseLimit/leaseMarginDivisor }
--- /dev/null
+++ b/jobcontrol/formerlife_test.go
@@ -0,0 +1,46 @@
+package jobcontrol
+
+import (
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+)
+
+// Guards against two runs of a task: a call for a worker's earlier incarnation has given the
+// later one the longest lease that it grants, the worker is cut off with its agent, and the
+// leader waits only for the lease that it has granted itself.
+func TestRunIsNotPlacedElsewhereWhileALeaseOfTheFormerLifeLasts(t *testing.T) {
+	for name, changeLeader := range map[string]bool{"same leader": false, "new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				r.configure()
+				a := r.connect("a")
+				a.born++
+				a.listed = []*api.RunStatus{}
+				a.formerUntil = time.Now().Add(defaultLimit)
+				a.report()
+				r.mustCall(submit, testPath, oneTask(), accepted)
+				r.wait(time.Second)
+				if starts, _, _, _ := a.drainDirectives(); len(starts) != 1 {
+					t.Fatalf("starts %v on a, want one", starts)
+				}
+				a.stream.cancel()
+				if changeLeader {
+					r.changeLeader()
+				}
+				b := r.connect("b")
+				for time.Now().Before(a.formerUntil) {
+					r.reportFor(time.Second, b)
+					if starts, _, _, _ := b.drainDirectives(); len(starts) > 0 {
+						t.Fatalf("starts %v on b while the lease on a lasts for another %v", starts, time.Until(a.formerUntil))
+					}
+				}
+				r.reportFor(2*time.Second, b)
+				if starts, _, _, _ := b.drainDirectives(); len(starts) != 1 {
+					t.Errorf("starts %v on b once the lease is over, want one", starts)
+				}
+			})
+		})
+	}
+}
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -283,6 +283,7 @@
 	unregistered bool // the worker has not registered yet
 	unreachable  bool
 	down         time.Time // since when the worker does not answer, zero while it does
+	formerUntil  time.Time // end of the lease that a call for an earlier incarnation may have given the worker
 	milliCPU     int64
 	lost         string // address of the leader whose session was lost
 }
@@ -329,6 +330,7 @@
 	if !a.down.IsZero() {
 		report.UnansweredMs = time.Since(a.down).Milliseconds()
 	}
+	report.FormerLeaseMs = max(time.Until(a.formerUntil).Milliseconds(), 0)
 	for _, crash := range a.crashes {
 		crash.AgoMs = time.Since(a.downAt[crash.Worker]).Milliseconds()
 	}
--- a/jobcontrol/restart.go
+++ b/jobcontrol/restart.go
@@ -40,8 +40,7 @@
 			if _, known := l.carried[run]; known || id != worker.Id || born >= worker.Born {
 				return
 			}
-			limit := l.server.config.LeaseLimit
-			l.carried[run] = carriedRun{ordered: ordered, carrier: carrier, until: l.server.now().Add(limit + limit/leaseMarginDivisor)}
+			l.carried[run] = carriedRun{ordered: ordered, carrier: carrier, until: l.server.now().Add(l.server.config.longestLease())}
 			klog.InfoS("Run was started by an order for an earlier incarnation", "job", run.Task.Job, "run", run.String(),
 				"worker", carrier, "ordered_for", ordered)
 		}
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -32,6 +32,7 @@
 
 	leadChanged chan struct{} // closed when lead changes
 	leaders     leaderWatch
+	workerAges  *workerAges
 	stopped     <-chan struct{}
 }
 
@@ -44,6 +45,7 @@
 		pauses:    timing.NewPauseWatch(config.Clock),
 
 		leadChanged: make(chan struct{}),
+		workerAges:  newWorkerAges(config.State, config.Clock),
 	}
 }
 
@@ -56,6 +58,7 @@
 	s.stop, s.stopped = cancel, ctx.Done()
 	s.done.Go(func() { s.watchLeader(ctx) })
 	s.done.Go(func() { s.pauses.Run(ctx) })
+	s.done.Go(func() { s.workerAges.run(ctx) })
 	s.done.Go(func() { replica.FollowLeadership(ctx, s.config.Replica, s.leadTerm) })
 }
 
--- a/jobcontrol/server_test.go
+++ b/jobcontrol/server_test.go
@@ -188,7 +188,7 @@
 		r.configure()
 		a := r.connect("a")
 		r.mustCall(submit, testPath, oneTask(), accepted)
-		r.wait(100 * time.Millisecond)
+		r.reportFor(r.server.config.longestLease(), a)
 		a.drainDirectives()
 		r.replica.lead(2, false)
 		a.stream.cancel()
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -17,6 +17,7 @@
 	agent       string
 	leaving     bool
 	leaseUntil  time.Time                     // when the lease of its agent has certainly expired, margin included
+	formerUntil time.Time                     // when a lease from a call for an earlier incarnation has certainly expired
 	joined      time.Time                     // when its agent first reported it
 	heard       time.Time                     // when its agent last reported
 	runs        map[jobs.RunID]*api.RunStatus // from the worker's latest list
@@ -76,6 +77,7 @@
 	}
 	view.worker, view.agent, view.leaving = worker, agent, report.Leaving
 	view.heard = l.server.now()
+	l.noteFormerLease(view, report)
 	view.unreachable = report.Unreachable
 	view.unanswered = time.Duration(report.UnansweredMs) * time.Millisecond
 	l.noteOutage(view)
@@ -83,6 +85,21 @@
 	return view
 }
 
+// noteFormerLease records until when a worker may hold a lease from a call for an earlier
+// incarnation. It has held that one when it first answered its agent, so before it was first
+// reported here. The lock is held.
+func (l *leadership) noteFormerLease(view *workerView, report *api.WorkerReport) {
+	if report.FormerLeaseMs == 0 {
+		return
+	}
+	config := &l.server.config
+	until := view.heard.Add(time.Duration(report.FormerLeaseMs)*time.Millisecond + config.LeaseLimit/leaseMarginDivisor)
+	if latest := view.joined.Add(config.longestLease()); until.After(latest) {
+		until = latest
+	}
+	view.formerUntil = laterOf(view.formerUntil, until)
+}
+
 // noteOutage records since when a worker has not answered its agent. The lock is held.
 func (l *leadership) noteOutage(view *workerView) {
 	var since time.Time
@@ -139,7 +156,7 @@
 	var lost []string
 	l.assumed.Read(func(view jobs.View) {
 		view.Workers(func(key string, _ int) {
-			if !now.Before(start) && !l.mayHoldLease(key, now) {
+			if !now.Before(start) && !l.mayHoldLease(key, now) && !l.mayHoldFormerLease(key, now) {
 				lost = append(lost, key)
 			}
 		})
@@ -149,7 +166,7 @@
 		l.loseRuns(key, "the lease is over")
 	}
 	for id, view := range l.workers {
-		if now.After(view.leaseUntil) && !now.Before(start) && !l.hasSession(view) {
+		if now.After(laterOf(view.leaseUntil, view.formerUntil)) && !now.Before(start) && !l.hasSession(view) {
 			klog.InfoS("Worker lost", "worker", view.key, "agent", view.agent, "unheard_ms", now.Sub(view.heard).Milliseconds())
 			delete(l.workers, id)
 			l.forgetWorker(view.key)
@@ -189,6 +206,17 @@
 	return view != nil && now.Before(view.leaseUntil)
 }
 
+// mayHoldFormerLease reports whether a worker's incarnation may hold a lease from a call
+// for an earlier one, which no leader has granted. Of one that has not reported to this
+// leader it is only known since when the log has had runs on it.
+func (l *leadership) mayHoldFormerLease(key string, now time.Time) bool {
+	if view := l.viewOf(key); view != nil {
+		return now.Before(view.formerUntil)
+	}
+	since, known := l.server.workerAges.since(key)
+	return known && now.Before(since.Add(l.server.config.longestLease()))
+}
+
 // loseRuns queues the ends, as lost, of all runs on a worker's incarnation that has
 // ended or whose lease has expired, except those that a later incarnation carries out.
 // The lock is held.
--- a/jobs/id.go
+++ b/jobs/id.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"amaranthpaddle/api"
 )
@@ -91,3 +92,9 @@
 func OutcomeName(outcome api.RunOutcome) string {
 	return strings.ToLower(strings.TrimPrefix(outcome.String(), "RUN_OUTCOME_"))
 }
+
+// StartDelayLimit is how long after it was sent a start without an answer may still be
+// carried out, by the worker or by a later incarnation under its id. Workers carry calls
+// out seconds late; the protocol names no bound. A longer wait would keep the task of a
+// service waiting for longer than operators allow.
+const StartDelayLimit = 6 * time.Second
