jobagent, jobcontrol: an unanswered start stays open across incarnations of its worker

Callers saw two runs of one task. A start without an answer was taken for settled once the worker's next incarnation had listed its runs, as that one refuses it by its fencing token.

The leader already keeps runs that a report names (carried runs); it does not count their room or close the worker while they have not begun. Runs whose start was answered are lost at once, as before.

TestUnansweredStartIsNotReportedLostWhileTheNextIncarnationMayCarryItOut failed before (the report did not name the run).

--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -156,6 +156,7 @@
 	next.reusesID = a.mayReuseID(r.Worker.Id)
 	if a.current != nil {
 		a.current.cancel()
+		next.fenceFormerStarts(a.current)
 		next.preventStarts()
 		next.crashes = a.current.crashes
 		if crash := a.current.crash(); crash != nil {
--- a/jobagent/formerlife_test.go
+++ b/jobagent/formerlife_test.go
@@ -1,10 +1,12 @@
 package jobagent
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 // Guards against a run that is placed elsewhere while its worker still runs it: until an
@@ -68,3 +70,61 @@
 		}
 	})
 }
+
+// Guards against a run that begins after its task was placed elsewhere: the incarnation that
+// had refused its start ends, and the next one, which knows no fencing token, carries it out.
+func TestUnansweredStartIsNotReportedLostWhileTheNextIncarnationMayCarryItOut(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		run := testRun(1)
+		r.serve(20 * time.Second)
+		r.worker.set(func() { r.worker.delayStarts = true })
+		r.start(run)
+		r.wait(10 * time.Millisecond)
+		late := r.worker.delayedStarts[0]
+		r.restartWorker(0)
+		r.register(1, false)
+		r.grantLease(20 * time.Second)
+		r.wait(150 * time.Millisecond)
+		if !r.reports(run) {
+			t.Fatal("the report does not name the run, which the leader takes for lost")
+		}
+		r.restartWorker(0)
+		if err := r.worker.executeStart(late); err != nil {
+			t.Fatalf("the third incarnation refused the start: %v", err)
+		}
+		r.register(1, false)
+		r.wait(100 * time.Millisecond)
+		if !r.reports(run) {
+			t.Error("the report does not name a run that the worker has begun")
+		}
+		r.wait(time.Second)
+		if r.worker.isRunning(run) {
+			t.Error("the run that crossed two restarts is not stopped")
+		}
+	})
+}
+
+// Guards against a task that waits for ever for a start that no incarnation carries out.
+func TestUnansweredStartIsLostOnceItCanNoLongerBeCarriedOut(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		run := testRun(1)
+		r.serve(20 * time.Second)
+		r.worker.set(func() { r.worker.delayStarts = true })
+		r.start(run)
+		r.wait(10 * time.Millisecond)
+		r.restartWorker(0)
+		r.register(1, false)
+		r.wait(jobs.StartDelayLimit + 2*time.Second)
+		r.wantOutcome(run, lost)
+	})
+}
+
+// reports returns whether the next report names a run, as one that has not ended or as one
+// that the worker has stopped.
+func (r *rig) reports(run jobs.RunID) bool {
+	report := r.buildReport()
+	return slices.ContainsFunc(report.Runs, func(status *api.RunStatus) bool { return jobs.RunIDOf(status.Run) == run }) ||
+		slices.ContainsFunc(report.Ends, func(end *api.WorkerEnd) bool {
+			return jobs.RunIDOf(end.Run) == run && end.Outcome == stopped
+		})
+}
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -81,6 +81,7 @@
 	conclusivePoll int64     // first poll that is sent after the stop was confirmed: from its list on, a missing run never begins; 0 before
 	acceptedPoll   int64     // first poll that is sent after the worker accepted the start; 0 before
 	sent           bool      // this incarnation may have received the order to start it
+	former         bool      // an earlier incarnation was sent the order, and has not answered it
 	connectionLost bool      // the connection was lost on which the order was sent
 	listedOnce     bool      // the worker has listed the run at least once
 	overduePoll    int64     // first poll that is sent after the start's answer was overdue: from its list on, a missing run is fenced; 0 before
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -109,7 +109,15 @@
 	if w.polls == 0 {
 		return 0 // the leader waits for the first list
 	}
+	wait := maxPollWait
+	if w.colocated() {
+		wait = colocatedPollWait
+	}
 	for _, r := range w.runs {
+		if w.mayBeginLater(r) {
+			wait = min(wait, w.startDelayLeft(r)+time.Millisecond) // the list after that settles it
+			continue
+		}
 		if r.conclusivePoll > 0 && !r.listedOnce {
 			return 0 // the next response tells whether the run exists
 		}
@@ -120,10 +128,7 @@
 			return minStartTime
 		}
 	}
-	if w.colocated() {
-		return colocatedPollWait
-	}
-	return maxPollWait
+	return wait
 }
 
 // colocated reports whether best-effort runs share the worker with services.
@@ -235,6 +240,7 @@
 			// that were sent at the same time lengthen the time-out once.
 			r.cancelStart()
 			w.startTimeout = max(w.startTimeout, min(2*r.times.checkAfter, maxStartTimeout))
+		case r.phase == runFencing && w.mayBeginLater(r):
 		case r.phase == runFencing && r.conclusivePoll > 0 && poll >= r.conclusivePoll:
 			w.finish(id, api.RunOutcome_RUN_OUTCOME_LOST, "", "the worker does not know the run and never will", 0)
 		case r.phase == runRunning && !r.stopping && (r.listedOnce || r.acceptedPoll > 0 && poll >= r.acceptedPoll):
--- a/jobagent/restart.go
+++ b/jobagent/restart.go
@@ -94,13 +94,45 @@
 	return a.config.Clock().Sub(a.startedAt) < jobs.StartDelayLimit
 }
 
+// fenceFormerStarts takes over the runs whose starts an earlier incarnation with the same id
+// has not answered. They count as runs of this one until it is certain that they have not
+// begun: it refuses the starts from its first answer on, but if it ends, the next incarnation
+// does not. Agent.mu must be held.
+func (w *incarnation) fenceFormerStarts(earlier *incarnation) {
+	if earlier.worker.Id != w.worker.Id {
+		return // the worker refuses calls for another id
+	}
+	for id, r := range earlier.runs {
+		if !r.unanswered() {
+			continue
+		}
+		w.runs[id] = &run{phase: runFencing, order: r.order, former: true, pace: dispatch.FullPace, times: r.times}
+		w.stopRun(id)
+	}
+}
+
+// unanswered reports whether the run's start was sent and nothing has shown what became of it.
+func (r *run) unanswered() bool { return (r.sent || r.former) && !r.begun() }
+
+// mayBeginLater reports whether an incarnation of the worker may still carry out the start of
+// a run, though this one has confirmed its stop. Agent.mu must be held.
+func (w *incarnation) mayBeginLater(r *run) bool { return r.former && w.startDelayLeft(r) > 0 }
+
+// startDelayLeft returns for how long a start without an answer may still be carried out,
+// 0 or less if it may not. Agent.mu must be held.
+func (w *incarnation) startDelayLeft(r *run) time.Duration {
+	return jobs.StartDelayLimit - w.agent.config.Clock().Sub(r.times.sent)
+}
+
 // preventStarts asks a new incarnation once to refuse the starts that were sent to earlier
 // ones. Their fencing token does so only from its first answer on, and no longer at the
 // incarnation after it. Agent.mu must be held.
 func (w *incarnation) preventStarts() {
 	w.agent.forgetOldStarts()
 	for id := range w.agent.sentStarts {
-		w.agent.wg.Go(func() { _ = w.callStop(id, stopTimeout) })
+		if w.runs[id] == nil {
+			w.agent.wg.Go(func() { _ = w.callStop(id, stopTimeout) })
+		}
 	}
 }
 
--- a/jobcontrol/formerlife_test.go
+++ b/jobcontrol/formerlife_test.go
@@ -44,3 +44,38 @@
 		})
 	}
 }
+
+// Guards against two runs of a task: its start is refused by the worker's second incarnation,
+// which then ends, and carried out by the third one. Guards too against a worker that is kept
+// closed for a run that it refuses.
+func TestTaskWaitsForAStartThatAThirdIncarnationMayCarryOut(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		held, _, _, _ := a.drainDirectives()
+		a.born = 2
+		a.listed = []*api.RunStatus{{Run: held[0].Ref()}} // refused, and not certain to stay so
+		a.report()
+		r.mustCall(submit, "/q/"+otherJob, oneTask(), accepted)
+		r.reportFor(time.Second, a)
+		if starts, _, _, _ := a.drainDirectives(); len(starts) != 1 || starts[0].Task.Job != otherJob {
+			t.Fatalf("starts %v on the second incarnation, want one of another job alone", starts)
+		}
+		a.born, a.milliCPU = 3, 0
+		a.listRuns(held...)
+		a.report()
+		b := r.connect("b")
+		r.reportFor(3*time.Second, a, b)
+		if starts, _, _, _ := b.drainDirectives(); len(starts) != 1 || starts[0].Task.Job != otherJob {
+			t.Fatalf("starts %v on b while the third incarnation runs %v", starts, held)
+		}
+		a.listed = []*api.RunStatus{}
+		a.end(held[0], api.RunOutcome_RUN_OUTCOME_STOPPED)
+		r.reportFor(time.Second, a, b)
+		if starts, _, _, _ := b.drainDirectives(); len(starts) != 1 || starts[0].Task != held[0].Task {
+			t.Errorf("starts %v on b once the run has ended, want the next run of its task", starts)
+		}
+	})
+}
--- a/jobcontrol/restart.go
+++ b/jobcontrol/restart.go
@@ -79,6 +79,14 @@
 // the one with the key. The lock is held.
 func (l *leadership) isCarried(key string, run jobs.RunID) bool { return l.carried[run].ordered == key }
 
+// refusesCarried reports whether an incarnation refuses the start of a run that was ordered for
+// an earlier one: it needs no room there. The run counts as carried all the same, since the
+// incarnation after this one may carry the start out. The lock is held.
+func (l *leadership) refusesCarried(run jobs.RunID, status *api.RunStatus) bool {
+	_, carried := l.carried[run]
+	return carried && !hasBegun(status)
+}
+
 // stopCarried orders stops for the carried runs. The lock is held.
 func (l *leadership) stopCarried(now time.Time) {
 	for run, c := range l.carried {
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -271,8 +271,8 @@
 	now, earlier := l.server.now(), view.unbooked
 	view.unbooked = map[jobs.RunID]time.Time{}
 	l.server.config.State.Read(func(state jobs.View) {
-		for run := range view.runs {
-			if state.WorkerOf(run) == view.key {
+		for run, status := range view.runs {
+			if state.WorkerOf(run) == view.key || l.refusesCarried(run, status) {
 				continue
 			}
 			since, known := earlier[run]
