jobagent, jobcontrol: the end of a lease does not settle an unanswered start

Callers could see two runs of one task: agent and leader took all runs on a worker for over once its lease was, also those whose start had no answer. A lease bounds what has begun; a start that is still held is carried out when it arrives, by this incarnation or, with its clock anew, by the next one.

Such a run is now reported lost by its agent, and lost by the leader, only 6 s after its start was sent (jobs.StartDelayLimit). The leader keeps a lost worker's view while the log has runs on it.

TestEndOfTheLeaseDoesNotSettleAnUnansweredStart and TestUnansweredStartIsNotLostWithTheLease failed before: both runs were reported lost, and run 2 of the unanswered one started on b 1.7 s before the 6 s were over. Three tests of leases used a run that no list had shown. They are about runs that have begun, so the worker lists theirs now; bounds are unchanged.

--- a/jobagent/formerlife_test.go
+++ b/jobagent/formerlife_test.go
@@ -119,6 +119,27 @@
 	})
 }
 
+// Guards against a start that is carried out after its task was placed elsewhere: the lease
+// of a silent worker bounds only the runs that it has begun.
+func TestEndOfTheLeaseDoesNotSettleAnUnansweredStart(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		begun, unanswered := testRun(1), testRun(2)
+		unanswered.Task.Job = "k"
+		r.serve(100 * time.Millisecond)
+		r.agent.current.sentLeaseUntil = time.Now()
+		r.grantLease(300 * time.Millisecond)
+		r.start(begun)
+		r.wait(50 * time.Millisecond)
+		r.worker.set(func() { r.worker.hang = true })
+		r.start(unanswered)
+		r.wait(3 * time.Second)
+		r.wantOutcome(begun, lost)
+		r.wantOutcome(unanswered, none)
+		r.wait(jobs.StartDelayLimit)
+		r.wantOutcome(unanswered, lost)
+	})
+}
+
 // reports returns whether the next report names a run, as one that has not ended or as one
 // that the worker has stopped.
 func (r *rig) reports(run jobs.RunID) bool {
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -283,6 +283,9 @@
 		if r.phase == runStarting {
 			continue // the result of its start request decides
 		}
+		if r.unanswered() && w.startDelayLeft(r) > 0 {
+			continue // a lease bounds only what has begun
+		}
 		checkpoint := ""
 		if r.status != nil {
 			checkpoint = r.status.Checkpoint
--- a/jobcontrol/formerlife_test.go
+++ b/jobcontrol/formerlife_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
 )
 
 // Guards against two runs of a task: a call for a worker's earlier incarnation has given the
@@ -79,3 +80,28 @@
 		}
 	})
 }
+
+// Guards against two runs of a task: its start is still held when the lease of its silent
+// worker is over, and carried out afterwards.
+func TestUnansweredStartIsNotLostWithTheLease(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 2, MilliCpu: 1000}}}, accepted)
+		placed := time.Now()
+		r.wait(100 * time.Millisecond)
+		starts, _, _, _ := a.drainDirectives()
+		a.listRuns(starts[0])
+		a.report()
+		a.stream.cancel()
+		b := r.connect("b")
+		r.reportFor(testLease+time.Second, b)
+		if again, _, _, _ := b.drainDirectives(); len(again) != 1 || again[0].Task != starts[0].Task {
+			t.Fatalf("starts %v on b after the lease, want that of the task of %v alone", again, starts[0])
+		}
+		r.reportFor(jobs.StartDelayLimit+time.Second-time.Since(placed), b)
+		if again, _, _, _ := b.drainDirectives(); len(again) != 1 || again[0].Task != starts[1].Task {
+			t.Errorf("starts %v on b once the start can no longer be carried out, want that of the task of %v", again, starts[1])
+		}
+	})
+}
--- a/jobcontrol/server_test.go
+++ b/jobcontrol/server_test.go
@@ -162,6 +162,8 @@
 		a := r.connect("a")
 		r.mustCall(submit, testPath, oneTask(), accepted)
 		r.wait(100 * time.Millisecond)
+		a.listRuns(testRun)
+		a.report()
 		a.drainDirectives()
 		b := r.connect("b")
 		a.stream.cancel()
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -148,14 +148,16 @@
 }
 
 // dropLostWorkers queues the ends of runs on workers whose leases have certainly
-// expired, and drops those workers that have no session either. The lock is held.
+// expired, and drops those workers that have neither runs nor a session. The lock is held.
 func (l *leadership) dropLostWorkers() {
 	now := l.server.now()
 	// By this time all leases granted by earlier leaders have expired.
 	start := l.since.Add(l.server.config.Lease + l.server.config.leaseMargin())
 	var lost []string
+	withRuns := map[string]bool{}
 	l.assumed.Read(func(view jobs.View) {
 		view.Workers(func(key string, _ int) {
+			withRuns[key] = true
 			if !now.Before(start) && !l.mayHoldLease(key, now) && !l.mayHoldFormerLease(key, now) {
 				lost = append(lost, key)
 			}
@@ -163,10 +165,10 @@
 	})
 	for _, key := range lost {
 		l.recovery.lose(key, now)
-		l.loseRuns(key, "the lease is over")
+		l.loseRuns(key, reasonLeaseOver)
 	}
 	for id, view := range l.workers {
-		if now.After(laterOf(view.leaseUntil, view.formerUntil)) && !now.Before(start) && !l.hasSession(view) {
+		if now.After(view.leaseUntil) && !withRuns[view.key] && !now.Before(start) && !l.hasSession(view) {
 			klog.InfoS("Worker lost", "worker", view.key, "agent", view.agent, "unheard_ms", now.Sub(view.heard).Milliseconds())
 			delete(l.workers, id)
 			l.forgetWorker(view.key)
@@ -217,13 +219,28 @@
 	return known && now.Before(since.Add(l.server.config.longestLease()))
 }
 
+// reasonLeaseOver is the reason of runs that are lost with their worker's lease.
+const reasonLeaseOver = "the lease is over"
+
+// mayBegin reports whether the start of a run may still be carried out, which no lease
+// prevents: it was sent a short time ago, and no list has shown that the worker has begun the
+// run. The lock is held.
+func (l *leadership) mayBegin(key string, run jobs.RunID) bool {
+	started, known := l.startedAt[run]
+	if !known || l.server.now().Sub(started) >= jobs.StartDelayLimit {
+		return false
+	}
+	view := l.viewOf(key)
+	return view != nil && (view.runs[run] == nil || !hasBegun(view.runs[run]))
+}
+
 // loseRuns queues the ends, as lost, of all runs on a worker's incarnation that has
 // ended or whose lease has expired, except those that a later incarnation carries out.
 // The lock is held.
 func (l *leadership) loseRuns(key, reason string) {
 	l.assumed.Read(func(view jobs.View) {
 		view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) {
-			if l.queue.hasEnd(run, key) || l.isCarried(key, run) {
+			if l.queue.hasEnd(run, key) || l.isCarried(key, run) || reason == reasonLeaseOver && l.mayBegin(key, run) {
 				return
 			}
 			l.standstills.noteReason(run, reason)
--- a/jobcontrol/workers_test.go
+++ b/jobcontrol/workers_test.go
@@ -17,6 +17,8 @@
 		a := r.connect("a")
 		r.mustCall(submit, testPath, oneTask(), accepted)
 		r.wait(100 * time.Millisecond)
+		a.listRuns(testRun)
+		a.report()
 		a.drainDirectives()
 		a.unregistered = true // its agent reports no worker that has not listed its runs
 		a.report()
@@ -45,6 +47,8 @@
 		a := r.connect("a")
 		r.mustCall(submit, testPath, oneTask(), accepted)
 		r.wait(100 * time.Millisecond)
+		a.listRuns(testRun)
+		a.report()
 		a.drainDirectives()
 		r.wait(testLease + time.Second) // no report is sent, and the run is lost
 		a.list(testRun, 0)
