jobcontrol: a lease from a former life does not keep runs of a replaced incarnation

A run that is committed on an incarnation while the next one, or the next worker of the VM, reports was lost at once, as nothing can hold a lease there. Since the leader took it for a worker that it has not heard of, and waited for the longest lease from when the log first had a run there. Found by reading; the tests of the package pass, none shows the wait.

--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -158,7 +158,7 @@
 	l.assumed.Read(func(view jobs.View) {
 		view.Workers(func(key string, _ int) {
 			withRuns[key] = true
-			if !now.Before(start) && !l.mayHoldLease(key, now) && !l.mayHoldFormerLease(key, now) {
+			if !now.Before(start) && !l.mayHoldLease(key, now) && !l.mayHoldFormerLease(view, key, now) {
 				lost = append(lost, key)
 			}
 		})
@@ -210,15 +210,31 @@
 
 // mayHoldFormerLease reports whether a worker's incarnation may hold a lease from a call
 // for an earlier one, which no leader has granted. Of one that has not reported to this
-// leader it is only known since when the log has had runs on it.
-func (l *leadership) mayHoldFormerLease(key string, now time.Time) bool {
-	if view := l.viewOf(key); view != nil {
+// leader it is only known since when the log has had runs on it. The lock is held.
+func (l *leadership) mayHoldFormerLease(state jobs.View, key string, now time.Time) bool {
+	id, born := jobs.ParseWorkerKey(key)
+	view := l.workers[id]
+	switch {
+	case view != nil && view.key == key:
 		return now.Before(view.formerUntil)
+	case view != nil || l.hasLaterWorker(state.VMOf(key), born):
+		return false // a later incarnation, or a later worker of its VM, has reported
 	}
 	since, known := l.server.workerAges.since(key)
 	return known && now.Before(since.Add(l.server.config.longestLease()))
 }
 
+// hasLaterWorker reports whether a worker that was born later than a time has reported from a
+// VM, which has one worker at a time. The lock is held.
+func (l *leadership) hasLaterWorker(vm string, born int64) bool {
+	for _, view := range l.workers {
+		if vm != "" && view.worker.Machine == vm && view.worker.Born > born {
+			return true
+		}
+	}
+	return false
+}
+
 // reasonLeaseOver is the reason of runs that are lost with their worker's lease.
 const reasonLeaseOver = "the lease is over"
 
