jobagent, jobcontrol: a start is not sent after the lease under which it was ordered

Callers saw two runs of a task. An agent that was paused for 8 s had orders in its socket.

The agent remembers until when the lease lasts under which an order came, and refuses the start afterwards. When the leader loses the runs of a worker whose agent still has a session, it drops what is queued there and tells the agent anew which runs are left. TestStartIsNotSentUnderALaterLeaseThanItWasOrderedUnder has the case of the same session, and failed with it before; its first lines let the lease end before any start was sent, so it had shown nothing, and it now checks that the starts before were sent. TestAgentThatWasPausedIsToldWhichRunsAreLeft failed before.

--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -74,6 +74,7 @@
 type run struct {
 	phase          runPhase
 	order          *api.RunOrder // nil for a run that this process did not start
+	startBy        time.Time     // end of the lease under which the start was ordered; it is not sent afterwards
 	status         *api.RunStatus
 	pace           int       // the latest one, which the worker may not have yet
 	pacing         bool      // a call that sets the pace is under way
@@ -167,7 +168,7 @@
 	if w.runs[id] != nil || w.ends[id] != nil {
 		return // a repeated order
 	}
-	r := &run{phase: runStarting, order: order, pace: dispatch.FullPace, times: startTimes{ordered: w.agent.config.Clock()}}
+	r := &run{phase: runStarting, order: order, startBy: w.leaseUntil, pace: dispatch.FullPace, times: startTimes{ordered: w.agent.config.Clock()}}
 	w.runs[id] = r
 	w.agent.wg.Go(func() { w.startRun(id, r) })
 }
@@ -242,6 +243,8 @@
 		return StartRequest{}, "the worker drains"
 	case deadline == 0:
 		return StartRequest{}, "no lease is held"
+	case !w.agent.config.Clock().Before(r.startBy):
+		return StartRequest{}, "the lease under which it was ordered is over" // the leader has lost the run
 	}
 	if until, _ := w.lease(); until.After(w.sentLeaseUntil) {
 		w.sentLeaseUntil = until
--- a/jobagent/stalecalls_test.go
+++ b/jobagent/stalecalls_test.go
@@ -131,29 +131,39 @@
 // the lease under which it was ordered ends, so that the leader places the run
 // elsewhere, and is sent under the lease of a new session that does not expect the run.
 func TestStartIsNotSentUnderALaterLeaseThanItWasOrderedUnder(t *testing.T) {
-	inBubble(t, func(r *rig) {
-		r.register(1, false)
-		r.grantLease(startTimeout / 2)
+	for name, later := range map[string]*api.WorkerDirective{
+		"new session": {ExpectedListed: true},
+		"same session, of an agent that was paused": {},
+	} {
+		t.Run(name, func(t *testing.T) { inBubble(t, func(r *rig) { r.testStartUnderALaterLease(later) }) })
+	}
+}
+
+func (r *rig) testStartUnderALaterLease(later *api.WorkerDirective) {
+	r.t.Helper()
+	r.register(1, false)
+	r.wait(100 * time.Millisecond)
+	r.grantLease(startTimeout / 2)
+	r.worker.set(func() { r.worker.delayStarts = true })
+	for i := range MaxConcurrentCalls {
+		r.start(jobs.RunID{Task: jobs.TaskID{Job: "busy", Index: int32(i)}, Number: 1})
+	}
+	synctest.Wait()
+	if len(r.worker.delayedStarts) != MaxConcurrentCalls {
+		r.t.Fatalf("%d starts were sent, want as many as calls at a time", len(r.worker.delayedStarts))
+	}
+	waiting := testRun(1)
+	r.start(waiting)
+	r.wait(startTimeout / 2)
+	r.worker.set(func() { r.worker.delayStarts = false })
+	r.grantLease(20 * time.Second)
+	r.sendDirective(later)
+	for range 20 {
 		r.wait(100 * time.Millisecond)
-		r.worker.set(func() { r.worker.delayStarts = true })
-		for i := range MaxConcurrentCalls {
-			r.start(jobs.RunID{Task: jobs.TaskID{Job: "busy", Index: int32(i)}, Number: 1})
+		if r.worker.isRunning(waiting) {
+			r.t.Fatal("a start was sent although the lease it was ordered under had ended")
 		}
-		synctest.Wait()
-		waiting := testRun(1)
-		r.start(waiting)
-		r.wait(startTimeout / 2)
-		r.worker.set(func() { r.worker.delayStarts = false })
-		r.grantLease(20 * time.Second)
-		r.sendDirective(&api.WorkerDirective{ExpectedListed: true})
-		for range 20 {
-			r.wait(100 * time.Millisecond)
-			if r.worker.isRunning(waiting) {
-				t.Error("a start was sent although the lease it was ordered under had ended and the leader does not expect the run")
-				return
-			}
-		}
-	})
+	}
 }
 
 // Guards against a run that is taken for running for ever: the worker accepted its start
--- a/jobcontrol/formerlife_test.go
+++ b/jobcontrol/formerlife_test.go
@@ -105,3 +105,28 @@
 		}
 	})
 }
+
+// Guards against two runs of a task: an agent that was paused for longer than its lease goes
+// on with its session, and is not told that the leader has lost its worker's runs.
+func TestAgentThatWasPausedIsToldWhichRunsAreLeft(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.configure()
+		a := r.connect("a")
+		r.mustCall(submit, testPath, oneTask(), accepted)
+		r.wait(100 * time.Millisecond)
+		a.listRuns(testRun)
+		a.report()
+		b := r.connect("b")
+		a.drainDirectives()
+		r.reportFor(testLease+time.Second, b)
+		a.report()
+		var told bool
+		for len(a.stream.directives) > 0 {
+			d := <-a.stream.directives
+			told = told || d.ExpectedListed && len(d.Expected) == 0
+		}
+		if !told {
+			t.Error("no directive since the pause tells that no run is expected")
+		}
+	})
+}
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -173,7 +173,7 @@
 }
 
 // rebind turns the session to another incarnation of the agent's worker, empty for one
-// that is not known yet. What is queued was decided for the former one.
+// that is not known yet, or to one whose runs are lost. What is queued was decided before.
 func (s *session) rebind(key string) {
 	s.key, s.sendExpected, s.sendKept = key, true, true
 	s.starts, s.stops, s.recorded = nil, nil, nil
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -166,6 +166,9 @@
 	for _, key := range lost {
 		l.recovery.lose(key, now)
 		l.loseRuns(key, reasonLeaseOver)
+		if session := l.sessionOfWorker(key); session != nil {
+			session.rebind(key) // an agent that was paused may go on with this session
+		}
 	}
 	for id, view := range l.workers {
 		if now.After(view.leaseUntil) && !withRuns[view.key] && !now.Before(start) && !l.hasSession(view) {
