jobagent: a cursor is sent until one poll with it is answered

Callers could see a task run again although its run had ended done and its end counts as taken note of: each poll carried the highest cursor of the worker's incarnation. A poll that is held across a restart is carried out by the later incarnation until that has answered a call, and acknowledges its ends up to the cursor of the earlier one, whose positions start anew. The worker then never lists them, so the agent takes their runs for lost.

A cursor is now sent only while there is an end to acknowledge, until a poll with it has been answered by the incarnation. Polls that acknowledge an end can still be held; all others no longer do harm.

TestHeldPollDoesNotAcknowledgeEndsOfTheNextIncarnation failed before: the run was reported lost, want done. TestCursorIsSentUntilAPollWithItIsAnswered guards the other direction; it fails if the cursor counts as delivered when it is sent.

--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -41,6 +41,7 @@
 	kept         map[jobs.RunID]bool      // best-effort runs that are not paused
 	lapsed       map[jobs.RunID]time.Time // runs that were reported lost with the worker's lease, since when
 	lastPosition int64                    // highest position received in the worker's list of ended runs
+	acknowledged int64                    // highest cursor of an answered poll
 	unrecorded   map[int64]struct{}       // received positions that the leader has not recorded yet
 	recorded     chan struct{}            // signaled when the leader has recorded an end
 
--- /dev/null
+++ b/jobagent/otherlife_test.go
@@ -0,0 +1,79 @@
+package jobagent
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"amaranthpaddle/api"
+	"amaranthpaddle/jobs"
+)
+
+// recordingWorker is a fakeWorker that keeps the polls it receives, so that a test can
+// carry one out again at a later incarnation.
+type recordingWorker struct {
+	*fakeWorker
+	pollsMu sync.Mutex
+	polls   []PollRequest
+}
+
+func (w *recordingWorker) Poll(ctx context.Context, target Target, request PollRequest) (*PollResponse, error) {
+	w.pollsMu.Lock()
+	w.polls = append(w.polls, request)
+	w.pollsMu.Unlock()
+	return w.fakeWorker.Poll(ctx, target, request)
+}
+
+// Guards against work that is done being done again: a poll of the earlier incarnation is
+// held across a restart and is carried out before the later one has answered a call. Its
+// cursor acknowledges the first ends of the later one, which the worker then never lists.
+func TestHeldPollDoesNotAcknowledgeEndsOfTheNextIncarnation(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		worker := &recordingWorker{fakeWorker: r.worker}
+		r.agent.config.Worker = worker
+		first, second := testRun(1), jobs.RunID{Task: jobs.TaskID{Job: "k"}, Number: 1}
+		r.serve(30 * time.Second)
+		r.start(first)
+		r.wait(100 * time.Millisecond)
+		r.worker.end(first, done)
+		r.wait(10 * time.Millisecond)
+		r.sendDirective(&api.WorkerDirective{Recorded: []*api.RunRef{first.Ref()}})
+		r.wait(3 * time.Second)
+		if r.worker.acked != 1 {
+			t.Fatalf("acknowledged up to %d, want 1", r.worker.acked)
+		}
+		held := worker.polls[len(worker.polls)-1]
+		r.restartWorker(0)
+		if _, err := r.worker.Poll(context.Background(), Target{}, PollRequest{Fence: held.Fence, Cursor: held.Cursor}); err != nil {
+			t.Fatalf("a worker that has answered no call refused one for its earlier incarnation: %v", err)
+		}
+		r.register(1, false)
+		r.grantLease(30 * time.Second)
+		r.wait(100 * time.Millisecond)
+		r.start(second)
+		r.wait(100 * time.Millisecond)
+		r.worker.end(second, done)
+		r.wait(3 * time.Second)
+		r.wantOutcome(second, done)
+	})
+}
+
+// Guards against an acknowledgement that gets lost with its poll: the worker would list the
+// end for ever.
+func TestCursorIsSentUntilAPollWithItIsAnswered(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		run := testRun(1)
+		r.serve(30 * time.Second)
+		r.start(run)
+		r.wait(100 * time.Millisecond)
+		r.worker.end(run, done)
+		r.worker.set(func() { r.worker.lostPolls, r.worker.answerTime = 2, time.Millisecond })
+		r.wait(10 * time.Millisecond)
+		r.sendDirective(&api.WorkerDirective{Recorded: []*api.RunRef{run.Ref()}})
+		r.wait(6 * time.Second)
+		if r.worker.acked != 1 {
+			t.Errorf("acknowledged up to %d, want 1", r.worker.acked)
+		}
+	})
+}
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -68,6 +68,7 @@
 	if response.Born != w.worker.Born {
 		return fault.Newf(fault.Conflict, "incarnation %d answered in place of %d", response.Born, w.worker.Born)
 	}
+	w.acknowledged = max(w.acknowledged, request.Cursor)
 	w.handlePollResponse(response, number)
 	return nil
 }
@@ -82,11 +83,15 @@
 
 // pollRequest returns the next poll. While the worker does not answer, its lease is not
 // extended and no end is acknowledged: a later incarnation may answer, whose positions
-// start anew. Agent.mu must be held.
+// start anew. For the same reason, a cursor is sent until one poll with it is answered: a
+// call that is held across a restart acknowledges ends of the later incarnation that
+// nobody has seen. Agent.mu must be held.
 func (w *incarnation) pollRequest() PollRequest {
 	request := PollRequest{Fence: w.fence()}
 	if w.unansweredSince.IsZero() {
-		request.Cursor = w.cursor()
+		if cursor := w.cursor(); cursor > w.acknowledged {
+			request.Cursor = cursor
+		}
 		if request.DeadlineMS = w.deadlineMS(); request.DeadlineMS > 0 {
 			until, _ := w.lease()
 			w.sentLeaseUntil = later(w.sentLeaseUntil, until)
