jobagent: an answer of a later incarnation says nothing of the earlier one

Callers could see a task that crashes its workers start again more often: a call that was sent while the worker was down, and is answered by its later incarnation before that has registered, counted as a sign that the earlier one had survived the starts of its runs. The run that had crashed the worker was then blamed as one of the latest runs, or not at all; a run that the later incarnation had begun took its place.

Answers to starts and paces don't name the incarnation, but carry its clock, which starts anew. A reading behind the one that was known when the call was sent is from a later incarnation: it no longer counts as a sign of life, and its acceptance of a start no longer as the beginning of the run on the earlier one.

TestAnswerOfALaterIncarnationDoesNotClearTheSuspectsOfACrash fails in both cases without the comparison: no suspect, and the crashing run with the evidence "recent" instead of as the sole suspect.

--- a/jobagent/crash.go
+++ b/jobagent/crash.go
@@ -145,6 +145,10 @@
 // shown yet that it survived that.
 func (r *run) starting() bool { return r.sent && r.survivedAt.IsZero() }
 
+// answeredLater reports whether a later incarnation of the worker has answered a call: its
+// clock, which starts anew, is behind the reading that was known when the call was sent.
+func answeredLater(clockMS, known int64) bool { return clockMS < known }
+
 // noteAlive records that the worker ran at a time: when a call was sent that it has
 // answered, or when a list arrived. Agent.mu must be held.
 func (w *incarnation) noteAlive(at time.Time) {
@@ -171,11 +175,12 @@
 	}
 	defer release()
 	w.agent.mu.Lock()
-	target, fence, at := w.target(), w.fence(), w.agent.config.Clock()
+	target, fence, at, known := w.target(), w.fence(), w.agent.config.Clock(), w.clockMS
 	w.agent.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, maxStartTimeout)
 	defer cancel()
-	if err := w.agent.config.Worker.Pace(ctx, target, id, dispatch.FullPace, fence); err != nil {
+	clockMS, err := w.agent.config.Worker.Pace(ctx, target, id, dispatch.FullPace, fence)
+	if err != nil || answeredLater(clockMS, known) {
 		return // the next list tells
 	}
 	w.agent.mu.Lock()
--- a/jobagent/harness_test.go
+++ b/jobagent/harness_test.go
@@ -263,7 +263,7 @@
 	return answer
 }
 
-func (f *fakeWorker) Pace(_ context.Context, _ Target, run jobs.RunID, percent int, _ uint64) error {
+func (f *fakeWorker) Pace(_ context.Context, _ Target, run jobs.RunID, percent int, _ uint64) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.paceDelays) > 0 {
@@ -274,7 +274,7 @@
 		f.mu.Lock()
 	}
 	f.paces[run] = percent
-	return nil
+	return f.clockMS(), nil
 }
 
 func (f *fakeWorker) CheckHealth(ctx context.Context, _ Target, path string) error {
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -207,7 +207,7 @@
 		a.mu.Unlock()
 		return
 	}
-	at := a.config.Clock()
+	at, known := a.config.Clock(), w.clockMS
 	r.sent, r.times.sent = true, at
 	w.noteSent(id, r.order)
 	ctx, cancel := context.WithTimeout(w.ctx, maxStartTimeout)
@@ -223,14 +223,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w.updateClock(clockMS)
-	if err == nil {
+	later := err == nil && answeredLater(clockMS, known)
+	if err == nil && !later {
 		w.noteAlive(at)
 		if a.config.Clock().Sub(at) < startTimeout {
 			w.startTimeout = startTimeout
 		}
 	}
 	w.noteStartResult(id, err)
-	w.handleStartResult(id, r, err)
+	w.handleStartResult(id, r, err, later)
 }
 
 // startRequest returns the request that starts a run, or the reason why it must
@@ -256,8 +257,9 @@
 	}, ""
 }
 
-// handleStartResult handles the result of a start request. Agent.mu must be held.
-func (w *incarnation) handleStartResult(id jobs.RunID, r *run, err error) {
+// handleStartResult handles the result of a start request. later is set if a later
+// incarnation has accepted it, so that this one has not begun the run. Agent.mu must be held.
+func (w *incarnation) handleStartResult(id jobs.RunID, r *run, err error, later bool) {
 	if w.runs[id] != r {
 		return // the run has already ended
 	}
@@ -268,7 +270,7 @@
 			r.phase = runRunning
 		}
 		r.acceptedPoll = w.sentPolls + 1
-		if r.startedAt.IsZero() {
+		if r.startedAt.IsZero() && !later {
 			r.startedAt = w.agent.config.Clock()
 		}
 		if r.order.Probation {
--- a/jobagent/otherlife_test.go
+++ b/jobagent/otherlife_test.go
@@ -77,3 +77,51 @@
 		}
 	})
 }
+
+// slowWorker is a fakeWorker that answers starts and paces late, if it still runs or runs
+// again by then: a call can outlast a short restart of the worker.
+type slowWorker struct {
+	*fakeWorker
+	delay time.Duration
+}
+
+func (w *slowWorker) Start(ctx context.Context, target Target, request StartRequest) (int64, error) {
+	time.Sleep(w.delay)
+	return w.fakeWorker.Start(ctx, target, request)
+}
+
+func (w *slowWorker) Pace(ctx context.Context, target Target, run jobs.RunID, percent int, fence uint64) (int64, error) {
+	time.Sleep(w.delay)
+	return w.fakeWorker.Pace(ctx, target, run, percent, fence)
+}
+
+// Guards against a run that crashes its workers and is cleared of it: a call that was sent
+// while the worker was down is answered by the later incarnation, which counted as a sign
+// that the earlier one had survived the start of the run.
+func TestAnswerOfALaterIncarnationDoesNotClearTheSuspectsOfACrash(t *testing.T) {
+	crashing, other := testRun(2), jobs.RunID{Task: jobs.TaskID{Job: "k"}, Number: 1}
+	for name, call := range map[string]func(*rig){
+		"answer to a start":          func(r *rig) { r.start(other) },
+		"answer to the confirmation": func(*rig) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				r.runBeside(testRun(1))
+				r.sendDirective(&api.WorkerDirective{Starts: []*api.RunOrder{{Run: crashing.Ref(), Probation: true}}})
+				r.wait(50 * time.Millisecond)
+				slow := &slowWorker{fakeWorker: r.worker, delay: 550 * time.Millisecond}
+				r.agent.config.Worker = slow
+				r.worker.set(func() { r.worker.hang = true })
+				r.wait(60 * time.Millisecond)
+				call(r)
+				r.wait(440 * time.Millisecond)
+				r.restartWorker(0)
+				r.worker.set(func() { r.worker.hang = false })
+				r.wait(200 * time.Millisecond)
+				r.register(1, false)
+				r.wait(100 * time.Millisecond)
+				r.wantCrash(sole, crashing)
+			})
+		})
+	}
+}
--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -438,5 +438,6 @@
 	w.agent.mu.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, stopTimeout)
 	defer cancel()
-	return w.agent.config.Worker.Pace(ctx, target, id, percent, fence)
+	_, err := w.agent.config.Worker.Pace(ctx, target, id, percent, fence)
+	return err
 }
--- a/jobagent/worker.go
+++ b/jobagent/worker.go
@@ -60,7 +60,7 @@
 	Start(ctx context.Context, target Target, request StartRequest) (clockMS int64, err error)
 	Stop(ctx context.Context, target Target, run jobs.RunID, fence uint64) (clockMS int64, err error)
 	Poll(ctx context.Context, target Target, request PollRequest) (*PollResponse, error)
-	Pace(ctx context.Context, target Target, run jobs.RunID, percent int, fence uint64) error
+	Pace(ctx context.Context, target Target, run jobs.RunID, percent int, fence uint64) (clockMS int64, err error)
 	// CheckHealth returns nil when the worker's health check at the path succeeds.
 	CheckHealth(ctx context.Context, target Target, path string) error
 }
