jobcontrol: a test of unanswered starts across a change of leader

Callers can see two runs of one task: a start without an answer may be carried out until jobs.StartDelayLimit after it was sent, which the leader that has sent it waits for. A new leader has no time of the start, so it takes the run for lost with the earlier leader's leases.

--- /dev/null
+++ b/jobcontrol/otherlife_test.go
@@ -0,0 +1,49 @@
+package jobcontrol
+
+import (
+	"testing"
+	"time"
+
+	"amaranthpaddle/jobs"
+)
+
+// Guards against two runs of one task after a change of leader: a start without an answer
+// may be carried out until jobs.StartDelayLimit after it was sent, and the new leader, which
+// has not sent it itself, waited only for the end of the earlier leader's leases.
+func TestNewLeaderKeepsAnUnansweredStartOpenBeyondTheLease(t *testing.T) {
+	for name, reports := range map[string]bool{"agent silent": false, "agent reports once": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				r.configure()
+				a := r.connect("a")
+				r.mustCall(submit, "/q/"+otherJob, oneTask(), accepted)
+				r.wait(100 * time.Millisecond)
+				begun, _, _, _ := a.drainDirectives()
+				a.listRuns(begun...)
+				r.reportFor(r.server.config.longestLease()+time.Second, a)
+				r.mustCall(submit, testPath, oneTask(), accepted)
+				r.wait(20 * time.Millisecond)
+				sent := time.Now()
+				r.wait(80 * time.Millisecond)
+				if starts, _, _, _ := a.drainDirectives(); len(starts) != 1 || starts[0] != testRun {
+					r.t.Fatalf("starts %v, want %v", starts, testRun)
+				}
+				r.changeLeader()
+				if reports {
+					a.reconnect()
+				}
+				b := r.connect("b")
+				for time.Since(sent) < jobs.StartDelayLimit {
+					b.report()
+					starts, _, _, _ := b.drainDirectives()
+					for _, run := range starts {
+						if run.Task == testRun.Task {
+							r.t.Fatalf("run %v starts %v after the start of %v, which has no answer", run, time.Since(sent), testRun)
+						}
+					}
+					r.wait(200 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
