jobagent: ends that a worker's former life has listed are reported after its restart

Callers could see work done twice: a run had ended done and its worker had listed that, but the worker started anew before the leader had recorded the end, as while the leader changes or the session is open anew. The agent dropped all ends with the earlier incarnation, the leader lost the run, "the worker started anew", and placed its task again. Its end was never acknowledged, so no rule on runs was broken.

The later incarnation now takes over the ends that an earlier one with its id has listed. They have no position there: their record must not acknowledge an end of its own. The leader counts them for the incarnation that the run was ordered for, as it does for runs that the later one carries out.

TestListedEndIsReportedAfterARestartOfTheWorker failed before: the end was gone. TestEndOfTheEarlierIncarnationCountsWithTheFirstReportOnTheLaterOne passed before; it guards the leader's part, which had no test.

--- a/jobagent/agent.go
+++ b/jobagent/agent.go
@@ -157,6 +157,7 @@
 	if a.current != nil {
 		a.current.cancel()
 		next.fenceFormerStarts(a.current)
+		next.takeOverEnds(a.current)
 		next.preventStarts()
 		next.crashes = a.current.crashes
 		if crash := a.current.crash(); crash != nil {
--- a/jobagent/incarnation.go
+++ b/jobagent/incarnation.go
@@ -99,7 +99,8 @@
 // end is the end of a run that the leader has not recorded yet.
 type end struct {
 	message   *api.WorkerEnd
-	position  int64 // in the worker's list, 0 for an end that the agent inferred
+	position  int64 // in the worker's list, 0 for an end that the agent inferred or an earlier incarnation listed
+	listed    bool  // by the worker
 	sessionID int64 // leader session on which it was last sent
 	sentAt    time.Time
 }
@@ -312,7 +313,7 @@
 	if position > 0 {
 		evidence = api.CrashEvidence_CRASH_EVIDENCE_SURVIVED
 	}
-	w.ends[id] = &end{position: position, message: &api.WorkerEnd{
+	w.ends[id] = &end{position: position, listed: position > 0, message: &api.WorkerEnd{
 		Run: id.Ref(), Outcome: outcome, Checkpoint: checkpoint, Reason: reason, CrashEvidence: evidence,
 		Begun: position > 0 || r != nil && r.begun(),
 	}}
--- a/jobagent/otherlife_test.go
+++ b/jobagent/otherlife_test.go
@@ -125,3 +125,43 @@
 		})
 	}
 }
+
+// Guards against work that is done being done again: the earlier incarnation had listed the
+// end of a run, and the worker started anew before the leader had recorded it, as while the
+// leader changes. The position of such an end is one of the later incarnation's ends too.
+func TestListedEndIsReportedAfterARestartOfTheWorker(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		former, own := testRun(1), jobs.RunID{Task: jobs.TaskID{Job: "k"}, Number: 1}
+		r.serve(30 * time.Second)
+		r.start(former)
+		r.wait(100 * time.Millisecond)
+		r.worker.end(former, done)
+		r.wait(10 * time.Millisecond)
+		for range 2 {
+			r.restartWorker(0)
+			r.register(1, false)
+			r.grantLease(30 * time.Second)
+			r.wait(100 * time.Millisecond)
+			r.wantOutcome(former, done)
+		}
+		r.start(own)
+		r.wait(100 * time.Millisecond)
+		r.worker.end(own, done)
+		r.wait(10 * time.Millisecond)
+		if ends := r.buildReport().Ends; len(ends) != 2 {
+			t.Errorf("ends %v in the report, want those of %v and %v", ends, former, own)
+		}
+		r.sendDirective(&api.WorkerDirective{Recorded: []*api.RunRef{former.Ref()}})
+		r.wait(3 * time.Second)
+		r.wantOutcome(former, none)
+		r.wantOutcome(own, done)
+		if r.worker.acked != 0 {
+			t.Errorf("acknowledged up to %d although the end is not recorded", r.worker.acked)
+		}
+		r.sendDirective(&api.WorkerDirective{Recorded: []*api.RunRef{own.Ref()}})
+		r.wait(3 * time.Second)
+		if r.worker.acked != 1 {
+			t.Errorf("acknowledged up to %d, want 1", r.worker.acked)
+		}
+	})
+}
--- a/jobagent/restart.go
+++ b/jobagent/restart.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// takeOverEnds takes over the ends that an earlier incarnation with the same id has listed and
+// the leader has not recorded: this one does not know them, and their runs would count as
+// lost. Their positions say nothing of its own ends. Agent.mu must be held.
+func (w *incarnation) takeOverEnds(earlier *incarnation) {
+	if earlier.worker.Id != w.worker.Id {
+		return
+	}
+	for id, e := range earlier.ends {
+		if e.listed {
+			w.ends[id] = &end{listed: true, message: e.message}
+		}
+	}
+}
+
 // unanswered reports whether the run's start was sent and nothing has shown what became of it.
 func (r *run) unanswered() bool { return (r.sent || r.former) && !r.begun() }
 
--- a/jobcontrol/harness_test.go
+++ b/jobcontrol/harness_test.go
@@ -295,7 +295,7 @@
 	return a
 }
 
-func (a *fakeAgent) reconnect() {
+func (a *fakeAgent) reconnect(ends ...*api.WorkerEnd) {
 	ctx, cancel := context.WithCancel(context.Background())
 	if a.lost != "" {
 		ctx = metadata.NewIncomingContext(ctx, metadata.Pairs(controlclient.LostLeaderHeader, a.lost))
@@ -305,7 +305,7 @@
 		directives: make(chan *api.WorkerDirective, 256), ended: make(chan error, 1),
 	}
 	stream := a.stream
-	a.send(nil) // first, since a refusal ends the stream
+	a.send(ends) // first, since a refusal ends the stream
 	go func() {
 		defer cancel() // as gRPC does when a handler returns
 		stream.ended <- a.r.server.drive(stream)
--- a/jobcontrol/otherlife_test.go
+++ b/jobcontrol/otherlife_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"amaranthpaddle/api"
 	"amaranthpaddle/jobs"
 )
 
@@ -47,3 +48,39 @@
 		})
 	}
 }
+
+// Guards against work that is done being done again: an end that the earlier incarnation had
+// listed arrives with the first report on the later one, to the same leader or to a new one.
+func TestEndOfTheEarlierIncarnationCountsWithTheFirstReportOnTheLaterOne(t *testing.T) {
+	for name, changeLeader := range map[string]bool{"same leader": false, "new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				r.configure()
+				a, b := r.connect("a"), r.connect("b")
+				r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 2, MilliCpu: 3000}}}, accepted)
+				r.wait(100 * time.Millisecond)
+				ended, _, _, _ := a.drainDirectives()
+				other, _, _, _ := b.drainDirectives()
+				b.listRuns(other...)
+				a.born++
+				a.listed = []*api.RunStatus{}
+				end := &api.WorkerEnd{Run: ended[0].Ref(), Outcome: api.RunOutcome_RUN_OUTCOME_DONE, Begun: true}
+				if changeLeader {
+					r.changeLeader()
+					b.reconnect()
+					a.reconnect(end)
+				} else {
+					a.report(end)
+				}
+				r.reportFor(time.Second, a, b)
+				starts, _, recorded, _ := a.drainDirectives()
+				if len(starts) > 0 || len(recorded) != 1 || recorded[0] != ended[0] {
+					r.t.Errorf("starts %v and recorded ends %v on a, want the end of %v", starts, recorded, ended)
+				}
+				if starts, _, _, _ := b.drainDirectives(); len(starts) > 0 {
+					r.t.Errorf("starts %v on b of a task that is done", starts)
+				}
+			})
+		})
+	}
+}
