session: a final state that was not received survives a restart of the worker process

Callers could see a finished task run again: the worker process ended after it had listed the final state of a run and before the control group had received it, as while the agent has no session. The next process doesn't list the run. The agent then dropped the state, and in its next session stopped the run, which the new process answers with 404, as one that had never started.

The outbox keeps a final state that the worker lists no more until a report with it has been acknowledged.

TestFinalStateIsReportedAfterARestartOfTheWorkerProcess failed before in both cases: the next session reported nothing of the run.

--- a/session/driver.go
+++ b/session/driver.go
@@ -247,7 +247,7 @@
 	}
 	s.workerClockMS = list.ClockMS
 	s.clockReadAt = asked
-	changed := s.outbox.update(list.Tasks)
+	changed := s.outbox.update(list.Tasks, s.holder.acknowledged)
 	s.mu.Unlock()
 	if changed || first {
 		signal(s.reportDue)
--- a/session/outbox.go
+++ b/session/outbox.go
@@ -36,8 +36,9 @@
 func (o *outbox) reset() { clear(o.sentIn) }
 
 // update applies the worker's list and reports whether a run's existence, phase
-// or checkpoint has changed. A change of progress alone is not reported at once.
-func (o *outbox) update(list []worker.TaskStatus) bool {
+// or checkpoint has changed. A change of progress alone is not reported at once. The control
+// group has received the reports up to the sequence acknowledged.
+func (o *outbox) update(list []worker.TaskStatus, acknowledged uint64) bool {
 	changed := false
 	seen := make(map[runKey]bool, len(list))
 	for _, status := range list {
@@ -50,7 +51,7 @@
 			changed = true
 		}
 	}
-	if o.dropUnlisted(seen) {
+	if o.dropUnlisted(seen, acknowledged) {
 		changed = true
 	}
 	return changed
@@ -58,11 +59,12 @@
 
 // dropUnlisted drops the runs that the worker no longer lists. A run that had not
 // ended was lost with its worker process and is reported as stopped, because the
-// control group would otherwise wait for its end forever. The result tells
-// whether there was one.
-func (o *outbox) dropUnlisted(seen map[runKey]bool) (lost bool) {
+// control group would otherwise wait for its end forever. A final state that the
+// control group has not received is kept, for the same reason. The result tells
+// whether there was a run that was lost.
+func (o *outbox) dropUnlisted(seen map[runKey]bool, acknowledged uint64) (lost bool) {
 	for key, status := range o.listed {
-		if seen[key] {
+		if sent, known := o.sentIn[key]; seen[key] || status.Phase.Final() && (!known || sent > acknowledged) {
 			continue
 		}
 		delete(o.listed, key)
