jobcontrol: a VM that is being returned to its standby pool gets no new runs

Callers could see tasks end with their VM: a lent VM was returned because it was idle, but until the order was carried out, which takes up to 2 s, the leader placed runs on it. A move ends whatever runs there, also tasks whose disruption budget forbids that.

The VM is closed from the decision on, until the order was refused, or moveCooldown has passed, in which the VM isn't moved again either.

TestVMThatIsBeingReturnedGetsNoStarts failed before: two runs were placed on the VM while its move was under way. An order that is carried out later than moveCooldown is not covered.

--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -68,6 +68,7 @@
 	maintenance  maintenance
 	lending      *dispatch.Lending
 	cooldownFrom map[string]time.Time // VMs that are not moved until moveCooldown after this time
+	returning    map[string]time.Time // VMs that get no new runs until moveCooldown after this time, as an order returns them to their pool
 
 	admission admissionState
 
@@ -110,6 +111,7 @@
 		maintenance:  newMaintenance(),
 		lending:      dispatch.NewLending(),
 		cooldownFrom: map[string]time.Time{},
+		returning:    map[string]time.Time{},
 
 		admission: newAdmissionState(),
 
--- a/jobcontrol/lending.go
+++ b/jobcontrol/lending.go
@@ -33,6 +33,11 @@
 	l.assumed.Read(func(view jobs.View) {
 		moves = l.lending.Plan(l.poolLoads(view), l.poolVMs(view, vms), l.server.now())
 	})
+	for _, move := range moves {
+		if move.Home == "" {
+			l.returning[move.VM] = l.server.now() // the order ends whatever runs there
+		}
+	}
 	l.mu.Unlock()
 	for _, move := range moves {
 		l.moveVM(move)
@@ -91,6 +96,11 @@
 	defer cancel()
 	err := l.server.config.Fleet.Move(ctx, move.VM, move.Pool, l.term)
 	klog.InfoS("VM move ordered", "vm", move.VM, "pool", move.Pool, "home", move.Home, "term", l.term, "error", err)
+	if fault.KindOf(err).Answer().Outcome == fault.OutcomeNotRun {
+		l.mu.Lock()
+		delete(l.returning, move.VM)
+		l.mu.Unlock()
+	}
 	switch {
 	case fault.Is(err, fault.Stale):
 		l.mu.Lock()
@@ -111,6 +121,17 @@
 	l.cooldownFrom[vm] = from
 }
 
+// isReturning reports whether a VM is being returned to its standby pool, or may still be.
+// The lock is held.
+func (l *leadership) isReturning(vm string, now time.Time) bool {
+	since, ordered := l.returning[vm]
+	if ordered && now.Sub(since) >= moveCooldown {
+		delete(l.returning, vm)
+		return false
+	}
+	return ordered
+}
+
 // refusedMoveDelay is added to the cooldown of a VM that is gone or that cannot
 // serve the pool it was to move to.
 const refusedMoveDelay = time.Minute
--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -382,7 +382,7 @@
 		return dispatch.ClosedSuspect
 	case len(view.unbooked) > 0:
 		return dispatch.ClosedUnbooked
-	case maintained:
+	case maintained, l.isReturning(w.Machine, now):
 		return dispatch.ClosedMaintenance
 	}
 	return ""
