jobcontrol: a test of unanswered starts on a worker that is not heard from

Callers can see two runs of one task: the next incarnation of a worker may carry out a start without an answer until jobs.StartDelayLimit after it was sent. Its clock began anew, so the deadline in the start is far ahead, and it takes the longest lease that it grants, from then on. The leader places the task elsewhere once StartDelayLimit is over, whether a later incarnation has answered or not.

Within one incarnation the deadline bounds the start, and after the first answer of the next one its token does. The fix belongs to mayBegin in workers.go and has a price: a task that waits for longer.

--- a/jobcontrol/otherlife_test.go
+++ b/jobcontrol/otherlife_test.go
@@ -127,3 +127,36 @@
 		}
 	})
 }
+
+// Guards against two runs of one task: the next incarnation of a worker that nobody hears
+// from carries out an unanswered start up to jobs.StartDelayLimit after it was sent. Its clock
+// began anew, so it takes the longest lease that it grants, from then on.
+func TestUnansweredStartOnASilentWorkerIsLostAfterTheLeaseThatItMayTake(t *testing.T) {
+	for name, registered := range map[string]bool{"next incarnation registered": true, "nothing is heard": false} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(r *rig) {
+				r.configure()
+				a := r.connect("a")
+				r.mustCall(submit, testPath, oneTask(), accepted)
+				r.wait(20 * time.Millisecond)
+				sent := time.Now()
+				r.wait(80 * time.Millisecond)
+				a.drainDirectives()
+				b := r.connect("b")
+				if registered {
+					a.unregistered = true // its agent reports no worker that has not listed its runs
+				}
+				for time.Since(sent) < jobs.StartDelayLimit+r.server.config.LeaseLimit {
+					b.report()
+					if registered {
+						a.report()
+					}
+					if starts, _, _, _ := b.drainDirectives(); len(starts) > 0 {
+						r.t.Fatalf("run %v starts %v after the start of %v, which has no answer", starts[0], time.Since(sent), testRun)
+					}
+					r.wait(200 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
