--- a/jobagent/otherlife_test.go
+++ b/jobagent/otherlife_test.go
@@ -82,16 +82,23 @@
 // again by then: a call can outlast a short restart of the worker.
 type slowWorker struct {
 	*fakeWorker
-	delay time.Duration
+	delay time.Duration // guarded by the lock of the fakeWorker
+}
+
+func (w *slowWorker) waitDelay() {
+	w.mu.Lock()
+	delay := w.delay
+	w.mu.Unlock()
+	time.Sleep(delay)
 }
 
 func (w *slowWorker) Start(ctx context.Context, target Target, request StartRequest) (int64, error) {
-	time.Sleep(w.delay)
+	w.waitDelay()
 	return w.fakeWorker.Start(ctx, target, request)
 }
 
 func (w *slowWorker) Pace(ctx context.Context, target Target, run jobs.RunID, percent int, fence uint64) (int64, error) {
-	time.Sleep(w.delay)
+	w.waitDelay()
 	return w.fakeWorker.Pace(ctx, target, run, percent, fence)
 }
 
@@ -106,12 +113,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(r *rig) {
+				slow := &slowWorker{fakeWorker: r.worker}
+				r.agent.config.Worker = slow
 				r.runBeside(testRun(1))
 				r.sendDirective(&api.WorkerDirective{Starts: []*api.RunOrder{{Run: crashing.Ref(), Probation: true}}})
 				r.wait(50 * time.Millisecond)
-				slow := &slowWorker{fakeWorker: r.worker, delay: 550 * time.Millisecond}
-				r.agent.config.Worker = slow
-				r.worker.set(func() { r.worker.hang = true })
+				r.worker.set(func() { slow.delay, r.worker.hang = 550*time.Millisecond, true })
 				r.wait(60 * time.Millisecond)
 				call(r)
 				r.wait(440 * time.Millisecond)
