jobagent: a run that outlived its reported loss is stopped at once

Callers could see two runs of one task for longer than need be: a worker that answers again lists a run that was reported lost with its lease. The agent took the list for older than the run's end, renewed the lease, and stopped the run only once the leader had recorded the loss and another list had arrived: about a second, and for as long as there is no leader.

The agent stops such a run as soon as it sees it.

TestRunThatOutlivedItsReportedLossIsStoppedAtOnce failed before: the run went on.

--- a/jobagent/otherlife_test.go
+++ b/jobagent/otherlife_test.go
@@ -172,3 +172,25 @@
 		}
 	})
 }
+
+// Guards against two runs of one task for longer than need be: a run was reported lost with
+// its worker's lease, and a list shows that it runs on, as after a lease that an incarnation
+// took from a call for the one before. It went on until the leader had recorded its loss and
+// another list had arrived.
+func TestRunThatOutlivedItsReportedLossIsStoppedAtOnce(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		run := testRun(1)
+		r.serve(4 * time.Second)
+		r.start(run)
+		r.wait(100 * time.Millisecond)
+		r.worker.set(func() { r.worker.hang = true })
+		for r.outcome(run) == none {
+			r.wait(50 * time.Millisecond)
+		}
+		r.worker.set(func() { r.worker.hang = false })
+		r.wait(700 * time.Millisecond)
+		if r.worker.isRunning(run) {
+			t.Error("the run goes on although it was reported lost")
+		}
+	})
+}
--- a/jobagent/restart.go
+++ b/jobagent/restart.go
@@ -174,7 +174,9 @@
 }
 
 // noteOutlived records that the worker lists a run as running which was reported lost with
-// its lease: the lease lasted for longer than the agent had counted. Agent.mu must be held.
+// its lease: the lease lasted for longer than the agent had counted. It stops the run, whose
+// task may run elsewhere; if that stop is lost, the next list after the leader has recorded
+// the loss leads to another. Agent.mu must be held.
 func (w *incarnation) noteOutlived(id jobs.RunID) {
 	since, lost := w.lapsed[id]
 	if !lost {
@@ -184,4 +186,5 @@
 	telemetry.JobAgentOutlivedRuns.Add(1)
 	klog.InfoS("Run that was reported lost is still running", "job", id.Task.Job, "run", id.String(), "worker", w.key,
 		"since_reported_ms", w.agent.config.Clock().Sub(since).Milliseconds())
+	w.agent.wg.Go(func() { _ = w.callStop(id, stopTimeout) })
 }
