jobagent: a test of unanswered starts while the next incarnation is silent

Callers can see two runs of one task: a worker registers anew and answers no call, so it still carries out an unanswered start of its former life, and takes a lease from then on. The agent counts the longest lease from the registration and books the run as lost. With the worker's first answer, which lists the run, it reports the loss and not the run.

TestRunIsNotLostWhileTheNextIncarnationHasAnsweredNothing fails on this commit: the loss is reported 3 s after the worker has begun the run.

--- a/jobagent/otherlife_test.go
+++ b/jobagent/otherlife_test.go
@@ -194,3 +194,33 @@
 		}
 	})
 }
+
+// Guards against two runs of one task: an incarnation that has answered no call carries out an
+// unanswered start of the one before at any time, and takes a lease from then on. The agent
+// counted the longest lease from the registration, reported the run lost with the first list,
+// which shows that it runs, and did not report it as running.
+func TestRunIsNotLostWhileTheNextIncarnationHasAnsweredNothing(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		run := testRun(1)
+		r.serve(30 * time.Second)
+		r.worker.set(func() { r.worker.delayStarts = true })
+		r.start(run)
+		r.wait(50 * time.Millisecond)
+		held := r.worker.delayedStarts[0]
+		r.restartWorker(0)
+		r.worker.set(func() { r.worker.hang = true })
+		r.register(1, false)
+		r.wait(5 * time.Second)
+		if err := r.worker.executeStart(held); err != nil {
+			t.Fatalf("a worker that has answered no call refused one for its earlier incarnation: %v", err)
+		}
+		r.wait(3 * time.Second)
+		r.worker.set(func() { r.worker.hang = false })
+		for len(r.buildReport().Runs) == 0 && r.outcome(run) == none {
+			r.wait(10 * time.Millisecond)
+		}
+		if r.outcome(run) == lost {
+			t.Error("the run was reported lost 3 s after the worker had begun it")
+		}
+	})
+}
