--- a/jobcontrol/otherlife_test.go
+++ b/jobcontrol/otherlife_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,24 +87,33 @@
 	}
 }
 
-// slowFleet is a fakeFleet that carries moves out late.
+// slowFleet is a fakeFleet that carries moves to standby pools out late.
 type slowFleet struct {
 	*fakeFleet
-	ordered chan struct{} // receives when a move is ordered
+	ordered chan struct{} // receives when such a move is ordered
 }
 
 func (f *slowFleet) Move(ctx context.Context, vm, pool string, fence uint64) error {
-	f.ordered <- struct{}{}
-	time.Sleep(1500 * time.Millisecond)
+	if pool == "spare" {
+		f.ordered <- struct{}{}
+		time.Sleep(1500 * time.Millisecond)
+	}
 	return f.fakeFleet.Move(ctx, vm, pool, fence)
 }
 
+func (f *slowFleet) movesSoFar() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.moves)
+}
+
 // Guards against tasks that a move of their VM ends: the move was decided while the VM was
 // idle, and carried out after it had got new runs.
 func TestVMThatIsBeingReturnedGetsNoStarts(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		fleet := r.withFleet()
+		fleet := &slowFleet{fakeFleet: r.withFleet(), ordered: make(chan struct{}, 1)}
 		fleet.pools["vm-c"] = "spare"
+		r.server.config.Fleet = fleet
 		configuration := testConfiguration(1)
 		configuration.Services = append(configuration.Services, &api.JobService{Name: "spare", Standby: true})
 		if err := (Operators{Server: r.server}).Configure(context.Background(), configuration); err != nil {
@@ -114,16 +124,14 @@
 		r.keepAlive(8*time.Second, a)
 		c := r.connect("c")
 		r.keepAlive(2*time.Second, a, c)
-		slow := &slowFleet{fakeFleet: fleet, ordered: make(chan struct{}, 1)}
-		r.withLeadership(func(l *leadership) { l.server.config.Fleet = slow })
 		r.mustCall(cancel, testPath, nil, cancelled)
-		for len(slow.ordered) == 0 {
+		for len(fleet.ordered) == 0 {
 			r.keepAlive(250*time.Millisecond, a, c)
 		}
 		r.mustCall(submit, "/q/"+otherJob, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 6, MilliCpu: 1000}}}, accepted)
 		r.keepAlive(time.Second, a, c)
-		if len(fleet.moves) != 1 || len(a.listed) != 4 || len(c.listed) > 0 {
-			t.Errorf("moves %v, %d runs on a and %d on c, which is being returned; want 4 and none", fleet.moves, len(a.listed), len(c.listed))
+		if moves := fleet.movesSoFar(); len(moves) != 1 || len(a.listed) != 4 || len(c.listed) > 0 {
+			t.Errorf("moves %v, %d runs on a and %d on c, which is being returned; want 4 and none", moves, len(a.listed), len(c.listed))
 		}
 	})
 }
