jobagent: a silent incarnation does not settle what earlier ones were sent

An incarnation that has registered and answers nothing may carry out an unanswered start of the one before at any time, with the longest lease from then on. The agent counted that lease from the registration, and its first report named the run as lost though the list showed it running. Such a run is settled by a list now.

--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -288,7 +288,7 @@
 		if r.phase == runStarting {
 			continue // the result of its start request decides
 		}
-		if r.unanswered() && w.startDelayLeft(r) > 0 {
+		if r.unanswered() && w.startDelayLeft(r) > 0 || r.former && w.polls == 0 {
 			continue // a lease bounds only what has begun
 		}
 		checkpoint := ""
