jobcontrol: a new leader knows unanswered starts that an agent reports

A new leader that had heard of an unanswered start from the worker's agent lost the run with the lease, 4.68 s after the start was sent, as it had not ordered it itself. It counts such a start from the beginning of its leadership now.

--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -245,12 +245,15 @@
 // prevents: it was sent a short time ago, and no list has shown that the worker has begun the
 // run. The lock is held.
 func (l *leadership) mayBegin(key string, run jobs.RunID) bool {
-	started, known := l.startedAt[run]
-	if !known || l.server.now().Sub(started) >= jobs.StartDelayLimit {
+	view := l.viewOf(key)
+	if view == nil || view.runs[run] != nil && hasBegun(view.runs[run]) {
 		return false
 	}
-	view := l.viewOf(key)
-	return view != nil && (view.runs[run] == nil || !hasBegun(view.runs[run]))
+	started, known := l.startedAt[run]
+	if !known {
+		started = l.since // an earlier leader ordered it
+	}
+	return l.server.now().Sub(started) < jobs.StartDelayLimit
 }
 
 // loseRuns queues the ends, as lost, of all runs on a worker's incarnation that has
