jobcontrol: a new leader knows for how long the log has had a run

A new leader that had not heard from a worker did not know when a start without an answer was sent, and lost the run with the leases of the leader before: run 2 of its task started 4.63 s after the start, which may be carried out for 6 s. Each replica now remembers since when its log has had each active run, beside the incarnations of workers.

--- a/jobcontrol/workers.go
+++ b/jobcontrol/workers.go
@@ -245,15 +245,19 @@
 // prevents: it was sent a short time ago, and no list has shown that the worker has begun the
 // run. The lock is held.
 func (l *leadership) mayBegin(key string, run jobs.RunID) bool {
-	view := l.viewOf(key)
-	if view == nil || view.runs[run] != nil && hasBegun(view.runs[run]) {
+	started, placed := l.startedAt[run]
+	if !placed {
+		started = l.server.workerAges.runSince(run) // an earlier leader placed it
+	}
+	if l.server.now().Sub(started) >= jobs.StartDelayLimit {
 		return false
 	}
-	started, known := l.startedAt[run]
-	if !known {
-		started = l.since // an earlier leader ordered it
+	id, _ := jobs.ParseWorkerKey(key)
+	view := l.workers[id]
+	if view == nil {
+		return !placed // its agent has not reported to this leader
 	}
-	return l.server.now().Sub(started) < jobs.StartDelayLimit
+	return view.key == key && (view.runs[run] == nil || !hasBegun(view.runs[run]))
 }
 
 // loseRuns queues the ends, as lost, of all runs on a worker's incarnation that has
