jobcontrol: runs that are not lost yet do not keep the leader busy

Runs that a later incarnation carries out, or whose starts may still be carried out, stay in the log after their worker's lease. Each round tried to lose them, called for the next round, and told their agent anew which runs are left: a round every few ms, since with a directive each, for 6 s or more. Rounds and directives follow only when a run is lost.

--- a/jobcontrol/losses.go
+++ b/jobcontrol/losses.go
@@ -73,8 +73,7 @@
 	})
 	for _, key := range lost {
 		l.recovery.lose(key, now)
-		l.loseRuns(key, reasonLeaseOver)
-		if session := l.sessionOfWorker(key); session != nil {
+		if session := l.sessionOfWorker(key); l.loseRuns(key, reasonLeaseOver) > 0 && session != nil {
 			session.rebind(key) // an agent that was paused may go on with this session
 		}
 	}
@@ -150,9 +149,9 @@
 }
 
 // loseRuns queues the ends, as lost, of all runs on a worker's incarnation that has
-// ended or whose lease has expired, except those that a later incarnation carries out.
-// The lock is held.
-func (l *leadership) loseRuns(key, reason string) {
+// ended or whose lease has expired, except those that a later incarnation carries out and
+// those that may begin later. It returns their number. The lock is held.
+func (l *leadership) loseRuns(key, reason string) (lost int) {
 	l.assumed.Read(func(view jobs.View) {
 		view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) {
 			if l.queue.hasEnd(run, key) || l.isCarried(key, run) || reason == reasonLeaseOver && l.mayBegin(key, run) {
@@ -163,9 +162,13 @@
 			klog.InfoS("Run lost", "job", run.Task.Job, "run", run.String(), "worker", key, "reason", reason,
 				"crash_evidence", jobs.EvidenceName(evidence), "start_confirmed", l.survivedStart(key, run), "joined_ms", l.sinceJoined(key), "term", l.term)
 			l.add(endChange(run, key, api.RunOutcome_RUN_OUTCOME_LOST, l.latestCheckpoint(key, run), evidence))
+			lost++
 		})
 	})
-	l.signal()
+	if lost > 0 {
+		l.signal()
+	}
+	return lost
 }
 
 // sinceJoined returns for how many ms this leader has known a worker's incarnation, -1 if it
