jobagent, jobcontrol: an unanswered start may begin a lease of its own

An unanswered start was given up 6 s after it was sent, also on a worker that nobody hears. Its next incarnation may carry it out in the last of these seconds and holds the longest lease from then on, while the task runs elsewhere: a cut of 9 s with a restart behind it is enough. The wait is now the sum of both, as long as nothing is heard from the worker; its list settles the start at once, as before. A worker that has not reported to a new leader has most likely answered, and only the 6 s count there.

--- a/jobagent/poll.go
+++ b/jobagent/poll.go
@@ -287,8 +287,8 @@
 		if r.phase == runStarting {
 			continue // the result of its start request decides
 		}
-		if r.unanswered() && w.startDelayLeft(r) > 0 || r.former && w.polls == 0 {
-			continue // a lease bounds only what has begun
+		if r.unanswered() && w.startDelayLeft(r)+w.agent.longestLease() > 0 || r.former && w.polls == 0 {
+			continue // a lease bounds only what has begun, and a later incarnation may begin it
 		}
 		checkpoint := ""
 		if r.status != nil {
--- a/jobcontrol/losses.go
+++ b/jobcontrol/losses.go
@@ -129,23 +129,25 @@
 // reasonLeaseOver is the reason of runs that are lost with their worker's lease.
 const reasonLeaseOver = "the lease is over"
 
-// mayBegin reports whether the start of a run may still be carried out, which no lease
-// prevents: it was sent a short time ago, and no list has shown that the worker has begun the
-// run. The lock is held.
-func (l *leadership) mayBegin(key string, run jobs.RunID) bool {
+// mayHaveBegun reports whether a worker that is not heard from may run something that no list
+// has shown: a later incarnation may have carried out its start, until the last moment for
+// that, and holds the longest lease from then on. A worker that has not reported to this
+// leader has most likely answered the start: only the delay of the start counts there. The
+// lock is held.
+func (l *leadership) mayHaveBegun(key string, run jobs.RunID) bool {
 	started, placed := l.startedAt[run]
 	if !placed {
 		started = l.server.workerAges.runSince(run) // an earlier leader placed it
 	}
-	if l.server.now().Sub(started) >= jobs.StartDelayLimit {
-		return false
-	}
+	age := l.server.now().Sub(started)
 	id, _ := jobs.ParseWorkerKey(key)
-	view := l.workers[id]
-	if view == nil {
-		return !placed // its agent has not reported to this leader
+	switch view := l.workers[id]; {
+	case view == nil:
+		return !placed && age < jobs.StartDelayLimit
+	case view.key != key || view.runs[run] != nil && hasBegun(view.runs[run]):
+		return false
 	}
-	return view.key == key && (view.runs[run] == nil || !hasBegun(view.runs[run]))
+	return age < jobs.StartDelayLimit+l.server.config.longestLease()
 }
 
 // loseRuns queues the ends, as lost, of all runs on a worker's incarnation that has
@@ -154,7 +156,7 @@
 func (l *leadership) loseRuns(key, reason string) (lost int) {
 	l.assumed.Read(func(view jobs.View) {
 		view.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) {
-			if l.queue.hasEnd(run, key) || l.isCarried(key, run) || reason == reasonLeaseOver && l.mayBegin(key, run) {
+			if l.queue.hasEnd(run, key) || l.isCarried(key, run) || reason == reasonLeaseOver && l.mayHaveBegun(key, run) {
 				return
 			}
 			l.standstills.noteReason(run, reason)
