jobcontrol, jobs: the log says which runs may outlive their worker's granted lease

Since a new leader that had not heard from a worker counted the longest lease from when its log first had a run there, also of a worker whose id was new: a task whose worker and leader ended together waited for up to 10.6 s where workers grant 10 s, though no earlier call could reach it.

The start of a run carries for how long its worker may hold a lease from a former life, which the leader that placed it knew, 0 in most cases. A new leader waits for that alone, counted from when its log first had the run. TestTaskOfAWorkerThatEndedWithTheLeaderStartsInTime failed before (11.05 s, want 7 s).

--- a/jobcontrol/losses.go
+++ b/jobcontrol/losses.go
@@ -99,10 +99,20 @@
 	return view != nil && now.Before(view.leaseUntil)
 }
 
+// formerLease returns for how long a worker may hold a lease from a call for an earlier
+// incarnation, 0 if it holds none. The lock is held.
+func (l *leadership) formerLease(key string) time.Duration {
+	view := l.viewOf(key)
+	if view == nil {
+		return 0
+	}
+	return max(view.formerUntil.Sub(l.server.now()), 0)
+}
+
 // mayHoldFormerLease reports whether a worker's incarnation may hold a lease from a call
 // for an earlier one, which no leader has granted. Of one that has not reported to this
-// leader it is only known since when the log has had runs on it. The lock is held.
-func (l *leadership) mayHoldFormerLease(state jobs.View, key string, now time.Time) bool {
+// leader it is known from the starts of its runs. The lock is held.
+func (l *leadership) mayHoldFormerLease(state jobs.View, key string, now time.Time) (may bool) {
 	id, born := jobs.ParseWorkerKey(key)
 	view := l.workers[id]
 	switch {
@@ -111,8 +121,10 @@
 	case view != nil || l.hasLaterWorker(state.VMOf(key), born):
 		return false // a later incarnation, or a later worker of its VM, has reported
 	}
-	since, known := l.server.workerAges.since(key)
-	return known && now.Before(since.Add(l.server.config.longestLease()))
+	state.RunsOn(key, func(run jobs.RunID, _ *jobs.Group) {
+		may = may || now.Before(l.server.runAges.since(run).Add(state.FormerLeaseOf(run)))
+	})
+	return may
 }
 
 // hasLaterWorker reports whether a worker that was born later than a time has reported from a
@@ -137,7 +149,7 @@
 func (l *leadership) mayHaveBegun(key string, run jobs.RunID) bool {
 	started, placed := l.startedAt[run]
 	if !placed {
-		started = l.server.workerAges.runSince(run) // an earlier leader placed it
+		started = l.server.runAges.since(run) // an earlier leader placed it
 	}
 	age := l.server.now().Sub(started)
 	id, _ := jobs.ParseWorkerKey(key)
--- a/jobcontrol/recovery_test.go
+++ b/jobcontrol/recovery_test.go
@@ -142,10 +142,11 @@
 func TestEachLeadershipRecordsItsRecovery(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.configure()
-		a, b := r.connect("a"), r.connect("b")
+		a := r.connect("a")
+		r.connect("b")
 		a.listed = []*api.RunStatus{}
 		r.mustCall(submit, testPath, &api.JobSpec{Groups: []*api.TaskGroup{{Count: 2, MilliCpu: 3000, LongRunning: true}}}, accepted)
-		r.reportFor(r.server.config.longestLease(), a, b)
+		r.wait(100 * time.Millisecond)
 		next := func(term uint64) *leadership {
 			r.replica.lead(term-1, false)
 			r.wait(300 * time.Millisecond)
--- a/jobcontrol/round.go
+++ b/jobcontrol/round.go
@@ -212,6 +212,7 @@
 		change := &api.JobChange{Body: &api.JobChange_Start{
 			Start: &api.StartRun{
 				Run: start.Run.Ref(), Worker: start.Worker, Ticket: l.ticketOf(start), Vm: l.vmOf(start.Worker),
+				FormerLeaseMs: l.formerLease(start.Worker).Milliseconds(),
 			},
 		}}
 		size += proto.Size(change)
--- a/jobcontrol/server.go
+++ b/jobcontrol/server.go
@@ -32,7 +32,7 @@
 
 	leadChanged chan struct{} // closed when lead changes
 	leaders     leaderWatch
-	workerAges  *workerAges
+	runAges     *runAges
 	stopped     <-chan struct{}
 }
 
@@ -45,7 +45,7 @@
 		pauses:    timing.NewPauseWatch(config.Clock),
 
 		leadChanged: make(chan struct{}),
-		workerAges:  newWorkerAges(config.State, config.Clock),
+		runAges:     newRunAges(config.State, config.Clock),
 	}
 }
 
@@ -58,7 +58,7 @@
 	s.stop, s.stopped = cancel, ctx.Done()
 	s.done.Go(func() { s.watchLeader(ctx) })
 	s.done.Go(func() { s.pauses.Run(ctx) })
-	s.done.Go(func() { s.workerAges.run(ctx) })
+	s.done.Go(func() { s.runAges.run(ctx) })
 	s.done.Go(func() { replica.FollowLeadership(ctx, s.config.Replica, s.leadTerm) })
 }
 
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"amaranthpaddle/api"
 )
@@ -92,6 +93,10 @@
 	Worker string // key of the worker's incarnation
 	Ticket string // from the queue's adviser, empty if there is none
 	VM     string // of the worker, empty if it is not known
+
+	// FormerLease is for how long, from the start of the run, the worker may have held a lease
+	// from a call for an earlier incarnation; 0 if it held none.
+	FormerLease time.Duration
 }
 
 // newJob returns a job whose tasks all wait to start.
--- a/jobs/snapshot.go
+++ b/jobs/snapshot.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -103,7 +104,7 @@
 			Suspicion: task.suspicion, CrashedRuns: slices.Clone(task.crashedRuns), SurvivedRun: task.survivedRun,
 		}
 		for _, run := range task.Runs {
-			r.Runs = append(r.Runs, &api.RunRecord{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, Vm: run.VM})
+			r.Runs = append(r.Runs, &api.RunRecord{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, Vm: run.VM, FormerLeaseMs: run.FormerLease.Milliseconds()})
 		}
 		record.Tasks = append(record.Tasks, r)
 	}
@@ -169,7 +170,7 @@
 	task.crashedRuns, task.survivedRun = record.CrashedRuns, record.SurvivedRun
 	s.setSuspicion(job, task, record.Suspicion)
 	for _, run := range record.Runs {
-		task.Runs = append(task.Runs, Run{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, VM: run.Vm})
+		task.Runs = append(task.Runs, Run{Number: run.Number, Worker: run.Worker, Ticket: run.Ticket, VM: run.Vm, FormerLease: time.Duration(run.FormerLeaseMs) * time.Millisecond})
 		s.addRun(RunID{Task: id, Number: run.Number}, run.Worker, run.Vm, job, group)
 	}
 	if record.Done {
--- a/jobs/state.go
+++ b/jobs/state.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -308,7 +309,7 @@
 		return fault.Newf(fault.Stale, "task %v waits for other groups", run.Task)
 	}
 	task.LastRun = run.Number
-	task.Runs = append(task.Runs, Run{Number: run.Number, Worker: c.Worker, Ticket: c.Ticket, VM: c.Vm})
+	task.Runs = append(task.Runs, Run{Number: run.Number, Worker: c.Worker, Ticket: c.Ticket, VM: c.Vm, FormerLease: time.Duration(c.FormerLeaseMs) * time.Millisecond})
 	s.addRun(run, c.Worker, c.Vm, job, group)
 	return nil
 }
--- a/jobs/view.go
+++ b/jobs/view.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"amaranthpaddle/api"
 )
@@ -84,12 +85,18 @@
 
 // WorkerOf returns the key of the worker's incarnation that an active run is on, empty if
 // the run is not active.
-func (v View) WorkerOf(run RunID) string {
+func (v View) WorkerOf(run RunID) string { return v.run(run).Worker }
+
+// FormerLeaseOf returns Run.FormerLease of an active run, 0 if the run is not active.
+func (v View) FormerLeaseOf(run RunID) time.Duration { return v.run(run).FormerLease }
+
+// run returns an active run, the zero value if it is not active.
+func (v View) run(run RunID) Run {
 	_, _, task := v.Run(run)
 	if task == nil {
-		return ""
+		return Run{}
 	}
-	return task.Runs[slices.IndexFunc(task.Runs, func(r Run) bool { return r.Number == run.Number })].Worker
+	return task.Runs[slices.IndexFunc(task.Runs, func(r Run) bool { return r.Number == run.Number })]
 }
 
 // Pending returns the number of jobs of a queue that have not begun.
