jobcontrol: the pause after simultaneous crashes also counts from a late end of the run

The leader remembers which runs are suspects of crashes at the same time, and spreads their tasks again if the end of such a run is reported once the first pause is over.

--- a/jobcontrol/complete.go
+++ b/jobcontrol/complete.go
@@ -137,6 +137,7 @@
 	}
 	l.checkForecasts(run, err == nil && end.Outcome == api.RunOutcome_RUN_OUTCOME_DONE)
 	delete(l.startedAt, run)
+	delete(l.spreadRuns, run)
 	defer delete(l.standstills.reasons, run)
 	delete(l.movingRuns, run)
 	l.idleJobs.setPaused(run, false)
--- a/jobcontrol/crashes.go
+++ b/jobcontrol/crashes.go
@@ -96,6 +96,7 @@
 		weighed := weighing.Weaken(reported)
 		if reported >= api.CrashEvidence_CRASH_EVIDENCE_SUSPECT && simultaneous > 0 {
 			l.spread(jobs.RunIDOf(run).Task)
+			l.noteSpread(jobs.RunIDOf(run))
 		}
 		proved := weighed != api.CrashEvidence_CRASH_EVIDENCE_UNKNOWN
 		if proved {
@@ -243,6 +244,25 @@
 	l.spreadSlot = (l.spreadSlot + 1) % spreadSlots
 }
 
+// noteSpread records that a run that has not ended is a suspect of crashes at the same time.
+// The lock is held.
+func (l *leadership) noteSpread(run jobs.RunID) {
+	l.assumed.Read(func(state jobs.View) {
+		if state.WorkerOf(run) != "" {
+			l.spreadRuns[run] = true
+		}
+	})
+}
+
+// spreadLateEnd spreads a task again if the end of its run, whose start had no answer, is
+// reported after the first pause. Several tasks would otherwise start again together, as the
+// starts that were sent together stay open for as long. The lock is held.
+func (l *leadership) spreadLateEnd(run jobs.RunID) {
+	if l.spreadRuns[run] && !l.paused(run.Task, l.server.now()) {
+		l.spread(run.Task)
+	}
+}
+
 // pause lets a task wait before it starts again, at least as long as it has to already.
 // The lock is held.
 func (l *leadership) pause(task jobs.TaskID, pause time.Duration) {
--- a/jobcontrol/leadership.go
+++ b/jobcontrol/leadership.go
@@ -35,6 +35,7 @@
 	unweighed    []reportedCrash
 	crashedUnder map[jobs.TaskID]map[string]time.Time // when the workers of agents crashed under a suspect
 	spreadSlot   int                                  // next step at which a task starts again; see spread
+	spreadRuns   map[jobs.RunID]bool                  // suspects of crashes at the same time, until their ends are recorded
 	pausedUntil  map[jobs.TaskID]time.Time            // tasks that wait after a crash
 	firstSeen    map[string]time.Time                 // when each job that has not ended was first seen
 	unplannable  map[string]bool                      // jobs that have not ended and whose planning has panicked
@@ -94,6 +95,7 @@
 		crashes:      map[string]workerCrash{},
 		carried:      map[jobs.RunID]carriedRun{},
 		outages:      dispatch.NewOutages(server.now()),
+		spreadRuns:   map[jobs.RunID]bool{},
 		pausedUntil:  map[jobs.TaskID]time.Time{},
 		crashedUnder: map[jobs.TaskID]map[string]time.Time{},
 		firstSeen:    map[string]time.Time{},
--- a/jobcontrol/session.go
+++ b/jobcontrol/session.go
@@ -212,6 +212,7 @@
 		return // its end is proposed already
 	}
 	l.learnDrainRate(queue, task, end.Outcome)
+	l.spreadLateEnd(run)
 	l.add(endChange(run, key, end.Outcome, end.Checkpoint, end.CrashEvidence))
 	if end.Reason != "" && end.Outcome != api.RunOutcome_RUN_OUTCOME_DONE {
 		l.standstills.noteReason(run, end.Reason)
