jobcontrol: a return of a VM that is ordered late needs an idle VM

When the return is ordered, the leader looks again whether the VM is idle, closes it for another moveCooldown if so, and drops the return otherwise.

TestVMWhoseReturnIsOrderedLateGetsNoStarts failed before.

--- a/jobcontrol/lending.go
+++ b/jobcontrol/lending.go
@@ -88,6 +88,9 @@
 // moveVM orders one move. The VM's home pool is committed first, so that a later
 // leader knows it even if the result of the order is lost.
 func (l *leadership) moveVM(move dispatch.VMMove) {
+	if move.Home == "" && !l.closeIdle(move.VM) {
+		return // it has got runs while earlier moves were ordered
+	}
 	l.startCooldown(move.VM, l.server.now())
 	if move.Home != "" && !l.recordHome(move.VM, move.Home) {
 		return
@@ -114,6 +117,26 @@
 	}
 }
 
+// closeIdle reports whether a VM that is to be returned to its standby pool is still idle, and
+// keeps it closed if so: other moves may have been ordered first, for longer than
+// moveCooldown.
+func (l *leadership) closeIdle(vm string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	idle := true
+	l.assumed.Read(func(view jobs.View) {
+		for _, worker := range l.workers {
+			if worker.worker.Machine == vm {
+				view.RunsOn(worker.key, func(jobs.RunID, *jobs.Group) { idle = false })
+			}
+		}
+	})
+	if idle {
+		l.returning[vm] = l.server.now()
+	}
+	return idle
+}
+
 // startCooldown prevents moves of a VM until moveCooldown after from.
 func (l *leadership) startCooldown(vm string, from time.Time) {
 	l.mu.Lock()
