--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"amaranthpaddle/fault"
 )
 
 // Sizes and times of a run.
@@ -195,35 +197,43 @@
 	return slices.Concat(r.control, r.entries, r.agents)
 }
 
-// play starts everything, disturbs it for a time, waits for all jobs to end,
-// and returns what promises were broken.
-func (r *run) play(disturbed time.Duration, faults string) []string {
+// begin starts everything and waits for a configuration to be taken.
+func (r *run) begin() error {
 	for i := range controls {
 		if err := os.MkdirAll(r.dataFolder(i), 0o755); err != nil {
-			return []string{err.Error()}
+			return fault.Wrap(fault.StorageFailed, err, "data folder")
 		}
 	}
 	for _, p := range r.processes() {
 		if err := p.start(); err != nil {
-			return []string{err.Error()}
+			return err
 		}
 	}
 	for _, w := range r.workers {
 		if err := w.begin(); err != nil {
-			return []string{err.Error()}
+			return err
 		}
 	}
 	r.began = time.Now()
 	if !r.operator.configureWithin(startLimit) {
-		return []string{"no configuration was taken at the start"}
+		return fault.New(fault.Internal, "no configuration was taken at the start")
 	}
 	for i, p := range r.control {
 		// Whatever starts from now on is no first start.
 		settings, err := os.ReadFile(p.settings)
 		if err != nil || p.configure(strings.Replace(string(settings), "first_start = true", "first_start = false", 1)) != nil {
-			return []string{fmt.Sprintf("settings of control %d can't be changed", i)}
+			return fault.Newf(fault.StorageFailed, "settings of control %d can't be changed", i)
 		}
 	}
+	return nil
+}
+
+// play starts everything, disturbs it for a time, waits for all jobs to end,
+// and returns what promises were broken.
+func (r *run) play(disturbed time.Duration, faults string) []string {
+	if err := r.begin(); err != nil {
+		return []string{err.Error()}
+	}
 	stop, settled := make(chan struct{}), make(chan struct{})
 	var loops, watching sync.WaitGroup
 	if r.load == mixedLoad {
