limit: bound the bytes of request bodies by the memory of the process

Clients that leave large bodies unfinished, or send more than the limit, made a process of 128 MiB use 148 to 402 MiB; two bodies of 4 MiB of empty elements made it use 665 and 761 MiB.

Cause: platform.readBody read up to 4 MiB with io.ReadAll at any number of connections, without a bound in time. After a refusal the server read on, and the kernel kept up to several MiB unread on each connection. The decoded form of a body can be hundreds of times as large as its text.

Change: the package limit has a budget of bytes for all bodies of a process, a sixth of its memory. Each body takes bytes before it reads them, and its decoded form before it is decoded. Without room, the unfinished body that has held most bytes for longest is given up; bodies above 64 KiB leave a quarter to smaller ones. A body has 10 s to arrive. A refused body is not drained, its connection is closed. Listeners accept with a receive buffer of 64 KiB. Bodies over the limit get 413, callers whose body is given up get 504: an earlier sending of the job may have been accepted, so 503 would not be true. Callers' Deadline-Ms holds a call for 50 s at most.

--- a/cmd/paddle-jobagent/main.go
+++ b/cmd/paddle-jobagent/main.go
@@ -9,6 +9,7 @@
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/daemon"
 	"amaranthpaddle/jobagent"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/platform"
 	"amaranthpaddle/settings"
 )
@@ -43,7 +44,7 @@
 	defer agent.Stop()
 	mux := http.NewServeMux()
 	platform.RegisterWorkers(mux, agent)
-	servers := daemon.Servers{Security: security}
+	servers := daemon.Servers{Security: security, Limits: limit.New(s.Limits())}
 	servers.Add("worker", s.Listen, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	servers.AddMetrics(s.Metrics, agent.Ready)
 	if err := servers.Start(); err != nil {
--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -11,6 +11,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobnode"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/platform"
 	"amaranthpaddle/settings"
@@ -57,6 +58,7 @@
 // its part in the group.
 func runReplica(ctx context.Context, s *settings.JobControl, reloads <-chan *settings.JobControl,
 	security *transport.Security, client *controlclient.Client) error {
+	limits := limit.New(s.Limits())
 	control, err := jobnode.StartControl(jobnode.Config{
 		Address: s.Advertised, Listen: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
 		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), LeaseLimit: s.LeaseLimit, Retain: s.Retain, Security: security,
@@ -67,10 +69,10 @@
 	}
 	mux := http.NewServeMux()
 	platform.RegisterOperators(mux, control.Operators())
-	servers := daemon.Servers{Security: security}
+	servers := daemon.Servers{Security: security, Limits: limits}
 	servers.Add("operators", s.Operators, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	if s.Metrics != "" {
-		metrics := telemetry.Mux(control.Ready, control.WriteMetrics)
+		metrics := telemetry.Mux(control.Ready, control.WriteMetrics, limits.WriteMetrics)
 		metrics.HandleFunc("POST "+operatorapi.PathJobWhere, control.ServeWhere)
 		servers.Add("metrics", s.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout})
 	}
--- a/cmd/paddle-jobentry/main.go
+++ b/cmd/paddle-jobentry/main.go
@@ -12,6 +12,7 @@
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/daemon"
 	"amaranthpaddle/jobentry"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/platform"
 	"amaranthpaddle/settings"
 )
@@ -45,7 +46,7 @@
 	gateway := jobentry.New(client, jobentry.Options{RefuseWithoutLeader: s.RefuseWithoutLeader, Zone: s.Zone})
 	gateway.Start()
 	defer gateway.Stop()
-	servers := daemon.Servers{Security: security}
+	servers := daemon.Servers{Security: security, Limits: limit.New(s.Limits())}
 	servers.Add("callers", s.Callers, &http.Server{
 		Handler: platform.CallersHandler(gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	})
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/fault"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/telemetry"
 	"amaranthpaddle/transport"
 )
@@ -15,6 +16,7 @@
 // Servers are the HTTP servers of one process.
 type Servers struct {
 	Security *transport.Security
+	Limits   *limit.Process
 	list     []namedServer
 	failed   transport.ServerErrors
 }
@@ -33,6 +35,7 @@
 // AddMetrics adds a server of metrics, unless the address is empty.
 func (s *Servers) AddMetrics(address string, ready func() error, gauges ...telemetry.Gauges) {
 	if address != "" {
+		gauges = append(gauges, s.Limits.WriteMetrics)
 		s.Add("metrics", address, &http.Server{Handler: telemetry.Mux(ready, gauges...)})
 	}
 }
@@ -42,13 +45,15 @@
 func (s *Servers) Start() error {
 	s.failed = transport.NewServerErrors()
 	for i, named := range s.list {
-		listener, err := s.Security.ListenHTTP(named.address)
+		listener, err := s.Security.Listen(named.address)
 		if err != nil {
 			for _, opened := range s.list[:i] {
 				opened.server.Close()
 			}
 			return fault.Wrap(fault.InvalidArgument, err, "listen for "+named.name)
 		}
+		s.Limits.HTTP(listener, named.server)
+		listener = s.Security.HTTPListener(listener)
 		go s.failed.Serve(named.name, listener, named.server.Serve)
 		klog.InfoS("Listening", "server", named.name, "address", named.address)
 	}
--- a/jobnode/where.go
+++ b/jobnode/where.go
@@ -2,17 +2,16 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/api"
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobcontrol"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/operatorapi"
 )
 
@@ -20,7 +19,12 @@
 // leader's host with the port of its own listener, as the control replicas of a group
 // are set up alike, and answers fault.NoQuorum when it knows no leader.
 func (c *Control) ServeWhere(w http.ResponseWriter, r *http.Request) {
-	query, err := readWhere(http.MaxBytesReader(w, r.Body, operatorapi.MaxWhereBytes))
+	data, err := limit.ReadBody(w, r, operatorapi.MaxWhereBytes)
+	if err != nil {
+		operatorapi.WriteError(w, err, "")
+		return
+	}
+	query, err := readWhere(data)
 	if err != nil {
 		operatorapi.WriteError(w, err, "")
 		return
@@ -44,15 +48,7 @@
 	}
 }
 
-func readWhere(body io.Reader) (query jobcontrol.WhereQuery, err error) {
-	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return query, fault.Wrap(fault.TooLarge, err, "request")
-	}
-	if err != nil {
-		return query, fault.Wrap(fault.ConnectionLost, err, "request")
-	}
+func readWhere(data []byte) (query jobcontrol.WhereQuery, err error) {
 	request := operatorapi.WhereRequest{}
 	if err := json.Unmarshal(data, &request); err != nil {
 		return query, fault.Wrap(fault.InvalidArgument, err, "request")
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,105 @@
+package limit
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthpaddle/fault"
+)
+
+// Guards against unfinished bodies that take the room of those which arrive beside them.
+func TestTheBodyThatHeldMostForLongestGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := NewBudget(16 << 20)
+		var abandoned []string
+		reserve := func(name string, n int64) *Reservation {
+			var r *Reservation
+			r = budget.Reserve(time.Now(), func() {
+				abandoned = append(abandoned, name)
+				go r.Release()
+			})
+			if err := r.Take(n); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			return r
+		}
+		reserve("small", 1<<10)
+		reserve("complete", 6<<20).Complete()
+		reserve("older", 3<<20)
+		time.Sleep(time.Second)
+		reserve("younger", 3<<20)
+		time.Sleep(time.Second)
+		reserve("next", 1<<20)
+		if got := strings.Join(abandoned, " "); got != "older" {
+			t.Errorf("abandoned: %q, want the older one", got)
+		}
+	})
+}
+
+// Guards against a budget that large bodies use up, complete or not, before small ones come.
+func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	budget := NewBudget(16 << 20)
+	large := budget.Reserve(time.Now(), func() {})
+	if err := large.Take(13 << 20); !fault.Is(err, fault.TooLarge) {
+		t.Errorf("13 of 16 MiB: %v, want %v", err, fault.TooLarge)
+	}
+	if err := large.Take(12 << 20); err != nil {
+		t.Fatal(err)
+	}
+	large.Complete()
+	if err := budget.Reserve(time.Now(), func() {}).Take(1 << 20); !fault.Is(err, fault.Overloaded) {
+		t.Errorf("another large body: %v, want %v", err, fault.Overloaded)
+	}
+	if err := budget.Reserve(time.Now(), func() {}).Take(smallBody); err != nil {
+		t.Errorf("a small body: %v", err)
+	}
+	if large.Release(); budget.Used() != smallBody {
+		t.Errorf("%d bytes in use", budget.Used())
+	}
+}
+
+// Guards against bodies inside the limits that are refused, and others that are taken or kept.
+func TestBodiesAreReadWholeOrRefused(t *testing.T) {
+	bodies := Bodies{Budget: NewBudget(16 << 20), Time: 100 * time.Millisecond}
+	const most = 4 << 20
+	server := httptest.NewServer(bodies.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(w, r, most); err != nil {
+			http.Error(w, err.Error(), fault.KindOf(err).Answer().HTTP)
+		}
+	})))
+	defer server.Close()
+	for name, c := range map[string]struct {
+		body io.Reader
+		want int
+	}{
+		"largest, announced": {strings.NewReader(strings.Repeat(" ", most)), 200},
+		"largest, chunked":   {io.MultiReader(strings.NewReader(strings.Repeat(" ", most))), 200},
+		"too large, chunked": {io.MultiReader(strings.NewReader(strings.Repeat(" ", most+1))), 413},
+		"many elements":      {strings.NewReader(strings.Repeat("{},", most/4)), 413},
+		"too slow":           {io.MultiReader(strings.NewReader(" "), blocked{t.Context().Done()}), 504},
+	} {
+		response, err := http.Post(server.URL, "application/json", c.body)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode != c.want {
+			t.Errorf("%s: %d, want %d", name, response.StatusCode, c.want)
+		}
+	}
+}
+
+// blocked is a body that does not go on until a channel is closed.
+type blocked struct{ done <-chan struct{} }
+
+func (b blocked) Read([]byte) (int, error) {
+	<-b.done
+	return 0, errors.New("done")
+}
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"runtime/debug"
 	"time"
+
+	"amaranthpaddle/limit"
 )
 
 // JobProcess holds the settings that all processes of submitted jobs share.
@@ -12,6 +14,15 @@
 	Seeds       []string // ip:port of control replicas to ask first
 	MemoryLimit int64    // bytes, 0 for none
 	Metrics     string   // ip:port for /metrics, empty for none
+
+	limits limit.Config // without the memory
+}
+
+// Limits returns the bounds on what clients make the process hold.
+func (p *JobProcess) Limits() limit.Config {
+	limits := p.limits
+	limits.Memory = p.MemoryLimit
+	return limits
 }
 
 // heapPart of the memory that a process may use is the runtime's target for the
@@ -111,6 +122,8 @@
 	longestRetain = 30 * 24 * time.Hour
 	mostTolerated = 4
 
+	longestBodyTime = 10 * time.Minute
+
 	maxReservations  = 1000
 	maxRemotePenalty = 100
 	minPartialFit    = 0.1 // a task with less crawls
@@ -187,6 +200,10 @@
 		Seeds:       r.seeds(),
 		MemoryLimit: r.size("limits", "memory", 1<<20, 1<<44),
 		Metrics:     r.address("listen", "metrics", optional),
+		limits: limit.Config{
+			BodyBytes: r.size("limits", "body_memory", 1<<20, 1<<44),
+			BodyTime:  r.duration("limits", "body_time", time.Second, longestBodyTime),
+		},
 	}
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -92,6 +92,12 @@
 	JobAssumedDifferences = Metric{"paddle_jobs_assumed_differences_total", []string{"found"}}
 )
 
+// Metrics of the bounds on clients, of every process of submitted jobs.
+var (
+	BodyRefusals = Metric{"paddle_body_refusals_total", []string{"kind"}}
+	BodyBytes    = Metric{"paddle_body_bytes", []string{"what"}}
+)
+
 // Metrics lists every metric of this package.
 func Metrics() []Metric {
 	return []Metric{
@@ -103,6 +109,7 @@
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
 		JobsRefused, JobsTooLate, JobRecovery, JobAssumedDifferences,
+		BodyRefusals, BodyBytes,
 	}
 }
 
--- a/transport/http.go
+++ b/transport/http.go
@@ -19,8 +19,16 @@
 // TLS, clients may show a certificate, which is verified when they do.
 func (s *Security) ListenHTTP(address string) (net.Listener, error) {
 	listener, err := s.Listen(address)
-	if err != nil || !s.TLS() {
-		return listener, err
+	if err != nil {
+		return nil, err
+	}
+	return s.HTTPListener(listener), nil
+}
+
+// HTTPListener returns a listener for an http.Server on one of Listen, as ListenHTTP does.
+func (s *Security) HTTPListener(listener net.Listener) net.Listener {
+	if !s.TLS() {
+		return listener
 	}
 	config := &tls.Config{
 		MinVersion: tls.VersionTLS12,
@@ -28,7 +36,7 @@
 			return s.certificates.openServer(), nil
 		},
 	}
-	return tls.NewListener(listener, config), nil
+	return tls.NewListener(listener, config)
 }
 
 // HTTPTransport returns a round tripper for URLs of Scheme with an IP address
