limit: bound the header and the time of a request at all HTTP listeners

Cause: http.Server reads headers up to 1 MiB, and keeps each short field in many times its bytes. Readiness and the metrics of entries and agents had no timeout, no listener had one for a peer that doesn't read its answer.

Change: headers have up to 16 KiB, as the interface allows, and 5 s to arrive. A connection is closed after 30 s without a request, and 60 s after a header whose answer has not been taken.

--- a/limit/process.go
+++ b/limit/process.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"net/http"
@@ -22,7 +23,11 @@
 	defaultMemory   = 512 << 20
 	bodyDivisor     = 6 // the budget of bodies is this part of the memory
 
-	receiveBuffer = 64 << 10 // bytes, see SetReceiveBuffer
+	receiveBuffer     = 64 << 10 // bytes, see SetReceiveBuffer
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	writeTimeout      = time.Minute // from the header of the request to the end of the answer
+	idleTimeout       = 30 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -50,10 +55,15 @@
 	return &Process{config: config, bodies: Bodies{Budget: NewBudget(config.BodyBytes), Time: config.BodyTime}}
 }
 
-// HTTP bounds a listener and the server that is to run on it.
+// HTTP bounds a listener and the server that is to run on it. Timeouts that the server has
+// already are kept.
 func (p *Process) HTTP(listener net.Listener, server *http.Server) {
 	SetReceiveBuffer(listener, receiveBuffer)
 	server.Handler = p.bodies.Handler(server.Handler)
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.ReadHeaderTimeout = cmp.Or(server.ReadHeaderTimeout, readHeaderTimeout)
+	server.WriteTimeout = cmp.Or(server.WriteTimeout, writeTimeout)
+	server.IdleTimeout = cmp.Or(server.IdleTimeout, idleTimeout)
 }
 
 // WriteMetrics writes the gauges of the bounds.
