limit: bound the connections of every HTTP listener

Cause: nothing bounded connections, and http.Server waits when accepting fails.

Change: a listener has a share of the connections of its process, which follow from its memory and its descriptors (RLIMIT_NOFILE or [limits] descriptors, which the deployment's templates set to max_fds). At the bound a new connection takes the place of one of the address with most connections that does not carry out a request: the one that has been receiving for longest, else idle for longest. Callers share an address when a balancer forwards them, so no address has a bound of its own.

The test of slow bodies in limit had one timeout of 100 ms for all its cases; 4 MiB took longer on a busy machine (load 24, race detector). The other cases have a minute now, the slow one 50 ms.

--- a/cmd/paddle-jobagent/main.go
+++ b/cmd/paddle-jobagent/main.go
@@ -45,7 +45,7 @@
 	mux := http.NewServeMux()
 	platform.RegisterWorkers(mux, agent)
 	servers := daemon.Servers{Security: security, Limits: limit.New(s.Limits())}
-	servers.Add("worker", s.Listen, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	servers.Add("worker", s.Listen, limit.MainShare, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	servers.AddMetrics(s.Metrics, agent.Ready)
 	if err := servers.Start(); err != nil {
 		return err
--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -70,11 +70,11 @@
 	mux := http.NewServeMux()
 	platform.RegisterOperators(mux, control.Operators())
 	servers := daemon.Servers{Security: security, Limits: limits}
-	servers.Add("operators", s.Operators, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	servers.Add("operators", s.Operators, limit.OtherShare, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	if s.Metrics != "" {
 		metrics := telemetry.Mux(control.Ready, control.WriteMetrics, limits.WriteMetrics)
 		metrics.HandleFunc("POST "+operatorapi.PathJobWhere, control.ServeWhere)
-		servers.Add("metrics", s.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout})
+		servers.Add("metrics", s.Metrics, limit.ProbeShare, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout})
 	}
 	if err := servers.Start(); err != nil {
 		control.Kill()
--- a/cmd/paddle-jobentry/main.go
+++ b/cmd/paddle-jobentry/main.go
@@ -47,10 +47,10 @@
 	gateway.Start()
 	defer gateway.Stop()
 	servers := daemon.Servers{Security: security, Limits: limit.New(s.Limits())}
-	servers.Add("callers", s.Callers, &http.Server{
+	servers.Add("callers", s.Callers, limit.MainShare, &http.Server{
 		Handler: platform.CallersHandler(gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	})
-	servers.Add("readiness", s.Readiness, &http.Server{Handler: platform.ReadyHandler(gateway.Ready)})
+	servers.Add("readiness", s.Readiness, limit.ProbeShare, &http.Server{Handler: platform.ReadyHandler(gateway.Ready)})
 	servers.AddMetrics(s.Metrics, gateway.Ready)
 	if err := servers.Start(); err != nil {
 		return err
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -24,19 +24,21 @@
 type namedServer struct {
 	name    string
 	address string
+	share   float64
 	server  *http.Server
 }
 
-// Add adds a server for an address (ip:port).
-func (s *Servers) Add(name, address string, server *http.Server) {
-	s.list = append(s.list, namedServer{name, address, server})
+// Add adds a server for an address (ip:port), with a share of the connections of the
+// process.
+func (s *Servers) Add(name, address string, share float64, server *http.Server) {
+	s.list = append(s.list, namedServer{name, address, share, server})
 }
 
 // AddMetrics adds a server of metrics, unless the address is empty.
 func (s *Servers) AddMetrics(address string, ready func() error, gauges ...telemetry.Gauges) {
 	if address != "" {
 		gauges = append(gauges, s.Limits.WriteMetrics)
-		s.Add("metrics", address, &http.Server{Handler: telemetry.Mux(ready, gauges...)})
+		s.Add("metrics", address, limit.ProbeShare, &http.Server{Handler: telemetry.Mux(ready, gauges...)})
 	}
 }
 
@@ -52,8 +54,7 @@
 			}
 			return fault.Wrap(fault.InvalidArgument, err, "listen for "+named.name)
 		}
-		s.Limits.HTTP(listener, named.server)
-		listener = s.Security.HTTPListener(listener)
+		listener = s.Security.HTTPListener(s.Limits.HTTP(listener, named.name, named.share, named.server))
 		go s.failed.Serve(named.name, listener, named.server.Serve)
 		klog.InfoS("Listening", "server", named.name, "address", named.address)
 	}
--- a/limit/body.go
+++ b/limit/body.go
@@ -13,6 +13,7 @@
 // requestState is what one request in progress holds.
 type requestState struct {
 	bodies      *Bodies
+	conn        *conn // nil if the listener is not limited
 	reservation *Reservation
 }
 
@@ -31,8 +32,9 @@
 // the connection of a request whose body was not read.
 func (b *Bodies) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		state := &requestState{bodies: b}
+		state := &requestState{bodies: b, conn: connOf(r.Context())}
 		if r.ContentLength == 0 {
+			state.conn.setPhase(serving)
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -91,6 +93,7 @@
 	}
 	if err == io.EOF {
 		s.reservation.Complete()
+		s.conn.setPhase(serving)
 		if err = s.reservation.Take(decodedSize(data)); err == nil {
 			return data, nil
 		}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -66,25 +67,30 @@
 
 // Guards against bodies inside the limits that are refused, and others that are taken or kept.
 func TestBodiesAreReadWholeOrRefused(t *testing.T) {
-	bodies := Bodies{Budget: NewBudget(16 << 20), Time: 100 * time.Millisecond}
 	const most = 4 << 20
-	server := httptest.NewServer(bodies.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, err := ReadBody(w, r, most); err != nil {
-			http.Error(w, err.Error(), fault.KindOf(err).Answer().HTTP)
-		}
-	})))
-	defer server.Close()
+	serve := func(limit time.Duration) string {
+		bodies := Bodies{Budget: NewBudget(16 << 20), Time: limit}
+		server := httptest.NewServer(bodies.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, err := ReadBody(w, r, most); err != nil {
+				http.Error(w, err.Error(), fault.KindOf(err).Answer().HTTP)
+			}
+		})))
+		t.Cleanup(server.Close)
+		return server.URL
+	}
+	patient, hasty := serve(time.Minute), serve(50*time.Millisecond)
 	for name, c := range map[string]struct {
-		body io.Reader
-		want int
+		server string
+		body   io.Reader
+		want   int
 	}{
-		"largest, announced": {strings.NewReader(strings.Repeat(" ", most)), 200},
-		"largest, chunked":   {io.MultiReader(strings.NewReader(strings.Repeat(" ", most))), 200},
-		"too large, chunked": {io.MultiReader(strings.NewReader(strings.Repeat(" ", most+1))), 413},
-		"many elements":      {strings.NewReader(strings.Repeat("{},", most/4)), 413},
-		"too slow":           {io.MultiReader(strings.NewReader(" "), blocked{t.Context().Done()}), 504},
+		"largest, announced": {patient, strings.NewReader(strings.Repeat(" ", most)), 200},
+		"largest, chunked":   {patient, io.MultiReader(strings.NewReader(strings.Repeat(" ", most))), 200},
+		"too large, chunked": {patient, io.MultiReader(strings.NewReader(strings.Repeat(" ", most+1))), 413},
+		"many elements":      {patient, strings.NewReader(strings.Repeat("{},", most/4)), 413},
+		"too slow":           {hasty, io.MultiReader(strings.NewReader(" "), blocked{t.Context().Done()}), 504},
 	} {
-		response, err := http.Post(server.URL, "application/json", c.body)
+		response, err := http.Post(c.server, "application/json", c.body)
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
 			continue
@@ -103,3 +109,33 @@
 	<-b.done
 	return 0, errors.New("done")
 }
+
+// Guards against connections that keep others out at the bound, and against calls in
+// progress that are cut off for new connections.
+func TestTheConnectionThatMakesNoProgressGivesWay(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		conns []conn
+		want  int // index of the one that is closed, -1 for none
+	}{
+		"the one receiving for longest": {[]conn{{since: now.Add(1)}, {since: now}, {phase: idle, since: now.Add(-1)}}, 1},
+		"the one idle for longest":      {[]conn{{phase: serving, since: now}, {phase: idle, since: now.Add(2)}, {phase: idle, since: now.Add(1)}}, 2},
+		"none that serves":              {[]conn{{phase: serving}, {phase: serving}}, -1},
+		"one of the address with most":  {[]conn{{host: "a", since: now}, {host: "b", since: now.Add(2)}, {host: "b", since: now.Add(1)}}, 2},
+	} {
+		listener := NewListener(nil, name, len(c.conns))
+		for i := range c.conns {
+			listener.conns[&c.conns[i]] = struct{}{}
+		}
+		victim, room := listener.admit(&conn{Conn: &net.TCPConn{}})
+		got := -1
+		for i := range c.conns {
+			if victim == &c.conns[i] {
+				got = i
+			}
+		}
+		if got != c.want || room != (c.want >= 0) {
+			t.Errorf("%s: closed %d, want %d; room %v", name, got, c.want, room)
+		}
+	}
+}
--- a/limit/report.go
+++ b/limit/report.go
@@ -46,4 +46,16 @@
 	}
 }
 
-var refusals refusalReport
+type closureReport struct{ throttle }
+
+func (r *closureReport) add(listener, reason string) {
+	telemetry.ConnectionsClosed.Add(1, listener, reason)
+	if suppressed, ok := r.pass(listener+" "+reason, time.Now()); ok {
+		klog.InfoS("Connection closed at the bound", "server", listener, "reason", reason, "suppressed", suppressed)
+	}
+}
+
+var (
+	refusals refusalReport
+	closures closureReport
+)
--- a/settings/jobs.go
+++ b/settings/jobs.go
@@ -201,8 +201,10 @@
 		MemoryLimit: r.size("limits", "memory", 1<<20, 1<<44),
 		Metrics:     r.address("listen", "metrics", optional),
 		limits: limit.Config{
-			BodyBytes: r.size("limits", "body_memory", 1<<20, 1<<44),
-			BodyTime:  r.duration("limits", "body_time", time.Second, longestBodyTime),
+			Descriptors: r.count("limits", "descriptors", 1, 1<<20),
+			Connections: r.count("limits", "connections", 1, 1<<20),
+			BodyBytes:   r.size("limits", "body_memory", 1<<20, 1<<44),
+			BodyTime:    r.duration("limits", "body_time", time.Second, longestBodyTime),
 		},
 	}
 }
--- a/settings/jobs_test.go
+++ b/settings/jobs_test.go
@@ -17,7 +17,7 @@
 	"node_name": "frontend-cork-a-1", "zone": "cork-a", "region": "munster", "ip": "10.1.0.13", "bootstrap": "true",
 	"seeds": "10.1.0.13:8166,10.2.0.30:8166", "internal_port_range.0": "7720", "internal_port_range.1": "7735",
 	"data_dir": "/data/control", "fault_tolerance.machines": "2", "bounds.hold_max_ms": "6000", "bounds.grace_s": "6",
-	"bounds.status_s": "120", "bounds.remote_penalty": "1.5", "limits.memory_mb": "284", "listen_addrs.frontend": "10.1.0.13:8161",
+	"bounds.status_s": "120", "bounds.remote_penalty": "1.5", "limits.memory_mb": "284", "limits.max_fds": "4100", "listen_addrs.frontend": "10.1.0.13:8161",
 	"listen_addrs.readiness": "10.1.0.13:8167", "listen_addrs.control_plane": "10.1.0.13:8166",
 }
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -94,8 +94,10 @@
 
 // Metrics of the bounds on clients, of every process of submitted jobs.
 var (
-	BodyRefusals = Metric{"paddle_body_refusals_total", []string{"kind"}}
-	BodyBytes    = Metric{"paddle_body_bytes", []string{"what"}}
+	BodyRefusals      = Metric{"paddle_body_refusals_total", []string{"kind"}}
+	BodyBytes         = Metric{"paddle_body_bytes", []string{"what"}}
+	Connections       = Metric{"paddle_connections", []string{"server", "what"}}
+	ConnectionsClosed = Metric{"paddle_connections_closed_total", []string{"server", "reason"}}
 )
 
 // Metrics lists every metric of this package.
@@ -109,7 +111,7 @@
 		ControlTerm, ControlCommit, ControlApplied, ControlStorage, PlanNumber,
 		ZoneInService, ZoneTasks, VMs, ServiceRunning, ServiceWanted, JobTasks, Evictions, WatcherLag,
 		JobsRefused, JobsTooLate, JobRecovery, JobAssumedDifferences,
-		BodyRefusals, BodyBytes,
+		BodyRefusals, BodyBytes, Connections, ConnectionsClosed,
 	}
 }
 
