limit, jobnode: bound unfinished messages and connections of the control group's port

Cause: the gRPC server widens a stream's window to the announced length of its message, 12.5 MiB at most, and hands the connection's window back as bytes arrive, at any number of streams and connections.

Change: each connection counts what it has received and not handed to a handler as a message. When the sum exceeds the budget of bodies, the connection with most is closed. A connection has 1,024 streams, headers of 16 KiB and 5 s for its handshakes. The port has half of the process's connections; those with a call in progress are not closed for new ones. The listeners and who must reach them are in docs/operators/limits-on-clients.md.

--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -61,7 +61,7 @@
 	limits := limit.New(s.Limits())
 	control, err := jobnode.StartControl(jobnode.Config{
 		Address: s.Advertised, Listen: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
-		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), LeaseLimit: s.LeaseLimit, Retain: s.Retain, Security: security,
+		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), LeaseLimit: s.LeaseLimit, Retain: s.Retain, Security: security, Limits: limits,
 		Adviser: adviser(s, security), Fleet: fleet(s, security), Policy: policy(s.Scheduling),
 	}, client)
 	if err != nil {
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -22,6 +22,7 @@
 	"amaranthpaddle/fault"
 	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobs"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/replica"
 	"amaranthpaddle/timing"
 	"amaranthpaddle/transport"
@@ -41,6 +42,7 @@
 	Heartbeat  time.Duration
 	Election   time.Duration
 	Security   *transport.Security
+	Limits     *limit.Process // bounds on what peers make the process hold, nil for the defaults
 	Adviser    jobcontrol.Adviser // nil without a placement adviser
 	Fleet      jobcontrol.Fleet   // nil when maintenance and moves of VMs cannot be ordered
 	Policy     dispatch.Policy
@@ -72,6 +74,9 @@
 	if config.FS == nil {
 		config.FS = disk.OS{}
 	}
+	if config.Limits == nil {
+		config.Limits = limit.New(limit.Config{})
+	}
 	id, inGroup, err := replica.StoredID(config.FS, config.DataDir)
 	if err != nil {
 		return nil, err
@@ -125,7 +130,8 @@
 		Replica: started, State: state, Lease: config.Lease, LeaseLimit: config.LeaseLimit, Retain: config.Retain, Voters: config.Voters,
 		Adviser: config.Adviser, Fleet: config.Fleet, Policy: config.Policy,
 	})
-	c.grpc = grpc.NewServer(slices.Concat(replica.ServerOptions(), config.Security.ServerOptions(), transport.RecoverPanics())...)
+	listener, bounds := config.Limits.GRPC(listener, "control", limit.MainShare)
+	c.grpc = grpc.NewServer(slices.Concat(replica.ServerOptions(), config.Security.ServerOptions(), transport.RecoverPanics(), bounds)...)
 	started.Register(c.grpc)
 	c.server.Register(c.grpc)
 	c.server.Start()
--- a/limit/process.go
+++ b/limit/process.go
@@ -17,7 +17,7 @@
 	Memory      int64         // bytes that the process may use
 	Descriptors int           // that the process may open; its RLIMIT_NOFILE if that is lower
 	Connections int           // at all listeners together
-	BodyBytes   int64         // that request bodies use
+	BodyBytes   int64         // that request bodies use, and unfinished gRPC messages beside them
 	BodyTime    time.Duration // for a body to arrive whole
 }
 
