--- a/replica/service.go
+++ b/replica/service.go
@@ -70,10 +70,7 @@
 // or another replica's message; fault.Draining when the replica has stopped.
 func (s *service) accept(ctx context.Context, group uint64, address string, m *api.RaftMessage) error {
 	r := s.replica
-	if m.To != r.config.ID {
-		return fault.Newf(fault.Conflict, "message for replica %d at replica %d", m.To, r.config.ID)
-	}
-	if err := s.checkGroup(group); err != nil {
+	if err := s.checkReceiver(group, m); err != nil {
 		return err
 	}
 	select {
@@ -86,6 +83,14 @@
 	}
 }
 
+// checkReceiver refuses messages of another group or for another replica.
+func (s *service) checkReceiver(group uint64, m *api.RaftMessage) error {
+	if own := s.replica.config.ID; m.To != own {
+		return fault.Newf(fault.Conflict, "message for replica %d at replica %d", m.To, own)
+	}
+	return s.checkGroup(group)
+}
+
 // checkGroup refuses other groups. A joining replica takes the first one that
 // calls it by its id.
 func (s *service) checkGroup(group uint64) error {
@@ -111,7 +116,8 @@
 // maxSnapshotBytes bounds a received snapshot.
 const maxSnapshotBytes = 256 << 20
 
-// InstallSnapshot takes in a snapshot.
+// InstallSnapshot takes in a snapshot of this replica's group. The sender is checked by the
+// first chunk, before the rest is kept.
 func (s *service) InstallSnapshot(stream grpc.ClientStreamingServer[api.SnapshotChunk, api.SnapshotReply]) error {
 	chunk, err := stream.Recv()
 	if err != nil {
@@ -121,6 +127,9 @@
 	if m.GetSnapshot() == nil {
 		return fault.ToStatus(fault.New(fault.InvalidArgument, "snapshot without a message"))
 	}
+	if err := s.checkReceiver(group, m); err != nil {
+		return fault.ToStatus(err)
+	}
 	data := chunk.Data
 	for !chunk.Last {
 		if chunk, err = stream.Recv(); err != nil {
