limit: bound the unfinished headers of all connections of a listener

A header of 16 KiB of short fields takes 16 times as much once it is parsed. 400 clients that leave one unfinished at each of an entry's three listeners made it use 318 MiB on, and 160 MiB with the bounds on connections and headers.

Change: a listener counts what its connections have received since their latest request was complete, and closes the one with most when the sum could take more memory than the listener's share of that of bodies.

The test TestUnfinishedHeadersOfLegalSizeStayWithinMemory is new. Its crowd is larger than the limit of descriptors that one test sets, so the harness checks the descriptors of the processes that run under that limit, which are the same as before, and not by the size of the crowd.

--- a/cmd/paddle-soak/clients_test.go
+++ b/cmd/paddle-soak/clients_test.go
@@ -25,6 +25,7 @@
 	largeClients   = 64
 	headerClients  = 32
 	headerBytes    = 1 << 20
+	legalHeader    = 16 << 10
 	manyClients    = 400
 	elementClients = 2
 	messageClients = 32
@@ -79,11 +80,28 @@
 	d := startDeployment(t)
 	for _, listener := range d.targets {
 		if listener.name != "control" {
-			checkCrowd(t, listener, crowd{"many fields", headerClients, unfinishedHeader})
+			checkCrowd(t, listener, crowd{"many fields", headerClients, unfinishedHeader(headerBytes)})
 		}
 	}
 }
 
+// Guards against headers of legal size that many connections leave unfinished at all listeners
+// of an entry: short fields take many times their bytes once they are parsed.
+func TestUnfinishedHeadersOfLegalSizeStayWithinMemory(t *testing.T) {
+	d := startDeployment(t)
+	others := []string{d.target(t, "readiness").address, d.target(t, "metrics of entry-0").address}
+	send := unfinishedHeader(legalHeader)
+	checkCrowd(t, d.target(t, "callers"), crowd{"many fields", manyClients, func(conn net.Conn, listener target) error {
+		for _, address := range others {
+			if other, err := net.Dial("tcp", address); err == nil {
+				t.Cleanup(func() { other.Close() })
+				_ = send(other, listener) // the connection at the first listener is the one that is tried again
+			}
+		}
+		return send(conn, listener)
+	}})
+}
+
 // Guards against connections that use up the descriptors of a process, at all listeners.
 func TestConnectionsStayWithinDescriptors(t *testing.T) {
 	d := startDeployment(t)
@@ -170,14 +188,16 @@
 }
 
 // unfinishedHeader sends many short header fields and no end of the header.
-func unfinishedHeader(conn net.Conn, t target) error {
-	var header strings.Builder
-	fmt.Fprintf(&header, "POST %s HTTP/1.1\r\nHost: h\r\n", t.bodyPath)
-	for i := 0; header.Len() < headerBytes-16; i++ {
-		fmt.Fprintf(&header, "X%x:\r\n", i)
+func unfinishedHeader(size int) func(net.Conn, target) error {
+	return func(conn net.Conn, t target) error {
+		var header strings.Builder
+		fmt.Fprintf(&header, "POST %s HTTP/1.1\r\nHost: h\r\n", t.bodyPath)
+		for i := 0; header.Len() < size-16; i++ {
+			fmt.Fprintf(&header, "X%x:\r\n", i)
+		}
+		_, err := io.WriteString(conn, header.String())
+		return err
 	}
-	_, err := io.WriteString(conn, header.String())
-	return err
 }
 
 // unfinishedMessages opens streams of calls and sends all but the last byte of a message on
--- a/cmd/paddle-soak/crowd_test.go
+++ b/cmd/paddle-soak/crowd_test.go
@@ -191,7 +191,7 @@
 		if peak.resident > memoryBound || peak.held > memoryBound {
 			t.Errorf("%d bytes resident, %d with what has arrived and is unread; the process may use %d", peak.resident, peak.held, memoryBound)
 		}
-		if peak.descriptors > descriptorBound && c.clients > descriptorLimit {
+		if peak.descriptors > descriptorBound && limited(p) {
 			t.Errorf("%d open descriptors, the bound is %d", peak.descriptors, descriptorBound)
 		}
 	})
@@ -313,6 +313,9 @@
 	p.program = script
 }
 
+// limited reports whether limitDescriptors was called for the process.
+func limited(p *process) bool { return strings.HasPrefix(filepath.Base(p.program), "limited-") }
+
 // repeat writes a piece again and again until size bytes have been written.
 func repeat(to io.Writer, piece []byte, size int) error {
 	for size > 0 {
--- a/jobnode/control.go
+++ b/jobnode/control.go
@@ -42,7 +42,7 @@
 	Heartbeat  time.Duration
 	Election   time.Duration
 	Security   *transport.Security
-	Limits     *limit.Process // bounds on what peers make the process hold, nil for the defaults
+	Limits     *limit.Process     // bounds on what peers make the process hold, nil for the defaults
 	Adviser    jobcontrol.Adviser // nil without a placement adviser
 	Fleet      jobcontrol.Fleet   // nil when maintenance and moves of VMs cannot be ordered
 	Policy     dispatch.Policy
--- a/limit/body.go
+++ b/limit/body.go
@@ -38,6 +38,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		state.conn.setPhase(uploading)
 		control, now := http.NewResponseController(w), time.Now()
 		control.SetReadDeadline(now.Add(b.Time))
 		state.reservation = b.Budget.Reserve(now, func() { control.SetReadDeadline(past) })
--- a/limit/grpc.go
+++ b/limit/grpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -47,7 +48,8 @@
 		grpc.StatsHandler(s), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.MaxHeaderListSize(maxHeaderBytes), grpc.ConnectionTimeout(connectionTimeout),
 	}
-	return &streamListener{p.Listener(inner, name, share), s}, options
+	limited := p.listener(inner, name, share, math.MaxInt64) // Streams counts headers, too
+	return &streamListener{limited, s}, options
 }
 
 type streamListener struct {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -123,7 +123,7 @@
 		"none that serves":              {[]conn{{phase: serving}, {phase: serving}}, -1},
 		"one of the address with most":  {[]conn{{host: "a", since: now}, {host: "b", since: now.Add(2)}, {host: "b", since: now.Add(1)}}, 2},
 	} {
-		listener := NewListener(nil, name, len(c.conns))
+		listener := NewListener(nil, name, len(c.conns), 0)
 		for i := range c.conns {
 			listener.conns[&c.conns[i]] = struct{}{}
 		}
--- a/limit/listener.go
+++ b/limit/listener.go
@@ -13,21 +13,25 @@
 type phase int
 
 const (
-	receiving phase = iota // a request is awaited for the first time, or arrives
+	receiving phase = iota // a request is awaited for the first time, or its header arrives
+	uploading              // its body arrives
 	idle                   // between requests
 	serving                // a request has arrived and is carried out
 )
 
 // Listener accepts at most a number of connections at a time. At the bound, a connection of
 // the address with most of them that is not serving a request is closed for a new one: the
-// one that has been receiving for longest, or else the one that has been idle for longest.
+// one that has been sending a request for longest, or else the one that has been idle for
+// longest. It also bounds the bytes of unfinished headers, by closing the connection with most.
 type Listener struct {
 	net.Listener
-	name string
-	max  int
+	name      string
+	max       int
+	maxHeader int64 // bytes of unfinished headers
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	header int64 // sum over conns
 }
 
 // conn is an accepted connection.
@@ -37,13 +41,14 @@
 	host     string // IP address of the peer
 
 	// Guarded by listener.mu.
-	phase phase
-	since time.Time // when the phase began
+	phase  phase
+	since  time.Time // when the phase began
+	header int64     // bytes received since the latest request was complete
 }
 
 // NewListener returns a bounded listener on inner. name stands in logs and metrics.
-func NewListener(inner net.Listener, name string, most int) *Listener {
-	return &Listener{Listener: inner, name: name, max: most, conns: map[*conn]struct{}{}}
+func NewListener(inner net.Listener, name string, most int, maxHeader int64) *Listener {
+	return &Listener{Listener: inner, name: name, max: most, maxHeader: maxHeader, conns: map[*conn]struct{}{}}
 }
 
 // Accept returns the next connection.
@@ -77,7 +82,7 @@
 		if victim = l.victimLocked(); victim == nil {
 			return nil, false
 		}
-		delete(l.conns, victim)
+		l.removeLocked(victim)
 	}
 	l.conns[c] = struct{}{}
 	return victim, true
@@ -102,7 +107,7 @@
 	if n, m := perHost[c.host], perHost[other.host]; n != m {
 		return n > m
 	}
-	if c.phase != other.phase {
+	if c.phase != other.phase && (c.phase == idle || other.phase == idle) {
 		return c.phase < other.phase
 	}
 	return c.since.Before(other.since)
@@ -118,11 +123,48 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
+	c.listener.removeLocked(c)
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
 
+func (l *Listener) removeLocked(c *conn) {
+	delete(l.conns, c)
+	l.header -= c.header
+	c.header = 0
+}
+
+// Read reads from the connection, which is closed if it has most of too many bytes of
+// unfinished headers.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if largest := c.listener.received(c, int64(n)); largest != nil {
+		closures.add(c.listener.name, "unfinished header")
+		largest.Close()
+	}
+	return n, err
+}
+
+// received counts bytes that belong to a header, and returns the connection to close, nil
+// while there is room.
+func (l *Listener) received(c *conn, n int64) (largest *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, open := l.conns[c]; !open || c.phase == uploading || c.phase == serving {
+		return nil
+	}
+	c.header += n
+	if l.header += n; l.header <= l.maxHeader {
+		return nil
+	}
+	for other := range l.conns {
+		if largest == nil || other.header > largest.header {
+			largest = other
+		}
+	}
+	return largest
+}
+
 // CloseWrite ends sending, so that the peer can read an answer before the connection is
 // closed with bytes of it unread.
 func (c *conn) CloseWrite() error {
@@ -142,6 +184,10 @@
 	if c.phase != next {
 		c.phase, c.since = next, time.Now()
 	}
+	if next == uploading || next == serving {
+		c.listener.header -= c.header
+		c.header = 0
+	}
 }
 
 type connKey struct{}
--- a/limit/process.go
+++ b/limit/process.go
@@ -33,6 +33,8 @@
 
 	receiveBuffer     = 64 << 10 // bytes, see SetReceiveBuffer
 	maxHeaderBytes    = 16 << 10
+	headerExpansion   = 16                 // memory that a byte of short header fields takes
+	minHeaderBytes    = 4 * maxHeaderBytes // of unfinished headers at one listener
 	readHeaderTimeout = 5 * time.Second
 	writeTimeout      = time.Minute // from the header of the request to the end of the answer
 	idleTimeout       = 30 * time.Second
@@ -84,9 +86,9 @@
 	return &Process{config: config, bodies: Bodies{Budget: NewBudget(config.BodyBytes), Time: config.BodyTime}}
 }
 
-// Listener bounds a listener to a share of the connections.
-func (p *Process) Listener(inner net.Listener, name string, share float64) *Listener {
-	listener := NewListener(inner, name, max(minConnections, int(share*float64(p.config.Connections))))
+// listener bounds a listener to a share of the connections.
+func (p *Process) listener(inner net.Listener, name string, share float64, maxHeader int64) *Listener {
+	listener := NewListener(inner, name, max(minConnections, int(share*float64(p.config.Connections))), maxHeader)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.listeners = append(p.listeners, listener)
@@ -103,7 +105,7 @@
 	server.ReadHeaderTimeout = cmp.Or(server.ReadHeaderTimeout, readHeaderTimeout)
 	server.WriteTimeout = cmp.Or(server.WriteTimeout, writeTimeout)
 	server.IdleTimeout = cmp.Or(server.IdleTimeout, idleTimeout)
-	return p.Listener(inner, name, share)
+	return p.listener(inner, name, share, max(minHeaderBytes, int64(share*float64(p.config.BodyBytes)/headerExpansion)))
 }
 
 // WriteMetrics writes the gauges of the bounds.
