--- a/cmd/paddle-soak/clients_test.go
+++ b/cmd/paddle-soak/clients_test.go
@@ -305,3 +305,18 @@
 	})
 	return err == nil || fault.Is(fault.FromStatus(err), fault.NotLeader)
 }
+
+// Guards against whole bodies of legal size whose copies on the way add up.
+func TestWholeBodiesOfLegalSizeStayWithinMemory(t *testing.T) {
+	d := startDeployment(t)
+	for _, c := range []struct{ listener, prefix, element, suffix string }{
+		{"callers", `{"steps":[{"count":1,"cpu":1}],"spec":"`, "payload ", `"}`},
+		{"operators", `{"version":1,"services":[],"routes":[`, strings.Repeat(" ", 4096) + `{"name":"r","host":"h"},`, `{}]}`},
+	} {
+		body := c.prefix + strings.Repeat(c.element, (largeBody-len(c.prefix)-len(c.suffix))/len(c.element)) + c.suffix
+		checkCrowd(t, d.target(t, c.listener), crowd{"whole", largeClients, func(conn net.Conn, t target) error {
+			_, err := io.WriteString(conn, requestHead(t, fmt.Sprintf("Content-Length: %d", len(body)))+body)
+			return err
+		}})
+	}
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -139,3 +139,33 @@
 		}
 	}
 }
+
+// Guards against a bound that holds in plaintext and not under TLS, or that the new connection
+// itself falls victim to.
+func TestSilentConnectionsGiveWayWithAndWithoutTLS(t *testing.T) {
+	for name, start := range map[string]func(*httptest.Server){"plaintext": (*httptest.Server).Start, "TLS": (*httptest.Server).StartTLS} {
+		process := New(Config{Connections: 1})
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		server.Listener = process.HTTP(server.Listener, name, MainShare, server.Config)
+		start(server)
+		defer server.Close()
+		for range 3 * minConnections {
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+		}
+		for range 3 {
+			response, err := server.Client().Get(server.URL)
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+				continue
+			}
+			response.Body.Close()
+		}
+		if open := process.listeners[0].Open(); open > minConnections {
+			t.Errorf("%s: %d connections, the bound is %d", name, open, minConnections)
+		}
+	}
+}
