limit: leave room for the largest message at the control group's port

A small [limits] body_memory would have kept replicas from sending each other a proposal: unfinished messages had the same budget. They have 13 MiB at least now, the largest message has 12.5. Found by reading; no run showed it.

--- a/limit/grpc.go
+++ b/limit/grpc.go
@@ -13,6 +13,7 @@
 
 // Bounds of a gRPC server that do not follow from the memory.
 const (
+	minMessageBytes   = 13 << 20        // room for the largest message, 12.5 MiB
 	maxStreams        = 1024            // of one connection at a time
 	connectionTimeout = 5 * time.Second // for the handshakes of TLS and HTTP/2
 	callOverhead      = 256             // bytes of a call beside its message
@@ -43,7 +44,7 @@
 
 // GRPC bounds a listener and returns it with options for the server that is to run on it.
 func (p *Process) GRPC(inner net.Listener, name string, share float64) (net.Listener, []grpc.ServerOption) {
-	s := &Streams{max: p.config.BodyBytes, conns: map[string]*streamConn{}}
+	s := &Streams{max: max(p.config.BodyBytes, minMessageBytes), conns: map[string]*streamConn{}}
 	options := []grpc.ServerOption{
 		grpc.StatsHandler(s), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.MaxHeaderListSize(maxHeaderBytes), grpc.ConnectionTimeout(connectionTimeout),
