--- a/limit/process.go
+++ b/limit/process.go
@@ -23,7 +23,7 @@
 
 // Defaults, and how they follow from the memory and the descriptors of the process.
 const (
-	DefaultBodyTime = 10 * time.Second
+	defaultBodyTime = 10 * time.Second
 	defaultMemory   = 512 << 20
 	bodyDivisor     = 6         // the budget of bodies is this part of the memory
 	connectionBytes = 192 << 10 // memory that a connection may need, unread bytes included
@@ -66,7 +66,7 @@
 		c.BodyBytes = c.Memory / bodyDivisor
 	}
 	if c.BodyTime == 0 {
-		c.BodyTime = DefaultBodyTime
+		c.BodyTime = defaultBodyTime
 	}
 	return c
 }
