--- a/cmd/paddle-jobcontrol/main.go
+++ b/cmd/paddle-jobcontrol/main.go
@@ -11,6 +11,7 @@
 	"amaranthpaddle/dispatch"
 	"amaranthpaddle/jobcontrol"
 	"amaranthpaddle/jobnode"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/operatorapi"
 	"amaranthpaddle/platform"
 	"amaranthpaddle/settings"
@@ -57,9 +58,10 @@
 // its part in the group.
 func runReplica(ctx context.Context, s *settings.JobControl, reloads <-chan *settings.JobControl,
 	security *transport.Security, client *controlclient.Client) error {
+	limits := limit.New(s.Limits())
 	control, err := jobnode.StartControl(jobnode.Config{
 		Address: s.Advertised, Listen: s.Listen, Seeds: s.Seeds, FirstStart: s.FirstStart, DataDir: s.DataFolder,
-		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), LeaseLimit: s.LeaseLimit, Retain: s.Retain, Security: security,
+		Voters: 2*s.Tolerated + 1, Lease: s.Lease(), LeaseLimit: s.LeaseLimit, Retain: s.Retain, Security: security, Limits: limits,
 		Adviser: adviser(s, security), Fleet: fleet(s, security), Policy: policy(s.Scheduling),
 	}, client)
 	if err != nil {
@@ -67,12 +69,12 @@
 	}
 	mux := http.NewServeMux()
 	platform.RegisterOperators(mux, control.Operators())
-	servers := daemon.Servers{Security: security}
-	servers.Add("operators", s.Operators, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
+	servers := daemon.Servers{Security: security, Limits: limits}
+	servers.Add("operators", s.Operators, limit.OtherShare, &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout})
 	if s.Metrics != "" {
-		metrics := telemetry.Mux(control.Ready, control.WriteMetrics)
+		metrics := telemetry.Mux(control.Ready, control.WriteMetrics, limits.WriteMetrics)
 		metrics.HandleFunc("POST "+operatorapi.PathJobWhere, control.ServeWhere)
-		servers.Add("metrics", s.Metrics, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout})
+		servers.Add("metrics", s.Metrics, limit.ProbeShare, &http.Server{Handler: metrics, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout})
 	}
 	if err := servers.Start(); err != nil {
 		control.Kill()
--- a/cmd/paddle-jobentry/main.go
+++ b/cmd/paddle-jobentry/main.go
@@ -12,6 +12,7 @@
 	"amaranthpaddle/controlclient"
 	"amaranthpaddle/daemon"
 	"amaranthpaddle/jobentry"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/platform"
 	"amaranthpaddle/settings"
 )
@@ -45,11 +46,11 @@
 	gateway := jobentry.New(client, jobentry.Options{RefuseWithoutLeader: s.RefuseWithoutLeader, Zone: s.Zone})
 	gateway.Start()
 	defer gateway.Stop()
-	servers := daemon.Servers{Security: security}
-	servers.Add("callers", s.Callers, &http.Server{
+	servers := daemon.Servers{Security: security, Limits: limit.New(s.Limits())}
+	servers.Add("callers", s.Callers, limit.MainShare, &http.Server{
 		Handler: platform.CallersHandler(gateway), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	})
-	servers.Add("readiness", s.Readiness, &http.Server{Handler: platform.ReadyHandler(gateway.Ready)})
+	servers.Add("readiness", s.Readiness, limit.ProbeShare, &http.Server{Handler: platform.ReadyHandler(gateway.Ready)})
 	servers.AddMetrics(s.Metrics, gateway.Ready)
 	if err := servers.Start(); err != nil {
 		return err
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"amaranthpaddle/fault"
+	"amaranthpaddle/limit"
 	"amaranthpaddle/telemetry"
 	"amaranthpaddle/transport"
 )
@@ -15,6 +16,7 @@
 // Servers are the HTTP servers of one process.
 type Servers struct {
 	Security *transport.Security
+	Limits   *limit.Process
 	list     []namedServer
 	failed   transport.ServerErrors
 }
@@ -22,18 +24,21 @@
 type namedServer struct {
 	name    string
 	address string
+	share   float64
 	server  *http.Server
 }
 
-// Add adds a server for an address (ip:port).
-func (s *Servers) Add(name, address string, server *http.Server) {
-	s.list = append(s.list, namedServer{name, address, server})
+// Add adds a server for an address (ip:port), with a share of the connections of the
+// process.
+func (s *Servers) Add(name, address string, share float64, server *http.Server) {
+	s.list = append(s.list, namedServer{name, address, share, server})
 }
 
 // AddMetrics adds a server of metrics, unless the address is empty.
 func (s *Servers) AddMetrics(address string, ready func() error, gauges ...telemetry.Gauges) {
 	if address != "" {
-		s.Add("metrics", address, &http.Server{Handler: telemetry.Mux(ready, gauges...)})
+		gauges = append(gauges, s.Limits.WriteMetrics)
+		s.Add("metrics", address, limit.ProbeShare, &http.Server{Handler: telemetry.Mux(ready, gauges...)})
 	}
 }
 
@@ -42,13 +47,14 @@
 func (s *Servers) Start() error {
 	s.failed = transport.NewServerErrors()
 	for i, named := range s.list {
-		listener, err := s.Security.ListenHTTP(named.address)
+		listener, err := s.Security.Listen(named.address)
 		if err != nil {
 			for _, opened := range s.list[:i] {
 				opened.server.Close()
 			}
 			return fault.Wrap(fault.InvalidArgument, err, "listen for "+named.name)
 		}
+		listener = s.Security.HTTPListener(s.Limits.HTTP(listener, named.name, named.share, named.server))
 		go s.failed.Serve(named.name, listener, named.server.Serve)
 		klog.InfoS("Listening", "server", named.name, "address", named.address)
 	}
