--- a/cmd/paddle-soak/callers.go
+++ b/cmd/paddle-soak/callers.go
@@ -19,7 +19,11 @@
 	hash := fnv.New64a()
 	fmt.Fprint(hash, spec, name, run)
 	random := rand.New(rand.NewPCG(hash.Sum64(), 1))
-	return time.Duration(100+random.IntN(900)) * time.Millisecond, random.IntN(20) == 0
+	takes, fails := time.Duration(100+random.IntN(900))*time.Millisecond, random.IntN(20) == 0
+	if long, isLong := longTask(spec, random.Float64()); isLong {
+		takes = long
+	}
+	return takes, fails
 }
 
 // crashingPayload begins the payload of a job whose first task crashes each worker that
@@ -107,7 +111,7 @@
 	return answer{response.StatusCode, data, response.Header.Get("Retry-After")}
 }
 
-// submit hands in a job, again as long as it is not known whether it was taken.
+// submit hands in a job of the wide load, and cancels some.
 func (c *caller) submit() {
 	id := fmt.Sprintf("%016x", c.random.Uint64())
 	spec := fmt.Sprintf("work of %s", id)
@@ -115,6 +119,14 @@
 		spec = fmt.Sprintf("%s %s", crashingPayload, id)
 	}
 	groups, body := c.job(spec)
+	c.handIn(id, spec, groups, body)
+	if c.random.IntN(8) == 0 {
+		c.cancel(id)
+	}
+}
+
+// handIn hands in a job, again as long as it is not known whether it was taken.
+func (c *caller) handIn(id, spec string, groups []groupView, body []byte) {
 	for range 4 {
 		c.check.sent(id, spec, groups)
 		got := c.call("POST", id, body)
@@ -127,9 +139,6 @@
 			time.Sleep(200 * time.Millisecond)
 		}
 	}
-	if c.random.IntN(8) == 0 {
-		c.cancel(id)
-	}
 }
 
 // job draws the groups of a job; one job of eight is wide.
--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -85,6 +85,9 @@
 	if faults == orderFaults {
 		schedules.Go(func() { r.disturb(d, orderKinds, longestOrderGap, r.orders) })
 	}
+	if faults == recutFaults {
+		schedules.Go(func() { r.disturb(d, recutKinds, longestRecutGap, r.recuts) })
+	}
 	schedules.Wait()
 }
 
--- a/cmd/paddle-soak/main.go
+++ b/cmd/paddle-soak/main.go
@@ -24,8 +24,8 @@
 	flaggy.SetDescription("disturbs the programs of submitted jobs and checks their promises")
 	flaggy.UInt64(&seed, "s", "seed", "fixes the schedule of faults and the jobs")
 	flaggy.Duration(&disturbed, "d", "duration", "time with faults, before the programs are left alone and must finish")
-	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers), orders (of operators) or none")
-	flaggy.String(&load, "l", "load", "jobs: wide (many for three workers) or mixed (services, short tasks and best-effort work for eleven)")
+	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers), orders (of operators), recut (restarts of workers that are cut off soon after) or none")
+	flaggy.String(&load, "l", "load", "jobs: wide (many for three workers), long (a third has tasks of 8 to 15 s, for six) or mixed (services, short tasks and best-effort work for eleven)")
 	flaggy.String(&folder, "f", "folder", "keeps logs and data in this folder, which must not exist")
 	flaggy.String(&programs, "p", "programs", "folder of the built programs; they are built when empty")
 	flaggy.Parse()
@@ -45,21 +45,23 @@
 	generalFaults = "general"
 	restartFaults = "restarts"
 	orderFaults   = "orders"
+	recutFaults   = "recut"
 	noFaults      = "none"
 )
 
 // Loads of jobs.
 const (
 	wideLoad  = "wide"
+	longLoad  = "long"
 	mixedLoad = "mixed"
 )
 
 // soak runs one seed and prints its outcome.
 func soak(seed uint64, disturbed time.Duration, faults, load, folder, programs string) ([]string, error) {
-	if !slices.Contains([]string{allFaults, generalFaults, restartFaults, orderFaults, noFaults}, faults) {
+	if !slices.Contains([]string{allFaults, generalFaults, restartFaults, orderFaults, recutFaults, noFaults}, faults) {
 		return nil, fault.Newf(fault.InvalidArgument, "unknown schedules of faults %q", faults)
 	}
-	if load != wideLoad && load != mixedLoad {
+	if !slices.Contains([]string{wideLoad, longLoad, mixedLoad}, load) {
 		return nil, fault.Newf(fault.InvalidArgument, "unknown load %q", load)
 	}
 	keep := folder != ""
--- /dev/null
+++ b/cmd/paddle-soak/recut.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// recutKinds are the faults in which workers restart under held calls and are cut off soon
+// after. They are played alone.
+var recutKinds = []kind{
+	{"recut a worker", 3, func(r *run, _ time.Duration) (string, func()) { return r.recut(1) }},
+	{"recut half of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers) / 2) }},
+}
+
+// Times of recuts, in ms. In a third of them the worker is cut off within longestSoon after
+// it has begun again.
+const (
+	longestRecutGap                = 3000
+	shortestHeld, longestRecutHeld = 100, 800
+	longestRecutCrossing           = 400 // after the worker has begun again
+	longestWorking, longestSoon    = 2500, 300
+	shortestCut, longestCut        = 5000, 9000
+)
+
+// recutTimes are the times of one restart and the cut after it.
+type recutTimes struct {
+	held, down, after, working, cut, again time.Duration // again is when the worker restarts once more, after it has begun; 0 for never
+	paused                                 bool          // the agent is paused; otherwise the link between it and its worker is cut
+}
+
+func (t recutTimes) String() string {
+	how := "link"
+	if t.paused {
+		how = "agent"
+	}
+	return fmt.Sprintf("(held %v, down %v, calls after %v, cut of the %s after %v for %v, again after %v)", t.held, t.down, t.after, how, t.working, t.cut, t.again)
+}
+
+func (r *run) recutTimes() recutTimes {
+	ms := func(least, most int) time.Duration {
+		return time.Duration(least+r.recuts.IntN(most-least)) * time.Millisecond
+	}
+	t := recutTimes{
+		held: ms(shortestHeld, longestRecutHeld), down: ms(shortestDown, longestDown), after: ms(0, longestRecutCrossing),
+		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), paused: r.recuts.IntN(2) == 0,
+	}
+	if r.recuts.IntN(3) == 0 {
+		t.working = ms(0, longestSoon)
+	}
+	if r.recuts.IntN(4) == 0 {
+		t.again = ms(0, int((t.working + t.cut).Milliseconds()))
+	}
+	return t
+}
+
+// recut restarts some workers under held calls, and cuts each of them off soon after.
+func (r *run) recut(count int) (string, func()) {
+	var names []string
+	var each []func()
+	for _, i := range r.recuts.Perm(len(r.workers))[:count] {
+		times := r.recutTimes()
+		names = append(names, fmt.Sprintf("%s %v", r.workers[i].id, times))
+		each = append(each, func() { r.recutWorker(r.workers[i], r.agents[i], times) })
+	}
+	return strings.Join(names, ", "), func() {
+		for _, inflict := range each {
+			r.busy.Go(inflict)
+		}
+	}
+}
+
+func (r *run) recutWorker(w *worker, agent *process, t recutTimes) {
+	if !w.recutting.TryLock() {
+		return // it is being recut
+	}
+	defer w.recutting.Unlock()
+	w.restartUnder(t.held, t.down, t.after)
+	if t.again > 0 {
+		r.busy.Go(func() {
+			time.Sleep(t.again)
+			w.restart(t.down, false)
+		})
+	}
+	time.Sleep(t.working)
+	r.note("%s is cut off", w.incarnation())
+	agent.noteFault()
+	if t.paused {
+		agent.signal(syscall.SIGSTOP)
+	} else {
+		w.link.shut()
+	}
+	time.Sleep(t.cut)
+	agent.noteFault()
+	if t.paused {
+		agent.signal(syscall.SIGCONT)
+	} else {
+		w.link.open()
+	}
+	r.note("%s is in touch again", w.id)
+}
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -32,6 +32,7 @@
 	random      *rand.Rand
 	restarts    *rand.Rand // of the schedule of restarts
 	orders      *rand.Rand // of the schedule of faults around orders
+	recuts      *rand.Rand // of the schedule of restarts before a cut
 	folder      string
 	programs    string
 	check       *checker
@@ -60,7 +61,7 @@
 
 func newRun(seed uint64, load, folder, programs string) (*run, error) {
 	r := &run{
-		seed: seed, load: load, epoch: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), folder: folder, programs: programs, check: newChecker(maxAttempts),
+		seed: seed, load: load, epoch: time.Now(), random: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 4)), orders: rand.New(rand.NewPCG(seed, 5)), recuts: rand.New(rand.NewPCG(seed, 6)), folder: folder, programs: programs, check: newChecker(maxAttempts),
 		zonesOut: map[string]time.Time{},
 	}
 	if err := r.deploy(); err != nil {
@@ -249,6 +250,12 @@
 		}
 		return
 	}
+	if r.load == longLoad {
+		for _, c := range r.callers {
+			loops.Go(func() { c.runLong(stop) })
+		}
+		return
+	}
 	loops.Go(func() { r.callers[0].runMixed(stop, shortJobRate/2, 1.6, shortGroup) })
 	loops.Go(func() { r.callers[2].runMixed(stop, shortJobRate/2, 1.6, shortGroup) })
 	loops.Go(func() { r.callers[1].runMixed(stop, workJobRate, 2, workGroup) })
@@ -257,8 +264,11 @@
 
 // workerCount returns the number of workers of the run's load.
 func (r *run) workerCount() int {
-	if r.load == mixedLoad {
+	switch r.load {
+	case mixedLoad:
 		return mixedWorkers
+	case longLoad:
+		return longWorkers
 	}
 	return zones
 }
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -44,7 +44,9 @@
 	epoch              time.Time // start of the soak
 	noise              float64   // of the tail latencies of services; see latencyNoises
 
-	lives sync.Mutex // held from the end of an incarnation to the next one
+	lives     sync.Mutex // held from the end of an incarnation to the next one
+	recutting sync.Mutex // held from a restart before a cut to the end of the cut
+	link      gate       // between it and its agent
 
 	mu          sync.Mutex
 	address     string // empty before the first incarnation
@@ -133,7 +135,7 @@
 	mux.HandleFunc("POST /v1/hold", w.handle(w.hold))
 	mux.HandleFunc("POST /v1/pace", w.handle(w.paceRun))
 	w.listener, w.server = listener, &http.Server{Handler: mux}
-	go w.server.Serve(listener)
+	go w.server.Serve(gatedListener{listener, &w.link})
 	go w.beat(w.ended)
 	go w.work(w.ended)
 	w.note("%s has begun", w.incarnation())
@@ -468,7 +470,8 @@
 
 // beat registers the worker with its agent again and again.
 func (w *worker) beat(ended chan struct{}) {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: w.link.dial}}
+	defer client.CloseIdleConnections()
 	for wait := beatDelay; ; wait = beatInterval {
 		select {
 		case <-ended:
