--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -19,7 +19,8 @@
 	shrunkCapacity = 3000
 	shrinkGrace    = 4500 * time.Millisecond // until starts that exceed a capacity that has shrunk count
 	crashDelay     = 10 * time.Millisecond   // after the start of a task that crashes its worker
-	stopRatio      = 0.9                     // of a run's duration, which is 100 ms to 1 s, is what its stop takes
+	stopRatio      = 0.9                     // of a run's duration is what its stop takes
+	longestStop    = 900 * time.Millisecond
 	beatInterval   = 400 * time.Millisecond
 	beatDelay      = 30 * time.Millisecond // until the first heartbeat: calls for the incarnation before still arrive
 	drainTime      = 2500 * time.Millisecond
@@ -350,7 +351,7 @@
 	if run := w.runs[name]; run != nil && run.number <= c.RunID && !run.stopped {
 		stop := runStopTime
 		if run.model == nil {
-			stop = time.Duration(stopRatio * float64(run.takes))
+			stop = min(time.Duration(stopRatio*float64(run.takes)), longestStop)
 		}
 		run.stopped, run.takes, run.fails = true, time.Since(run.began)+stop, false
 	}
