paddle-soak: a worker and its agent are cut off from the control replicas together

A recut paused the agent to cut it off with its worker, which is a freeze rather than a partition: the agent kept its session. The links before the control replicas now hold back the connections of one agent, which names itself in its first report. Pausing stays as a third way.

--- a/cmd/paddle-soak/proxy.go
+++ b/cmd/paddle-soak/proxy.go
@@ -3,7 +3,9 @@
 import (
 	"io"
 	"net"
+	"regexp"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"amaranthpaddle/fault"
@@ -28,6 +30,7 @@
 	mu    sync.Mutex
 	state linkState
 	open  map[net.Conn]struct{}
+	cut   map[string]bool // agents whose connections are silent in both directions
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -35,7 +38,7 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "proxy")
 	}
-	p := &proxy{address: listener.Addr().String(), target: target, listener: listener, state: healthyLink, open: map[net.Conn]struct{}{}}
+	p := &proxy{address: listener.Addr().String(), target: target, listener: listener, state: healthyLink, open: map[net.Conn]struct{}{}, cut: map[string]bool{}}
 	go p.serve()
 	return p, nil
 }
@@ -64,16 +67,54 @@
 	p.track(caller, callee)
 	defer p.untrack(caller, callee)
 	done := make(chan struct{}, 2)
-	go func() { p.pass(callee, caller, func(s linkState) bool { return s.toward }); done <- struct{}{} }()
-	go func() { p.pass(caller, callee, func(s linkState) bool { return s.back }); done <- struct{}{} }()
+	var agent atomic.Value
+	agent.Store("")
+	seen := 0
+	look := func(data []byte) {
+		if seen < longestIntroduction {
+			if name := agentName.Find(data); name != nil {
+				agent.Store(string(name))
+			}
+		}
+		seen += len(data)
+	}
+	go func() {
+		p.pass(callee, caller, look, func(s linkState) bool { return s.toward && !p.isCut(agent.Load().(string)) })
+		done <- struct{}{}
+	}()
+	go func() {
+		p.pass(caller, callee, func([]byte) {}, func(s linkState) bool { return s.back && !p.isCut(agent.Load().(string)) })
+		done <- struct{}{}
+	}()
 	<-done
 }
 
-// pass copies bytes; while the direction is silenced they are held back.
-func (p *proxy) pass(to, from net.Conn, open func(linkState) bool) {
+// agentName is what an agent's first report contains: no address tells its connections from
+// those of others.
+var agentName = regexp.MustCompile(`agent-[0-9]+`)
+
+// longestIntroduction is the number of bytes among which an agent names itself.
+const longestIntroduction = 4 << 10
+
+// setCut cuts an agent off, or brings it in touch again.
+func (p *proxy) setCut(agent string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[agent] = cut
+}
+
+func (p *proxy) isCut(agent string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut[agent]
+}
+
+// pass copies bytes, after a look at them; while the direction is silenced they are held back.
+func (p *proxy) pass(to, from net.Conn, look func([]byte), open func(linkState) bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		look(buffer[:n])
 		for state := p.now(); ; state = p.now() {
 			if open(state) {
 				time.Sleep(state.delay)
--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -24,18 +24,23 @@
 	shortestCut, longestCut        = 5000, 9000
 )
 
+// Ways to cut a worker off.
+const (
+	cutLink     = iota // between the worker and its agent
+	cutTogether        // the worker and its agent from the control replicas
+	pauseAgent
+)
+
+var waysToCut = []string{"link cut", "agent cut", "agent paused"}
+
 // recutTimes are the times of one restart and the cut after it.
 type recutTimes struct {
 	held, down, after, working, cut, again time.Duration // again is when the worker restarts once more, after it has begun; 0 for never
-	paused                                 bool          // the agent is paused; otherwise the link between it and its worker is cut
+	how                                    int           // one of the ways to cut off
 }
 
 func (t recutTimes) String() string {
-	how := "link"
-	if t.paused {
-		how = "agent"
-	}
-	return fmt.Sprintf("(held %v, down %v, calls after %v, cut of the %s after %v for %v, again after %v)", t.held, t.down, t.after, how, t.working, t.cut, t.again)
+	return fmt.Sprintf("(held %v, down %v, calls after %v, %s after %v for %v, again after %v)", t.held, t.down, t.after, waysToCut[t.how], t.working, t.cut, t.again)
 }
 
 func (r *run) recutTimes() recutTimes {
@@ -44,7 +49,7 @@
 	}
 	t := recutTimes{
 		held: ms(shortestHeld, longestRecutHeld), down: ms(shortestDown, longestDown), after: ms(0, longestRecutCrossing),
-		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), paused: r.recuts.IntN(2) == 0,
+		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), how: r.recuts.IntN(len(waysToCut)),
 	}
 	if r.recuts.IntN(3) == 0 {
 		t.working = ms(0, longestSoon)
@@ -85,18 +90,27 @@
 	}
 	time.Sleep(t.working)
 	r.note("%s is cut off", w.incarnation())
-	agent.noteFault()
-	if t.paused {
-		agent.signal(syscall.SIGSTOP)
-	} else {
-		w.link.shut()
-	}
+	r.cutOff(w, agent, t.how, true)
 	time.Sleep(t.cut)
+	r.cutOff(w, agent, t.how, false)
+	r.note("%s is in touch again", w.id)
+}
+
+// cutOff cuts a worker off in one of the ways, or brings it in touch again.
+func (r *run) cutOff(w *worker, agent *process, how int, cut bool) {
 	agent.noteFault()
-	if t.paused {
+	switch {
+	case how == cutTogether:
+		for _, link := range r.controlLinks {
+			link.setCut(agent.name, cut)
+		}
+	case how == pauseAgent && cut:
+		agent.signal(syscall.SIGSTOP)
+	case how == pauseAgent:
 		agent.signal(syscall.SIGCONT)
-	} else {
+	case cut:
+		w.link.shut()
+	default:
 		w.link.open()
 	}
-	r.note("%s is in touch again", w.id)
 }
