paddle-soak: a recut worker carries held calls out before it answers

Calls that came after a restart were answered at once, so most held calls met a higher fencing token. In a recut the next life now stays silent until the held calls have been carried out, up to 0.3 s longer. Polls that an earlier life took are noted.

--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -18,8 +18,9 @@
 // it has begun again.
 const (
 	longestRecutGap                = 3000
-	shortestHeld, longestRecutHeld = 100, 800
-	longestRecutCrossing           = 400 // after the worker has begun again
+	shortestHeld, longestRecutHeld = 200, 1200
+	longestRecutCrossing           = 300 // after the worker has begun again
+	longestSilence                 = 300 // until the calls to its next life are carried out
 	longestWorking, longestSoon    = 2500, 300
 	shortestCut, longestCut        = 5000, 9000
 )
@@ -35,12 +36,12 @@
 
 // recutTimes are the times of one restart and the cut after it.
 type recutTimes struct {
-	held, down, after, working, cut, again time.Duration // again is when the worker restarts once more, after it has begun; 0 for never
-	how                                    int           // one of the ways to cut off
+	held, down, after, silent, working, cut, again time.Duration // again is when the worker restarts once more, after it has begun; 0 for never
+	how                                            int           // one of the ways to cut off
 }
 
 func (t recutTimes) String() string {
-	return fmt.Sprintf("(held %v, down %v, calls after %v, %s after %v for %v, again after %v)", t.held, t.down, t.after, waysToCut[t.how], t.working, t.cut, t.again)
+	return fmt.Sprintf("(held %v, down %v, calls after %v, silent for %v, %s after %v for %v, again after %v)", t.held, t.down, t.after, t.silent, waysToCut[t.how], t.working, t.cut, t.again)
 }
 
 func (r *run) recutTimes() recutTimes {
@@ -48,7 +49,7 @@
 		return time.Duration(least+r.recuts.IntN(most-least)) * time.Millisecond
 	}
 	t := recutTimes{
-		held: ms(shortestHeld, longestRecutHeld), down: ms(shortestDown, longestDown), after: ms(0, longestRecutCrossing),
+		held: ms(shortestHeld, longestRecutHeld), down: ms(shortestDown, longestDown), after: ms(0, longestRecutCrossing), silent: ms(0, longestSilence),
 		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), how: r.recuts.IntN(len(waysToCut)),
 	}
 	if r.recuts.IntN(3) == 0 {
@@ -81,7 +82,7 @@
 		return // it is being recut
 	}
 	defer w.recutting.Unlock()
-	w.restartUnder(t.held, t.down, t.after)
+	w.restartSilently(t.held, t.down, t.after, t.silent)
 	if t.again > 0 {
 		r.busy.Go(func() {
 			time.Sleep(t.again)
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -180,6 +180,17 @@
 	w.set(func() { w.heldUntil = time.Time{} })
 }
 
+// restartSilently is restartUnder for a worker that takes calls in its next life but carries
+// them out only a silent time after the held ones, so that those find no higher fencing token.
+func (w *worker) restartSilently(held, down, after, silent time.Duration) {
+	w.set(func() { w.heldUntil = time.Now().Add(held + down + after) })
+	time.Sleep(held)
+	w.restart(down, false)
+	w.set(func() { w.heldUntil = time.Now().Add(after + silent) })
+	time.Sleep(after + silent)
+	w.set(func() { w.heldUntil = time.Time{} })
+}
+
 func (w *worker) set(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -376,6 +387,9 @@
 		return 409, w.clock("fence")
 	}
 	w.fence = c.Fence
+	if c.born != w.born {
+		w.note("%s is polled with the deadline %d and the token %d, taken by %d", w.incarnation(), c.DeadlineMS, c.Fence, c.born)
+	}
 	w.renew(c.DeadlineMS)
 	w.record(c)
 	changed, ended, waiting := w.changed, w.ended, w.recorded == int64(len(w.ends))
