paddle-soak: deadlines and tokens of all calls count at the stand-in

A start of a run that is already there did not renew the lease, and a pace neither raised the fencing token nor was refused for a lower one, unlike the protocol.

--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -295,10 +295,10 @@
 		return "fence"
 	}
 	w.fence = c.Fence
+	w.renew(c.DeadlineMS)
 	if run := w.runs[name]; run != nil && run.number == c.RunID {
 		return ""
 	}
-	w.renew(c.DeadlineMS)
 	switch {
 	case c.RunID <= w.gone[name] || w.runs[name] != nil:
 		return "old"
@@ -373,7 +373,12 @@
 // paceRun sets the pace of a run of the mixed load.
 func (w *worker) paceRun(c *call) (int, any) {
 	w.mu.Lock()
-	if run := w.runs[parseTaskName(c.Task)]; run != nil && run.number == c.RunID && run.model != nil && c.Fence >= w.fence {
+	if w.closedByRun || c.Fence < w.fence {
+		w.mu.Unlock()
+		return 409, w.clock("fence")
+	}
+	w.fence = c.Fence
+	if run := w.runs[parseTaskName(c.Task)]; run != nil && run.number == c.RunID && run.model != nil {
 		run.model.pace = c.Percent
 	}
 	w.mu.Unlock()
