--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -19,7 +19,7 @@
 const (
 	longestRecutGap                = 3000
 	shortestHeld, longestRecutHeld = 200, 1200
-	longestRecutCrossing           = 300 // after the worker has begun again
+	longestRecutCrossing           = 400 // after the worker has begun again
 	longestSilence                 = 300 // until the calls to its next life are carried out
 	longestWorking, longestSoon    = 2500, 300
 	shortestCut, longestCut        = 5000, 9000
@@ -55,7 +55,7 @@
 	if r.recuts.IntN(3) == 0 {
 		t.working = ms(0, longestSoon)
 	}
-	if r.recuts.IntN(4) == 0 {
+	if r.recuts.IntN(3) == 0 {
 		t.again = ms(0, int((t.working + t.cut).Milliseconds()))
 	}
 	return t
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -213,16 +213,16 @@
 	born int64 // of the incarnation that took it
 }
 
-// handle decodes calls. A mute worker answers nothing; a late one carries the
+// handle decodes calls that the present incarnation takes. A mute worker answers nothing; a late one carries the
 // call out some seconds later and answers nothing either. The incarnation of that
-// moment carries it out: Expect-Instance names the id, which all of them share.
+// moment carries it out: Expect-Instance names the id, which all of them share. The lock is held.
 func (w *worker) handle(f func(*call) (int, any)) http.HandlerFunc {
+	born := w.born
 	return func(out http.ResponseWriter, r *http.Request) {
-		c := &call{}
+		c := &call{born: born}
 		err := json.NewDecoder(r.Body).Decode(c)
 		w.mu.Lock()
 		mute, late := w.mute, max(w.late, time.Until(w.heldUntil))
-		c.born = w.born
 		expected := r.Header.Get("Expect-Instance")
 		w.mu.Unlock()
 		switch {
