--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -86,7 +86,10 @@
 		schedules.Go(func() { r.disturb(d, orderKinds, longestOrderGap, r.orders) })
 	}
 	if faults == recutFaults {
-		schedules.Go(func() { r.disturb(d, recutKinds, longestRecutGap, r.recuts) })
+		schedules.Go(func() { r.disturb(d, recutKinds(cutLink, cutTogether), longestRecutGap, r.recuts) })
+	}
+	if faults == repauseFaults {
+		schedules.Go(func() { r.disturb(d, recutKinds(pauseAgent), longestRecutGap, r.recuts) })
 	}
 	schedules.Wait()
 }
--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -8,10 +8,12 @@
 )
 
 // recutKinds are the faults in which workers restart under held calls and are cut off soon
-// after. They are played alone.
-var recutKinds = []kind{
-	{"recut a worker", 3, func(r *run, _ time.Duration) (string, func()) { return r.recut(1) }},
-	{"recut half of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers) / 2) }},
+// after, in one of some ways. They are played alone.
+func recutKinds(ways ...int) []kind {
+	return []kind{
+		{"recut a worker", 3, func(r *run, _ time.Duration) (string, func()) { return r.recut(1, ways) }},
+		{"recut half of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers)/2, ways) }},
+	}
 }
 
 // Times of recuts, in ms. In a third of them the worker is cut off within longestSoon after
@@ -44,13 +46,13 @@
 	return fmt.Sprintf("(held %v, down %v, calls after %v, silent for %v, %s after %v for %v, again after %v)", t.held, t.down, t.after, t.silent, waysToCut[t.how], t.working, t.cut, t.again)
 }
 
-func (r *run) recutTimes() recutTimes {
+func (r *run) recutTimes(ways []int) recutTimes {
 	ms := func(least, most int) time.Duration {
 		return time.Duration(least+r.recuts.IntN(most-least)) * time.Millisecond
 	}
 	t := recutTimes{
 		held: ms(shortestHeld, longestRecutHeld), down: ms(shortestDown, longestDown), after: ms(0, longestRecutCrossing), silent: ms(0, longestSilence),
-		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), how: r.recuts.IntN(len(waysToCut)),
+		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), how: ways[r.recuts.IntN(len(ways))],
 	}
 	if r.recuts.IntN(3) == 0 {
 		t.working = ms(0, longestSoon)
@@ -62,11 +64,11 @@
 }
 
 // recut restarts some workers under held calls, and cuts each of them off soon after.
-func (r *run) recut(count int) (string, func()) {
+func (r *run) recut(count int, ways []int) (string, func()) {
 	var names []string
 	var each []func()
 	for _, i := range r.recuts.Perm(len(r.workers))[:count] {
-		times := r.recutTimes()
+		times := r.recutTimes(ways)
 		names = append(names, fmt.Sprintf("%s %v", r.workers[i].id, times))
 		each = append(each, func() { r.recutWorker(r.workers[i], r.agents[i], times) })
 	}
