paddle-soak: a cut holds calls where a restart does not lose them

An HTTP server that was closed drops requests that it has not read, so calls that a cut held were lost when the worker restarted before its end. Nine workers leave the leader room for what it places elsewhere.

--- a/cmd/paddle-soak/gate.go
+++ b/cmd/paddle-soak/gate.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"os"
 	"sync"
+	"time"
 )
 
-// gate is the network link of a worker. While it is shut, bytes of both directions are
-// held back, and so is the news that a connection was closed.
+// gate is the network link of a worker. While it is shut, what the worker sends is held
+// back, and so is the news that it has closed a connection. Calls to it wait in handle: a
+// server that is closed drops requests that it has not read.
 type gate struct {
 	mu     sync.Mutex
 	opened chan struct{} // closed when the gate opens; nil while it is open
@@ -32,6 +32,12 @@
 	}
 }
 
+func (g *gate) isShut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.opened != nil
+}
+
 // wait waits until the gate is open.
 func (g *gate) wait() {
 	g.mu.Lock()
@@ -70,23 +76,22 @@
 	gate *gate
 }
 
-func (c gatedConnection) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	if !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
-		c.gate.wait() // the HTTP server ends a pending read by its deadline
-	}
-	return n, err
-}
-
 func (c gatedConnection) Write(data []byte) (int, error) {
 	c.gate.wait()
 	return c.Conn.Write(data)
 }
 
-// Close closes the connection once the gate is open.
+// closeDelay leaves the time to send what was held back.
+const closeDelay = 50 * time.Millisecond
+
+// Close closes the connection, while the gate is shut not before it opens.
 func (c gatedConnection) Close() error {
+	if !c.gate.isShut() {
+		return c.Conn.Close()
+	}
 	go func() {
 		c.gate.wait()
+		time.Sleep(closeDelay)
 		c.Conn.Close()
 	}()
 	return nil
--- a/cmd/paddle-soak/long.go
+++ b/cmd/paddle-soak/long.go
@@ -14,7 +14,7 @@
 const longPayload = "long"
 
 const (
-	longWorkers               = 6
+	longWorkers               = 9
 	shortestTask, longestTask = 8 * time.Second, 15 * time.Second // of a long job
 	longJobPause              = 1800                              // ms, the longest one between a caller's jobs
 )
--- a/cmd/paddle-soak/main.go
+++ b/cmd/paddle-soak/main.go
@@ -25,7 +25,7 @@
 	flaggy.UInt64(&seed, "s", "seed", "fixes the schedule of faults and the jobs")
 	flaggy.Duration(&disturbed, "d", "duration", "time with faults, before the programs are left alone and must finish")
 	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers), orders (of operators), recut (restarts of workers that are cut off soon after), repause (the same with paused agents) or none")
-	flaggy.String(&load, "l", "load", "jobs: wide (many for three workers), long (a third has tasks of 8 to 15 s, for six) or mixed (services, short tasks and best-effort work for eleven)")
+	flaggy.String(&load, "l", "load", "jobs: wide (many for three workers), long (a third has tasks of 8 to 15 s, for nine) or mixed (services, short tasks and best-effort work for eleven)")
 	flaggy.String(&folder, "f", "folder", "keeps logs and data in this folder, which must not exist")
 	flaggy.String(&programs, "p", "programs", "folder of the built programs; they are built when empty")
 	flaggy.Parse()
--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -12,7 +12,7 @@
 func recutKinds(ways ...int) []kind {
 	return []kind{
 		{"recut a worker", 3, func(r *run, _ time.Duration) (string, func()) { return r.recut(1, ways) }},
-		{"recut half of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers)/2, ways) }},
+		{"recut a third of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers)/3, ways) }},
 	}
 }
 
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -221,6 +221,8 @@
 	return func(out http.ResponseWriter, r *http.Request) {
 		c := &call{born: born}
 		err := json.NewDecoder(r.Body).Decode(c)
+		c.late = w.link.isShut()
+		w.link.wait()
 		w.mu.Lock()
 		mute, late := w.mute, max(w.late, time.Until(w.heldUntil))
 		expected := r.Header.Get("Expect-Instance")
