--- a/cmd/paddle-soak/long.go
+++ b/cmd/paddle-soak/long.go
@@ -40,10 +40,11 @@
 func (c *caller) submitLong() {
 	id := fmt.Sprintf("%016x", c.random.Uint64())
 	spec, estimate := "work of "+id, 500
+	group := groupView{count: 1 + c.random.IntN(4), milliCPU: int64(500 + 500*c.random.IntN(2))}
 	if c.random.IntN(3) == 0 {
 		spec, estimate = longPayload+" "+id, int((shortestTask+longestTask).Milliseconds()/2)
+		group = groupView{count: 2 + c.random.IntN(5), milliCPU: 500}
 	}
-	group := groupView{count: 1 + c.random.IntN(4), milliCPU: int64(500 + 500*c.random.IntN(2))}
 	body, err := json.Marshal(map[string]any{"spec": spec, "steps": []map[string]any{
 		{"count": group.count, "cpu": group.milliCPU, "mem_mb": 100, "estimated_ms": estimate},
 	}})
--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -16,14 +16,14 @@
 	}
 }
 
-// Times of recuts, in ms. In a third of them the worker is cut off within longestSoon after
+// Times of recuts, in ms. In half of them the worker is cut off within longestSoon after
 // it has begun again.
 const (
 	longestRecutGap                = 3000
 	shortestHeld, longestRecutHeld = 200, 1200
 	longestRecutCrossing           = 400 // after the worker has begun again
 	longestSilence                 = 300 // until the calls to its next life are carried out
-	longestWorking, longestSoon    = 2500, 300
+	longestWorking, longestSoon    = 2500, 800
 	shortestCut, longestCut        = 5000, 9000
 )
 
@@ -54,7 +54,7 @@
 		held: ms(shortestHeld, longestRecutHeld), down: ms(shortestDown, longestDown), after: ms(0, longestRecutCrossing), silent: ms(0, longestSilence),
 		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), how: ways[r.recuts.IntN(len(ways))],
 	}
-	if r.recuts.IntN(3) == 0 {
+	if r.recuts.IntN(2) == 0 {
 		t.working = ms(0, longestSoon)
 	}
 	if r.recuts.IntN(3) == 0 {
