paddle-soak: schedules that single out each way in which a recut breaks a promise

recut-soon cuts a worker off with its agent within 0.6 s, recut-again restarts it once more during a cut of its link, repause pauses the agent.

--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -85,11 +85,8 @@
 	if faults == orderFaults {
 		schedules.Go(func() { r.disturb(d, orderKinds, longestOrderGap, r.orders) })
 	}
-	if faults == recutFaults {
-		schedules.Go(func() { r.disturb(d, recutKinds(cutLink, cutTogether), longestRecutGap, r.recuts) })
-	}
-	if faults == repauseFaults {
-		schedules.Go(func() { r.disturb(d, recutKinds(pauseAgent), longestRecutGap, r.recuts) })
+	if bounds, chosen := recutSchedules[faults]; chosen {
+		schedules.Go(func() { r.disturb(d, bounds.kinds(), longestRecutGap, r.recuts) })
 	}
 	schedules.Wait()
 }
--- a/cmd/paddle-soak/main.go
+++ b/cmd/paddle-soak/main.go
@@ -24,7 +24,7 @@
 	flaggy.SetDescription("disturbs the programs of submitted jobs and checks their promises")
 	flaggy.UInt64(&seed, "s", "seed", "fixes the schedule of faults and the jobs")
 	flaggy.Duration(&disturbed, "d", "duration", "time with faults, before the programs are left alone and must finish")
-	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers), orders (of operators), recut (restarts of workers that are cut off soon after), repause (the same with paused agents) or none")
+	flaggy.String(&faults, "k", "faults", "schedules of faults: all (general and restarts), general, restarts (of workers), orders (of operators), recut (restarts of workers that are cut off soon after), recut-soon (with their agents, sooner), recut-again (and restart once more), repause (with paused agents) or none")
 	flaggy.String(&load, "l", "load", "jobs: wide (many for three workers), long (a third has tasks of 8 to 15 s, for nine) or mixed (services, short tasks and best-effort work for eleven)")
 	flaggy.String(&folder, "f", "folder", "keeps logs and data in this folder, which must not exist")
 	flaggy.String(&programs, "p", "programs", "folder of the built programs; they are built when empty")
@@ -47,7 +47,10 @@
 	orderFaults   = "orders"
 	recutFaults   = "recut"
 	repauseFaults = "repause"
-	noFaults      = "none"
+
+	recutSoonFaults  = "recut-soon"
+	recutAgainFaults = "recut-again"
+	noFaults         = "none"
 )
 
 // Loads of jobs.
@@ -59,7 +62,8 @@
 
 // soak runs one seed and prints its outcome.
 func soak(seed uint64, disturbed time.Duration, faults, load, folder, programs string) ([]string, error) {
-	if !slices.Contains([]string{allFaults, generalFaults, restartFaults, orderFaults, recutFaults, repauseFaults, noFaults}, faults) {
+	_, recuts := recutSchedules[faults]
+	if !recuts && !slices.Contains([]string{allFaults, generalFaults, restartFaults, orderFaults, noFaults}, faults) {
 		return nil, fault.Newf(fault.InvalidArgument, "unknown schedules of faults %q", faults)
 	}
 	if !slices.Contains([]string{wideLoad, longLoad, mixedLoad}, load) {
--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -7,26 +7,6 @@
 	"time"
 )
 
-// recutKinds are the faults in which workers restart under held calls and are cut off soon
-// after, in one of some ways. They are played alone.
-func recutKinds(ways ...int) []kind {
-	return []kind{
-		{"recut a worker", 3, func(r *run, _ time.Duration) (string, func()) { return r.recut(1, ways) }},
-		{"recut a third of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers)/3, ways) }},
-	}
-}
-
-// Times of recuts, in ms. In half of them the worker is cut off within longestSoon after
-// it has begun again.
-const (
-	longestRecutGap                = 3000
-	shortestHeld, longestRecutHeld = 200, 1200
-	longestRecutCrossing           = 400 // after the worker has begun again
-	longestSilence                 = 300 // until the calls to its next life are carried out
-	longestWorking, longestSoon    = 2500, 800
-	shortestCut, longestCut        = 5000, 9000
-)
-
 // Ways to cut a worker off.
 const (
 	cutLink     = iota // between the worker and its agent
@@ -36,6 +16,54 @@
 
 var waysToCut = []string{"link cut", "agent cut", "agent paused"}
 
+// span is a range of times in ms.
+type span struct{ least, most int }
+
+// recutBounds are the bounds of a schedule in which workers restart under held calls and are
+// cut off soon after.
+type recutBounds struct {
+	ways    []int // to cut off
+	held    span  // calls, before the crash
+	after   span  // the next start, the held calls are carried out
+	silent  span  // from then on, until those that came since are carried out
+	working span  // until the cut
+	soon    span  // the same, in half of the cases
+	again   int   // one of this many restarts once more before the end of the cut; 0 for none
+}
+
+// cutTime is for how long a worker is cut off, longer than most leases last.
+var cutTime = span{5000, 9000}
+
+const longestRecutGap = 3000
+
+// recutSchedules are played alone.
+var recutSchedules = map[string]recutBounds{
+	recutFaults: {
+		ways: []int{cutLink, cutTogether}, held: span{200, 1200}, after: span{0, 400}, silent: span{0, 300},
+		working: span{0, 2500}, soon: span{0, 800}, again: 3,
+	},
+	recutSoonFaults: {
+		ways: []int{cutTogether}, held: span{500, 1000}, after: span{0, 100}, silent: span{50, 150},
+		working: span{100, 600}, soon: span{100, 600},
+	},
+	recutAgainFaults: {
+		ways: []int{cutLink}, held: span{200, 400}, after: span{0, 100}, silent: span{0, 100},
+		working: span{100, 1000}, soon: span{100, 600}, again: 1,
+	},
+	repauseFaults: {
+		ways: []int{pauseAgent}, held: span{200, 1200}, after: span{0, 400}, silent: span{0, 300},
+		working: span{0, 2500}, soon: span{0, 800}, again: 3,
+	},
+}
+
+// kinds returns the kinds of faults of the schedule.
+func (b recutBounds) kinds() []kind {
+	return []kind{
+		{"recut a worker", 3, func(r *run, _ time.Duration) (string, func()) { return r.recut(1, b) }},
+		{"recut a third of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers)/3, b) }},
+	}
+}
+
 // recutTimes are the times of one restart and the cut after it.
 type recutTimes struct {
 	held, down, after, silent, working, cut, again time.Duration // again is when the worker restarts once more, after it has begun; 0 for never
@@ -46,29 +74,29 @@
 	return fmt.Sprintf("(held %v, down %v, calls after %v, silent for %v, %s after %v for %v, again after %v)", t.held, t.down, t.after, t.silent, waysToCut[t.how], t.working, t.cut, t.again)
 }
 
-func (r *run) recutTimes(ways []int) recutTimes {
-	ms := func(least, most int) time.Duration {
-		return time.Duration(least+r.recuts.IntN(most-least)) * time.Millisecond
+func (r *run) recutTimes(b recutBounds) recutTimes {
+	within := func(s span) time.Duration {
+		return time.Duration(s.least+r.recuts.IntN(s.most-s.least)) * time.Millisecond
 	}
 	t := recutTimes{
-		held: ms(shortestHeld, longestRecutHeld), down: ms(shortestDown, longestDown), after: ms(0, longestRecutCrossing), silent: ms(0, longestSilence),
-		working: ms(0, longestWorking), cut: ms(shortestCut, longestCut), how: ways[r.recuts.IntN(len(ways))],
+		held: within(b.held), down: within(span{shortestDown, longestDown}), after: within(b.after), silent: within(b.silent),
+		working: within(b.working), cut: within(cutTime), how: b.ways[r.recuts.IntN(len(b.ways))],
 	}
 	if r.recuts.IntN(2) == 0 {
-		t.working = ms(0, longestSoon)
+		t.working = within(b.soon)
 	}
-	if r.recuts.IntN(3) == 0 {
-		t.again = ms(0, int((t.working + t.cut).Milliseconds()))
+	if b.again > 0 && r.recuts.IntN(b.again) == 0 {
+		t.again = within(span{0, int((t.working + t.cut).Milliseconds())})
 	}
 	return t
 }
 
 // recut restarts some workers under held calls, and cuts each of them off soon after.
-func (r *run) recut(count int, ways []int) (string, func()) {
+func (r *run) recut(count int, b recutBounds) (string, func()) {
 	var names []string
 	var each []func()
 	for _, i := range r.recuts.Perm(len(r.workers))[:count] {
-		times := r.recutTimes(ways)
+		times := r.recutTimes(b)
 		names = append(names, fmt.Sprintf("%s %v", r.workers[i].id, times))
 		each = append(each, func() { r.recutWorker(r.workers[i], r.agents[i], times) })
 	}
--- a/cmd/paddle-soak/soak_test.go
+++ b/cmd/paddle-soak/soak_test.go
@@ -136,7 +136,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	violations, err := soak(seed, 10*time.Second, faults, longLoad, "", "")
+	violations, err := soak(seed, 12*time.Second, faults, longLoad, "", "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -146,13 +146,19 @@
 }
 
 // Guards against runs that are placed elsewhere while their worker, which is cut off soon
-// after a restart, works on under the lease of its former life (issue 53).
-func TestWorkersThatAreCutOffAfterARestartCauseNoSecondRun(t *testing.T) {
-	checkLongSoak(t, 501, recutFaults)
+// after a restart, works on under a lease that was sent to its former life (issue 53).
+func TestALeaseOfAFormerLifeCausesNoSecondRun(t *testing.T) {
+	checkLongSoak(t, 801, recutSoonFaults)
+}
+
+// Guards against a start that a cut holds until its worker has restarted and the lease of
+// the life that it was sent to is over: the task has been placed elsewhere (issue 53).
+func TestAStartThatOutlivesTheLeaseCausesNoSecondRun(t *testing.T) {
+	checkLongSoak(t, 801, recutAgainFaults)
 }
 
 // Guards against a paused agent that carries out starts under a new lease, after the leader
 // has placed the tasks elsewhere (issue 53).
-func TestPausedAgentsCauseNoSecondRun(t *testing.T) {
-	checkLongSoak(t, 501, repauseFaults)
+func TestStartsThatReachAPausedAgentCauseNoSecondRun(t *testing.T) {
+	checkLongSoak(t, 504, repauseFaults)
 }
