--- a/cmd/paddle-soak/faults.go
+++ b/cmd/paddle-soak/faults.go
@@ -85,6 +85,9 @@
 	if faults == orderFaults {
 		schedules.Go(func() { r.disturb(d, orderKinds, longestOrderGap, r.orders) })
 	}
+	if bounds, chosen := recutSchedules[faults]; chosen {
+		schedules.Go(func() { r.disturb(d, bounds.kinds(), longestRecutGap, r.recuts) })
+	}
 	schedules.Wait()
 }
 
--- a/cmd/paddle-soak/worker.go
+++ b/cmd/paddle-soak/worker.go
@@ -19,7 +19,8 @@
 	shrunkCapacity = 3000
 	shrinkGrace    = 4500 * time.Millisecond // until starts that exceed a capacity that has shrunk count
 	crashDelay     = 10 * time.Millisecond   // after the start of a task that crashes its worker
-	stopRatio      = 0.9                     // of a run's duration, which is 100 ms to 1 s, is what its stop takes
+	stopRatio      = 0.9                     // of a run's duration is what its stop takes
+	longestStop    = 900 * time.Millisecond
 	beatInterval   = 400 * time.Millisecond
 	beatDelay      = 30 * time.Millisecond // until the first heartbeat: calls for the incarnation before still arrive
 	drainTime      = 2500 * time.Millisecond
@@ -44,7 +45,9 @@
 	epoch              time.Time // start of the soak
 	noise              float64   // of the tail latencies of services; see latencyNoises
 
-	lives sync.Mutex // held from the end of an incarnation to the next one
+	lives     sync.Mutex // held from the end of an incarnation to the next one
+	recutting sync.Mutex // held from a restart before a cut to the end of the cut
+	link      gate       // between it and its agent
 
 	mu          sync.Mutex
 	address     string // empty before the first incarnation
@@ -133,7 +136,7 @@
 	mux.HandleFunc("POST /v1/hold", w.handle(w.hold))
 	mux.HandleFunc("POST /v1/pace", w.handle(w.paceRun))
 	w.listener, w.server = listener, &http.Server{Handler: mux}
-	go w.server.Serve(listener)
+	go w.server.Serve(gatedListener{listener, &w.link})
 	go w.beat(w.ended)
 	go w.work(w.ended)
 	w.note("%s has begun", w.incarnation())
@@ -177,6 +180,17 @@
 	w.set(func() { w.heldUntil = time.Time{} })
 }
 
+// restartSilently is restartUnder for a worker that takes calls in its next life but carries
+// them out only a silent time after the held ones, so that those find no higher fencing token.
+func (w *worker) restartSilently(held, down, after, silent time.Duration) {
+	w.set(func() { w.heldUntil = time.Now().Add(held + down + after) })
+	time.Sleep(held)
+	w.restart(down, false)
+	w.set(func() { w.heldUntil = time.Now().Add(after + silent) })
+	time.Sleep(after + silent)
+	w.set(func() { w.heldUntil = time.Time{} })
+}
+
 func (w *worker) set(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -199,16 +213,18 @@
 	born int64 // of the incarnation that took it
 }
 
-// handle decodes calls. A mute worker answers nothing; a late one carries the
+// handle decodes calls that the present incarnation takes. A mute worker answers nothing; a late one carries the
 // call out some seconds later and answers nothing either. The incarnation of that
-// moment carries it out: Expect-Instance names the id, which all of them share.
+// moment carries it out: Expect-Instance names the id, which all of them share. The lock is held.
 func (w *worker) handle(f func(*call) (int, any)) http.HandlerFunc {
+	born := w.born
 	return func(out http.ResponseWriter, r *http.Request) {
-		c := &call{}
+		c := &call{born: born}
 		err := json.NewDecoder(r.Body).Decode(c)
+		c.late = w.link.isShut()
+		w.link.wait()
 		w.mu.Lock()
 		mute, late := w.mute, max(w.late, time.Until(w.heldUntil))
-		c.born = w.born
 		expected := r.Header.Get("Expect-Instance")
 		w.mu.Unlock()
 		switch {
@@ -281,10 +297,10 @@
 		return "fence"
 	}
 	w.fence = c.Fence
+	w.renew(c.DeadlineMS)
 	if run := w.runs[name]; run != nil && run.number == c.RunID {
 		return ""
 	}
-	w.renew(c.DeadlineMS)
 	switch {
 	case c.RunID <= w.gone[name] || w.runs[name] != nil:
 		return "old"
@@ -348,7 +364,7 @@
 	if run := w.runs[name]; run != nil && run.number <= c.RunID && !run.stopped {
 		stop := runStopTime
 		if run.model == nil {
-			stop = time.Duration(stopRatio * float64(run.takes))
+			stop = min(time.Duration(stopRatio*float64(run.takes)), longestStop)
 		}
 		run.stopped, run.takes, run.fails = true, time.Since(run.began)+stop, false
 	}
@@ -359,7 +375,12 @@
 // paceRun sets the pace of a run of the mixed load.
 func (w *worker) paceRun(c *call) (int, any) {
 	w.mu.Lock()
-	if run := w.runs[parseTaskName(c.Task)]; run != nil && run.number == c.RunID && run.model != nil && c.Fence >= w.fence {
+	if w.closedByRun || c.Fence < w.fence {
+		w.mu.Unlock()
+		return 409, w.clock("fence")
+	}
+	w.fence = c.Fence
+	if run := w.runs[parseTaskName(c.Task)]; run != nil && run.number == c.RunID && run.model != nil {
 		run.model.pace = c.Percent
 	}
 	w.mu.Unlock()
@@ -373,6 +394,9 @@
 		return 409, w.clock("fence")
 	}
 	w.fence = c.Fence
+	if c.born != w.born {
+		w.note("%s is polled with the deadline %d and the token %d, taken by %d", w.incarnation(), c.DeadlineMS, c.Fence, c.born)
+	}
 	w.renew(c.DeadlineMS)
 	w.record(c)
 	changed, ended, waiting := w.changed, w.ended, w.recorded == int64(len(w.ends))
@@ -468,7 +492,8 @@
 
 // beat registers the worker with its agent again and again.
 func (w *worker) beat(ended chan struct{}) {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: w.link.dial}}
+	defer client.CloseIdleConnections()
 	for wait := beatDelay; ; wait = beatInterval {
 		select {
 		case <-ended:
