paddle-soak: the tests build the programs once

Each of the tests that start processes built the three programs for itself, and those of long tasks took 44 to 50 s one after the other, so that the package came near the 10 minutes that go test allows. All tests share one build now, and the three runs of long tasks are played beside each other.

--- a/cmd/paddle-soak/crowd_test.go
+++ b/cmd/paddle-soak/crowd_test.go
@@ -55,12 +55,12 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	folder := t.TempDir()
-	programs := filepath.Join(folder, "bin")
-	if err := build(programs); err != nil {
+	built, err := programs()
+	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := newRun(1, wideLoad, folder, programs)
+	folder := t.TempDir()
+	r, err := newRun(1, wideLoad, folder, built)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/paddle-soak/soak_test.go
+++ b/cmd/paddle-soak/soak_test.go
@@ -18,7 +18,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	violations, err := soak(7, 5*time.Second, generalFaults, wideLoad, t.TempDir(), "")
+	violations, err := playSeed(7, 5*time.Second, generalFaults, wideLoad, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,7 +42,7 @@
 
 // restartSoak is a short run in which workers only restart, which its tests share.
 var restartSoak = sync.OnceValues(func() ([]string, error) {
-	return soak(1302, 5*time.Second, restartFaults, wideLoad, "", "")
+	return playSeed(1302, 5*time.Second, restartFaults, wideLoad, "")
 })
 
 // checkRestartSoak fails for the violations of the promises that are chosen.
@@ -86,7 +86,7 @@
 		return []string{err.Error()}, 0
 	}
 	defer os.RemoveAll(folder)
-	if violations, err = soak(11, 10*time.Second, noFaults, mixedLoad, folder, ""); err != nil {
+	if violations, err = playSeed(11, 10*time.Second, noFaults, mixedLoad, folder); err != nil {
 		return []string{err.Error()}, 0
 	}
 	for i := range controls {
@@ -132,11 +132,13 @@
 }
 
 // checkLongSoak fails for each violation in a short run of long tasks with a schedule of faults.
+// Such runs wait most of the time, so they are played beside each other.
 func checkLongSoak(t *testing.T, seed uint64, faults string) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	violations, err := soak(seed, 12*time.Second, faults, longLoad, "", "")
+	t.Parallel()
+	violations, err := playSeed(seed, 12*time.Second, faults, longLoad, "")
 	if err != nil {
 		t.Fatal(err)
 	}
