--- a/cmd/paddle-soak/long.go
+++ b/cmd/paddle-soak/long.go
@@ -16,7 +16,7 @@
 const (
 	longWorkers               = 9
 	shortestTask, longestTask = 8 * time.Second, 15 * time.Second // of a long job
-	longJobPause              = 1800                              // ms, the longest one between a caller's jobs
+	longJobPause              = 1200                              // ms, the longest one between a caller's jobs
 )
 
 // longTask returns how long a run of a long job's task takes, by a number from 0 to 1.
--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -29,6 +29,7 @@
 	working span  // until the cut
 	soon    span  // the same, in half of the cases
 	again   int   // one of this many restarts once more before the end of the cut; 0 for none
+	several int   // of four faults, those that hit a third of the workers at once
 }
 
 // cutTime is for how long a worker is cut off, longer than most leases last.
@@ -40,7 +41,7 @@
 var recutSchedules = map[string]recutBounds{
 	recutFaults: {
 		ways: []int{cutLink, cutTogether}, held: span{200, 1200}, after: span{0, 400}, silent: span{0, 300},
-		working: span{0, 2500}, soon: span{0, 800}, again: 3,
+		working: span{0, 2500}, soon: span{0, 800}, again: 3, several: 1,
 	},
 	recutSoonFaults: {
 		ways: []int{cutTogether}, held: span{500, 1000}, after: span{0, 100}, silent: span{50, 150},
@@ -52,15 +53,15 @@
 	},
 	repauseFaults: {
 		ways: []int{pauseAgent}, held: span{200, 1200}, after: span{0, 400}, silent: span{0, 300},
-		working: span{0, 2500}, soon: span{0, 800}, again: 3,
+		working: span{0, 2500}, soon: span{0, 800}, again: 3, several: 1,
 	},
 }
 
 // kinds returns the kinds of faults of the schedule.
 func (b recutBounds) kinds() []kind {
 	return []kind{
-		{"recut a worker", 3, func(r *run, _ time.Duration) (string, func()) { return r.recut(1, b) }},
-		{"recut a third of the workers", 1, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers)/3, b) }},
+		{"recut a worker", 4 - b.several, func(r *run, _ time.Duration) (string, func()) { return r.recut(1, b) }},
+		{"recut a third of the workers", b.several, func(r *run, _ time.Duration) (string, func()) { return r.recut(len(r.workers)/3, b) }},
 	}
 }
 
