--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -45,7 +45,7 @@
 	},
 	recutSoonFaults: {
 		ways: []int{cutTogether}, held: span{500, 1000}, after: span{0, 100}, silent: span{50, 150},
-		working: span{100, 600}, soon: span{100, 600},
+		working: span{400, 1200}, soon: span{400, 1200},
 	},
 	recutAgainFaults: {
 		ways: []int{cutLink}, held: span{200, 400}, after: span{0, 100}, silent: span{0, 100},
