--- a/cmd/paddle-soak/recut.go
+++ b/cmd/paddle-soak/recut.go
@@ -52,8 +52,8 @@
 		working: span{100, 1000}, soon: span{100, 600}, again: 1,
 	},
 	repauseFaults: {
-		ways: []int{pauseAgent}, held: span{200, 1200}, after: span{0, 400}, silent: span{0, 300},
-		working: span{0, 2500}, soon: span{0, 800}, again: 3, several: 1,
+		ways: []int{pauseAgent}, held: span{0, 1}, after: span{0, 1}, silent: span{0, 1}, // no lease of a former life
+		working: span{400, 2500}, soon: span{400, 800}, several: 1,
 	},
 }
 
