paddle-soak: no address is drawn twice in a process

A deployment draws its addresses, gives them back, and draws more for the listeners of metrics and links; tests that run beside each other do the same. A port that one process is about to use can be drawn again, and the other process ends at its start.

An address is returned once in the life of a process now.

--- a/cmd/paddle-soak/process.go
+++ b/cmd/paddle-soak/process.go
@@ -123,8 +123,20 @@
 
 // listenAnywhere listens on a free port of loopback. The IP is one of this process alone:
 // on 127.0.0.1 an outgoing connection may take the port while nothing listens there.
+// No address is returned twice: others may be about to use it.
 func listenAnywhere() (net.Listener, error) {
 	id := os.Getpid()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+id>>14&63, id>>7&127, 1+id&127))
-	return listener, fault.Wrap(fault.Internal, err, "find a port")
+	for {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+id>>14&63, id>>7&127, 1+id&127))
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, err, "find a port")
+		}
+		if _, again := drawn.LoadOrStore(listener.Addr().String(), true); !again {
+			return listener, nil
+		}
+		listener.Close()
+	}
 }
+
+// drawn holds the addresses that listenAnywhere has returned.
+var drawn sync.Map
--- a/cmd/paddle-soak/run.go
+++ b/cmd/paddle-soak/run.go
@@ -80,8 +80,8 @@
 	return r, nil
 }
 
-// addresses returns distinct loopback addresses that nothing listens on. All of them are
-// held until the last one is known: a port that is given back may be drawn again.
+// addresses returns distinct loopback addresses that nothing listens on, and that nothing
+// else of this process is given.
 func addresses(n int) ([]string, error) {
 	var list []string
 	for range n {
--- a/cmd/paddle-soak/soak_test.go
+++ b/cmd/paddle-soak/soak_test.go
@@ -158,3 +158,20 @@
 func TestStartsThatReachAPausedAgentCauseNoSecondRun(t *testing.T) {
 	checkLongSoak(t, 502, repauseFaults)
 }
+
+// Guards against a deployment that does not start, as one of its processes is given a port
+// that was drawn for another one before and is not used yet.
+func TestAddressesAreNotDrawnAgain(t *testing.T) {
+	var list []string
+	for range 4 {
+		more, err := addresses(500)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, more...)
+	}
+	slices.Sort(list)
+	if n := len(slices.Compact(list)); n != 2000 {
+		t.Errorf("%d distinct addresses of 2000", n)
+	}
+}
