--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -385,7 +385,15 @@
 	}
 }
 
+// stop ends the minion's loops and its listener, unless it is down.
 func (m *minion) stop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.quit:
+		return
+	default:
+	}
 	close(m.quit)
 	m.server.Close()
 }
