--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -45,99 +45,13 @@
 	began   time.Time
 	takes   time.Duration // 0: lasts
 	stopped time.Time
-	gang    *gangRun      // nil for a task that works by itself
-	done    time.Duration // of its work before this run, from the checkpoint
-	saves   bool
-}
-
-// worked returns how much of its work a run has done. That of a gang begins when all members are present.
-func (r *taskRun) worked() time.Duration {
-	from := r.began
-	if r.gang != nil {
-		if from = r.gang.complete(); from.IsZero() {
-			return r.done
-		}
-	}
-	if r.done > 0 {
-		from = from.Add(restoreTime)
-	}
-	return r.done + max(time.Since(from), 0)
-}
-
-// saved returns the checkpoint of a run: its value changes with each saveTime of work.
-func (r *taskRun) saved() string {
-	if ms := r.worked().Truncate(saveTime).Milliseconds(); r.saves && ms > 0 {
-		return fmt.Sprintf("%08x7a21d94b", ms)
-	}
-	return ""
-}
-
-const (
-	saveTime    = 500 * time.Millisecond // checkpoint_s
-	restoreTime = 600 * time.Millisecond // restore_ms
-	gangTime    = 3 * time.Second        // gang_timeout_ms
-)
-
-// gangRun is one run of a gang, as its members see it.
-type gangRun struct {
-	mu      sync.Mutex
-	size    int
-	members int
-	since   time.Time // since when all members are present
-	how     string    // of the first end, empty before
-}
-
-func (g *gangRun) complete() time.Time {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.since
-}
-
-func (g *gangRun) join() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.members++; g.members == g.size {
-		g.since = time.Now()
-	}
-}
-
-// leave records the end of a member, and ended returns how the first one ended.
-func (g *gangRun) leave(how string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.how == "" {
-		g.how = how
-	}
-}
-
-func (g *gangRun) ended() string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.how
-}
-
-var gangs = struct {
-	sync.Mutex
-	runs map[string]*gangRun
-}{runs: map[string]*gangRun{}}
-
-// gangOf returns the run of the gang that a task belongs to.
-func gangOf(task string, run int64, size int) *gangRun {
-	gangs.Lock()
-	defer gangs.Unlock()
-	key := fmt.Sprintf("%s#%d", task[:strings.LastIndexByte(task, '.')], run)
-	if gangs.runs[key] == nil {
-		gangs.runs[key] = &gangRun{size: size}
-	}
-	return gangs.runs[key]
 }
 
 type finishedRun struct {
-	n     int64
-	task  string
-	run   int64
-	how   string
-	saved string
+	n    int64
+	task string
+	run  int64
+	how  string
 }
 
 type startRecord struct {
@@ -145,21 +59,15 @@
 	task string
 	run  int64
 	spec string
-
-	saved string // the checkpoint that it carries
 }
 
 const leaseLimit = 6 * time.Second
 
-func (m *minion) start(ip string) error { return m.listen(ip + ":0") }
-
-func (m *minion) listen(address string) error {
-	listener, err := net.Listen("tcp", address)
+func (m *minion) start(ip string) error {
+	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.address = listener.Addr().String()
 	m.born, m.began = time.Now().UnixMilli(), time.Now()
 	m.running, m.gone, m.changed, m.quit = map[string]*taskRun{}, map[string]int64{}, make(chan struct{}), make(chan struct{})
@@ -182,7 +90,6 @@
 	Task     string `json:"task"`
 	Run      int64  `json:"run_id"`
 	Spec     string `json:"spec"`
-	Saved    string `json:"checkpoint"`
 	Deadline int64  `json:"deadline_ms"`
 	Fence    uint64 `json:"fencing_token"`
 	Cursor   int64  `json:"ack_cursor"`
@@ -236,22 +143,12 @@
 		switch name {
 		case "ms":
 			run.takes = time.Duration(number) * time.Millisecond
-		case "saves":
-			run.saves = true
-		case "gang":
-			run.gang = gangOf(b.Task, b.Run, number)
 		}
 	}
-	if ms, err := strconv.ParseInt(b.Saved[:min(8, len(b.Saved))], 16, 64); err == nil {
-		run.done = time.Duration(ms) * time.Millisecond
-	}
-	if run.gang != nil {
-		run.gang.join()
-	}
 	m.running[b.Task] = run
-	m.starts = append(m.starts, startRecord{time.Now(), b.Task, b.Run, b.Spec, b.Saved})
+	m.starts = append(m.starts, startRecord{time.Now(), b.Task, b.Run, b.Spec})
 	if len(m.starts) <= 2000 {
-		m.rec.detail("%s starts %s run %d, spec %q, checkpoint %q", m.id, b.Task, b.Run, b.Spec, b.Saved)
+		m.rec.detail("%s starts %s run %d, spec %q", m.id, b.Task, b.Run, b.Spec)
 	}
 	return 200, map[string]any{}
 }
@@ -266,14 +163,11 @@
 
 func (m *minion) end(task string, r *taskRun, how string) {
 	m.position++
-	m.finished = append(m.finished, finishedRun{n: m.position, task: task, run: r.run, how: how, saved: r.saved()})
-	if r.gang != nil {
-		r.gang.leave(how)
-	}
+	m.finished = append(m.finished, finishedRun{n: m.position, task: task, run: r.run, how: how})
 	m.gone[task] = max(m.gone[task], r.run)
 	delete(m.running, task)
 	if m.position <= 2000 {
-		m.rec.detail("%s ends %s run %d %s, checkpoint %q", m.id, task, r.run, how, r.saved())
+		m.rec.detail("%s ends %s run %d %s", m.id, task, r.run, how)
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -293,13 +187,7 @@
 				m.end(task, r, "lapsed")
 			case !r.stopped.IsZero() && time.Since(r.stopped) > 100*time.Millisecond:
 				m.end(task, r, "stopped")
-			case r.gang != nil && r.gang.ended() == "done":
-				m.end(task, r, "done")
-			case r.gang != nil && r.gang.ended() != "":
-				m.end(task, r, "broken")
-			case r.gang != nil && r.gang.complete().IsZero() && time.Since(r.began) > gangTime:
-				m.end(task, r, "alone")
-			case r.stopped.IsZero() && r.takes > 0 && r.worked() >= r.takes:
+			case r.stopped.IsZero() && r.takes > 0 && time.Since(r.began) >= r.takes:
 				m.end(task, r, "done")
 			}
 		}
@@ -341,12 +229,12 @@
 	for task, r := range m.running {
 		percent := 100
 		if r.takes > 0 {
-			percent = int(min(99, 100*r.worked()/r.takes))
+			percent = int(min(99, 100*time.Since(r.began)/r.takes))
 		}
-		running = append(running, []any{task, r.run, r.saved(), percent, 0})
+		running = append(running, []any{task, r.run, "", percent, 0})
 	}
 	for _, f := range m.finished[:min(len(m.finished), 500)] {
-		finished = append(finished, []any{f.n, f.task, f.run, f.how, f.saved})
+		finished = append(finished, []any{f.n, f.task, f.run, f.how, ""})
 	}
 	answer := map[string]any{"clock_ms": m.clock(), "born": m.born, "running": running, "finished": finished}
 	m.mu.Unlock()
@@ -385,56 +273,18 @@
 	}
 }
 
-// stop ends the minion's loops and its listener, unless it is down.
+// stop ends the minion's loops and its listener.
 func (m *minion) stop() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	select {
-	case <-m.quit:
-		return
-	default:
-	}
 	close(m.quit)
 	m.server.Close()
 }
 
-// crash ends this life of the minion. What it ran has ended.
-func (m *minion) crash() {
-	m.stop()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.rec.note("%s has crashed", m.id)
-	for _, r := range m.running {
-		if r.gang != nil {
-			r.gang.leave("broken")
-		}
-	}
-	m.running = map[string]*taskRun{}
-}
-
-// begin starts a new life under the same id, at the same address.
-func (m *minion) begin() error {
-	m.mu.Lock()
-	m.fence, m.lease, m.finished, m.position, m.sequence = 0, 0, nil, 0, 0
-	address := m.address
-	m.mu.Unlock()
-	m.rec.note("%s begins again", m.id)
-	return m.listen(address)
-}
-
-// runs returns how many tasks run.
-func (m *minion) runs() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return len(m.running)
-}
-
-// runningOf returns how many tasks of a job run.
+// runningOf returns how many tasks of a job run, of all jobs for an empty id.
 func (m *minion) runningOf(job string) (n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for task := range m.running {
-		if strings.HasPrefix(task, job+".") {
+		if job == "" || strings.HasPrefix(task, job+".") {
 			n++
 		}
 	}
