--- a/review/stand3/calls.go
+++ b/review/stand3/calls.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -70,6 +71,10 @@
 func badPaths(c *cluster, trouble bool) (int, error) {
 	c.enforce = true
 	const jobs, each = 6, 800
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < 4*each {
+		return 0, fmt.Errorf("%d connections need more descriptors than %d", 3*each, files.Cur)
+	}
 	var paths, ids []string
 	for i := range jobs {
 		ids = append(ids, fmt.Sprintf("%016x", 0xa000+i))
